--- /dev/null
+++ b/internal/inventory/inventory.go
@@ -0,0 +1,242 @@
+// Package inventory defines what operators declare: zones, VMs, services,
+// organisations, model versions and rules. It also defines the records the
+// control state derives from them (members and assignments), and the keys
+// under which all of these live in the replicated key space.
+//
+// The package holds types and pure functions only; it keeps no state.
+package inventory
+
+import "time"
+
+// Zone is an availability zone, a place that can fail as a whole.
+type Zone struct {
+	Name   string `json:"name" toml:"name"`
+	Region string `json:"region" toml:"region"`
+}
+
+// VM is a machine that may hold model replicas or a plain service.
+type VM struct {
+	Name string `json:"name" toml:"name"`
+	Zone string `json:"zone" toml:"zone"`
+	// Capacity is how many model replicas the VM can hold at once; 0 means 1.
+	Capacity int `json:"capacity,omitempty" toml:"capacity"`
+	// Drained VMs receive no new work and hold no replicas.
+	Drained bool `json:"drained,omitempty" toml:"drained"`
+}
+
+// ServiceKind tells model services from plain ones.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	KindModel ServiceKind = "model"
+	KindPlain ServiceKind = "plain"
+)
+
+// Service is something callers ask for by name.
+type Service struct {
+	Name string      `json:"name" toml:"name"`
+	Kind ServiceKind `json:"kind" toml:"kind"`
+	// Model is the model a model service answers with.
+	Model string `json:"model,omitempty" toml:"model"`
+	// Paths hold rules for calls below a path prefix; the longest match applies.
+	Paths []PathRule `json:"paths,omitempty" toml:"path"`
+	// Priority of the service's requests; 0 is most urgent.
+	Priority int `json:"priority,omitempty" toml:"priority"`
+}
+
+// PathRule says how calls below a path prefix may be treated.
+type PathRule struct {
+	Prefix string `json:"prefix" toml:"prefix"`
+	// AtMostOnce calls need an Idempotency-Key and never run twice.
+	AtMostOnce bool `json:"at_most_once,omitempty" toml:"at_most_once"`
+	// Idempotent calls may be retried by the system even if they may have run.
+	Idempotent bool `json:"idempotent,omitempty" toml:"idempotent"`
+	// Priority overrides the service's when it is not nil.
+	Priority *int `json:"priority,omitempty" toml:"priority"`
+}
+
+// Organisation is a customer whose callers share keys and limits.
+type Organisation struct {
+	Name string `json:"name" toml:"name"`
+	// KeyHashes are hex SHA-256 digests of the organisation's API keys.
+	KeyHashes []string `json:"key_hashes" toml:"key_hashes"`
+	// Weight is the share in fair queueing; 0 means 1.
+	Weight int `json:"weight,omitempty" toml:"weight"`
+	// RequestsPerSecond, Concurrency and TokensPerSecond are limits per entry
+	// process; 0 means no limit.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty" toml:"requests_per_second"`
+	Concurrency       int     `json:"concurrency,omitempty" toml:"concurrency"`
+	TokensPerSecond   float64 `json:"tokens_per_second,omitempty" toml:"tokens_per_second"`
+}
+
+// ModelVersion names one set of weights by the digest of its manifest.
+type ModelVersion struct {
+	Model   string `json:"model" toml:"model"`
+	Version string `json:"version" toml:"version"`
+	// Manifest is the hex BLAKE3 digest of the manifest file.
+	Manifest string `json:"manifest" toml:"manifest"`
+	// Origin is the base URL that serves the manifest and the chunks.
+	Origin string `json:"origin" toml:"origin"`
+}
+
+// Ref returns "model@version".
+func (m ModelVersion) Ref() string { return m.Model + "@" + m.Version }
+
+// Preference decides how transfers behave after faults.
+type Preference string
+
+// The preferences of a rule.
+const (
+	PreferTime        Preference = "time"
+	PreferOriginBytes Preference = "origin-bytes"
+)
+
+// Rule places copies of a model version for a service.
+type Rule struct {
+	Name    string `json:"name" toml:"name"`
+	Service string `json:"service" toml:"service"`
+	// Version of the service's model that shall be live.
+	Version string `json:"version" toml:"version"`
+	// Copies is the number of replicas wanted.
+	Copies int `json:"copies" toml:"copies"`
+	// Zones and Regions restrict where replicas stand; empty means anywhere.
+	Zones   []string `json:"zones,omitempty" toml:"zones"`
+	Regions []string `json:"regions,omitempty" toml:"regions"`
+	// MinLive replicas stay live while a new version is brought up.
+	MinLive int `json:"min_live,omitempty" toml:"min_live"`
+	// Prefer is PreferTime unless set.
+	Prefer Preference `json:"prefer,omitempty" toml:"prefer"`
+}
+
+// MemberState is where a member stands in its life.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberUp      MemberState = "up"
+	MemberLeaving MemberState = "leaving"
+	MemberDown    MemberState = "down"
+)
+
+// Member is a VM whose agent has announced itself.
+type Member struct {
+	VM      string `json:"vm"`
+	Zone    string `json:"zone"`
+	Addr    string `json:"addr"`
+	Service string `json:"service"`
+	// Incarnation rises with every start of the agent.
+	Incarnation   uint64      `json:"incarnation"`
+	State         MemberState `json:"state"`
+	ChecksFencing bool        `json:"checks_fencing,omitempty"`
+	Capacity      int         `json:"capacity,omitempty"`
+	AdminAddr     string      `json:"admin_addr,omitempty"`
+}
+
+// Phase is how far an agent shall bring an assigned model version.
+type Phase string
+
+// The phases of an assignment.
+const (
+	// PhaseStage fetches and verifies the weights without loading them.
+	PhaseStage Phase = "stage"
+	// PhaseActivate loads the version into the engine and serves it.
+	PhaseActivate Phase = "activate"
+)
+
+// Want is one model version wanted on a VM.
+type Want struct {
+	Model   string     `json:"model"`
+	Version string     `json:"version"`
+	Service string     `json:"service"`
+	Phase   Phase      `json:"phase"`
+	Prefer  Preference `json:"prefer,omitempty"`
+}
+
+// Assignment is the desired state of one VM. The fence rises with every
+// change of the VM's assignment and goes with the orders to its engine.
+type Assignment struct {
+	VM    string `json:"vm"`
+	Zone  string `json:"zone"`
+	Addr  string `json:"addr"`
+	Fence uint64 `json:"fence"`
+	Wants []Want `json:"wants"`
+}
+
+// Key prefixes of the replicated key space.
+const (
+	PrefixZone         = "zone/"
+	PrefixVM           = "vm/"
+	PrefixService      = "service/"
+	PrefixOrganisation = "organisation/"
+	PrefixModel        = "model/"
+	PrefixRule         = "rule/"
+	PrefixMember       = "member/"
+	PrefixAssign       = "assign/"
+)
+
+// Declared lists the prefixes that operators write; the others are derived.
+var Declared = []string{
+	PrefixZone, PrefixVM, PrefixService, PrefixOrganisation, PrefixModel, PrefixRule,
+}
+
+// Inventory is a whole set of declarations, as read from files or as held in
+// the key space.
+type Inventory struct {
+	Zones         []Zone         `json:"zones,omitempty" toml:"zone"`
+	VMs           []VM           `json:"vms,omitempty" toml:"vm"`
+	Services      []Service      `json:"services,omitempty" toml:"service"`
+	Organisations []Organisation `json:"organisations,omitempty" toml:"organisation"`
+	Models        []ModelVersion `json:"models,omitempty" toml:"model"`
+	Rules         []Rule         `json:"rules,omitempty" toml:"rule"`
+}
+
+// Change is one put or delete of a declared key. Value is the JSON of the
+// record; nil deletes the key.
+type Change struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+}
+
+// ChangeRequest is what an operator asks for. Either all changes are
+// accepted in one revision or none.
+type ChangeRequest struct {
+	// OperationID is chosen by the operator's tool; resending it returns
+	// the first result.
+	OperationID string `json:"operation_id"`
+	// BaseRevision is the revision the changes were made from. A declared
+	// key changed after it makes the request a conflict.
+	BaseRevision uint64   `json:"base_revision"`
+	Operator     string   `json:"operator"`
+	Changes      []Change `json:"changes"`
+}
+
+// Verdict is the result of a change request.
+type Verdict string
+
+// The verdicts on a change request.
+const (
+	VerdictAccepted Verdict = "accepted"
+	VerdictConflict Verdict = "conflict"
+	VerdictInvalid  Verdict = "invalid"
+)
+
+// ChangeResult answers a ChangeRequest.
+type ChangeResult struct {
+	Verdict Verdict `json:"verdict"`
+	// Revision that the change made, or the one in force for a conflict.
+	Revision uint64 `json:"revision"`
+	// Problems name what was wrong with an invalid request.
+	Problems []string `json:"problems,omitempty"`
+	// Repeated is true when the operation had been carried out before.
+	Repeated bool `json:"repeated,omitempty"`
+}
+
+// AuditRecord is the trace of one accepted change.
+type AuditRecord struct {
+	Revision    uint64    `json:"revision"`
+	Time        time.Time `json:"time"`
+	Operator    string    `json:"operator"`
+	OperationID string    `json:"operation_id"`
+	Changes     []Change  `json:"changes"`
+}
