Model versions may name a weight store besides the origin

Cause: the platform offers both; a transfer needs a second source when the origin is gone. Change: optional field Store.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -76,8 +76,11 @@
 	Version string `json:"version" toml:"version"`
 	// Manifest is the hex BLAKE3 digest of the manifest file.
 	Manifest string `json:"manifest" toml:"manifest"`
-	// Origin is the base URL that serves the manifest and the chunks.
+	// Origin is the base URL that serves the manifest and the weights file.
 	Origin string `json:"origin" toml:"origin"`
+	// Store is the base URL of a rate-limited weight store with the same
+	// files, asked when the origin does not answer; may be empty.
+	Store string `json:"store,omitempty" toml:"store"`
 }
 
 // Ref returns "model@version".
