--- /dev/null
+++ b/internal/outcome/http.go
@@ -0,0 +1,127 @@
+package outcome
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// errorBody is the JSON of an error answer.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type    Reason `json:"type"`
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	// RetryAfterMS is 0 when there is no advice.
+	RetryAfterMS int64 `json:"retry_after_ms"`
+}
+
+// statusOf holds the statuses of reasons that certainly did not run.
+var statusOf = map[Reason]int{
+	InvalidRequest:     http.StatusBadRequest,
+	MissingKey:         http.StatusBadRequest,
+	Unauthorized:       http.StatusUnauthorized,
+	NotFound:           http.StatusNotFound,
+	BodyTooLarge:       http.StatusRequestEntityTooLarge,
+	KeyReused:          http.StatusUnprocessableEntity,
+	KeyInProgress:      http.StatusConflict,
+	RateLimited:        http.StatusTooManyRequests,
+	ConcurrencyLimited: http.StatusTooManyRequests,
+	TokensLimited:      http.StatusTooManyRequests,
+	DeadlineExceeded:   http.StatusGatewayTimeout,
+	BackendRefused:     http.StatusBadGateway,
+}
+
+// unknownStatusOf holds the statuses of reasons that may have run.
+var unknownStatusOf = map[Reason]int{
+	KeyInProgress:    http.StatusConflict,
+	ClaimUnknown:     http.StatusConflict,
+	DeadlineExceeded: http.StatusGatewayTimeout,
+}
+
+// Status returns the HTTP status of an outcome that is not completed. 503 is
+// given only to requests that certainly did not run, since proxies and client
+// libraries repeat a 503 by themselves; the default for a request that may
+// have run is 502.
+func (o Outcome) Status() int {
+	switch o.Kind {
+	case Completed:
+		return http.StatusOK
+	case NotRun:
+		return lookup(statusOf, o.Reason, http.StatusServiceUnavailable)
+	default:
+		return lookup(unknownStatusOf, o.Reason, http.StatusBadGateway)
+	}
+}
+
+func lookup(statuses map[Reason]int, reason Reason, otherwise int) int {
+	if status, ok := statuses[reason]; ok {
+		return status
+	}
+	return otherwise
+}
+
+// RetryAfterHeader returns the value of the Retry-After header: whole
+// seconds, rounded up, at least 1. It is empty when there is no advice.
+func (o Outcome) RetryAfterHeader() string {
+	if o.RetryAfter <= 0 {
+		return ""
+	}
+	seconds := (o.RetryAfter + time.Second - 1) / time.Second
+	return strconv.FormatInt(int64(seconds), 10)
+}
+
+// Body returns the JSON error body
+// {"error":{"type","message","outcome","retry_after_ms"}}.
+func (o Outcome) Body() []byte {
+	body, err := json.Marshal(errorBody{Error: errorDetail{
+		Type:         o.Reason,
+		Message:      o.message(),
+		Outcome:      o.Kind.String(),
+		RetryAfterMS: ceilMillis(o.RetryAfter),
+	}})
+	if err != nil {
+		panic("outcome: error body does not marshal: " + err.Error())
+	}
+	return body
+}
+
+func (o Outcome) message() string {
+	if o.Detail != "" {
+		return o.Detail
+	}
+	if o.Kind == NotRun {
+		return "the request did not run"
+	}
+	return "the request may have run"
+}
+
+func ceilMillis(d time.Duration) int64 {
+	if d <= 0 {
+		return 0
+	}
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// Write sends the outcome as an HTTP error answer. It must be called before
+// anything else was written.
+func (o Outcome) Write(w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json")
+	if after := o.RetryAfterHeader(); after != "" {
+		w.Header().Set("Retry-After", after)
+	}
+	w.WriteHeader(o.Status())
+	_, err := w.Write(o.Body())
+	return err
+}
+
+// Event returns the outcome as a last server-sent event, for an answer that
+// was cut after its head had been sent. It is never followed by [DONE].
+func (o Outcome) Event() []byte {
+	event := append([]byte("event: error\ndata: "), o.Body()...)
+	return append(event, "\n\n"...)
+}
--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,114 @@
+// Package outcome defines how a request ended: completed, not run, or
+// unknown. Outcomes are values, not errors; the package also maps them to the
+// HTTP answer that a caller sees. It keeps no state.
+package outcome
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind is how a request ended.
+type Kind uint8
+
+// The kinds of outcome. The zero value is Unknown: an outcome that nobody
+// filled in must not pass for a certain one.
+const (
+	// Unknown means the request may have run.
+	Unknown Kind = iota
+	// NotRun means it is certain that the request did not run.
+	NotRun
+	// Completed means the whole answer is there.
+	Completed
+)
+
+// String returns the kind as written in answers and metric labels.
+func (k Kind) String() string {
+	switch k {
+	case NotRun:
+		return "not_run"
+	case Completed:
+		return "completed"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason says why a request did not complete.
+type Reason string
+
+// The reasons; they appear as "type" in error bodies and as metric labels.
+const (
+	// Refused before anything was dispatched, by the caller's own fault.
+	InvalidRequest     Reason = "invalid_request"
+	Unauthorized       Reason = "unauthorized"
+	NotFound           Reason = "not_found"
+	BodyTooLarge       Reason = "body_too_large"
+	MissingKey         Reason = "missing_idempotency_key"
+	KeyReused          Reason = "idempotency_key_reused"
+	KeyInProgress      Reason = "idempotency_key_in_progress"
+	RateLimited        Reason = "rate_limited"
+	ConcurrencyLimited Reason = "concurrency_limited"
+	TokensLimited      Reason = "token_budget_exhausted"
+	// Refused or given up on by the system.
+	Overloaded       Reason = "overloaded"
+	NoBackend        Reason = "no_backend_server"
+	Leaving          Reason = "leaving"
+	VersionNotLive   Reason = "version_not_live"
+	NoQuorum         Reason = "no_quorum"
+	ClaimsFull       Reason = "claims_full"
+	DeadlineExceeded Reason = "deadline_exceeded"
+	Cancelled        Reason = "cancelled"
+	BackendFailed    Reason = "backend_failed"
+	BackendRefused   Reason = "backend_refused"
+	// Ends of a request that may have run.
+	AnswerCut       Reason = "answer_cut"
+	AnswerCorrupt   Reason = "answer_corrupt"
+	ConnectionLost  Reason = "connection_lost"
+	ClaimUnknown    Reason = "idempotency_key_outcome_unknown"
+	AnswerNotStored Reason = "answer_not_stored"
+)
+
+// Outcome is the end of one request or of one attempt at it.
+type Outcome struct {
+	Kind   Kind
+	Reason Reason
+	// Detail is a sentence for people; it must hold nothing of another
+	// organisation's.
+	Detail string
+	// RetryAfter says when it makes sense to come back; 0 gives no advice.
+	RetryAfter time.Duration
+}
+
+// Done returns the outcome of a request whose whole answer is there.
+func Done() Outcome { return Outcome{Kind: Completed} }
+
+// Not returns the outcome of a request that certainly did not run.
+func Not(reason Reason, detail string, retryAfter time.Duration) Outcome {
+	return Outcome{Kind: NotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter}
+}
+
+// May returns the outcome of a request that may have run.
+func May(reason Reason, detail string) Outcome {
+	return Outcome{Kind: Unknown, Reason: reason, Detail: detail}
+}
+
+// Worse combines the outcomes of two attempts at one request: if either may
+// have run, the request may have run. A completed attempt wins.
+func Worse(a, b Outcome) Outcome {
+	if a.Kind == Completed || b.Kind == Completed {
+		return Done()
+	}
+	if a.Kind == Unknown {
+		return a
+	}
+	return b
+}
+
+// String describes the outcome for logs.
+func (o Outcome) String() string {
+	if o.Kind == Completed {
+		return o.Kind.String()
+	}
+	return fmt.Sprintf("%s: %s: %s", o.Kind, o.Reason, o.Detail)
+}
