Admission: SetFree keeps the queue of a service that is only busy

Cause: an entry that derives slots from running requests plus free places would set 0 when its backend servers are full with others' requests, and so refuse the queue as if there were no backend server. Change: Controller.SetFree computes both under one lock and leaves one slot. Seen to fail with the rule removed: the one slot, the running requests, slots given back, start on finish.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -104,11 +104,22 @@
 	})
 }
 
-// SetCapacity sets the slots of a service at this entry.
+// SetCapacity sets the slots of a service at this entry. Without slots the
+// service counts as having no backend server: its queue is refused.
 func (c *Controller) SetCapacity(service string, slots int) {
 	c.event(CapacityChanged{Service: service, Slots: slots})
 }
 
+// SetFree sets the slots to the running requests plus the free places that
+// the usable backend servers have now. It leaves at least one slot, so that a
+// service whose backend servers are only busy keeps its queue.
+func (c *Controller) SetFree(service string, free int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	slots := c.machine.Status(service).Running + max(free, 0)
+	c.step(CapacityChanged{Service: service, Slots: max(slots, 1)})
+}
+
 // SetOrganisations replaces the limits of all organisations.
 func (c *Controller) SetOrganisations(organisations []inventory.Organisation) {
 	limits := make(map[string]Limits, len(organisations))
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -50,7 +50,13 @@
 			ticket.Finish(outcome.Completed, 0)
 		})
 	}
-	wg.Wait()
+	answered := make(chan struct{})
+	go func() { wg.Wait(); close(answered) }()
+	select {
+	case <-answered:
+	case <-time.After(generous):
+		t.Fatalf("callers are left waiting: %+v", c.Status("s"))
+	}
 	require.EqualValues(t, 300, started.Load()+refused.Load())
 	require.GreaterOrEqual(t, started.Load(), int64(200))
 	require.LessOrEqual(t, most.Load(), int64(4))
@@ -96,6 +102,21 @@
 	require.Equal(t, 4.0, c.machine.services["s"].classes[0].flows["a"].weight)
 }
 
+func TestBusyServiceKeepsItsQueue(t *testing.T) {
+	c := NewController(DefaultConfig, (&testClock{}).now)
+	c.SetFree("s", 1)
+	ticket, _ := c.Acquire(context.Background(), Request{Organisation: "a", Service: "s"})
+	require.NotNil(t, ticket)
+	_, answer := c.arrive(Request{Organisation: "a", Service: "s"})
+	c.SetFree("s", 0)
+	require.Equal(t, Status{Slots: 1, Running: 1, Queued: 1, MeanService: time.Second}, c.Status("s"))
+	c.SetFree("s", 1)
+	require.True(t, (<-answer).Start)
+	ticket.Finish(outcome.Completed, 0)
+	c.SetFree("s", -1)
+	require.Equal(t, 1, c.Status("s").Slots)
+}
+
 // TestAbandonAfterStart lets the caller leave in the moment of the start.
 func TestAbandonAfterStart(t *testing.T) {
 	c := NewController(DefaultConfig, (&testClock{}).now)
