--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -53,10 +54,18 @@
 		return c.ticket(id, action)
 	case <-ctx.Done():
 		c.abandon(id, answer)
-		return nil, outcome.Not(outcome.Cancelled, "the caller left before the request was started", 0)
+		return nil, withdrawn(ctx.Err())
 	}
 }
 
+// withdrawn is the outcome of a request whose context ended before its start.
+func withdrawn(err error) outcome.Outcome {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return outcome.Not(outcome.DeadlineExceeded, "the deadline passed before the request was started", 0)
+	}
+	return outcome.Not(outcome.Cancelled, "the caller left before the request was started", 0)
+}
+
 func (c *Controller) arrive(r Request) (uint64, <-chan Action) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -117,6 +117,21 @@
 	require.Equal(t, 1, c.Status("other").Slots, "busy with the requests of other entries")
 }
 
+func TestContextEndsInTheQueue(t *testing.T) {
+	c := NewController(DefaultConfig, (&testClock{}).now)
+	c.SetCapacity("s", 1)
+	_, _ = c.Acquire(context.Background(), Request{Organisation: "a", Service: "s"})
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, why := c.Acquire(gone, Request{Organisation: "a", Service: "s"})
+	require.Equal(t, outcome.Cancelled, why.Reason)
+	late, cancel := context.WithDeadline(context.Background(), t0)
+	defer cancel()
+	_, why = c.Acquire(late, Request{Organisation: "a", Service: "s"})
+	require.Equal(t, outcome.DeadlineExceeded, why.Reason)
+	require.Equal(t, Status{Slots: 1, Running: 1, MeanService: time.Second}, c.Status("s"))
+}
+
 // TestAbandonAfterStart lets the caller leave in the moment of the start.
 func TestAbandonAfterStart(t *testing.T) {
 	c := NewController(DefaultConfig, (&testClock{}).now)
--- a/internal/retry/attempts.go
+++ b/internal/retry/attempts.go
@@ -58,8 +58,9 @@
 	Retry bool
 	// After is how long to wait before the next attempt.
 	After time.Duration
-	// Final is the outcome for the caller when Retry is false. It is unknown
-	// if any attempt may have run, and it is due at once.
+	// Final is the outcome for the caller when no further attempt is made,
+	// either because Retry is false or because the caller left meanwhile. It
+	// is unknown if any attempt may have run, and it is due at once.
 	Final outcome.Outcome
 	Why   Why
 }
@@ -102,7 +103,7 @@
 	if !freeOfCharge[o.Reason] && !budget.TryRetry(now) {
 		return a.final(WhyBudget)
 	}
-	return Decision{Retry: true, After: after, Why: WhyRetry}
+	return Decision{Retry: true, After: after, Final: a.sofar, Why: WhyRetry}
 }
 
 // forbidden returns why this request must not be tried again, or "".
