Replay: runs of plain services, quantiles, split reports; fakes: paced link and stalls under test

Ruled out: nothing.

Change: replay.FetchRuns, Report.By, Report.Times; /_health of the plain service; tests of pacing, stall and latency under a fake clock.

Conclusion: go test -race -count=3 passes.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -55,6 +55,8 @@
 func TestReplayOfBothDeployments(t *testing.T) {
 	for _, name := range []string{"folleto-andino.jsonl", "portvaktsbolaget.jsonl"} {
 		url, digest, service := fakes(t)
+		runsServer := httptest.NewServer(service)
+		defer runsServer.Close()
 		requests := committed(t, name)
 		cfg := replay.Config{
 			Targets: []string{url}, Speed: fast,
@@ -67,9 +69,15 @@
 		require.Equal(t, int64(len(requests)), report.Total.TotalCount())
 		require.NotZero(t, report.FirstToken.TotalCount())
 
+		large := report.By(func(r replay.Result) string { return r.Request.Organisation })[requests[0].Organisation]
+		require.Equal(t, large.Counts.Completed, int(large.Times.Total.Count))
+		require.Less(t, large.Counts.Completed, len(requests))
+
 		// Nothing stands before the plain service that keeps a request which
 		// is sent again from running again.
-		check := report.CheckRuns(service.Runs().IdempotencyKeys)
+		runs, err := replay.FetchRuns(context.Background(), http.DefaultClient, []string{runsServer.URL})
+		require.NoError(t, err)
+		check := report.CheckRuns(runs)
 		require.NotZero(t, check.Doubled)
 		require.Len(t, report.Differences, check.Doubled)
 	}
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -40,13 +39,6 @@
 	ProblemForm       Problem = "answer cannot be read"
 )
 
-// The problems of runs, found by CheckRuns.
-const (
-	ProblemDoubled       Problem = "ran more than once"
-	ProblemLost          Problem = "answered but never ran"
-	ProblemWronglyNotRun Problem = "said not to have run but ran"
-)
-
 // Result is what became of one request.
 type Result struct {
 	Request trace.Request `json:"-"`
@@ -122,6 +114,39 @@
 	FirstToken    *hdrhistogram.Histogram `json:"-"`
 	BetweenTokens *hdrhistogram.Histogram `json:"-"`
 	Total         *hdrhistogram.Histogram `json:"-"`
+	// Times are quantiles of the histograms.
+	Times Times `json:"times"`
+}
+
+// Times of completed requests.
+type Times struct {
+	FirstToken    Quantiles `json:"first_token"`
+	BetweenTokens Quantiles `json:"between_tokens"`
+	Total         Quantiles `json:"total"`
+}
+
+// Quantiles in microseconds.
+type Quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_us"`
+	P95   int64 `json:"p95_us"`
+	P99   int64 `json:"p99_us"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(),
+		P50:   h.ValueAtQuantile(50),
+		P95:   h.ValueAtQuantile(95),
+		P99:   h.ValueAtQuantile(99),
+	}
+}
+
+// String returns the quantiles as times.
+func (q Quantiles) String() string {
+	const unit = time.Microsecond
+	return fmt.Sprintf("p50 %s p95 %s p99 %s",
+		time.Duration(q.P50)*unit, time.Duration(q.P95)*unit, time.Duration(q.P99)*unit)
 }
 
 const (
@@ -150,9 +175,27 @@
 	for _, r := range results {
 		report.add(r)
 	}
+	report.Times = Times{
+		FirstToken:    quantiles(report.FirstToken),
+		BetweenTokens: quantiles(report.BetweenTokens),
+		Total:         quantiles(report.Total),
+	}
 	return report
 }
 
+// By splits the report by a key of the results, such as the organisation.
+func (report *Report) By(key func(Result) string) map[string]*Report {
+	parts := make(map[string][]Result)
+	for _, r := range report.Results {
+		parts[key(r)] = append(parts[key(r)], r)
+	}
+	reports := make(map[string]*Report, len(parts))
+	for name, results := range parts {
+		reports[name] = newReport(results)
+	}
+	return reports
+}
+
 func (report *Report) add(r Result) {
 	switch r.Outcome {
 	case Completed:
@@ -196,71 +239,11 @@
 	})
 }
 
-// RunCheck is what CheckRuns found.
-type RunCheck struct {
-	Doubled       int `json:"doubled"`
-	Lost          int `json:"lost"`
-	WronglyNotRun int `json:"wrongly_not_run"`
-}
-
-// CheckRuns compares the outcomes of at-most-once requests with how often each
-// idempotency key ran on the plain services (the sum over all of them, from
-// GET /_runs). What does not fit becomes a difference. Requests for models
-// are not looked at.
-func (report *Report) CheckRuns(runs map[string]int) RunCheck {
-	byKey := make(map[string][]Result)
-	for _, r := range report.Results {
-		if key := r.Request.IdempotencyKey; key != "" && r.Outcome != "" {
-			byKey[key] = append(byKey[key], r)
-		}
-	}
-	keys := make([]string, 0, len(byKey))
-	for key := range byKey {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	var check RunCheck
-	for _, key := range keys {
-		report.checkKey(&check, byKey[key], runs[key])
-	}
-	return check
-}
-
-// checkKey looks at all requests with one key.
-func (report *Report) checkKey(check *RunCheck, sent []Result, runs int) {
-	completed, notRun := 0, 0
-	for _, r := range sent {
-		switch r.Outcome {
-		case Completed:
-			completed++
-		case NotRun:
-			notRun++
-		}
-	}
-	switch {
-	case runs > 1:
-		check.Doubled++
-		report.differ(sent[0], ProblemDoubled)
-	case runs == 0 && completed > 0:
-		check.Lost++
-		report.differ(sent[0], ProblemLost)
-	case runs > 0 && notRun == len(sent):
-		check.WronglyNotRun++
-		report.differ(sent[0], ProblemWronglyNotRun)
-	}
-}
-
 // Summary returns the report as a short text.
 func (report *Report) Summary() string {
 	c := report.Counts
 	return fmt.Sprintf("completed %d, not run %d, unknown %d, wrong %d (mixed %d), late %d, unsent %d; differences %d\n"+
-		"first token p50 %s p95 %s, between tokens p50 %s p95 %s, total p50 %s p95 %s\n",
+		"first token %s, between tokens %s, total %s\n",
 		c.Completed, c.NotRun, c.Unknown, c.Wrong, c.Mixed, c.Late, c.Unsent, len(report.Differences),
-		quantile(report.FirstToken, 50), quantile(report.FirstToken, 95),
-		quantile(report.BetweenTokens, 50), quantile(report.BetweenTokens, 95),
-		quantile(report.Total, 50), quantile(report.Total, 95))
-}
-
-func quantile(h *hdrhistogram.Histogram, percent float64) time.Duration {
-	return time.Duration(h.ValueAtQuantile(percent)) * time.Microsecond
+		report.Times.FirstToken, report.Times.BetweenTokens, report.Times.Total)
 }
--- a/internal/standin/origin/origin_test.go
+++ b/internal/standin/origin/origin_test.go
@@ -1,6 +1,7 @@
 package origin_test
 
 import (
+	"context"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -9,7 +10,10 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"lukechampine.com/blake3"
@@ -139,3 +143,49 @@
 	status, _, _ := get(t, url+"/weights", "")
 	require.Equal(t, http.StatusServiceUnavailable, status)
 }
+
+// serve runs one request for weights in the bubble and returns its recorder.
+func serve(ctx context.Context, o *origin.Origin, version string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodGet, "/m/"+version+"/weights", nil)
+	defer func() { _ = recover() }() // http.ErrAbortHandler
+	o.ServeHTTP(recorder, request.WithContext(ctx))
+	return recorder
+}
+
+func TestTransfersShareTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := config()
+		cfg.LinkBytesPerSecond = 1000
+		o, err := origin.New(cfg)
+		require.NoError(t, err)
+		transfer := func() time.Duration {
+			start := time.Now()
+			var both sync.WaitGroup
+			for _, version := range []string{"v1", "v2"} {
+				both.Go(func() { serve(context.Background(), o, version) })
+			}
+			both.Wait()
+			return time.Since(start)
+		}
+		transfer() // takes the burst
+		require.InDelta(t, 2*size/1000, transfer().Seconds(), 1)
+		o.SetFaults(origin.Faults{Slow: 3})
+		require.InDelta(t, 3*2*size/1000, transfer().Seconds(), 1)
+	})
+}
+
+func TestStalledTransferWaitsForTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := config()
+		cfg.Faults.Stall = 1
+		o, err := origin.New(cfg)
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+		defer cancel()
+		start := time.Now()
+		serve(ctx, o, "v1")
+		require.Equal(t, time.Hour, time.Since(start))
+		require.Equal(t, int64(size/2), o.Bytes().Weights["m@v1"])
+	})
+}
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -83,6 +83,7 @@
 	}
 	s.mux.Handle("/_faults", s.faults)
 	s.mux.HandleFunc("GET /_runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
+	s.mux.HandleFunc("GET /_health", func(http.ResponseWriter, *http.Request) {})
 	s.mux.HandleFunc("/", s.serve)
 	return s
 }
--- a/internal/standin/plain/plain_test.go
+++ b/internal/standin/plain/plain_test.go
@@ -1,12 +1,15 @@
 package plain_test
 
 import (
+	"context"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"lukechampine.com/blake3"
@@ -61,3 +64,27 @@
 		IdempotencyKeys: map[string]int{"a": 1, "b": 2},
 	}, s.Runs())
 }
+
+func TestLatencyAndStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := plain.New(plain.Config{Latency: time.Second, Faults: plain.Faults{Slow: 10}})
+		answered := func() bool {
+			done := make(chan struct{})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			go func() {
+				defer close(done)
+				defer func() { _ = recover() }() // http.ErrAbortHandler
+				s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/x", nil).WithContext(ctx))
+			}()
+			<-done
+			return ctx.Err() == nil
+		}
+		start := time.Now()
+		require.True(t, answered())
+		require.Equal(t, 10*time.Second, time.Since(start))
+		s.SetFaults(plain.Faults{Stall: true})
+		require.False(t, answered())
+		require.Equal(t, uint64(2), s.Runs().Total, "a stalled request has run")
+	})
+}
