Fake engine: no token and no request after Close

Cause: TestUnloadAndCloseCutRequests, new, saw one more token after Close, and a request sent after it would have waited for ever.

Ruled out: nothing.

Change: the step and the queue look whether the engine is closed; the form of answers and events is made in one place.

Conclusion: go test -race -count=30 of the package passes; the test failed without the check in step.

--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -75,7 +75,7 @@
 		writeError(w, http.StatusBadRequest, "messages: missing")
 		return
 	}
-	e.serveAnswer(w, r, body, &answer{chat: true, object: "chat.completion"}, tokens.ChatPrompt(body.Messages))
+	e.serveAnswer(w, r, body, &answer{chat: true}, tokens.ChatPrompt(body.Messages))
 }
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
@@ -87,16 +87,14 @@
 		writeError(w, http.StatusBadRequest, "prompt: missing")
 		return
 	}
-	e.serveAnswer(w, r, body, &answer{object: "text_completion"}, body.Prompt)
+	e.serveAnswer(w, r, body, &answer{}, body.Prompt)
 }
 
 // answer is one answer on its way to the caller.
 type answer struct {
 	chat   bool
-	object string
 	model  string
 	digest string
-	resume int // tokens that an earlier answer has delivered
 	req    *request
 	dies   int // tokens before the connection is closed; 0 means never
 }
@@ -108,7 +106,7 @@
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	a.req, a.resume, a.dies = req, req.next, e.faults.Get().DieAfterTokens
+	a.req, a.dies = req, e.faults.Get().DieAfterTokens
 	if !e.enter(w, a) {
 		return
 	}
@@ -179,6 +177,9 @@
 func (e *Engine) add(a *answer) (status int, problem string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.ctx.Err() != nil {
+		return http.StatusServiceUnavailable, "engine is closed"
+	}
 	if e.state.State != StatusLive {
 		return http.StatusServiceUnavailable, "engine is " + string(e.state.State)
 	}
@@ -231,11 +232,11 @@
 		if !more {
 			break
 		}
-		writeEvent(w, a.part(a.object+a.chunkSuffix(), t.text+" ", t.digest, nil, true))
+		writeEvent(w, a.part(t.text+" ", t.digest, nil, true))
 		_ = flusher.Flush()
 	}
 	reason := "length"
-	last := a.part(a.object+a.chunkSuffix(), "", a.digest, &reason, true)
+	last := a.part("", a.digest, &reason, true)
 	last.Usage = a.usage()
 	writeEvent(w, last)
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
@@ -254,29 +255,21 @@
 		digest = t.digest
 	}
 	reason := "length"
-	completion := a.part(a.object, text, digest, &reason, false)
+	completion := a.part(text, digest, &reason, false)
 	completion.Usage = a.usage()
 	writeJSON(w, http.StatusOK, completion)
 }
 
-// chunkSuffix tells stream events of chat from whole answers.
-func (a *answer) chunkSuffix() string {
-	if a.chat {
-		return ".chunk"
-	}
-	return ""
-}
-
-// part makes a whole answer or one event of it.
-func (a *answer) part(object, text, digest string, reason *string, event bool) Completion {
-	choice := Choice{FinishReason: reason}
+// part makes a whole answer, or one event of it.
+func (a *answer) part(text, digest string, reason *string, event bool) Completion {
+	object, choice := "text_completion", Choice{FinishReason: reason}
 	switch {
 	case !a.chat:
 		choice.Text = text
 	case event:
-		choice.Delta = &Delta{Content: text}
+		object, choice.Delta = "chat.completion.chunk", &Delta{Content: text}
 	default:
-		choice.Message = &tokens.Message{Role: "assistant", Content: text}
+		object, choice.Message = "chat.completion", &tokens.Message{Role: "assistant", Content: text}
 	}
 	return Completion{
 		ID: a.req.id, Object: object, Model: a.model,
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -245,11 +245,11 @@
 	}
 }
 
-// step does one step, unless an order came in between.
+// step does one step, unless an order or Close came in between.
 func (e *Engine) step() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.state.State != StatusLive {
+	if e.ctx.Err() != nil || e.state.State != StatusLive {
 		return
 	}
 	e.batch.step(e.state.Digest)
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -131,6 +131,24 @@
 	})
 }
 
+func TestUnloadAndCloseCutRequests(t *testing.T) {
+	unload := func(e *Engine) { do(e, "POST", "/engine/unload", `{}`) }
+	for _, end := range []func(*Engine){unload, (*Engine).Close} {
+		run(t, Config{TokenTime: time.Second}, func(t *testing.T, e *Engine) {
+			<-load(t, e, "w", "v1", 1).done
+			cut := begin(e, "POST", "/v1/completions", stream8)
+			time.Sleep(2500 * time.Millisecond)
+			end(e)
+			<-cut.done
+			got, ended := text(t, cut)
+			require.True(t, cut.aborted)
+			require.False(t, ended)
+			require.Len(t, strings.Fields(got), 2)
+			require.Equal(t, http.StatusServiceUnavailable, do(e, "POST", "/v1/completions", stream8).Code)
+		})
+	}
+}
+
 func TestFaults(t *testing.T) {
 	run(t, Config{TokenTime: time.Second}, func(t *testing.T, e *Engine) {
 		<-load(t, e, "w", "v1", 1).done
