--- /dev/null
+++ b/internal/rpcconn/rpcconn.go
@@ -0,0 +1,93 @@
+// Package rpcconn holds the few lines of drpc plumbing that every process
+// needs: a server on a listener and a pool of client connections by address.
+// A drpc connection carries one call at a time, so concurrent calls to one
+// address take one pooled connection each.
+package rpcconn
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	// DialTimeout bounds connecting to another process.
+	DialTimeout = 2 * time.Second
+	// MaxMessageBytes bounds one message in either direction.
+	MaxMessageBytes = 16 << 20
+
+	idleExpiration = 30 * time.Second
+	idlePerAddr    = 4
+	idleTotal      = 256
+)
+
+// Pool keeps idle client connections for reuse. The zero value is not usable.
+type Pool struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	opts := drpcpool.Options{
+		Expiration:  idleExpiration,
+		Capacity:    idleTotal,
+		KeyCapacity: idlePerAddr,
+	}
+	return &Pool{pool: drpcpool.New[string, drpcpool.Conn](opts)}
+}
+
+// Get returns a connection to addr ("ip:port"). It dials when the first call
+// is made on it, so a dial error is returned by that call as a *DialError.
+func (p *Pool) Get(ctx context.Context, addr string) drpc.Conn {
+	return p.pool.Get(ctx, addr, func(ctx context.Context, addr string) (drpcpool.Conn, error) {
+		return Dial(ctx, addr)
+	})
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() error { return p.pool.Close() }
+
+// DialError says that a connection could not be made: nothing was sent.
+type DialError struct {
+	Addr string
+	Err  error
+}
+
+// Error implements error.
+func (e *DialError) Error() string { return fmt.Sprintf("dial %s: %v", e.Addr, e.Err) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Err }
+
+// Dial opens a connection of its own to addr ("ip:port").
+func Dial(ctx context.Context, addr string) (*drpcconn.Conn, error) {
+	dialer := net.Dialer{Timeout: DialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, &DialError{Addr: addr, Err: err}
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Serve answers calls registered on mux until ctx is done.
+func Serve(ctx context.Context, lis net.Listener, mux *drpcmux.Mux) error {
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	return server.Serve(ctx, lis)
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+		Stream: drpcstream.Options{MaximumBufferSize: MaxMessageBytes},
+	}
+}
