--- /dev/null
+++ b/internal/admin/backend.go
@@ -0,0 +1,187 @@
+// Package admin serves the HTTP API of operators on control servers: changes,
+// configuration, status, audit and consensus membership. It checks keys and
+// requests; the Backend carries them out. The package keeps no state of its own.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+)
+
+// Backend is what the API needs from a control server. Every method may
+// return *NotLeaderError, ErrNoQuorum or ErrResultUnknown; any other error is
+// reported as an internal one.
+type Backend interface {
+	// Apply carries out a change request. A request with an operation id
+	// that was accepted before returns that first result, Repeated set.
+	Apply(ctx context.Context, req inventory.ChangeRequest) (inventory.ChangeResult, error)
+	// Get returns the keys below prefix, as confirmed with a quorum.
+	Get(ctx context.Context, prefix string) (Snapshot, error)
+	// Status returns what this server knows. It answers without a quorum
+	// too, then with Quorum false.
+	Status(ctx context.Context) (Status, error)
+	// Audit returns records with a revision above query.Since, oldest first.
+	Audit(ctx context.Context, query AuditQuery) ([]inventory.AuditRecord, error)
+	// Members lists the consensus members.
+	Members(ctx context.Context) ([]Server, error)
+	// AddServer adds a server as a learner; it becomes a voter when caught
+	// up. Adding a server that is there already succeeds.
+	AddServer(ctx context.Context, name, addr string) error
+	// RemoveServer removes a server; removing an absent one succeeds.
+	RemoveServer(ctx context.Context, name string) error
+}
+
+// ErrNoQuorum says that a quorum was out of reach and that nothing was, or
+// will be, accepted.
+var ErrNoQuorum = errors.New("no quorum of control servers in reach")
+
+// ErrResultUnknown says that a request was handed to the log but its result
+// was not seen. It may still be carried out; resending it with the same
+// operation id tells.
+var ErrResultUnknown = errors.New("result unknown: resend with the same operation id")
+
+// ErrInvalid marks a request of members that can't be carried out, such as
+// the removal of the last voter. Wrap it with the reason.
+var ErrInvalid = errors.New("invalid request")
+
+// NotLeaderError says that another control server leads.
+type NotLeaderError struct {
+	// Leader is the leader's name; empty when unknown.
+	Leader string
+	// AdminAddr is the IP:port of the leader's operators' API; empty when unknown.
+	AdminAddr string
+}
+
+// Error names the leader where it is known.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "not the leader; the leader is not known"
+	}
+	return "not the leader; the leader is " + e.Leader
+}
+
+// KeyValue is one key of the replicated key space.
+type KeyValue struct {
+	Key string `json:"key"`
+	// Value is the JSON of the record.
+	Value json.RawMessage `json:"value"`
+	// Revision of the last change of this key.
+	Revision uint64 `json:"revision"`
+}
+
+// Snapshot is a part of the key space at one revision, sorted by key.
+type Snapshot struct {
+	Revision uint64     `json:"revision"`
+	Keys     []KeyValue `json:"keys"`
+}
+
+// AuditQuery selects audit records; zero fields select everything.
+type AuditQuery struct {
+	// Since excludes records up to and including this revision.
+	Since uint64
+	// Limit is the most records returned; the API sets it above 0.
+	Limit int
+	// Operator and Key select by equality; a Key ending in "/" is a prefix.
+	Operator string
+	Key      string
+}
+
+// Status is what the system does now.
+type Status struct {
+	// Server is the control server that answers.
+	Server string `json:"server"`
+	// Revision in force at the answering server.
+	Revision uint64 `json:"revision"`
+	// LowestRevision in force at any daemon with a lease.
+	LowestRevision uint64 `json:"lowest_revision"`
+	Leader         string `json:"leader"`
+	// LeaderAdminAddr is the IP:port of the leader's operators' API.
+	LeaderAdminAddr string `json:"leader_admin_addr,omitempty"`
+	Term            uint64 `json:"term"`
+	// Quorum is true when the answering server heard from a quorum lately.
+	Quorum   bool           `json:"quorum"`
+	Daemons  []DaemonStatus `json:"daemons"`
+	Laggards []Laggard      `json:"laggards"`
+	Replicas []ReplicaCount `json:"replicas"`
+	// Transfers under way.
+	Transfers []Transfer `json:"transfers"`
+	Unmet     []Unmet    `json:"unmet"`
+}
+
+// DaemonStatus is one daemon as last heard of.
+type DaemonStatus struct {
+	Name string `json:"name"`
+	// Role is control, entry or agent.
+	Role      string `json:"role"`
+	Zone      string `json:"zone"`
+	Addr      string `json:"addr"`
+	AdminAddr string `json:"admin_addr,omitempty"`
+	Service   string `json:"service,omitempty"`
+	// Revision in force there.
+	Revision uint64 `json:"revision"`
+	// Unconfirmed is true when its configuration isn't confirmed with a quorum.
+	Unconfirmed bool `json:"unconfirmed"`
+	Leaving     bool `json:"leaving"`
+	// State is up, leaving or down.
+	State string `json:"state"`
+	// LastSeen is how long ago it was last heard of.
+	LastSeen time.Duration `json:"last_seen_ns"`
+}
+
+// Laggard is a daemon whose revision is behind the one in force.
+type Laggard struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	// Behind is the number of revisions it lacks.
+	Behind uint64 `json:"behind"`
+	// Reason says why, such as "not heard of for 12s" or "unconfirmed".
+	Reason string `json:"reason"`
+}
+
+// ReplicaCount counts the replicas of one model version.
+type ReplicaCount struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Live    int    `json:"live"`
+	// Staged replicas hold the whole, verified weights but don't serve them.
+	Staged   int `json:"staged"`
+	Fetching int `json:"fetching"`
+	Failed   int `json:"failed"`
+	Wanted   int `json:"wanted"`
+}
+
+// Transfer is one VM's fetch of a model version.
+type Transfer struct {
+	VM      string `json:"vm"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	// Held and Total are numbers of chunks.
+	Held  int `json:"held"`
+	Total int `json:"total"`
+	// OriginBytes and PeerBytes were received so far, by source.
+	OriginBytes uint64 `json:"origin_bytes"`
+	PeerBytes   uint64 `json:"peer_bytes"`
+	Error       string `json:"error,omitempty"`
+}
+
+// Unmet is a rule that can't be met now.
+type Unmet struct {
+	Rule   string `json:"rule"`
+	Reason string `json:"reason"`
+	// Wanted and Possible are numbers of replicas.
+	Wanted   int `json:"wanted"`
+	Possible int `json:"possible"`
+}
+
+// Server is a consensus member.
+type Server struct {
+	Name string `json:"name"`
+	// Addr is the IP:port of its rpc listener.
+	Addr    string `json:"addr"`
+	Learner bool   `json:"learner"`
+	Leader  bool   `json:"leader"`
+}
