--- /dev/null
+++ b/internal/control/state/command.go
@@ -0,0 +1,137 @@
+// Package state is the replicated state machine of the control servers: the
+// key space, the results of operations, the audit trail and the claims.
+//
+// State: one Machine per control server, owned by the goroutine that applies
+// the log. Every decision depends on the command and on the state alone, so
+// that all servers come to the same result; the time is the one the leader
+// stamped on the command.
+//
+// Messages: the commands of this file, each one entry of the log.
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+)
+
+// formatVersion is the first byte of every encoded command.
+const formatVersion = 1
+
+// kind is the second byte of an encoded command.
+type kind uint8
+
+const (
+	kindChange kind = iota + 1
+	kindAnnounce
+	kindDown
+	kindAssign
+	kindClaim
+	kindSettle
+	kindExpire
+)
+
+// Command is one entry of the log, as the leader proposes it.
+type Command interface{ kind() kind }
+
+// Change carries an operator's request. Result: inventory.ChangeResult.
+type Change struct {
+	Time    time.Time               `json:"time"`
+	Request inventory.ChangeRequest `json:"request"`
+}
+
+// Announce puts members that announced themselves. Result: AnnounceResult.
+type Announce struct {
+	Time    time.Time          `json:"time"`
+	Members []inventory.Member `json:"members"`
+}
+
+// AnnounceResult has one item per announced member, in the same order.
+type AnnounceResult struct {
+	Members []MemberResult
+}
+
+// MemberResult answers one announcement.
+type MemberResult struct {
+	// Superseded is true when a newer incarnation of the VM's agent is known.
+	Superseded bool
+	// Incarnation is the one in force for the VM.
+	Incarnation uint64
+}
+
+// Down marks members whose lease expired. Result: nil.
+type Down struct {
+	Time    time.Time `json:"time"`
+	Members []Expired `json:"members"`
+}
+
+// Expired names a member and the incarnation whose lease expired. A member
+// that announced itself with a newer incarnation meanwhile stays as it is.
+type Expired struct {
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+	// Forget removes the member's records instead of marking it down.
+	Forget bool `json:"forget,omitempty"`
+}
+
+// Assign carries a plan. It is dropped when the key space has moved on from
+// Base, the revision the plan was computed from. Result: AssignResult.
+type Assign struct {
+	Time  time.Time                   `json:"time"`
+	Base  uint64                      `json:"base"`
+	Wants map[string][]inventory.Want `json:"wants"`
+}
+
+// AssignResult answers an Assign command.
+type AssignResult struct {
+	// Stale is true when the plan was dropped.
+	Stale bool
+	// Revision in force after the command.
+	Revision uint64
+}
+
+func (Change) kind() kind   { return kindChange }
+func (Announce) kind() kind { return kindAnnounce }
+func (Down) kind() kind     { return kindDown }
+func (Assign) kind() kind   { return kindAssign }
+
+// Encode returns the log entry of a command.
+func Encode(c Command) ([]byte, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode command of kind %d: %w", c.kind(), err)
+	}
+	return append([]byte{formatVersion, byte(c.kind())}, body...), nil
+}
+
+// Decode reads a log entry.
+func Decode(data []byte) (Command, error) {
+	if len(data) < 2 {
+		return nil, fmt.Errorf("decode command: %d bytes are too few", len(data))
+	}
+	if data[0] != formatVersion {
+		return nil, fmt.Errorf("decode command: unknown format version %d", data[0])
+	}
+	switch k := kind(data[1]); k {
+	case kindChange:
+		return decodeAs[Change](data)
+	case kindAnnounce:
+		return decodeAs[Announce](data)
+	case kindDown:
+		return decodeAs[Down](data)
+	case kindAssign:
+		return decodeAs[Assign](data)
+	default:
+		return nil, fmt.Errorf("decode command: unknown kind %d", k)
+	}
+}
+
+func decodeAs[C Command](data []byte) (Command, error) {
+	var c C
+	if err := json.Unmarshal(data[2:], &c); err != nil {
+		return nil, fmt.Errorf("decode command of kind %d: %w", data[1], err)
+	}
+	return c, nil
+}
