--- /dev/null
+++ b/internal/configfeed/metrics.go
@@ -0,0 +1,115 @@
+package configfeed
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// Values of the label "kind".
+const (
+	kindSnapshot  = "snapshot"
+	kindDelta     = "delta"
+	kindHeartbeat = "heartbeat"
+)
+
+// updateKind is the label value of one message.
+func updateKind(u *rpc.FeedUpdate) string {
+	if u.Snapshot {
+		return kindSnapshot
+	}
+	if len(u.Changes) > 0 {
+		return kindDelta
+	}
+	return kindHeartbeat
+}
+
+type sourceMetrics struct {
+	subscribers prometheus.Gauge
+	messages    *prometheus.CounterVec
+	bytes       *prometheus.CounterVec
+}
+
+func newSourceMetrics(reg prometheus.Registerer) sourceMetrics {
+	m := sourceMetrics{
+		subscribers: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_feed_subscribers",
+			Help: "Subscribers of this process's configuration.",
+		}),
+		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_feed_sent_messages_total",
+			Help: "Configuration messages sent to subscribers.",
+		}, []string{"kind"}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_feed_sent_bytes_total",
+			Help: "Bytes of configuration messages sent to subscribers.",
+		}, []string{"kind"}),
+	}
+	register(reg, m.subscribers, m.messages, m.bytes)
+	return m
+}
+
+func (m sourceMetrics) count(u *rpc.FeedUpdate) {
+	kind := updateKind(u)
+	m.messages.WithLabelValues(kind).Inc()
+	m.bytes.WithLabelValues(kind).Add(float64(proto.Size(u)))
+}
+
+type clientMetrics struct {
+	revision    prometheus.Gauge
+	unconfirmed prometheus.Gauge
+	messages    *prometheus.CounterVec
+	bytes       *prometheus.CounterVec
+	refused     prometheus.Counter
+	attempts    prometheus.Counter
+	floorErrors prometheus.Counter
+}
+
+func newClientMetrics(reg prometheus.Registerer) clientMetrics {
+	m := clientMetrics{
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_config_revision",
+			Help: "Revision of the configuration in force in this process.",
+		}),
+		unconfirmed: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_config_unconfirmed",
+			Help: "1 while the configuration in force was not confirmed with a quorum lately.",
+		}),
+		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_feed_received_messages_total",
+			Help: "Configuration messages received.",
+		}, []string{"kind"}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_feed_received_bytes_total",
+			Help: "Bytes of configuration messages received.",
+		}, []string{"kind"}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lynxgate_feed_refused_updates_total",
+			Help: "Updates refused because they were below the revision in force.",
+		}),
+		attempts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lynxgate_feed_connect_attempts_total",
+			Help: "Attempts to subscribe to a source.",
+		}),
+		floorErrors: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lynxgate_config_floor_errors_total",
+			Help: "Failed writes of the revision floor.",
+		}),
+	}
+	register(reg, m.revision, m.unconfirmed, m.messages, m.bytes, m.refused, m.attempts, m.floorErrors)
+	return m
+}
+
+func (m clientMetrics) count(u *rpc.FeedUpdate) {
+	kind := updateKind(u)
+	m.messages.WithLabelValues(kind).Inc()
+	m.bytes.WithLabelValues(kind).Add(float64(proto.Size(u)))
+}
+
+func register(reg prometheus.Registerer, collectors ...prometheus.Collector) {
+	if reg == nil {
+		return
+	}
+	reg.MustRegister(collectors...)
+}
--- /dev/null
+++ b/internal/configfeed/store.go
@@ -0,0 +1,110 @@
+package configfeed
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"lynxgate.dev/lynxgate/internal/keyspace"
+)
+
+// Bounds of the history that a Store keeps for deltas.
+const (
+	// maxHistoryDeltas is the most revisions kept.
+	maxHistoryDeltas = 1024
+	// maxHistoryBytes is the most bytes of deltas kept.
+	maxHistoryBytes = 4 << 20
+)
+
+// Store holds the configuration of one process: the view in force and a
+// bounded history for its subscribers. One goroutine writes; any may read.
+type Store struct {
+	view atomic.Pointer[keyspace.View]
+
+	mu      sync.Mutex
+	history *keyspace.History
+	changed chan struct{}
+}
+
+// NewStore makes a store with an empty view at revision 0.
+func NewStore() *Store {
+	s := &Store{
+		history: keyspace.NewHistory(maxHistoryDeltas, maxHistoryBytes),
+		changed: make(chan struct{}),
+	}
+	s.view.Store(keyspace.NewView(0, nil))
+	return s
+}
+
+// View returns the view in force; it never changes after it was returned.
+func (s *Store) View() *keyspace.View { return s.view.Load() }
+
+// Revision returns the revision in force.
+func (s *Store) Revision() uint64 { return s.View().Revision() }
+
+// Changed returns a channel that is closed when the next view comes into
+// force. Take the channel before reading the view, so that none is missed.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Advance puts a view into force that follows from the one before by changes.
+func (s *Store) Advance(view *keyspace.View, changes []*keyspace.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Append(keyspace.Delta{From: s.Revision(), To: view.Revision(), Changes: changes})
+	s.publish(view)
+}
+
+// Replace puts a view into force that was read as a whole.
+func (s *Store) Replace(view *keyspace.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Reset()
+	s.publish(view)
+}
+
+func (s *Store) publish(view *keyspace.View) {
+	s.view.Store(view)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Wait returns when the revision in force is at least revision.
+func (s *Store) Wait(ctx context.Context, revision uint64) error {
+	for {
+		changed := s.Changed()
+		if s.Revision() >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// update is what brings a subscriber from one revision to another.
+type update struct {
+	revision uint64
+	snapshot bool
+	changes  []*keyspace.Entry
+}
+
+// since returns the update for a subscriber that holds revision have: a delta
+// where the history reaches back that far, a snapshot otherwise.
+func (s *Store) since(have uint64) update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	view := s.View()
+	if have >= view.Revision() {
+		return update{revision: view.Revision()}
+	}
+	if changes, ok := s.history.Since(have); ok && have > 0 {
+		return update{revision: view.Revision(), changes: changes}
+	}
+	return update{revision: view.Revision(), snapshot: true, changes: view.Entries()}
+}
--- a/internal/control/state/change.go
+++ b/internal/control/state/change.go
@@ -13,12 +13,13 @@
 
 // applyChange decides on an operator's request. A request that was decided
 // before gets the first result again; every new decision is remembered.
-func (m *Machine) applyChange(req inventory.ChangeRequest) inventory.ChangeResult {
+func (m *Machine) applyChange(c Change) inventory.ChangeResult {
+	req := c.Request
 	digest := requestDigest(req)
 	if done, ok := m.operations.get(req.Operator, req.OperationID); ok {
 		return m.repeat(done, digest)
 	}
-	result := m.decideChange(req)
+	result := m.decideChange(req, c.Limits)
 	m.operations.put(operation{
 		Operator: req.Operator,
 		ID:       req.OperationID,
@@ -26,7 +27,7 @@
 		Result:   result,
 		Time:     m.now,
 	})
-	m.operations.prune(m.limits, m.now)
+	m.operations.prune(c.Limits, m.now)
 	return result
 }
 
@@ -45,7 +46,7 @@
 	return result
 }
 
-func (m *Machine) decideChange(req inventory.ChangeRequest) inventory.ChangeResult {
+func (m *Machine) decideChange(req inventory.ChangeRequest, limits Limits) inventory.ChangeResult {
 	if problems := checkKeys(req); len(problems) > 0 {
 		return m.invalid(problems)
 	}
@@ -60,7 +61,7 @@
 		entries[i] = &keyspace.Entry{Key: c.Key, Value: c.Value, Deleted: c.Value == nil}
 	}
 	revision := m.commit(entries)
-	m.tombstones.record(entries, m.limits.Tombstones)
+	m.tombstones.record(entries, limits.Tombstones)
 	m.audit.append(inventory.AuditRecord{
 		Revision:    revision,
 		Time:        m.now,
@@ -68,7 +69,7 @@
 		OperationID: req.OperationID,
 		Changes:     req.Changes,
 	})
-	m.audit.prune(m.limits, m.now)
+	m.audit.prune(limits, m.now)
 	m.publishAudit()
 	return inventory.ChangeResult{Verdict: inventory.VerdictAccepted, Revision: revision}
 }
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/claims"
 	"lynxgate.dev/lynxgate/internal/inventory"
 )
 
@@ -39,6 +40,7 @@
 // Change carries an operator's request. Result: inventory.ChangeResult.
 type Change struct {
 	Time    time.Time               `json:"time"`
+	Limits  Limits                  `json:"limits"`
 	Request inventory.ChangeRequest `json:"request"`
 }
 
@@ -92,10 +94,24 @@
 	Revision uint64
 }
 
+// Claim asks for an idempotency key. Result: claims.ClaimResult.
+type Claim struct{ claims.Claim }
+
+// Settle records the outcome of a claim. Result: claims.SettleResult.
+type Settle struct{ claims.Settle }
+
+// Expire ends the claims that are past their time. Result: nil.
+type Expire struct {
+	Now claims.Millis `json:"now"`
+}
+
 func (Change) kind() kind   { return kindChange }
 func (Announce) kind() kind { return kindAnnounce }
 func (Down) kind() kind     { return kindDown }
 func (Assign) kind() kind   { return kindAssign }
+func (Claim) kind() kind    { return kindClaim }
+func (Settle) kind() kind   { return kindSettle }
+func (Expire) kind() kind   { return kindExpire }
 
 // Encode returns the log entry of a command.
 func Encode(c Command) ([]byte, error) {
@@ -123,6 +139,12 @@
 		return decodeAs[Down](data)
 	case kindAssign:
 		return decodeAs[Assign](data)
+	case kindClaim:
+		return decodeAs[Claim](data)
+	case kindSettle:
+		return decodeAs[Settle](data)
+	case kindExpire:
+		return decodeAs[Expire](data)
 	default:
 		return nil, fmt.Errorf("decode command: unknown kind %d", k)
 	}
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/claims"
 	"lynxgate.dev/lynxgate/internal/inventory"
 	"lynxgate.dev/lynxgate/internal/keyspace"
 )
@@ -17,40 +18,38 @@
 	Replace(view *keyspace.View)
 }
 
-// Limits bound what the machine remembers. All servers must use the same
-// limits, or their states would differ; so they are no settings.
+// Limits bound what the machine remembers of changes. The leader writes them
+// into the log with every change, so that servers with different settings
+// files cannot diverge.
 type Limits struct {
 	// OperationWindow is how long the result of an operation id is kept.
-	OperationWindow time.Duration
+	OperationWindow time.Duration `json:"operation_window"`
 	// Operations is the most results kept.
-	Operations int
+	Operations int `json:"operations"`
 	// AuditWindow is how long audit records are kept.
-	AuditWindow time.Duration
+	AuditWindow time.Duration `json:"audit_window"`
 	// AuditRecords is the most audit records kept.
-	AuditRecords int
+	AuditRecords int `json:"audit_records"`
 	// AuditBytes is the most bytes of changed values kept in audit records.
-	AuditBytes int
+	AuditBytes int `json:"audit_bytes"`
 	// Tombstones is the most deleted declared keys remembered.
-	Tombstones int
+	Tombstones int `json:"tombstones"`
 }
 
-// DefaultLimits returns the limits in use: at 520 changes a day they keep the
-// results of operations for two days and the audit trail for 30 days.
-func DefaultLimits() Limits {
-	return Limits{
-		OperationWindow: 48 * time.Hour,
-		Operations:      4096,
-		AuditWindow:     30 * 24 * time.Hour,
-		AuditRecords:    20_000,
-		AuditBytes:      8 << 20,
-		Tombstones:      4096,
-	}
+// DefaultLimits fit 520 changes a day: the results of operations are kept for
+// two days and the audit trail for 30 days.
+var DefaultLimits = Limits{
+	OperationWindow: 48 * time.Hour,
+	Operations:      4096,
+	AuditWindow:     30 * 24 * time.Hour,
+	AuditRecords:    20_000,
+	AuditBytes:      8 << 20,
+	Tombstones:      4096,
 }
 
 // Machine is the replicated state machine. Apply, Snapshot and Restore are
 // for one goroutine; Audit may be called from any.
 type Machine struct {
-	limits    Limits
 	publisher Publisher
 
 	view       *keyspace.View
@@ -60,12 +59,13 @@
 	// left holds the incarnations that announced their leaving, by VM.
 	left      map[string]uint64
 	audit     auditTrail
+	claims    *claims.Table
 	published atomic.Pointer[[]inventory.AuditRecord]
 }
 
 // New makes an empty machine at revision 0.
-func New(limits Limits, publisher Publisher) *Machine {
-	m := &Machine{limits: limits, publisher: publisher}
+func New(publisher Publisher) *Machine {
+	m := &Machine{publisher: publisher}
 	m.reset()
 	return m
 }
@@ -77,6 +77,7 @@
 	m.tombstones = newTombstones()
 	m.left = make(map[string]uint64)
 	m.audit = auditTrail{}
+	m.claims = claims.NewTable()
 	m.publishAudit()
 }
 
@@ -91,7 +92,7 @@
 	switch c := c.(type) {
 	case Change:
 		m.advanceTime(c.Time)
-		return m.applyChange(c.Request)
+		return m.applyChange(c)
 	case Announce:
 		m.advanceTime(c.Time)
 		return m.applyAnnounce(c.Members)
@@ -102,6 +103,13 @@
 	case Assign:
 		m.advanceTime(c.Time)
 		return m.applyAssign(c)
+	case Claim:
+		return m.claims.Claim(c.Claim)
+	case Settle:
+		return m.claims.Settle(c.Settle)
+	case Expire:
+		m.claims.Expire(c.Now)
+		return nil
 	default:
 		panic(fmt.Sprintf("control state: log entry %d: no step for %T", index, c))
 	}
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -96,8 +96,7 @@
 // Restore replaces the whole state by that of a snapshot, and leaves it as it
 // was when the snapshot is damaged.
 func (m *Machine) Restore(snapshot []byte) error {
-	fresh := &Machine{limits: m.limits, publisher: m.publisher}
-	fresh.reset()
+	fresh := New(m.publisher)
 	if err := fresh.readSections(snapshot); err != nil {
 		return err
 	}
--- a/internal/keyspace/history.go
+++ b/internal/keyspace/history.go
@@ -76,3 +76,27 @@
 	}
 	return n
 }
+
+// Diff returns the changes that lead from view a to view b, with tombstones.
+func Diff(a, b *View) []*Entry {
+	var changes []*Entry
+	i := 0
+	for _, e := range b.entries {
+		for i < len(a.entries) && a.entries[i].Key < e.Key {
+			changes = append(changes, &Entry{Key: a.entries[i].Key, Revision: b.revision, Deleted: true})
+			i++
+		}
+		if i < len(a.entries) && a.entries[i].Key == e.Key {
+			if a.entries[i].Revision != e.Revision {
+				changes = append(changes, e)
+			}
+			i++
+			continue
+		}
+		changes = append(changes, e)
+	}
+	for ; i < len(a.entries); i++ {
+		changes = append(changes, &Entry{Key: a.entries[i].Key, Revision: b.revision, Deleted: true})
+	}
+	return changes
+}
