Placement: a pure plan from inventory, reports and rules

Cause: rules say how many copies of a version a service needs; nothing yet turned them into assignments of VMs.

Change: Plan chooses VMs evenly over zones and then regions, keeps valid ones, repairs deaths and drains, moves demand between regions, and rolls versions staged first and then in waves that keep the rule's minimum live. A VM that failed on a version goes back to the one before; too many failures halt the roll. Rules that cannot be met are listed with the reason.

Ruled out: a memory of the plan's own for failures and old versions; both are kept as staged wants, so any control server plans alike.

--- /dev/null
+++ b/internal/placement/fleet_test.go
@@ -0,0 +1,203 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+)
+
+// testingT is what both testing.T and rapid.T offer.
+type testingT interface {
+	require.TestingT
+	Helper()
+}
+
+// agent carries one VM's assignment out, a phase each step. Ordering a load
+// ends the version served before.
+type agent struct {
+	member  inventory.Member
+	wants   []inventory.Want
+	staged  map[ref]bool
+	failed  map[ref]bool
+	bad     map[ref]bool // loads of these fail
+	serves  ref
+	loading ref
+	report  []Replica
+}
+
+func (a *agent) reset() {
+	a.staged, a.failed = map[ref]bool{}, map[ref]bool{}
+	a.serves, a.loading = ref{}, ref{}
+	a.report = nil
+}
+
+func (a *agent) wantsActive() ref {
+	for _, w := range a.wants {
+		if w.Phase == inventory.PhaseActivate {
+			return ref{w.Model, w.Version}
+		}
+	}
+	return ref{}
+}
+
+func (a *agent) step() {
+	if a.member.State == inventory.MemberDown {
+		return
+	}
+	wanted := map[ref]bool{}
+	for _, w := range a.wants {
+		wanted[ref{w.Model, w.Version}] = true
+	}
+	maps.DeleteFunc(a.failed, func(r ref, _ bool) bool { return !wanted[r] })
+	active := a.wantsActive()
+	if a.serves != active {
+		a.activate(active)
+	}
+	a.staged = wanted
+	a.makeReport()
+}
+
+func (a *agent) activate(active ref) {
+	switch {
+	case active == ref{}:
+		a.serves, a.loading = ref{}, ref{}
+	case !a.staged[active] || a.failed[active]:
+	case a.loading != active:
+		a.serves, a.loading = ref{}, active
+	case a.bad[active]:
+		a.failed[active], a.loading = true, ref{}
+	default:
+		a.serves, a.loading = active, ref{}
+	}
+}
+
+func (a *agent) makeReport() {
+	a.report = nil
+	phases := map[ref]ReplicaPhase{}
+	for r := range a.staged {
+		phases[r] = ReplicaStaged
+	}
+	phases[a.loading] = ReplicaLoading
+	phases[a.serves] = ReplicaLive
+	for r := range a.failed {
+		phases[r] = ReplicaFailed
+	}
+	delete(phases, ref{})
+	for r, phase := range phases {
+		a.report = append(a.report, Replica{r.model, r.version, phase})
+	}
+}
+
+// fleet is an inventory, its agents and their last reports.
+type fleet struct {
+	inv         inventory.Inventory
+	agents      map[string]*agent
+	reports     map[string][]Replica
+	lostReports bool
+	// lag holds VMs whose reports are not passed on.
+	lag map[string]bool
+}
+
+func (f *fleet) addVM(name, zone, service string) {
+	f.inv.VMs = append(f.inv.VMs, inventory.VM{Name: name, Zone: zone})
+	a := &agent{member: inventory.Member{VM: name, Zone: zone, Service: service, State: inventory.MemberUp}}
+	a.reset()
+	f.agents[name] = a
+}
+
+func (f *fleet) vm(name string) *inventory.VM {
+	i := slices.IndexFunc(f.inv.VMs, func(v inventory.VM) bool { return v.Name == name })
+	return &f.inv.VMs[i]
+}
+
+func (f *fleet) names() []string { return slices.Sorted(maps.Keys(f.agents)) }
+
+func (f *fleet) input() Input {
+	in := Input{Inventory: f.inv, Reports: map[string][]Replica{}, Current: map[string]inventory.Assignment{}}
+	if f.reports == nil {
+		f.reports = map[string][]Replica{}
+	}
+	for _, name := range f.names() {
+		a := f.agents[name]
+		in.Members = append(in.Members, a.member)
+		in.Current[name] = inventory.Assignment{VM: name, Wants: a.wants}
+		if !f.lag[name] {
+			f.reports[name] = a.report
+		}
+		if !f.lostReports {
+			in.Reports[name] = f.reports[name]
+		}
+	}
+	return in
+}
+
+// plan runs Plan, checks that the result is a fixpoint and applies it.
+func (f *fleet) plan(t testingT) Result {
+	t.Helper()
+	in := f.input()
+	res := Plan(in)
+	require.Equal(t, res, Plan(in), "deterministic")
+	for name, wants := range res.Assignments {
+		f.agents[name].wants = wants
+		in.Current[name] = inventory.Assignment{VM: name, Wants: wants}
+	}
+	again := Plan(in)
+	require.Empty(t, again.Assignments, "planning again changes nothing")
+	return res
+}
+
+func (f *fleet) stepAgents() {
+	for _, a := range f.agents {
+		a.step()
+	}
+}
+
+// settle plans and lets the agents work until nothing changes any more.
+func (f *fleet) settle(t testingT) Result {
+	t.Helper()
+	quiet := 0
+	for range 400 {
+		res := f.plan(t)
+		f.stepAgents()
+		if len(res.Assignments) > 0 {
+			quiet = 0
+			continue
+		}
+		quiet++
+		if quiet > 5 {
+			return res
+		}
+	}
+	require.Fail(t, "the plan does not settle")
+	return Result{}
+}
+
+func (f *fleet) liveOn(version string) int {
+	n := 0
+	for _, count := range f.perZone(version) {
+		n += count
+	}
+	return n
+}
+
+func (f *fleet) perZone(version string) map[string]int {
+	zones := map[string]int{}
+	for _, a := range f.agents {
+		if a.serves.version == version && a.member.State == inventory.MemberUp && !f.vm(a.member.VM).Drained {
+			zones[a.member.Zone]++
+		}
+	}
+	return zones
+}
+
+func (f *fleet) firstLive(version string) string {
+	for _, name := range f.names() {
+		if f.agents[name].serves.version == version {
+			return name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/placement/roll.go
@@ -0,0 +1,240 @@
+package placement
+
+import (
+	"sort"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+)
+
+// Defaults of a roll.
+const (
+	// waveDivisor gives the default share of copies that a roll may take
+	// down at once: one in four, and at least one.
+	waveDivisor = 4
+	// minFailuresToHalt is the least number of failed VMs that halts a roll.
+	minFailuresToHalt = 2
+)
+
+// waveSize is how many replicas a rule of so many copies may have down.
+func waveSize(copies int) int { return max(1, copies/waveDivisor) }
+
+// minLive is the number of replicas that stay live while copies are wanted.
+func minLive(rule inventory.Rule, copies int) int {
+	if rule.MinLive > 0 {
+		return min(rule.MinLive, rule.Copies)
+	}
+	return max(0, copies-waveSize(copies))
+}
+
+// haltAt is the number of failed VMs at which a roll takes no more old
+// replicas down.
+func haltAt(copies int) int { return max(minFailuresToHalt, copies/waveDivisor) }
+
+// roll sets the wants of a rule's holders and switches as many from their
+// old version as the rule's minimum of live replicas allows.
+func (p *planner) roll(pool *servicePool, r *ruleState) {
+	if r.frozen {
+		for _, v := range r.holders {
+			p.keep(v)
+		}
+		return
+	}
+	failures := r.failures(p.byService[r.Service])
+	halted := failures >= haltAt(r.Copies)
+	if !halted {
+		p.replaceWithSpares(pool, r)
+	}
+	var ready []*vmState
+	pending := false
+	for _, v := range r.holders {
+		p.setWants(r, v, halted)
+		if !v.hasActive || v.active == r.target || v.failed(r.target) {
+			continue
+		}
+		pending = true
+		if v.phases[r.target] == ReplicaStaged && v.mayBeLive() {
+			ready = append(ready, v)
+		}
+	}
+	p.reportFailures(r, failures, halted && pending)
+	if halted {
+		return
+	}
+	p.switchWave(pool, r, ready)
+}
+
+// switchWave activates the target on as many ready VMs as may lose their old
+// replica now.
+func (p *planner) switchWave(pool *servicePool, r *ruleState, ready []*vmState) {
+	floor := minLive(r.Rule, len(r.holders))
+	n := max(0, min(len(ready), pool.room(r, floor)))
+	pool.take(r, floor, n)
+	sortForWave(ready)
+	for _, v := range ready[:n] {
+		p.wants[v.name] = []inventory.Want{
+			want(r, r.target, inventory.PhaseActivate),
+			want(r, v.active, inventory.PhaseStage),
+		}
+	}
+	stuck := len(ready) > 0 && n == 0 && floor >= len(r.holders)
+	if stuck && !r.replacing() {
+		r.report(ReasonNoRoomToRoll, len(r.holders))
+	}
+}
+
+// setWants gives a holder the wants that take no live replica away.
+func (p *planner) setWants(r *ruleState, v *vmState, halted bool) {
+	activate := want(r, r.target, inventory.PhaseActivate)
+	if !v.hasActive {
+		p.wants[v.name] = []inventory.Want{activate}
+		return
+	}
+	if v.active == r.target {
+		p.wants[v.name] = p.wantsOnTarget(r, v)
+		return
+	}
+	stays := v.mayBeLive() || v.failed(r.target) || halted
+	if !stays {
+		p.wants[v.name] = []inventory.Want{activate}
+		return
+	}
+	p.wants[v.name] = []inventory.Want{
+		want(r, v.active, inventory.PhaseActivate),
+		want(r, r.target, inventory.PhaseStage),
+	}
+}
+
+// wantsOnTarget keeps the version served before staged until the target is
+// live, and goes back to it when the target failed.
+func (p *planner) wantsOnTarget(r *ruleState, v *vmState) []inventory.Want {
+	old, hasOld := v.fallback()
+	switch {
+	case hasOld && v.failed(r.target):
+		return []inventory.Want{
+			want(r, old, inventory.PhaseActivate),
+			want(r, r.target, inventory.PhaseStage),
+		}
+	case hasOld && !v.live():
+		return []inventory.Want{
+			want(r, r.target, inventory.PhaseActivate),
+			want(r, old, inventory.PhaseStage),
+		}
+	default:
+		return []inventory.Want{want(r, r.target, inventory.PhaseActivate)}
+	}
+}
+
+// replaceWithSpares lets spare VMs take the place of old replicas when the
+// rule has no room to take one down, or would take its last one down.
+func (p *planner) replaceWithSpares(pool *servicePool, r *ruleState) {
+	copies := len(r.holders)
+	floor := max(1, minLive(r.Rule, copies))
+	if floor < copies {
+		return
+	}
+	quota := waveSize(copies) - pool.credit
+	for _, v := range r.holders {
+		if v.active == r.target && !v.live() || !v.hasActive {
+			quota--
+		}
+	}
+	for _, spare := range r.spares {
+		if quota <= 0 {
+			return
+		}
+		if spare.owner == nil && r.replaceOld(spare) {
+			quota--
+		}
+	}
+	pool.recount(p)
+}
+
+// replaceOld puts the spare VM in the place of a holder that serves an old
+// version, where the spread over zones allows it.
+func (r *ruleState) replaceOld(spare *vmState) bool {
+	counts := map[string]int{}
+	for _, v := range r.holders {
+		counts[v.zone]++
+	}
+	for i, v := range r.holders {
+		if !v.hasActive || v.active == r.target {
+			continue
+		}
+		if v.zone != spare.zone && counts[spare.zone]+1 > counts[v.zone] {
+			continue
+		}
+		v.owner = nil
+		spare.owner = r
+		spare.replaces = true
+		r.holders[i] = spare
+		return true
+	}
+	return false
+}
+
+// replacing says that spare VMs are taking the place of old replicas.
+func (r *ruleState) replacing() bool {
+	for _, v := range r.holders {
+		if v.replaces || v.hasActive && v.active == r.target && !v.live() {
+			return true
+		}
+	}
+	return false
+}
+
+// sortForWave orders VMs so that a wave touches as many zones as it can.
+func sortForWave(vms []*vmState) {
+	seen := map[string]int{}
+	turn := make(map[*vmState]int, len(vms))
+	for _, v := range vms {
+		turn[v] = seen[v.zone]
+		seen[v.zone]++
+	}
+	sort.SliceStable(vms, func(i, j int) bool {
+		a, b := vms[i], vms[j]
+		if turn[a] != turn[b] {
+			return turn[a] < turn[b]
+		}
+		return a.zone < b.zone
+	})
+}
+
+func (p *planner) reportFailures(r *ruleState, failures int, halted bool) {
+	if halted {
+		r.report(ReasonRollHalted, r.usable())
+		return
+	}
+	if failures > 0 && r.usable() < len(r.holders) {
+		r.report(ReasonFailed, r.usable())
+	}
+}
+
+// usable counts the holders that have not failed on the target.
+func (r *ruleState) usable() int {
+	n := 0
+	for _, v := range r.holders {
+		if !v.failed(r.target) {
+			n++
+		}
+	}
+	return n
+}
+
+// keep leaves a VM's assignment as it is.
+func (p *planner) keep(v *vmState) {
+	for _, w := range p.in.Current[v.name].Wants {
+		if w.Service == v.service {
+			p.wants[v.name] = append(p.wants[v.name], w)
+		}
+	}
+}
+
+func want(r *ruleState, version ref, phase inventory.Phase) inventory.Want {
+	return inventory.Want{
+		Model:   version.model,
+		Version: version.version,
+		Service: r.Service,
+		Phase:   phase,
+		Prefer:  r.Prefer,
+	}
+}
--- /dev/null
+++ b/internal/placement/state.go
@@ -0,0 +1,251 @@
+package placement
+
+import (
+	"sort"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+)
+
+// ref names a model version.
+type ref struct{ model, version string }
+
+// vmState is one VM whose agent is up or leaving, as the plan sees it.
+type vmState struct {
+	name    string
+	zone    string
+	region  string
+	service string
+	// serving VMs are up, declared and not drained: they may hold replicas
+	// and their live ones count.
+	serving bool
+	// reported is false until the VM's first report.
+	reported bool
+	phases   map[ref]ReplicaPhase
+	// active is the version that the assignment in force activates.
+	active    ref
+	hasActive bool
+	// staged are the other versions of the assignment in force.
+	staged []ref
+	// owner is the rule that chose the VM in this plan.
+	owner *ruleState
+	// replaces is true for a spare VM chosen in place of an old replica.
+	replaces bool
+}
+
+// live says that the assigned version is known to be served.
+func (v *vmState) live() bool {
+	return v.serving && v.hasActive && v.phases[v.active] == ReplicaLive
+}
+
+// mayBeLive says that taking the assigned version away may end a live replica.
+func (v *vmState) mayBeLive() bool {
+	return v.hasActive && (!v.reported || v.phases[v.active] == ReplicaLive)
+}
+
+func (v *vmState) failed(r ref) bool { return v.phases[r] == ReplicaFailed }
+
+// fallback is the version that the VM served before its switch, if the
+// assignment still stages it.
+func (v *vmState) fallback() (ref, bool) {
+	if len(v.staged) == 0 {
+		return ref{}, false
+	}
+	return v.staged[0], true
+}
+
+func (v *vmState) stages(r ref) bool {
+	for _, s := range v.staged {
+		if s == r {
+			return true
+		}
+	}
+	return false
+}
+
+// ruleState is one rule and what the plan has found for it.
+type ruleState struct {
+	inventory.Rule
+	target ref
+	// frozen rules name something that is not declared: what runs is kept,
+	// nothing new is placed.
+	frozen  bool
+	zones   map[string]bool
+	holders []*vmState
+	spares  []*vmState
+	unmet   []Unmet
+}
+
+func (r *ruleState) report(reason Reason, possible int) {
+	r.unmet = append(r.unmet, Unmet{Rule: r.Name, Reason: reason, Wanted: r.Copies, Possible: possible})
+}
+
+// live counts the rule's holders that serve their assigned version.
+func (r *ruleState) live() int {
+	n := 0
+	for _, v := range r.holders {
+		if v.live() {
+			n++
+		}
+	}
+	return n
+}
+
+// failures counts the VMs known to have failed on the target.
+func (r *ruleState) failures(vms []*vmState) int {
+	n := 0
+	for _, v := range vms {
+		if r.zones[v.zone] && v.failed(r.target) {
+			n++
+		}
+	}
+	return n
+}
+
+// planner holds the working state of one Plan call.
+type planner struct {
+	in        Input
+	byService map[string][]*vmState
+	rules     []*ruleState
+	wants     map[string][]inventory.Want
+	// targets are the versions that rules of a service ask for.
+	targets map[string]map[ref]bool
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{
+		in:        in,
+		byService: map[string][]*vmState{},
+		wants:     map[string][]inventory.Want{},
+		targets:   map[string]map[ref]bool{},
+	}
+	regions := map[string]string{}
+	for _, z := range in.Inventory.Zones {
+		regions[z.Name] = z.Region
+	}
+	p.loadVMs(regions)
+	p.loadRules(regions)
+	return p
+}
+
+func (p *planner) loadVMs(regions map[string]string) {
+	declared := make(map[string]inventory.VM, len(p.in.Inventory.VMs))
+	for _, vm := range p.in.Inventory.VMs {
+		declared[vm.Name] = vm
+	}
+	for _, m := range p.in.Members {
+		if m.State == inventory.MemberDown {
+			continue
+		}
+		vm, known := declared[m.VM]
+		v := &vmState{
+			name:    m.VM,
+			zone:    m.Zone,
+			service: m.Service,
+			serving: known && !vm.Drained && m.State == inventory.MemberUp,
+		}
+		if v.zone == "" {
+			v.zone = vm.Zone
+		}
+		v.region = regions[v.zone]
+		p.loadReplicas(v)
+		p.byService[v.service] = append(p.byService[v.service], v)
+	}
+	for _, vms := range p.byService {
+		sort.Slice(vms, func(i, j int) bool { return vms[i].name < vms[j].name })
+	}
+}
+
+func (p *planner) loadReplicas(v *vmState) {
+	reports, reported := p.in.Reports[v.name]
+	v.reported = reported
+	v.phases = make(map[ref]ReplicaPhase, len(reports))
+	for _, r := range reports {
+		v.phases[ref{r.Model, r.Version}] = r.Phase
+	}
+	for _, w := range p.in.Current[v.name].Wants {
+		if w.Service != v.service {
+			continue
+		}
+		r := ref{w.Model, w.Version}
+		if w.Phase == inventory.PhaseActivate && !v.hasActive {
+			v.active, v.hasActive = r, true
+			continue
+		}
+		v.staged = append(v.staged, r)
+	}
+}
+
+func (p *planner) loadRules(regions map[string]string) {
+	services := map[string]inventory.Service{}
+	for _, s := range p.in.Inventory.Services {
+		services[s.Name] = s
+	}
+	versions := map[ref]bool{}
+	for _, m := range p.in.Inventory.Models {
+		versions[ref{m.Model, m.Version}] = true
+	}
+	for _, rule := range p.in.Inventory.Rules {
+		r := &ruleState{Rule: rule, zones: allowedZones(rule, regions)}
+		service, known := services[rule.Service]
+		r.target = ref{service.Model, rule.Version}
+		switch {
+		case rule.Copies < 0:
+			r.Copies = 0
+			r.report(ReasonNegativeCopies, 0)
+		case !known:
+			r.freeze(ReasonNoService)
+		case service.Model == "":
+			r.freeze(ReasonNoModel)
+		case !versions[r.target]:
+			r.freeze(ReasonNoVersion)
+		}
+		p.rules = append(p.rules, r)
+		p.addTarget(r)
+	}
+	p.sortRules()
+}
+
+func (r *ruleState) freeze(reason Reason) {
+	r.frozen = true
+	r.report(reason, 0)
+}
+
+func (p *planner) addTarget(r *ruleState) {
+	if p.targets[r.Service] == nil {
+		p.targets[r.Service] = map[ref]bool{}
+	}
+	p.targets[r.Service][r.target] = true
+}
+
+// sortRules puts rules with fewer allowed zones first, so that a rule that
+// may stand anywhere does not take the VMs that a restricted one needs.
+func (p *planner) sortRules() {
+	sort.SliceStable(p.rules, func(i, j int) bool {
+		a, b := p.rules[i], p.rules[j]
+		if len(a.zones) != len(b.zones) {
+			return len(a.zones) < len(b.zones)
+		}
+		return a.Name < b.Name
+	})
+}
+
+func allowedZones(rule inventory.Rule, regions map[string]string) map[string]bool {
+	allowed := map[string]bool{}
+	for zone, region := range regions {
+		inZones := len(rule.Zones) == 0 || contains(rule.Zones, zone)
+		inRegions := len(rule.Regions) == 0 || contains(rule.Regions, region)
+		if inZones && inRegions {
+			allowed[zone] = true
+		}
+	}
+	return allowed
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
