--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -61,6 +61,8 @@
 	audit     auditTrail
 	claims    *claims.Table
 	published atomic.Pointer[[]inventory.AuditRecord]
+	// holdsClaims is true while the table of claims may not be empty.
+	holdsClaims atomic.Bool
 }
 
 // New makes an empty machine at revision 0.
@@ -104,11 +106,13 @@
 		m.advanceTime(c.Time)
 		return m.applyAssign(c)
 	case Claim:
+		m.holdsClaims.Store(true)
 		return m.claims.Claim(c.Claim)
 	case Settle:
 		return m.claims.Settle(c.Settle)
 	case Expire:
 		m.claims.Expire(c.Now)
+		m.holdsClaims.Store(m.claims.Stats().Claims > 0)
 		return nil
 	default:
 		panic(fmt.Sprintf("control state: log entry %d: no step for %T", index, c))
@@ -118,6 +122,9 @@
 // Audit returns the audit records kept, oldest first; not to be changed.
 func (m *Machine) Audit() []inventory.AuditRecord { return *m.published.Load() }
 
+// HoldsClaims reports whether there may be claims to expire.
+func (m *Machine) HoldsClaims() bool { return m.holdsClaims.Load() }
+
 // advanceTime moves the machine's time forward; a leader whose clock is behind
 // its predecessor's does not move it back.
 func (m *Machine) advanceTime(t time.Time) {
--- a/internal/control/state/validate.go
+++ b/internal/control/state/validate.go
@@ -1,19 +1,23 @@
 package state
 
 import (
-	"encoding/json"
-	"fmt"
-
 	"lynxgate.dev/lynxgate/internal/inventory"
+	"lynxgate.dev/lynxgate/internal/keyspace"
 )
 
-// validate finds what is wrong with the key space that the changes would make.
+// validate finds what is wrong with the declarations as a whole that the
+// changes would make.
 func (m *Machine) validate(changes []inventory.Change) []string {
-	var problems []string
-	for _, c := range changes {
-		if c.Value != nil && !json.Valid(c.Value) {
-			problems = append(problems, fmt.Sprintf("%s: value is not JSON", c.Key))
+	return inventory.ValidateChange(DeclaredRecords(m.view), changes)
+}
+
+// DeclaredRecords returns the declared keys of a view with their values.
+func DeclaredRecords(view *keyspace.View) map[string][]byte {
+	records := make(map[string][]byte)
+	for _, prefix := range inventory.Declared {
+		for _, e := range view.Prefix(prefix) {
+			records[e.Key] = e.Value
 		}
 	}
-	return problems
+	return records
 }
--- /dev/null
+++ b/internal/controlclient/announcer.go
@@ -0,0 +1,129 @@
+package controlclient
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// Defaults of AnnouncerConfig.
+const (
+	DefaultRenew  = 10 * time.Second
+	DefaultMinGap = time.Second
+)
+
+// AnnouncerConfig says what to announce and how often.
+type AnnouncerConfig struct {
+	Client *Client
+	// Request returns what the daemon says of itself now.
+	Request func() *rpc.AnnounceRequest
+	// Renew is the time between announcements that say nothing new, a third
+	// of the lease.
+	Renew time.Duration
+	// MinGap is the shortest time between two announcements of changes; the
+	// wait before one is drawn from up to this, so that daemons which learn
+	// of a change together do not announce together.
+	MinGap time.Duration
+	// Superseded is called when another process has taken the name; may be nil.
+	Superseded func(known uint64)
+	Logger     zerolog.Logger
+	// Seed makes the draws repeatable.
+	Seed uint64
+}
+
+// Announcer renews a daemon's lease and announces its changes.
+type Announcer struct {
+	cfg  AnnouncerConfig
+	rand *rand.Rand
+	poke chan struct{}
+	// failing is true while announcements fail.
+	failing bool
+}
+
+// NewAnnouncer makes an announcer; run it in one goroutine.
+func NewAnnouncer(cfg AnnouncerConfig) *Announcer {
+	if cfg.Renew == 0 {
+		cfg.Renew = DefaultRenew
+	}
+	if cfg.MinGap == 0 {
+		cfg.MinGap = DefaultMinGap
+	}
+	return &Announcer{
+		cfg:  cfg,
+		rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		poke: make(chan struct{}, 1),
+	}
+}
+
+// Changed asks for an announcement soon; it never blocks.
+func (a *Announcer) Changed() {
+	select {
+	case a.poke <- struct{}{}:
+	default:
+	}
+}
+
+// AnnounceNow announces at once, as before a stop, and returns the error.
+func (a *Announcer) AnnounceNow(ctx context.Context) error {
+	_, err := a.cfg.Client.Announce(ctx, a.cfg.Request())
+	return err
+}
+
+// Run announces until the context ends.
+func (a *Announcer) Run(ctx context.Context) error {
+	for {
+		a.announce(ctx)
+		renew := time.NewTimer(a.cfg.Renew - time.Duration(a.rand.Int64N(int64(a.cfg.Renew/10)+1)))
+		select {
+		case <-ctx.Done():
+			renew.Stop()
+			return ctx.Err()
+		case <-renew.C:
+		case <-a.poke:
+			renew.Stop()
+			a.spread(ctx)
+		}
+	}
+}
+
+// spread waits for up to MinGap.
+func (a *Announcer) spread(ctx context.Context) {
+	half := int64(a.cfg.MinGap / 2)
+	timer := time.NewTimer(time.Duration(half + a.rand.Int64N(half+1)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (a *Announcer) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.Renew)
+	defer cancel()
+	resp, err := a.cfg.Client.Announce(ctx, a.cfg.Request())
+	if err != nil {
+		a.note(true, err)
+		return
+	}
+	a.note(false, nil)
+	if resp.Status == rpc.Status_STATUS_INVALID && a.cfg.Superseded != nil {
+		a.cfg.Superseded(resp.KnownIncarnation)
+	}
+}
+
+// note logs when announcing begins to fail or works again.
+func (a *Announcer) note(failing bool, err error) {
+	if failing == a.failing {
+		return
+	}
+	a.failing = failing
+	if failing {
+		a.cfg.Logger.Warn().Err(err).Msg("announcements fail")
+		return
+	}
+	a.cfg.Logger.Info().Msg("announcements work")
+}
