--- a/internal/settings/addrs.go
+++ b/internal/settings/addrs.go
@@ -69,3 +69,11 @@
 		owner[addr] = key
 	}
 }
+
+func parseAddr(value string) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(value)
+	if err != nil || addr.Port() == 0 {
+		return netip.AddrPort{}, fmt.Errorf("%q is not an address; must be IP:port such as \"10.1.2.3:7100\"", value)
+	}
+	return addr, nil
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"encoding/hex"
 	"fmt"
-	"net/netip"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -22,10 +20,9 @@
 )
 
 var (
-	logLevels   = []string{"debug", "info", "warn", "error"}
-	roleNames   = []string{string(RoleControl), string(RoleEntry), string(RoleAgent)}
-	strategies  = []string{"swarm", "origin", "tree", "chain"}
-	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	logLevels  = []string{"debug", "info", "warn", "error"}
+	roleNames  = []string{string(RoleControl), string(RoleEntry), string(RoleAgent)}
+	strategies = []string{"swarm", "origin", "tree", "chain"}
 )
 
 // checker reports faults of one settings file.
@@ -193,8 +190,8 @@
 		c.doc.Report(key, "is missing; must be a name such as \"stgo-a-1\"")
 		return
 	}
-	if !namePattern.MatchString(value) {
-		c.doc.Report(key, "%q is not a name; allowed: letters, digits, '.', '_' and '-', at most 63, the first a letter or digit", value)
+	if !inventory.IsName(value) {
+		c.doc.Report(key, "%q is not a name; allowed: %s", value, inventory.AllowedName)
 	}
 }
 
@@ -245,11 +242,3 @@
 	}
 	return strings.Join(quoted, ", ")
 }
-
-func parseAddr(value string) (netip.AddrPort, error) {
-	addr, err := netip.ParseAddrPort(value)
-	if err != nil || addr.Port() == 0 {
-		return netip.AddrPort{}, fmt.Errorf("%q is not an address; must be IP:port such as \"10.1.2.3:7100\"", value)
-	}
-	return addr, nil
-}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -22,6 +22,7 @@
 	values   map[string]any
 	lines    map[string]int
 	present  map[string]bool
+	reported map[string]bool
 	problems Problems
 }
 
@@ -29,10 +30,11 @@
 // is empty.
 func Parse(file string, data []byte) *Document {
 	d := &Document{
-		file:    file,
-		values:  map[string]any{},
-		lines:   indexLines(string(data)),
-		present: map[string]bool{},
+		file:     file,
+		values:   map[string]any{},
+		lines:    indexLines(string(data)),
+		present:  map[string]bool{},
+		reported: map[string]bool{},
 	}
 	_, err := toml.Decode(string(data), &d.values)
 	if err == nil {
@@ -71,8 +73,14 @@
 	return 0
 }
 
-// Report adds a problem with the key.
+// Report adds a problem with the key. Only the first problem of a key is
+// kept: what follows from it (a wrong type leaves the field empty) adds
+// nothing.
 func (d *Document) Report(key, format string, args ...any) {
+	if d.reported[key] {
+		return
+	}
+	d.reported[key] = true
 	d.problems = append(d.problems, Problem{
 		File:    d.file,
 		Line:    d.Line(key),
