--- a/internal/configfeed/metrics.go
+++ b/internal/configfeed/metrics.go
@@ -1,6 +1,9 @@
 package configfeed
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
@@ -32,22 +35,20 @@
 }
 
 func newSourceMetrics(reg prometheus.Registerer) sourceMetrics {
-	m := sourceMetrics{
-		subscribers: prometheus.NewGauge(prometheus.GaugeOpts{
+	return sourceMetrics{
+		subscribers: register(reg, prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_feed_subscribers",
 			Help: "Subscribers of this process's configuration.",
-		}),
-		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
+		})),
+		messages: register(reg, prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_feed_sent_messages_total",
 			Help: "Configuration messages sent to subscribers.",
-		}, []string{"kind"}),
-		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		}, []string{"kind"})),
+		bytes: register(reg, prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_feed_sent_bytes_total",
 			Help: "Bytes of configuration messages sent to subscribers.",
-		}, []string{"kind"}),
+		}, []string{"kind"})),
 	}
-	register(reg, m.subscribers, m.messages, m.bytes)
-	return m
 }
 
 func (m sourceMetrics) count(u *rpc.FeedUpdate) {
@@ -67,38 +68,36 @@
 }
 
 func newClientMetrics(reg prometheus.Registerer) clientMetrics {
-	m := clientMetrics{
-		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+	return clientMetrics{
+		revision: register(reg, prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_config_revision",
 			Help: "Revision of the configuration in force in this process.",
-		}),
-		unconfirmed: prometheus.NewGauge(prometheus.GaugeOpts{
+		})),
+		unconfirmed: register(reg, prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_config_unconfirmed",
 			Help: "1 while the configuration in force was not confirmed with a quorum lately.",
-		}),
-		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
+		})),
+		messages: register(reg, prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_feed_received_messages_total",
 			Help: "Configuration messages received.",
-		}, []string{"kind"}),
-		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		}, []string{"kind"})),
+		bytes: register(reg, prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_feed_received_bytes_total",
 			Help: "Bytes of configuration messages received.",
-		}, []string{"kind"}),
-		refused: prometheus.NewCounter(prometheus.CounterOpts{
+		}, []string{"kind"})),
+		refused: register(reg, prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lynxgate_feed_refused_updates_total",
 			Help: "Updates refused because they were below the revision in force.",
-		}),
-		attempts: prometheus.NewCounter(prometheus.CounterOpts{
+		})),
+		attempts: register(reg, prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lynxgate_feed_connect_attempts_total",
 			Help: "Attempts to subscribe to a source.",
-		}),
-		floorErrors: prometheus.NewCounter(prometheus.CounterOpts{
+		})),
+		floorErrors: register(reg, prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lynxgate_config_floor_errors_total",
 			Help: "Failed writes of the revision floor.",
-		}),
+		})),
 	}
-	register(reg, m.revision, m.unconfirmed, m.messages, m.bytes, m.refused, m.attempts, m.floorErrors)
-	return m
 }
 
 func (m clientMetrics) count(u *rpc.FeedUpdate) {
@@ -107,9 +106,19 @@
 	m.bytes.WithLabelValues(kind).Add(float64(proto.Size(u)))
 }
 
-func register(reg prometheus.Registerer, collectors ...prometheus.Collector) {
+// register registers a collector, or returns the one that is registered under
+// its name already: a process may hold several sources.
+func register[C prometheus.Collector](reg prometheus.Registerer, c C) C {
 	if reg == nil {
-		return
+		return c
+	}
+	err := reg.Register(c)
+	var already prometheus.AlreadyRegisteredError
+	if errors.As(err, &already) {
+		return already.ExistingCollector.(C)
+	}
+	if err != nil {
+		panic(fmt.Sprintf("configuration feed: register metrics: %v", err))
 	}
-	reg.MustRegister(collectors...)
+	return c
 }
--- /dev/null
+++ b/internal/control/planinput.go
@@ -0,0 +1,34 @@
+package control
+
+import (
+	"fmt"
+
+	"lynxgate.dev/lynxgate/internal/control/state"
+	"lynxgate.dev/lynxgate/internal/inventory"
+	"lynxgate.dev/lynxgate/internal/keyspace"
+	"lynxgate.dev/lynxgate/internal/placement"
+)
+
+// planInput collects what a plan depends on, all of it at one revision.
+func (l *loop) planInput(view *keyspace.View) placement.Input {
+	inv, err := inventory.FromRecords(state.DeclaredRecords(view))
+	if err != nil {
+		panic(fmt.Sprintf("control: accepted declarations at revision %d: %v", view.Revision(), err))
+	}
+	return placement.Input{
+		Inventory: inv,
+		Members:   l.members(),
+		Reports:   l.leads.registry.Reports(),
+		Current:   assignments(view),
+	}
+}
+
+func assignments(view *keyspace.View) map[string]inventory.Assignment {
+	entries := view.Prefix(inventory.PrefixAssign)
+	out := make(map[string]inventory.Assignment, len(entries))
+	for _, e := range entries {
+		a := decodeDerived[inventory.Assignment](e.Key, e.Value)
+		out[a.VM] = a
+	}
+	return out
+}
--- a/internal/controlclient/announcer.go
+++ b/internal/controlclient/announcer.go
@@ -30,7 +30,9 @@
 	MinGap time.Duration
 	// Superseded is called when another process has taken the name; may be nil.
 	Superseded func(known uint64)
-	Logger     zerolog.Logger
+	// Answered is called with every answer; may be nil.
+	Answered func(*rpc.AnnounceResponse)
+	Logger   zerolog.Logger
 	// Seed makes the draws repeatable.
 	Seed uint64
 }
@@ -110,6 +112,9 @@
 		return
 	}
 	a.note(false, nil)
+	if a.cfg.Answered != nil {
+		a.cfg.Answered(resp)
+	}
 	if resp.Status == rpc.Status_STATUS_INVALID && a.cfg.Superseded != nil {
 		a.cfg.Superseded(resp.KnownIncarnation)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -99,8 +99,11 @@
 
 // Registry holds the announced daemons.
 type Registry struct {
-	cfg     Config
-	started time.Time
+	cfg Config
+	// listening is since when announcements could have been heard.
+	listening time.Time
+	// checked is when leases were looked at last.
+	checked time.Time
 	daemons map[key]*Daemon
 	// downSince says since when a member is seen as down, by VM.
 	downSince map[string]time.Time
@@ -110,7 +113,8 @@
 func New(cfg Config, now time.Time) *Registry {
 	return &Registry{
 		cfg:       cfg,
-		started:   now,
+		listening: now,
+		checked:   now,
 		daemons:   make(map[key]*Daemon),
 		downSince: make(map[string]time.Time),
 	}
@@ -176,8 +180,14 @@
 }
 
 // Expire returns the members without a lease, in the order given, and drops
-// daemons of other roles that were not heard of for long.
+// daemons that were not heard of for long. Call it at least three times in a
+// lease: after a longer pause, as when this process was frozen, nothing could
+// be heard, so that every member gets a whole lease again.
 func (r *Registry) Expire(members []inventory.Member, now time.Time) []Expired {
+	if now.Sub(r.checked) > r.cfg.Lease/3 {
+		r.listening = now
+	}
+	r.checked = now
 	var out []Expired
 	down := make(map[string]time.Time)
 	for _, m := range members {
@@ -204,8 +214,8 @@
 // expired reports whether the agent of vm has had a lease's time to announce
 // itself and has not.
 func (r *Registry) expired(vm string, now time.Time) bool {
-	last := r.started
-	if d := r.daemons[key{RoleAgent, vm}]; d != nil {
+	last := r.listening
+	if d := r.daemons[key{RoleAgent, vm}]; d != nil && d.LastSeen.After(last) {
 		last = d.LastSeen
 	}
 	return now.Sub(last) > r.cfg.Lease
