--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,201 @@
+package consensus
+
+// resetElectionTimeout draws a new timeout so that elections seldom collide.
+func (c *Core) resetElectionTimeout() {
+	c.electionTimeout = c.cfg.ElectionTicks + c.rand.IntN(c.cfg.ElectionTicks)
+}
+
+func (c *Core) becomeFollower(term uint64, leader ServerID) {
+	if term > c.hard.CurrentTerm {
+		c.hard = HardState{CurrentTerm: term}
+	}
+	c.failReads()
+	c.role = Follower
+	c.leader = leader
+	c.votes = nil
+	c.peers = nil
+	c.transferee = ServerID{}
+	c.electionElapsed = 0
+	c.resetElectionTimeout()
+}
+
+// mayCampaign tells whether this server may start an election: it is a voter
+// of its own newest membership, and the founding of the cluster is complete.
+func (c *Core) mayCampaign() bool {
+	members, _ := c.log.membership()
+	return members.IsVoter(c.id) && c.foundingComplete()
+}
+
+// campaignPreVote asks whether an election could be won, without raising the
+// term: a server that was cut off does not disturb a working leader.
+func (c *Core) campaignPreVote() {
+	c.becomeFollower(c.hard.CurrentTerm, ServerID{})
+	c.role = PreCandidate
+	c.requestVotes(KindPreVote, c.hard.CurrentTerm+1, 0)
+}
+
+// campaign starts an election. The vote for ourselves becomes durable before
+// the requests leave.
+func (c *Core) campaign(context uint64) {
+	c.becomeFollower(c.hard.CurrentTerm, ServerID{})
+	c.role = Candidate
+	c.hard = HardState{CurrentTerm: c.hard.CurrentTerm + 1, VotedFor: c.id}
+	c.requestVotes(KindRequestVote, c.hard.CurrentTerm, context)
+}
+
+func (c *Core) requestVotes(kind Kind, term, context uint64) {
+	c.votes = map[ServerID]bool{c.id: true}
+	if c.countVotes() {
+		return
+	}
+	members, _ := c.log.membership()
+	for _, id := range members.Voters() {
+		if id == c.id {
+			continue
+		}
+		c.send(Message{
+			Kind: kind, To: id, Term: term, Context: context,
+			Index: c.log.lastIndex(), LogTerm: c.log.lastTerm(),
+		})
+	}
+}
+
+// mayGrant holds what a pre-vote and a vote have in common.
+func (c *Core) mayGrant(m Message) bool {
+	return !c.blank() && c.log.upToDate(m.Index, m.LogTerm)
+}
+
+func (c *Core) handlePreVote(m Message) {
+	grant := m.Term > c.hard.CurrentTerm && c.mayGrant(m)
+	reply := Message{Kind: KindPreVoteReply, To: m.From, Reject: !grant}
+	if grant {
+		reply.Term = m.Term
+	}
+	c.send(reply)
+}
+
+func (c *Core) handleRequestVote(m Message) {
+	free := c.hard.VotedFor.IsZero() || c.hard.VotedFor == m.From
+	grant := free && c.leader.IsZero() && c.mayGrant(m)
+	if grant {
+		c.hard.VotedFor = m.From
+		c.electionElapsed = 0
+	}
+	c.send(Message{Kind: KindRequestVoteReply, To: m.From, Reject: !grant})
+}
+
+func (c *Core) handleVoteReply(m Message) {
+	expected := map[Kind]Role{KindPreVoteReply: PreCandidate, KindRequestVoteReply: Candidate}
+	if c.role != expected[m.Kind] {
+		return
+	}
+	if m.Kind == KindPreVoteReply && !m.Reject && m.Term != c.hard.CurrentTerm+1 {
+		return
+	}
+	c.votes[m.From] = !m.Reject
+	if !c.countVotes() && c.lost() {
+		c.becomeFollower(c.hard.CurrentTerm, ServerID{})
+	}
+}
+
+// countVotes goes on to the next stage if a majority of the voters, each with
+// its own incarnation, has granted its vote.
+func (c *Core) countVotes() bool {
+	members, _ := c.log.membership()
+	granted := 0
+	for _, id := range members.Voters() {
+		if c.votes[id] {
+			granted++
+		}
+	}
+	if granted < members.Quorum() {
+		return false
+	}
+	if c.role == PreCandidate {
+		c.campaign(0)
+		return true
+	}
+	c.becomeLeader()
+	return true
+}
+
+// lost tells whether a majority can no longer be reached.
+func (c *Core) lost() bool {
+	members, _ := c.log.membership()
+	refused := 0
+	for _, id := range members.Voters() {
+		if granted, answered := c.votes[id]; answered && !granted {
+			refused++
+		}
+	}
+	return len(members.Voters())-refused < members.Quorum()
+}
+
+func (c *Core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.id
+	c.votes = nil
+	c.electionElapsed = 0
+	c.heartbeatTick = c.now
+	c.peers = map[ServerID]*progress{}
+	c.reads = readQueue{}
+	c.join.nonce = c.rand.Uint64()
+	c.syncPeers()
+	for _, p := range c.peers {
+		p.active = true // a full timeout to be heard in
+	}
+	// Entries of earlier terms are committed only through one of our own.
+	c.appendAsLeader(Entry{Kind: EntryNoOp})
+}
+
+// handleTimeoutNow starts an election on behalf of the leader.
+func (c *Core) handleTimeoutNow() {
+	if c.role == Follower && c.mayCampaign() {
+		c.campaign(TransferContext)
+	}
+}
+
+// TransferLeadership hands leadership over to the voter that is furthest, or
+// to the one given. It tells whether there is somebody to hand over to.
+func (c *Core) TransferLeadership(to ServerID) bool {
+	if c.role != Leader {
+		return false
+	}
+	if to.IsZero() {
+		to = c.furthestVoter()
+	}
+	members, _ := c.log.membership()
+	if to.IsZero() || to == c.id || !members.IsVoter(to) {
+		return false
+	}
+	c.transferee = to
+	c.electionElapsed = 0
+	c.continueTransfer()
+	return true
+}
+
+// furthestVoter returns the recently heard voter with the highest match.
+func (c *Core) furthestVoter() ServerID {
+	members, _ := c.log.membership()
+	var best ServerID
+	for _, id := range members.Voters() {
+		p := c.peers[id]
+		if id == c.id || !p.heard || c.now-p.heardTick > uint64(c.cfg.ElectionTicks) {
+			continue
+		}
+		if best.IsZero() || p.matchIndex > c.peers[best].matchIndex {
+			best = id
+		}
+	}
+	return best
+}
+
+// continueTransfer sends TimeoutNow once the receiver holds our whole log.
+func (c *Core) continueTransfer() {
+	if c.transferee.IsZero() {
+		return
+	}
+	if p, ok := c.peers[c.transferee]; ok && p.matchIndex == c.log.lastIndex() {
+		c.send(Message{Kind: KindTimeoutNow, To: c.transferee})
+	}
+}
--- /dev/null
+++ b/internal/consensus/log.go
@@ -0,0 +1,159 @@
+package consensus
+
+import "fmt"
+
+// raftLog holds the entries after a base and the newest snapshot. It knows
+// how far entries are durable (stable), committed and handed out (applied).
+type raftLog struct {
+	snapshot  Snapshot
+	baseIndex uint64
+	baseTerm  uint64
+	entries   []Entry // entries[i].Index == baseIndex+1+i
+
+	stable  uint64
+	commit  uint64
+	applied uint64
+
+	// memberships are those set by entries after the snapshot, oldest first.
+	memberships []indexedMembership
+}
+
+// indexedMembership is in force from the log entry at index on.
+type indexedMembership struct {
+	index   uint64
+	members Membership
+}
+
+func newRaftLog(snapshot Snapshot, entries []Entry) *raftLog {
+	l := &raftLog{}
+	l.restore(snapshot)
+	l.append(entries)
+	l.stable = l.lastIndex()
+	return l
+}
+
+// restore forgets everything and starts from snapshot.
+func (l *raftLog) restore(snapshot Snapshot) {
+	l.snapshot = snapshot
+	l.baseIndex = snapshot.Index
+	l.baseTerm = snapshot.Term
+	l.entries = nil
+	l.memberships = nil
+	l.stable = snapshot.Index
+	l.commit = snapshot.Index
+	l.applied = snapshot.Index
+}
+
+func (l *raftLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *raftLog) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// term returns the term of the entry at index, if it is still known.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.baseIndex:
+		return l.baseTerm, true
+	case index < l.baseIndex || index > l.lastIndex():
+		return 0, false
+	}
+	return l.entries[index-l.baseIndex-1].Term, true
+}
+
+func (l *raftLog) matches(index, term uint64) bool {
+	have, ok := l.term(index)
+	return ok && have == term
+}
+
+// slice returns the entries from lo to hi, both included.
+func (l *raftLog) slice(lo, hi uint64) []Entry {
+	if lo > hi {
+		return nil
+	}
+	return l.entries[lo-l.baseIndex-1 : hi-l.baseIndex]
+}
+
+// append adds entries, which replace all earlier ones from their first index on.
+func (l *raftLog) append(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	first := entries[0].Index
+	if first > l.lastIndex()+1 || first <= l.baseIndex {
+		panic(fmt.Sprintf("consensus: append at %d to a log of %d..%d", first, l.baseIndex+1, l.lastIndex()))
+	}
+	l.truncate(first)
+	for _, e := range entries {
+		l.entries = append(l.entries, e)
+		if e.Kind == EntryMembership {
+			l.memberships = append(l.memberships, indexedMembership{index: e.Index, members: decodeMembership(e)})
+		}
+	}
+}
+
+// truncate drops the entries from index on.
+func (l *raftLog) truncate(index uint64) {
+	if index > l.lastIndex() {
+		return
+	}
+	if index <= l.commit {
+		panic(fmt.Sprintf("consensus: entry %d replaced although %d is committed", index, l.commit))
+	}
+	// A copy: entries handed out earlier must not change under their holder.
+	l.entries = append([]Entry(nil), l.entries[:index-l.baseIndex-1]...)
+	l.stable = min(l.stable, index-1)
+	for len(l.memberships) > 0 && l.memberships[len(l.memberships)-1].index >= index {
+		l.memberships = l.memberships[:len(l.memberships)-1]
+	}
+}
+
+// membership returns the newest membership in the log, committed or not, and
+// the index that set it.
+func (l *raftLog) membership() (Membership, uint64) {
+	if n := len(l.memberships); n > 0 {
+		return l.memberships[n-1].members, l.memberships[n-1].index
+	}
+	return l.snapshot.Membership, l.snapshot.Index
+}
+
+// membershipAt returns the membership in force at index.
+func (l *raftLog) membershipAt(index uint64) Membership {
+	members := l.snapshot.Membership
+	for _, m := range l.memberships {
+		if m.index > index {
+			break
+		}
+		members = m.members
+	}
+	return members
+}
+
+// compact takes over a snapshot of applied state and drops the entries up to
+// its index but for keep of them.
+func (l *raftLog) compact(snapshot Snapshot, keep uint64) {
+	if snapshot.Index <= l.snapshot.Index || snapshot.Index > l.applied {
+		return
+	}
+	l.snapshot = snapshot
+	for len(l.memberships) > 0 && l.memberships[0].index <= snapshot.Index {
+		l.memberships = l.memberships[1:]
+	}
+	if snapshot.Index <= keep || snapshot.Index-keep <= l.baseIndex {
+		return
+	}
+	base := snapshot.Index - keep
+	term, _ := l.term(base)
+	l.entries = append([]Entry(nil), l.entries[base-l.baseIndex:]...)
+	l.baseIndex, l.baseTerm = base, term
+}
+
+// upToDate tells whether a log that ends with (index, term) is at least as
+// up to date as this one.
+func (l *raftLog) upToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.lastIndex()
+}
--- /dev/null
+++ b/internal/consensus/reconfigure.go
@@ -0,0 +1,126 @@
+package consensus
+
+// proposeMembership appends a membership change. At most one voter changes,
+// and only one change is in progress: any majority of the old voters and any
+// majority of the new ones then have a server in common.
+func (c *Core) proposeMembership(next Membership) (index, term uint64, err error) {
+	members, changedAt := c.log.membership()
+	switch {
+	case c.role != Leader:
+		return 0, 0, ErrNotLeader
+	case !c.transferee.IsZero():
+		return 0, 0, ErrTransferring
+	case changedAt > c.log.commit:
+		return 0, 0, ErrChangePending
+	case !c.committedInTerm():
+		return 0, 0, ErrNotReady
+	case votersChanged(members, next) > 1 || len(next.Voters()) == 0:
+		return 0, 0, ErrBadChange
+	}
+	index = c.log.lastIndex() + 1
+	c.join.nonce = c.rand.Uint64() // older hellos no longer count
+	c.log.append([]Entry{{
+		Index: index, Term: c.hard.CurrentTerm, Kind: EntryMembership, Data: encodeMembership(next),
+	}})
+	c.syncPeers()
+	c.broadcastAppend()
+	return index, c.hard.CurrentTerm, nil
+}
+
+// committedInTerm tells whether an entry of the current term is committed:
+// until then a membership change of an earlier leader may be unfinished.
+func (c *Core) committedInTerm() bool {
+	term, _ := c.log.term(c.log.commit)
+	return term == c.hard.CurrentTerm
+}
+
+// ProposeLearner adds a server that has asked to join, as a learner.
+func (c *Core) ProposeLearner(name string) (index, term uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	members, _ := c.log.membership()
+	heard, ok := c.join.heard[name]
+	if !ok {
+		return 0, 0, ErrUnknownServer
+	}
+	if member, exists := members.FindName(name); exists && member.ID == heard.ID {
+		return 0, 0, ErrNoChange
+	}
+	heard.Learner = true
+	return c.proposeMembership(members.with(heard))
+}
+
+// ProposePromote makes a caught-up learner a voter.
+func (c *Core) ProposePromote(name string) (index, term uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	members, _ := c.log.membership()
+	member, ok := members.FindName(name)
+	if !ok {
+		return 0, 0, ErrUnknownServer
+	}
+	if !member.Learner {
+		return 0, 0, ErrNoChange
+	}
+	if !c.caughtUp(member.ID) {
+		return 0, 0, ErrNotCaughtUp
+	}
+	member.Learner = false
+	member.PromoteWhenReady = false
+	return c.proposeMembership(members.with(member))
+}
+
+// ProposeRemove removes a member.
+func (c *Core) ProposeRemove(name string) (index, term uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	members, _ := c.log.membership()
+	if _, ok := members.FindName(name); !ok {
+		return 0, 0, ErrUnknownServer
+	}
+	return c.proposeMembership(members.without(name))
+}
+
+// replaceIncarnation puts a blank server in the place of the member whose
+// name it has: the old disk is gone. A refused change is tried again at the
+// next hello.
+func (c *Core) replaceIncarnation(id ServerID, addr string) {
+	members, _ := c.log.membership()
+	old, ok := members.FindName(id.Name)
+	if !ok || old.ID == id {
+		return
+	}
+	next := Member{ID: id, Addr: addr, Learner: true, PromoteWhenReady: !old.Learner || old.PromoteWhenReady}
+	_, _, _ = c.proposeMembership(members.with(next))
+}
+
+// promoteReadyLearner makes a replaced server a voter again.
+func (c *Core) promoteReadyLearner() {
+	members, _ := c.log.membership()
+	for _, member := range members {
+		if member.Learner && member.PromoteWhenReady && c.caughtUp(member.ID) {
+			_, _, _ = c.ProposePromote(member.ID.Name)
+			return
+		}
+	}
+}
+
+// caughtUp tells whether a learner holds all that is committed and was heard
+// within an election timeout.
+func (c *Core) caughtUp(id ServerID) bool {
+	p, ok := c.peers[id]
+	recent := ok && p.heard && c.now-p.heardTick <= uint64(c.cfg.ElectionTicks)
+	return recent && p.matchIndex >= c.log.commit
+}
+
+// leaveLeadership ends the leadership of a server that is no longer a member.
+func (c *Core) leaveLeadership() {
+	c.broadcastCommit()
+	if next := c.furthestVoter(); !next.IsZero() {
+		c.send(Message{Kind: KindTimeoutNow, To: next})
+	}
+	c.becomeFollower(c.hard.CurrentTerm, ServerID{})
+}
--- /dev/null
+++ b/internal/raftlog/store.go
@@ -0,0 +1,173 @@
+package raftlog
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"lynxgate.dev/lynxgate/internal/consensus"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// DefaultSegmentBytes is the size after which a new segment is begun.
+const DefaultSegmentBytes = 4 << 20
+
+// Names of the files in the data folder.
+const (
+	identityFile = "identity"
+	stateFile    = "state"
+	snapshotFile = "snapshot"
+)
+
+// Options are the settings of a Store.
+type Options struct {
+	// SegmentBytes is the size after which a new segment is begun.
+	SegmentBytes int64
+}
+
+// Store is the durable state of one server. SaveSnapshot may run beside the
+// other methods; those are for one goroutine.
+type Store struct {
+	dir  string
+	id   consensus.ServerID
+	opts Options
+
+	segments []segment // oldest first; the last one is open in file
+	file     *os.File
+	buf      []byte
+
+	snapshotMu    sync.Mutex
+	snapshotIndex uint64
+}
+
+// segment is one file of the log. lastIndex is the highest entry in it.
+type segment struct {
+	number    uint64
+	size      int64
+	lastIndex uint64
+}
+
+// Recovered is what Open found.
+type Recovered struct {
+	ID    consensus.ServerID
+	State consensus.Restored
+	// CutBytes is the length of the bad tail that was cut off.
+	CutBytes int64
+}
+
+// Open opens or creates the data folder of the server with this name.
+func Open(dir, name string, opts Options) (*Store, Recovered, error) {
+	if opts.SegmentBytes <= 0 {
+		opts.SegmentBytes = DefaultSegmentBytes
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, Recovered{}, fmt.Errorf("create data folder: %w", err)
+	}
+	s := &Store{dir: dir, opts: opts}
+	if err := s.openIdentity(name); err != nil {
+		return nil, Recovered{}, err
+	}
+	recovered, err := s.recover()
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	return s, recovered, nil
+}
+
+// openIdentity reads the identity or, in an empty folder, draws one.
+func (s *Store) openIdentity(name string) error {
+	var identity rpc.RaftIdentity
+	found, err := readFile(s.path(identityFile), &identity)
+	if err != nil {
+		return err
+	}
+	if !found {
+		return s.createIdentity(name)
+	}
+	s.id = ServerIDFromProto(identity.GetId())
+	if s.id.Name != name {
+		return &ForeignError{Dir: s.dir, Owner: s.id.Name, Name: name}
+	}
+	return nil
+}
+
+func (s *Store) createIdentity(name string) error {
+	for _, file := range []string{stateFile, snapshotFile} {
+		if _, err := os.Stat(s.path(file)); err == nil {
+			return &CorruptError{File: s.path(identityFile), Reason: "missing although there is a " + file}
+		}
+	}
+	if numbers, err := s.segmentNumbers(); err != nil {
+		return err
+	} else if len(numbers) > 0 {
+		return &CorruptError{File: s.path(identityFile), Reason: "missing although there is a log"}
+	}
+	var random [8]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return fmt.Errorf("draw incarnation: %w", err)
+	}
+	s.id = consensus.ServerID{Name: name, Incarnation: binary.LittleEndian.Uint64(random[:]) | 1}
+	return writeFile(s.path(identityFile), &rpc.RaftIdentity{Id: ServerIDToProto(s.id)})
+}
+
+// recover reads everything but the identity.
+func (s *Store) recover() (Recovered, error) {
+	recovered := Recovered{ID: s.id}
+	var state rpc.RaftHardState
+	haveState, err := readFile(s.path(stateFile), &state)
+	if err != nil {
+		return recovered, err
+	}
+	recovered.State.HardState = consensus.HardState{
+		CurrentTerm: state.GetTerm(), VotedFor: ServerIDFromProto(state.GetVotedFor()),
+	}
+	var snapshot rpc.RaftSnapshot
+	haveSnapshot, err := readFile(s.path(snapshotFile), &snapshot)
+	if err != nil {
+		return recovered, err
+	}
+	if haveSnapshot && !haveState {
+		return recovered, &CorruptError{File: s.path(stateFile), Reason: "missing although there is a snapshot"}
+	}
+	recovered.State.Snapshot = SnapshotFromProto(&snapshot)
+	s.snapshotIndex = snapshot.GetIndex()
+	recovered.State.Entries, recovered.CutBytes, err = s.openLog(recovered.State.Snapshot)
+	if err == nil && len(recovered.State.Entries) > 0 && !haveState {
+		err = &CorruptError{File: s.path(stateFile), Reason: "missing although there are entries"}
+	}
+	return recovered, err
+}
+
+// SaveHardState makes term and vote durable.
+func (s *Store) SaveHardState(hard consensus.HardState) error {
+	return writeFile(s.path(stateFile), &rpc.RaftHardState{
+		Term: hard.CurrentTerm, VotedFor: ServerIDToProto(hard.VotedFor),
+	})
+}
+
+// SaveSnapshot makes a snapshot durable unless a newer one is held.
+func (s *Store) SaveSnapshot(snapshot consensus.Snapshot) error {
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	if snapshot.Index <= s.snapshotIndex {
+		return nil
+	}
+	if err := writeFile(s.path(snapshotFile), SnapshotToProto(snapshot)); err != nil {
+		return err
+	}
+	s.snapshotIndex = snapshot.Index
+	return nil
+}
+
+// Close closes the log file.
+func (s *Store) Close() error {
+	if s.file == nil {
+		return nil
+	}
+	return s.file.Close()
+}
+
+func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
--- /dev/null
+++ b/internal/replica/apply.go
@@ -0,0 +1,201 @@
+package replica
+
+import (
+	"context"
+	"sync"
+
+	"lynxgate.dev/lynxgate/internal/consensus"
+)
+
+// applyItem is a snapshot to restore or entries to apply.
+type applyItem struct {
+	snapshot *consensus.Snapshot
+	entries  []consensus.Entry
+}
+
+// waiter waits for the entry at one index. A committed entry of another term
+// there means that its own entry is gone for good.
+type waiter struct {
+	term uint64
+	done chan outcome
+}
+
+// applier applies committed entries on a goroutine of its own. Its queue is
+// not bounded: what waits is held by the log anyway.
+type applier struct {
+	node *Node
+	fsm  FSM
+	wake chan struct{}
+
+	mu      sync.Mutex
+	queue   []applyItem
+	waiters map[uint64]waiter
+	applied uint64
+	// watchers are closed once their index is applied.
+	watchers map[chan struct{}]uint64
+
+	snapshotIndex uint64 // of the last snapshot asked for or restored
+}
+
+func newApplier(n *Node, fsm FSM, applied uint64) *applier {
+	return &applier{
+		node: n, fsm: fsm, wake: make(chan struct{}, 1),
+		waiters: map[uint64]waiter{}, watchers: map[chan struct{}]uint64{},
+		applied: applied, snapshotIndex: applied,
+	}
+}
+
+func (a *applier) push(item applyItem) {
+	a.mu.Lock()
+	a.queue = append(a.queue, item)
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (a *applier) run() {
+	for {
+		select {
+		case <-a.wake:
+		case <-a.node.stopped:
+			return
+		}
+		a.mu.Lock()
+		queue := a.queue
+		a.queue = nil
+		a.mu.Unlock()
+		for _, item := range queue {
+			if err := a.apply(item); err != nil {
+				a.node.fail(err)
+				return
+			}
+		}
+	}
+}
+
+func (a *applier) apply(item applyItem) error {
+	if item.snapshot != nil {
+		return a.restore(*item.snapshot)
+	}
+	for _, e := range item.entries {
+		var result any
+		if e.Kind == consensus.EntryCommand {
+			result = a.fsm.Apply(e.Index, e.Data)
+		}
+		a.finish(e, result)
+	}
+	return a.maybeSnapshot()
+}
+
+func (a *applier) restore(s consensus.Snapshot) error {
+	if s.Index > consensus.FoundingIndex {
+		if err := a.fsm.Restore(s.Data); err != nil {
+			return err
+		}
+	}
+	a.snapshotIndex = s.Index
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for index, w := range a.waiters {
+		if index <= s.Index {
+			w.done <- outcome{err: ErrResultUnknown}
+			delete(a.waiters, index)
+		}
+	}
+	a.advance(s.Index)
+	return nil
+}
+
+// finish publishes that an entry is applied and answers its proposer.
+func (a *applier) finish(e consensus.Entry, result any) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w, ok := a.waiters[e.Index]; ok {
+		delete(a.waiters, e.Index)
+		if w.term == e.Term {
+			w.done <- outcome{result: result, index: e.Index}
+		} else {
+			w.done <- outcome{err: a.node.notLeader()}
+		}
+	}
+	a.advance(e.Index)
+}
+
+// advance is called with mu held.
+func (a *applier) advance(index uint64) {
+	a.applied = index
+	a.node.metrics.appliedIndex.Set(float64(index))
+	for ch, want := range a.watchers {
+		if want <= index {
+			close(ch)
+			delete(a.watchers, ch)
+		}
+	}
+}
+
+// maybeSnapshot takes a snapshot when enough entries were applied.
+func (a *applier) maybeSnapshot() error {
+	applied := a.appliedIndex()
+	if applied-a.snapshotIndex < uint64(a.node.cfg.SnapshotEntries) {
+		return nil
+	}
+	data, err := a.fsm.Snapshot()
+	if err != nil {
+		return err
+	}
+	a.snapshotIndex = applied
+	return ignoreStopped(a.node.post(context.Background(), snapshotTaken{index: applied, data: data}))
+}
+
+func (a *applier) appliedIndex() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.applied
+}
+
+// wait registers a proposer of the entry at index.
+func (a *applier) wait(index, term uint64, done chan outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if old, ok := a.waiters[index]; ok {
+		// Of an earlier term, and its entry was replaced by ours.
+		old.done <- outcome{err: a.node.notLeader()}
+	}
+	a.waiters[index] = waiter{term: term, done: done}
+}
+
+// failWaiters answers all proposers that their result is not known.
+func (a *applier) failWaiters() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for index, w := range a.waiters {
+		w.done <- outcome{err: ErrResultUnknown}
+		delete(a.waiters, index)
+	}
+}
+
+func (a *applier) waiting() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.waiters)
+}
+
+// watch returns a channel closed once index is applied; nil if it is already.
+func (a *applier) watch(index uint64) chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.applied >= index {
+		return nil
+	}
+	ch := make(chan struct{})
+	a.watchers[ch] = index
+	return ch
+}
+
+func (a *applier) unwatch(ch chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.watchers, ch)
+}
--- /dev/null
+++ b/internal/replica/node.go
@@ -0,0 +1,237 @@
+package replica
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+
+	"lynxgate.dev/lynxgate/internal/consensus"
+	"lynxgate.dev/lynxgate/internal/raftlog"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// eventQueue bounds the events waiting for the loop; senders wait beyond it.
+const eventQueue = 1024
+
+// Node is one member of the replicated log.
+type Node struct {
+	cfg       Config
+	store     *raftlog.Store
+	metrics   *metrics
+	transport *transport
+	applier   *applier
+	events    chan event
+	status    atomic.Pointer[Status]
+
+	// stopped is closed when the node stops, after a call of Stop or a fault.
+	stopped  chan struct{}
+	stopOnce sync.Once
+	fault    atomic.Pointer[error]
+	loopDone chan struct{}
+	// background counts the goroutines beside loop and peers.
+	background sync.WaitGroup
+
+	// Below: owned by the event loop.
+	core           *consensus.Core
+	now            uint64 // ticks
+	notLeaderSince uint64 // tick when last the leader
+	reads          map[uint64][]*read
+	readContext    uint64
+	membersSeen    consensus.Membership
+	last           consensus.State
+}
+
+// Start opens the data folder and joins the cluster. The node takes part once
+// the caller serves what Register adds.
+func Start(cfg Config, fsm FSM) (*Node, error) {
+	if err := cfg.complete(); err != nil {
+		return nil, err
+	}
+	store, recovered, err := raftlog.Open(cfg.Dir, cfg.Name, raftlog.Options{})
+	if err != nil {
+		return nil, fmt.Errorf("open data folder: %w", err)
+	}
+	n, err := newNode(cfg, store, recovered, fsm)
+	if err != nil {
+		return nil, errors.Join(err, store.Close())
+	}
+	n.background.Add(1)
+	go func() {
+		defer n.background.Done()
+		n.applier.run()
+	}()
+	go n.run()
+	return n, nil
+}
+
+func newNode(cfg Config, store *raftlog.Store, recovered raftlog.Recovered, fsm FSM) (*Node, error) {
+	snapshot := recovered.State.Snapshot
+	if snapshot.Index > consensus.FoundingIndex {
+		if err := fsm.Restore(snapshot.Data); err != nil {
+			return nil, fmt.Errorf("restore snapshot: %w", err)
+		}
+	}
+	random, err := newRand()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg: cfg, store: store, metrics: newMetrics(),
+		events: make(chan event, eventQueue), stopped: make(chan struct{}), loopDone: make(chan struct{}),
+		reads: map[uint64][]*read{}, readContext: random.Uint64(),
+	}
+	n.transport = newTransport(cfg.Peers, n.metrics)
+	n.applier = newApplier(n, fsm, snapshot.Index)
+	n.core = consensus.New(consensus.Config{
+		ID: recovered.ID, Addr: cfg.Addr, Peers: cfg.peerNames(),
+		ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks,
+		KeepEntries: uint64(cfg.SnapshotEntries / 4), Rand: random,
+	}, recovered.State)
+	n.metrics.cutTailBytes.Add(float64(recovered.CutBytes))
+	n.publish()
+	cfg.Logger.Info().Str("server", recovered.ID.String()).Uint64("term", recovered.State.HardState.CurrentTerm).
+		Uint64("snapshot", snapshot.Index).Int("entries", len(recovered.State.Entries)).
+		Int64("cut_bytes", recovered.CutBytes).Msg("consensus started")
+	return n, nil
+}
+
+func newRand() (*rand.Rand, error) {
+	var seed [16]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, fmt.Errorf("draw random seed: %w", err)
+	}
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:]))), nil
+}
+
+// complete checks the settings and fills in defaults.
+func (cfg *Config) complete() error {
+	if cfg.Name == "" || cfg.Addr == "" || cfg.Dir == "" {
+		return errors.New("replica: Name, Addr and Dir are required")
+	}
+	if len(cfg.Peers) == 0 {
+		return errors.New("replica: Peers is required")
+	}
+	seen := map[string]bool{}
+	for _, p := range cfg.Peers {
+		if seen[p.Name] {
+			return fmt.Errorf("replica: peer %q is listed twice", p.Name)
+		}
+		seen[p.Name] = true
+	}
+	if cfg.TickInterval <= 0 {
+		cfg.TickInterval = DefaultTickInterval
+	}
+	if cfg.ElectionTicks <= 0 {
+		cfg.ElectionTicks = DefaultElectionTicks
+	}
+	if cfg.HeartbeatTicks <= 0 {
+		cfg.HeartbeatTicks = DefaultHeartbeatTicks
+	}
+	if cfg.SnapshotEntries <= 0 {
+		cfg.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if cfg.ElectionTicks <= cfg.HeartbeatTicks {
+		return errors.New("replica: ElectionTicks must exceed HeartbeatTicks")
+	}
+	return nil
+}
+
+func (cfg *Config) peerNames() []string {
+	names := make([]string, len(cfg.Peers))
+	for i, p := range cfg.Peers {
+		names[i] = p.Name
+	}
+	return names
+}
+
+// Register adds the service that the other members call.
+func (n *Node) Register(mux drpc.Mux) error {
+	return rpc.DRPCRegisterReplication(mux, &receiver{node: n})
+}
+
+// Done is closed when the node has stopped; Err tells why.
+func (n *Node) Done() <-chan struct{} { return n.stopped }
+
+// Err returns the fault that stopped the node, nil if there was none.
+func (n *Node) Err() error {
+	if err := n.fault.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// fail stops the node: it can not keep its promises any longer.
+func (n *Node) fail(err error) {
+	n.fault.CompareAndSwap(nil, &err)
+	n.cfg.Logger.Error().Err(err).Msg("consensus stopped by a fault")
+	n.shutDown()
+}
+
+func (n *Node) shutDown() { n.stopOnce.Do(func() { close(n.stopped) }) }
+
+// Stop hands leadership over if this node holds it, and stops the node.
+func (n *Node) Stop(ctx context.Context) error {
+	n.handOver(ctx)
+	n.shutDown()
+	<-n.loopDone
+	n.transport.close()
+	n.background.Wait()
+	n.applier.failWaiters()
+	return n.store.Close()
+}
+
+// handOver returns when this node no longer leads and its proposals are
+// answered, or after two election timeouts.
+func (n *Node) handOver(ctx context.Context) {
+	if n.Status().Role != RoleLeader || len(n.Status().Members) < 2 {
+		return
+	}
+	limit := time.Duration(n.giveUpTicks()) * n.cfg.TickInterval
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := n.post(ctx, transferEvent{}); err != nil {
+		return
+	}
+	ticker := time.NewTicker(n.cfg.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.stopped:
+			return
+		case <-ticker.C:
+		}
+		status := n.Status()
+		if status.Role != RoleLeader && status.LeaderName != "" && n.applier.waiting() == 0 {
+			return
+		}
+	}
+}
+
+// post hands an event to the loop.
+func (n *Node) post(ctx context.Context, e event) error {
+	select {
+	case n.events <- e:
+		return nil
+	case <-n.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func ignoreStopped(err error) error {
+	if errors.Is(err, ErrStopped) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,189 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type assertT = assert.CollectT
+
+// tick is the time between looks at a condition.
+const tick = 5 * time.Millisecond
+
+func TestReplicatesAndRestarts(t *testing.T) {
+	for _, size := range []int{1, 3} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			c := newCluster(t, size, nil)
+			var want []string
+			for i := range 20 {
+				want = append(want, fmt.Sprint("a", i))
+				c.propose(want[i])
+			}
+			c.requireList(want...)
+
+			for _, s := range c.servers {
+				s.kill()
+			}
+			for _, s := range c.servers {
+				c.start(s)
+			}
+			want = append(want, "after")
+			c.propose("after")
+			c.requireList(want...)
+		})
+	}
+}
+
+func TestConcurrentProposalsShareSyncs(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose("first")
+	leader := c.leader()
+	var wg sync.WaitGroup
+	errs := make(chan error, 200)
+	for i := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := leader.node.Propose(context.Background(), []byte(fmt.Sprint(i)))
+			errs <- err
+		}()
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		require.NoError(t, err)
+	}
+	c.requireList("first")
+}
+
+// A follower whose disk is lost comes back under another incarnation, as a
+// learner first, and gets the whole state.
+func TestWipedFollowerIsRebuilt(t *testing.T) {
+	c := newCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries = 10 })
+	c.propose("one")
+	var follower *server
+	for _, s := range c.servers {
+		if s != c.leader() {
+			follower = s
+		}
+	}
+	old := follower.node.Status().Incarnation
+	follower.kill()
+	for i := range 50 {
+		c.propose(fmt.Sprint("b", i))
+	}
+	follower.cfg.Dir = t.TempDir()
+	c.start(follower)
+	require.NotEqual(t, old, follower.node.Status().Incarnation)
+	c.requireList("one", "b0", "b49")
+	c.requireVoters("c0", "c1", "c2")
+	require.Eventually(t, func() bool {
+		return follower.node.Status().Role == RoleFollower
+	}, waitLimit, tick)
+}
+
+func TestLeaderKilled(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose("one")
+	c.leader().kill()
+	c.propose("two")
+	c.requireList("one", "two")
+}
+
+func TestStopHandsOver(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose("one")
+	old := c.leader()
+	term := old.node.Status().Term
+	require.NoError(t, old.node.Stop(context.Background()))
+	old.close()
+	old.node = nil
+	next := c.leader()
+	// The next leader was elected in one election without a split vote.
+	require.Equal(t, term+1, next.node.Status().Term)
+	c.propose("two")
+	c.requireList("one", "two")
+}
+
+func TestLaggardGetsSnapshot(t *testing.T) {
+	c := newCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries = 10 })
+	c.propose("one")
+	var follower *server
+	for _, s := range c.servers {
+		if s != c.leader() {
+			follower = s
+		}
+	}
+	follower.kill()
+	for i := range 100 {
+		c.propose(fmt.Sprint("b", i))
+	}
+	c.start(follower)
+	c.requireList("one", "b99")
+	require.Positive(t, follower.counter("lynxgate_consensus_snapshots_installed_total"))
+}
+
+func TestAddAndRemoveServer(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose("one")
+	added := c.add(Member{Name: "c3", Addr: reserveAddr(t)}, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	require.NoError(t, c.leader().node.AddLearner(ctx, Member{Name: "c3"}))
+	require.NoError(t, c.leader().node.Promote(ctx, Member{Name: "c3"}))
+	c.requireVoters("c0", "c1", "c2", "c3")
+	c.requireList("one")
+
+	var removed *server
+	for _, s := range c.servers {
+		if s != c.leader() && s != added {
+			removed = s
+		}
+	}
+	require.NoError(t, c.leader().node.Remove(ctx, Member{Name: removed.cfg.Name}))
+	removed.kill()
+	require.Len(t, c.leader().node.Status().Members, 3)
+	c.propose("two")
+	c.requireList("one", "two")
+}
+
+func TestReadIndexFollowsProposals(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	for i := range 10 {
+		command := fmt.Sprint(i)
+		c.propose(command)
+		for _, s := range c.servers {
+			index, err := s.node.ReadIndex(ctx)
+			require.NoError(t, err)
+			require.NoError(t, s.node.WaitApplied(ctx, index))
+			require.Contains(t, s.fsm.list(), command)
+		}
+	}
+}
+
+// A server without a majority refuses changes and reads, and accepts nothing.
+func TestMinorityRefuses(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose("one")
+	leader := c.leader()
+	for _, s := range c.servers {
+		if s != leader {
+			s.kill()
+		}
+	}
+	require.Eventually(t, func() bool { return leader.node.Status().Role != RoleLeader }, waitLimit, tick)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	_, err := leader.node.Propose(ctx, []byte("two"))
+	require.ErrorIs(t, err, ErrNoQuorum)
+	_, err = leader.node.ReadIndex(ctx)
+	require.ErrorIs(t, err, ErrNoQuorum)
+}
