--- /dev/null
+++ b/internal/admin/api.go
@@ -0,0 +1,141 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxBodyBytes   = 8 << 20
+	DefaultMaxHeaderBytes = 16 << 10
+	DefaultRequestTimeout = 10 * time.Second
+)
+
+// Config of the API; zero fields take the defaults above.
+type Config struct {
+	Operators      []Operator
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	// RequestTimeout bounds the work for one request. A change that runs
+	// into it has an unknown result.
+	RequestTimeout time.Duration
+	Logger         zerolog.Logger
+	// Registerer takes the API's counters; may be nil.
+	Registerer prometheus.Registerer
+}
+
+// Operator is somebody who may use the API.
+type Operator struct {
+	Name string
+	// KeyHash is the hex SHA-256 digest of the operator's key.
+	KeyHash string
+}
+
+// API serves operators' requests. It is safe for concurrent use.
+type API struct {
+	cfg     Config
+	backend Backend
+	keys    keyring
+	metrics metrics
+}
+
+// New returns the API over the backend.
+func New(cfg Config, backend Backend) (*API, error) {
+	setDefaults(&cfg)
+	keys, err := newKeyring(cfg.Operators)
+	if err != nil {
+		return nil, err
+	}
+	return &API{cfg: cfg, backend: backend, keys: keys, metrics: newMetrics(cfg.Registerer)}, nil
+}
+
+func setDefaults(cfg *Config) {
+	if cfg.MaxBodyBytes == 0 {
+		cfg.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if cfg.MaxHeaderBytes == 0 {
+		cfg.MaxHeaderBytes = DefaultMaxHeaderBytes
+	}
+	if cfg.RequestTimeout == 0 {
+		cfg.RequestTimeout = DefaultRequestTimeout
+	}
+}
+
+// Register adds the API's routes to e. The echo instance should come from
+// NewEcho, so that every error is JSON.
+func (a *API) Register(e *echo.Echo) {
+	g := e.Group("/admin/v1", a.count, limitHeader(a.cfg.MaxHeaderBytes), a.authenticate, limitBody(a.cfg.MaxBodyBytes), a.timeout)
+	g.GET("/config", a.getConfig)
+	g.POST("/changes", a.postChanges)
+	g.GET("/status", a.getStatus)
+	g.GET("/audit", a.getAudit)
+	g.POST("/vms/:vm/drain", a.drain(true))
+	g.POST("/vms/:vm/undrain", a.drain(false))
+	g.GET("/servers", a.getServers)
+	g.POST("/servers", a.postServer)
+	g.DELETE("/servers/:name", a.deleteServer)
+}
+
+// NewEcho returns an echo instance whose errors are all JSON.
+func NewEcho() *echo.Echo {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = writeError
+	return e
+}
+
+// NewHTTPServer returns a server for the handler with the header limit and
+// timeouts of an API. A header past maxHeaderBytes but under twice as much
+// reaches the API, which can then answer in JSON.
+func NewHTTPServer(addr string, handler http.Handler, maxHeaderBytes int) *http.Server {
+	const (
+		readHeaderTimeout = 5 * time.Second
+		readTimeout       = 30 * time.Second
+		idleTimeout       = 2 * time.Minute
+	)
+	return &http.Server{
+		Addr:              addr,
+		Handler:           handler,
+		MaxHeaderBytes:    2 * maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// timeout bounds the work for one request.
+func (a *API) timeout(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		ctx, cancel := context.WithTimeout(c.Request().Context(), a.cfg.RequestTimeout)
+		defer cancel()
+		c.SetRequest(c.Request().WithContext(ctx))
+		return next(c)
+	}
+}
+
+// count counts requests by route and status.
+func (a *API) count(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if err := next(c); err != nil {
+			c.Error(err)
+		}
+		a.metrics.request(c.Path(), c.Response().Status)
+		return nil
+	}
+}
+
+// readFailure turns an error of a read into an answer.
+func readFailure(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return failure(http.StatusServiceUnavailable, CodeNoQuorum, "no answer from a quorum in time")
+	}
+	return backendFailure(err)
+}
--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -16,8 +16,10 @@
 // return *NotLeaderError, ErrNoQuorum or ErrResultUnknown; any other error is
 // reported as an internal one.
 type Backend interface {
-	// Apply carries out a change request. A request with an operation id
-	// that was accepted before returns that first result, Repeated set.
+	// Apply carries out a change request. The operation id is looked up
+	// before anything else: if a request with it was accepted, that first
+	// result is returned, Repeated set. Refused requests (conflict, invalid)
+	// are not remembered and may be sent again under the same id.
 	Apply(ctx context.Context, req inventory.ChangeRequest) (inventory.ChangeResult, error)
 	// Get returns the keys below prefix, as confirmed with a quorum.
 	Get(ctx context.Context, prefix string) (Snapshot, error)
--- /dev/null
+++ b/internal/admin/errors.go
@@ -0,0 +1,109 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+)
+
+// retryAfterSeconds is how long clients wait after 503 and 504: about the
+// time of an election.
+const retryAfterSeconds = 1
+
+// apiError is an answer that isn't a success.
+type apiError struct {
+	status int
+	body   ErrorBody
+}
+
+// Error returns the text for people.
+func (e *apiError) Error() string { return e.body.Error }
+
+func failure(status int, code, text string) *apiError {
+	return &apiError{status: status, body: ErrorBody{Code: code, Error: text}}
+}
+
+func badRequest(text string) *apiError {
+	return failure(http.StatusBadRequest, CodeBadRequest, text)
+}
+
+// backendFailure turns an error of the backend into an answer.
+func backendFailure(err error) error {
+	var notLeader *NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return leaderHint(notLeader)
+	case errors.Is(err, ErrNoQuorum):
+		return failure(http.StatusServiceUnavailable, CodeNoQuorum, err.Error())
+	case errors.Is(err, ErrInvalid):
+		return failure(http.StatusUnprocessableEntity, CodeInvalid, err.Error())
+	default:
+		return failure(http.StatusInternalServerError, CodeInternal, err.Error())
+	}
+}
+
+// changeFailure is backendFailure for requests that change something: what
+// isn't known to have failed has an unknown result.
+func changeFailure(err error, operationID string) error {
+	known := errors.As(err, new(*NotLeaderError)) || errors.Is(err, ErrNoQuorum) || errors.Is(err, ErrInvalid)
+	if known && !errors.Is(err, ErrResultUnknown) {
+		return backendFailure(err)
+	}
+	text := "the result is not known; the change may be accepted yet: resend it with the same operation id"
+	if !errors.Is(err, ErrResultUnknown) && !errors.Is(err, context.DeadlineExceeded) {
+		text += " (" + err.Error() + ")"
+	}
+	unknown := failure(http.StatusGatewayTimeout, CodeResultUnknown, text)
+	unknown.body.OperationID = operationID
+	return unknown
+}
+
+func leaderHint(err *NotLeaderError) error {
+	if err.AdminAddr == "" {
+		return failure(http.StatusServiceUnavailable, CodeNoQuorum, err.Error())
+	}
+	hint := failure(http.StatusMisdirectedRequest, CodeNotLeader, err.Error())
+	hint.body.Leader = err.Leader
+	hint.body.LeaderAdminAddr = err.AdminAddr
+	return hint
+}
+
+// writeError answers with JSON whatever the error is.
+func writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	answer := toAPIError(err)
+	switch answer.status {
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		c.Response().Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	case http.StatusUnauthorized:
+		c.Response().Header().Set("WWW-Authenticate", `Bearer realm="lynxgate operators"`)
+	}
+	// A failed write means that the client has gone; there is nobody to tell.
+	_ = c.JSON(answer.status, answer.body)
+}
+
+func toAPIError(err error) *apiError {
+	var own *apiError
+	if errors.As(err, &own) {
+		return own
+	}
+	var framework *echo.HTTPError
+	if !errors.As(err, &framework) {
+		return failure(http.StatusInternalServerError, CodeInternal, err.Error())
+	}
+	switch framework.Code {
+	case http.StatusNotFound:
+		return failure(framework.Code, CodeNotFound, "no such path")
+	case http.StatusMethodNotAllowed:
+		return failure(framework.Code, CodeMethod, "this path doesn't take this method")
+	case http.StatusInternalServerError:
+		return failure(framework.Code, CodeInternal, framework.Error())
+	default:
+		return failure(framework.Code, CodeBadRequest, framework.Error())
+	}
+}
--- /dev/null
+++ b/internal/admin/limits.go
@@ -0,0 +1,88 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+)
+
+// limitHeader refuses requests whose header is longer than limit bytes.
+func limitHeader(limit int) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if headerBytes(c.Request()) > limit {
+				return failure(http.StatusRequestHeaderFieldsTooLarge, CodeHeaderTooLarge,
+					fmt.Sprintf("the request's header is longer than %d bytes", limit))
+			}
+			return next(c)
+		}
+	}
+}
+
+// headerBytes is the size of the request line and the header fields.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
+// limitBody makes reads past limit bytes fail.
+func limitBody(limit int64) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			r := c.Request()
+			r.Body = http.MaxBytesReader(c.Response(), r.Body, limit)
+			return next(c)
+		}
+	}
+}
+
+// readJSON decodes the body, one JSON value with known fields only.
+func readJSON(c echo.Context, target any) error {
+	if err := wantJSON(c.Request()); err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(c.Request().Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return bodyError(err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return badRequest("the body holds more than one JSON value")
+	}
+	return nil
+}
+
+func wantJSON(r *http.Request) error {
+	contentType := r.Header.Get("Content-Type")
+	if contentType == "" {
+		return nil
+	}
+	media, _, err := mime.ParseMediaType(contentType)
+	if err != nil || media != "application/json" {
+		return failure(http.StatusUnsupportedMediaType, CodeUnsupportedBody,
+			fmt.Sprintf("the body must be application/json, not %q", contentType))
+	}
+	return nil
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return failure(http.StatusRequestEntityTooLarge, CodeBodyTooLarge,
+			fmt.Sprintf("the body is longer than %d bytes", tooLarge.Limit))
+	}
+	if err == io.EOF {
+		return badRequest("the body is empty; JSON is needed")
+	}
+	return badRequest("the body is not the JSON wanted: " + err.Error())
+}
--- /dev/null
+++ b/internal/adminclient/calls.go
@@ -0,0 +1,131 @@
+package adminclient
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"lynxgate.dev/lynxgate/internal/admin"
+	"lynxgate.dev/lynxgate/internal/inventory"
+)
+
+const operationIDBytes = 16
+
+// NewOperationID returns a fresh random operation id.
+func NewOperationID() string {
+	var raw [operationIDBytes]byte
+	rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// Config returns the keys below prefix.
+func (c *Client) Config(ctx context.Context, prefix string) (admin.Snapshot, error) {
+	var snapshot admin.Snapshot
+	path := admin.PathConfig + "?prefix=" + url.QueryEscape(prefix)
+	err := c.do(ctx, call{method: http.MethodGet, path: path}, &snapshot)
+	return snapshot, err
+}
+
+// Apply sends the changes under the operation id until their result is known.
+func (c *Client) Apply(ctx context.Context, operationID string, base uint64, changes []inventory.Change) (admin.ChangeReply, error) {
+	body, err := json.Marshal(admin.ChangeBody{
+		OperationID:  operationID,
+		BaseRevision: &base,
+		Changes:      admin.ToItems(changes),
+	})
+	if err != nil {
+		return admin.ChangeReply{}, fmt.Errorf("encode changes: %w", err)
+	}
+	var reply admin.ChangeReply
+	err = c.do(ctx, call{
+		method: http.MethodPost, path: admin.PathChanges, body: body,
+		operationID: operationID, changes: true,
+	}, &reply)
+	return reply, err
+}
+
+// SetDrained sets or clears the drained mark of a VM.
+func (c *Client) SetDrained(ctx context.Context, operationID, vm string, drained bool) (admin.ChangeReply, error) {
+	verb := "undrain"
+	if drained {
+		verb = "drain"
+	}
+	var reply admin.ChangeReply
+	err := c.do(ctx, call{
+		method: http.MethodPost, path: admin.PathVMs + "/" + url.PathEscape(vm) + "/" + verb,
+		operationID: operationID, changes: true,
+	}, &reply)
+	return reply, err
+}
+
+// Status returns the leader's status, or that of the server which answered
+// when the leader doesn't.
+func (c *Client) Status(ctx context.Context) (admin.Status, error) {
+	var status admin.Status
+	err := c.do(ctx, call{method: http.MethodGet, path: admin.PathStatus}, &status)
+	if err != nil || status.Server == status.Leader || status.LeaderAdminAddr == "" {
+		return status, err
+	}
+	leader, err := New(c.leaderConfig(status.LeaderAdminAddr))
+	if err != nil {
+		return status, nil
+	}
+	var fromLeader admin.Status
+	answer := leader.send(ctx, call{method: http.MethodGet, path: admin.PathStatus})
+	if answer.status != http.StatusOK || decodeAnswer(answer, &fromLeader) != nil {
+		return status, nil
+	}
+	return fromLeader, nil
+}
+
+// leaderConfig is the client's own, with the leader as the only address.
+func (c *Client) leaderConfig(addr string) Config {
+	cfg := c.cfg
+	scheme, _, _ := strings.Cut(c.bases[0], "://")
+	cfg.Addrs = []string{scheme + "://" + addr}
+	return cfg
+}
+
+// Audit returns audit records, oldest first.
+func (c *Client) Audit(ctx context.Context, query admin.AuditQuery) ([]admin.AuditItem, error) {
+	values := url.Values{}
+	values.Set("since", strconv.FormatUint(query.Since, 10))
+	values.Set("limit", strconv.Itoa(query.Limit))
+	values.Set("operator", query.Operator)
+	values.Set("key", query.Key)
+	var reply admin.AuditReply
+	err := c.do(ctx, call{method: http.MethodGet, path: admin.PathAudit + "?" + values.Encode()}, &reply)
+	return reply.Records, err
+}
+
+// Servers returns the consensus members.
+func (c *Client) Servers(ctx context.Context) ([]admin.Server, error) {
+	var reply admin.ServersReply
+	err := c.do(ctx, call{method: http.MethodGet, path: admin.PathServers}, &reply)
+	return reply.Servers, err
+}
+
+// AddServer adds a consensus member.
+func (c *Client) AddServer(ctx context.Context, name, addr string) ([]admin.Server, error) {
+	body, err := json.Marshal(admin.ServerBody{Name: name, Addr: addr})
+	if err != nil {
+		return nil, fmt.Errorf("encode server: %w", err)
+	}
+	var reply admin.ServersReply
+	err = c.do(ctx, call{method: http.MethodPost, path: admin.PathServers, body: body, changes: true}, &reply)
+	return reply.Servers, err
+}
+
+// RemoveServer removes a consensus member.
+func (c *Client) RemoveServer(ctx context.Context, name string) ([]admin.Server, error) {
+	var reply admin.ServersReply
+	path := admin.PathServers + "/" + url.PathEscape(name)
+	err := c.do(ctx, call{method: http.MethodDelete, path: path, changes: true}, &reply)
+	return reply.Servers, err
+}
