--- /dev/null
+++ b/internal/weights/transfer/config.go
@@ -0,0 +1,79 @@
+package transfer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+	"lynxgate.dev/lynxgate/internal/weights/swarm"
+)
+
+// Peer is another member of a model version's swarm.
+type Peer = swarm.Peer
+
+// Wanted is one model version that shall be staged on this VM. Peers are all
+// members of its swarm; this VM may be among them.
+type Wanted struct {
+	Ref    inventory.ModelVersion
+	Prefer inventory.Preference
+	Peers  []Peer
+}
+
+// Progress tells how far one model version is.
+type Progress struct {
+	Model   string
+	Version string
+	// Held and Total count chunks; Total is 0 until the manifest is known.
+	Held  int
+	Total int
+	// OriginBytes and PeerBytes count payload received since the start.
+	OriginBytes int64
+	PeerBytes   int64
+	// Staged is true when the whole file is verified, synced and at Path.
+	Staged bool
+	Path   string
+	// Err is the last reason for not getting on, empty when all is well.
+	Err string
+}
+
+// Config holds the settings of a Manager. Zero values take the defaults.
+type Config struct {
+	// VM and Zone name this member.
+	VM   string
+	Zone string
+	// Dir is the scratch folder; it is created if missing.
+	Dir string
+	// MaxBytes bounds what the scratch folder may hold; 0 means no bound.
+	MaxBytes int64
+	// UpBytesPerSecond and DownBytesPerSecond are the link's rates in each
+	// direction; 0 means no pacing.
+	UpBytesPerSecond   float64
+	DownBytesPerSecond float64
+	// MemoryBytes bounds the chunk buffers of all fetches; default 32 MiB.
+	MemoryBytes int64
+	// Strategy decides who asks whom; default swarm.StrategySwarm.
+	Strategy swarm.Strategy
+	// Swarm tunes the scheduler; zero fields take its defaults.
+	Swarm swarm.Config
+	// Dial opens a connection to a peer; default is TCP with a timeout.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// HTTP asks the origin and the weight store; default a client of its own.
+	HTTP *http.Client
+	// Now is the clock; default time.Now.
+	Now func() time.Time
+	// Seed of the scheduler's tie-breaks; default derived from VM.
+	Seed uint64
+	// Registerer takes the counters; default none.
+	Registerer prometheus.Registerer
+	Logger     zerolog.Logger
+}
+
+const (
+	defaultMemoryBytes = 32 << 20
+	dialTimeout        = 2 * time.Second
+)
