weights: manifest, store, pacing, swarm scheduler and transfer manager

Cause: nothing moved weights yet. Change: chunks are content-addressed and verified, staged aside and renamed after the digest of the whole; the swarm scheduler is a pure step; the Weights service carries pipelined chunk requests on one stream (Exchange) in place of one call per chunk, since a drpc connection carries one stream at a time. Test: all strategies stage the whole on 8 managers over loopback. Speed: not measured.

--- /dev/null
+++ b/internal/weights/origin/client.go
@@ -0,0 +1,171 @@
+// Package origin reads manifests and chunks from the origin of weights or from
+// a weight store over HTTP with Range requests.
+//
+// A refusal by 429 or 503 is an outcome (*Limited) that carries how long to
+// wait, not a failure. The package keeps no state but the HTTP connections.
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/weights/manifest"
+)
+
+const (
+	// defaultRetryAfter is used when a refusal carries no usable Retry-After.
+	defaultRetryAfter = time.Second
+	maxRetryAfter     = time.Minute
+	// readPiece is how much of a body is paced at a time, in bytes.
+	readPiece = 16 << 10
+
+	dialTimeout     = 2 * time.Second
+	headerTimeout   = 10 * time.Second
+	idleConnections = 8
+)
+
+// ErrShort says that the body ended early or was too long.
+var ErrShort = errors.New("origin answered with another length than asked for")
+
+// Limited is the outcome of a request refused for its rate.
+type Limited struct {
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (l *Limited) Error() string {
+	return fmt.Sprintf("rate limited, retry after %s", l.RetryAfter)
+}
+
+// StatusError is any other answer than the one asked for.
+type StatusError struct {
+	Code int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("origin answered %d", e.Code) }
+
+// Client asks origins and weight stores.
+type Client struct {
+	http *http.Client
+	// pace is called before each piece of a body is read.
+	pace func(ctx context.Context, bytes int) error
+}
+
+// New returns a client. httpClient may be nil; pace may be nil.
+func New(httpClient *http.Client, pace func(ctx context.Context, bytes int) error) *Client {
+	if httpClient == nil {
+		httpClient = newHTTPClient()
+	}
+	if pace == nil {
+		pace = func(ctx context.Context, _ int) error { return ctx.Err() }
+	}
+	return &Client{http: httpClient, pace: pace}
+}
+
+func newHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:           dialer.DialContext,
+		MaxIdleConnsPerHost:   idleConnections,
+		ResponseHeaderTimeout: headerTimeout,
+		DisableCompression:    true,
+	}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Manifest reads the manifest file of a model version.
+func (c *Client) Manifest(ctx context.Context, base, model, version string) ([]byte, error) {
+	resp, err := c.get(ctx, address(base, model, version, "manifest.json"), "")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, &StatusError{Code: resp.StatusCode}
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, manifest.MaxEncodedSize+1))
+	if err != nil {
+		return nil, fmt.Errorf("read manifest: %w", err)
+	}
+	return data, nil
+}
+
+// Range reads len(p) bytes at offset of the weights file into p. It calls
+// progress, if not nil, after each piece with the number of bytes in it.
+func (c *Client) Range(ctx context.Context, base, model, version string, p []byte, offset int64, progress func(int)) error {
+	span := fmt.Sprintf("bytes=%d-%d", offset, offset+int64(len(p))-1)
+	resp, err := c.get(ctx, address(base, model, version, "weights"), span)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusPartialContent {
+		return &StatusError{Code: resp.StatusCode}
+	}
+	return c.readBody(ctx, resp.Body, p, progress)
+}
+
+func (c *Client) readBody(ctx context.Context, body io.Reader, p []byte, progress func(int)) error {
+	for len(p) > 0 {
+		n := min(readPiece, len(p))
+		if err := c.pace(ctx, n); err != nil {
+			return err
+		}
+		if _, err := io.ReadFull(body, p[:n]); err != nil {
+			return fmt.Errorf("%w: %w", ErrShort, err)
+		}
+		if progress != nil {
+			progress(n)
+		}
+		p = p[n:]
+	}
+	if n, _ := io.CopyN(io.Discard, body, 1); n > 0 {
+		return ErrShort
+	}
+	return nil
+}
+
+func (c *Client) get(ctx context.Context, target, span string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, fmt.Errorf("origin request: %w", err)
+	}
+	if span != "" {
+		req.Header.Set("Range", span)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("origin request: %w", err)
+	}
+	if resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable {
+		retryAfter := parseRetryAfter(resp.Header.Get("Retry-After"))
+		resp.Body.Close()
+		return nil, &Limited{RetryAfter: retryAfter}
+	}
+	return resp, nil
+}
+
+func address(base, model, version, file string) string {
+	return strings.TrimSuffix(base, "/") + "/" + url.PathEscape(model) + "/" + url.PathEscape(version) + "/" + file
+}
+
+// parseRetryAfter reads the header's seconds form; the date form depends on
+// two clocks agreeing and falls back to the default.
+func parseRetryAfter(value string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || seconds < 0 {
+		return defaultRetryAfter
+	}
+	return min(maxRetryAfter, time.Duration(seconds*float64(time.Second)))
+}
--- /dev/null
+++ b/internal/weights/pace/link.go
@@ -0,0 +1,134 @@
+package pace
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Link paces both directions of a VM's link. Its methods may be called from
+// several goroutines.
+type Link struct {
+	up, down direction
+	now      func() time.Time
+
+	mu       sync.Mutex
+	governor *Governor
+}
+
+// NewLink returns a link with the given rates in bytes per second; 0 means no
+// pacing. now is the clock; waits use timers of the run time.
+func NewLink(up, down float64, now func() time.Time) *Link {
+	l := &Link{now: now, governor: NewGovernor()}
+	l.up.init(up, now)
+	l.down.init(down, now)
+	return l
+}
+
+// Up waits until bytes may be sent.
+func (l *Link) Up(ctx context.Context, class Class, bytes int) error {
+	return l.up.take(ctx, class, bytes)
+}
+
+// Down waits until bytes may be taken in.
+func (l *Link) Down(ctx context.Context, class Class, bytes int) error {
+	return l.down.take(ctx, class, bytes)
+}
+
+// ObserveLive takes the first-token latency of a live request and adapts the
+// transfers' share.
+func (l *Link) ObserveLive(latency time.Duration) {
+	l.adapt(func(now time.Time) { l.governor.Observe(latency, now) })
+}
+
+// Tick lets the transfers' share rise again after live requests have ceased.
+// Call it about once a second.
+func (l *Link) Tick() { l.adapt(l.governor.Tick) }
+
+// Share returns the transfers' present share of the link.
+func (l *Link) Share() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.governor.Share()
+}
+
+func (l *Link) adapt(change func(now time.Time)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.governor.Share()
+	change(l.now())
+	if share := l.governor.Share(); share != before {
+		l.up.setShare(share)
+		l.down.setShare(share)
+	}
+}
+
+// direction is a bucket with its lock, its timer and its waiting callers.
+type direction struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	bucket  *Bucket
+	waiting map[uint64]chan struct{}
+	timer   *time.Timer
+}
+
+func (d *direction) init(rate float64, now func() time.Time) {
+	d.now = now
+	d.bucket = NewBucket(rate)
+	d.waiting = map[uint64]chan struct{}{}
+}
+
+func (d *direction) setShare(share float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.bucket.SetShare(share)
+}
+
+func (d *direction) take(ctx context.Context, class Class, bytes int) error {
+	if d.bucket.Rate() <= 0 {
+		return ctx.Err()
+	}
+	granted := make(chan struct{})
+	d.mu.Lock()
+	id := d.bucket.Add(class, bytes)
+	d.waiting[id] = granted
+	d.advance()
+	d.mu.Unlock()
+	select {
+	case <-granted:
+		return nil
+	case <-ctx.Done():
+		d.mu.Lock()
+		d.bucket.Remove(id)
+		delete(d.waiting, id)
+		d.mu.Unlock()
+		return ctx.Err()
+	}
+}
+
+// advance releases granted callers and sets the timer. The lock is held.
+func (d *direction) advance() {
+	now := d.now()
+	ids, next := d.bucket.Advance(now)
+	for _, id := range ids {
+		if granted, ok := d.waiting[id]; ok {
+			delete(d.waiting, id)
+			close(granted)
+		}
+	}
+	if next.IsZero() {
+		return
+	}
+	if d.timer == nil {
+		d.timer = time.AfterFunc(next.Sub(now), d.fire)
+		return
+	}
+	d.timer.Reset(next.Sub(now))
+}
+
+func (d *direction) fire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.advance()
+}
--- /dev/null
+++ b/internal/weights/swarm/step.go
@@ -0,0 +1,295 @@
+package swarm
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// usualWeight is the weight of a new duration in the smoothed one.
+	usualWeight = 0.1
+	// goodPerStrike verified chunks make up for one strike.
+	goodPerStrike = 32
+	// failedPause is the first pause after a failed or stalled request; it
+	// doubles with each one in a row up to maxPause.
+	failedPause = 100 * time.Millisecond
+	maxPause    = 30 * time.Second
+)
+
+// Step takes an event and returns what is to be done. Call it with Tick at
+// least every TickInterval.
+func (s *State) Step(ev Event, now time.Time) []Action {
+	if !s.begun {
+		s.begin(now)
+	}
+	var out []Action
+	switch ev := ev.(type) {
+	case MembersChanged:
+		out = s.membersChanged(ev.Members, now)
+	case PeerHaves:
+		out = s.peerHaves(ev, now)
+	case PeerQueue:
+		if p := s.peer(ev.VM); p != nil {
+			p.queue = ev.Queue
+		}
+	case PeerLost:
+		out = s.peerLost(ev.VM, now)
+	case Progress:
+		if r := s.requests[ev.ID]; r != nil {
+			r.progress = now
+		}
+		return nil // frees nothing, so there is nothing to schedule
+	case Ended:
+		out = s.ended(ev, now)
+	case Tick:
+	}
+	out = append(out, s.expire(now)...)
+	return append(out, s.schedule(now)...)
+}
+
+// TickInterval is how often Step wants a Tick when nothing else happens.
+const TickInterval = 25 * time.Millisecond
+
+func (s *State) begin(now time.Time) {
+	s.begun = true
+	s.gained = now
+	for i := range s.absent {
+		s.absent[i] = now
+	}
+	s.fetch.begin(now)
+}
+
+func (s *State) membersChanged(members []Peer, now time.Time) []Action {
+	s.members = withSelf(s.self, slices.Clone(members))
+	var out []Action
+	wanted := neighbours(s.strategy, s.self, s.members, s.version)
+	for _, p := range slices.Clone(s.peers) {
+		if !slices.Contains(wanted, p.Peer) {
+			out = append(out, s.drop(p, now)...)
+			out = append(out, Disconnect{VM: p.VM})
+			s.peers = slices.DeleteFunc(s.peers, func(q *peer) bool { return q == p })
+		}
+	}
+	for _, w := range wanted {
+		if s.peer(w.VM) == nil && !s.Complete() {
+			s.peers = append(s.peers, &peer{Peer: w, holds: NewBits(s.n)})
+			out = append(out, Connect{Peer: w})
+		}
+	}
+	s.feedersChanged(now)
+	return out
+}
+
+// drop forgets what a peer holds and gives up its requests.
+func (s *State) drop(p *peer, now time.Time) []Action {
+	var out []Action
+	p.holds.each(func(i int) { s.removeCopy(i, now) })
+	p.holds = NewBits(s.n)
+	p.up = false
+	p.queue = 0
+	for _, r := range slices.Clone(s.order) {
+		if r.peer == p {
+			s.end(r)
+			out = append(out, Cancel{ID: r.id})
+		}
+	}
+	return out
+}
+
+func (s *State) removeCopy(i int, now time.Time) {
+	s.copies[i]--
+	if s.copies[i] == 0 {
+		s.absent[i] = now
+	}
+}
+
+func (s *State) peerLost(vm string, now time.Time) []Action {
+	p := s.peer(vm)
+	if p == nil {
+		return nil
+	}
+	return s.drop(p, now)
+}
+
+func (s *State) peerHaves(ev PeerHaves, now time.Time) []Action {
+	p := s.peer(ev.VM)
+	if p == nil {
+		return nil
+	}
+	p.up = true
+	p.queue = ev.Queue
+	var news []int
+	if ev.Reset {
+		p.holds.each(func(i int) { s.removeCopy(i, now) })
+		p.holds = NewBits(s.n)
+		ev.Holds.each(func(i int) { news = s.peerGained(p, i, now, news) })
+		ev.Seen.each(func(i int) { news = s.see(i, now, news) })
+	}
+	for _, i := range ev.Added {
+		if int(i) < s.n {
+			news = s.peerGained(p, int(i), now, news)
+		}
+	}
+	for _, i := range ev.SeenAdded {
+		if int(i) < s.n {
+			news = s.see(int(i), now, news)
+		}
+	}
+	if len(news) == 0 {
+		return nil
+	}
+	return []Action{Seen{Indexes: news}}
+}
+
+func (s *State) peerGained(p *peer, i int, now time.Time, news []int) []int {
+	if !p.holds.Has(i) {
+		p.holds.Set(i)
+		s.copies[i]++
+	}
+	return s.see(i, now, news)
+}
+
+// see notes that some member holds chunk i.
+func (s *State) see(i int, now time.Time, news []int) []int {
+	if s.seen.Has(i) {
+		return news
+	}
+	s.seen.Set(i)
+	s.absent[i] = now
+	s.fetch.saw(i, now)
+	return append(news, i)
+}
+
+// end removes a request.
+func (s *State) end(r *request) {
+	delete(s.requests, r.id)
+	s.order = slices.DeleteFunc(s.order, func(q *request) bool { return q == r })
+	if r.peer != nil {
+		r.peer.asked--
+	}
+	if !slices.ContainsFunc(s.order, func(q *request) bool { return q.index == r.index }) {
+		s.pending.Clear(r.index)
+	}
+}
+
+func (s *State) ended(ev Ended, now time.Time) []Action {
+	r := s.requests[ev.ID]
+	if r == nil {
+		return nil
+	}
+	s.end(r)
+	var out []Action
+	if ev.Outcome == Verified {
+		out = s.gain(r, now)
+	}
+	if r.peer == nil {
+		s.source.ended(ev, now)
+		return out
+	}
+	return append(out, s.judge(r.peer, r, ev, now)...)
+}
+
+// gain notes a verified chunk and cancels other requests for it.
+func (s *State) gain(r *request, now time.Time) []Action {
+	var out []Action
+	s.held.Set(r.index)
+	s.gained = now
+	s.see(r.index, now, nil)
+	for _, q := range slices.Clone(s.order) {
+		if q.index == r.index {
+			s.end(q)
+			out = append(out, Cancel{ID: q.id})
+		}
+	}
+	if !s.Complete() {
+		return out
+	}
+	for _, p := range s.peers {
+		out = append(out, Disconnect{VM: p.VM})
+	}
+	s.peers = nil
+	return out
+}
+
+// judge draws conclusions about the peer from how its request ended.
+func (s *State) judge(p *peer, r *request, ev Ended, now time.Time) []Action {
+	switch ev.Outcome {
+	case Verified:
+		s.took(now.Sub(r.started))
+		p.stalls = 0
+		p.good++
+		if p.good >= goodPerStrike && p.strikes > 0 {
+			p.good = 0
+			p.strikes--
+		}
+	case Corrupt:
+		return s.strike(p, now)
+	case NotHeld:
+		if p.holds.Has(r.index) {
+			p.holds.Clear(r.index)
+			s.removeCopy(r.index, now)
+		}
+		return s.strike(p, now)
+	case Busy, Limited:
+		p.notAsked = now.Add(ev.RetryAfter)
+	case Failed:
+		s.pause(p, failedPause, now)
+	case Dropped:
+	}
+	return nil
+}
+
+func (s *State) took(d time.Duration) {
+	if s.usual == 0 {
+		s.usual = d
+		return
+	}
+	s.usual += time.Duration(usualWeight * float64(d-s.usual))
+}
+
+func (s *State) strike(p *peer, now time.Time) []Action {
+	p.strikes++
+	p.good = 0
+	if p.strikes < s.cfg.Strikes {
+		return nil
+	}
+	p.strikes = 0
+	p.notAsked = now.Add(s.cfg.AsideFor)
+	return []Action{SetAside{VM: p.VM, For: s.cfg.AsideFor}}
+}
+
+// pause keeps a peer from being asked, longer with each time in a row.
+func (s *State) pause(p *peer, first time.Duration, now time.Time) {
+	p.notAsked = now.Add(backoff(first, p.stalls))
+	p.stalls++
+}
+
+func backoff(first time.Duration, times int) time.Duration {
+	return min(maxPause, first<<min(times, 10))
+}
+
+// patience is how long a request may bring nothing.
+func (s *State) patience() time.Duration {
+	return max(s.cfg.ProgressTimeout, slowFactor*s.usual)
+}
+
+// expire gives up requests without progress.
+func (s *State) expire(now time.Time) []Action {
+	var out []Action
+	patience := s.patience()
+	for _, r := range slices.Clone(s.order) {
+		if now.Sub(r.progress) < patience {
+			continue
+		}
+		s.end(r)
+		out = append(out, Cancel{ID: r.id})
+		if r.peer == nil {
+			s.source.failed(now)
+			out = append(out, Stalled{})
+			continue
+		}
+		s.pause(r.peer, patience, now)
+		out = append(out, Stalled{VM: r.peer.VM})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/weights/transfer/link.go
@@ -0,0 +1,257 @@
+package transfer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/weights/manifest"
+	"lynxgate.dev/lynxgate/internal/weights/pace"
+	"lynxgate.dev/lynxgate/internal/weights/swarm"
+)
+
+const (
+	redialFirst = 100 * time.Millisecond
+	redialMax   = 5 * time.Second
+	// maxMessage bounds one message from a peer, in bytes: a piece, or a
+	// whole bitmap.
+	maxMessage = 1 << 20
+	// requestBuffer is how many requests may wait to be written to a peer.
+	requestBuffer = 64
+)
+
+var (
+	errLinkDown = errors.New("peer not connected")
+)
+
+// download is one request for content to a peer.
+type download struct {
+	id     uint64
+	digest manifest.Digest
+	// buf takes the content; it grows up to limit bytes.
+	buf      *bytes.Buffer
+	limit    int
+	progress func()
+	// done is called once, from the link's goroutine.
+	done func(swarm.Outcome, time.Duration)
+}
+
+// link is the connection to one peer for one version: a stream of what the
+// peer holds and a stream of chunk requests, each on a connection of its own
+// since a drpc connection carries one stream at a time.
+type link struct {
+	manager *Manager
+	peer    Peer
+	id      manifest.Digest
+	// haves is called for each update, lost when the peer goes away.
+	haves func(*rpc.HaveUpdate)
+	queue func(int)
+	lost  func()
+	stop  context.CancelFunc
+
+	mu        sync.Mutex
+	downloads map[uint64]*download
+	requests  chan *rpc.ChunkRequest // nil while not connected
+}
+
+// run keeps the link up until ctx is done.
+func (l *link) run(ctx context.Context) {
+	pause := redialFirst
+	for ctx.Err() == nil {
+		began := time.Now()
+		_ = l.connect(ctx)
+		l.fail()
+		l.lost()
+		if time.Since(began) > redialMax {
+			pause = redialFirst
+		}
+		waitAtMost(ctx, nil, pause)
+		pause = min(redialMax, 2*pause)
+	}
+}
+
+// connect opens both streams and returns when either ends.
+func (l *link) connect(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	haves, err := l.dial(ctx)
+	if err != nil {
+		return err
+	}
+	defer haves.Close()
+	chunks, err := l.dial(ctx)
+	if err != nil {
+		return err
+	}
+	defer chunks.Close()
+	ended := make(chan error, 2)
+	go func() { ended <- l.readHaves(ctx, haves) }()
+	go func() { ended <- l.readChunks(ctx, chunks) }()
+	err = <-ended
+	cancel()
+	haves.Close()
+	chunks.Close()
+	<-ended
+	return err
+}
+
+func (l *link) dial(ctx context.Context) (*drpcconn.Conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := l.manager.cfg.Dial(dialCtx, l.peer.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", l.peer.Addr, err)
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
+	}}), nil
+}
+
+func (l *link) readHaves(ctx context.Context, conn *drpcconn.Conn) error {
+	req := &rpc.HavesRequest{From: l.manager.cfg.VM, Manifest: l.id[:]}
+	l.manager.metrics.controlSent(proto.Size(req))
+	stream, err := rpc.NewDRPCWeightsClient(conn).Haves(ctx, req)
+	if err != nil {
+		return err
+	}
+	for {
+		update, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		l.manager.metrics.controlReceived(proto.Size(update))
+		l.haves(update)
+	}
+}
+
+func (l *link) readChunks(ctx context.Context, conn *drpcconn.Conn) error {
+	stream, err := rpc.NewDRPCWeightsClient(conn).Exchange(ctx)
+	if err != nil {
+		return err
+	}
+	requests := make(chan *rpc.ChunkRequest, requestBuffer)
+	l.mu.Lock()
+	l.requests = requests
+	l.mu.Unlock()
+	go l.writeRequests(ctx, stream, requests)
+	told := 0
+	for {
+		piece, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := l.manager.link.Down(ctx, pace.Transfer, len(piece.GetData())); err != nil {
+			return err
+		}
+		if n := int(piece.GetQueue()); n != told {
+			told = n
+			l.queue(n)
+		}
+		l.take(piece)
+	}
+}
+
+func (l *link) writeRequests(ctx context.Context, stream rpc.DRPCWeights_ExchangeClient, requests <-chan *rpc.ChunkRequest) {
+	for {
+		select {
+		case req := <-requests:
+			l.manager.metrics.controlSent(proto.Size(req))
+			if stream.Send(req) != nil {
+				return // readChunks ends as well
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ask queues a request; the outcome comes through d.done unless an error is
+// returned.
+func (l *link) ask(d *download) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.enqueue(&rpc.ChunkRequest{Id: d.id, Digest: d.digest[:]}); err != nil {
+		return err
+	}
+	l.downloads[d.id] = d
+	return nil
+}
+
+// enqueue hands a request to the writer. The lock is held.
+func (l *link) enqueue(req *rpc.ChunkRequest) error {
+	select {
+	case l.requests <- req:
+		return nil
+	default:
+		return errLinkDown // not connected, or the peer does not read
+	}
+}
+
+// cancel withdraws a request; its outcome is no longer told.
+func (l *link) cancel(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.downloads[id]; ok {
+		delete(l.downloads, id)
+		_ = l.enqueue(&rpc.ChunkRequest{Id: id, Cancel: true})
+	}
+}
+
+// take adds a piece to the download it belongs to.
+func (l *link) take(piece *rpc.ChunkPiece) {
+	l.mu.Lock()
+	d := l.downloads[piece.GetId()]
+	l.mu.Unlock()
+	if d == nil {
+		return // cancelled meanwhile
+	}
+	data := piece.GetData()
+	l.manager.metrics.fromPeers.Add(float64(len(data)))
+	switch {
+	case piece.GetNotHeld():
+		l.end(d, swarm.NotHeld, 0)
+	case piece.GetBusyRetryMs() > 0:
+		l.end(d, swarm.Busy, time.Duration(piece.GetBusyRetryMs())*time.Millisecond)
+	case d.buf.Len()+len(data) > d.limit:
+		l.end(d, swarm.Corrupt, 0)
+	default:
+		d.buf.Write(data)
+		if piece.GetLast() {
+			l.end(d, swarm.Verified, 0)
+			return
+		}
+		d.progress()
+	}
+}
+
+// end removes a download and tells how it ended; the caller verifies content.
+func (l *link) end(d *download, outcome swarm.Outcome, retry time.Duration) {
+	l.mu.Lock()
+	_, ok := l.downloads[d.id]
+	delete(l.downloads, d.id)
+	l.mu.Unlock()
+	if ok {
+		d.done(outcome, retry)
+	}
+}
+
+// fail ends all downloads after the connection has ended.
+func (l *link) fail() {
+	l.mu.Lock()
+	l.requests = nil
+	failed := l.downloads
+	l.downloads = map[uint64]*download{}
+	l.mu.Unlock()
+	for _, d := range failed {
+		d.done(swarm.Failed, 0)
+	}
+}
--- /dev/null
+++ b/internal/weights/transfer/manager_test.go
@@ -0,0 +1,31 @@
+package transfer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/weights/swarm"
+)
+
+func TestEveryStrategyStagesTheWholeEverywhere(t *testing.T) {
+	for _, strategy := range []swarm.Strategy{
+		swarm.StrategySwarm, swarm.StrategyOrigin, swarm.StrategyZoneTree, swarm.StrategyChain,
+	} {
+		t.Run(string(strategy), func(t *testing.T) {
+			origin := newFakeOrigin(t)
+			data := weightsOf(1, testChunks)
+			ref := origin.publish(t, "v1", data)
+			opts := map[int]nodeOptions{}
+			for i := range 8 {
+				opts[i] = nodeOptions{config: func(c *Config) { c.Strategy = strategy }}
+			}
+			nodes := startNodes(t, 8, opts)
+			want(nodes, nodes, ref)
+			requireStaged(t, nodes, "v1", data)
+			if strategy == swarm.StrategySwarm {
+				require.LessOrEqual(t, origin.sent.Load(), int64(len(data)), "the origin sent a chunk twice")
+			}
+		})
+	}
+}
