Fake engine: cache events and KV blocks by 64-bit prefix hash, as the agent's client reads them

Cause: the fake named blocks by hex text, the client of internal/engine expects prefix_hash and evicted.

Ruled out: another form in the client; messages between agent and entry carry a 64-bit hash already.

--- a/internal/standin/engine/batch_test.go
+++ b/internal/standin/engine/batch_test.go
@@ -128,7 +128,7 @@
 	log := eventLog{delay: time.Second, loseEvery: 3}
 	start := time.Unix(0, 0)
 	for i := range 6 {
-		log.add(start.Add(time.Duration(i)*time.Second), true, blockKey{byte(i)})
+		log.add(start.Add(time.Duration(i)*time.Second), true, blockKey(i))
 	}
 	require.Empty(t, log.since(start, 0).Events)
 	seen := log.since(start.Add(4*time.Second), 0)
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -2,7 +2,7 @@
 
 import (
 	"container/list"
-	"encoding/hex"
+	"encoding/binary"
 
 	"lukechampine.com/blake3"
 )
@@ -10,30 +10,33 @@
 // blockWords is how many words of a prompt make one block of the prefix cache.
 const blockWords = 16
 
-// blockKey names a block: the hash of its words and of all blocks before it.
-type blockKey [16]byte
-
-// String returns the key in hex.
-func (k blockKey) String() string { return hex.EncodeToString(k[:]) }
+// blockKey names a block: a hash of its words and of all blocks before it.
+type blockKey uint64
 
 // blocksOf returns the keys of the full blocks of a prompt.
 func blocksOf(words []string) []blockKey {
 	var keys []blockKey
-	var key blockKey
+	key := blockKey(0)
 	for len(words) >= blockWords {
-		input := key[:]
-		for _, word := range words[:blockWords] {
-			input = append(input, word...)
-			input = append(input, 0)
-		}
-		sum := blake3.Sum256(input)
-		copy(key[:], sum[:])
+		key = nextKey(key, words[:blockWords])
 		keys = append(keys, key)
 		words = words[blockWords:]
 	}
 	return keys
 }
 
+// nextKey is the first 8 bytes, big-endian, of BLAKE3 over the key of the
+// block before (8 bytes, big-endian) and each word with a zero byte after it.
+func nextKey(before blockKey, words []string) blockKey {
+	input := binary.BigEndian.AppendUint64(nil, uint64(before))
+	for _, word := range words {
+		input = append(input, word...)
+		input = append(input, 0)
+	}
+	sum := blake3.Sum256(input)
+	return blockKey(binary.BigEndian.Uint64(sum[:]))
+}
+
 // prefixCache holds the blocks of prompts seen lately, at most capacity of
 // them; the least recently used one goes first.
 type prefixCache struct {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -271,6 +271,7 @@
 		answer := do(other, "POST", "/v1/completions", body)
 		require.Contains(t, answer.Body.String(), `"cached_tokens":64`)
 		events := do(other, "GET", "/engine/cache_events?since=2", "")
-		require.Contains(t, events.Body.String(), `"seq":3,"type":"stored"`)
+		want := fmt.Sprintf(`{"seq":3,"prefix_hash":%d,"evicted":false}`, blocksOf(wordsOf(prompt))[1])
+		require.Contains(t, events.Body.String(), want)
 	})
 }
--- a/internal/standin/engine/events.go
+++ b/internal/standin/engine/events.go
@@ -9,10 +9,10 @@
 type CacheEvent struct {
 	// Seq rises by one per event; a missing number is a lost event.
 	Seq uint64 `json:"seq"`
-	// Type is "stored" or "removed".
-	Type string `json:"type"`
-	// Block is the hex key of the block.
-	Block string `json:"block"`
+	// PrefixHash is the key of the block.
+	PrefixHash blockKey `json:"prefix_hash"`
+	// Evicted is true when the block left the cache.
+	Evicted bool `json:"evicted"`
 }
 
 // CacheEvents is the answer of GET /engine/cache_events.
@@ -42,11 +42,7 @@
 	if l.loseEvery > 0 && l.seq%l.loseEvery == 0 {
 		return
 	}
-	kind := "removed"
-	if stored {
-		kind = "stored"
-	}
-	event := CacheEvent{Seq: l.seq, Type: kind, Block: key.String()}
+	event := CacheEvent{Seq: l.seq, PrefixHash: key, Evicted: !stored}
 	l.events = append(l.events, timedEvent{CacheEvent: event, visible: now.Add(l.delay)})
 	if len(l.events) > maxEvents {
 		l.events = append([]timedEvent(nil), l.events[maxEvents/2:]...)
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/hex"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,8 +16,8 @@
 // KV is an exported KV cache: the blocks of a prompt that the engine holds.
 // It is of use only on the weights that made it.
 type KV struct {
-	Digest string   `json:"digest"`
-	Blocks []string `json:"blocks"`
+	Digest string     `json:"digest"`
+	Blocks []blockKey `json:"blocks"`
 	// Tokens answered so far, when a request was named.
 	Tokens int `json:"tokens"`
 }
@@ -40,7 +39,7 @@
 func (e *Engine) export(body ExportRequest) (KV, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	kv := KV{Digest: e.state.Digest, Blocks: []string{}}
+	kv := KV{Digest: e.state.Digest, Blocks: []blockKey{}}
 	blocks := blocksOf(wordsOf(body.Prompt))
 	if body.RequestID != "" {
 		req := e.batch.find(body.RequestID)
@@ -49,9 +48,7 @@
 		}
 		blocks, kv.Tokens = req.blocks, req.next
 	}
-	for _, key := range blocks[:e.batch.cache.match(blocks)] {
-		kv.Blocks = append(kv.Blocks, key.String())
-	}
+	kv.Blocks = append(kv.Blocks, blocks[:e.batch.cache.match(blocks)]...)
 	return kv, true
 }
 
@@ -60,22 +57,13 @@
 	if !decode(w, r, &kv) {
 		return
 	}
-	blocks := make([]blockKey, len(kv.Blocks))
-	for i, text := range kv.Blocks {
-		key, err := hex.DecodeString(text)
-		if err != nil || len(key) != len(blocks[i]) {
-			writeError(w, http.StatusBadRequest, "blocks: bad key "+strconv.Quote(text))
-			return
-		}
-		blocks[i] = blockKey(key)
-	}
-	if !e.adopt(kv.Digest, blocks) {
+	if !e.adopt(kv.Digest, kv.Blocks) {
 		writeError(w, http.StatusConflict, "KV cache of other weights")
 		return
 	}
 	writeJSON(w, http.StatusOK, struct {
 		Imported int `json:"imported"`
-	}{len(blocks)})
+	}{len(kv.Blocks)})
 }
 
 // adopt puts the blocks in the cache if they are of the live weights.
