Thin whole path: agent, entry, lynxgated, harness and demo skeleton

Change: agent (orders, gate, dispatch, watch), entry (catalog, claims, attempts, held answers), daemon assembly with graceful stop, harness that starts fleets on loopback. A member that is down keeps its assignment. Found by the first run: with a lease of 6 s and a renewal every 10 s agents flapped, and each flap unloaded a live replica. Ruled out: a longer lease in the demo (hides it). Renewal now follows the lease told by the leader, and placement leaves a VM that is down its assignment, so that a cut that heals costs no reload. The test of that was seen to fail without keepDown. The picker is random for now; admission is not in the path yet.

--- /dev/null
+++ b/internal/agent/backend.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// Headers between the agent and the backend server.
+const (
+	headerRequestID     = "X-Request-Id"
+	headerPriority      = "X-Priority"
+	headerOrganisation  = "X-Organisation"
+	headerWeightsDigest = "X-Weights-Digest"
+)
+
+// backend is the HTTP client of the backend server beside the agent. Calls
+// are never repeated by the transport: a plain service gets a connection of
+// its own per call, since net/http repeats a call with an Idempotency-Key on
+// a broken reused connection; an engine's calls carry no replayable body.
+type backend struct {
+	base   string
+	client *http.Client
+}
+
+func newBackend(addr string, plain bool) *backend {
+	transport := &http.Transport{
+		DisableKeepAlives:   plain,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	client := &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &backend{base: "http://" + addr, client: client}
+}
+
+// reachable reports whether the backend server accepts connections.
+func (b *backend) reachable(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: time.Second}
+	conn, err := dialer.DialContext(ctx, "tcp", strings.TrimPrefix(b.base, "http://"))
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
+// do sends the request. A *notSentError says that the backend server cannot
+// have seen it; any other error leaves that open.
+func (b *backend) do(ctx context.Context, in *rpc.RunRequest) (*http.Response, error) {
+	req, err := b.request(ctx, in)
+	if err != nil {
+		return nil, &notSentError{err}
+	}
+	resp, err := b.client.Do(req)
+	if err == nil {
+		return resp, nil
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return nil, &notSentError{err}
+	}
+	return nil, err
+}
+
+func (b *backend) request(ctx context.Context, in *rpc.RunRequest) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, in.Method, b.base+in.Path, bytes.NewReader(in.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	for _, h := range in.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	req.Header.Set(headerRequestID, in.RequestId)
+	req.Header.Set(headerOrganisation, in.Organisation)
+	req.Header.Set(headerPriority, strconv.Itoa(int(in.Priority)))
+	return req, nil
+}
+
+// notSentError says that a request never left the agent.
+type notSentError struct{ err error }
+
+func (e *notSentError) Error() string { return "not sent: " + e.err.Error() }
+func (e *notSentError) Unwrap() error { return e.err }
+
+// retryAfter reads a Retry-After header in seconds; 0 if there is none.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// hopHeaders are meant for one connection and not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Date": true,
+}
+
+// answerHeaders returns the headers of a backend server's answer to pass on.
+func answerHeaders(h http.Header) []*rpc.Header {
+	var out []*rpc.Header
+	for name, values := range h {
+		if hopHeaders[name] {
+			continue
+		}
+		for _, value := range values {
+			out = append(out, &rpc.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agent/dispatch.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/frames"
+	"lynxgate.dev/lynxgate/internal/orders"
+	"lynxgate.dev/lynxgate/internal/outcome"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// pieceBytes is the most answer data sent in one frame.
+const pieceBytes = 32 << 10
+
+// Run implements rpc.DRPCDispatchServer: it forwards one request to the
+// backend server and sends the answer back as frames. A request that did not
+// reach the backend server ends with FRAME_NOT_RUN; one whose answer was cut
+// ends with FRAME_UNKNOWN.
+func (a *Agent) Run(in *rpc.RunRequest, stream rpc.DRPCDispatch_RunStream) error {
+	w := &sender{frames: frames.NewWriter(in.RequestId), stream: stream}
+	if in.Service != a.cfg.Service {
+		return a.notRun(w, outcome.NotFound, 0)
+	}
+	if reason := a.gate.enter(orders.Ref{Model: in.Model, Version: in.Version}); reason != admitted {
+		return a.notRun(w, reason, 0)
+	}
+	defer a.gate.leave()
+	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(in.DeadlineMs)*time.Millisecond)
+	defer cancel()
+	return a.forward(ctx, in, w)
+}
+
+func (a *Agent) notRun(w *sender, reason outcome.Reason, retryAfter time.Duration) error {
+	a.metrics.requests.WithLabelValues("not_run").Inc()
+	return w.stream.Send(w.frames.Fail(outcome.Not(reason, "", retryAfter)))
+}
+
+func (a *Agent) unknown(w *sender, reason outcome.Reason) error {
+	a.metrics.requests.WithLabelValues("unknown").Inc()
+	return w.stream.Send(w.frames.Fail(outcome.May(reason, "")))
+}
+
+// sender numbers the frames of one answer and sends them.
+type sender struct {
+	frames *frames.Writer
+	stream rpc.DRPCDispatch_RunStream
+}
+
+func (a *Agent) forward(ctx context.Context, in *rpc.RunRequest, w *sender) error {
+	started := time.Now()
+	resp, err := a.backend.do(ctx, in)
+	var notSent *notSentError
+	switch {
+	case errors.As(err, &notSent):
+		return a.notRun(w, outcome.BackendRefused, 0)
+	case err != nil:
+		return a.unknown(w, unknownReason(ctx))
+	}
+	defer resp.Body.Close()
+	if a.refusedByEngine(resp) {
+		return a.notRun(w, outcome.BackendRefused, retryAfter(resp.Header))
+	}
+	if !a.fromServedWeights(in, resp) {
+		a.metrics.foreignWeights.Inc()
+		return a.unknown(w, outcome.AnswerCorrupt)
+	}
+	head := w.frames.Head(resp.StatusCode, answerHeaders(resp.Header))
+	if err := w.stream.Send(head); err != nil {
+		return err
+	}
+	return a.stream(ctx, resp, w, started)
+}
+
+// refusedByEngine reports whether an engine said that it took no work. The
+// same status of a plain service is its answer.
+func (a *Agent) refusedByEngine(resp *http.Response) bool {
+	if a.plain() {
+		return false
+	}
+	return resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+}
+
+// fromServedWeights checks the weights digest that an engine states with an
+// answer, if it does, against the verified digest of the pinned version.
+func (a *Agent) fromServedWeights(in *rpc.RunRequest, resp *http.Response) bool {
+	stated := resp.Header.Get(headerWeightsDigest)
+	if stated == "" || a.plain() {
+		return true
+	}
+	staged := *a.staged.Load()
+	weights, ok := staged[orders.Ref{Model: in.Model, Version: in.Version}]
+	return !ok || weights.Digest == stated
+}
+
+func (a *Agent) stream(ctx context.Context, resp *http.Response, w *sender, started time.Time) error {
+	buf := make([]byte, pieceBytes)
+	first := true
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if first {
+				a.observeFirst(time.Since(started))
+				first = false
+			}
+			if err := w.stream.Send(w.frames.Data(buf[:n])); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			a.metrics.requests.WithLabelValues("completed").Inc()
+			return w.stream.Send(w.frames.End())
+		}
+		if err != nil {
+			return a.unknown(w, unknownReason(ctx))
+		}
+	}
+}
+
+// unknownReason tells a deadline from a backend server that failed.
+func unknownReason(ctx context.Context) outcome.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcome.DeadlineExceeded
+	}
+	return outcome.AnswerCut
+}
+
+func (a *Agent) observeFirst(d time.Duration) {
+	a.metrics.firstByte.Observe(d.Seconds())
+	if a.transfers != nil {
+		a.transfers.ObserveLive(d)
+	}
+}
--- a/internal/controlclient/announcer.go
+++ b/internal/controlclient/announcer.go
@@ -14,6 +14,8 @@
 const (
 	DefaultRenew  = 10 * time.Second
 	DefaultMinGap = time.Second
+
+	renewalsPerLease = 3
 )
 
 // AnnouncerConfig says what to announce and how often.
@@ -21,8 +23,8 @@
 	Client *Client
 	// Request returns what the daemon says of itself now.
 	Request func() *rpc.AnnounceRequest
-	// Renew is the time between announcements that say nothing new, a third
-	// of the lease.
+	// Renew is the time between announcements that say nothing new, until the
+	// leader has told its lease; from then on it is a third of the lease.
 	Renew time.Duration
 	// MinGap is the shortest time between two announcements of changes; the
 	// wait before one is drawn from up to this, so that daemons which learn
@@ -112,6 +114,7 @@
 		return
 	}
 	a.note(false, nil)
+	a.followLease(resp)
 	if a.cfg.Answered != nil {
 		a.cfg.Answered(resp)
 	}
@@ -120,6 +123,13 @@
 	}
 }
 
+// followLease renews three times in a lease.
+func (a *Announcer) followLease(resp *rpc.AnnounceResponse) {
+	if lease := time.Duration(resp.LeaseMs) * time.Millisecond; lease > 0 {
+		a.cfg.Renew = lease / renewalsPerLease
+	}
+}
+
 // note logs when announcing begins to fail or works again.
 func (a *Announcer) note(failing bool, err error) {
 	if failing == a.failing {
--- /dev/null
+++ b/internal/daemon/web.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	webHeaderTimeout   = 5 * time.Second
+	webShutdownTimeout = 5 * time.Second
+)
+
+// routes is implemented by roles that serve more on the daemon's HTTP
+// address than metrics and health.
+type routes interface {
+	mount(e *echo.Echo)
+}
+
+// webServer serves metrics, health and, for the control role, the operators'
+// API on http_addr.
+type webServer struct {
+	server   *http.Server
+	lis      net.Listener
+	certFile string
+	keyFile  string
+}
+
+func (d *daemon) newWebServer() (*webServer, error) {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	metrics := promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})
+	e.GET("/metrics", echo.WrapHandler(metrics))
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", d.readyz)
+	for _, r := range d.roles {
+		if more, ok := r.(routes); ok {
+			more.mount(e)
+		}
+	}
+	lis, err := net.Listen("tcp", d.settings.HTTPAddr)
+	if err != nil {
+		return nil, fmt.Errorf("http_addr: %w", err)
+	}
+	w := &webServer{lis: lis, server: &http.Server{Handler: e, ReadHeaderTimeout: webHeaderTimeout}}
+	if c := d.settings.Control; c != nil {
+		w.certFile, w.keyFile = c.TLSCert, c.TLSKey
+	}
+	return w, nil
+}
+
+// readyz answers 200 when every role can do its work, and 503 with the
+// reasons otherwise.
+func (d *daemon) readyz(c echo.Context) error {
+	for _, r := range d.roles {
+		if reason, ok := r.ready(); !ok {
+			return c.String(http.StatusServiceUnavailable, reason+"\n")
+		}
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// serve answers until ctx is done, then lets requests in progress end.
+func (w *webServer) serve(ctx context.Context) error {
+	stopped := context.AfterFunc(ctx, func() {
+		shutdown, cancel := context.WithTimeout(context.Background(), webShutdownTimeout)
+		defer cancel()
+		_ = w.server.Shutdown(shutdown)
+	})
+	defer stopped()
+	var err error
+	if w.certFile != "" {
+		err = w.server.ServeTLS(w.lis, w.certFile, w.keyFile)
+	} else {
+		err = w.server.Serve(w.lis)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entry/claim.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"strings"
+	"time"
+
+	"lukechampine.com/blake3"
+
+	"lynxgate.dev/lynxgate/internal/controlclient"
+	"lynxgate.dev/lynxgate/internal/outcome"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+const (
+	// claimMargin is added to the caller's deadline: a grant must outlive it.
+	claimMargin = 10 * time.Second
+	// settleTimeout bounds recording an outcome before the caller is answered.
+	settleTimeout = 5 * time.Second
+	// noQuorumRetry is the advice when no quorum can record a claim.
+	noQuorumRetry = 2 * time.Second
+)
+
+// serveClaimed answers a call that must run at most once: the key is claimed
+// with a quorum before the call is dispatched, and the outcome is recorded
+// before the caller is answered.
+func (e *Entry) serveClaimed(ctx context.Context, c *call, a *answer) outcome.Outcome {
+	resp, err := e.control.Claim(ctx, &rpc.ClaimRequest{
+		Organisation: c.organisation.Name,
+		Key:          c.key,
+		BodyDigest:   c.digest(),
+		Entry:        e.cfg.Name,
+		TimeoutMs:    (time.Until(c.deadline) + claimMargin).Milliseconds(),
+		Attempt:      rand.Text(),
+	})
+	if err != nil {
+		return claimFailed(err)
+	}
+	if resp.Verdict != rpc.ClaimVerdict_CLAIM_GRANTED {
+		return answerRepeat(resp, a)
+	}
+	a.hold = true
+	end := e.dispatch(ctx, c, a)
+	e.settle(ctx, c, a, resp.Token, end)
+	if end.Kind == outcome.Completed {
+		_ = a.end()
+	}
+	return end
+}
+
+// claimFailed tells what a claim without an answer means. In no case was the
+// call dispatched.
+func claimFailed(err error) outcome.Outcome {
+	detail := "no quorum of control servers could record the key"
+	if errors.Is(err, controlclient.ErrResultUnknown) {
+		detail += "; the key may stay reserved for a while"
+	}
+	return outcome.Not(outcome.NoQuorum, detail, noQuorumRetry)
+}
+
+// answerRepeat answers a call whose key was claimed before.
+func answerRepeat(resp *rpc.ClaimResponse, a *answer) outcome.Outcome {
+	after := time.Duration(resp.RetryAfterMs) * time.Millisecond
+	switch resp.Verdict {
+	case rpc.ClaimVerdict_CLAIM_IN_PROGRESS:
+		o := outcome.May(outcome.KeyInProgress, "a request with this key is in progress")
+		o.RetryAfter = after
+		return o
+	case rpc.ClaimVerdict_CLAIM_COMPLETED:
+		return replay(resp.Answer, a)
+	case rpc.ClaimVerdict_CLAIM_BODY_MISMATCH:
+		return outcome.Not(outcome.KeyReused, "the key was used with another request", 0)
+	case rpc.ClaimVerdict_CLAIM_FULL:
+		return outcome.Not(outcome.ClaimsFull, "no room to record another key", after)
+	}
+	return outcome.May(outcome.ClaimUnknown, "a request with this key may have run; it will not be run again")
+}
+
+// replay answers with the stored answer of the first request.
+func replay(stored *rpc.StoredAnswer, a *answer) outcome.Outcome {
+	if stored == nil || stored.Status == 0 {
+		return outcome.May(outcome.AnswerNotStored, "the request with this key has completed; its answer was too large to keep")
+	}
+	a.head(stored.Status, []*rpc.Header{
+		{Name: "Content-Type", Value: stored.ContentType},
+		{Name: "Idempotent-Replayed", Value: "true"},
+	})
+	a.hold = true
+	_ = a.data(stored.Body)
+	_ = a.end()
+	return outcome.Done()
+}
+
+// settle records how a claimed call ended. When that fails the claim becomes
+// unknown after its timeout, which keeps the call from running again.
+func (e *Entry) settle(ctx context.Context, c *call, a *answer, token uint64, end outcome.Outcome) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	req := &rpc.SettleRequest{
+		Organisation: c.organisation.Name,
+		Key:          c.key,
+		Token:        token,
+	}
+	switch end.Kind {
+	case outcome.Completed:
+		req.Outcome = rpc.SettleOutcome_SETTLE_COMPLETED
+		req.Answer = a.stored()
+	case outcome.NotRun:
+		req.Outcome = rpc.SettleOutcome_SETTLE_NOT_RUN
+	default:
+		req.Outcome = rpc.SettleOutcome_SETTLE_UNKNOWN
+	}
+	if _, err := e.control.Settle(ctx, req); err != nil {
+		e.metrics.unsettled.Inc()
+	}
+}
+
+// digest tells calls with the same key apart.
+func (c *call) digest() []byte {
+	var text bytes.Buffer
+	for _, part := range []string{c.method, c.service.Name, c.path} {
+		text.WriteString(part)
+		text.WriteByte(0)
+	}
+	text.Write(c.body)
+	sum := blake3.Sum256(text.Bytes())
+	return sum[:]
+}
+
+// stored returns the held answer for keeping it with the claim.
+func (a *answer) stored() *rpc.StoredAnswer {
+	if a.sent {
+		return nil
+	}
+	out := &rpc.StoredAnswer{Status: uint32(a.status), Body: bytes.Clone(a.held.Bytes())}
+	for _, h := range a.headers {
+		if strings.EqualFold(h.Name, "Content-Type") {
+			out.ContentType = h.Value
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,185 @@
+// Package entry takes the callers' requests, decides which backend server
+// runs each, and passes the answer on whole.
+//
+// State: the catalog built from the configuration in force, what is known of
+// the backend servers, and the requests in progress; nothing that must
+// survive a restart. Messages: HTTP from callers, rpc.Dispatch to agents,
+// rpc.Control (claims, announcements) to the control servers.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/controlclient"
+	"lynxgate.dev/lynxgate/internal/keyspace"
+	"lynxgate.dev/lynxgate/internal/retry"
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
+)
+
+// Config of an Entry.
+type Config struct {
+	// Name and Zone of the daemon.
+	Name string
+	Zone string
+	// Addr and AdminAddr are the daemon's drpc and HTTP addresses.
+	Addr      string
+	AdminAddr string
+	// CallersAddr is where callers send their requests.
+	CallersAddr string
+	// TLSCert and TLSKey are PEM files; empty means plain HTTP.
+	TLSCert, TLSKey string
+	// MaxBodyBytes and MaxHeaderBytes bound a request.
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	// ReadHeaderTimeout bounds how long a caller takes to send a header, and
+	// ReadBodyTimeout the whole request.
+	ReadHeaderTimeout time.Duration
+	ReadBodyTimeout   time.Duration
+	IdleTimeout       time.Duration
+	MaxConnections    int
+	// DefaultDeadline holds for requests that name none.
+	DefaultDeadline  time.Duration
+	RetryBudgetRatio float64
+	// WatchSubset is how many agents of each service are watched.
+	WatchSubset int
+	// QueueLength is the most requests waiting for a backend server.
+	QueueLength int
+	// Incarnation rises with every start of the entry.
+	Incarnation uint64
+	Logger      zerolog.Logger
+	Registerer  prometheus.Registerer
+}
+
+// DefaultReadBodyTimeout bounds how long a caller takes to send a request.
+const DefaultReadBodyTimeout = 30 * time.Second
+
+// Feed is the configuration in force here; configfeed.Client implements it.
+type Feed interface {
+	View() *keyspace.View
+	Changed() <-chan struct{}
+	Unconfirmed() bool
+}
+
+// Entry serves callers. Create it with New.
+type Entry struct {
+	cfg         Config
+	feed        Feed
+	control     *controlclient.Client
+	announcer   *controlclient.Announcer
+	pool        *rpcconn.Pool
+	backends    *backends
+	watches     *watches
+	catalog     atomic.Pointer[catalog]
+	retryPolicy retry.Policy
+	metrics     *metrics
+	server      *http.Server
+	leaving     atomic.Bool
+
+	budgetMu sync.Mutex
+	budgets  map[string]*retry.Budget
+}
+
+// New returns an entry; Serve starts it.
+func New(cfg Config, feed Feed, control *controlclient.Client) *Entry {
+	if cfg.ReadBodyTimeout == 0 {
+		cfg.ReadBodyTimeout = DefaultReadBodyTimeout
+	}
+	e := &Entry{
+		cfg:         cfg,
+		feed:        feed,
+		control:     control,
+		pool:        rpcconn.NewPool(),
+		backends:    newBackends(),
+		retryPolicy: retry.DefaultPolicy,
+		budgets:     map[string]*retry.Budget{},
+	}
+	e.metrics = newMetrics(cfg.Registerer)
+	e.watches = newWatches(e)
+	e.catalog.Store(newCatalog(feed.View()))
+	e.announcer = controlclient.NewAnnouncer(controlclient.AnnouncerConfig{
+		Client:  control,
+		Request: e.announcement,
+		Logger:  cfg.Logger,
+		Seed:    cfg.Incarnation,
+	})
+	e.server = e.newServer()
+	return e
+}
+
+// Serve works until ctx is done.
+func (e *Entry) Serve(ctx context.Context) error {
+	lis, err := e.listen()
+	if err != nil {
+		return fmt.Errorf("callers_addr: %w", err)
+	}
+	go func() { _ = e.announcer.Run(ctx) }()
+	go e.followFeed(ctx)
+	defer e.pool.Close()
+	return e.serveHTTP(ctx, lis)
+}
+
+// followFeed rebuilds the catalog and the watches at every revision.
+func (e *Entry) followFeed(ctx context.Context) {
+	for {
+		changed := e.feed.Changed()
+		view := e.feed.View()
+		e.catalog.Store(newCatalog(view))
+		e.watches.update(ctx, view)
+		e.announcer.Changed()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) announcement() *rpc.AnnounceRequest {
+	return &rpc.AnnounceRequest{
+		Name:        e.cfg.Name,
+		Role:        "entry",
+		Zone:        e.cfg.Zone,
+		Addr:        e.cfg.Addr,
+		AdminAddr:   e.cfg.AdminAddr,
+		Incarnation: e.cfg.Incarnation,
+		Leaving:     e.leaving.Load(),
+		Revision:    e.feed.View().Revision(),
+		Unconfirmed: e.feed.Unconfirmed(),
+	}
+}
+
+// budget returns the retry budget of a service.
+func (e *Entry) budget(service string) *retry.Budget {
+	e.budgetMu.Lock()
+	defer e.budgetMu.Unlock()
+	b, ok := e.budgets[service]
+	if !ok {
+		cfg := retry.DefaultBudget
+		if e.cfg.RetryBudgetRatio > 0 {
+			cfg.Share = e.cfg.RetryBudgetRatio
+		}
+		b = retry.NewBudget(cfg)
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// Ready reports whether the entry can serve callers.
+func (e *Entry) Ready() (reason string, ok bool) {
+	switch {
+	case e.leaving.Load():
+		return "leaving", false
+	case e.feed.View().Revision() == 0:
+		return "no configuration received yet", false
+	}
+	return "", true
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,30 @@
+package entry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+type metrics struct {
+	requests  *prometheus.CounterVec
+	retries   *prometheus.CounterVec
+	unsettled prometheus.Counter
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	f := promauto.With(reg)
+	return &metrics{
+		requests: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_entry_requests_total",
+			Help: "Requests of callers by service, outcome and reason.",
+		}, []string{"service", "outcome", "reason"}),
+		retries: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_entry_retries_total",
+			Help: "Attempts after the first, by service and reason of the one before.",
+		}, []string{"service", "reason"}),
+		unsettled: f.NewCounter(prometheus.CounterOpts{
+			Name: "lynxgate_entry_unsettled_claims_total",
+			Help: "Outcomes of at-most-once requests that could not be recorded; their keys become unknown.",
+		}),
+	}
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/net/netutil"
+
+	"lynxgate.dev/lynxgate/internal/outcome"
+)
+
+// leaveGrace is how long a leaving entry still takes new requests, so that
+// the balancer in front can notice and callers on kept connections are told
+// to close them.
+const leaveGrace = time.Second
+
+// headerSlack is how much over the header limit a request may be and still
+// get an answer in JSON; net/http refuses larger ones by itself.
+const headerSlack = 16 << 10
+
+func (e *Entry) newServer() *http.Server {
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
+	router.HTTPErrorHandler = writeRouteError
+	handler := e.limitHeader(echo.WrapHandler(http.HandlerFunc(e.serve)))
+	router.POST("/v1/chat/completions", handler)
+	router.POST("/v1/completions", handler)
+	router.Any(servicesPrefix+":service", handler)
+	router.Any(servicesPrefix+":service/*", handler)
+	return &http.Server{
+		Handler:           router,
+		MaxHeaderBytes:    e.cfg.MaxHeaderBytes + headerSlack,
+		ReadHeaderTimeout: e.cfg.ReadHeaderTimeout,
+		IdleTimeout:       e.cfg.IdleTimeout,
+	}
+}
+
+// writeRouteError answers requests that no route takes.
+func writeRouteError(err error, c echo.Context) {
+	reason, detail := outcome.NotFound, fmt.Sprintf("path %s: no such resource", c.Request().URL.Path)
+	var routed *echo.HTTPError
+	if errors.As(err, &routed) && routed.Code == http.StatusMethodNotAllowed {
+		reason, detail = outcome.InvalidRequest, fmt.Sprintf("method %s: not allowed here", c.Request().Method)
+	}
+	if !c.Response().Committed {
+		_ = outcome.Not(reason, detail, 0).Write(c.Response())
+	}
+}
+
+// limitHeader refuses requests whose header is over the limit.
+func (e *Entry) limitHeader(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if size := headerSize(c.Request()); size > e.cfg.MaxHeaderBytes {
+			o := outcome.Not(outcome.HeaderTooLarge, fmt.Sprintf("the header has %d bytes, the limit is %d", size, e.cfg.MaxHeaderBytes), 0)
+			return o.Write(c.Response())
+		}
+		return next(c)
+	}
+}
+
+func headerSize(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
+func (e *Entry) listen() (net.Listener, error) {
+	lis, err := net.Listen("tcp", e.cfg.CallersAddr)
+	if err != nil {
+		return nil, err
+	}
+	return netutil.LimitListener(lis, e.cfg.MaxConnections), nil
+}
+
+func (e *Entry) serveHTTP(ctx context.Context, lis net.Listener) error {
+	stopped := context.AfterFunc(ctx, func() { _ = e.server.Close() })
+	defer stopped()
+	var err error
+	if e.cfg.TLSCert != "" {
+		err = e.server.ServeTLS(lis, e.cfg.TLSCert, e.cfg.TLSKey)
+	} else {
+		err = e.server.Serve(lis)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return nil
+	}
+	return err
+}
+
+// Leave says that the entry is leaving, takes no new requests after
+// leaveGrace, and waits until those in progress have ended or ctx is done.
+func (e *Entry) Leave(ctx context.Context) error {
+	e.leaving.Store(true)
+	e.announcer.Changed()
+	e.server.SetKeepAlivesEnabled(false)
+	sleep(ctx, leaveGrace)
+	if err := e.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("requests still in progress: %w", err)
+	}
+	return nil
+}
--- a/internal/outcome/http.go
+++ b/internal/outcome/http.go
@@ -27,6 +27,7 @@
 	Unauthorized:       http.StatusUnauthorized,
 	NotFound:           http.StatusNotFound,
 	BodyTooLarge:       http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	KeyReused:          http.StatusUnprocessableEntity,
 	KeyInProgress:      http.StatusConflict,
 	RateLimited:        http.StatusTooManyRequests,
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -44,6 +44,7 @@
 	Unauthorized       Reason = "unauthorized"
 	NotFound           Reason = "not_found"
 	BodyTooLarge       Reason = "body_too_large"
+	HeaderTooLarge     Reason = "header_too_large"
 	MissingKey         Reason = "missing_idempotency_key"
 	KeyReused          Reason = "idempotency_key_reused"
 	KeyInProgress      Reason = "idempotency_key_in_progress"
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -229,3 +229,16 @@
 		require.Equal(t, []Unmet{tc.want}, res.Unmet)
 	}
 }
+
+func TestVMThatIsDownKeepsItsAssignment(t *testing.T) {
+	f := newFleet(3, chatRule("v1", 3))
+	f.settle(t)
+	cut := f.firstLive("v1")
+	wants := f.agents[cut].wants
+	f.agents[cut].member.State = inventory.MemberDown
+	res := f.settle(t)
+	require.Equal(t, wants, f.agents[cut].wants, "it would be unloaded when it comes back")
+	require.Len(t, res.Unmet, 1, "a VM that is down counts for no rule")
+	f.agents[cut].member.State = inventory.MemberUp
+	require.Empty(t, f.plan(t).Assignments, "its replica is chosen again as it is")
+}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -134,6 +134,7 @@
 	}
 	for _, m := range p.in.Members {
 		if m.State == inventory.MemberDown {
+			p.keepDown(m.VM)
 			continue
 		}
 		vm, known := declared[m.VM]
@@ -155,6 +156,16 @@
 	}
 }
 
+// keepDown leaves a VM that is down what it was assigned. It counts for no
+// rule, and copies are made elsewhere; if it comes back, as after a network
+// cut, its replicas are still loaded and the plan can choose them again
+// instead of having them unloaded first.
+func (p *planner) keepDown(vm string) {
+	if wants := p.in.Current[vm].Wants; len(wants) > 0 {
+		p.wants[vm] = wants
+	}
+}
+
 func (p *planner) loadReplicas(v *vmState) {
 	reports, reported := p.in.Reports[v.name]
 	v.reported = reported
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,159 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"lynxgate.dev/lynxgate/internal/outcome"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+func TestEnded(t *testing.T) {
+	overload := outcome.Not(outcome.Overloaded, "", 0)
+	lost := outcome.May(outcome.ConnectionLost, "")
+	leaving := outcome.Not(outcome.Leaving, "", 0)
+	soon := Request{Deadline: t0.Add(60 * time.Millisecond)}
+	late := Request{Deadline: t0.Add(30 * time.Millisecond)}
+	tests := []struct {
+		name  string
+		req   Request
+		outs  []outcome.Outcome
+		begun bool
+		floor int
+		why   Why
+		final outcome.Outcome
+	}{
+		{"completed", Request{}, []outcome.Outcome{outcome.Done()}, false, 9, WhyCompleted, outcome.Done()},
+		{"not run", Request{}, []outcome.Outcome{overload}, false, 9, WhyRetry, outcome.Outcome{}},
+		{"not run, at most once", Request{AtMostOnce: true}, []outcome.Outcome{overload}, false, 9, WhyRetry, outcome.Outcome{}},
+		{"may have run", Request{}, []outcome.Outcome{lost}, false, 9, WhyMayHaveRun, lost},
+		{"may have run, idempotent", Request{Idempotent: true}, []outcome.Outcome{lost}, false, 9, WhyRetry, outcome.Outcome{}},
+		{"at most once wins over idempotent", Request{Idempotent: true, AtMostOnce: true}, []outcome.Outcome{lost}, false, 9, WhyMayHaveRun, lost},
+		{"answer begun", Request{Idempotent: true}, []outcome.Outcome{lost}, true, 9, WhyAnswerBegun, lost},
+		{"caller left", Request{}, []outcome.Outcome{outcome.Not(outcome.Cancelled, "", 0)}, false, 9, WhyFinal, outcome.Not(outcome.Cancelled, "", 0)},
+		{"attempts used up", Request{}, []outcome.Outcome{overload, overload, overload}, false, 9, WhyAttempts, overload},
+		{"an unknown attempt stays unknown", Request{Idempotent: true}, []outcome.Outcome{lost, overload, overload}, false, 9, WhyAttempts, lost},
+		{"deadline leaves room", soon, []outcome.Outcome{overload}, false, 9, WhyRetry, outcome.Outcome{}},
+		{"deadline too near", late, []outcome.Outcome{overload}, false, 9, WhyDeadline, overload},
+		{"a drain needs no wait", late, []outcome.Outcome{leaving}, false, 9, WhyRetry, outcome.Outcome{}},
+		{"budget used up", Request{}, []outcome.Outcome{overload}, false, 0, WhyBudget, overload},
+		{"a drain needs no budget", Request{}, []outcome.Outcome{leaving}, false, 0, WhyRetry, outcome.Outcome{}},
+		{"a drain is bounded by attempts", Request{}, []outcome.Outcome{leaving, leaving, leaving}, false, 0, WhyAttempts, leaving},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			// A long base keeps the wait between 25 and 40 ms plus MinAttempt.
+			policy := Policy{MaxAttempts: 3, BaseBackoff: 40 * time.Millisecond, MaxBackoff: 40 * time.Millisecond, MinAttempt: 20 * time.Millisecond}
+			budget := NewBudget(BudgetConfig{Floor: tt.floor, Window: time.Second})
+			a := NewAttempts(policy, tt.req)
+			var d Decision
+			for i, o := range tt.outs {
+				d = a.Ended(o, tt.begun, t0, budget)
+				require.Equal(t, i+1, a.Made())
+				require.Equal(t, d.Why == WhyRetry, d.Retry)
+			}
+			require.Equal(t, tt.why, d.Why)
+			require.Equal(t, tt.final, d.Final)
+		})
+	}
+}
+
+func TestBackoffIsBoundedAndRepeatable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Policy{MaxAttempts: 1 << 30, BaseBackoff: 10 * time.Millisecond, MaxBackoff: time.Second}
+		req := Request{Seed: rapid.Uint64().Draw(t, "seed")}
+		made := rapid.IntRange(1, 100).Draw(t, "made")
+		a, b := &Attempts{policy: p, req: req, made: made}, &Attempts{policy: p, req: req, made: made}
+		wait := a.backoff(outcome.Outcome{})
+		full := time.Second
+		if made < 8 {
+			full = min(full, 10*time.Millisecond<<(made-1))
+		}
+		require.Equal(t, wait, b.backoff(outcome.Outcome{}))
+		require.GreaterOrEqual(t, wait, full/2)
+		require.LessOrEqual(t, wait, full)
+	})
+}
+
+// TestBudgetBoundsEveryWindow checks the amplification bound: whatever comes,
+// the retries of a window stay within share*requests + floor.
+func TestBudgetBoundsEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := BudgetConfig{Share: rapid.Float64Range(0, 1).Draw(t, "share"), Floor: rapid.IntRange(0, 3).Draw(t, "floor"), Window: time.Second}
+		b := NewBudget(cfg)
+		now := t0
+		var requests, retries []int64 // slots
+		within := func(times []int64, s int64) (n int) {
+			for _, at := range times {
+				if at > s-budgetSlots {
+					n++
+				}
+			}
+			return n
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			},
+			"requests": func(t *rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "n") {
+					b.Request(now)
+					requests = append(requests, now.UnixMilli()/100)
+				}
+			},
+			"retries": func(t *rapid.T) {
+				s := now.UnixMilli() / 100
+				for range 30 {
+					allowed := cfg.Share*float64(within(requests, s)) + float64(cfg.Floor)
+					want := float64(within(retries, s)+1) <= allowed
+					if b.TryRetry(now) != want {
+						t.Fatalf("retry allowed is %v, want %v", !want, want)
+					}
+					if want {
+						retries = append(retries, s)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				s := now.UnixMilli() / 100
+				gotRequests, gotRetries := b.Counts(now)
+				require.Equal(t, within(requests, s), gotRequests)
+				require.Equal(t, within(retries, s), gotRetries)
+			},
+		})
+	})
+}
+
+// TestBrownOutIsNotAmplified lets every attempt fail for a minute: the load
+// on the backend servers grows by the budget's share only.
+func TestBrownOutIsNotAmplified(t *testing.T) {
+	b := NewBudget(DefaultBudget)
+	const requests = 60 * 200
+	attempts := 0
+	for i := range requests {
+		now := t0.Add(time.Duration(i) * 5 * time.Millisecond)
+		b.Request(now)
+		a := NewAttempts(DefaultPolicy, Request{Seed: uint64(i)})
+		attempts++
+		for a.Ended(outcome.Not(outcome.Overloaded, "", 0), false, now, b).Retry {
+			attempts++
+		}
+	}
+	windows := 60 / 10
+	require.LessOrEqual(t, float64(attempts), requests*1.1+float64(windows+1)*3)
+	require.Greater(t, float64(attempts), requests*1.05, "the budget is used")
+	t.Logf("attempts per request %.3f", float64(attempts)/requests)
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := NewBudget(DefaultBudget)
+	b.ReportAllocs()
+	for i := range b.N {
+		now := t0.Add(time.Duration(i) * time.Millisecond)
+		budget.Request(now)
+		budget.TryRetry(now)
+	}
+}
--- a/internal/weights/transfer/config.go
+++ b/internal/weights/transfer/config.go
@@ -37,6 +37,9 @@
 	// Staged is true when the whole file is verified, synced and at Path.
 	Staged bool
 	Path   string
+	// Digest is the hex BLAKE3 digest of the whole file, once the manifest
+	// is known.
+	Digest string
 	// Err is the last reason for not getting on, empty when all is well.
 	Err string
 }
--- a/internal/weights/transfer/version.go
+++ b/internal/weights/transfer/version.go
@@ -183,7 +183,10 @@
 	}
 	v.manager.setManifest(v.id, encoded)
 	v.hub.reset(m.Len(), v.files.Held())
-	v.update(func(p *Progress) { p.Held, p.Total, p.Err = v.files.Count(), m.Len(), "" })
+	v.update(func(p *Progress) {
+		p.Held, p.Total, p.Err = v.files.Count(), m.Len(), ""
+		p.Digest = m.Digest.String()
+	})
 	if !v.files.Staged() {
 		if err := v.fetchAll(m); err != nil {
 			return err
