--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -17,6 +17,13 @@
 // Apply carries out an operator's request through the log.
 func (s *Server) Apply(ctx context.Context, req inventory.ChangeRequest) (inventory.ChangeResult, error) {
 	result, err := s.propose(ctx, state.Change{Time: s.cfg.Now(), Limits: s.cfg.Limits, Request: req})
+	if errors.Is(err, replica.ErrTooLarge) {
+		return inventory.ChangeResult{
+			Verdict:  inventory.VerdictInvalid,
+			Revision: s.store.Revision(),
+			Problems: []string{fmt.Sprintf("request is too large: at most %d bytes in the log", replica.MaxCommandBytes)},
+		}, nil
+	}
 	if err != nil {
 		return inventory.ChangeResult{}, s.adminError(err)
 	}
@@ -98,7 +105,8 @@
 	return servers, nil
 }
 
-// AddServer adds a server to the replicated log as a learner.
+// AddServer adds a server to the replicated log as a learner. The leader's loop
+// promotes it once it has caught up.
 func (s *Server) AddServer(ctx context.Context, name, addr string) error {
 	return s.adminError(s.log.AddLearner(ctx, replica.Member{Name: name, Addr: addr, Learner: true}))
 }
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -32,9 +32,13 @@
 	err    error
 }
 
+// promoted says that an attempt to promote learners has ended.
+type promoted struct{}
+
 func (announced) isEvent()   {}
 func (statusAsked) isEvent() {}
 func (proposed) isEvent()    {}
+func (promoted) isEvent()    {}
 
 // proposal is what the loop has in flight, one at a time.
 type proposal struct {
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -138,3 +138,6 @@
 func (l *fakeLog) Promote(context.Context, replica.Member) error    { return nil }
 func (l *fakeLog) Remove(context.Context, replica.Member) error     { return nil }
 func (l *fakeLog) Stop(context.Context) error                       { return nil }
+
+func (l *fakeLog) Done() <-chan struct{} { return nil }
+func (l *fakeLog) Err() error            { return nil }
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -31,7 +31,21 @@
 	Promote(ctx context.Context, m replica.Member) error
 	Remove(ctx context.Context, m replica.Member) error
 	Stop(ctx context.Context) error
+	// Done is closed when the log has stopped; Err says why.
+	Done() <-chan struct{}
+	Err() error
 }
 
 // OpenLog starts the log that drives a state machine.
 type OpenLog func(replica.FSM) (Log, error)
+
+// OpenReplica opens this server's replica of the log.
+func OpenReplica(cfg replica.Config) OpenLog {
+	return func(fsm replica.FSM) (Log, error) {
+		node, err := replica.Start(cfg, fsm)
+		if err != nil {
+			return nil, err
+		}
+		return node, nil
+	}
+}
--- a/internal/control/planinput.go
+++ b/internal/control/planinput.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"lynxgate.dev/lynxgate/internal/control/state"
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -32,3 +34,17 @@
 	}
 	return out
 }
+
+// firstAssignments bounds a plan to what fits one proposal; the revision that
+// it makes leads to the next plan, with the rest.
+func firstAssignments(all map[string][]inventory.Want) map[string][]inventory.Want {
+	if len(all) <= maxBatch {
+		return all
+	}
+	vms := slices.Sorted(maps.Keys(all))[:maxBatch]
+	out := make(map[string][]inventory.Want, maxBatch)
+	for _, vm := range vms {
+		out[vm] = all[vm]
+	}
+	return out
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -34,6 +34,10 @@
 	claimExpiryInterval = 10 * time.Second
 	// confirmsPerWindow is how often a server asks the quorum in a window.
 	confirmsPerWindow = 3
+	// promoteInterval is how often a leader tries to promote learners.
+	promoteInterval = 2 * time.Second
+	// maxBatch bounds the records of one proposal of the loop.
+	maxBatch = 1000
 	// eventQueue is how many events may wait for the loop.
 	eventQueue = 256
 )
@@ -142,6 +146,11 @@
 		return nil, fmt.Errorf("start replicated log: %w", err)
 	}
 	s.log = log
+	if c, ok := log.(prometheus.Collector); ok && cfg.Registerer != nil {
+		if err := cfg.Registerer.Register(c); err != nil {
+			return nil, errors.Join(fmt.Errorf("register metrics of the log: %w", err), log.Stop(context.Background()))
+		}
+	}
 	return s, nil
 }
 
@@ -159,13 +168,14 @@
 	return nil
 }
 
-// Run works until the context ends. Stop the log afterwards with Stop.
+// Run works until the context ends or the log fails. Call Stop afterwards.
 func (s *Server) Run(ctx context.Context) error {
 	defer close(s.stopped)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.runLoop(ctx) })
 	group.Go(func() error { return s.announceSelf(ctx) })
 	group.Go(func() error { return s.confirmViews(ctx) })
+	group.Go(func() error { return s.watchLog(ctx) })
 	err := group.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -173,6 +183,16 @@
 	return err
 }
 
+// watchLog ends Run with an error when the log stops by itself.
+func (s *Server) watchLog(ctx context.Context) error {
+	select {
+	case <-s.log.Done():
+		return fmt.Errorf("replicated log stopped: %w", s.log.Err())
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Stop hands leadership over and stops the log.
 func (s *Server) Stop(ctx context.Context) error {
 	err := s.log.Stop(ctx)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -167,6 +167,8 @@
 		return rpc.Status_STATUS_OK
 	case errors.As(err, &notLeader):
 		return rpc.Status_STATUS_NOT_LEADER
+	case errors.Is(err, replica.ErrTooLarge):
+		return rpc.Status_STATUS_INVALID
 	case errors.Is(err, replica.ErrNoQuorum), errors.Is(err, replica.ErrStopped):
 		return rpc.Status_STATUS_NO_QUORUM
 	default:
--- a/internal/control/state/members_test.go
+++ b/internal/control/state/members_test.go
@@ -22,7 +22,9 @@
 	return s.apply(Assign{Time: s.now, Base: base, Wants: wants}).(AssignResult)
 }
 
-func (s *server) memberOf(vm string) (inventory.Member, bool) { return s.machine.member(vm, &pending{}) }
+func (s *server) memberOf(vm string) (inventory.Member, bool) {
+	return s.machine.member(vm, &pending{})
+}
 
 func (s *server) assignmentOf(vm string) (inventory.Assignment, bool) {
 	return lookup[inventory.Assignment](s.machine, inventory.PrefixAssign+vm, &pending{})
