--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -71,16 +71,24 @@
 // Register adds the API's routes to e. The echo instance should come from
 // NewEcho, so that every error is JSON.
 func (a *API) Register(e *echo.Echo) {
-	g := e.Group("/admin/v1", a.count, limitHeader(a.cfg.MaxHeaderBytes), a.authenticate, limitBody(a.cfg.MaxBodyBytes), a.timeout)
-	g.GET("/config", a.getConfig)
-	g.POST("/changes", a.postChanges)
-	g.GET("/status", a.getStatus)
-	g.GET("/audit", a.getAudit)
-	g.POST("/vms/:vm/drain", a.drain(true))
-	g.POST("/vms/:vm/undrain", a.drain(false))
-	g.GET("/servers", a.getServers)
-	g.POST("/servers", a.postServer)
-	g.DELETE("/servers/:name", a.deleteServer)
+	// The middleware is given to each route: that of a group would answer
+	// 404 where 405 is right.
+	chain := []echo.MiddlewareFunc{
+		a.count,
+		limitHeader(a.cfg.MaxHeaderBytes),
+		a.authenticate,
+		limitBody(a.cfg.MaxBodyBytes),
+		a.timeout,
+	}
+	e.GET(PathConfig, a.getConfig, chain...)
+	e.POST(PathChanges, a.postChanges, chain...)
+	e.GET(PathStatus, a.getStatus, chain...)
+	e.GET(PathAudit, a.getAudit, chain...)
+	e.POST(PathVMs+"/:vm/drain", a.drain(true), chain...)
+	e.POST(PathVMs+"/:vm/undrain", a.drain(false), chain...)
+	e.GET(PathServers, a.getServers, chain...)
+	e.POST(PathServers, a.postServer, chain...)
+	e.DELETE(PathServers+"/:name", a.deleteServer, chain...)
 }
 
 // NewEcho returns an echo instance whose errors are all JSON.
--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -7,6 +7,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -92,6 +94,25 @@
 	Key      string
 }
 
+// Selects reports whether the record's operator and keys match the query.
+// Since and Limit are left to the caller.
+func (q AuditQuery) Selects(record inventory.AuditRecord) bool {
+	if q.Operator != "" && q.Operator != record.Operator {
+		return false
+	}
+	if q.Key == "" {
+		return true
+	}
+	return slices.ContainsFunc(record.Changes, func(change inventory.Change) bool { return q.selectsKey(change.Key) })
+}
+
+func (q AuditQuery) selectsKey(key string) bool {
+	if strings.HasSuffix(q.Key, "/") {
+		return strings.HasPrefix(key, q.Key)
+	}
+	return key == q.Key
+}
+
 // Status is what the system does now.
 type Status struct {
 	// Server is the control server that answers.
