--- a/cmd/lynxctl/apply.go
+++ b/cmd/lynxctl/apply.go
@@ -35,7 +35,7 @@
 }
 
 func (c *applyCommand) SetFlags(f *flag.FlagSet) {
-	c.connection.setFlags(f)
+	c.connection.setFlags(c.env, f)
 	f.BoolVar(&c.dryRun, "dry-run", false, "print what would change and change nothing")
 	f.BoolVar(&c.deleteMissing, "delete-missing", false, "delete the records in force that no file names")
 	f.StringVar(&c.operationID, "operation-id", "", "resend an operation whose result is unknown")
--- a/cmd/lynxctl/check.go
+++ b/cmd/lynxctl/check.go
@@ -42,7 +42,7 @@
 }
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
-	c.output.setFlags(f)
+	c.output.setFlags(c.env, f)
 	f.Var(&c.settings, "settings", "settings file of lynxgated; may be given several times")
 }
 
--- a/cmd/lynxctl/connect.go
+++ b/cmd/lynxctl/connect.go
@@ -31,12 +31,12 @@
 	output  outputFlag
 }
 
-func (c *connection) setFlags(f *flag.FlagSet) {
+func (c *connection) setFlags(env *environment, f *flag.FlagSet) {
 	f.StringVar(&c.control, "control", "", "addresses of operators' APIs, ip:port or https://ip:port, separated by commas; default $"+envControl)
 	f.StringVar(&c.keyFile, "key-file", "", "file that holds the operator's key; default $"+envKey+", the key itself")
 	f.StringVar(&c.caFile, "ca-file", "", "PEM file of a certificate authority to trust")
 	f.DurationVar(&c.timeout, "timeout", adminclient.DefaultPatience, "how long to go on until a control server answers")
-	c.output.setFlags(f)
+	c.output.setFlags(env, f)
 }
 
 // open returns a client, or an error about the flags.
--- a/cmd/lynxctl/drain.go
+++ b/cmd/lynxctl/drain.go
@@ -37,7 +37,7 @@
 }
 
 func (c *drainCommand) SetFlags(f *flag.FlagSet) {
-	c.connection.setFlags(f)
+	c.connection.setFlags(c.env, f)
 	f.StringVar(&c.operationID, "operation-id", "", "resend an operation whose result is unknown")
 }
 
--- a/cmd/lynxctl/output.go
+++ b/cmd/lynxctl/output.go
@@ -18,7 +18,9 @@
 // outputFlag is the flag -o.
 type outputFlag struct{ format string }
 
-func (o *outputFlag) setFlags(f *flag.FlagSet) {
+// setFlags adds the flag, and sends what the flag package prints to stderr.
+func (o *outputFlag) setFlags(env *environment, f *flag.FlagSet) {
+	f.SetOutput(env.stderr)
 	f.StringVar(&o.format, "o", formatText, "output format: text or json")
 }
 
--- a/cmd/lynxctl/servers.go
+++ b/cmd/lynxctl/servers.go
@@ -25,7 +25,7 @@
   one server at a time.
 `
 }
-func (c *serversCommand) SetFlags(f *flag.FlagSet) { c.connection.setFlags(f) }
+func (c *serversCommand) SetFlags(f *flag.FlagSet) { c.connection.setFlags(c.env, f) }
 
 // serversCall asks for the members, or changes them.
 type serversCall func(context.Context, session) ([]admin.Server, error)
--- a/cmd/lynxctl/show.go
+++ b/cmd/lynxctl/show.go
@@ -26,7 +26,7 @@
   confirmed with a quorum. member/ and assign/ hold what the system derived.
 `
 }
-func (c *getCommand) SetFlags(f *flag.FlagSet) { c.connection.setFlags(f) }
+func (c *getCommand) SetFlags(f *flag.FlagSet) { c.connection.setFlags(c.env, f) }
 
 func (c *getCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() > 1 {
@@ -63,7 +63,7 @@
 }
 
 func (c *auditCommand) SetFlags(f *flag.FlagSet) {
-	c.connection.setFlags(f)
+	c.connection.setFlags(c.env, f)
 	f.Uint64Var(&c.query.Since, "since", 0, "print changes after this revision")
 	f.IntVar(&c.query.Limit, "limit", admin.DefaultAuditLimit, "print at most so many records")
 	f.StringVar(&c.query.Operator, "operator", "", "print changes of this operator")
--- a/cmd/lynxctl/status.go
+++ b/cmd/lynxctl/status.go
@@ -30,7 +30,7 @@
   replicas by model version, transfers under way and rules that can't be met.
 `
 }
-func (c *statusCommand) SetFlags(f *flag.FlagSet) { c.connection.setFlags(f) }
+func (c *statusCommand) SetFlags(f *flag.FlagSet) { c.connection.setFlags(c.env, f) }
 
 func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() > 0 {
