--- a/internal/replay/answer.go
+++ b/internal/replay/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -99,6 +100,9 @@
 // readRefusal reads an answer that is not a success. Without a statement of
 // the system, only statuses that come before any work mean not run.
 func (a *answerReader) readRefusal(body io.Reader) {
+	if seconds, err := strconv.Atoi(a.header.Get("Retry-After")); err == nil {
+		a.result.RetryAfter = time.Duration(seconds) * time.Second
+	}
 	data, err := io.ReadAll(io.LimitReader(body, maxAnswer))
 	if err != nil {
 		a.end(Unknown, err.Error())
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -128,6 +129,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				require.Equal(t, "Bearer secret", r.Header.Get("Authorization"))
+				w.Header().Set("Retry-After", "3")
 				w.WriteHeader(max(c.status, http.StatusOK))
 				_, _ = w.Write([]byte(c.body))
 			}))
@@ -142,6 +144,7 @@
 			require.Equal(t, c.outcome, result.Outcome, result.Detail)
 			require.Equal(t, c.problem, result.Problem)
 			require.Equal(t, c.told, result.Told)
+			require.Equal(t, c.status > 0, result.RetryAfter == 3*time.Second)
 			require.Equal(t, c.outcome != replay.Completed, len(report.Differences) == 1)
 		})
 	}
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -51,6 +51,8 @@
 	Told bool `json:"told"`
 	// Status is the HTTP status, 0 without an answer.
 	Status int `json:"status"`
+	// RetryAfter is the header of a refusal, 0 without one.
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
 	// Digest of the weights that answered.
 	Digest string `json:"digest,omitempty"`
 	// CachedTokens of the prompt, as the engine reports it.
