--- /dev/null
+++ b/internal/configfeed/client_test.go
@@ -0,0 +1,348 @@
+package configfeed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"lynxgate.dev/lynxgate/internal/keyspace"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+const waitLong = 30 * time.Second
+
+// keyOf is the key that revision r changes: one of ten, under two prefixes;
+// every seventh revision deletes its key.
+func keyOf(r uint64) string { return fmt.Sprintf("%c/%d", 'a'+byte(r%2), r%10) }
+
+func entryOf(r uint64) *keyspace.Entry {
+	return &keyspace.Entry{Key: keyOf(r), Value: []byte(strconv.FormatUint(r, 10)), Revision: r, Deleted: r%7 == 0}
+}
+
+// viewAt is the view that every process must have at revision r.
+func viewAt(r uint64, prefixes ...string) *keyspace.View {
+	view := keyspace.NewView(0, nil)
+	for i := uint64(1); i <= r; i++ {
+		if keyspace.Matches(keyOf(i), prefixes) {
+			view = view.Apply(i, []*keyspace.Entry{entryOf(i)})
+		}
+	}
+	return view.Apply(r, nil)
+}
+
+// testSource is a source on loopback whose state the test drives.
+type testSource struct {
+	t         *testing.T
+	addr      string
+	store     *Store
+	confirmed *atomic.Bool
+	newest    *atomic.Uint64
+	stop      func()
+}
+
+func startSource(t *testing.T, newest *atomic.Uint64) *testSource {
+	s := &testSource{t: t, addr: "127.0.0.1:0", confirmed: new(atomic.Bool), newest: newest}
+	s.confirmed.Store(true)
+	s.start()
+	t.Cleanup(func() { s.stop() })
+	return s
+}
+
+// start serves from an empty store, as a restarted process does.
+func (s *testSource) start() {
+	lis, err := net.Listen("tcp", s.addr)
+	require.NoError(s.t, err)
+	s.addr = lis.Addr().String()
+	s.store = NewStore()
+	mux := drpcmux.New()
+	require.NoError(s.t, rpc.DRPCRegisterFeed(mux, NewSource(SourceConfig{
+		Store:     s.store,
+		Confirmed: s.confirmed.Load,
+		Confirm: func(context.Context) (uint64, error) {
+			if !s.confirmed.Load() {
+				return 0, errors.New("cut off")
+			}
+			return s.newest.Load(), nil
+		},
+		Heartbeat:      20 * time.Millisecond,
+		ConfirmTimeout: 300 * time.Millisecond,
+	})))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = drpcserver.New(mux).Serve(ctx, lis)
+	}()
+	s.stop = func() {
+		cancel()
+		<-done
+	}
+}
+
+// advance brings the source to revision r, by deltas or as a whole.
+func (s *testSource) advance(r uint64, whole bool) {
+	if whole && r > s.store.Revision() {
+		s.store.Replace(viewAt(r))
+	}
+	for next := s.store.Revision() + 1; next <= r; next++ {
+		changes := []*keyspace.Entry{entryOf(next)}
+		s.store.Advance(s.store.View().Apply(next, changes), changes)
+	}
+}
+
+// follower is a client under test and the check of what it puts into force.
+type follower struct {
+	t        *testing.T
+	cfg      ClientConfig
+	client   *Client
+	highest  uint64
+	stopRun  func()
+	stopLook func()
+}
+
+func startFollower(t *testing.T, cfg ClientConfig) *follower {
+	f := &follower{t: t, cfg: cfg}
+	f.start()
+	t.Cleanup(func() { f.stop() })
+	return f
+}
+
+func (f *follower) start() {
+	client, err := NewClient(f.cfg)
+	require.NoError(f.t, err)
+	f.client = client
+	f.stopRun = background(func(ctx context.Context) { _ = client.Run(ctx) })
+	f.stopLook = background(f.look)
+}
+
+func (f *follower) stop() {
+	f.stopRun()
+	f.stopLook()
+}
+
+func background(run func(context.Context)) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// look checks every view: revisions never fall, not even over restarts, and
+// the content is that of the revision.
+func (f *follower) look(ctx context.Context) {
+	for {
+		changed := f.client.Changed()
+		view := f.client.View()
+		if view.Revision() > 0 {
+			if view.Revision() < f.highest {
+				f.t.Errorf("revision fell from %d to %d", f.highest, view.Revision())
+			}
+			f.highest = view.Revision()
+			want := viewAt(view.Revision(), f.cfg.Prefixes...)
+			if diff := keyspace.Diff(want, view); len(diff) > 0 {
+				f.t.Errorf("revision %d: %s differs", view.Revision(), diff[0].Key)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// TestClientNeverFalls drives sources and a client through a generated history
+// of restarts, cuts, overrun histories and hundreds of changes.
+func TestClientNeverFalls(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			runHistory(t, rand.New(rand.NewPCG(seed, 1)))
+		})
+	}
+}
+
+func runHistory(t *testing.T, random *rand.Rand) {
+	var newest atomic.Uint64
+	var sources []*testSource
+	cfg := ClientConfig{
+		Name:      "f",
+		FloorPath: filepath.Join(t.TempDir(), "floor"),
+		StartWait: 200 * time.Millisecond,
+		Patience:  400 * time.Millisecond,
+	}
+	if random.IntN(2) == 0 {
+		cfg.Prefixes = []string{"a/"}
+	}
+	for range 3 {
+		sources = append(sources, startSource(t, &newest))
+		cfg.Upstreams = append(cfg.Upstreams, sources[len(sources)-1].addr)
+	}
+	newest.Store(1)
+	sources[0].advance(1, false)
+	f := startFollower(t, cfg)
+	for range 60 {
+		s := sources[random.IntN(len(sources))]
+		switch random.IntN(8) {
+		case 0: // the source restarts with what it finds on its disk
+			behind := uint64(random.IntN(20))
+			at := s.store.Revision()
+			s.stop()
+			s.start()
+			s.advance(at-min(at, behind), random.IntN(2) == 0)
+		case 1:
+			s.confirmed.Store(!s.confirmed.Load())
+		case 2:
+			f.stop()
+			f.start()
+		case 3: // hundreds of changes go by
+			newest.Add(uint64(random.IntN(300)))
+			s.advance(newest.Load(), true)
+		default:
+			newest.Add(uint64(random.IntN(3)))
+			if s.confirmed.Load() {
+				s.advance(newest.Load(), random.IntN(4) == 0)
+			}
+		}
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	}
+	for _, s := range sources {
+		s.confirmed.Store(true)
+		s.advance(newest.Load(), false)
+	}
+	require.Eventually(t, func() bool {
+		return f.client.Revision() == newest.Load() && !f.client.Unconfirmed()
+	}, waitLong, 5*time.Millisecond, "ends at the newest revision, confirmed")
+	f.stop()
+}
+
+// TestStartInsistsOnAConfirmedSource starts a process whose first source was
+// cut off for hours while the second one has gone on.
+func TestStartInsistsOnAConfirmedSource(t *testing.T) {
+	var newest atomic.Uint64
+	newest.Store(500)
+	stale, good := startSource(t, &newest), startSource(t, &newest)
+	stale.confirmed.Store(false)
+	stale.advance(20, true)
+	good.advance(500, true)
+	cfg := ClientConfig{Name: "f", Upstreams: []string{stale.addr, good.addr}, StartWait: waitLong, Patience: time.Second}
+	f := startFollower(t, cfg)
+	<-f.client.Ready()
+	require.EqualValues(t, 500, f.client.Revision())
+
+	lagging := startSource(t, &newest) // confirmed, but has not applied all
+	lagging.advance(499, true)
+	cfg.Upstreams = []string{lagging.addr}
+	f = startFollower(t, cfg)
+	require.Never(t, func() bool { return f.client.Revision() != 0 }, 150*time.Millisecond, 10*time.Millisecond)
+	lagging.advance(500, false)
+	<-f.client.Ready()
+	require.EqualValues(t, 500, f.client.Revision())
+}
+
+// TestStartWithoutQuorum takes the highest revision of the neighbours, but not
+// one below the floor.
+func TestStartWithoutQuorum(t *testing.T) {
+	var newest atomic.Uint64
+	var cfg ClientConfig
+	var sources []*testSource
+	for _, revision := range []uint64{20, 40, 30} {
+		s := startSource(t, &newest)
+		s.confirmed.Store(false)
+		s.advance(revision, true)
+		sources = append(sources, s)
+		cfg.Upstreams = append(cfg.Upstreams, s.addr)
+	}
+	cfg.Name, cfg.StartWait, cfg.Patience = "f", 100*time.Millisecond, time.Second
+	f := startFollower(t, cfg)
+	<-f.client.Ready()
+	require.EqualValues(t, 40, f.client.Revision())
+	require.True(t, f.client.Unconfirmed())
+
+	cfg.FloorPath = filepath.Join(t.TempDir(), "floor")
+	require.NoError(t, floorFile{path: cfg.FloorPath}.save(45))
+	f = startFollower(t, cfg)
+	require.Never(t, func() bool { return f.client.Revision() != 0 }, 300*time.Millisecond, 10*time.Millisecond)
+	sources[2].advance(46, false)
+	<-f.client.Ready()
+	require.EqualValues(t, 46, f.client.Revision())
+}
+
+// TestSilentSourceIsLeft connects to a source that accepts and says nothing,
+// as a frozen process does.
+func TestSilentSourceIsLeft(t *testing.T) {
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer frozen.Close()
+	var newest atomic.Uint64
+	newest.Store(3)
+	good := startSource(t, &newest)
+	good.advance(3, false)
+	f := startFollower(t, ClientConfig{Name: "f", Upstreams: []string{frozen.Addr().String(), good.addr}, Patience: 300 * time.Millisecond})
+	<-f.client.Ready()
+	require.EqualValues(t, 3, f.client.Revision())
+}
+
+// TestLargeUpdatesComeInParts sends a snapshot of several megabytes.
+func TestLargeUpdatesComeInParts(t *testing.T) {
+	var newest atomic.Uint64
+	s := startSource(t, &newest)
+	var entries []*keyspace.Entry
+	for i := range 2000 {
+		entries = append(entries, &keyspace.Entry{Key: fmt.Sprintf("k/%05d", i), Value: make([]byte, 3000), Revision: 1})
+	}
+	s.store.Replace(keyspace.NewView(1, entries))
+	parts := splitParts(s.store.since(0), nil)
+	require.Greater(t, len(parts), 10)
+	newest.Store(1)
+	client, err := NewClient(ClientConfig{Name: "f", Upstreams: []string{s.addr}})
+	require.NoError(t, err)
+	defer background(func(ctx context.Context) { _ = client.Run(ctx) })()
+	<-client.Ready()
+	require.Equal(t, 2000, client.View().Len())
+}
+
+func TestFloorRefusesGarbage(t *testing.T) {
+	f := floorFile{path: filepath.Join(t.TempDir(), "floor")}
+	require.NoError(t, f.save(7))
+	got, err := f.load()
+	require.NoError(t, err)
+	require.EqualValues(t, 7, got)
+	require.NoError(t, writeSynced(f.path, "x"))
+	_, err = NewClient(ClientConfig{Upstreams: []string{"127.0.0.1:1"}, FloorPath: f.path})
+	require.Error(t, err, "to ignore it could let the revision fall")
+}
+
+func TestRendezvousOrderSpreads(t *testing.T) {
+	addrs := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"}
+	first := map[string]int{}
+	for i := range 400 {
+		name := fmt.Sprint("vm", i)
+		order := RendezvousOrder(name, addrs)
+		require.ElementsMatch(t, addrs, order)
+		first[order[0]]++
+		if order[0] != addrs[3] {
+			require.Equal(t, order[0], RendezvousOrder(name, addrs[:3])[0], "only those of the lost address move")
+		}
+	}
+	for _, addr := range addrs {
+		require.InDelta(t, 100, first[addr], 40)
+	}
+}
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -41,7 +41,7 @@
 // proposeExpired proposes the members without a lease as down and reports
 // whether there were any.
 func (l *loop) proposeExpired(now time.Time) bool {
-	l.leads.leasesDue = now.Add(leaseCheckInterval)
+	l.leads.leasesDue = now.Add(l.cfg.Lease / leaseChecks)
 	expired := l.leads.registry.Expire(l.members(), now)
 	if len(expired) == 0 {
 		return false
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -28,8 +28,11 @@
 	DefaultConfirmWindow  = 3 * time.Second
 	// tickInterval is how often the loop looks at leadership and leases.
 	tickInterval = 200 * time.Millisecond
-	// leaseCheckInterval is how often leases are looked at.
-	leaseCheckInterval = time.Second
+	// leaseChecks is how often leases are looked at within one lease.
+	leaseChecks = 6
+	// minLease is the shortest lease; the loop must be able to look at it
+	// leaseChecks times.
+	minLease = 2 * time.Second
 	// claimExpiryInterval is how often claims are expired.
 	claimExpiryInterval = 10 * time.Second
 	// confirmsPerWindow is how often a server asks the quorum in a window.
@@ -56,7 +59,8 @@
 	Peers []string
 	// AdminAddrs are the operators' API addresses of the peers, by name.
 	AdminAddrs map[string]string
-	// Lease is how long a daemon counts as up after its last announcement.
+	// Lease is how long a daemon counts as up after its last announcement; at
+	// least two seconds.
 	Lease time.Duration
 	// ForgetAfter is how long a member is down before its record is removed.
 	ForgetAfter time.Duration
@@ -126,6 +130,9 @@
 // New makes a control server and starts its log.
 func New(cfg Config, open OpenLog) (*Server, error) {
 	cfg = cfg.withDefaults()
+	if cfg.Lease < minLease {
+		return nil, fmt.Errorf("control: a lease of %s is shorter than %s", cfg.Lease, minLease)
+	}
 	s := &Server{
 		cfg:     cfg,
 		store:   configfeed.NewStore(),
--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -230,3 +230,56 @@
 	require.Len(t, records, 1)
 	require.Equal(t, "1", records[0].OperationID)
 }
+
+// TestLeasesOverAChangeOfLeader lets a member's lease expire, gives the
+// members a lease of grace under a new leader, and keeps a newer incarnation.
+func TestLeasesOverAChangeOfLeader(t *testing.T) {
+	cluster, servers := startFakes(t, 2, Config{Lease: minLease})
+	accept(t, servers[0], change("1", 0, fleet...))
+	client := controlclient.New(controlclient.Config{Addrs: []string{servers[0].addr, servers[1].addr}})
+	stateOf := func(vm string) inventory.MemberState {
+		e := servers[0].store.View().Get(inventory.PrefixMember + vm)
+		if e == nil {
+			return ""
+		}
+		return decodeDerived[inventory.Member](e.Key, e.Value).State
+	}
+	announce := func(req *rpc.AnnounceRequest) {
+		resp, err := client.Announce(context.Background(), req)
+		require.NoError(t, err)
+		require.Equal(t, rpc.Status_STATUS_OK, resp.Status)
+	}
+	announce(announceAgent("vm1", 1))
+	announce(announceAgent("vm2", 1))
+	require.Equal(t, inventory.MemberUp, stateOf("vm1"))
+	cluster.elect(1)
+	announce(announceAgent("vm2", 1))
+	within(t, func() bool { return stateOf("vm1") == inventory.MemberDown }, "its lease has expired")
+	announce(announceAgent("vm1", 2))
+	require.Equal(t, inventory.MemberUp, stateOf("vm1"))
+	leaving := announceAgent("vm1", 2)
+	leaving.Leaving = true
+	announce(leaving)
+	require.Equal(t, inventory.MemberLeaving, stateOf("vm1"))
+	announce(announceAgent("vm1", 2))
+	require.Equal(t, inventory.MemberLeaving, stateOf("vm1"), "a late announcement does not undo the leaving")
+}
+
+// TestCutServerIsNotConfirmed cuts a follower off: it says so, and a process
+// that starts does not take its old state for current.
+func TestCutServerIsNotConfirmed(t *testing.T) {
+	cluster, servers := startFakes(t, 2, Config{})
+	accept(t, servers[0], zoneChange("1", 0, "r1"))
+	within(t, func() bool { return servers[1].Confirmed() }, "confirmed")
+	cluster.setCut(1, true)
+	accept(t, servers[0], zoneChange("2", 1, "r2"))
+	within(t, func() bool { return !servers[1].Confirmed() }, "notices the cut")
+	_, err := servers[1].Get(context.Background(), "zone/")
+	require.ErrorIs(t, err, admin.ErrNoQuorum)
+	feed := startFeed(t, "new", []string{servers[1].addr, servers[0].addr})
+	<-feed.Ready()
+	require.EqualValues(t, 2, feed.Revision())
+	cluster.setCut(1, false)
+	within(t, func() bool { return servers[1].Confirmed() }, "confirmed again")
+	require.EqualValues(t, 2, servers[1].store.Revision())
+}
