--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -7,6 +7,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -16,8 +18,10 @@
 // return *NotLeaderError, ErrNoQuorum or ErrResultUnknown; any other error is
 // reported as an internal one.
 type Backend interface {
-	// Apply carries out a change request. A request with an operation id
-	// that was accepted before returns that first result, Repeated set.
+	// Apply carries out a change request. The operation id is looked up
+	// before anything else: if a request with it was accepted, that first
+	// result is returned, Repeated set. Refused requests (conflict, invalid)
+	// are not remembered and may be sent again under the same id.
 	Apply(ctx context.Context, req inventory.ChangeRequest) (inventory.ChangeResult, error)
 	// Get returns the keys below prefix, as confirmed with a quorum.
 	Get(ctx context.Context, prefix string) (Snapshot, error)
@@ -90,6 +94,25 @@
 	Key      string
 }
 
+// Selects reports whether the record's operator and keys match the query.
+// Since and Limit are left to the caller.
+func (q AuditQuery) Selects(record inventory.AuditRecord) bool {
+	if q.Operator != "" && q.Operator != record.Operator {
+		return false
+	}
+	if q.Key == "" {
+		return true
+	}
+	return slices.ContainsFunc(record.Changes, func(change inventory.Change) bool { return q.selectsKey(change.Key) })
+}
+
+func (q AuditQuery) selectsKey(key string) bool {
+	if strings.HasSuffix(q.Key, "/") {
+		return strings.HasPrefix(key, q.Key)
+	}
+	return key == q.Key
+}
+
 // Status is what the system does now.
 type Status struct {
 	// Server is the control server that answers.
