--- a/internal/admin/api_test.go
+++ b/internal/admin/api_test.go
@@ -255,6 +255,7 @@
 	again := drain("vm-1", "drain", "op-1").change(t)
 	require.True(t, again.Repeated)
 	require.Equal(t, first.Revision, again.Revision)
+	require.Equal(t, "op-1", backend.AuditTrail()[0].OperationID)
 	require.JSONEq(t, `{"name":"vm-1","zone":"stgo-a","capacity":2}`, valueOf("vm/vm-1"), "a late resend drains nothing")
 
 	backend.Put("member/vm-2", `{"vm":"vm-2","zone":"stgo-a","state":"up"}`)
