lynxctl replay; the API's errors are JSON on any echo instance

Cause: lynxgated mounts the API on an echo instance with the default error handler, which made 401 a 500; the API now writes its own errors (test on a plain instance).

--- a/cmd/lynxctl/main.go
+++ b/cmd/lynxctl/main.go
@@ -63,6 +63,7 @@
 	commander.Register(&auditCommand{env: env}, groupShow)
 	commander.Register(&checkCommand{env: env}, groupFiles)
 	commander.Register(&manifestCommand{env: env}, groupFiles)
+	commander.Register(&replayCommand{env: env}, groupShow)
 	if err := flags.Parse(args); err != nil {
 		return exitBadInput
 	}
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// Register adds the API's routes to e. The echo instance should come from
-// NewEcho, so that every error is JSON.
+// Register adds the API's routes to e. Where e comes from NewEcho, unknown
+// paths and methods are answered with the API's JSON as well.
 func (a *API) Register(e *echo.Echo) {
 	// The middleware is given to each route: that of a group would answer
 	// 404 where 405 is right.
@@ -129,11 +129,12 @@
 	}
 }
 
-// count counts requests by route and status.
+// count counts requests by route and status. It writes errors itself, so
+// that they are the API's JSON whatever error handler the echo instance has.
 func (a *API) count(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if err := next(c); err != nil {
-			c.Error(err)
+			writeError(err, c)
 		}
 		a.metrics.request(c.Path(), c.Response().Status)
 		return nil
--- a/internal/admin/api_test.go
+++ b/internal/admin/api_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
@@ -263,6 +264,18 @@
 	require.JSONEq(t, `{"name":"vm-2","zone":"stgo-a","drained":true}`, valueOf("vm/vm-2"), "an undeclared VM can be drained")
 }
 
+func TestErrorsAreJSONOnAnyEcho(t *testing.T) {
+	api, err := admin.New(admin.Config{}, admintest.New(inventory.Inventory{}))
+	require.NoError(t, err)
+	e := echo.New()
+	api.Register(e)
+	server := httptest.NewServer(e)
+	defer server.Close()
+	got := ask(t, server, "GET", admin.PathStatus, "")
+	require.Equal(t, http.StatusUnauthorized, got.status)
+	require.Equal(t, admin.CodeUnauthorized, got.failure(t).Code)
+}
+
 func TestHeaderPastTheServersOwnLimit(t *testing.T) {
 	server := admin.NewHTTPServer("127.0.0.1:0", nil, 1000)
 	require.Equal(t, 2000, server.MaxHeaderBytes)
