--- a/internal/inventory/change.go
+++ b/internal/inventory/change.go
@@ -25,7 +25,31 @@
 	if err != nil {
 		return []string{err.Error()}
 	}
-	return faultTexts(inv.Validate())
+	return append(changedManifests(current, changes), faultTexts(inv.Validate())...)
+}
+
+// changedManifests finds model versions in force that would get other
+// weights. A version is what requests are pinned to, so its weights stay.
+func changedManifests(current map[string][]byte, changes []Change) []string {
+	var problems []string
+	for _, change := range changes {
+		before, inForce := current[change.Key]
+		if !inForce || change.Value == nil || !strings.HasPrefix(change.Key, PrefixModel) {
+			continue
+		}
+		if manifestOf(before) != manifestOf(change.Value) {
+			problems = append(problems, change.Key+": manifest: a version's weights can't be changed; declare another version")
+		}
+	}
+	return problems
+}
+
+func manifestOf(value []byte) string {
+	var model ModelVersion
+	if json.Unmarshal(value, &model) != nil {
+		return ""
+	}
+	return model.Manifest
 }
 
 // checkChanges checks each change by itself.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -10,13 +10,17 @@
 
 // Zone is an availability zone, a place that can fail as a whole.
 type Zone struct {
-	Name   string `json:"name" toml:"name"`
+	// Name of the availability zone.
+	Name string `json:"name" toml:"name"`
+	// Region the zone belongs to; it has no record of its own.
 	Region string `json:"region" toml:"region"`
 }
 
 // VM is a machine that may hold model replicas or a plain service.
 type VM struct {
+	// Name of the VM, the same as in its agent's settings.
 	Name string `json:"name" toml:"name"`
+	// Zone the VM stands in; it must be declared.
 	Zone string `json:"zone" toml:"zone"`
 	// Capacity is how many model replicas the VM can hold at once; 0 means 1.
 	Capacity int `json:"capacity,omitempty" toml:"capacity"`
@@ -35,44 +39,52 @@
 
 // Service is something callers ask for by name.
 type Service struct {
-	Name string      `json:"name" toml:"name"`
+	// Name that callers ask for.
+	Name string `json:"name" toml:"name"`
+	// Kind is "model" or "plain".
 	Kind ServiceKind `json:"kind" toml:"kind"`
 	// Model is the model a model service answers with.
 	Model string `json:"model,omitempty" toml:"model"`
 	// Paths hold rules for calls below a path prefix; the longest match applies.
 	Paths []PathRule `json:"paths,omitempty" toml:"path"`
-	// Priority of the service's requests; 0 is most urgent.
+	// Priority of the service's requests, from 0, the most urgent, to 9.
 	Priority int `json:"priority,omitempty" toml:"priority"`
 }
 
 // PathRule says how calls below a path prefix may be treated.
 type PathRule struct {
+	// Prefix of the paths below the service, beginning with "/".
 	Prefix string `json:"prefix" toml:"prefix"`
 	// AtMostOnce calls need an Idempotency-Key and never run twice.
 	AtMostOnce bool `json:"at_most_once,omitempty" toml:"at_most_once"`
 	// Idempotent calls may be retried by the system even if they may have run.
 	Idempotent bool `json:"idempotent,omitempty" toml:"idempotent"`
-	// Priority overrides the service's when it is not nil.
+	// Priority overrides the service's where it is set.
 	Priority *int `json:"priority,omitempty" toml:"priority"`
 }
 
 // Organisation is a customer whose callers share keys and limits.
 type Organisation struct {
+	// Name of the organisation.
 	Name string `json:"name" toml:"name"`
 	// KeyHashes are hex SHA-256 digests of the organisation's API keys.
 	KeyHashes []string `json:"key_hashes" toml:"key_hashes"`
 	// Weight is the share in fair queueing; 0 means 1.
 	Weight int `json:"weight,omitempty" toml:"weight"`
-	// RequestsPerSecond, Concurrency and TokensPerSecond are limits per entry
-	// process; 0 means no limit.
+	// RequestsPerSecond is the limit per entry process; 0 means no limit.
 	RequestsPerSecond float64 `json:"requests_per_second,omitempty" toml:"requests_per_second"`
-	Concurrency       int     `json:"concurrency,omitempty" toml:"concurrency"`
-	TokensPerSecond   float64 `json:"tokens_per_second,omitempty" toml:"tokens_per_second"`
+	// Concurrency is the limit of requests at once per entry process; 0
+	// means no limit.
+	Concurrency int `json:"concurrency,omitempty" toml:"concurrency"`
+	// TokensPerSecond is the limit per entry process; 0 means no limit.
+	TokensPerSecond float64 `json:"tokens_per_second,omitempty" toml:"tokens_per_second"`
 }
 
 // ModelVersion names one set of weights by the digest of its manifest.
 type ModelVersion struct {
-	Model   string `json:"model" toml:"model"`
+	// Model is the name of the model.
+	Model string `json:"model" toml:"model"`
+	// Version of the weights; the same version never changes its weights.
 	Version string `json:"version" toml:"version"`
 	// Manifest is the hex BLAKE3 digest of the manifest file.
 	Manifest string `json:"manifest" toml:"manifest"`
@@ -97,18 +109,22 @@
 
 // Rule places copies of a model version for a service.
 type Rule struct {
-	Name    string `json:"name" toml:"name"`
+	// Name of the rule.
+	Name string `json:"name" toml:"name"`
+	// Service whose model is placed; a declared model service.
 	Service string `json:"service" toml:"service"`
 	// Version of the service's model that shall be live.
 	Version string `json:"version" toml:"version"`
 	// Copies is the number of replicas wanted.
 	Copies int `json:"copies" toml:"copies"`
-	// Zones and Regions restrict where replicas stand; empty means anywhere.
-	Zones   []string `json:"zones,omitempty" toml:"zones"`
+	// Zones that replicas may stand in; empty means anywhere.
+	Zones []string `json:"zones,omitempty" toml:"zones"`
+	// Regions that replicas may stand in; empty means anywhere.
 	Regions []string `json:"regions,omitempty" toml:"regions"`
 	// MinLive replicas stay live while a new version is brought up.
 	MinLive int `json:"min_live,omitempty" toml:"min_live"`
-	// Prefer is PreferTime unless set.
+	// Prefer decides how transfers behave after faults: "time", the default,
+	// asks the origin again soon; "origin-bytes" waits longer for peers.
 	Prefer Preference `json:"prefer,omitempty" toml:"prefer"`
 }
 
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -10,7 +10,10 @@
 	"pgregory.net/rapid"
 )
 
-const hashA = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+const (
+	hashA = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+	hashB = "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+)
 
 // sound is a small inventory without faults.
 func sound() Inventory {
@@ -87,6 +90,8 @@
 		"other name":      {[]Change{{Key: "zone/z", Value: []byte(`{"name":"y","region":"r"}`)}}, []string{"zone/z: the record is named zone/y; key and name must agree"}},
 		"same key twice":  {[]Change{{Key: "zone/z"}, {Key: "zone/z"}}, []string{"zone/z: is changed twice in one request"}},
 		"whole is broken": {[]Change{{Key: "zone/stgo-a"}}, []string{`vm/vm-1: zone: zone "stgo-a" is not declared`}},
+		"other weights":   {[]Change{{Key: "model/draft@v1", Value: []byte(`{"model":"draft","version":"v1","manifest":"` + hashB + `","origin":"http://10.0.0.5:9000"}`)}}, []string{"model/draft@v1: manifest: a version's weights can't be changed; declare another version"}},
+		"other origin":    {[]Change{{Key: "model/draft@v1", Value: []byte(`{"model":"draft","version":"v1","manifest":"` + hashA + `","origin":"http://10.0.0.6:9000"}`)}}, nil},
 		"service in use":  {[]Change{{Key: "service/copywriter"}}, []string{`rule/copy: service: service "copywriter" is not declared`}},
 	}
 	for name, c := range cases {
