Routing: table of backend servers, subset, choice and outliers

Cause: an entry needs to know which backend servers may take a request and which of them to give it to.

Change: a pure Table stepped by events, an immutable View to pick from with typed reasons, and a Router for concurrent use. Policies are one concern a file: subset, nearness, two choices by own requests and decaying load, prefix affinity with bounded load, outliers set aside and probed, warm-up; random and round-robin stay as baselines.

Ruled out: counting answers as a sign of life, since a leaving server goes on ending requests after it is lost to the watch.

--- /dev/null
+++ b/internal/routing/affinity.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"maps"
+	"time"
+)
+
+// hintSet remembers prefixes that a backend server is said to have cached.
+// It is replaced, never changed, so that views may share it.
+type hintSet struct{ seen map[uint64]time.Time }
+
+// with returns the set after some cache events. Beyond the limit the oldest
+// hints go.
+func (h hintSet) with(now time.Time, events []CacheEvent, cfg *Config) hintSet {
+	if len(events) == 0 {
+		return h
+	}
+	next := maps.Clone(h.seen)
+	if next == nil {
+		next = map[uint64]time.Time{}
+	}
+	for _, e := range events {
+		if e.Evicted {
+			delete(next, e.PrefixHash)
+			continue
+		}
+		next[e.PrefixHash] = now
+	}
+	for len(next) > cfg.CacheHints {
+		dropOldest(next)
+	}
+	return hintSet{next}
+}
+
+func dropOldest(seen map[uint64]time.Time) {
+	var oldest uint64
+	var at time.Time
+	for prefix, t := range seen {
+		older := t.Before(at) || t.Equal(at) && prefix < oldest
+		if at.IsZero() || older {
+			oldest, at = prefix, t
+		}
+	}
+	delete(seen, oldest)
+}
+
+func (h hintSet) has(now time.Time, prefix uint64, ttl time.Duration) bool {
+	at, ok := h.seen[prefix]
+	return ok && now.Sub(at) < ttl
+}
+
+// chooseByPrefix returns the backend server that the prefix belongs to:
+// the first in rendezvous order that is not loaded above the bound. A cache
+// hint only breaks the tie between the first two of them, since hints come
+// late and with gaps.
+func chooseByPrefix(c *Candidates) *ServerView {
+	bound := c.affinityBound()
+	var first, second *ServerView
+	for _, s := range c.Servers {
+		if s.load(c.Now)+1 > bound*s.slots() || s.share(c.Now) < 1 {
+			continue
+		}
+		switch {
+		case first == nil || outranks(c.Request.Prefix, s, first):
+			first, second = s, first
+		case second == nil || outranks(c.Request.Prefix, s, second):
+			second = s
+		}
+	}
+	if second == nil || first.hinted(c) || !second.hinted(c) {
+		return first
+	}
+	return second
+}
+
+func outranks(prefix uint64, a, b *ServerView) bool {
+	wa, wb := rendezvous(prefix, a.hash), rendezvous(prefix, b.hash)
+	if wa != wb {
+		return wa > wb
+	}
+	return a.VM < b.VM
+}
+
+// affinityBound is the utilisation up to which a backend server takes the
+// requests of its prefixes: a factor above the mean, the new request counted,
+// and never less than what leaves it enough room anyway.
+func (c *Candidates) affinityBound() float64 {
+	load, slots := 1.0, 0.0
+	for _, s := range c.Servers {
+		load += s.load(c.Now)
+		slots += s.slots()
+	}
+	return max(c.cfg.AffinityBound*load/slots, c.cfg.AffinityFree)
+}
+
+func (s *ServerView) hinted(c *Candidates) bool {
+	return s.hints.has(c.Now, c.Request.Prefix, c.cfg.HintTTL)
+}
--- /dev/null
+++ b/internal/routing/hash.go
@@ -0,0 +1,26 @@
+package routing
+
+// hashString is FNV-1a with a final mix, since its low bits alone are too
+// regular for rendezvous hashing.
+func hashString(s string) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for i := range len(s) {
+		h ^= uint64(s[i])
+		h *= prime
+	}
+	return mix(h)
+}
+
+// mix is the finaliser of SplitMix64.
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// rendezvous is the weight of the pair; for one of them the other with the
+// highest weight is chosen.
+func rendezvous(a, b uint64) uint64 { return mix(a ^ mix(b+0x9e3779b97f4a7c15)) }
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Router makes a Table safe for concurrent use: steps take a short lock,
+// picks read a snapshot without one.
+type Router struct {
+	// fresh is a snapshot, replaced after steps that change it.
+	fresh atomic.Pointer[View]
+	mu    sync.Mutex
+	table *Table
+}
+
+// NewRouter returns a router over an empty table.
+func NewRouter(cfg Config) *Router {
+	r := &Router{table: NewTable(cfg)}
+	r.fresh.Store(r.table.View())
+	return r
+}
+
+// Step applies one event and returns what has to be done for it.
+func (r *Router) Step(now time.Time, event Event) []Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	actions := r.table.Step(now, event)
+	if v := r.table.View(); v != r.fresh.Load() {
+		r.fresh.Store(v)
+	}
+	return actions
+}
+
+// maxAttempts bounds how often Acquire picks again when others took the slot
+// in the meantime.
+const maxAttempts = 3
+
+// Acquire picks a backend server and counts the request as dispatched, so
+// that concurrent picks see it. Finished or NotRun with the same id must
+// follow. The top-level source of math/rand is used: it is safe for
+// concurrent use, and only the pure Pick needs a seeded one.
+func (r *Router) Acquire(now time.Time, id string, req Request) (Choice, Reason) {
+	rng := rand.New(globalSource{})
+	for attempt := 1; ; attempt++ {
+		v := r.fresh.Load()
+		choice, reason := v.Pick(now, req, rng)
+		if reason != Picked {
+			return choice, reason
+		}
+		if r.dispatch(now, id, choice, attempt == maxAttempts) {
+			return choice, Picked
+		}
+	}
+}
+
+// dispatch counts the request unless the slot has gone.
+func (r *Router) dispatch(now time.Time, id string, choice Choice, force bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.table.servers[choice.VM]
+	if s == nil {
+		return force
+	}
+	if !force && s.count.inFlight.Load() >= int64(r.table.slots(s)) {
+		return false
+	}
+	s.dispatched(now, id)
+	return true
+}
+
+// View returns the present snapshot, for Pick without dispatch and for Room.
+func (r *Router) View() *View { return r.fresh.Load() }
+
+// globalSource draws from the process-wide random source.
+type globalSource struct{}
+
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,306 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+)
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// bed is a table with a clock and a seeded source.
+type bed struct {
+	t     *testing.T
+	table *Table
+	now   time.Time
+	rng   Rand
+	seq   uint64
+	next  int
+}
+
+// newBed has n members s0, s1, ... of "chat", watched and live on m@v1.
+func newBed(t *testing.T, n int, cfg Config) *bed {
+	cfg.Entry, cfg.Zone = orDefault(cfg.Entry, "e"), orDefault(cfg.Zone, "a1")
+	b := &bed{t: t, table: NewTable(cfg), now: start, rng: rand.New(rand.NewPCG(1, 2))}
+	b.step(ZonesChanged{[]inventory.Zone{{Name: "a1", Region: "a"}, {Name: "a2", Region: "a"}, {Name: "b1", Region: "b"}}})
+	for i := range n {
+		b.step(MemberChanged{member(i, inventory.MemberUp)})
+		b.state(i, "v1")
+	}
+	return b
+}
+
+func name(i int) string { return fmt.Sprintf("s%d", i) }
+
+func member(i int, state inventory.MemberState) inventory.Member {
+	return inventory.Member{VM: name(i), Zone: "a1", Addr: "10.0.0.1:1", Service: "chat", Incarnation: 1, State: state}
+}
+
+func (b *bed) step(e Event) []Action { return b.table.Step(b.now, e) }
+
+func (b *bed) state(i int, version string) { b.send(i, AgentState{ReportedLoad: -1}, version) }
+
+func (b *bed) send(i int, st AgentState, version string) {
+	b.seq++
+	st.VM, st.Seq = name(i), b.seq
+	st.Incarnation = max(1, st.Incarnation)
+	st.Concurrency = max(st.Concurrency, 4)
+	if version != "" {
+		st.Live = []Version{{"m", version}}
+	}
+	b.step(st)
+}
+
+func (b *bed) heartbeats(version string, vms ...int) {
+	for _, i := range vms {
+		b.state(i, version)
+	}
+}
+
+func (b *bed) wait(d time.Duration) { b.now = b.now.Add(d) }
+
+func (b *bed) pick(req Request) (Choice, Reason) {
+	req.Service = "chat"
+	return b.table.Pick(b.now, req, b.rng)
+}
+
+// picks counts where n requests would go.
+func (b *bed) picks(n int, req Request) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		c, reason := b.pick(req)
+		require.Equal(b.t, Picked, reason)
+		counts[c.VM]++
+	}
+	return counts
+}
+
+// serve sends a request to a backend server and ends it after a time.
+func (b *bed) serve(vm string, took time.Duration, outcome Outcome) []Action {
+	b.next++
+	id := fmt.Sprint(b.next)
+	b.step(Dispatched{vm, id})
+	return b.step(Finished{VM: vm, ID: id, Outcome: outcome, FirstToken: took, Total: took})
+}
+
+func TestReasons(t *testing.T) {
+	model := Request{Model: "m"}
+	for _, tc := range []struct {
+		name string
+		n    int
+		do   func(b *bed)
+		req  Request
+		want Reason
+	}{
+		{"none announced", 0, func(*bed) {}, model, ReasonNoneAnnounced},
+		{"picked", 2, func(*bed) {}, model, Picked},
+		{"plain", 1, func(b *bed) { b.state(0, "") }, Request{}, Picked},
+		{"other version", 2, func(*bed) {}, Request{Model: "m", Version: "v2"}, ReasonNoneLive},
+		{"other model", 2, func(*bed) {}, Request{Model: "x"}, ReasonNoneLive},
+		{"leaving said by the agent", 1, func(b *bed) { b.send(0, AgentState{Leaving: true}, "v1") }, model, ReasonAllLeaving},
+		{"leaving said by control", 1, func(b *bed) { b.step(MemberChanged{member(0, inventory.MemberLeaving)}) }, model, ReasonAllLeaving},
+		{"leaving said in a refusal", 1, func(b *bed) {
+			b.step(Dispatched{"s0", "1"})
+			b.step(NotRun{VM: "s0", ID: "1", Reason: NotRunLeaving})
+			b.wait(time.Second)
+			b.state(0, "v1") // sent before the refusal
+		}, model, ReasonAllLeaving},
+		{"silent", 1, func(b *bed) { b.wait(5 * time.Second) }, model, ReasonNoneHeard},
+		{"watch lost, not yet silent", 1, func(b *bed) { b.wait(time.Second); b.step(WatchLost{"s0"}) }, model, Picked},
+		{"refused for its version", 1, func(b *bed) {
+			b.step(NotRun{VM: "s0", Reason: NotRunVersion, Version: Version{"m", "v1"}})
+		}, model, ReasonNoneLive},
+		{"full", 1, func(b *bed) {
+			for i := range 4 {
+				b.step(Dispatched{"s0", fmt.Sprint(i)})
+			}
+		}, model, ReasonFull},
+		{"full by others", 1, func(b *bed) { b.send(0, AgentState{InFlight: 4}, "v1") }, model, ReasonFull},
+		{"excluded", 1, func(*bed) {}, Request{Model: "m", Excluded: []string{"s0"}}, ReasonAllExcluded},
+		{"aside is the last resort", 1, func(b *bed) { b.table.servers["s0"].health.phase = phaseAside }, model, Picked},
+		{"aside and excluded", 2, func(b *bed) { b.table.servers["s0"].health.phase = phaseAside },
+			Request{Model: "m", Excluded: []string{"s1"}}, ReasonAllAside},
+		{"gone", 1, func(b *bed) { b.step(MemberGone{"s0"}) }, model, ReasonNoneAnnounced},
+		{"old state after a restart", 1, func(b *bed) {
+			m := member(0, inventory.MemberUp)
+			m.Incarnation = 2
+			b.step(MemberChanged{m})
+			b.state(0, "v1")
+		}, model, ReasonNoneHeard},
+		{"down for control, heard here", 1, func(b *bed) { b.step(MemberChanged{member(0, inventory.MemberDown)}) }, model, Picked},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBed(t, tc.n, Config{})
+			tc.do(b)
+			_, reason := b.pick(tc.req)
+			require.Equal(t, tc.want, reason)
+		})
+	}
+}
+
+func TestOlderStatesAreIgnored(t *testing.T) {
+	b := newBed(t, 1, Config{})
+	b.step(AgentState{VM: "s0", Incarnation: 1, Seq: 10, Leaving: true})
+	b.wait(6 * time.Second)
+	b.step(AgentState{VM: "s0", Incarnation: 1, Seq: 9, Live: []Version{{"m", "v1"}}})
+	require.True(t, b.table.servers["s0"].leaving)
+}
+
+func TestVersionDuringARoll(t *testing.T) {
+	b := newBed(t, 3, Config{})
+	b.step(RulesChanged{
+		Rules:    []inventory.Rule{{Service: "chat", Version: "v2"}},
+		Services: []inventory.Service{{Name: "chat", Model: "m"}},
+	})
+	c, _ := b.pick(Request{Model: "m"})
+	require.Equal(t, "v1", c.Version, "the only live one")
+	b.state(2, "v2")
+	b.wait(time.Minute)
+	b.heartbeats("v1", 0, 1)
+	b.state(2, "v2")
+	for range 50 {
+		c, _ = b.pick(Request{Model: "m"})
+		require.Equal(t, "v2", c.Version, "the rule's version")
+	}
+	b.send(2, AgentState{InFlight: 4}, "v2")
+	c, _ = b.pick(Request{Model: "m"})
+	require.Equal(t, "v1", c.Version, "the other one when it is full")
+	_, reason := b.pick(Request{Model: "m", Version: "v2"})
+	require.Equal(t, ReasonFull, reason, "pinned")
+}
+
+func TestSuspectsComeLast(t *testing.T) {
+	b := newBed(t, 2, Config{})
+	b.step(WatchLost{"s0"})
+	require.Equal(t, map[string]int{"s1": 50}, b.picks(50, Request{Model: "m"}))
+}
+
+// A backend server that says it has no load gets its share, not everything:
+// own requests are counted by the entry itself.
+func TestLyingLoadDoesNotAttractAll(t *testing.T) {
+	b := newBed(t, 4, Config{})
+	for i := range 4 {
+		st := AgentState{Concurrency: 50, ReportedLoad: 0.3}
+		if i == 0 {
+			st.ReportedLoad = 0
+		}
+		b.send(i, st, "v1")
+	}
+	counts := map[string]int{}
+	for i := range 80 {
+		c, reason := b.pick(Request{Model: "m"})
+		require.Equal(t, Picked, reason)
+		b.step(Dispatched{c.VM, fmt.Sprint(i)})
+		counts[c.VM]++
+	}
+	require.Less(t, counts["s0"], 40, "%v", counts)
+}
+
+// A load figure that stays the same loses its weight: the backend server may
+// have stopped reporting.
+func TestStaleLoadDecays(t *testing.T) {
+	b := newBed(t, 2, Config{})
+	for range 10 {
+		b.send(0, AgentState{ReportedLoad: 0.74, Concurrency: 100}, "v1")
+		b.send(1, AgentState{ReportedLoad: 0.1, Concurrency: 100}, "v1")
+		b.wait(2 * time.Second)
+	}
+	counts := b.balance(40)
+	require.Greater(t, counts["s0"], 10, "%v", counts)
+}
+
+// balance dispatches n requests that stay in flight.
+func (b *bed) balance(n int) map[string]int {
+	counts := map[string]int{}
+	for i := range n {
+		c, reason := b.pick(Request{Model: "m"})
+		require.Equal(b.t, Picked, reason)
+		b.step(Dispatched{c.VM, fmt.Sprint("b", i)})
+		counts[c.VM]++
+	}
+	return counts
+}
+
+func TestNewReplicaIsWarmed(t *testing.T) {
+	b := newBed(t, 4, Config{})
+	b.state(3, "")
+	b.state(3, "v1") // comes live while known
+	cold := b.picks(400, Request{Model: "m"})["s3"]
+	require.Less(t, cold, 40)
+	b.wait(20 * time.Second)
+	b.heartbeats("v1", 0, 1, 2, 3)
+	require.Greater(t, b.picks(400, Request{Model: "m"})["s3"], 60)
+}
+
+func TestNearGoesFirstAndSpills(t *testing.T) {
+	b := newBed(t, 6, Config{})
+	for i := range 3 {
+		m := member(i, inventory.MemberUp)
+		m.Zone = "b1"
+		b.step(MemberChanged{m})
+	}
+	counts := b.picks(60, Request{Model: "m"})
+	require.Zero(t, counts["s0"]+counts["s1"]+counts["s2"])
+	for i := range 9 { // three of four slots on each near one
+		b.step(Dispatched{name(3 + i%3), fmt.Sprint(i)})
+	}
+	counts = b.picks(200, Request{Model: "m"})
+	require.Greater(t, counts["s0"]+counts["s1"]+counts["s2"], 100, "%v", counts)
+}
+
+func TestPrefixStaysUntilLoaded(t *testing.T) {
+	b := newBed(t, 5, Config{})
+	req := Request{Model: "m", Prefix: 77}
+	c, _ := b.pick(req)
+	require.Equal(t, map[string]int{c.VM: 20}, b.picks(20, req))
+	for i := range 2 { // half its slots: above the bound of 1.5 times the mean
+		b.step(Dispatched{c.VM, fmt.Sprint(i)})
+	}
+	other, _ := b.pick(req)
+	require.NotEqual(t, c.VM, other.VM)
+	// Most prefixes keep their owner when another backend server goes.
+	moved := 0
+	for prefix := range uint64(200) {
+		before, _ := b.pick(Request{Model: "m", Prefix: prefix + 1000})
+		after, _ := b.pick(Request{Model: "m", Prefix: prefix + 1000, Excluded: []string{other.VM}})
+		if before.VM != other.VM && before.VM != after.VM {
+			moved++
+		}
+	}
+	require.Zero(t, moved)
+}
+
+func TestCacheHintsAreOnlyHints(t *testing.T) {
+	b := newBed(t, 8, Config{CacheHints: 4})
+	req := Request{Model: "m", Prefix: 77}
+	owner, _ := b.pick(req)
+	second, _ := b.pick(Request{Model: "m", Prefix: 77, Excluded: []string{owner.VM}})
+	hint := func(vm string, events ...CacheEvent) {
+		s := b.table.servers[vm]
+		st := s.state
+		st.Seq++
+		st.CacheEvents = events
+		b.step(st)
+	}
+	hint(second.VM, CacheEvent{PrefixHash: 77})
+	require.Equal(t, map[string]int{second.VM: 9}, b.picks(9, req), "a hint moves it to the second")
+	hint(second.VM, CacheEvent{PrefixHash: 77, Evicted: true})
+	require.Equal(t, map[string]int{owner.VM: 9}, b.picks(9, req))
+	for i := range uint64(20) {
+		hint(second.VM, CacheEvent{PrefixHash: i})
+	}
+	require.Len(t, b.table.servers[second.VM].hints.seen, 4, "bounded")
+}
+
+func TestRoomSumsFreeSlots(t *testing.T) {
+	b := newBed(t, 3, Config{})
+	b.step(Dispatched{"s0", "1"})
+	b.send(1, AgentState{Leaving: true}, "v1")
+	room := b.table.View().Room(b.now, Request{Service: "chat", Model: "m"})
+	require.Equal(t, Room{Servers: 2, Slots: 8, Free: 7}, room)
+}
--- /dev/null
+++ b/internal/routing/warmup.go
@@ -0,0 +1,16 @@
+package routing
+
+import "time"
+
+// warmUpShare is the share of requests a replica gets that has been live
+// since then: rising evenly from the floor to 1.
+func warmUpShare(now, since time.Time, cfg *Config) float64 {
+	if since.IsZero() {
+		return 1
+	}
+	done := float64(now.Sub(since)) / float64(cfg.WarmUp)
+	if done >= 1 {
+		return 1
+	}
+	return cfg.WarmUpFloor + (1-cfg.WarmUpFloor)*max(0, done)
+}
