--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -30,7 +30,8 @@
 	Status(ctx context.Context) (Status, error)
 	// Audit returns records with a revision above query.Since, oldest first.
 	Audit(ctx context.Context, query AuditQuery) ([]inventory.AuditRecord, error)
-	// Members lists the consensus members.
+	// Members lists the consensus members, as confirmed with a quorum: a
+	// server that was removed must not answer from what it knew.
 	Members(ctx context.Context) ([]Server, error)
 	// AddServer adds a server as a learner; it becomes a voter when caught
 	// up. Adding a server that is there already succeeds.
--- a/internal/adminclient/calls.go
+++ b/internal/adminclient/calls.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -64,32 +65,59 @@
 	return reply, err
 }
 
-// Status returns the leader's status, or that of the server which answered
-// when the leader doesn't.
+// Status returns the leader's status. When the leader isn't reached, it is
+// that of the server which knows most: one with a quorum, then the one with
+// the highest revision.
 func (c *Client) Status(ctx context.Context) (admin.Status, error) {
-	var status admin.Status
-	err := c.do(ctx, call{method: http.MethodGet, path: admin.PathStatus}, &status)
-	if err != nil || status.Server == status.Leader || status.LeaderAdminAddr == "" {
-		return status, err
-	}
-	leader, err := New(c.leaderConfig(status.LeaderAdminAddr))
+	var best admin.Status
+	err := c.do(ctx, call{method: http.MethodGet, path: admin.PathStatus}, &best)
 	if err != nil {
-		return status, nil
+		return best, err
+	}
+	for _, base := range c.othersToAsk(best) {
+		if fromLeader(best) {
+			break
+		}
+		if other, ok := c.statusOf(ctx, base); ok && knowsMore(other, best) {
+			best = other
+		}
 	}
-	var fromLeader admin.Status
-	answer := leader.send(ctx, call{method: http.MethodGet, path: admin.PathStatus})
-	if answer.status != http.StatusOK || decodeAnswer(answer, &fromLeader) != nil {
-		return status, nil
+	return best, nil
+}
+
+// othersToAsk are the servers besides the one that answered, the leader it
+// named in front.
+func (c *Client) othersToAsk(status admin.Status) []string {
+	others := slices.Clone(c.bases[1:])
+	if status.LeaderAdminAddr != "" {
+		scheme, _, _ := strings.Cut(c.bases[0], "://")
+		others = append([]string{scheme + "://" + status.LeaderAdminAddr}, others...)
 	}
-	return fromLeader, nil
+	return others
 }
 
-// leaderConfig is the client's own, with the leader as the only address.
-func (c *Client) leaderConfig(addr string) Config {
-	cfg := c.cfg
-	scheme, _, _ := strings.Cut(c.bases[0], "://")
-	cfg.Addrs = []string{scheme + "://" + addr}
-	return cfg
+// statusOf asks one server, once.
+func (c *Client) statusOf(ctx context.Context, base string) (admin.Status, bool) {
+	one := &Client{cfg: c.cfg, http: c.http, bases: []string{base}}
+	answer := one.send(ctx, call{method: http.MethodGet, path: admin.PathStatus})
+	var status admin.Status
+	ok := answer.status == http.StatusOK && decodeAnswer(answer, &status) == nil
+	return status, ok
+}
+
+func fromLeader(status admin.Status) bool {
+	return status.Quorum && status.Server == status.Leader
+}
+
+func knowsMore(a, b admin.Status) bool {
+	switch {
+	case fromLeader(a) != fromLeader(b):
+		return fromLeader(a)
+	case a.Quorum != b.Quorum:
+		return a.Quorum
+	default:
+		return a.Revision > b.Revision
+	}
 }
 
 // Audit returns audit records, oldest first.
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -28,7 +28,9 @@
 
 // Defaults of Config.
 const (
-	DefaultAttemptTimeout = 12 * time.Second
+	// DefaultAttemptTimeout is short, so that a frozen server is left soon:
+	// resending elsewhere is safe.
+	DefaultAttemptTimeout = 5 * time.Second
 	DefaultPatience       = 30 * time.Second
 	// retryPause lies between two rounds over the addresses.
 	retryPause = 500 * time.Millisecond
--- a/internal/adminclient/client_test.go
+++ b/internal/adminclient/client_test.go
@@ -147,18 +147,32 @@
 	require.NoError(t, err)
 	require.Len(t, leader.AuditTrail(), 1)
 	require.Empty(t, follower.AuditTrail())
+}
 
-	leader.SetStatus(admin.Status{Server: "control-2", Leader: "control-2", Term: 7})
-	follower.SetStatus(admin.Status{Server: "control-1", Leader: "control-2", LeaderAdminAddr: leaderAddr})
-	client, ctx = newClient(t, serve(t, newHandler(t, follower)))
-	status, err := client.Status(ctx)
-	require.NoError(t, err)
-	require.Equal(t, uint64(7), status.Term, "the leader's status is taken")
-
-	follower.SetStatus(admin.Status{Server: "control-1", Leader: "control-2", LeaderAdminAddr: closedAddr(t)})
-	status, err = client.Status(ctx)
-	require.NoError(t, err)
-	require.Equal(t, "control-1", status.Server, "the follower's own when the leader is out of reach")
+func TestStatusOfTheServerThatKnowsMost(t *testing.T) {
+	leader, follower, removed := admintest.New(inventory.Inventory{}), admintest.New(inventory.Inventory{}), admintest.New(inventory.Inventory{})
+	leaderAddr, followerAddr := serve(t, newHandler(t, leader)), serve(t, newHandler(t, follower))
+	removedAddr := serve(t, newHandler(t, removed))
+	leader.SetStatus(admin.Status{Server: "control-2", Leader: "control-2", Quorum: true})
+	follower.SetStatus(admin.Status{Server: "control-1", Leader: "control-2", Quorum: true, LeaderAdminAddr: leaderAddr})
+	removed.SetStatus(admin.Status{Server: "control-0"})
+	cases := map[string]struct {
+		addrs []string
+		want  string
+	}{
+		"follower names the leader":    {[]string{followerAddr}, "control-2"},
+		"leader among the addresses":   {[]string{removedAddr, leaderAddr}, "control-2"},
+		"follower rather than removed": {[]string{removedAddr, followerAddr}, "control-1"},
+		"only a removed server":        {[]string{removedAddr, closedAddr(t)}, "control-0"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			client, ctx := newClient(t, c.addrs...)
+			status, err := client.Status(ctx)
+			require.NoError(t, err)
+			require.Equal(t, c.want, status.Server)
+		})
+	}
 }
 
 func TestDefiniteRefusals(t *testing.T) {
