--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -1,31 +1,40 @@
+// Demo runs lynxgate's main job as separate processes on loopback: it brings
+// a model live on four VMs, serves a recorded load, rolls to a second version
+// under that load, kills an entry and the control leader on the way, stops
+// everything gracefully and prints what happened. It exits 0 only if every
+// promise held.
 package main
 
 import (
+	"flag"
 	"fmt"
 	"os"
-	"time"
 
 	"lynxgate.dev/lynxgate/internal/harness"
 )
 
 func main() {
-	fleet, err := harness.NewFleet("out/demo", "bin")
-	if err != nil {
-		fmt.Println(err)
+	dir := flag.String("dir", "out/demo", "folder for settings, logs and data; emptied first")
+	bin := flag.String("bin", "bin", "folder with the programs")
+	flag.Parse()
+	if err := run(*dir, *bin); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		os.Exit(1)
 	}
+}
+
+func run(dir, bin string) error {
+	if err := os.RemoveAll(dir); err != nil {
+		return err
+	}
+	fleet, err := harness.NewFleet(dir, bin)
+	if err != nil {
+		return err
+	}
 	defer fleet.KillAll()
 	s, err := start(fleet)
-	fmt.Println("started", err)
 	if err != nil {
-		return
+		return err
 	}
-	fmt.Println(s.operator.Apply("inventory-in.toml", s.inventory()))
-	t := time.Now()
-	fmt.Println(s.operator.Apply("rules-in.toml", rules("v1")))
-	fmt.Println(harness.Wait(60*time.Second, "live", func() bool { return s.operator.Live(model, "v1") == 4 }), time.Since(t))
-	out, _ := s.operator.Run("status")
-	fmt.Println(out)
-	fmt.Println("entries:", s.entries[0].CallersAddr, s.entries[1].CallersAddr)
-	time.Sleep(20 * time.Second)
+	return s.play()
 }
