Entry: routing table, admission and measured capacity in the request path

Cause: the thin path picked at random and admitted everything. Change: one goroutine feeds internal/routing from the configuration and the watches; every call passes internal/admission first; attempts report back first-token time and outcome. Only a service without any usable backend server has no capacity; one whose servers are busy keeps its queue (SetFree). Ruled out: capacity as running + free slots alone: 0 when other entries fill the servers, which refused the whole queue as no_backend_server.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -39,6 +39,9 @@
 	done bool
 	// hold keeps an event stream back too, until its end mark was checked.
 	hold bool
+	// repeated is true when no backend server was asked, since the call's key
+	// had been claimed before.
+	repeated bool
 	// version is the model version that answers; a resumed stream keeps it.
 	version string
 	// firstSent is called before the first byte goes to the caller.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -9,6 +9,7 @@
 
 	"lynxgate.dev/lynxgate/internal/frames"
 	"lynxgate.dev/lynxgate/internal/outcome"
+	"lynxgate.dev/lynxgate/internal/routing"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
@@ -16,31 +17,120 @@
 // headerResume tells an engine after how many tokens to go on.
 const headerResume = "X-Resume-Tokens"
 
+const (
+	// noBackendRetry is the advice when no backend server is live.
+	noBackendRetry = 2 * time.Second
+	// overloadedRetry is the advice when all are full for the moment.
+	overloadedRetry = 500 * time.Millisecond
+)
+
 // errCallerGone says that the caller no longer takes the answer.
 var errCallerGone = errors.New("caller is gone")
 
 // attempt is one dispatch of a call to one backend server.
 type attempt struct {
+	entry  *Entry
 	call   *call
-	number int
-	target choice
+	id     string
 	answer *answer
-	pool   *rpcconn.Pool
+	target routing.Choice
+	// started and firstToken time the attempt; firstToken is 0 before any
+	// part of the answer has come.
+	started    time.Time
+	firstToken time.Duration
+}
+
+func (e *Entry) newAttempt(c *call, a *answer, number int) *attempt {
+	return &attempt{entry: e, call: c, answer: a, id: fmt.Sprintf("%s/%d", c.id, number)}
+}
+
+// start picks a backend server that is not excluded, dispatches the call to
+// it and tells the routing table how that ended. A stream that the caller has
+// a part of is only resumed on the same version.
+func (t *attempt) start(ctx context.Context, excluded []string) outcome.Outcome {
+	request := routing.Request{
+		Service:  t.call.service.Name,
+		Model:    t.call.service.Model,
+		Prefix:   t.call.prefixHash,
+		Excluded: excluded,
+	}
+	if t.answer.sent {
+		request.Version = t.answer.version
+	}
+	t.started = time.Now()
+	target, reason := t.entry.router.table.Acquire(t.started, t.id, request)
+	if reason != routing.Picked {
+		return notPicked(reason)
+	}
+	t.target = target
+	t.answer.version = target.Version
+	end := t.run(ctx)
+	t.entry.router.step(context.WithoutCancel(ctx), t.ended(end))
+	return end
+}
+
+// notPicked tells why no backend server could take the call.
+func notPicked(reason routing.Reason) outcome.Outcome {
+	switch reason {
+	case routing.ReasonFull, routing.ReasonAllAside, routing.ReasonAllExcluded:
+		return outcome.Not(outcome.Overloaded, string(reason), overloadedRetry)
+	case routing.ReasonAllLeaving:
+		return outcome.Not(outcome.Leaving, string(reason), noBackendRetry)
+	}
+	return outcome.Not(outcome.NoBackend, string(reason), noBackendRetry)
+}
+
+// ended is what the routing table learns of the attempt.
+func (t *attempt) ended(end outcome.Outcome) routing.Event {
+	if end.Kind == outcome.NotRun {
+		version := routing.Version{Model: t.call.service.Model, Version: t.target.Version}
+		return routing.NotRun{VM: t.target.VM, ID: t.id, Reason: notRunReason(end.Reason), Version: version}
+	}
+	result := routing.Failed
+	switch {
+	case end.Kind == outcome.Completed:
+		result = routing.Completed
+	case end.Reason == outcome.Cancelled:
+		result = routing.Cancelled
+	}
+	return routing.Finished{
+		VM:         t.target.VM,
+		ID:         t.id,
+		Outcome:    result,
+		FirstToken: t.firstToken,
+		Total:      time.Since(t.started),
+	}
+}
+
+func notRunReason(reason outcome.Reason) routing.NotRunReason {
+	switch reason {
+	case outcome.Leaving:
+		return routing.NotRunLeaving
+	case outcome.VersionNotLive:
+		return routing.NotRunVersion
+	case outcome.BackendRefused, outcome.Overloaded:
+		return routing.NotRunFull
+	}
+	return routing.NotRunUnreachable
 }
 
 // run dispatches the call and passes the answer on until it ends.
 func (t *attempt) run(ctx context.Context) outcome.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn := t.pool.Get(ctx, t.target.addr)
+	conn := t.entry.pool.Get(ctx, t.target.Addr)
 	defer conn.Close()
-	request := t.request()
-	stream, err := rpc.NewDRPCDispatchClient(conn).Run(ctx, request)
+	stream, err := rpc.NewDRPCDispatchClient(conn).Run(ctx, t.request())
 	if err != nil {
 		return lost(ctx, err)
 	}
 	defer stream.Close()
-	assembler := frames.NewAssembler(frames.DefaultConfig, request.RequestId)
+	return t.receive(ctx, stream)
+}
+
+// receive assembles the answer from its frames.
+func (t *attempt) receive(ctx context.Context, stream rpc.DRPCDispatch_RunClient) outcome.Outcome {
+	assembler := frames.NewAssembler(frames.DefaultConfig, t.id)
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
@@ -65,11 +155,11 @@
 		headers = append(headers[:len(headers):len(headers)], resume)
 	}
 	return &rpc.RunRequest{
-		RequestId:    fmt.Sprintf("%s/%d", c.id, t.number),
+		RequestId:    t.id,
 		Organisation: c.organisation.Name,
 		Service:      c.service.Name,
-		Model:        t.target.model,
-		Version:      t.target.version,
+		Model:        c.service.Model,
+		Version:      t.target.Version,
 		Method:       c.method,
 		Path:         c.path,
 		Headers:      headers,
@@ -83,6 +173,9 @@
 	if result.Head != nil {
 		t.answer.head(result.Head.Status, result.Head.Headers)
 	}
+	if len(result.Data) > 0 && t.firstToken == 0 {
+		t.firstToken = time.Since(t.started)
+	}
 	for _, piece := range result.Data {
 		if err := t.answer.data(piece); err != nil {
 			return fmt.Errorf("%w: %w", errCallerGone, err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"lynxgate.dev/lynxgate/internal/admission"
 	"lynxgate.dev/lynxgate/internal/controlclient"
 	"lynxgate.dev/lynxgate/internal/keyspace"
 	"lynxgate.dev/lynxgate/internal/retry"
@@ -76,8 +79,8 @@
 	control     *controlclient.Client
 	announcer   *controlclient.Announcer
 	pool        *rpcconn.Pool
-	backends    *backends
-	watches     *watches
+	router      *router
+	admission   *admission.Controller
 	catalog     atomic.Pointer[catalog]
 	retryPolicy retry.Policy
 	metrics     *metrics
@@ -98,12 +101,12 @@
 		feed:        feed,
 		control:     control,
 		pool:        rpcconn.NewPool(),
-		backends:    newBackends(),
+		admission:   admission.NewController(admissionConfig(cfg), time.Now),
 		retryPolicy: retry.DefaultPolicy,
 		budgets:     map[string]*retry.Budget{},
 	}
 	e.metrics = newMetrics(cfg.Registerer)
-	e.watches = newWatches(e)
+	e.router = newRouter(e)
 	e.catalog.Store(newCatalog(feed.View()))
 	e.announcer = controlclient.NewAnnouncer(controlclient.AnnouncerConfig{
 		Client:  control,
@@ -122,25 +125,27 @@
 		return fmt.Errorf("callers_addr: %w", err)
 	}
 	go func() { _ = e.announcer.Run(ctx) }()
-	go e.followFeed(ctx)
+	go e.router.run(ctx)
+	go e.admission.Run(ctx)
 	defer e.pool.Close()
 	return e.serveHTTP(ctx, lis)
 }
 
-// followFeed rebuilds the catalog and the watches at every revision.
-func (e *Entry) followFeed(ctx context.Context) {
-	for {
-		changed := e.feed.Changed()
-		view := e.feed.View()
-		e.catalog.Store(newCatalog(view))
-		e.watches.update(ctx, view)
-		e.announcer.Changed()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
+// follow takes over a new configuration for requests to come.
+func (e *Entry) follow(view *keyspace.View) {
+	cat := newCatalog(view)
+	e.catalog.Store(cat)
+	e.admission.SetOrganisations(slices.Collect(maps.Values(cat.organisations)))
+	e.announcer.Changed()
+}
+
+func admissionConfig(cfg Config) admission.Config {
+	c := admission.DefaultConfig
+	c.Seed = cfg.Incarnation
+	if cfg.QueueLength > 0 {
+		c.MaxQueued = cfg.QueueLength
 	}
+	return c
 }
 
 func (e *Entry) announcement() *rpc.AnnounceRequest {
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/admission"
 	"lynxgate.dev/lynxgate/internal/outcome"
 	"lynxgate.dev/lynxgate/internal/retry"
 )
@@ -25,16 +26,42 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	a := &answer{w: w}
-	var end outcome.Outcome
+	end := e.admit(ctx, c, a)
+	e.finish(c, a, end)
+}
+
+// admit waits for the call's turn and runs it, or returns why it did not run.
+func (e *Entry) admit(ctx context.Context, c *call, a *answer) outcome.Outcome {
+	ticket, refused := e.admission.Acquire(ctx, admission.Request{
+		Organisation: c.organisation.Name,
+		Service:      c.service.Name,
+		Priority:     c.priority,
+		Deadline:     c.deadline,
+		Tokens:       float64(c.tokens),
+	})
+	if ticket == nil {
+		return refused
+	}
+	// A repeat or a panic says nothing about the service time.
+	ran := outcome.NotRun
+	defer func() { ticket.Finish(ran, float64(a.tokens)) }()
+	end := e.runCall(ctx, c, a)
+	if !a.repeated {
+		ran = end.Kind
+	}
+	return end
+}
+
+// runCall dispatches an admitted call and passes the whole answer on.
+func (e *Entry) runCall(ctx context.Context, c *call, a *answer) outcome.Outcome {
 	if c.rule.AtMostOnce {
-		end = e.serveClaimed(ctx, c, a)
-	} else {
-		end = e.dispatch(ctx, c, a)
-		if end.Kind == outcome.Completed {
-			_ = a.end()
-		}
+		return e.serveClaimed(ctx, c, a)
 	}
-	e.finish(c, a, end)
+	end := e.dispatch(ctx, c, a)
+	if end.Kind == outcome.Completed {
+		_ = a.end()
+	}
+	return end
 }
 
 func (e *Entry) answerRefusal(w http.ResponseWriter, err error) {
@@ -68,13 +95,11 @@
 		AtMostOnce: c.rule.AtMostOnce,
 		Deadline:   c.deadline,
 	})
-	excluded := map[string]bool{}
-	version := ""
+	var excluded []string
 	for {
-		o := e.attemptOnce(ctx, c, a, attempts.Made(), version, excluded)
-		if a.sent {
-			version = a.version
-		}
+		t := e.newAttempt(c, a, attempts.Made())
+		o := t.start(ctx, excluded)
+		excluded = append(excluded, t.target.VM)
 		begun := a.sent && !a.resumable()
 		decision := attempts.Ended(o, begun, time.Now(), budget)
 		if !decision.Retry || ctx.Err() != nil {
@@ -86,23 +111,6 @@
 	}
 }
 
-// attemptOnce picks a backend server and dispatches the call to it.
-func (e *Entry) attemptOnce(ctx context.Context, c *call, a *answer, number int, version string, excluded map[string]bool) outcome.Outcome {
-	target, ok := e.backends.pick(c.service, version, excluded)
-	if !ok {
-		return outcome.Not(outcome.NoBackend, "no backend server of "+c.service.Name+" is live", noBackendRetry)
-	}
-	excluded[target.vm] = true
-	if !a.sent {
-		a.version = target.version
-	}
-	t := &attempt{call: c, number: number, target: target, answer: a, pool: e.pool}
-	return t.run(ctx)
-}
-
-// noBackendRetry is the advice when no backend server is live.
-const noBackendRetry = 2 * time.Second
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -8,6 +8,7 @@
 type metrics struct {
 	requests  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
+	aside     *prometheus.CounterVec
 	unsettled prometheus.Counter
 }
 
@@ -22,6 +23,10 @@
 			Name: "lynxgate_entry_retries_total",
 			Help: "Attempts after the first, by service and reason of the one before.",
 		}, []string{"service", "reason"}),
+		aside: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_entry_servers_set_aside_total",
+			Help: "Backend servers set aside for a while, by cause.",
+		}, []string{"cause"}),
 		unsettled: f.NewCounter(prometheus.CounterOpts{
 			Name: "lynxgate_entry_unsettled_claims_total",
 			Help: "Outcomes of at-most-once requests that could not be recorded; their keys become unknown.",
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,103 +2,211 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
 	"lynxgate.dev/lynxgate/internal/keyspace"
+	"lynxgate.dev/lynxgate/internal/routing"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
 
-// watchRetry is waited before a lost watch is opened again.
-const watchRetry = 500 * time.Millisecond
+const (
+	// watchRetry is waited before a lost watch is opened again.
+	watchRetry = 500 * time.Millisecond
+	// routerTick lets time pass in the routing table.
+	routerTick = time.Second
+)
 
-// watches keeps one watch open on every agent of the entry's subset.
-type watches struct {
+// router feeds the routing table: members and rules from the configuration,
+// agents' states from the watches it keeps open. Its one goroutine owns the
+// watches; traffic goroutines use the table.
+type router struct {
 	entry *Entry
+	table *routing.Router
+	// members holds the revision of each member known to the table.
+	members map[string]uint64
+	watches map[string]context.CancelFunc
+	// actions brings what steps on other goroutines ask for.
+	actions chan []routing.Action
+	// capacity is signalled when backend servers came, went or changed.
+	capacity chan struct{}
+}
+
+func newRouter(e *Entry) *router {
+	cfg := routing.DefaultConfig()
+	cfg.Entry = e.cfg.Name
+	cfg.Zone = e.cfg.Zone
+	if e.cfg.WatchSubset > 0 {
+		cfg.SubsetSize = e.cfg.WatchSubset
+	}
+	return &router{
+		entry:    e,
+		table:    routing.NewRouter(cfg),
+		members:  map[string]uint64{},
+		watches:  map[string]context.CancelFunc{},
+		actions:  make(chan []routing.Action),
+		capacity: make(chan struct{}, 1),
+	}
+}
 
-	mu sync.Mutex
-	// open maps VMs to the watch on their agent.
-	open map[string]*watch
+// step applies an event from a traffic or watch goroutine.
+func (r *router) step(ctx context.Context, event routing.Event) {
+	actions := r.table.Step(time.Now(), event)
+	if len(actions) == 0 {
+		return
+	}
+	select {
+	case r.actions <- actions:
+	case <-ctx.Done():
+	}
+}
+
+// run follows the configuration and carries out the table's actions.
+func (r *router) run(ctx context.Context) {
+	ticker := time.NewTicker(routerTick)
+	defer ticker.Stop()
+	changed := r.follow(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			changed = r.follow(ctx)
+		case actions := <-r.actions:
+			r.carryOut(ctx, actions)
+		case <-ticker.C:
+			r.apply(ctx, routing.Tick{})
+			r.updateCapacity()
+		case <-r.capacity:
+			r.updateCapacity()
+		}
+	}
 }
 
-// watch is one open watch.
-type watch struct {
-	member inventory.Member
-	cancel context.CancelFunc
+// apply steps the table on the router's own goroutine.
+func (r *router) apply(ctx context.Context, event routing.Event) {
+	r.carryOut(ctx, r.table.Step(time.Now(), event))
 }
 
-func newWatches(e *Entry) *watches {
-	return &watches{entry: e, open: map[string]*watch{}}
+// follow takes over the configuration in force and returns the channel that
+// tells of the next one.
+func (r *router) follow(ctx context.Context) <-chan struct{} {
+	changed := r.entry.feed.Changed()
+	view := r.entry.feed.View()
+	r.entry.follow(view)
+	r.apply(ctx, routing.ZonesChanged{Zones: keyspace.List[inventory.Zone](view, inventory.PrefixZone)})
+	r.apply(ctx, routing.RulesChanged{
+		Rules:    keyspace.List[inventory.Rule](view, inventory.PrefixRule),
+		Services: keyspace.List[inventory.Service](view, inventory.PrefixService),
+	})
+	r.followMembers(ctx, view)
+	r.updateCapacity()
+	return changed
 }
 
-// update opens and closes watches as members come, go or move.
-func (w *watches) update(ctx context.Context, view *keyspace.View) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// followMembers tells the table which members have changed.
+func (r *router) followMembers(ctx context.Context, view *keyspace.View) {
 	present := map[string]bool{}
-	for _, m := range keyspace.List[inventory.Member](view, inventory.PrefixMember) {
-		if m.State == inventory.MemberDown {
+	for _, entry := range view.Prefix(inventory.PrefixMember) {
+		vm := entry.Key[len(inventory.PrefixMember):]
+		present[vm] = true
+		if r.members[vm] == entry.Revision {
 			continue
 		}
-		present[m.VM] = true
-		w.ensure(ctx, m)
+		if member, ok := keyspace.Lookup[inventory.Member](view, entry.Key); ok {
+			r.members[vm] = entry.Revision
+			r.apply(ctx, routing.MemberChanged{Member: member})
+		}
 	}
-	for vm, open := range w.open {
+	for vm := range r.members {
 		if !present[vm] {
-			open.cancel()
-			delete(w.open, vm)
-			w.entry.backends.remove(vm)
+			delete(r.members, vm)
+			r.apply(ctx, routing.MemberGone{VM: vm})
 		}
 	}
 }
 
-func (w *watches) ensure(ctx context.Context, m inventory.Member) {
-	w.entry.backends.setMember(m)
-	if open, ok := w.open[m.VM]; ok {
-		if open.member.Addr == m.Addr {
-			return
+func (r *router) carryOut(ctx context.Context, actions []routing.Action) {
+	for _, action := range actions {
+		switch act := action.(type) {
+		case routing.StartWatch:
+			r.stopWatch(act.VM)
+			watchCtx, cancel := context.WithCancel(ctx)
+			r.watches[act.VM] = cancel
+			go r.watch(watchCtx, act.VM, act.Addr)
+		case routing.StopWatch:
+			r.stopWatch(act.VM)
+		case routing.SetAside:
+			r.entry.metrics.aside.WithLabelValues(string(act.Cause)).Inc()
+			r.entry.cfg.Logger.Warn().Str("vm", act.VM).Str("cause", string(act.Cause)).Msg("backend server set aside")
+		case routing.PutBack:
+			r.entry.cfg.Logger.Info().Str("vm", act.VM).Msg("backend server put back")
 		}
-		open.cancel()
 	}
-	watchCtx, cancel := context.WithCancel(ctx)
-	w.open[m.VM] = &watch{member: m, cancel: cancel}
-	go w.entry.watchAgent(watchCtx, m)
 }
 
-// watchAgent follows the state of one agent until ctx is done.
-func (e *Entry) watchAgent(ctx context.Context, m inventory.Member) {
+func (r *router) stopWatch(vm string) {
+	if cancel, ok := r.watches[vm]; ok {
+		cancel()
+		delete(r.watches, vm)
+	}
+}
+
+// updateCapacity tells admission how many more requests may run now. Slots
+// that other entries have taken are not free; only a service without any
+// usable backend server has no capacity at all.
+func (r *router) updateCapacity() {
+	view := r.table.View()
+	now := time.Now()
+	for _, service := range r.entry.catalog.Load().services {
+		room := view.Room(now, routing.Request{Service: service.Name, Model: service.Model})
+		if room.Servers == 0 {
+			r.entry.admission.SetCapacity(service.Name, 0)
+			continue
+		}
+		r.entry.admission.SetFree(service.Name, room.Free)
+	}
+}
+
+func (r *router) wakeCapacity() {
+	select {
+	case r.capacity <- struct{}{}:
+	default:
+	}
+}
+
+// watch follows the state of one agent until ctx is done.
+func (r *router) watch(ctx context.Context, vm, addr string) {
 	for ctx.Err() == nil {
-		e.followAgent(ctx, m)
+		r.followAgent(ctx, vm, addr)
 		if ctx.Err() != nil {
 			return
 		}
-		e.backends.lost(m.VM)
+		r.step(ctx, routing.WatchLost{VM: vm})
+		r.wakeCapacity()
 		sleep(ctx, watchRetry)
 	}
 }
 
 // followAgent takes over states of the agent until the watch is lost.
-func (e *Entry) followAgent(ctx context.Context, m inventory.Member) {
-	conn, err := rpcconn.Dial(ctx, m.Addr)
+func (r *router) followAgent(ctx context.Context, vm, addr string) {
+	conn, err := rpcconn.Dial(ctx, addr)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	stream, err := rpc.NewDRPCDispatchClient(conn).Watch(ctx, &rpc.WatchRequest{Entry: e.cfg.Name})
+	stream, err := rpc.NewDRPCDispatchClient(conn).Watch(ctx, &rpc.WatchRequest{Entry: r.entry.cfg.Name})
 	if err != nil {
 		return
 	}
 	defer stream.Close()
 	for {
 		state, err := stream.Recv()
-		if err != nil {
-			return
-		}
-		if state.Vm != m.VM {
+		if err != nil || state.Vm != vm {
 			return
 		}
-		e.backends.setState(state)
+		r.step(ctx, routing.StateFromRPC(state))
+		r.wakeCapacity()
 	}
 }
