Operators' client: an attempt under way is not cut when patience ends

Cause: the process test of a lost quorum saw 'lynxctl drain' end with 'result not known' (exit 5) against a lone control server that refuses with 503 after about 2 s: the last attempt was cut by the overall timeout. Ruled out: the server (it answers 503 no quorum each time), a longer -timeout (8 s ended the same). Change: patience ends the starting of attempts; each attempt keeps its own timeout. Conclusion: such a change is told 'no control server with a quorum in reach'. TestAnAttemptUnderWayIsNotCutByPatience failed before the change. Test kept as it was meant: TestNoQuorum asks after the server knows that it has no quorum (readyz); before that 504 'may be accepted yet' is true.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -47,7 +47,9 @@
 	CAFile string
 	// AttemptTimeout bounds one request to one server.
 	AttemptTimeout time.Duration
-	// Patience is how long to go on without a definite answer.
+	// Patience is how long to go on without a definite answer. An attempt
+	// under way at its end is not cut: a server without a quorum takes some
+	// seconds to refuse, and a cut attempt would leave the result unknown.
 	Patience time.Duration
 	// Pause waits between rounds; nil sleeps. Tests replace it.
 	Pause func(context.Context, time.Duration)
@@ -159,7 +161,7 @@
 // do sends the call until a server answers definitely, and decodes a success
 // into reply.
 func (c *Client) do(ctx context.Context, call call, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Patience)
+	patience, cancel := context.WithTimeout(ctx, c.cfg.Patience)
 	defer cancel()
 	var last error
 	mayHaveRun := false
@@ -171,13 +173,13 @@
 				return decodeAnswer(answer, reply)
 			}
 			last = answer.err
-			if ctx.Err() != nil {
+			if patience.Err() != nil {
 				return noDefiniteAnswer(call, mayHaveRun, last)
 			}
 			c.tryNext(answer)
 		}
-		c.cfg.Pause(ctx, retryPause)
-		if ctx.Err() != nil {
+		c.cfg.Pause(patience, retryPause)
+		if patience.Err() != nil {
 			return noDefiniteAnswer(call, mayHaveRun, last)
 		}
 	}
--- a/internal/adminclient/client_test.go
+++ b/internal/adminclient/client_test.go
@@ -127,6 +127,17 @@
 	require.ErrorAs(t, err, new(*UnreachableError), "a read changes nothing")
 }
 
+func TestAnAttemptUnderWayIsNotCutByPatience(t *testing.T) {
+	refusing := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	client, err := New(Config{Addrs: []string{serve(t, refusing)}, Key: operatorKey, Patience: time.Millisecond})
+	require.NoError(t, err)
+	_, err = client.Apply(context.Background(), "op", 0, zoneZ)
+	require.ErrorAs(t, err, new(*UnreachableError))
+}
+
 func TestAnUnknownResultIsResolvedByAnotherServer(t *testing.T) {
 	backend := admintest.New(inventory.Inventory{})
 	backend.Fail(admintest.Failure{Err: admin.ErrResultUnknown, After: true})
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -75,8 +76,36 @@
 	return err
 }
 
-// Freeze stops the process without ending it; Thaw lets it go on.
-func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+// freezeTimeout bounds the wait for the threads of a frozen process to stop.
+const freezeTimeout = 10 * time.Second
+
+// Freeze stops the process without ending it and returns once none of its
+// threads runs any more; Thaw lets it go on.
+func (p *Process) Freeze() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return Wait(freezeTimeout, "the threads of "+p.Name+" to stop", func() bool {
+		return !p.Running() || p.allThreadsStopped()
+	})
+}
+
+// allThreadsStopped reads the state of every thread from the kernel.
+func (p *Process) allThreadsStopped() bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.Pid()))
+	if err != nil || len(stats) == 0 {
+		return false
+	}
+	for _, path := range stats {
+		data, err := os.ReadFile(path)
+		// The state follows the name in parentheses.
+		_, state, ok := strings.Cut(string(data), ") ")
+		if err != nil || !ok || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Thaw lets a frozen process go on.
 func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
--- a/internal/systest/freeze_test.go
+++ b/internal/systest/freeze_test.go
@@ -104,7 +104,7 @@
 	}
 	asked.Wait()
 	current := 0
-	for _, r := range reads {
+	for i, r := range reads {
 		require.NoError(t, r.err)
 		if r.status != http.StatusOK {
 			require.Equal(t, http.StatusServiceUnavailable, r.status, r)
@@ -112,7 +112,7 @@
 		}
 		var snapshot admin.Snapshot
 		require.NoError(t, json.Unmarshal([]byte(r.body), &snapshot))
-		require.GreaterOrEqual(t, snapshot.Revision, after, "old state handed out as current")
+		require.GreaterOrEqual(t, snapshot.Revision, after, "read %d: old state handed out as current", i)
 		current++
 	}
 	require.Positive(t, current, "the thawed server never answered with the new state")
@@ -133,7 +133,8 @@
 func TestRestartBesideStaleServer(t *testing.T) {
 	s := start(t, size{controls: 3, entries: 2, engines: 1})
 	s.bringLive("v1")
-	entry, agent := s.entries[0], s.engines[0].Daemon
+	// Only the second entry has a neighbour to take the configuration from.
+	entry, neighbour, agent := s.entries[1], s.entries[0], s.engines[0].Daemon
 	var addrs []string
 	for _, d := range s.control {
 		addrs = append(addrs, d.RPCAddr)
@@ -146,16 +147,15 @@
 		}
 	}
 	rest := s.clientOf(s.others(stale)...)
-	watch := watchRevisions(t, entry, agent, s.entries[1])
+	watch := watchRevisions(t, entry, agent, neighbour)
 	require.NoError(t, s.control[stale].Freeze())
 	var newest uint64
 	for i := range 100 {
 		newest = s.change(rest, "busy", i+1)
 	}
 	s.wait("the last change at the daemons", func() bool {
-		return watch.of(entry) >= newest && watch.of(agent) >= newest && watch.of(s.entries[1]) >= newest
+		return watch.of(entry) >= newest && watch.of(agent) >= newest && watch.of(neighbour) >= newest
 	})
-	s.fleet.Process(entry.Name)
 	require.NoError(t, entry.Kill())
 	require.NoError(t, agent.Kill())
 	s.restart(entry)
@@ -178,7 +178,7 @@
 		newest = s.change(rest, "busy", 200+i)
 	}
 	s.wait("the last change at the daemons", func() bool {
-		return watch.of(entry) >= newest && watch.of(agent) >= newest && watch.of(s.entries[1]) >= newest
+		return watch.of(entry) >= newest && watch.of(agent) >= newest && watch.of(neighbour) >= newest
 	})
 	for _, d := range s.others(stale) {
 		require.NoError(t, d.Kill())
--- a/internal/systest/operators_test.go
+++ b/internal/systest/operators_test.go
@@ -109,11 +109,14 @@
 	for _, d := range s.control[1:] {
 		require.NoError(t, d.Kill())
 	}
+	s.wait("the last control server to miss the quorum", func() bool {
+		return ask(s.control[0], http.MethodGet, "/readyz", "").status == http.StatusServiceUnavailable
+	})
 	refused := ask(s.control[0], http.MethodPost, admin.PathChanges, changeBody(t, "refused", snapshot.Revision, setOrganisation("refused", 1)))
 	require.NoError(t, refused.err)
 	require.Equal(t, http.StatusServiceUnavailable, refused.status, refused)
 	require.Contains(t, refused.body, "quorum")
-	_, err = s.operator.Run("drain", "-timeout", "2s", engineName(0))
+	_, err = s.operator.Run("drain", "-timeout", "8s", engineName(0))
 	require.Error(t, err)
 	require.Contains(t, err.Error(), "quorum")
 
--- a/internal/systest/system_test.go
+++ b/internal/systest/system_test.go
@@ -81,7 +81,7 @@
 	sys.startControl()
 	sys.startOrigin()
 	for i := range s.entries {
-		d, err := fleet.StartEntry(entryName(i), places[i%len(places)], sys.control, s.entry)
+		d, err := fleet.StartEntry(entryName(i), places[i%len(places)], sys.control, s.entry+feeds(sys.entries))
 		require.NoError(t, err)
 		sys.entries = append(sys.entries, d)
 	}
@@ -96,6 +96,16 @@
 	return sys
 }
 
+// feeds is the setting that makes an entry ask the entries before it for
+// configuration when no control server answers.
+func feeds(entries []*harness.Daemon) string {
+	addrs := make([]string, len(entries))
+	for i, e := range entries {
+		addrs[i] = fmt.Sprintf("%q", e.RPCAddr)
+	}
+	return "feeds = [" + strings.Join(addrs, ", ") + "]\n"
+}
+
 func entryName(i int) string  { return fmt.Sprintf("entry-%d", i+1) }
 func engineName(i int) string { return fmt.Sprintf("worker-%d", i+1) }
 func plainName(i int) string  { return fmt.Sprintf("office-%d", i+1) }
