Entry: a key that can't be claimed is refused after 5 s, not at the caller's deadline

Cause: TestNoQuorum took 82 s: without a quorum the entry went on claiming until the caller's deadline (1 min by default) and refused only then, which holds back the answer of a request given up on. Ruled out: the control server (answers no quorum within about 2 s) and slow ordinary requests (answered at once). Change: claimWait bounds the claim by 5 s, which covers the election of a leader.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -18,6 +18,10 @@
 const (
 	// claimMargin is added to the caller's deadline: a grant must outlive it.
 	claimMargin = 10 * time.Second
+	// claimWait is how long a key is tried to be claimed. It covers the election
+	// of a new control leader; with no quorum for longer the caller is told so
+	// at once rather than at its deadline.
+	claimWait = 5 * time.Second
 	// settleTimeout bounds recording an outcome before the caller is answered.
 	settleTimeout = 5 * time.Second
 	// noQuorumRetry is the advice when no quorum can record a claim.
@@ -28,14 +32,7 @@
 // with a quorum before the call is dispatched, and the outcome is recorded
 // before the caller is answered.
 func (e *Entry) serveClaimed(ctx context.Context, c *call, a *answer) outcome.Outcome {
-	resp, err := e.control.Claim(ctx, &rpc.ClaimRequest{
-		Organisation: c.organisation.Name,
-		Key:          c.key,
-		BodyDigest:   c.digest(),
-		Entry:        e.cfg.Name,
-		TimeoutMs:    (time.Until(c.deadline) + claimMargin).Milliseconds(),
-		Attempt:      rand.Text(),
-	})
+	resp, err := e.claim(ctx, c)
 	if err != nil {
 		return claimFailed(err)
 	}
@@ -51,6 +48,20 @@
 	return end
 }
 
+// claim reserves the key of a call.
+func (e *Entry) claim(ctx context.Context, c *call) (*rpc.ClaimResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	return e.control.Claim(ctx, &rpc.ClaimRequest{
+		Organisation: c.organisation.Name,
+		Key:          c.key,
+		BodyDigest:   c.digest(),
+		Entry:        e.cfg.Name,
+		TimeoutMs:    (time.Until(c.deadline) + claimMargin).Milliseconds(),
+		Attempt:      rand.Text(),
+	})
+}
+
 // claimFailed tells what a claim without an answer means. In no case was the
 // call dispatched.
 func claimFailed(err error) outcome.Outcome {
--- a/internal/systest/operators_test.go
+++ b/internal/systest/operators_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -120,7 +121,15 @@
 	require.Error(t, err)
 	require.Contains(t, err.Error(), "quorum")
 
-	told := job(entry, "no-quorum")
+	// The caller would wait for long; it must not be kept waiting.
+	answered := make(chan reply, 1)
+	go func() { answered <- job(entry, "no-quorum", deadline(10*time.Minute)) }()
+	var told reply
+	select {
+	case told = <-answered:
+	case <-time.After(patience):
+		t.Fatal("the answer is held back although the request was given up on")
+	}
 	require.Equal(t, http.StatusServiceUnavailable, told.status, told)
 	require.Equal(t, "not_run", told.outcome, told)
 	require.Equal(t, "no_quorum", told.kind, told)
