Routing: fewer near places; failing servers in the simulation

Cause: with half of the places for the entry's own zone, workers in zones without entries had 1 watcher (34 of 600 under four; entries in 3 of 12 zones). The simulation did not show what setting aside is for: weighing by latency alone already deals with one slow server.

Change: a quarter of the places is near: 4 to 31 watchers, wherever entries stand (shares of 0, 0.25, 0.4, 0.5 and 0.75 tried). A server that fails at once is simulated too, a slow one also with shared prefixes. Placement takes VMs in undeclared zones for rules without restriction.

Seen to fail with the rule removed: affinity bound, own full, suspects, own requests, decay, prefixes and two choices in the simulation.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -14,6 +14,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -87,8 +88,8 @@
 }
 
 // maxRounds bounds how often one call plans on its own result. A round may
-// free a VM that the next can use; more than three were never needed in the
-// tests.
+// free a VM that the next can use; 1,000 generated sequences passed with
+// three.
 const maxRounds = 6
 
 // Plan computes the changes that bring the assignments nearer to the rules.
@@ -176,18 +177,9 @@
 		return false
 	}
 	for _, want := range a {
-		if !containsWant(b, want) {
+		if !slices.Contains(b, want) {
 			return false
 		}
 	}
 	return true
 }
-
-func containsWant(wants []inventory.Want, want inventory.Want) bool {
-	for _, w := range wants {
-		if w == want {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -45,6 +45,15 @@
 	require.Equal(t, map[string]int{"a1": 2, "a2": 1, "b1": 2}, f.perZone("v1"), "the region with fewer copies goes first")
 }
 
+func TestUndeclaredZoneIsAllowedUnlessRestricted(t *testing.T) {
+	f := newFleet(0, chatRule("v1", 1))
+	f.addVM("vm", "elsewhere", "chat")
+	f.settle(t)
+	require.Equal(t, 1, f.liveOn("v1"))
+	f.inv.Rules[0].Regions = []string{"a", "b"}
+	require.Equal(t, []Unmet{{"r", ReasonTooFewVMs, 1, 0}}, f.plan(t).Unmet)
+}
+
 func TestDeathIsRepairedEvenTwice(t *testing.T) {
 	f := newFleet(9, chatRule("v1", 5))
 	f.settle(t)
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -92,7 +93,7 @@
 				region = z.Region
 			}
 		}
-		if len(rule.Regions) > 0 && !contains(rule.Regions, region) {
+		if len(rule.Regions) > 0 && !slices.Contains(rule.Regions, region) {
 			continue
 		}
 		if serving(f, a) && a.member.Service == rule.Service {
--- a/internal/placement/release.go
+++ b/internal/placement/release.go
@@ -49,7 +49,7 @@
 func (pool *servicePool) credit(r *ruleState) int {
 	n := 0
 	for _, v := range pool.released {
-		if v.live() && r.zones[v.zone] && !v.lent {
+		if v.live() && r.allows(v.zone) && !v.lent {
 			n++
 		}
 	}
@@ -68,7 +68,7 @@
 	pool.taken += n
 	borrowed := n - max(0, r.live()-floor)
 	for _, v := range pool.released {
-		if borrowed > 0 && v.live() && r.zones[v.zone] && !v.lent {
+		if borrowed > 0 && v.live() && r.allows(v.zone) && !v.lent {
 			v.lent = true
 			borrowed--
 		}
--- a/internal/placement/select.go
+++ b/internal/placement/select.go
@@ -54,7 +54,7 @@
 // the version it is assigned.
 func (p *planner) askedByOther(r *ruleState, v *vmState) bool {
 	for _, other := range p.byRuleService[r.Service] {
-		if other != r && other.target == v.active && other.zones[v.zone] {
+		if other != r && other.target == v.active && other.allows(v.zone) {
 			return true
 		}
 	}
@@ -120,7 +120,7 @@
 	byZone := map[string]*zoneCandidates{}
 	var zones []*zoneCandidates
 	for _, v := range p.byService[r.Service] {
-		if !v.serving || v.owner != nil || !r.zones[v.zone] {
+		if !v.serving || v.owner != nil || !r.allows(v.zone) {
 			continue
 		}
 		if r.frozen && !v.hasActive {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -74,7 +75,8 @@
 	target ref
 	// frozen rules name something that is not declared: what runs is kept,
 	// nothing new is placed.
-	frozen  bool
+	frozen bool
+	// zones are those that a restricted rule allows; nil allows any.
 	zones   map[string]bool
 	holders []*vmState
 	// spares are VMs that no rule needs and that serve nothing.
@@ -82,6 +84,8 @@
 	unmet  []Unmet
 }
 
+func (r *ruleState) allows(zone string) bool { return r.zones == nil || r.zones[zone] }
+
 func (r *ruleState) report(reason Reason, possible int) {
 	r.unmet = append(r.unmet, Unmet{Rule: r.Name, Reason: reason, Wanted: r.Copies, Possible: possible})
 }
@@ -101,7 +105,7 @@
 func (r *ruleState) failures(vms []*vmState) int {
 	n := 0
 	for _, v := range vms {
-		if r.zones[v.zone] && v.failed(r.target) {
+		if r.allows(v.zone) && v.failed(r.target) {
 			n++
 		}
 	}
@@ -222,6 +226,9 @@
 func (p *planner) sortRules() {
 	sort.SliceStable(p.rules, func(i, j int) bool {
 		a, b := p.rules[i], p.rules[j]
+		if (a.zones == nil) != (b.zones == nil) {
+			return b.zones == nil
+		}
 		if len(a.zones) != len(b.zones) {
 			return len(a.zones) < len(b.zones)
 		}
@@ -229,23 +236,19 @@
 	})
 }
 
+// allowedZones returns the zones of a restricted rule, nil for one that is
+// not.
 func allowedZones(rule inventory.Rule, regions map[string]string) map[string]bool {
+	if len(rule.Zones) == 0 && len(rule.Regions) == 0 {
+		return nil
+	}
 	allowed := map[string]bool{}
 	for zone, region := range regions {
-		inZones := len(rule.Zones) == 0 || contains(rule.Zones, zone)
-		inRegions := len(rule.Regions) == 0 || contains(rule.Regions, region)
+		inZones := len(rule.Zones) == 0 || slices.Contains(rule.Zones, zone)
+		inRegions := len(rule.Regions) == 0 || slices.Contains(rule.Regions, region)
 		if inZones && inRegions {
 			allowed[zone] = true
 		}
 	}
 	return allowed
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -102,7 +103,7 @@
 			t.silent++
 		case !s.servesRequest(req):
 			t.notLive++
-		case contains(req.Excluded, s.VM):
+		case slices.Contains(req.Excluded, s.VM):
 			t.excluded++
 		case s.phase == phaseAside:
 			t.aside = append(t.aside, s)
@@ -229,12 +230,3 @@
 	}
 	return room
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// A snapshot taken before a server left must not lead a request there.
+func TestStaleSnapshotIsCheckedAtDispatch(t *testing.T) {
+	for _, e := range []Event{
+		AgentState{VM: "s0", Incarnation: 1, Seq: 2, Leaving: true},
+		MemberChanged{member(0, inventory.MemberLeaving)},
+		MemberGone{"s0"},
+	} {
+		r := newRouter(1, 8)
+		old, _ := r.View().Pick(start, Request{Service: "chat", Model: "m"}, rand.New(rand.NewPCG(1, 2)))
+		require.Equal(t, "s0", old.VM)
+		r.Step(start, e)
+		require.False(t, r.dispatch(start, "1", old, true))
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	r := newRouter(20, 1000)
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -64,7 +64,7 @@
 func DefaultConfig() Config {
 	return Config{
 		SubsetSize:         20,
-		NearShare:          0.5,
+		NearShare:          0.25,
 		HeartbeatLimit:     5 * time.Second,
 		LoadHalfLife:       500 * time.Millisecond,
 		FullAt:             1.5,
--- a/internal/routing/sim/compare.go
+++ b/internal/routing/sim/compare.go
@@ -22,6 +22,13 @@
 	GrayP99       float64
 	GrayP99Off    float64
 	GrayP99Random float64
+	// GrayPrefixP99 and GrayPrefixP99Off are the same with shared prefixes.
+	GrayPrefixP99    float64
+	GrayPrefixP99Off float64
+	// FailedShare is the share of requests lost to one backend server that
+	// fails each at once; FailedShareOff without outlier detection.
+	FailedShare    float64
+	FailedShareOff float64
 	// FalseAsides counts healthy backend servers set aside in a run with
 	// shared prefixes.
 	FalseAsides float64
@@ -48,6 +55,7 @@
 		f.P95OverRandom += ratio(healthy.P95, Run(random).P95) / n
 		f.addPrefixes(cfg, random, n)
 		f.addGray(cfg, random, healthy.P99, n)
+		f.addFailing(cfg, n)
 	}
 	return f
 }
@@ -55,6 +63,7 @@
 func (f *Figures) addPrefixes(cfg, random Config, n float64) {
 	cfg.Prefixes, random.Prefixes = sharedPrefixes, sharedPrefixes
 	balanced, baseline := Run(cfg), Run(random)
+	f.addGrayPrefixes(cfg, balanced.P99, n)
 	f.PrefixP95OverRandom += ratio(balanced.P95, baseline.P95) / n
 	f.PrefixHitRate += balanced.HitRate / n
 	f.RandomHitRate += baseline.HitRate / n
@@ -70,4 +79,18 @@
 	f.GrayP99Off += ratio(Run(cfg).P99, healthy) / n
 }
 
+func (f *Figures) addGrayPrefixes(cfg Config, healthy time.Duration, n float64) {
+	cfg.SlowServers, cfg.SlowFactor = 1, slowFactor
+	f.GrayPrefixP99 += ratio(Run(cfg).P99, healthy) / n
+	cfg.Settings.Outlier.Disabled = true
+	f.GrayPrefixP99Off += ratio(Run(cfg).P99, healthy) / n
+}
+
+func (f *Figures) addFailing(cfg Config, n float64) {
+	cfg.FailingServers = 1
+	f.FailedShare += Run(cfg).FailedShare / n
+	cfg.Settings.Outlier.Disabled = true
+	f.FailedShareOff += Run(cfg).FailedShare / n
+}
+
 func ratio(a, b time.Duration) float64 { return a.Seconds() / b.Seconds() }
--- a/internal/routing/sim/serve.go
+++ b/internal/routing/sim/serve.go
@@ -46,6 +46,10 @@
 }
 
 func (w *world) start(e *engine, r *request) {
+	if e.failing {
+		w.schedule(failTime, func() { w.fail(e, r) })
+		return
+	}
 	prefill := prefillTime
 	if e.lookUp(r.prefix) {
 		prefill = cachedTime
@@ -81,6 +85,18 @@
 	w.startNext(e)
 }
 
+func (w *world) fail(e *engine, r *request) {
+	e.running--
+	w.tables[r.entry].Step(w.clock(), routing.Finished{
+		VM: e.vm, ID: r.id, Outcome: routing.Failed, Total: w.now - r.arrived,
+	})
+	if r.measure {
+		w.counted++
+		w.failed++
+	}
+	w.startNext(e)
+}
+
 func (e *engine) lookUp(prefix uint64) bool {
 	return prefix != 0 && slices.Contains(e.cache, prefix)
 }
@@ -145,18 +161,23 @@
 func (w *world) noteActions(actions []routing.Action) {
 	for _, a := range actions {
 		aside, ok := a.(routing.SetAside)
-		if ok && !w.slow[aside.VM] {
+		if ok && !w.ill[aside.VM] {
 			w.asides++
 		}
 	}
 }
 
-// slowDown makes the last backend servers slower.
-func (w *world) slowDown() {
+// breakSome makes the last backend servers slower, or failing.
+func (w *world) breakSome() {
 	for i := range w.cfg.SlowServers {
 		e := w.engines[len(w.engines)-1-i]
 		e.speed *= w.cfg.SlowFactor
-		w.slow[e.vm] = true
+		w.ill[e.vm] = true
+	}
+	for i := range w.cfg.FailingServers {
+		e := w.engines[len(w.engines)-1-i]
+		e.failing = true
+		w.ill[e.vm] = true
 	}
 }
 
@@ -189,6 +210,8 @@
 		HitRate: float64(w.hits) / float64(max(1, w.counted)),
 		Refused: w.refused,
 		Asides:  w.asides,
+
+		FailedShare: float64(w.failed) / float64(max(1, w.counted)),
 	}
 	for _, e := range w.engines {
 		res.PerServer = append(res.PerServer, e.served)
--- a/internal/routing/sim/sim.go
+++ b/internal/routing/sim/sim.go
@@ -44,6 +44,8 @@
 	// of the run; figures are taken from then on.
 	SlowServers int
 	SlowFactor  float64
+	// FailingServers backend servers fail each request at once from then on.
+	FailingServers int
 	// LyingServers always report no load.
 	LyingServers int
 	// NewPolicy makes the policy of one entry.
@@ -76,6 +78,8 @@
 	HitRate float64
 	// Refused counts requests for which no backend server was picked.
 	Refused int
+	// FailedShare is the share of requests that failed.
+	FailedShare float64
 	// Asides counts how often an entry set a healthy backend server aside.
 	Asides int
 	// PerServer counts the requests of each backend server.
@@ -87,6 +91,7 @@
 const (
 	prefillTime = 200 * time.Millisecond
 	cachedTime  = 20 * time.Millisecond
+	failTime    = 5 * time.Millisecond
 	decodeTime  = 600 * time.Millisecond
 	// warmUpShare of the requests is not measured.
 	warmUpShare = 0.2
@@ -99,7 +104,6 @@
 	entry   int
 	prefix  uint64
 	arrived time.Duration
-	started time.Duration
 	first   time.Duration
 	server  int
 	measure bool
@@ -134,6 +138,7 @@
 type engine struct {
 	vm      string
 	speed   float64 // times are multiplied by it
+	failing bool
 	running int
 	queue   []*request
 	cache   []uint64 // most recent last
@@ -156,7 +161,8 @@
 	counted int
 	refused int
 	asides  int
-	slow    map[string]bool
+	failed  int
+	ill     map[string]bool // slow or failing
 	left    int
 	stateNo uint64
 	// interval is the mean time between arrivals, in seconds.
@@ -173,7 +179,7 @@
 
 // Run simulates one configuration.
 func Run(cfg Config) Result {
-	w := &world{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), left: cfg.Requests, slow: map[string]bool{}}
+	w := &world{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), left: cfg.Requests, ill: map[string]bool{}}
 	w.build()
 	w.schedule(0, w.arrive)
 	for w.agenda.Len() > 0 && (w.left > 0 || w.busy()) {
@@ -250,7 +256,7 @@
 	w.left--
 	done := w.cfg.Requests - w.left
 	if done == int(warmUpShare*float64(w.cfg.Requests)) {
-		w.slowDown()
+		w.breakSome()
 	}
 	r := &request{
 		id:      fmt.Sprint(done),
--- a/internal/routing/sim/sim_test.go
+++ b/internal/routing/sim/sim_test.go
@@ -16,6 +16,10 @@
 	require.Greater(t, f.PrefixHitRate, 1.8*f.RandomHitRate)
 	require.Less(t, f.GrayP99, 1.35)
 	require.Greater(t, f.GrayP99Off, f.GrayP99)
+	require.Less(t, f.GrayPrefixP99, 1.35)
+	require.Greater(t, f.GrayPrefixP99Off, f.GrayPrefixP99)
+	require.Less(t, f.FailedShare, 0.02)
+	require.Greater(t, f.FailedShareOff, 0.08)
 	require.Less(t, f.FalseAsides, 15.0)
 }
 
--- a/internal/routing/subset_test.go
+++ b/internal/routing/subset_test.go
@@ -16,6 +16,8 @@
 	targetWorkers = 600
 	targetZones   = 12
 	subsetSize    = 20
+	// fewestWatchers is what every worker must keep, wherever entries stand.
+	fewestWatchers = 4
 )
 
 func targetWorkerSet(n int) []subsetMember {
@@ -32,7 +34,7 @@
 	all := make([][]subsetMember, targetEntries)
 	for e := range all {
 		zone := fmt.Sprintf("z%02d", e%entryZones)
-		all[e] = subset(hashString(fmt.Sprintf("entry-%03d", e)), zone, workers, subsetSize, 0.5)
+		all[e] = subset(hashString(fmt.Sprintf("entry-%03d", e)), zone, workers, subsetSize, DefaultConfig().NearShare)
 	}
 	return all
 }
@@ -65,8 +67,8 @@
 		}
 		share := float64(near) / float64(targetEntries*subsetSize)
 		t.Logf("simulation: entries in %d of 12 zones: watchers per worker %d to %d, near share %.2f", entryZones, least, most, share)
-		require.Positive(t, least, "every worker is watched")
-		require.GreaterOrEqual(t, share, 0.5)
+		require.GreaterOrEqual(t, least, fewestWatchers)
+		require.GreaterOrEqual(t, share, DefaultConfig().NearShare)
 	}
 	// Churn: places changed over all entries by one worker less.
 	changed := 0
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -161,11 +162,4 @@
 	return !s.heard.IsZero() && now.Sub(s.heard) < s.cfg.HeartbeatLimit
 }
 
-func (s *ServerView) serves(v Version) bool {
-	for _, have := range s.live {
-		if have == v {
-			return true
-		}
-	}
-	return false
-}
+func (s *ServerView) serves(v Version) bool { return slices.Contains(s.live, v) }
