--- a/internal/placement/roll.go
+++ b/internal/placement/roll.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		pending = true
-		if v.phases[r.target] == ReplicaStaged && v.mayBeLive() {
+		if v.phase(r.target) == ReplicaStaged && v.mayBeLive() {
 			ready = append(ready, v)
 		}
 	}
--- a/internal/placement/select.go
+++ b/internal/placement/select.go
@@ -43,7 +43,7 @@
 		return rankOldLive
 	case v.hasActive:
 		return rankOld
-	case v.phases[r.target] == ReplicaStaged:
+	case v.phase(r.target) == ReplicaStaged:
 		return rankStaged
 	default:
 		return rankEmpty
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -21,7 +21,7 @@
 	serving bool
 	// reported is false until the VM's first report.
 	reported bool
-	phases   map[ref]ReplicaPhase
+	reports  []Replica
 	// active is the version that the assignment in force activates.
 	active    ref
 	hasActive bool
@@ -33,17 +33,27 @@
 	owner *ruleState
 }
 
+// phase is what the VM reports of a version; empty for nothing.
+func (v *vmState) phase(r ref) ReplicaPhase {
+	for i := range v.reports {
+		if v.reports[i].Version == r.version && v.reports[i].Model == r.model {
+			return v.reports[i].Phase
+		}
+	}
+	return ""
+}
+
 // live says that the assigned version is known to be served.
 func (v *vmState) live() bool {
-	return v.serving && v.hasActive && v.phases[v.active] == ReplicaLive
+	return v.serving && v.hasActive && v.phase(v.active) == ReplicaLive
 }
 
 // mayBeLive says that taking the assigned version away may end a live replica.
 func (v *vmState) mayBeLive() bool {
-	return v.hasActive && (!v.reported || v.phases[v.active] == ReplicaLive)
+	return v.hasActive && (!v.reported || v.phase(v.active) == ReplicaLive)
 }
 
-func (v *vmState) failed(r ref) bool { return v.phases[r] == ReplicaFailed }
+func (v *vmState) failed(r ref) bool { return v.phase(r) == ReplicaFailed }
 
 // assign notes that this plan activates another version on the VM.
 func (v *vmState) assign(r ref) {
@@ -169,10 +179,7 @@
 func (p *planner) loadReplicas(v *vmState) {
 	reports, reported := p.in.Reports[v.name]
 	v.reported = reported
-	v.phases = make(map[ref]ReplicaPhase, len(reports))
-	for _, r := range reports {
-		v.phases[ref{r.Model, r.Version}] = r.Phase
-	}
+	v.reports = reports
 	for _, w := range p.in.Current[v.name].Wants {
 		if w.Service != v.service {
 			continue
