Routing: pick in fewer steps

Cause: withRoom handed a function back for one string, and a pick grew four slices.

Change: slices are sized once, suspects cost nothing where there are none.

--- a/internal/routing/nearness.go
+++ b/internal/routing/nearness.go
@@ -25,7 +25,7 @@
 // does not get everything.
 func (c *Candidates) near() []*ServerView {
 	for limit := sameZone; limit < farAway; limit++ {
-		var group []*ServerView
+		group := make([]*ServerView, 0, len(c.Servers))
 		load, slots := 0.0, 0.0
 		for _, s := range c.Servers {
 			if c.distanceTo(s) > limit {
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -77,8 +77,8 @@
 		return Choice{}, reason
 	}
 	lastResort := len(t.usable) == 0
-	servers, version, ok := v.withRoom(now, req, servers)
-	if !ok {
+	servers = v.withRoom(now, req, servers)
+	if len(servers) == 0 {
 		return Choice{}, ReasonFull
 	}
 	c := &Candidates{Request: req, Servers: servers, Now: now, region: v.region, cfg: v.cfg}
@@ -87,15 +87,16 @@
 		VM:          s.VM,
 		Addr:        s.Addr,
 		Incarnation: s.Incarnation,
-		Version:     version(s),
+		Version:     v.versionOn(s, req),
 		Ground:      ground,
 		LastResort:  lastResort,
 	}, Picked
 }
 
 func (v *View) tally(now time.Time, req Request) *tally {
-	t := &tally{}
-	for _, s := range v.services[req.Service] {
+	servers := v.services[req.Service]
+	t := &tally{usable: make([]*ServerView, 0, len(servers))}
+	for _, s := range servers {
 		switch {
 		case s.leaving:
 			t.leaving++
@@ -117,12 +118,11 @@
 
 // withoutSuspects leaves out those whose watch broke, if others are left.
 func withoutSuspects(servers []*ServerView) []*ServerView {
-	var sure []*ServerView
-	for _, s := range servers {
-		if !s.suspect {
-			sure = append(sure, s)
-		}
+	isSuspect := func(s *ServerView) bool { return s.suspect }
+	if !slices.ContainsFunc(servers, isSuspect) {
+		return servers
 	}
+	sure := slices.DeleteFunc(slices.Clone(servers), isSuspect)
 	if len(sure) == 0 {
 		return servers
 	}
@@ -170,24 +170,24 @@
 }
 
 // withRoom narrows to backend servers with a free slot; without a pinned
-// version those on a version that rules ask for come first. The function
-// returned tells the version for each.
-func (v *View) withRoom(now time.Time, req Request, servers []*ServerView) ([]*ServerView, func(*ServerView) string, bool) {
-	var asked, other []*ServerView
+// version those on a version that rules ask for come first.
+func (v *View) withRoom(now time.Time, req Request, servers []*ServerView) []*ServerView {
+	asked := make([]*ServerView, 0, len(servers))
+	var other []*ServerView
+	pinned := req.Model == "" || req.Version != ""
 	for _, s := range servers {
-		if s.full(now) {
-			continue
-		}
-		if req.Model == "" || req.Version != "" || v.preferred[Version{req.Model, v.versionOn(s, req)}] {
+		switch {
+		case s.full(now):
+		case pinned || v.preferred[Version{req.Model, v.versionOn(s, req)}]:
 			asked = append(asked, s)
-			continue
+		default:
+			other = append(other, s)
 		}
-		other = append(other, s)
 	}
 	if len(asked) == 0 {
-		asked = other
+		return other
 	}
-	return asked, func(s *ServerView) string { return v.versionOn(s, req) }, len(asked) > 0
+	return asked
 }
 
 // versionOn is the version a request would be pinned to on a backend server.
