--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,9 @@
 test:
 	$(GO) test ./...
 
+demo: build
+	$(GO) run ./internal/demo
+
 lint:
 	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: files above need formatting"; exit 1; }
 	$(GO) vet ./...
