Entry: repeats don't count as service time; at-most-once calls end before their claim

(2) A deadline longer than the longest claim would let a key expire while its call still ran. Change: tickets finish as not run unless a backend server was asked; deadlines of at-most-once calls are bounded by the longest claim less its margin.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/claims"
 	"lynxgate.dev/lynxgate/internal/inventory"
 	"lynxgate.dev/lynxgate/internal/outcome"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -94,7 +95,7 @@
 	if err := c.readKey(r); err != nil {
 		return nil, err
 	}
-	if err := c.readDeadline(r, e.cfg.DefaultDeadline); err != nil {
+	if err := c.readDeadline(r, min(e.cfg.DefaultDeadline, c.maxDeadline())); err != nil {
 		return nil, err
 	}
 	c.headers = passedHeaders(r.Header)
@@ -208,9 +209,10 @@
 	wait := standard
 	if text := r.Header.Get(HeaderDeadline); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || ms <= 0 || time.Duration(ms) > maxDeadline/time.Millisecond {
+		longest := c.maxDeadline().Milliseconds()
+		if err != nil || ms <= 0 || ms > longest {
 			return refuse(outcome.InvalidRequest,
-				"header %s: %q must be milliseconds from 1 to %d", HeaderDeadline, text, maxDeadline/time.Millisecond)
+				"header %s: %q must be milliseconds from 1 to %d", HeaderDeadline, text, longest)
 		}
 		wait = time.Duration(ms) * time.Millisecond
 	}
@@ -218,6 +220,15 @@
 	return nil
 }
 
+// maxDeadline is the longest a caller may wait. A call that runs at most once
+// must end before its claim does: afterwards the key could be used again.
+func (c *call) maxDeadline() time.Duration {
+	if c.rule.AtMostOnce {
+		return claims.DefaultLimits.MaxTimeout - claimMargin
+	}
+	return maxDeadline
+}
+
 // withheldHeaders are for the entry alone or for one connection.
 var withheldHeaders = map[string]bool{
 	"Authorization": true, "Connection": true, "Keep-Alive": true, "Cookie": true,
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -37,6 +37,7 @@
 		return claimFailed(err)
 	}
 	if resp.Verdict != rpc.ClaimVerdict_CLAIM_GRANTED {
+		a.repeated = true
 		return answerRepeat(resp, a)
 	}
 	a.hold = true
