--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -23,6 +23,9 @@
 	inFlight bool
 	// planDue is when the next plan is made; zero when none is needed.
 	planDue time.Time
+	// planRest is until when no plan is made, so that planning takes a
+	// bounded share of a core however fast the events come.
+	planRest time.Time
 	// leasesDue is when leases are looked at next.
 	leasesDue time.Time
 	// claimsDue is when claims are expired next.
@@ -215,8 +218,12 @@
 
 // wantPlan sets the time of the next plan; events until then share it.
 func (l *loop) wantPlan(now time.Time) {
-	if l.leads.planDue.IsZero() {
-		l.leads.planDue = now.Add(l.cfg.PlanDelay)
+	if !l.leads.planDue.IsZero() {
+		return
+	}
+	l.leads.planDue = now.Add(l.cfg.PlanDelay)
+	if l.leads.planRest.After(l.leads.planDue) {
+		l.leads.planDue = l.leads.planRest
 	}
 }
 
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -59,6 +59,8 @@
 	l.leads.planDue = time.Time{}
 	view := l.store.View()
 	result := placement.Plan(l.planInput(view))
+	done := l.cfg.Now()
+	l.leads.planRest = done.Add(planRestFactor * done.Sub(now))
 	l.leads.unmet = result.Unmet
 	l.metrics.unmet.Set(float64(len(result.Unmet)))
 	l.metrics.plans.Inc()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -41,6 +41,9 @@
 	confirmsPerWindow = 3
 	// promoteInterval is how often a leader tries to promote learners.
 	promoteInterval = 2 * time.Second
+	// planRestFactor times its own duration is the least time between the end
+	// of a plan and the next one: planning takes at most a twentieth of a core.
+	planRestFactor = 19
 	// maxBatch bounds the records of one proposal of the loop.
 	maxBatch = 1000
 	// eventQueue is how many events may wait for the loop.
