Claims: a leader's clock that leaps moves them by a minute at most

Cause: the control slice stamps claim events with the leader's wall clock. A new leader whose clock is ahead by more than the window would forget every key at once, and a resend would run again. Ruled out: trusting the largest time seen (a leap ends all claims); counting every step back as a new clock (events that overtook each other in the log would count time twice). Change: the table's clock advances by the differences between events, each a minute at most; a step back of more than a minute is a new leader's clock.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -16,8 +16,9 @@
 //	completed, unknown -> free   after the window
 //
 // Nothing leads from unknown to a new grant within the window. Now is a count
-// of milliseconds that any leader may supply; it is treated as never going
-// back, so a leader with a slow clock only makes claims live longer.
+// of milliseconds by the leader's clock. Only the differences between events
+// count, and a leap counts as a minute at most: leaders whose clocks disagree
+// make claims live longer, or shorter by a minute for each change of leader.
 package claims
 
 import "time"
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -71,6 +71,34 @@
 	require.Equal(t, Granted, tab.Claim(claim("a", "k", "e2/4", 2002+10_000)).Verdict, "after the window")
 }
 
+// TestClocksOfLeadersMayDisagree lets leaders with clocks an hour apart take
+// turns: the claims neither die early nor stop ageing.
+func TestClocksOfLeadersMayDisagree(t *testing.T) {
+	const hour = Millis(3_600_000)
+	first := claim("a", "k", "x", 0)
+	first.Limits.Window = 15 * time.Minute
+	tab := NewTable()
+	tab.Claim(first)
+	tab.Settle(settle("a", "k", 1, SettleCompleted, "yes", 0))
+	resendTo := func(tab *Table, now Millis) Verdict { return tab.Claim(claim("a", "k", "y", now)).Verdict }
+	resend := func(now Millis) Verdict { return resendTo(tab, now) }
+	require.Equal(t, Completed, resend(hour), "a minute at most")
+	require.Equal(t, Completed, resend(0), "none")
+	tab, err := Restore(tab.Snapshot())
+	require.NoError(t, err)
+	for m := range Millis(13) {
+		require.Equal(t, Completed, resend((m+1)*60_000), "minute %d", m)
+	}
+	require.Equal(t, Granted, resend(14*60_000), "15 minutes in all")
+
+	tab = NewTable()
+	tab.Claim(claim("a", "k", "x", 0))
+	for range 100 {
+		require.Equal(t, InProgress, resendTo(tab, 1000))
+		require.Equal(t, InProgress, resendTo(tab, 900), "events out of order count no time twice")
+	}
+}
+
 func TestLimits(t *testing.T) {
 	tab := NewTable()
 	c := claim("a", "k0", "x", 0)
--- a/internal/claims/snapshot.go
+++ b/internal/claims/snapshot.go
@@ -10,7 +10,7 @@
 )
 
 // snapshotVersion is the first byte of every snapshot.
-const snapshotVersion = 1
+const snapshotVersion = 2
 
 // errCorrupt is wrapped by every error of Restore.
 var errCorrupt = errors.New("claims: corrupt snapshot")
@@ -26,6 +26,7 @@
 	buf := make([]byte, 0, 96*len(ids)+t.answers+32)
 	buf = append(buf, snapshotVersion)
 	buf = binary.AppendVarint(buf, int64(t.now))
+	buf = binary.AppendVarint(buf, int64(t.supplied))
 	buf = binary.AppendUvarint(buf, t.lastToken)
 	buf = binary.AppendUvarint(buf, uint64(len(ids)))
 	for _, id := range ids {
@@ -65,6 +66,7 @@
 	}
 	t := NewTable()
 	t.now = Millis(r.varint())
+	t.supplied = Millis(r.varint())
 	t.lastToken = r.uvarint()
 	for n := r.uvarint(); n > 0 && !r.failed; n-- {
 		r.record(t)
--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -14,6 +14,11 @@
 // fullRetryAfter is how soon a caller may ask again when the table is full.
 const fullRetryAfter = 10 * time.Second
 
+// maxStep is the most by which one event moves the table's clock. A leader
+// whose clock is far ahead of the last one's thus makes claims at most this
+// much older. Claims that are held are expired by events more often than this.
+const maxStep = Millis(60_000)
+
 // digest is a truncated BLAKE3 digest. It stands for a key, a body or an
 // attempt, so that long keys cost no more memory than short ones.
 type digest [16]byte
@@ -47,7 +52,10 @@
 // Table holds all claims. It is not safe for concurrent use: it belongs to
 // the goroutine that applies the log.
 type Table struct {
+	// now is the table's clock. It advances by the differences between the
+	// times in the events, supplied is the last of these.
 	now       Millis
+	supplied  Millis
 	lastToken uint64
 	records   map[digest]record
 	orgs      orgIndex
@@ -207,10 +215,24 @@
 	t.put(id, rec)
 }
 
-// Expire moves the clock to now, unless it is there already, and carries out
-// what has become due. It returns how many grants became unknown.
+// advance moves the clock by the time since the last event, at most maxStep.
+// Events that overtook each other in the log are a little out of order and
+// must not count time twice; a larger step back is the clock of a new leader.
+func (t *Table) advance(now Millis) {
+	if now < t.supplied {
+		if t.supplied-now > maxStep {
+			t.supplied = now
+		}
+		return
+	}
+	t.now += min(now-t.supplied, maxStep)
+	t.supplied = now
+}
+
+// Expire advances the clock and carries out what has become due. It returns
+// how many grants became unknown.
 func (t *Table) Expire(now Millis) int {
-	t.now = max(t.now, now)
+	t.advance(now)
 	timedOut := 0
 	for {
 		id, ok := t.queue.popDue(t.now)
