A change under way when its leader stops is told as unknown, not as refused

Cause: the log returns ErrResultUnknown and ErrStopped together; operators' API and rpc.Control looked at ErrStopped first and answered that nothing was accepted, although it may be. Ruled out: a change in the log: it tells both, rightly. Change: ErrResultUnknown decides first.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -127,6 +127,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case errors.Is(err, replica.ErrResultUnknown):
+		return admin.ErrResultUnknown
 	case errors.As(err, &notLeader):
 		st := s.log.Status()
 		return &admin.NotLeaderError{Leader: st.LeaderName, AdminAddr: s.adminAddrOf(st)}
@@ -134,8 +136,7 @@
 		return admin.ErrNoQuorum
 	case errors.Is(err, replica.ErrUnknownServer), errors.Is(err, replica.ErrChangePending):
 		return fmt.Errorf("%w: %w", admin.ErrInvalid, err)
-	case errors.Is(err, replica.ErrResultUnknown), errors.Is(err, context.DeadlineExceeded),
-		errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return admin.ErrResultUnknown
 	default:
 		return err
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -165,6 +165,8 @@
 	switch {
 	case err == nil:
 		return rpc.Status_STATUS_OK
+	case errors.Is(err, replica.ErrResultUnknown):
+		return rpc.Status_STATUS_RESULT_UNKNOWN
 	case errors.As(err, &notLeader):
 		return rpc.Status_STATUS_NOT_LEADER
 	case errors.Is(err, replica.ErrTooLarge):
