One measure of a request's header; the daemon's web port has the API's limits

Cause: entry and operators' API counted header bytes each in its own way, and the daemon's own server had no read timeout or header limit. Change: internal/httplimit; web.go takes admin.NewEcho and NewHTTPServer. Measured: not a matter of speed; tests of admin pass.

--- a/internal/admin/limits.go
+++ b/internal/admin/limits.go
@@ -9,13 +9,15 @@
 	"net/http"
 
 	"github.com/labstack/echo/v4"
+
+	"lynxgate.dev/lynxgate/internal/httplimit"
 )
 
 // limitHeader refuses requests whose header is longer than limit bytes.
 func limitHeader(limit int) echo.MiddlewareFunc {
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
-			if headerBytes(c.Request()) > limit {
+			if httplimit.HeaderBytes(c.Request()) > limit {
 				return failure(http.StatusRequestHeaderFieldsTooLarge, CodeHeaderTooLarge,
 					fmt.Sprintf("the request's header is longer than %d bytes", limit))
 			}
@@ -24,17 +26,6 @@
 	}
 }
 
-// headerBytes is the size of the request line and the header fields.
-func headerBytes(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value)
-		}
-	}
-	return size
-}
-
 // limitBody makes reads past limit bytes fail.
 func limitBody(limit int64) echo.MiddlewareFunc {
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -10,13 +10,13 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-)
 
-const (
-	webHeaderTimeout   = 5 * time.Second
-	webShutdownTimeout = 5 * time.Second
+	"lynxgate.dev/lynxgate/internal/admin"
 )
 
+// webShutdownTimeout bounds the end of requests in progress.
+const webShutdownTimeout = 5 * time.Second
+
 // routes is implemented by roles that serve more on the daemon's HTTP
 // address than metrics and health.
 type routes interface {
@@ -33,9 +33,7 @@
 }
 
 func (d *daemon) newWebServer() (*webServer, error) {
-	e := echo.New()
-	e.HideBanner = true
-	e.HidePort = true
+	e := admin.NewEcho()
 	metrics := promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})
 	e.GET("/metrics", echo.WrapHandler(metrics))
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
@@ -49,7 +47,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("http_addr: %w", err)
 	}
-	w := &webServer{lis: lis, server: &http.Server{Handler: e, ReadHeaderTimeout: webHeaderTimeout}}
+	w := &webServer{lis: lis, server: admin.NewHTTPServer(d.settings.HTTPAddr, e, admin.DefaultMaxHeaderBytes)}
 	if c := d.settings.Control; c != nil {
 		w.certFile, w.keyFile = c.TLSCert, c.TLSKey
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/net/netutil"
 
+	"lynxgate.dev/lynxgate/internal/httplimit"
 	"lynxgate.dev/lynxgate/internal/outcome"
 )
 
@@ -19,10 +20,6 @@
 // to close them.
 const leaveGrace = time.Second
 
-// headerSlack is how much over the header limit a request may be and still
-// get an answer in JSON; net/http refuses larger ones by itself.
-const headerSlack = 16 << 10
-
 func (e *Entry) newServer() *http.Server {
 	router := echo.New()
 	router.HideBanner = true
@@ -35,7 +32,7 @@
 	router.Any(servicesPrefix+":service/*", handler)
 	return &http.Server{
 		Handler:           router,
-		MaxHeaderBytes:    e.cfg.MaxHeaderBytes + headerSlack,
+		MaxHeaderBytes:    e.cfg.MaxHeaderBytes + httplimit.HeaderSlack,
 		ReadHeaderTimeout: e.cfg.ReadHeaderTimeout,
 		IdleTimeout:       e.cfg.IdleTimeout,
 	}
@@ -56,7 +53,7 @@
 // limitHeader refuses requests whose header is over the limit.
 func (e *Entry) limitHeader(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if size := headerSize(c.Request()); size > e.cfg.MaxHeaderBytes {
+		if size := httplimit.HeaderBytes(c.Request()); size > e.cfg.MaxHeaderBytes {
 			o := outcome.Not(outcome.HeaderTooLarge, fmt.Sprintf("the header has %d bytes, the limit is %d", size, e.cfg.MaxHeaderBytes), 0)
 			return o.Write(c.Response())
 		}
@@ -64,17 +61,6 @@
 	}
 }
 
-func headerSize(r *http.Request) int {
-	const separators = len(": \r\n")
-	size := len(r.Method) + len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + separators
-		}
-	}
-	return size
-}
-
 func (e *Entry) listen() (net.Listener, error) {
 	lis, err := net.Listen("tcp", e.cfg.CallersAddr)
 	if err != nil {
