--- a/Makefile
+++ b/Makefile
@@ -16,3 +16,7 @@
 
 generate:
 	internal/rpc/generate.sh
+
+bench-weights:
+	$(GO) build -o bin/bench-weights ./internal/bench/weights
+	bin/bench-weights
--- a/internal/weights/pace/governor.go
+++ b/internal/weights/pace/governor.go
@@ -2,20 +2,28 @@
 
 import "time"
 
-// The governor's rule: additive rise and multiplicative fall of the transfers'
-// share, as in TCP's congestion avoidance.
+// The governor's rule: multiplicative fall and additive rise of the transfers'
+// share, as in TCP's congestion avoidance, but a fall is a trial: when live
+// requests are no faster for it, something else makes them slow (most often
+// the engine's own queue in the very burst that the weights are for), and the
+// transfers get their share back.
 const (
-	// minShare keeps a transfer going however slow live requests are: they
-	// may be slow for reasons that no transfer causes.
+	// minShare keeps a transfer going however slow live requests are.
 	minShare = 0.25
 	fall     = 0.7
 	rise     = 0.05
-	// stepEvery bounds how often the share moves, so that a fall can show
-	// its effect before the next.
+	// stepEvery bounds how often the share rises, trialTime is how long a
+	// fall may take to show its effect, and holdOff is how long no other is
+	// tried after one without effect.
 	stepEvery = 200 * time.Millisecond
-	// Latency counts as risen above factor times the usual one plus slack.
+	trialTime = time.Second
+	holdOff   = 10 * time.Second
+	// Latency counts as risen above riseFactor times the usual one plus
+	// riseSlack, and a fall as effective if it is below helpFactor times
+	// what it was.
 	riseFactor = 1.5
 	riseSlack  = 5 * time.Millisecond
+	helpFactor = 0.85
 	// Weights of a new observation in the averages. The usual latency follows
 	// a higher one slowly and a lower one fast.
 	recentWeight    = 0.2
@@ -29,8 +37,12 @@
 	share    float64
 	recent   float64 // seconds
 	usual    float64 // seconds
-	stepped  time.Time
 	observed bool
+	stepped  time.Time // when the share last rose
+	// before is the latency at the fall being tried, 0 if none is.
+	before  float64
+	trial   time.Time // when it began
+	holding time.Time // no fall until then
 }
 
 // NewGovernor returns a governor that leaves transfers the whole link.
@@ -52,24 +64,46 @@
 		weight = usualDownWeight
 	}
 	g.usual += weight * (seconds - g.usual)
-	if now.Sub(g.stepped) >= stepEvery {
-		g.step(now)
-	}
+	g.step(now)
 }
 
 // Tick lets the share rise when no live requests are observed.
 func (g *Governor) Tick(now time.Time) {
-	if g.share < 1 && now.Sub(g.stepped) >= 5*stepEvery {
+	if g.share < 1 && now.Sub(g.stepped) >= 5*stepEvery && now.Sub(g.trial) >= 5*trialTime {
 		g.recent = g.usual
 		g.step(now)
 	}
 }
 
 func (g *Governor) step(now time.Time) {
-	g.stepped = now
+	if g.before > 0 {
+		g.judge(now)
+		return
+	}
 	if g.recent > g.usual*riseFactor+riseSlack.Seconds() {
-		g.share = max(minShare, g.share*fall)
+		if now.After(g.holding) && g.share > minShare {
+			g.before, g.trial = g.recent, now
+			g.share = max(minShare, g.share*fall)
+		}
+		return
+	}
+	if now.Sub(g.stepped) >= stepEvery {
+		g.stepped = now
+		g.share = min(1, g.share+rise)
+	}
+}
+
+// judge decides whether a fall has helped.
+func (g *Governor) judge(now time.Time) {
+	if now.Sub(g.trial) < trialTime {
+		return
+	}
+	helped := g.recent < g.before*helpFactor
+	g.before = 0
+	if helped {
 		return
 	}
-	g.share = min(1, g.share+rise)
+	g.share = 1
+	g.usual = g.recent
+	g.holding = now.Add(holdOff)
 }
--- a/internal/weights/store/version.go
+++ b/internal/weights/store/version.go
@@ -13,6 +13,10 @@
 	"lynxgate.dev/lynxgate/internal/weights/manifest"
 )
 
+// hashBlock is how much is hashed at a time, in bytes: the hash's library is
+// several times as fast on large blocks (0.7 GB/s at 32 KiB, 2.7 GB/s at 1 MiB).
+const hashBlock = 1 << 20
+
 // Version is one open model version. Its methods may be called from several
 // goroutines.
 type Version struct {
@@ -215,7 +219,8 @@
 
 func (v *Version) checkWhole() error {
 	hasher := blake3.New(len(v.manifest.Digest), nil)
-	if _, err := io.Copy(hasher, io.NewSectionReader(v.file, 0, v.manifest.Size)); err != nil {
+	whole := io.NewSectionReader(v.file, 0, v.manifest.Size)
+	if _, err := io.CopyBuffer(hasher, whole, make([]byte, hashBlock)); err != nil {
 		return classify(fmt.Errorf("read weights: %w", err))
 	}
 	var sum manifest.Digest
--- a/internal/weights/swarm/choose.go
+++ b/internal/weights/swarm/choose.go
@@ -44,7 +44,7 @@
 }
 
 func (s *State) askable(p *peer, now time.Time) bool {
-	return p.up && p.asked < s.cfg.PerPeer && !now.Before(p.notAsked)
+	return p.up && p.asked < s.cfg.PerPeer && !now.Before(p.notAsked) && !now.Before(p.busy)
 }
 
 // choose picks the peer with the shortest upload queue among those that hold
--- a/internal/weights/swarm/feed.go
+++ b/internal/weights/swarm/feed.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -9,137 +10,122 @@
 	// feedPatience times the usual interval between two chunks of a feeder
 	// may pass before it counts as late.
 	feedPatience = 6
-	// intervalWeight is the weight of a new interval in the smoothed one.
+	// intervalWeight is the weight of a new interval in the smoothed one, and
+	// intervalCap times the smoothed one is the most that counts as new, so
+	// that one long gap does not make everybody patient.
 	intervalWeight = 0.05
+	intervalCap    = 4
 )
 
-// fetching decides which member fetches a chunk from the origin. A few
-// feeders, the first of all members in hash order, share the chunks by
-// rendezvous hashing. A feeder that brings nothing for the deadline is late
-// and the next member in order takes its place.
-type fetching struct {
-	version uint64
-	order   []Peer // all members by rank
-	count   int
-	active  []Peer
-	late    map[string]bool
-	brought map[string]time.Time // when a chunk of the feeder was last seen
-	owner   []int                // per chunk: index in active
+// feeding decides which member fetches a chunk from the origin. A few feeders,
+// the first of all members in hash order, share the chunks by rendezvous
+// hashing: each chunk has an order of feeders. A member fetches a chunk when
+// all feeders before it in the chunk's order are late, that is, have brought
+// nothing for the deadline. The first in the order never waits for anybody,
+// whatever others believe, so no two members can wait for each other.
+type feeding struct {
+	feeders []Peer
+	own     int // this member's place among the feeders, or beyond them
+	// order holds, per chunk, the feeders' places from first to last.
+	order   [][]int
+	brought []time.Time // per feeder: when a chunk of its share was last seen
+	// late feeders have brought nothing for the deadline. They stay late,
+	// since their share's chunks may from now on come through others.
+	late []bool
+	last time.Time // when any chunk was seen
 	// interval is the smoothed time between two chunks seen the first time.
 	interval time.Duration
-	lastSeen time.Time
-}
-
-func (f *fetching) begin(now time.Time) {
-	f.late = map[string]bool{}
-	f.brought = map[string]time.Time{}
-	f.lastSeen = now
 }
 
 // feedersChanged works out the feeders for the present members.
 func (s *State) feedersChanged(now time.Time) {
-	s.fetch.version = s.version
-	s.fetch.order, s.fetch.count = feeders(s.strategy, s.self, s.members, s.version)
-	s.fetch.assign(s.n, now)
-}
-
-// assign picks the feeders that are not late and shares the chunks out.
-func (f *fetching) assign(chunks int, now time.Time) {
-	f.active = nil
-	for _, m := range f.order {
-		if len(f.active) < f.count && !f.late[m.VM] {
-			f.active = append(f.active, m)
-		}
-	}
-	if len(f.active) == 0 { // all are late: begin again
-		clear(f.late)
-		f.active = append(f.active, f.order[:min(f.count, len(f.order))]...)
+	all, count := feeders(s.strategy, s.self, s.members, s.version)
+	f := &s.feed
+	old := f.feeders
+	f.feeders = all[:min(count, len(all))]
+	f.own = slices.IndexFunc(all, func(p Peer) bool { return p.VM == s.self.VM })
+	if slices.Equal(old, f.feeders) {
+		return
 	}
-	for _, m := range f.active {
-		if _, ok := f.brought[m.VM]; !ok {
-			f.brought[m.VM] = now
-		}
+	f.late = make([]bool, len(f.feeders))
+	f.brought = make([]time.Time, len(f.feeders))
+	for i := range f.brought {
+		f.brought[i] = now
 	}
-	f.owner = make([]int, chunks)
-	for i := range f.owner {
-		f.owner[i] = rendezvous(f.active, f.version, i)
+	f.order = make([][]int, s.n)
+	for i := range f.order {
+		f.order[i] = rendezvousOrder(f.feeders, s.version, i)
 	}
 }
 
-// rendezvous returns the index of the member with the highest hash for chunk i.
-func rendezvous(members []Peer, version uint64, i int) int {
-	best, bestKey := 0, uint64(0)
+// rendezvousOrder returns the members' places by falling hash for chunk i.
+func rendezvousOrder(members []Peer, version uint64, i int) []int {
+	keys := make([]uint64, len(members))
+	order := make([]int, len(members))
 	for m, p := range members {
-		if key := hash(mix(version)^uint64(i), p.VM); key >= bestKey {
-			best, bestKey = m, key
-		}
+		keys[m] = hash(mix(version)^uint64(i), p.VM)
+		order[m] = m
 	}
-	return best
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(keys[b], keys[a]) })
+	return order
 }
 
 // saw notes that chunk i has been fetched by someone.
-func (f *fetching) saw(i int, now time.Time) {
-	gap := now.Sub(f.lastSeen)
-	f.lastSeen = now
+func (f *feeding) saw(i int, now time.Time) {
+	gap := now.Sub(f.last)
+	f.last = now
 	if f.interval == 0 {
 		f.interval = gap
 	} else {
+		gap = min(gap, intervalCap*f.interval)
 		f.interval += time.Duration(intervalWeight * float64(gap-f.interval))
 	}
-	if i >= len(f.owner) {
-		return
+	if i < len(f.order) {
+		f.brought[f.order[i][0]] = now
 	}
-	f.brought[f.active[f.owner[i]].VM] = now
 }
 
 // deadline is how long a feeder may bring nothing.
 func (s *State) deadline() time.Duration {
-	observed := feedPatience * s.fetch.interval * time.Duration(len(s.fetch.active))
+	observed := feedPatience * s.feed.interval * time.Duration(len(s.feed.feeders))
 	return max(s.cfg.OriginDeadline, time.Duration(s.cfg.DeadlineChunks)*s.chunkTime, observed)
 }
 
-// replaceLate puts the next member in order in a late feeder's place.
-func (s *State) replaceLate(now time.Time) {
-	f := &s.fetch
-	waiting := make([]bool, len(f.active))
-	for i, owner := range f.owner {
+// findLate marks the feeders that have brought nothing for the deadline
+// although their share has not been seen whole.
+func (s *State) findLate(deadline time.Duration, now time.Time) {
+	f := &s.feed
+	waiting := make([]bool, len(f.feeders))
+	for i, order := range f.order {
 		if !s.seen.Has(i) {
-			waiting[owner] = true
+			waiting[order[0]] = true
 		}
 	}
-	changed := false
-	for m, p := range f.active {
-		if !waiting[m] {
-			f.brought[p.VM] = now
-			continue
+	for m := range waiting {
+		if waiting[m] && now.Sub(f.brought[m]) > deadline {
+			f.late[m] = true
 		}
-		if p.VM != s.self.VM && now.Sub(f.brought[p.VM]) > s.deadline() {
-			f.late[p.VM] = true
-			changed = true
-		}
-	}
-	if !changed {
-		return
-	}
-	f.assign(s.n, now)
-	for _, p := range f.active {
-		f.brought[p.VM] = now // the new order gets a whole deadline
 	}
 }
 
 // scheduleOrigin fetches this member's share from the origin.
 func (s *State) scheduleOrigin(now time.Time) []Action {
-	if len(s.fetch.active) == 0 {
+	if len(s.feed.feeders) == 0 || !s.source.open(now) {
+		return nil
+	}
+	free := max(1, s.cfg.OriginStreams/len(s.feed.feeders)) - s.askedOfOrigin()
+	if free <= 0 {
 		return nil
 	}
+	deadline := s.deadline()
 	if s.seen.Count() < s.n {
-		s.replaceLate(now)
+		s.findLate(deadline, now)
 	}
-	free := max(1, s.cfg.OriginStreams/len(s.fetch.active)) - s.askedOfOrigin()
 	var out []Action
-	for i := 0; i < s.n && free > 0 && s.source.open(now); i++ {
-		if s.held.Has(i) || s.pending.Has(i) || !s.mine(i, now) {
-			continue
+	for free > 0 && s.source.open(now) {
+		i := s.nextFromOrigin(deadline, now)
+		if i < 0 {
+			break
 		}
 		r := s.start(nil, i, now)
 		out = append(out, Fetch{ID: r.id, Index: i, Store: s.source.store})
@@ -149,32 +135,61 @@
 	return out
 }
 
+// nextFromOrigin returns the next chunk to fetch from the origin, or -1. A
+// member goes through its own share from the front and through a late feeder's
+// from the back: if that feeder is only slow, the two meet.
+func (s *State) nextFromOrigin(deadline time.Duration, now time.Time) int {
+	substitute := -1
+	for i := range s.n {
+		if s.held.Has(i) || s.pending.Has(i) || !s.mine(i, deadline, now) {
+			continue
+		}
+		if s.strategy != StrategySwarm || s.feed.order[i][0] == s.feed.own {
+			return i
+		}
+		substitute = i
+	}
+	return substitute
+}
+
 func (s *State) askedOfOrigin() int { return len(s.order) - s.askedOfPeers() }
 
 // mine says whether this member shall fetch chunk i from the origin now.
-func (s *State) mine(i int, now time.Time) bool {
-	if s.strategy != StrategySwarm && s.strategy != StrategyOrigin && s.cutOff(now) {
+func (s *State) mine(i int, deadline time.Duration, now time.Time) bool {
+	switch s.strategy {
+	case StrategyOrigin:
 		return true
+	case StrategyChain, StrategyZoneTree:
+		// The root feeds; others do when their parent gives nothing.
+		return s.feed.own == 0 || now.Sub(s.gained) > deadline
 	}
-	if !s.seen.Has(i) {
-		return s.fetch.active[s.fetch.owner[i]].VM == s.self.VM
-	}
-	if s.strategy == StrategyOrigin {
-		return true
+	if s.seen.Has(i) {
+		return s.copies[i] == 0 && s.lost(i, deadline, now)
 	}
-	return s.copies[i] == 0 && s.lost(i, now)
+	return s.inTurn(i, deadline, now)
 }
 
-// cutOff says that a tree's or a chain's member gets nothing from its parent.
-func (s *State) cutOff(now time.Time) bool {
-	return now.Sub(s.gained) > s.deadline()
+// inTurn says whether all feeders before this member in chunk i's order are
+// late. Members that are no feeders come after all feeders, one deadline each.
+func (s *State) inTurn(i int, deadline time.Duration, now time.Time) bool {
+	f := &s.feed
+	for _, m := range f.order[i] {
+		if m == f.own {
+			return true
+		}
+		if !f.late[m] {
+			return false
+		}
+	}
+	beyond := min(f.own-len(f.feeders)+1, lostRankLimit)
+	return now.Sub(f.last) > deadline*time.Duration(1+beyond)
 }
 
 // lost says that chunk i, once seen, has had no holder among the connected
 // peers for so long that this member, by its rank for the chunk, shall fetch it
 // from the origin.
-func (s *State) lost(i int, now time.Time) bool {
-	wait := 2 * s.deadline()
+func (s *State) lost(i int, deadline time.Duration, now time.Time) bool {
+	wait := lostPatience * deadline
 	gone := now.Sub(s.absent[i])
 	if gone < wait {
 		return false
@@ -182,7 +197,12 @@
 	return gone >= wait*time.Duration(1+s.rank(i))
 }
 
-// rank is this member's place in the rendezvous order of chunk i.
+// lostPatience times the deadline a chunk that was seen may have no holder
+// among the connected peers.
+const lostPatience = 4
+
+// rank is this member's place in the rendezvous order of chunk i over all
+// members.
 func (s *State) rank(i int) int {
 	seed := mix(s.version) ^ uint64(i)
 	own := hash(seed, s.self.VM)
@@ -194,14 +214,3 @@
 	}
 	return min(before, lostRankLimit)
 }
-
-// Feeding returns the members that are to fetch from the origin as this
-// member sees it.
-func (s *State) Feeding() []string {
-	names := make([]string, 0, len(s.fetch.active))
-	for _, m := range s.fetch.active {
-		names = append(names, m.VM)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/internal/weights/swarm/step.go
+++ b/internal/weights/swarm/step.go
@@ -30,7 +30,7 @@
 		out = s.peerHaves(ev, now)
 	case PeerQueue:
 		if p := s.peer(ev.VM); p != nil {
-			p.queue = ev.Queue
+			p.setQueue(ev.Queue)
 		}
 	case PeerLost:
 		out = s.peerLost(ev.VM, now)
@@ -56,7 +56,7 @@
 	for i := range s.absent {
 		s.absent[i] = now
 	}
-	s.fetch.begin(now)
+	s.feed.last = now
 }
 
 func (s *State) membersChanged(members []Peer, now time.Time) []Action {
@@ -117,7 +117,7 @@
 		return nil
 	}
 	p.up = true
-	p.queue = ev.Queue
+	p.setQueue(ev.Queue)
 	var news []int
 	if ev.Reset {
 		p.holds.each(func(i int) { s.removeCopy(i, now) })
@@ -149,6 +149,14 @@
 	return s.see(i, now, news)
 }
 
+// setQueue takes a peer's report; a short queue has room again.
+func (p *peer) setQueue(queue int) {
+	p.queue = queue
+	if queue <= 1 {
+		p.busy = time.Time{}
+	}
+}
+
 // see notes that some member holds chunk i.
 func (s *State) see(i int, now time.Time, news []int) []int {
 	if s.seen.Has(i) {
@@ -156,7 +164,7 @@
 	}
 	s.seen.Set(i)
 	s.absent[i] = now
-	s.fetch.saw(i, now)
+	s.feed.saw(i, now)
 	return append(news, i)
 }
 
@@ -231,7 +239,7 @@
 		}
 		return s.strike(p, now)
 	case Busy, Limited:
-		p.notAsked = now.Add(ev.RetryAfter)
+		p.busy = now.Add(ev.RetryAfter)
 	case Failed:
 		s.pause(p, failedPause, now)
 	case Dropped:
--- a/internal/weights/swarm/swarm.go
+++ b/internal/weights/swarm/swarm.go
@@ -66,8 +66,8 @@
 	DefaultWindow          = 6
 	DefaultPerPeer         = 2
 	DefaultOriginStreams   = 8
-	DefaultDeadlineTime    = 500 * time.Millisecond
-	DefaultDeadlineBytes   = 2 * time.Second
+	DefaultDeadlineTime    = 800 * time.Millisecond
+	DefaultDeadlineBytes   = 3 * time.Second
 	DefaultChunksTime      = 16
 	DefaultChunksBytes     = 64
 	DefaultProgressTimeout = time.Second
@@ -153,7 +153,7 @@
 	nextID   uint64
 	usual    time.Duration // smoothed duration of a peer's request
 
-	fetch  fetching
+	feed   feeding
 	source source
 	gained time.Time // when the last chunk came
 	begun  bool
@@ -170,6 +170,7 @@
 	good     int // verified chunks since the last strike
 	stalls   int
 	notAsked time.Time // not before this time
+	busy     time.Time // queue full; not before this time unless it shrinks
 }
 
 type request struct {
--- a/internal/weights/swarm/topology.go
+++ b/internal/weights/swarm/topology.go
@@ -11,7 +11,7 @@
 	// ring ordered by another hash: all members agree on the rings, each has
 	// as many peers as the others, and a join or a leave moves only two links
 	// per ring.
-	zoneRings   = 6
+	zoneRings   = 5
 	globalRings = 3
 
 	treeFanOut = 2
--- a/internal/weights/transfer/act.go
+++ b/internal/weights/transfer/act.go
@@ -1,7 +1,6 @@
 package transfer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -123,8 +122,9 @@
 	d := &download{
 		id:       a.ID,
 		digest:   m.Chunks[a.Index],
-		buf:      bytes.NewBuffer(make([]byte, 0, length)),
+		buf:      v.manager.chunks.get(length)[:0],
 		limit:    length,
+		held:     uint32(1000 * v.state.Held() / m.Len()),
 		progress: func() { v.post(func() { v.step(swarm.Progress{ID: a.ID}) }) },
 	}
 	d.done = func(outcome swarm.Outcome, retry time.Duration) {
@@ -132,7 +132,8 @@
 			v.postEnded(files, a.ID, outcome, retry)
 			return
 		}
-		v.keep(files, a, d.buf.Bytes(), false)
+		v.keep(files, a, d.buf, false)
+		v.manager.chunks.put(d.buf)
 	}
 	if l.ask(d) != nil {
 		v.step(swarm.Ended{ID: a.ID, Outcome: swarm.Failed})
@@ -154,7 +155,8 @@
 	go func() {
 		defer v.running.Done()
 		defer cancel()
-		buf := make([]byte, m.ChunkLen(a.Index))
+		buf := v.manager.chunks.get(m.ChunkLen(a.Index))
+		defer v.manager.chunks.put(buf)
 		progress := func(int) { v.post(func() { v.step(swarm.Progress{ID: a.ID}) }) }
 		err := v.manager.origin.Range(ctx, base, m.Model, m.Version, buf, m.Offset(a.Index), progress)
 		if err != nil {
--- a/internal/weights/transfer/bootstrap.go
+++ b/internal/weights/transfer/bootstrap.go
@@ -1,7 +1,6 @@
 package transfer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -91,7 +90,7 @@
 		b.asked, b.since = l, now
 		b.tried[l.peer.VM] = now
 		d := &download{
-			id: manifestID, digest: v.id, buf: &bytes.Buffer{}, limit: manifest.MaxEncodedSize,
+			id: manifestID, digest: v.id, limit: manifest.MaxEncodedSize,
 			progress: func() { v.post(func() { b.since = v.manager.cfg.Now() }) },
 		}
 		d.done = func(outcome swarm.Outcome, _ time.Duration) {
@@ -99,8 +98,8 @@
 				if b.asked == l {
 					b.asked = nil
 				}
-				if outcome == swarm.Verified && v.verifiedManifest(d.buf.Bytes()) {
-					b.encoded = d.buf.Bytes()
+				if outcome == swarm.Verified && v.verifiedManifest(d.buf) {
+					b.encoded = d.buf
 				}
 			})
 		}
--- a/internal/weights/transfer/hub.go
+++ b/internal/weights/transfer/hub.go
@@ -107,3 +107,10 @@
 	at.position = len(h.log)
 	return update, nil
 }
+
+// few says whether little has been added since the cursor for what was told.
+func (h *hub) few(at *cursor) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.generation == at.generation && (len(h.log)-at.position)*fewShare < at.position
+}
--- a/internal/weights/transfer/link.go
+++ b/internal/weights/transfer/link.go
@@ -1,7 +1,6 @@
 package transfer
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +26,8 @@
 	maxMessage = 1 << 20
 	// requestBuffer is how many requests may wait to be written to a peer.
 	requestBuffer = 64
+	// progressEvery is how often a download's progress is told at most.
+	progressEvery = 50 * time.Millisecond
 )
 
 var (
@@ -38,9 +39,11 @@
 	id     uint64
 	digest manifest.Digest
 	// buf takes the content; it grows up to limit bytes.
-	buf      *bytes.Buffer
+	buf      []byte
 	limit    int
+	held     uint32 // thousandths of the version held here
 	progress func()
+	told     time.Time // when progress was last told
 	// done is called once, from the link's goroutine.
 	done func(swarm.Outcome, time.Duration)
 }
@@ -144,15 +147,15 @@
 	l.mu.Unlock()
 	go l.writeRequests(ctx, stream, requests)
 	told := 0
+	piece := &rpc.ChunkPiece{}
 	for {
-		piece, err := stream.Recv()
-		if err != nil {
+		if err := stream.MsgRecv(piece, pieceEncoding{}); err != nil {
 			return err
 		}
 		if err := l.manager.link.Down(ctx, pace.Transfer, len(piece.GetData())); err != nil {
 			return err
 		}
-		if n := int(piece.GetQueue()); n != told {
+		if n := int(piece.GetQueue()); piece.GetLast() && n != told {
 			told = n
 			l.queue(n)
 		}
@@ -179,7 +182,7 @@
 func (l *link) ask(d *download) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err := l.enqueue(&rpc.ChunkRequest{Id: d.id, Digest: d.digest[:]}); err != nil {
+	if err := l.enqueue(&rpc.ChunkRequest{Id: d.id, Digest: d.digest[:], Progress: d.held}); err != nil {
 		return err
 	}
 	l.downloads[d.id] = d
@@ -221,15 +224,18 @@
 		l.end(d, swarm.NotHeld, 0)
 	case piece.GetBusyRetryMs() > 0:
 		l.end(d, swarm.Busy, time.Duration(piece.GetBusyRetryMs())*time.Millisecond)
-	case d.buf.Len()+len(data) > d.limit:
+	case len(d.buf)+len(data) > d.limit:
 		l.end(d, swarm.Corrupt, 0)
 	default:
-		d.buf.Write(data)
+		d.buf = append(d.buf, data...)
 		if piece.GetLast() {
 			l.end(d, swarm.Verified, 0)
 			return
 		}
-		d.progress()
+		if now := time.Now(); now.Sub(d.told) > progressEvery {
+			d.told = now
+			d.progress()
+		}
 	}
 }
 
--- a/internal/weights/transfer/manager.go
+++ b/internal/weights/transfer/manager.go
@@ -33,6 +33,9 @@
 	origin  *origin.Client
 	uploads *uploads
 	metrics *metrics
+	// chunks and pieces recycle the buffers of downloads and uploads.
+	chunks  buffers
+	pieces  buffers
 	changed chan struct{}
 
 	ctx     context.Context
--- a/internal/weights/transfer/serve.go
+++ b/internal/weights/transfer/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -14,56 +13,16 @@
 )
 
 const (
-	// uploadTurns is how many chunks are sent at once: few, so that each is
-	// soon whole at its receiver and can be passed on.
-	uploadTurns = 2
-	// uploadQueue bounds the requests waiting for a turn.
-	uploadQueue = 12
-	// stallYield is how long a send may block before its turn passes on.
-	stallYield = 100 * time.Millisecond
-	// haveInterval is the least time between two have updates on a stream.
-	haveInterval = 20 * time.Millisecond
-	// queueInterval is how often a changed queue length alone is told.
-	queueInterval = 100 * time.Millisecond
-
-	minPiece     = 16 << 10
-	maxPiece     = 64 << 10
-	pieceSeconds = 0.002 // of the link's rate
-
-	minBusyRetry = 5 * time.Millisecond
-	maxBusyRetry = 2 * time.Second
+	// Have updates on a stream are told apart by haveInterval, the first ones
+	// of a burst by eagerInterval since all depends on them, and by
+	// lazyInterval when few chunks have been added for the number told before.
+	eagerInterval = 5 * time.Millisecond
+	haveInterval  = 20 * time.Millisecond
+	lazyInterval  = 60 * time.Millisecond
+	eagerCount    = 32
+	fewShare      = 16 // fewer than one in fewShare are few
 )
 
-// uploads is the queue of chunk requests that peers have made.
-type uploads struct {
-	turns   chan struct{}
-	waiting atomic.Int32
-	// took is the smoothed time of one upload within its turn, nanoseconds.
-	took  atomic.Int64
-	piece int
-}
-
-func newUploads(rate float64) *uploads {
-	piece := maxPiece
-	if rate > 0 {
-		piece = min(maxPiece, max(minPiece, int(rate*pieceSeconds)))
-	}
-	return &uploads{turns: make(chan struct{}, uploadTurns), piece: piece}
-}
-
-func (u *uploads) queue() int { return int(u.waiting.Load()) }
-
-// retryAfter is about when the queue will have room again.
-func (u *uploads) retryAfter() time.Duration {
-	d := time.Duration(u.took.Load()) * time.Duration(u.queue()) / uploadTurns / 2
-	return min(maxBusyRetry, max(minBusyRetry, d))
-}
-
-func (u *uploads) observe(d time.Duration) {
-	old := u.took.Load()
-	u.took.Store(old + (int64(d)-old)/8)
-}
-
 // exchange is one peer's stream of chunk requests.
 type exchange struct {
 	manager *Manager
@@ -94,18 +53,23 @@
 			e.cancel(req.GetId())
 			continue
 		}
-		if m.uploads.queue() >= uploadQueue {
-			m.metrics.busy.Inc()
-			retry := m.uploads.retryAfter().Milliseconds()
-			if err := e.send(&rpc.ChunkPiece{Id: req.GetId(), BusyRetryMs: max(1, retry), Last: true}); err != nil {
+		turn := m.uploads.enter(req.GetProgress())
+		if turn == nil {
+			if e.sendBusy(req.GetId()) != nil {
 				return nil
 			}
 			continue
 		}
-		e.begin(ctx, req)
+		e.begin(ctx, req, turn)
 	}
 }
 
+func (e *exchange) sendBusy(id uint64) error {
+	e.manager.metrics.busy.Inc()
+	retry := e.manager.uploads.retryAfter().Milliseconds()
+	return e.send(&rpc.ChunkPiece{Id: id, BusyRetryMs: max(1, retry), Last: true})
+}
+
 func (e *exchange) cancel(id uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -114,12 +78,11 @@
 	}
 }
 
-func (e *exchange) begin(ctx context.Context, req *rpc.ChunkRequest) {
+func (e *exchange) begin(ctx context.Context, req *rpc.ChunkRequest, turn *turn) {
 	ctx, cancel := context.WithCancel(ctx)
 	e.mu.Lock()
 	e.cancels[req.GetId()] = cancel
 	e.mu.Unlock()
-	e.manager.uploads.waiting.Add(1)
 	e.running.Add(1)
 	go func() {
 		defer e.running.Done()
@@ -129,7 +92,8 @@
 			e.mu.Unlock()
 			cancel()
 		}()
-		e.upload(ctx, req)
+		defer turn.release()
+		e.upload(ctx, req, turn)
 	}()
 }
 
@@ -141,16 +105,11 @@
 	return e.stream.Send(piece)
 }
 
-// upload waits for a turn and sends a chunk in pieces.
-func (e *exchange) upload(ctx context.Context, req *rpc.ChunkRequest) {
-	u := e.manager.uploads
-	turn := &turn{turns: u.turns}
-	err := turn.take(ctx)
-	u.waiting.Add(-1)
-	if err != nil {
+// upload waits for its turn and sends a chunk in pieces.
+func (e *exchange) upload(ctx context.Context, req *rpc.ChunkRequest, turn *turn) {
+	if turn.wait(ctx) != nil {
 		return
 	}
-	defer turn.release()
 	began := time.Now()
 	var digest manifest.Digest
 	copy(digest[:], req.GetDigest())
@@ -160,19 +119,20 @@
 		return
 	}
 	if e.sendContent(ctx, turn, req.GetId(), content) {
-		u.observe(time.Since(began))
+		e.manager.uploads.observe(time.Since(began))
 	}
 }
 
 func (e *exchange) sendContent(ctx context.Context, turn *turn, id uint64, c content) bool {
-	buf := make([]byte, min(e.manager.uploads.piece, c.length))
+	buf := e.manager.pieces.get(e.manager.uploads.piece)
+	defer e.manager.pieces.put(buf)
 	for offset := 0; offset < c.length; {
 		p := buf[:min(len(buf), c.length-offset)]
 		if err := c.read(p, offset); err != nil {
 			_ = e.send(&rpc.ChunkPiece{Id: id, NotHeld: true, Last: true})
 			return false
 		}
-		if turn.take(ctx) != nil || e.manager.link.Up(ctx, pace.Transfer, len(p)) != nil {
+		if turn.wait(ctx) != nil || e.manager.link.Up(ctx, pace.Transfer, len(p)) != nil {
 			return false
 		}
 		offset += len(p)
@@ -188,41 +148,6 @@
 	return true
 }
 
-// turn is the right to send, which may be released early by a stalled send.
-type turn struct {
-	turns chan struct{}
-	mu    sync.Mutex
-	held  bool
-}
-
-// take waits for the turn unless it is held already.
-func (t *turn) take(ctx context.Context) error {
-	t.mu.Lock()
-	held := t.held
-	t.mu.Unlock()
-	if held {
-		return ctx.Err()
-	}
-	select {
-	case t.turns <- struct{}{}:
-		t.mu.Lock()
-		t.held = true
-		t.mu.Unlock()
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-func (t *turn) release() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.held {
-		t.held = false
-		<-t.turns
-	}
-}
-
 // Haves implements rpc.DRPCWeightsServer.
 func (m *Manager) Haves(req *rpc.HavesRequest, stream rpc.DRPCWeights_HavesStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
@@ -238,7 +163,7 @@
 	for ctx.Err() == nil {
 		update, changed := h.next(at)
 		if update == nil && m.uploads.queue() == told {
-			waitAtMost(ctx, changed, queueInterval)
+			waitAtMost(ctx, changed, lazyInterval)
 			continue
 		}
 		if update == nil {
@@ -250,7 +175,14 @@
 		if err := stream.Send(update); err != nil {
 			return nil
 		}
+		if at.position < eagerCount {
+			waitAtMost(ctx, nil, eagerInterval)
+			continue
+		}
 		waitAtMost(ctx, nil, haveInterval)
+		if h.few(at) {
+			waitAtMost(ctx, nil, lazyInterval-haveInterval)
+		}
 	}
 	return nil
 }
