--- a/internal/bench/weights/agent.go
+++ b/internal/bench/weights/agent.go
@@ -8,6 +8,8 @@
 	"net"
 	"os"
 	"runtime/pprof"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -18,6 +20,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/weights/swarm"
 	"lynxgate.dev/lynxgate/internal/weights/transfer"
 )
 
@@ -69,6 +72,11 @@
 		UpBytesPerSecond: a.cfg.Rate, DownBytesPerSecond: a.cfg.Rate,
 		Registerer: a.registry, Logger: zerolog.New(os.Stderr).Level(zerolog.ErrorLevel),
 	}
+	if a.cfg.Strategy == swarm.StrategyOrigin {
+		// A share of the origin's link is so small that its fetches are
+		// slow, not stalled.
+		cfg.Swarm = swarm.Config{OriginStreams: 2, ProgressTimeout: time.Minute}
+	}
 	var err error
 	if a.manager, err = transfer.New(cfg); err != nil {
 		return err
@@ -153,12 +161,23 @@
 	}
 	r.ControlBytes = r.Metrics["lynxgate_weights_control_bytes_total"]
 	r.QuietMS, r.BurstMS = a.probes.results()
-	var usage syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	r.MaxRSSBytes = usage.Maxrss * 1024
+	r.MaxRSSBytes = peakMemory()
 	return r
 }
 
+// peakMemory returns the most resident memory that this program has had. The
+// kernel's rusage would count the bench that started it.
+func peakMemory() int64 {
+	status, _ := os.ReadFile("/proc/self/status")
+	_, after, _ := strings.Cut(string(status), "VmHWM:")
+	fields := strings.Fields(after)
+	if len(fields) == 0 {
+		return 0
+	}
+	kilobytes, _ := strconv.ParseInt(fields[0], 10, 64)
+	return kilobytes * 1024
+}
+
 func cpuSeconds() float64 {
 	var usage syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
--- a/internal/weights/pace/governor.go
+++ b/internal/weights/pace/governor.go
@@ -9,15 +9,18 @@
 // transfers get their share back.
 const (
 	// minShare keeps a transfer going however slow live requests are.
-	minShare = 0.25
-	fall     = 0.7
-	rise     = 0.05
+	minShare   = 0.25
+	fallFactor = 0.7
+	rise       = 0.05
 	// stepEvery bounds how often the share rises, trialTime is how long a
 	// fall may take to show its effect, and holdOff is how long no other is
 	// tried after one without effect.
 	stepEvery = 200 * time.Millisecond
 	trialTime = time.Second
 	holdOff   = 10 * time.Second
+	// sustained is how long latency must stay risen before a fall, so that one
+	// slow request does not cost a transfer its share.
+	sustained = 500 * time.Millisecond
 	// Latency counts as risen above riseFactor times the usual one plus
 	// riseSlack, and a fall as effective if it is below helpFactor times
 	// what it was.
@@ -43,6 +46,7 @@
 	before  float64
 	trial   time.Time // when it began
 	holding time.Time // no fall until then
+	risen   time.Time // since when latency has been risen; zero if it is not
 }
 
 // NewGovernor returns a governor that leaves transfers the whole link.
@@ -81,18 +85,28 @@
 		return
 	}
 	if g.recent > g.usual*riseFactor+riseSlack.Seconds() {
-		if now.After(g.holding) && g.share > minShare {
-			g.before, g.trial = g.recent, now
-			g.share = max(minShare, g.share*fall)
-		}
+		g.fall(now)
 		return
 	}
+	g.risen = time.Time{}
 	if now.Sub(g.stepped) >= stepEvery {
 		g.stepped = now
 		g.share = min(1, g.share+rise)
 	}
 }
 
+// fall begins the trial of a smaller share once latency has stayed risen.
+func (g *Governor) fall(now time.Time) {
+	if g.risen.IsZero() {
+		g.risen = now
+	}
+	if now.Sub(g.risen) < sustained || now.Before(g.holding) || g.share <= minShare {
+		return
+	}
+	g.before, g.trial = g.recent, now
+	g.share = max(minShare, g.share*fallFactor)
+}
+
 // judge decides whether a fall has helped.
 func (g *Governor) judge(now time.Time) {
 	if now.Sub(g.trial) < trialTime {
--- a/internal/weights/swarm/feed.go
+++ b/internal/weights/swarm/feed.go
@@ -164,7 +164,7 @@
 		return s.feed.own == 0 || now.Sub(s.gained) > deadline
 	}
 	if s.seen.Has(i) {
-		return s.copies[i] == 0 && s.lost(i, deadline, now)
+		return s.lost(i, deadline, now)
 	}
 	return s.inTurn(i, deadline, now)
 }
@@ -185,21 +185,34 @@
 	return now.Sub(f.last) > deadline*time.Duration(1+beyond)
 }
 
-// lost says that chunk i, once seen, has had no holder among the connected
-// peers for so long that this member, by its rank for the chunk, shall fetch it
-// from the origin.
+// lost says that chunk i, once seen, has had no trusted holder among the
+// connected peers for so long that this member, by its rank for the chunk,
+// shall fetch it from the origin.
 func (s *State) lost(i int, deadline time.Duration, now time.Time) bool {
-	wait := lostPatience * deadline
-	gone := now.Sub(s.absent[i])
-	if gone < wait {
+	since := s.absent[i]
+	if s.copies[i] > 0 {
+		for _, p := range s.peers {
+			if !p.holds.Has(i) {
+				continue
+			}
+			if p.doubted.IsZero() {
+				return false
+			}
+			if p.doubted.After(since) {
+				since = p.doubted
+			}
+		}
+	}
+	gone := now.Sub(since)
+	if gone < lostPatience*deadline {
 		return false
 	}
-	return gone >= wait*time.Duration(1+s.rank(i))
+	return gone >= deadline*time.Duration(lostPatience+s.rank(i))
 }
 
-// lostPatience times the deadline a chunk that was seen may have no holder
-// among the connected peers.
-const lostPatience = 4
+// lostPatience times the deadline a chunk that was seen may have no trusted
+// holder among the connected peers.
+const lostPatience = 2
 
 // rank is this member's place in the rendezvous order of chunk i over all
 // members.
--- a/internal/weights/swarm/step.go
+++ b/internal/weights/swarm/step.go
@@ -225,6 +225,7 @@
 	case Verified:
 		s.took(now.Sub(r.started))
 		p.stalls = 0
+		p.doubted = time.Time{}
 		p.good++
 		if p.good >= goodPerStrike && p.strikes > 0 {
 			p.good = 0
@@ -263,6 +264,7 @@
 	}
 	p.strikes = 0
 	p.notAsked = now.Add(s.cfg.AsideFor)
+	p.doubt(now)
 	return []Action{SetAside{VM: p.VM, For: s.cfg.AsideFor}}
 }
 
@@ -270,6 +272,13 @@
 func (s *State) pause(p *peer, first time.Duration, now time.Time) {
 	p.notAsked = now.Add(backoff(first, p.stalls))
 	p.stalls++
+	p.doubt(now)
+}
+
+func (p *peer) doubt(now time.Time) {
+	if p.doubted.IsZero() {
+		p.doubted = now
+	}
 }
 
 func backoff(first time.Duration, times int) time.Duration {
--- a/internal/weights/swarm/swarm.go
+++ b/internal/weights/swarm/swarm.go
@@ -67,9 +67,9 @@
 	DefaultPerPeer         = 2
 	DefaultOriginStreams   = 8
 	DefaultDeadlineTime    = 800 * time.Millisecond
-	DefaultDeadlineBytes   = 3 * time.Second
+	DefaultDeadlineBytes   = 1500 * time.Millisecond
 	DefaultChunksTime      = 16
-	DefaultChunksBytes     = 64
+	DefaultChunksBytes     = 32
 	DefaultProgressTimeout = time.Second
 	DefaultStrikes         = 3
 	DefaultAsideFor        = 30 * time.Second
@@ -171,6 +171,9 @@
 	stalls   int
 	notAsked time.Time // not before this time
 	busy     time.Time // queue full; not before this time unless it shrinks
+	// doubted is since when the peer has brought nothing that it was asked
+	// for, or has been set aside; zero if it is trusted.
+	doubted time.Time
 }
 
 type request struct {
--- a/internal/weights/swarm/topology.go
+++ b/internal/weights/swarm/topology.go
@@ -11,8 +11,8 @@
 	// ring ordered by another hash: all members agree on the rings, each has
 	// as many peers as the others, and a join or a leave moves only two links
 	// per ring.
-	zoneRings   = 5
-	globalRings = 3
+	zoneRings   = 4
+	globalRings = 2
 
 	treeFanOut = 2
 )
