--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 bench-config: build
 	$(GO) build -o bin/bench-config ./internal/bench/config
 	bin/bench-config
+
+bench-weights:
+	$(GO) build -o bin/bench-weights ./internal/bench/weights
+	bin/bench-weights
