--- a/internal/consensus/found.go
+++ b/internal/consensus/found.go
@@ -8,11 +8,12 @@
 // Bootstrap and joining.
 //
 // A blank server (no snapshot, no entries) never votes and never campaigns.
-// It says hello to the servers named in its settings until it is given state.
+// A server that is no member under its identity, as a blank one is, says hello
+// to the servers named in its settings until it is made one.
 //
 // The initial voter with the lowest name is the founder. While it is blank it
-// collects the identities of the others, from hellos that only blank servers
-// send and that repeat a nonce drawn since the founder's start. When it has
+// collects the identities of the others, from hellos that say their sender is
+// blank and repeat a nonce drawn since the founder's start. When it has
 // all of them it makes the founding snapshot, which lists all identities, and
 // hands it to each. It campaigns only when every initial voter has said that
 // the founding snapshot is durable. The others campaign only after they have
@@ -22,9 +23,10 @@
 //   - from the first election on each initial voter knows the identities that
 //     count, and a wiped server has another one.
 //
-// A blank server whose name is a member's is put in its place by the leader:
-// one change drops the old incarnation and adds the new one as a learner, a
-// second one makes it a voter again once it is caught up.
+// A server that says hello under the name of a member, but with another
+// incarnation, is put in its place by the leader: one change drops the old
+// incarnation and adds the new one as a learner, a second one makes it a voter
+// again once it is caught up.
 
 // joinState is what a server keeps for bootstrap and joining.
 type joinState struct {
@@ -33,15 +35,21 @@
 	// welcomes holds, on a blank server, the newest nonce by server name.
 	welcomes map[string]uint64
 	// heard holds the servers that asked to join with a fresh nonce.
-	heard map[string]Member
+	heard map[string]heardServer
 	// acked holds, on the founder, who made the founding snapshot durable.
 	acked map[ServerID]bool
 }
 
+// heardServer is a server that asked to join.
+type heardServer struct {
+	member Member
+	blank  bool
+}
+
 func (j *joinState) init(c *Core) {
 	j.nonce = c.rand.Uint64()
 	j.welcomes = map[string]uint64{}
-	j.heard = map[string]Member{}
+	j.heard = map[string]heardServer{}
 	j.acked = map[ServerID]bool{}
 }
 
@@ -70,21 +78,35 @@
 	return slices.Contains(c.cfg.Peers, c.id.Name) && slices.Min(c.cfg.Peers) == c.id.Name
 }
 
-// tickJoin says hello while we are blank, and goes on with a founding.
+// tickJoin says hello while we are no member, and goes on with a founding.
 func (c *Core) tickJoin() {
-	if c.now%uint64(c.cfg.HeartbeatTicks) != 0 || c.foundingComplete() {
+	interval := c.cfg.HeartbeatTicks
+	if !c.blank() {
+		interval = c.cfg.ElectionTicks
+	}
+	if c.now%uint64(interval) != 0 {
 		return
 	}
-	if !c.blank() && !c.isFounder() {
-		return // holds the founding snapshot; the founder goes on
+	members, _ := c.log.membership()
+	_, member := members.Find(c.id)
+	founding := c.isFounder() && !c.foundingComplete()
+	if member && !founding {
+		return
 	}
-	if c.blank() && c.isFounder() {
+	if c.blank() && founding {
 		c.tryFound()
 	}
+	c.sendHello()
+	c.sendFound()
+}
+
+func (c *Core) sendHello() {
 	for _, name := range c.helloTargets() {
-		c.send(Message{Kind: KindHello, To: ServerID{Name: name}, Addr: c.cfg.Addr, Context: c.join.welcomes[name]})
+		c.send(Message{
+			Kind: KindHello, To: ServerID{Name: name}, Addr: c.cfg.Addr,
+			Context: c.join.welcomes[name], Commit: c.log.lastIndex(),
+		})
 	}
-	c.sendFound()
 }
 
 // helloTargets returns the servers of the settings and those that have
@@ -101,7 +123,7 @@
 
 // sendFound hands the founding snapshot to the voters that lack it.
 func (c *Core) sendFound() {
-	if c.blank() || !c.isFounder() {
+	if c.blank() || !c.isFounder() || c.foundingComplete() {
 		return
 	}
 	for _, id := range c.log.snapshot.Membership.Voters() {
@@ -113,7 +135,7 @@
 	}
 }
 
-// handleHello notes a server without state that asks to join.
+// handleHello notes a server that asks to join.
 func (c *Core) handleHello(m Message) {
 	if m.To.Name != c.id.Name || m.From.Name == c.id.Name || m.From.Incarnation == 0 {
 		return
@@ -131,7 +153,7 @@
 		c.send(Message{Kind: KindWelcome, To: m.From, Context: c.join.nonce, Addr: c.cfg.Addr})
 		return
 	}
-	c.join.heard[m.From.Name] = Member{ID: m.From, Addr: m.Addr}
+	c.join.heard[m.From.Name] = heardServer{member: Member{ID: m.From, Addr: m.Addr}, blank: m.Commit == 0}
 	if c.role == Leader {
 		c.replaceIncarnation(m.From, m.Addr)
 	}
@@ -148,11 +170,11 @@
 		if name == c.id.Name {
 			continue
 		}
-		member, ok := c.join.heard[name]
-		if !ok {
+		heard, ok := c.join.heard[name]
+		if !ok || !heard.blank {
 			return
 		}
-		members = members.with(member)
+		members = members.with(heard.member)
 	}
 	c.installFounding(Snapshot{Index: FoundingIndex, Term: FoundingTerm, Membership: members})
 }
--- a/internal/consensus/reconfigure.go
+++ b/internal/consensus/reconfigure.go
@@ -44,11 +44,12 @@
 	if !ok {
 		return 0, 0, ErrUnknownServer
 	}
-	if member, exists := members.FindName(name); exists && member.ID == heard.ID {
+	if member, exists := members.FindName(name); exists && member.ID == heard.member.ID {
 		return 0, 0, ErrNoChange
 	}
-	heard.Learner = true
-	return c.proposeMembership(members.with(heard))
+	next := heard.member
+	next.Learner = true
+	return c.proposeMembership(members.with(next))
 }
 
 // ProposePromote makes a caught-up learner a voter.
@@ -84,8 +85,8 @@
 	return c.proposeMembership(members.without(name))
 }
 
-// replaceIncarnation puts a blank server in the place of the member whose
-// name it has: the old disk is gone. A refused change is tried again at the
+// replaceIncarnation puts a server in the place of the member whose name it
+// has: what the old incarnation promised is lost. A refused change is tried again at the
 // next hello.
 func (c *Core) replaceIncarnation(id ServerID, addr string) {
 	members, _ := c.log.membership()
--- /dev/null
+++ b/internal/consensus/sim_test.go
@@ -0,0 +1,449 @@
+package consensus
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+)
+
+// Timeouts of the simulated servers, in ticks.
+const (
+	simElectionTicks  = 8
+	simHeartbeatTicks = 2
+	maxPool           = 300
+)
+
+// crashPoint is where in carrying out a Ready a server dies.
+type crashPoint int
+
+const (
+	crashNow       crashPoint = iota // between two Readys
+	crashUnsynced                    // early messages sent, nothing durable
+	crashHalfSync                    // term and vote durable, entries not
+	crashUnsent                      // all durable, messages not sent
+	crashPointsEnd                   // not a point
+)
+
+// simServer is one server: a disk, and a core while it runs.
+type simServer struct {
+	id      ServerID
+	disk    Restored
+	core    *Core // nil while down
+	frozen  bool
+	crashAt crashPoint
+	state   simState // the state machine
+	applied uint64
+	proxied map[uint64]*clientOp // proposals by index
+	reads   map[uint64]*clientOp // reads by context
+	waiting []*clientOp          // reads waiting for their index to be applied
+}
+
+// simState is the replicated state: one value per key.
+type simState map[string]string
+
+// command is what clients propose.
+type command struct {
+	Key, Value string
+}
+
+// simMessage is a message on its way.
+type simMessage struct {
+	Message
+	notBefore int // round
+}
+
+// sim is a cluster in one process with a network that loses, repeats,
+// reorders and delays, and the record of what must hold.
+type sim struct {
+	t       failer
+	rand    *rand.Rand
+	peers   []string
+	servers map[string]*simServer
+	names   []string
+	pool    []simMessage
+	cut     map[[2]string]bool
+	lossy   bool
+	// lose, if set, chooses messages that get lost.
+	lose func(Message) bool
+	// reckless schedules wipe disks that the cluster can not spare: it may
+	// stop for good then, but must not forget.
+	reckless bool
+	round    int
+	clock    int64
+	nextInc  uint64
+	clients  *clients
+
+	leaders   map[uint64]ServerID     // by term
+	entries   map[[2]uint64]entryMark // by index and term
+	committed map[uint64]Entry        // by index
+	commitBy  map[uint64]uint64       // term by which the index was committed
+	states    map[uint64]string       // state after the index
+}
+
+// entryMark is what (index, term) determines by the log matching property.
+type entryMark struct {
+	data     string
+	prevTerm uint64
+}
+
+// failer is what the simulation needs of a test.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+func newSim(t failer, size int, seed uint64) *sim {
+	s := &sim{
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), servers: map[string]*simServer{}, cut: map[[2]string]bool{},
+		leaders: map[uint64]ServerID{}, entries: map[[2]uint64]entryMark{}, committed: map[uint64]Entry{},
+		commitBy: map[uint64]uint64{}, states: map[uint64]string{},
+	}
+	s.clients = newClients(s)
+	for i := range size {
+		s.peers = append(s.peers, fmt.Sprintf("s%d", i))
+	}
+	for _, name := range s.peers {
+		s.addServer(name)
+	}
+	return s
+}
+
+// addServer starts a server with a blank disk.
+func (s *sim) addServer(name string) {
+	s.nextInc++
+	s.servers[name] = &simServer{id: ServerID{Name: name, Incarnation: s.nextInc}}
+	s.names = slices.Sorted(maps.Keys(s.servers))
+	s.start(s.servers[name])
+}
+
+func (s *sim) start(v *simServer) {
+	disk := v.disk
+	disk.Entries = slices.Clone(disk.Entries)
+	v.core = New(Config{
+		ID: v.id, Addr: v.id.Name, Peers: s.peers, ElectionTicks: simElectionTicks, HeartbeatTicks: simHeartbeatTicks,
+		KeepEntries: 2, Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)),
+	}, disk)
+	v.frozen, v.crashAt = false, crashNow
+	v.proxied, v.reads, v.waiting = map[uint64]*clientOp{}, map[uint64]*clientOp{}, nil
+	v.state, v.applied = simState{}, disk.Snapshot.Index
+	s.restoreState(v, disk.Snapshot)
+}
+
+func (s *sim) crash(v *simServer) {
+	if v.core == nil {
+		return
+	}
+	v.core = nil
+	for _, op := range v.proxied {
+		s.clients.unknown(op)
+	}
+	for _, op := range v.reads {
+		s.clients.failed(op)
+	}
+	for _, op := range v.waiting {
+		s.clients.failed(op)
+	}
+}
+
+// wipe replaces the disk by a blank one; the server starts with its old settings.
+func (s *sim) wipe(v *simServer) {
+	s.crash(v)
+	s.nextInc++
+	v.id.Incarnation = s.nextInc
+	v.disk = Restored{}
+	s.start(v)
+}
+
+// damage cuts the log on the disk short, as after a fault of the disk. What
+// was lost may have been promised, so the server gets another incarnation.
+func (s *sim) damage(v *simServer, entries int) {
+	s.crash(v)
+	s.nextInc++
+	v.id.Incarnation = s.nextInc
+	keep := max(0, len(v.disk.Entries)-entries)
+	v.disk.Entries = slices.Clone(v.disk.Entries[:keep])
+	s.start(v)
+}
+
+// process carries out all of a server's Readys, and dies where it has to.
+func (s *sim) process(v *simServer) {
+	for v.core != nil && v.core.HasReady() {
+		s.checkCore(v)
+		rd := v.core.Ready()
+		durable := rd.HardState != nil || rd.Snapshot != nil || len(rd.Entries) > 0
+		s.transmit(rd.Early)
+		if v.crashAt == crashUnsynced && durable {
+			s.crash(v)
+			return
+		}
+		if rd.HardState != nil {
+			v.disk.HardState = *rd.HardState
+		}
+		if v.crashAt == crashHalfSync && durable {
+			s.crash(v)
+			return
+		}
+		v.disk.persist(rd)
+		if v.crashAt == crashUnsent && durable {
+			s.crash(v)
+			return
+		}
+		s.transmit(rd.Messages)
+		s.applyReady(v, rd)
+		v.core.Advance()
+		s.checkCore(v)
+	}
+}
+
+func (d *Restored) persist(rd Ready) {
+	if rd.Snapshot != nil {
+		d.Snapshot = *rd.Snapshot
+		d.Entries = nil
+	}
+	if len(rd.Entries) > 0 {
+		keep := rd.Entries[0].Index - d.Snapshot.Index - 1
+		d.Entries = append(slices.Clone(d.Entries[:keep]), rd.Entries...)
+	}
+}
+
+func (s *sim) applyReady(v *simServer, rd Ready) {
+	if rd.Snapshot != nil {
+		s.restoreState(v, *rd.Snapshot)
+		v.applied = rd.Snapshot.Index
+		for index, op := range v.proxied {
+			if index <= v.applied {
+				delete(v.proxied, index)
+				s.clients.unknown(op)
+			}
+		}
+	}
+	for _, e := range rd.Committed {
+		s.apply(v, e)
+	}
+	for _, state := range rd.ReadStates {
+		if op, ok := v.reads[state.Context]; ok {
+			delete(v.reads, state.Context)
+			s.clients.readConfirmed(v, op, state)
+		}
+	}
+	s.clients.finishReads(v)
+}
+
+func (s *sim) apply(v *simServer, e Entry) {
+	if e.Index != v.applied+1 {
+		s.t.Fatalf("%v applies %d after %d", v.id, e.Index, v.applied)
+	}
+	v.applied = e.Index
+	if known, ok := s.committed[e.Index]; ok && !reflect.DeepEqual(known, e) {
+		s.t.Fatalf("state machine safety: %v applies %v, another server %v", v.id, e, known)
+	}
+	if _, ok := s.committed[e.Index]; !ok {
+		s.committed[e.Index] = e
+		s.commitBy[e.Index] = v.core.hard.CurrentTerm
+	}
+	if e.Kind == EntryCommand {
+		var cmd command
+		if err := json.Unmarshal(e.Data, &cmd); err != nil {
+			s.t.Fatalf("decode command: %v", err)
+		}
+		v.state[cmd.Key] = cmd.Value
+	}
+	s.checkState(v, e.Index)
+	if op, ok := v.proxied[e.Index]; ok {
+		delete(v.proxied, e.Index)
+		s.clients.applied(op, e.Term)
+	}
+}
+
+func (s *sim) restoreState(v *simServer, snapshot Snapshot) {
+	v.state = simState{}
+	if len(snapshot.Data) == 0 {
+		return
+	}
+	if err := json.Unmarshal(snapshot.Data, &v.state); err != nil {
+		s.t.Fatalf("decode snapshot: %v", err)
+	}
+	s.checkState(v, snapshot.Index)
+}
+
+// checkState requires that the state after an index is the same everywhere.
+func (s *sim) checkState(v *simServer, index uint64) {
+	data, _ := json.Marshal(v.state)
+	if known, ok := s.states[index]; ok && known != string(data) {
+		s.t.Fatalf("state machine safety: %v has %s after %d, another server %s", v.id, data, index, known)
+	}
+	s.states[index] = string(data)
+}
+
+// checkCore checks election safety, leader completeness and log matching.
+func (s *sim) checkCore(v *simServer) {
+	c := v.core
+	for i, e := range c.log.entries {
+		prev := c.log.baseTerm
+		if i > 0 {
+			prev = c.log.entries[i-1].Term
+		}
+		mark := entryMark{data: fmt.Sprint(e.Kind, string(e.Data)), prevTerm: prev}
+		key := [2]uint64{e.Index, e.Term}
+		if known, ok := s.entries[key]; ok && known != mark {
+			s.t.Fatalf("log matching: %v has %v at %v, another server %v", v.id, mark, key, known)
+		}
+		s.entries[key] = mark
+	}
+	if c.role != Leader {
+		return
+	}
+	known, ok := s.leaders[c.hard.CurrentTerm]
+	if ok && known != v.id {
+		s.t.Fatalf("election safety: %v and %v lead in term %d", known, v.id, c.hard.CurrentTerm)
+	}
+	s.leaders[c.hard.CurrentTerm] = v.id
+	if ok {
+		return
+	}
+	for index, e := range s.committed {
+		// A leader of an earlier term may find out late that it was elected.
+		if s.commitBy[index] < c.hard.CurrentTerm && index > c.log.baseIndex && !c.log.matches(index, e.Term) {
+			s.t.Fatalf("leader completeness: %v leads term %d without committed %d of term %d", v.id, c.hard.CurrentTerm, index, e.Term)
+		}
+	}
+}
+
+func (s *sim) transmit(messages []Message) {
+	for _, m := range messages {
+		if s.lossy && s.rand.IntN(4) == 0 {
+			continue
+		}
+		if s.lose != nil && s.lose(m) {
+			continue
+		}
+		s.pool = append(s.pool, simMessage{Message: m})
+	}
+	if len(s.pool) > maxPool {
+		s.pool = slices.Delete(s.pool, 0, len(s.pool)-maxPool)
+	}
+}
+
+// deliver hands over the message at i of the pool and takes it out.
+func (s *sim) deliver(i int) {
+	m := s.pool[i]
+	v := s.servers[m.To.Name]
+	if v != nil && v.frozen {
+		return // waits in the network
+	}
+	s.pool = slices.Delete(s.pool, i, i+1)
+	if v == nil || v.core == nil || s.cut[[2]string{m.From.Name, m.To.Name}] {
+		return
+	}
+	v.core.Step(m.Message)
+	s.process(v)
+}
+
+func (s *sim) tick(v *simServer) {
+	if v.core == nil || v.frozen {
+		return
+	}
+	v.core.Tick()
+	s.process(v)
+}
+
+// runRound ticks every server and delivers what was under way, in order.
+func (s *sim) runRound() {
+	s.round++
+	for _, name := range s.names {
+		s.tick(s.servers[name])
+	}
+	due := s.pool
+	s.pool = nil
+	for _, m := range due {
+		v := s.servers[m.To.Name]
+		if m.notBefore > s.round || (v != nil && v.frozen) {
+			s.pool = append(s.pool, m)
+			continue
+		}
+		if v == nil || v.core == nil || s.cut[[2]string{m.From.Name, m.To.Name}] {
+			continue
+		}
+		v.core.Step(m.Message)
+		s.process(v)
+	}
+}
+
+// heal ends all faults.
+func (s *sim) heal() {
+	s.lossy = false
+	clear(s.cut)
+	for _, name := range s.names {
+		v := s.servers[name]
+		v.frozen = false
+		if v.core == nil {
+			s.start(v)
+		}
+		v.crashAt = crashNow
+	}
+}
+
+// compact takes a snapshot of what a server has applied.
+func (s *sim) compact(v *simServer) {
+	if v.core == nil {
+		return
+	}
+	data, _ := json.Marshal(v.state)
+	snapshot, ok := v.core.SnapshotAt(v.applied, data)
+	if !ok {
+		return
+	}
+	v.disk.Entries = slices.Clone(v.disk.Entries[snapshot.Index-v.disk.Snapshot.Index:])
+	v.disk.Snapshot = snapshot
+	v.core.Compact(snapshot)
+}
+
+// leader returns the leader of the highest term, nil if there is none.
+func (s *sim) leader() *simServer {
+	var best *simServer
+	for _, name := range s.names {
+		v := s.servers[name]
+		if v.core == nil || v.core.role != Leader {
+			continue
+		}
+		if best == nil || v.core.hard.CurrentTerm > best.core.hard.CurrentTerm {
+			best = v
+		}
+	}
+	return best
+}
+
+// mayWipe tells whether the cluster must survive the loss of this disk: in
+// every membership a server knows, a majority of the voters stays intact.
+func (s *sim) mayWipe(victim *simServer) bool {
+	for _, name := range s.names {
+		v := s.servers[name]
+		if v.core == nil || v.core.blank() {
+			return false // somebody is still coming up
+		}
+		members, _ := v.core.log.membership()
+		intact := 0
+		for _, id := range members.Voters() {
+			if w := s.servers[id.Name]; w != nil && w != victim && w.id == id {
+				intact++
+			}
+		}
+		if intact < members.Quorum() || !v.core.foundingComplete() {
+			return false
+		}
+	}
+	return true
+}
+
+// lastHolder tells whether v is the only server that holds state.
+func (s *sim) lastHolder(v *simServer) bool {
+	for _, name := range s.peers {
+		w := s.servers[name]
+		if w != v && w.disk.Snapshot.Index > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -66,9 +66,10 @@
 
 // The kinds of messages, with the fields each one uses besides From, To, Term.
 const (
-	// KindHello: a server that holds no state asks to join. Addr; Context
+	// KindHello: a server that is no member asks to join. Addr; Context
 	// repeats the nonce of the last welcome, zero at first; Index is 1 when
-	// forwarded. To.Incarnation is zero: the sender knows names only.
+	// forwarded; Commit is the last index held, zero on a blank disk.
+	// To.Incarnation is zero: the sender knows names only.
 	KindHello Kind = iota + 1
 	// KindWelcome answers a hello with a nonce (Context) to be repeated, so
 	// that a hello delayed in the network is told from a fresh one. Addr.
--- a/internal/raftlog/doc.go
+++ b/internal/raftlog/doc.go
@@ -11,9 +11,14 @@
 //
 // Each file but the segments is replaced whole: written aside, synced,
 // renamed. A segment is a row of frames, one per synced batch; a frame is
-// guarded by a checksum that covers its place, too. Since a frame is synced
-// before the next one is written, a bad frame at the very end may be the rest
-// of an interrupted write and is cut off, while a bad frame with a good one
-// after it is a fault of the disk and stops the server (CorruptError). An
-// entry replaces all earlier entries from its index on.
+// guarded by checksums that cover its place, too. An entry replaces all
+// earlier entries from its index on.
+//
+// Since a frame is synced before the next one is written, a bad frame with a
+// good one after it is a fault of the disk and stops the server
+// (CorruptError). A bad frame at the very end is cut off. If it looks like the
+// rest of an interrupted write (short, or with a sector of zeros) nothing
+// hung on it. If it does not, it may have been synced, and acknowledged: the
+// server then draws a new incarnation, so that its peers no longer count on
+// what it had acknowledged.
 package raftlog
--- a/internal/raftlog/segments.go
+++ b/internal/raftlog/segments.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if len(numbers) == 0 && s.hasState {
+		return nil, 0, &CorruptError{File: s.path(segmentName(1)), Reason: "no segment although there is a state"}
+	}
 	var replayed replay
 	var cut int64
 	for i, number := range numbers {
@@ -92,6 +95,11 @@
 	case !last:
 		return 0, &CorruptError{File: path, Offset: found.good, Reason: "bad frame before the last segment"}
 	}
+	if !interrupted(data, number, found.good) {
+		if err := s.reincarnate(); err != nil {
+			return 0, err
+		}
+	}
 	return bad, s.cutTail(path, found.good)
 }
 
--- a/internal/raftlog/store.go
+++ b/internal/raftlog/store.go
@@ -41,6 +41,9 @@
 
 	snapshotMu    sync.Mutex
 	snapshotIndex uint64
+
+	hasState     bool
+	reincarnated bool
 }
 
 // segment is one file of the log. lastIndex is the highest entry in it.
@@ -56,6 +59,9 @@
 	State consensus.Restored
 	// CutBytes is the length of the bad tail that was cut off.
 	CutBytes int64
+	// Reincarnated: what was cut off may have been acknowledged, so this
+	// server has a new identity and must join again.
+	Reincarnated bool
 }
 
 // Open opens or creates the data folder of the server with this name.
@@ -105,14 +111,27 @@
 	} else if len(numbers) > 0 {
 		return &CorruptError{File: s.path(identityFile), Reason: "missing although there is a log"}
 	}
+	s.id.Name = name
+	return s.drawIncarnation()
+}
+
+// drawIncarnation gives the server a new identity, durably.
+func (s *Store) drawIncarnation() error {
 	var random [8]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return fmt.Errorf("draw incarnation: %w", err)
 	}
-	s.id = consensus.ServerID{Name: name, Incarnation: binary.LittleEndian.Uint64(random[:]) | 1}
+	s.id.Incarnation = binary.LittleEndian.Uint64(random[:]) | 1 // never zero
 	return writeFile(s.path(identityFile), &rpc.RaftIdentity{Id: ServerIDToProto(s.id)})
 }
 
+// reincarnate is called before something is cut off that may have been
+// acknowledged.
+func (s *Store) reincarnate() error {
+	s.reincarnated = true
+	return s.drawIncarnation()
+}
+
 // recover reads everything but the identity.
 func (s *Store) recover() (Recovered, error) {
 	recovered := Recovered{ID: s.id}
@@ -121,6 +140,7 @@
 	if err != nil {
 		return recovered, err
 	}
+	s.hasState = haveState
 	recovered.State.HardState = consensus.HardState{
 		CurrentTerm: state.GetTerm(), VotedFor: ServerIDFromProto(state.GetVotedFor()),
 	}
@@ -138,6 +158,7 @@
 	if err == nil && len(recovered.State.Entries) > 0 && !haveState {
 		err = &CorruptError{File: s.path(stateFile), Reason: "missing although there are entries"}
 	}
+	recovered.ID, recovered.Reincarnated = s.id, s.reincarnated
 	return recovered, err
 }
 
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -99,7 +99,7 @@
 	n.publish()
 	cfg.Logger.Info().Str("server", recovered.ID.String()).Uint64("term", recovered.State.HardState.CurrentTerm).
 		Uint64("snapshot", snapshot.Index).Int("entries", len(recovered.State.Entries)).
-		Int64("cut_bytes", recovered.CutBytes).Msg("consensus started")
+		Int64("cut_bytes", recovered.CutBytes).Bool("reincarnated", recovered.Reincarnated).Msg("consensus started")
 	return n, nil
 }
 
