--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// maxKeepBytes bounds the entries kept before a snapshot.
+const maxKeepBytes = 4 << 20
+
 // raftLog holds the entries after a base and the newest snapshot. It knows
 // how far entries are durable (stable), committed and handed out (applied).
 type raftLog struct {
@@ -131,7 +134,7 @@
 }
 
 // compact takes over a snapshot of applied state and drops the entries up to
-// its index but for keep of them.
+// its index but for the last keep of them, or maxKeepBytes if that is less.
 func (l *raftLog) compact(snapshot Snapshot, keep uint64) {
 	if snapshot.Index <= l.snapshot.Index || snapshot.Index > l.applied {
 		return
@@ -140,10 +143,15 @@
 	for len(l.memberships) > 0 && l.memberships[0].index <= snapshot.Index {
 		l.memberships = l.memberships[1:]
 	}
-	if snapshot.Index <= keep || snapshot.Index-keep <= l.baseIndex {
+	base := snapshot.Index
+	size := 0
+	for base > l.baseIndex && snapshot.Index-base < keep && size < maxKeepBytes {
+		size += len(l.entries[base-l.baseIndex-1].Data)
+		base--
+	}
+	if base == l.baseIndex {
 		return
 	}
-	base := snapshot.Index - keep
 	term, _ := l.term(base)
 	l.entries = append([]Entry(nil), l.entries[base-l.baseIndex:]...)
 	l.baseIndex, l.baseTerm = base, term
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -4,6 +4,8 @@
 const (
 	// maxAppendBytes bounds the entries of one message; one entry always fits.
 	maxAppendBytes = 512 << 10
+	// entryOverhead is the encoded size of an entry besides its data, about.
+	entryOverhead = 16
 	// maxInflight bounds the unacknowledged messages per follower.
 	maxInflight = 64
 )
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -140,7 +140,7 @@
 	entries := c.log.slice(index, c.log.lastIndex())
 	size := 0
 	for i := range entries {
-		size += len(entries[i].Data)
+		size += len(entries[i].Data) + entryOverhead
 		if i > 0 && size > maxAppendBytes {
 			entries = entries[:i]
 			break
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -82,7 +82,8 @@
 	Applied    uint64
 	Members    []Member
 	// LastQuorumContact is when a majority of the voters was last known to
-	// be in reach; zero if never since the start.
+	// be in reach; zero if never since the start. It is a hint: a message
+	// may have waited on its way. ReadIndex confirms.
 	LastQuorumContact time.Time
 }
 
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -7,6 +7,10 @@
 	"lynxgate.dev/lynxgate/internal/consensus"
 )
 
+// maxLogBytes is the size of applied commands after which a snapshot is taken
+// even if they are few: the log is held in memory.
+const maxLogBytes = 16 << 20
+
 // applyItem is a snapshot to restore or entries to apply.
 type applyItem struct {
 	snapshot *consensus.Snapshot
@@ -35,6 +39,7 @@
 	watchers map[chan struct{}]uint64
 
 	snapshotIndex uint64 // of the last snapshot asked for or restored
+	snapshotBytes int    // size of the commands applied since then
 }
 
 func newApplier(n *Node, fsm FSM, applied uint64) *applier {
@@ -83,6 +88,7 @@
 		var result any
 		if e.Kind == consensus.EntryCommand {
 			result = a.fsm.Apply(e.Index, e.Data)
+			a.snapshotBytes += len(e.Data)
 		}
 		a.finish(e, result)
 	}
@@ -95,7 +101,7 @@
 			return err
 		}
 	}
-	a.snapshotIndex = s.Index
+	a.snapshotIndex, a.snapshotBytes = s.Index, 0
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for index, w := range a.waiters {
@@ -138,14 +144,14 @@
 // maybeSnapshot takes a snapshot when enough entries were applied.
 func (a *applier) maybeSnapshot() error {
 	applied := a.appliedIndex()
-	if applied-a.snapshotIndex < uint64(a.node.cfg.SnapshotEntries) {
+	if applied-a.snapshotIndex < uint64(a.node.cfg.SnapshotEntries) && a.snapshotBytes < maxLogBytes {
 		return nil
 	}
 	data, err := a.fsm.Snapshot()
 	if err != nil {
 		return err
 	}
-	a.snapshotIndex = applied
+	a.snapshotIndex, a.snapshotBytes = applied, 0
 	return ignoreStopped(a.node.post(context.Background(), snapshotTaken{index: applied, data: data}))
 }
 
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -45,6 +45,8 @@
 	notLeaderSince uint64 // tick when last the leader
 	reads          map[uint64][]*read
 	readContext    uint64
+	contactTick    uint64    // tick of the last contact with a quorum
+	contactAt      time.Time // and its time: no ticks pass while the process is frozen
 	membersSeen    consensus.Membership
 	last           consensus.State
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/raftlog"
 )
 
 type assertT = assert.CollectT
@@ -189,3 +193,47 @@
 	_, err = leader.node.ReadIndex(ctx)
 	require.ErrorIs(t, err, ErrNoQuorum)
 }
+
+// The damaged log of a stopped server: where the damage is tells what happens.
+func TestDamagedLog(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	for i := range 10 {
+		c.propose(fmt.Sprint("a", i))
+	}
+	c.requireList("a9")
+	var follower *server
+	for _, s := range c.servers {
+		if s != c.leader() {
+			follower = s
+		}
+	}
+	old := follower.node.Status().Incarnation
+	follower.kill()
+	path := filepath.Join(follower.cfg.Dir, "log-0000000000000001.seg")
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+
+	// In the last synced write: cut off, and the server joins anew.
+	data[len(data)-1] ^= 1
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+	c.start(follower)
+	require.NotEqual(t, old, follower.node.Status().Incarnation)
+	c.propose("b")
+	c.requireList("a9", "b")
+	c.requireVoters("c0", "c1", "c2")
+
+	// Before it: the server refuses to start until its folder is wiped.
+	follower.kill()
+	data, err = os.ReadFile(path)
+	require.NoError(t, err)
+	data[len(data)/2] ^= 1
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+	_, err = Start(follower.cfg, &listFSM{})
+	var corrupt *raftlog.CorruptError
+	require.ErrorAs(t, err, &corrupt)
+	require.NoError(t, os.RemoveAll(follower.cfg.Dir))
+	c.start(follower)
+	c.propose("c")
+	c.requireList("a9", "b", "c")
+	c.requireVoters("c0", "c1", "c2")
+}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -25,9 +25,11 @@
 		LeaderName: state.Leader.Name, LeaderAddr: n.leaderAddr(state),
 		Commit: state.Commit, Members: membersOf(state.Members),
 	}
-	if age, ok := n.core.QuorumAge(); ok {
-		status.LastQuorumContact = time.Now().Add(-time.Duration(age) * n.cfg.TickInterval)
+	if age, ok := n.core.QuorumAge(); ok && n.now-age != n.contactTick {
+		n.contactTick = n.now - age
+		n.contactAt = time.Now()
 	}
+	status.LastQuorumContact = n.contactAt
 	n.status.Store(status)
 	n.note(state)
 }
