--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -45,6 +45,8 @@
 	notLeaderSince uint64 // tick when last the leader
 	reads          map[uint64][]*read
 	readContext    uint64
+	contactTick    uint64    // tick of the last contact with a quorum
+	contactAt      time.Time // and its time: no ticks pass while the process is frozen
 	membersSeen    consensus.Membership
 	last           consensus.State
 }
@@ -99,7 +101,7 @@
 	n.publish()
 	cfg.Logger.Info().Str("server", recovered.ID.String()).Uint64("term", recovered.State.HardState.CurrentTerm).
 		Uint64("snapshot", snapshot.Index).Int("entries", len(recovered.State.Entries)).
-		Int64("cut_bytes", recovered.CutBytes).Msg("consensus started")
+		Int64("cut_bytes", recovered.CutBytes).Bool("reincarnated", recovered.Reincarnated).Msg("consensus started")
 	return n, nil
 }
 
