Count bytes and messages between daemons by service

Cause: the budget for control is bytes and messages a second per daemon, and no daemon could say them: consensus counted what it sent, the feed its payload, announcements and watches nothing.

Ruled out: drpc's own statistics (bytes only, without framing, none of messages); /proc/PID/io (every read and write, sockets among them, not attributable).

Change: rpcconn wraps connections, streams and calls at both ends and counts lynxgate_rpc_bytes_total, lynxgate_rpc_messages_total (service, side, direction) and lynxgate_rpc_connections (side). configfeed, controlclient and replica make their connections through rpcconn.NewConn, which also gives them its bound of 16 MB on one message in place of drpc's default of 4 MB. Bytes of chunk exchanges are counted at the serving end only; the fetching end has counters of its own in internal/weights.

Figures: cost of counting not measured by itself. Tests: rpcconn counts both ends of a stream; configfeed, replica, control suites green.

--- a/internal/configfeed/client.go
+++ b/internal/configfeed/client.go
@@ -13,10 +13,10 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
-	"storj.io/drpc/drpcconn"
 
 	"lynxgate.dev/lynxgate/internal/keyspace"
 	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
 
 // Defaults of ClientConfig.
@@ -188,7 +188,7 @@
 	if err != nil {
 		return fmt.Errorf("connect: %w", err)
 	}
-	conn := drpcconn.New(tcp)
+	conn := rpcconn.NewConn(tcp)
 	defer conn.Close()
 	stream, err := rpc.NewDRPCFeedClient(conn).Subscribe(ctx, &rpc.SubscribeRequest{
 		Subscriber:    c.cfg.Name,
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -16,10 +16,10 @@
 	"sync"
 	"time"
 
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
 	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
 
 // ErrNoQuorum says that no control server could serve the call. Nothing was
@@ -233,7 +233,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	return drpcconn.New(tcp), nil
+	return rpcconn.NewConn(tcp), nil
 }
 
 // candidates returns the supposed leader and then the other servers.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,7 @@
 	}
 	d.registry.MustRegister(collectors.NewGoCollector())
 	d.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.registry.MustRegister(rpcconn.Collectors()...)
 	if err := d.assemble(); err != nil {
 		return err
 	}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-	"storj.io/drpc/drpcconn"
 
 	"lynxgate.dev/lynxgate/internal/consensus"
 	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
 
 const (
@@ -164,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.New(&meteredConn{Conn: raw, metrics: t.metrics})
+	conn := rpcconn.NewConn(&meteredConn{Conn: raw, metrics: t.metrics})
 	defer conn.Close()
 	client, err := rpc.NewDRPCReplicationClient(conn).Messages(ctx)
 	if err != nil {
--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -1,7 +1,8 @@
 // Package rpcconn holds the few lines of drpc plumbing that every process
 // needs: a server on a listener and a pool of client connections by address.
 // A drpc connection carries one call at a time, so concurrent calls to one
-// address take one pooled connection each.
+// address take one pooled connection each. All connections made here count
+// their bytes and messages by service; see Collectors.
 package rpcconn
 
 import (
@@ -69,20 +70,56 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Err }
 
+// Conn is a client connection that counts its traffic.
+type Conn struct {
+	*drpcconn.Conn
+	transport *countedConn
+}
+
+// NewConn makes a client connection of an open TCP connection.
+func NewConn(tcp net.Conn) *Conn {
+	transport := newCountedConn(tcp, sideClient)
+	return &Conn{
+		Conn:      drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}),
+		transport: transport,
+	}
+}
+
+// Invoke implements drpc.Conn.
+func (c *Conn) Invoke(ctx context.Context, method string, enc drpc.Encoding, in, out drpc.Message) error {
+	m := c.transport.called(method)
+	m.messagesOut.Inc()
+	err := c.Conn.Invoke(ctx, method, enc, in, out)
+	if err == nil {
+		m.messagesIn.Inc()
+	}
+	return err
+}
+
+// NewStream implements drpc.Conn.
+func (c *Conn) NewStream(ctx context.Context, method string, enc drpc.Encoding) (drpc.Stream, error) {
+	m := c.transport.called(method)
+	stream, err := c.Conn.NewStream(ctx, method, enc)
+	if err != nil {
+		return nil, err
+	}
+	return &countedStream{Stream: stream, meter: m}, nil
+}
+
 // Dial opens a connection of its own to addr ("ip:port").
-func Dial(ctx context.Context, addr string) (*drpcconn.Conn, error) {
+func Dial(ctx context.Context, addr string) (*Conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, &DialError{Addr: addr, Err: err}
 	}
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+	return NewConn(conn), nil
 }
 
 // Serve answers calls registered on mux until ctx is done.
 func Serve(ctx context.Context, lis net.Listener, mux *drpcmux.Mux) error {
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	return server.Serve(ctx, lis)
+	server := drpcserver.NewWithOptions(countedHandler{mux}, drpcserver.Options{Manager: managerOptions()})
+	return server.Serve(ctx, countedListener{lis})
 }
 
 func managerOptions() drpcmanager.Options {
