Agents of plain services announce each new revision

Change: runPlain announces when the configuration changes, as the model agent's loop does.

Test: TestPlainAgentAnnouncesNewRevisions; seen to fail (30 s in vain) with the change to report.go taken out.

--- /dev/null
+++ b/internal/agent/plain_test.go
@@ -0,0 +1,96 @@
+package agent_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+
+	"lynxgate.dev/lynxgate/internal/agent"
+	"lynxgate.dev/lynxgate/internal/controlclient"
+	"lynxgate.dev/lynxgate/internal/inventory"
+	"lynxgate.dev/lynxgate/internal/keyspace"
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
+)
+
+// control notes the highest revision announced.
+type control struct {
+	rpc.DRPCControlUnimplementedServer
+	revision atomic.Uint64
+}
+
+func (c *control) Announce(_ context.Context, req *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error) {
+	c.revision.Store(req.Revision)
+	return &rpc.AnnounceResponse{Status: rpc.Status_STATUS_OK}, nil
+}
+
+// feed is a configuration that a test moves on.
+type feed struct {
+	mu      sync.Mutex
+	view    *keyspace.View
+	changed chan struct{}
+}
+
+func (f *feed) View() *keyspace.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *feed) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *feed) Unconfirmed() bool { return false }
+
+func (f *feed) advance(revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = keyspace.NewView(revision, nil)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// An agent of a plain service tells each revision it has in force, and does
+// not wait for the renewal of its lease.
+func TestPlainAgentAnnouncesNewRevisions(t *testing.T) {
+	server := &control{}
+	mux := drpcmux.New()
+	require.NoError(t, rpc.DRPCRegisterControl(mux, server))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	lis := listen(t)
+	running.Go(func() { _ = rpcconn.Serve(ctx, lis, mux) })
+
+	config := &feed{view: keyspace.NewView(1, nil), changed: make(chan struct{})}
+	a, err := agent.New(agent.Config{
+		VM: "vm-1", Service: "backoffice", Kind: inventory.KindPlain, BackendAddr: listen(t).Addr().String(),
+		AnnounceInterval: time.Hour, Logger: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+	}, config, controlclient.New(controlclient.Config{Addrs: []string{lis.Addr().String()}}), nil)
+	require.NoError(t, err)
+	running.Go(func() { _ = a.Serve(ctx) })
+
+	for revision := uint64(1); revision <= 3; revision++ {
+		require.Eventually(t, func() bool { return server.revision.Load() == revision }, 30*time.Second, 5*time.Millisecond)
+		config.advance(revision + 1)
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { lis.Close() })
+	return lis
+}
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -76,6 +76,7 @@
 	defer ticker.Stop()
 	up := false
 	for {
+		changed := a.feed.Changed()
 		reachable := a.backend.reachable(ctx)
 		if reachable != up {
 			a.setPlainUp(reachable)
@@ -85,6 +86,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-changed:
+			a.announcer.Changed()
 		case <-a.leaveRequest:
 			a.announcer.Changed()
 		}
