bench-slopes: what daemons cost against the size of the fleet, first version

Change: internal/bench/slopes starts growing fleets of real daemons (3 and 5 control servers), measures a quiet time, single changes, restarts of agents, added keys, streams and short requests, fits lines, and writes the tables of docs/CAPACITY.md between markers. harness.AgentSpec.BackendAddr lets several agents stand before one fake.

--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,8 @@
 
 generate:
 	internal/rpc/generate.sh
+
+# bench-slopes measures what daemons cost at four sizes of a fleet and writes
+# the tables of docs/CAPACITY.md again.
+bench-slopes: build
+	$(GO) run ./internal/bench/slopes
--- /dev/null
+++ b/internal/bench/slopes/budget.go
@@ -0,0 +1,96 @@
+package main
+
+import "fmt"
+
+// secondsPerDay spreads a day's changes.
+const secondsPerDay = 86400
+
+// revisionsPerRestart is how many revisions an agent's restart makes: it is
+// leaving, it is back, and its assignment where it has one.
+const revisionsPerRestart = 3
+
+// revisionsPerDay are changes of operators and of members.
+const revisionsPerDay = targetChangesPerDay + revisionsPerRestart*(targetRestartsPerDay+targetFailuresPerDay)
+
+// atTarget is what a daemon of a role uses for control at the target's size.
+type atTarget struct {
+	// Cores, RSS in bytes and BytesPerSecond each way; over a day, changes
+	// included.
+	cores, rss, in, out float64
+	// MessagesIn and messagesOut are those of a quiet second.
+	messagesIn, messagesOut float64
+	// changeCPU (core seconds), changeIn and changeOut are those of one change.
+	changeCPU, changeIn, changeOut float64
+}
+
+// target works out a role from the slopes.
+func (r *results) target(role role) atTarget {
+	quiet := func(name string) float64 {
+		value := r.slope(role, name).value()
+		more := r.slope(role, "server_"+name)
+		return value + more.Line.Slope*(targetControl-baseServers)
+	}
+	changed := func(name string) float64 { return r.slope(role, name).value() }
+	perDay := func(change float64) float64 { return change * revisionsPerDay / secondsPerDay }
+	t := atTarget{
+		messagesIn:  quiet("messages_in"),
+		messagesOut: quiet("messages_out"),
+		changeCPU:   changed("change_cpu") + r.keySlope(role, "key_change_cpu"),
+		changeIn:    changed("change_bytes_in"),
+		changeOut:   changed("change_bytes_out"),
+		rss:         quiet("rss") + r.keySlope(role, "key_rss"),
+	}
+	t.cores = quiet("cpu") + perDay(t.changeCPU)
+	t.in = quiet("bytes_in") + perDay(t.changeIn)
+	t.out = quiet("bytes_out") + perDay(t.changeOut)
+	return t
+}
+
+// keySlope is what the target's keys add to a role; the intercept belongs to
+// the fleet that the keys were added to.
+func (r *results) keySlope(role role, name string) float64 {
+	s := r.slope(role, name)
+	return s.Line.Slope * s.Target
+}
+
+// rolesTable is what each role uses for control at the target's size.
+func rolesTable(r *results) string {
+	t := newTable("role", "daemons", "messages in / out", "bytes in / out, changes spread over the day",
+		"CPU", "RSS", "one change: in / out / CPU")
+	counts := map[role]int{leader: 1, follower: targetControl - 1, entry: targetEntries, agent: targetVMs}
+	for _, role := range roles {
+		x := r.target(role)
+		t.add(roleNames[role], fmt.Sprint(counts[role]),
+			digits(x.messagesIn)+" / "+digits(x.messagesOut)+" a second",
+			size(x.in)+"/s / "+size(x.out)+"/s", amount(x.cores, "cores"), size(x.rss),
+			size(x.changeIn)+" / "+size(x.changeOut)+" / "+amount(x.changeCPU, "core seconds"))
+	}
+	return t.String()
+}
+
+// verdictTable holds entries and agents against the limits. The control
+// servers stand on VMs set aside for them.
+func verdictTable(r *results) string {
+	t := newTable("daemon", "limit", "comes to", "verdict")
+	for _, role := range []role{entry, agent} {
+		x := r.target(role)
+		name := roleNames[role]
+		t.add(name, "3% of a core", amount(x.cores, "cores"), verdict(x.cores, limitCores))
+		t.add(name, "32 MB", size(x.rss), verdict(x.rss, limitRSS))
+		t.add(name, "2 KB/s, both ways together", size(x.in+x.out)+"/s", verdict(x.in+x.out, limitBytesPerSecond))
+	}
+	for _, role := range []role{leader, follower} {
+		x := r.target(role)
+		t.add(roleNames[role], "a VM of its own", fmt.Sprintf("%s, %s, %s/s", amount(x.cores, "cores"), size(x.rss), size(x.in+x.out)), "fits")
+	}
+	t.add("the system", "6 VMs set aside", fmt.Sprintf("%d control servers", targetControl), "fits")
+	return t.String()
+}
+
+func verdict(value, limit float64) string {
+	share := fmt.Sprintf("%.0f%% of the limit", 100*value/limit)
+	if value > limit {
+		return "**does not fit**: " + share
+	}
+	return "fits: " + share
+}
--- a/internal/harness/daemons.go
+++ b/internal/harness/daemons.go
@@ -113,6 +113,9 @@
 	Extra string
 	// Backend are further flags of the stand-in beside the agent.
 	Backend []string
+	// BackendAddr is the IP:port of a stand-in that runs already and that
+	// several agents stand beside; empty starts one for this agent.
+	BackendAddr string
 }
 
 // Agent is a started agent with the stand-in beside it.
@@ -128,7 +131,8 @@
 	backendArgs []string
 }
 
-// StartAgent starts a stand-in backend server and the agent beside it.
+// StartAgent starts an agent and, unless the spec names one that runs, the
+// stand-in backend server beside it.
 func (f *Fleet) StartAgent(spec AgentSpec) (*Agent, error) {
 	ip := f.IP()
 	a := &Agent{
@@ -141,9 +145,13 @@
 	if spec.Kind == "plain" {
 		program, scratch = "service", ""
 	}
-	a.backendArgs = append([]string{program, "-listen", a.BackendAddr}, spec.Backend...)
-	if err := f.StartBackend(a); err != nil {
-		return nil, err
+	if spec.BackendAddr != "" {
+		a.BackendAddr = spec.BackendAddr
+	} else {
+		a.backendArgs = append([]string{program, "-listen", a.BackendAddr}, spec.Backend...)
+		if err := f.StartBackend(a); err != nil {
+			return nil, err
+		}
 	}
 	text := common(spec.Name, spec.Place, "agent", ip) +
 		fmt.Sprintf("[agent]\nservice = %q\nkind = %q\nbackend_addr = %q\ncontrol = %s\n%s%s",
