--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,7 @@
 generate:
 	internal/rpc/generate.sh
 
-bench-config: build
-	$(GO) build -o bin/bench-config ./internal/bench/config
-	bin/bench-config
-
-bench-weights:
-	$(GO) build -o bin/bench-weights ./internal/bench/weights
-	bin/bench-weights
+# The benches print figures and compare within one run; no test depends on them.
+bench-weights bench-config bench-requests bench-slopes: bench-%: build
+	$(GO) build -o bin/bench-$* ./internal/bench/$*
+	bin/bench-$*
