Phase changes are announced at once; a leaving daemon announces before it stops

Cause: every change waited 0.5 to 1 s before it was announced, to keep daemons that learn of a change together from announcing together. A roll has two such waits in each wave. And a drained agent exited before its leaving was sent, so the leader replaced it only when its lease ended. Change: only replica phases and leaving are urgent (50 ms); leaving is sent before the wait for requests in progress.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,8 @@
 
 const (
 	tickInterval = time.Second
+	// leaveAnnounceTimeout bounds telling the control servers of leaving.
+	leaveAnnounceTimeout = 3 * time.Second
 	// orderMargin is added to the load timeout when waiting for an answer.
 	orderMargin = 5 * time.Second
 	// queryTimeout bounds asking the engine for its state.
@@ -149,6 +151,7 @@
 func (a *Agent) Leave(ctx context.Context) error {
 	a.gate.setLeaving()
 	a.requestLeave()
+	a.announceLeaving(ctx)
 	select {
 	case <-a.gate.drained():
 		return nil
@@ -158,6 +161,16 @@
 	}
 }
 
+// announceLeaving tells the control servers, so that they replace the replica
+// now and not when the lease ends. Entries hear of it on their watches.
+func (a *Agent) announceLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveAnnounceTimeout)
+	defer cancel()
+	if err := a.announcer.AnnounceNow(ctx); err != nil {
+		a.log.Warn().Err(err).Msg("leaving could not be announced; the lease will end by itself")
+	}
+}
+
 // superseded is called when another process has announced itself as this VM
 // with a newer incarnation: this one takes no new requests any more.
 func (a *Agent) superseded(known uint64) {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -65,7 +65,6 @@
 		case <-l.transfers.Changed():
 			l.followTransfers(ctx)
 		case <-l.leaveRequest:
-			l.announcer.Changed()
 			l.step(ctx, orders.Leave{})
 		}
 	}
@@ -176,7 +175,7 @@
 	}
 	if !maps.Equal(phases, l.phases) {
 		l.phases = phases
-		l.announcer.Changed()
+		l.announcer.ChangedUrgently()
 	}
 }
 
--- a/internal/controlclient/announcer.go
+++ b/internal/controlclient/announcer.go
@@ -15,6 +15,8 @@
 	DefaultRenew  = 10 * time.Second
 	DefaultMinGap = time.Second
 
+	// urgentGap joins urgent changes that follow one another closely.
+	urgentGap        = 50 * time.Millisecond
 	renewalsPerLease = 3
 )
 
@@ -44,6 +46,8 @@
 	cfg  AnnouncerConfig
 	rand *rand.Rand
 	poke chan struct{}
+	// urgent is signalled for changes that the leader's next step waits for.
+	urgent chan struct{}
 	// failing is true while announcements fail.
 	failing bool
 }
@@ -57,16 +61,23 @@
 		cfg.MinGap = DefaultMinGap
 	}
 	return &Announcer{
-		cfg:  cfg,
-		rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
-		poke: make(chan struct{}, 1),
+		cfg:    cfg,
+		rand:   rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		poke:   make(chan struct{}, 1),
+		urgent: make(chan struct{}, 1),
 	}
 }
 
 // Changed asks for an announcement soon; it never blocks.
-func (a *Announcer) Changed() {
+func (a *Announcer) Changed() { signal(a.poke) }
+
+// ChangedUrgently asks for an announcement almost at once: the leader waits
+// for this change to take its next step. It never blocks.
+func (a *Announcer) ChangedUrgently() { signal(a.urgent) }
+
+func signal(ch chan struct{}) {
 	select {
-	case a.poke <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -90,11 +101,14 @@
 		case <-a.poke:
 			renew.Stop()
 			a.spread(ctx)
+		case <-a.urgent:
+			renew.Stop()
+			sleep(ctx, urgentGap)
 		}
 	}
 }
 
-// spread waits for up to MinGap.
+// spread waits for up to MinGap, or until an urgent change.
 func (a *Announcer) spread(ctx context.Context) {
 	half := int64(a.cfg.MinGap / 2)
 	timer := time.NewTimer(time.Duration(half + a.rand.Int64N(half+1)))
@@ -102,6 +116,16 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-a.urgent:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -140,7 +140,7 @@
 				break
 			}
 		}
-		pause(ctx)
+		sleep(ctx, retryPause)
 	}
 	var none Resp
 	return none, out.failure()
@@ -276,12 +276,3 @@
 	c.leader = leader
 	return true
 }
-
-func pause(ctx context.Context) {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -89,7 +89,7 @@
 // leaveGrace, and waits until those in progress have ended or ctx is done.
 func (e *Entry) Leave(ctx context.Context) error {
 	e.leaving.Store(true)
-	e.announcer.Changed()
+	e.announcer.ChangedUrgently()
 	e.server.SetKeepAlivesEnabled(false)
 	sleep(ctx, leaveGrace)
 	if err := e.server.Shutdown(ctx); err != nil {
