Orders: a new VM's first assignment needs no quarantine

Ruled out: trusting an empty scratch folder (a wiped one looks the same); lifting the suspicion for good at the first assignment (found by reasoning: a lost order of it may come after the order of the next; directed test added). The next assignment waits as before.

--- a/internal/control/state/members.go
+++ b/internal/control/state/members.go
@@ -124,6 +124,7 @@
 		Zone:  member.Zone,
 		Addr:  member.Addr,
 		Fence: fence,
+		First: !ok,
 		Wants: wants,
 	})
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -179,6 +179,9 @@
 	Zone  string `json:"zone"`
 	Addr  string `json:"addr"`
 	Fence uint64 `json:"fence"`
+	// First is true for the first assignment of a VM, so that no order of an
+	// earlier one can be under way to its engine.
+	First bool   `json:"first,omitempty"`
 	Wants []Want `json:"wants"`
 }
 
--- a/internal/orders/events.go
+++ b/internal/orders/events.go
@@ -23,6 +23,7 @@
 	}
 	m.fence = e.Assignment.Fence
 	m.target = targetOf(e.Assignment)
+	m.first = e.Assignment.First
 	return nil
 }
 
@@ -47,7 +48,7 @@
 		return nil
 	}
 	m.querying = false
-	if m.queryStarted.Before(m.notBefore) {
+	if m.quarantined(m.queryStarted) {
 		return nil
 	}
 	if e.Err != nil || e.State.State == engine.StateLoading {
--- a/internal/orders/machine.go
+++ b/internal/orders/machine.go
@@ -91,7 +91,12 @@
 
 	fence  uint64
 	target Ref
-	staged map[Ref]Weights
+	// first is true while the assignment followed is the VM's first.
+	first bool
+	// noJournal is true while an earlier agent's orders are suspected only
+	// since there is no journal.
+	noJournal bool
+	staged    map[Ref]Weights
 
 	engineKnown  bool
 	engine       engine.State
@@ -124,12 +129,24 @@
 	if journal != nil {
 		m.fence = journal.Fence
 	}
+	m.noJournal = journal == nil
 	if journal == nil || journal.Pending {
 		m.suspectOrder(now)
 	}
 	return m
 }
 
+// firstOnly reports whether the only orders that can be under way ask for
+// what the assignment followed asks for: it is the VM's first, and nothing but
+// a missing journal speaks for an order.
+func (m *Machine) firstOnly() bool { return m.first && m.noJournal }
+
+// quarantined reports whether an older order may still change what an engine
+// holds that does not check fencing numbers.
+func (m *Machine) quarantined(now time.Time) bool {
+	return now.Before(m.notBefore) && !m.firstOnly()
+}
+
 // suspectOrder notes that an order with an unknown end may be under way.
 func (m *Machine) suspectOrder(now time.Time) {
 	if m.cfg.ChecksFencing {
@@ -168,7 +185,7 @@
 	if m.leaving {
 		return nil
 	}
-	if now.Before(m.notBefore) {
+	if m.quarantined(now) {
 		return nil
 	}
 	if !m.engineKnown {
@@ -189,7 +206,7 @@
 	if m.engine.Model != ref.Model || m.engine.Version != ref.Version {
 		return false
 	}
-	if m.uncertain && m.engine.Fence != m.fence {
+	if m.uncertain && m.engine.Fence != m.fence && !m.firstOnly() {
 		return false
 	}
 	weights, ok := m.staged[ref]
@@ -284,6 +301,7 @@
 	if errors.As(err, &refused) {
 		return m.settleJournal()
 	}
+	m.noJournal = false
 	m.suspectOrder(now)
 	return nil
 }
--- a/internal/orders/machine_test.go
+++ b/internal/orders/machine_test.go
@@ -211,6 +211,41 @@
 	require.Equal(t, Ref{}, m.Serving(), "the engine holds v2 by now")
 }
 
+func TestFirstAssignmentOfANewVMNeedsNoQuarantine(t *testing.T) {
+	first := assignment(3, v1)
+	first.First = true
+	m := New(Config{}, nil, start)
+	m.Step(start, allStaged())
+	m.Step(start, Assigned{first})
+	m.Step(start, EngineReported{ID: m.queryID, State: engine.State{State: engine.StateEmpty}})
+	_, ordering := m.Loading()
+	require.True(t, ordering)
+
+	pending := New(Config{}, &Journal{Fence: 3, Pending: true}, start)
+	pending.Step(start, allStaged())
+	pending.Step(start, Assigned{first})
+	_, ordering = pending.Loading()
+	require.False(t, ordering, "this VM's own journal knows of an order")
+}
+
+// TestQuarantineOutlastsTheFirstAssignment covers a new VM whose agent lost
+// its scratch folder with an order under way: the next assignment waits.
+func TestQuarantineOutlastsTheFirstAssignment(t *testing.T) {
+	first := assignment(3, v1)
+	first.First = true
+	m := New(Config{OrderTimeout: time.Minute}, nil, start)
+	m.Step(start, allStaged())
+	m.Step(start, Assigned{first})
+	m.Step(start, EngineReported{ID: m.queryID, State: engine.State{State: engine.StateEmpty}})
+	m.Step(start, OrderDone{})
+	m.Step(start, EngineReported{ID: m.queryID, State: live(v1)})
+	require.Equal(t, v1, m.Serving())
+	m.Step(start, Assigned{assignment(4, v2)})
+	m.Step(start, Drained{})
+	_, ordering := m.Loading()
+	require.False(t, ordering, "the lost order for v1 may come after one for v2")
+}
+
 // TestNeverServesOtherWeightsThanTheEngineHolds runs generated schedules of
 // late orders, lost answers, restarts and new assignments against engines of
 // both kinds.
@@ -230,6 +265,7 @@
 			"assign": func(t *rapid.T) {
 				w.fence++
 				w.current = assignment(w.fence, rapid.SampledFrom([]Ref{v1, v2, {}}).Draw(t, "ref"))
+				w.current.First = w.fence == 1
 				w.step(Assigned{w.current})
 			},
 			"drain": func(*rapid.T) {
