--- a/internal/orders/machine_test.go
+++ b/internal/orders/machine_test.go
@@ -224,6 +224,8 @@
 	pending := New(Config{}, &Journal{Fence: 3, Pending: true}, start)
 	pending.Step(start, allStaged())
 	pending.Step(start, Assigned{first})
+	pending.Step(start, Tick{})
+	pending.Step(start, EngineReported{ID: pending.queryID, State: engine.State{State: engine.StateEmpty}})
 	_, ordering = pending.Loading()
 	require.False(t, ordering, "this VM's own journal knows of an order")
 }
