--- a/internal/consensus/rules_test.go
+++ b/internal/consensus/rules_test.go
@@ -64,6 +64,20 @@
 	require.EqualValues(t, 3, c.log.commit)
 }
 
+// A leader may count its own log only as far as it is synced.
+func TestLeaderCountsItsLogOnceSynced(t *testing.T) {
+	c := newCore()
+	elect(t, c)
+	c.reply(idB, KindAppendEntriesReply, 2, 0)
+	settle(c)
+	_, _, err := c.Propose([]byte("x"))
+	require.NoError(t, err)
+	c.reply(idB, KindAppendEntriesReply, 3, 0)
+	require.EqualValues(t, 2, c.log.commit)
+	settle(c)
+	require.EqualValues(t, 3, c.log.commit)
+}
+
 func TestChangeWaitsForCommitOfTheTerm(t *testing.T) {
 	c := newCore(2)
 	elect(t, c)
