--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,9 @@
 test:
 	$(GO) test ./...
 
+demo: build
+	$(GO) run ./internal/demo
+
 lint:
 	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: files above need formatting"; exit 1; }
 	$(GO) vet ./...
@@ -16,3 +19,8 @@
 
 generate:
 	internal/rpc/generate.sh
+
+# The benches print figures and compare within one run; no test depends on them.
+bench-weights bench-config bench-requests bench-slopes: bench-%: build
+	$(GO) build -o bin/bench-$* ./internal/bench/$*
+	bin/bench-$*
