--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -236,6 +236,26 @@
 	require.True(t, leader.core.State().Members.IsVoter(victim.id))
 }
 
+// A second server under a name in use does not push out the first.
+func TestServerInUseIsNotReplaced(t *testing.T) {
+	s := settledCluster(t, 3)
+	leader := s.leader()
+	inUse := s.others(leader)[0]
+	hello := Message{
+		Kind: KindHello, From: ServerID{Name: inUse.id.Name, Incarnation: 99}, To: ServerID{Name: leader.id.Name},
+		Context: leader.core.join.nonce,
+	}
+	leader.core.Step(hello)
+	s.process(leader)
+	s.rounds(simElectionTicks)
+	require.True(t, leader.core.State().Members.IsVoter(inUse.id))
+
+	s.crash(inUse)
+	s.rounds(2 * simElectionTicks)
+	leader.core.Step(hello)
+	require.False(t, leader.core.State().Members.IsVoter(inUse.id))
+}
+
 func TestMembershipEntryRoundTrip(t *testing.T) {
 	members := Membership{
 		{ID: ServerID{Name: "a", Incarnation: 1}, Addr: "127.0.0.1:1"},
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -179,11 +179,10 @@
 	members, _ := c.log.membership()
 	var best ServerID
 	for _, id := range members.Voters() {
-		p := c.peers[id]
-		if id == c.id || !p.heard || c.now-p.heardTick > uint64(c.cfg.ElectionTicks) {
+		if !c.recentlyHeard(id) {
 			continue
 		}
-		if best.IsZero() || p.matchIndex > c.peers[best].matchIndex {
+		if best.IsZero() || c.peers[id].matchIndex > c.peers[best].matchIndex {
 			best = id
 		}
 	}
--- a/internal/consensus/found.go
+++ b/internal/consensus/found.go
@@ -190,7 +190,8 @@
 	if s == nil || !s.Membership.IsVoter(c.id) {
 		return
 	}
-	if c.blank() && c.hard.CurrentTerm == 0 {
+	// The term may be durable already, and the snapshot not.
+	if c.blank() && c.hard.CurrentTerm <= FoundingTerm {
 		c.installFounding(*s)
 	}
 	held := c.log.snapshot
--- a/internal/consensus/reconfigure.go
+++ b/internal/consensus/reconfigure.go
@@ -86,12 +86,13 @@
 }
 
 // replaceIncarnation puts a server in the place of the member whose name it
-// has: what the old incarnation promised is lost. A refused change is tried again at the
-// next hello.
+// has: what the old incarnation promised is lost. One that is still heard is
+// not replaced: somebody runs two servers under one name. A refused change is
+// tried again at the next hello.
 func (c *Core) replaceIncarnation(id ServerID, addr string) {
 	members, _ := c.log.membership()
 	old, ok := members.FindName(id.Name)
-	if !ok || old.ID == id {
+	if !ok || old.ID == id || c.recentlyHeard(old.ID) {
 		return
 	}
 	next := Member{ID: id, Addr: addr, Learner: true, PromoteWhenReady: !old.Learner || old.PromoteWhenReady}
@@ -112,9 +113,13 @@
 // caughtUp tells whether a learner holds all that is committed and was heard
 // within an election timeout.
 func (c *Core) caughtUp(id ServerID) bool {
+	return c.recentlyHeard(id) && c.peers[id].matchIndex >= c.log.commit
+}
+
+// recentlyHeard tells whether a peer was heard within an election timeout.
+func (c *Core) recentlyHeard(id ServerID) bool {
 	p, ok := c.peers[id]
-	recent := ok && p.heard && c.now-p.heardTick <= uint64(c.cfg.ElectionTicks)
-	return recent && p.matchIndex >= c.log.commit
+	return ok && p.heard && c.now-p.heardTick <= uint64(c.cfg.ElectionTicks)
 }
 
 // leaveLeadership ends the leadership of a server that is no longer a member.
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -74,6 +74,8 @@
 	round    int
 	clock    int64
 	nextInc  uint64
+	// lostDisk: a disk was wiped or damaged at some time.
+	lostDisk bool
 	clients  *clients
 
 	leaders   map[uint64]ServerID     // by term
@@ -150,6 +152,7 @@
 
 // wipe replaces the disk by a blank one; the server starts with its old settings.
 func (s *sim) wipe(v *simServer) {
+	s.lostDisk = true
 	s.crash(v)
 	s.nextInc++
 	v.id.Incarnation = s.nextInc
@@ -160,6 +163,7 @@
 // damage cuts the log on the disk short, as after a fault of the disk. What
 // was lost may have been promised, so the server gets another incarnation.
 func (s *sim) damage(v *simServer, entries int) {
+	s.lostDisk = true
 	s.crash(v)
 	s.nextInc++
 	v.id.Incarnation = s.nextInc
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -158,7 +158,10 @@
 		}
 		return fmt.Errorf("%w: %w", ErrResultUnknown, ctx.Err())
 	case <-n.stopped:
-		return ErrStopped
+		if c.taken.CompareAndSwap(false, true) {
+			return ErrStopped
+		}
+		return fmt.Errorf("%w: %w", ErrResultUnknown, ErrStopped)
 	}
 }
 
