--- a/internal/weights/swarm/feed.go
+++ b/internal/weights/swarm/feed.go
@@ -15,6 +15,8 @@
 	// that one long gap does not make everybody patient.
 	intervalWeight = 0.05
 	intervalCap    = 4
+	// deadlineLimit times the least deadline is the longest.
+	deadlineLimit = 4
 )
 
 // feeding decides which member fetches a chunk from the origin. A few feeders,
@@ -27,8 +29,9 @@
 	feeders []Peer
 	own     int // this member's place among the feeders, or beyond them
 	// order holds, per chunk, the feeders' places from first to last.
-	order   [][]int
-	brought []time.Time // per feeder: when a chunk of its share was last seen
+	order [][]int
+	// brought is, per feeder, when a chunk it is responsible for was last seen.
+	brought []time.Time
 	// late feeders have brought nothing for the deadline. They stay late,
 	// since their share's chunks may from now on come through others.
 	late []bool
@@ -80,29 +83,50 @@
 		gap = min(gap, intervalCap*f.interval)
 		f.interval += time.Duration(intervalWeight * float64(gap-f.interval))
 	}
-	if i < len(f.order) {
-		f.brought[f.order[i][0]] = now
+	if i >= len(f.order) {
+		return
+	}
+	if m := f.responsible(i); m >= 0 {
+		f.brought[m] = now
 	}
 }
 
-// deadline is how long a feeder may bring nothing.
+// deadline is how long a feeder may bring nothing: what the settings say, or
+// longer if the origin is seen to be slower, within limits, since an outage
+// looks like a slow origin too.
 func (s *State) deadline() time.Duration {
+	least := max(s.cfg.OriginDeadline, time.Duration(s.cfg.DeadlineChunks)*s.chunkTime)
 	observed := feedPatience * s.feed.interval * time.Duration(len(s.feed.feeders))
-	return max(s.cfg.OriginDeadline, time.Duration(s.cfg.DeadlineChunks)*s.chunkTime, observed)
+	return min(max(least, observed), deadlineLimit*least)
+}
+
+// responsible returns the place of the first feeder for chunk i that is not
+// late, or -1.
+func (f *feeding) responsible(i int) int {
+	for _, m := range f.order[i] {
+		if !f.late[m] {
+			return m
+		}
+	}
+	return -1
 }
 
 // findLate marks the feeders that have brought nothing for the deadline
-// although their share has not been seen whole.
+// although they are responsible for chunks that have not been seen.
 func (s *State) findLate(deadline time.Duration, now time.Time) {
 	f := &s.feed
 	waiting := make([]bool, len(f.feeders))
-	for i, order := range f.order {
-		if !s.seen.Has(i) {
-			waiting[order[0]] = true
+	for i := range f.order {
+		if m := f.responsible(i); m >= 0 && !s.seen.Has(i) {
+			waiting[m] = true
 		}
 	}
 	for m := range waiting {
-		if waiting[m] && now.Sub(f.brought[m]) > deadline {
+		if !waiting[m] || m == f.own {
+			f.brought[m] = now // its time begins when something is due
+			continue
+		}
+		if now.Sub(f.brought[m]) > deadline {
 			f.late[m] = true
 		}
 	}
--- a/internal/weights/swarm/step.go
+++ b/internal/weights/swarm/step.go
@@ -42,6 +42,7 @@
 	case Ended:
 		out = s.ended(ev, now)
 	case Tick:
+		out = s.substitute(now)
 	}
 	out = append(out, s.expire(now)...)
 	return append(out, s.schedule(now)...)
@@ -61,8 +62,20 @@
 
 func (s *State) membersChanged(members []Peer, now time.Time) []Action {
 	s.members = withSelf(s.self, slices.Clone(members))
+	s.candidates, s.base = neighbours(s.strategy, s.self, s.members, s.version)
+	s.wanted = s.base
+	out := s.connect(now)
+	s.feedersChanged(now)
+	return out
+}
+
+// connect makes the first of the candidates the peers.
+func (s *State) connect(now time.Time) []Action {
+	if s.Complete() {
+		return nil
+	}
+	wanted := s.candidates[:s.wanted]
 	var out []Action
-	wanted := neighbours(s.strategy, s.self, s.members, s.version)
 	for _, p := range slices.Clone(s.peers) {
 		if !slices.Contains(wanted, p.Peer) {
 			out = append(out, s.drop(p, now)...)
@@ -71,15 +84,33 @@
 		}
 	}
 	for _, w := range wanted {
-		if s.peer(w.VM) == nil && !s.Complete() {
-			s.peers = append(s.peers, &peer{Peer: w, holds: NewBits(s.n)})
+		if s.peer(w.VM) == nil {
+			s.peers = append(s.peers, &peer{Peer: w, holds: NewBits(s.n), doubted: now})
 			out = append(out, Connect{Peer: w})
 		}
 	}
-	s.feedersChanged(now)
 	return out
 }
 
+// substitute adds a candidate for each peer that has been doubted for long.
+func (s *State) substitute(now time.Time) []Action {
+	trusted := 0
+	for _, p := range s.peers {
+		if p.doubted.IsZero() || now.Sub(p.doubted) < doubtFactor*s.cfg.ProgressTimeout {
+			trusted++
+		}
+	}
+	if trusted >= s.base || s.wanted >= len(s.candidates) {
+		return nil
+	}
+	s.wanted = min(len(s.candidates), s.wanted+s.base-trusted)
+	return s.connect(now)
+}
+
+// doubtFactor times the progress timeout a peer may be doubted before it gets
+// a substitute.
+const doubtFactor = 2
+
 // drop forgets what a peer holds and gives up its requests.
 func (s *State) drop(p *peer, now time.Time) []Action {
 	var out []Action
@@ -108,6 +139,7 @@
 	if p == nil {
 		return nil
 	}
+	p.doubt(now)
 	return s.drop(p, now)
 }
 
@@ -117,6 +149,9 @@
 		return nil
 	}
 	p.up = true
+	if ev.Reset && p.stalls == 0 && !now.Before(p.notAsked) {
+		p.doubted = time.Time{}
+	}
 	p.setQueue(ev.Queue)
 	var news []int
 	if ev.Reset {
--- a/internal/weights/swarm/swarm.go
+++ b/internal/weights/swarm/swarm.go
@@ -146,12 +146,17 @@
 	// absent is when a chunk's last known holder vanished, or the start.
 	absent []time.Time
 
-	members  []Peer
-	peers    []*peer // connected or to be connected, in the topology's order
-	requests map[uint64]*request
-	order    []*request // by start
-	nextID   uint64
-	usual    time.Duration // smoothed duration of a peer's request
+	members []Peer
+	peers   []*peer // connected or to be connected
+	// candidates are the possible peers in order of preference; the first
+	// wanted of them are peers.
+	candidates []Peer
+	wanted     int
+	base       int // how many of them are wanted when all deliver
+	requests   map[uint64]*request
+	order      []*request // by start
+	nextID     uint64
+	usual      time.Duration // smoothed duration of a peer's request
 
 	feed   feeding
 	source source
@@ -171,8 +176,9 @@
 	stalls   int
 	notAsked time.Time // not before this time
 	busy     time.Time // queue full; not before this time unless it shrinks
-	// doubted is since when the peer has brought nothing that it was asked
-	// for, or has been set aside; zero if it is trusted.
+	// doubted is since when the peer has not been connected, has brought
+	// nothing that it was asked for, or has been set aside; zero if it is
+	// trusted.
 	doubted time.Time
 }
 
--- a/internal/weights/swarm/topology.go
+++ b/internal/weights/swarm/topology.go
@@ -14,6 +14,9 @@
 	zoneRings   = 4
 	globalRings = 2
 
+	// Substitutes stand up to this far away on the rings.
+	substituteDistance = 4
+
 	treeFanOut = 2
 )
 
@@ -55,18 +58,20 @@
 	return sorted
 }
 
-// neighbours returns whom self fetches from, nearest first.
-func neighbours(strategy Strategy, self Peer, members []Peer, version uint64) []Peer {
+// neighbours returns whom self fetches from, at first count of the list, the
+// others as substitutes for peers that do not deliver.
+func neighbours(strategy Strategy, self Peer, members []Peer, version uint64) (list []Peer, count int) {
 	switch strategy {
 	case StrategyOrigin:
-		return nil
+		return nil, 0
 	case StrategyChain:
-		return parentIn(byHash(members, version), self, 1)
+		list = parentIn(byHash(members, version), self, 1)
 	case StrategyZoneTree:
-		return parentIn(byHash(sameZone(members, self.Zone), version), self, treeFanOut)
+		list = parentIn(byHash(sameZone(members, self.Zone), version), self, treeFanOut)
 	default:
 		return ringNeighbours(self, members, version)
 	}
+	return list, len(list)
 }
 
 func sameZone(members []Peer, zone string) []Peer {
@@ -88,9 +93,11 @@
 	return []Peer{order[(at-1)/fanOut]}
 }
 
-func ringNeighbours(self Peer, members []Peer, version uint64) []Peer {
+// ringNeighbours returns self's neighbours on the rings, at distance 1, which
+// are the count to begin with, and then at growing distance. In a small swarm
+// all members are neighbours.
+func ringNeighbours(self Peer, members []Peer, version uint64) (list []Peer, count int) {
 	chosen := map[string]bool{self.VM: true}
-	var list []Peer
 	add := func(p Peer) {
 		if !chosen[p.VM] {
 			chosen[p.VM] = true
@@ -98,23 +105,39 @@
 		}
 	}
 	near := sameZone(members, self.Zone)
-	for ring := range uint64(zoneRings) {
-		addRing(near, self, version+ring, add)
+	var rings [][]Peer
+	for ring := range uint64(zoneRings + globalRings) {
+		if ring < zoneRings {
+			rings = append(rings, byHash(near, version+ring))
+		} else {
+			rings = append(rings, byHash(members, version+ring))
+		}
 	}
-	for ring := range uint64(globalRings) {
-		addRing(members, self, version+zoneRings+ring, add)
+	for distance := 1; distance <= substituteDistance; distance++ {
+		for _, ring := range rings {
+			addAround(ring, self, distance, add)
+		}
+		if distance == 1 {
+			count = len(list)
+		}
+	}
+	if len(members) <= 2*len(rings)+1 {
+		for _, m := range members {
+			add(m)
+		}
+		count = len(list)
 	}
-	return list
+	return list, count
 }
 
-func addRing(members []Peer, self Peer, seed uint64, add func(Peer)) {
-	order := byHash(members, seed)
+// addAround adds the members at a distance before and after self.
+func addAround(order []Peer, self Peer, distance int, add func(Peer)) {
 	at := slices.IndexFunc(order, func(p Peer) bool { return p.VM == self.VM })
 	if at < 0 {
 		return
 	}
-	add(order[(at+1)%len(order)])
-	add(order[(at+len(order)-1)%len(order)])
+	add(order[(at+distance)%len(order)])
+	add(order[((at-distance)%len(order)+len(order))%len(order)])
 }
 
 // feeders returns the members that fetch from the origin, first the ones that
@@ -135,7 +158,8 @@
 // Neighbours returns whom self fetches from: a bounded set, of its own zone
 // first, that all members can work out alike.
 func Neighbours(strategy Strategy, self Peer, members []Peer, version uint64) []Peer {
-	return neighbours(strategy, self, withSelf(self, members), version)
+	list, count := neighbours(strategy, self, withSelf(self, members), version)
+	return list[:count]
 }
 
 // OriginRank returns self's place in the order of those that fetch from the
