--- a/Makefile
+++ b/Makefile
@@ -19,3 +19,8 @@
 
 generate:
 	internal/rpc/generate.sh
+
+# The benches print figures and compare within one run; no test depends on them.
+bench-weights bench-config bench-requests bench-slopes: bench-%: build
+	$(GO) build -o bin/bench-$* ./internal/bench/$*
+	bin/bench-$*
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -20,7 +21,7 @@
 	serving bool
 	// reported is false until the VM's first report.
 	reported bool
-	phases   map[ref]ReplicaPhase
+	reports  []Replica
 	// active is the version that the assignment in force activates.
 	active    ref
 	hasActive bool
@@ -32,17 +33,27 @@
 	owner *ruleState
 }
 
+// phase is what the VM reports of a version; empty for nothing.
+func (v *vmState) phase(r ref) ReplicaPhase {
+	for i := range v.reports {
+		if v.reports[i].Version == r.version && v.reports[i].Model == r.model {
+			return v.reports[i].Phase
+		}
+	}
+	return ""
+}
+
 // live says that the assigned version is known to be served.
 func (v *vmState) live() bool {
-	return v.serving && v.hasActive && v.phases[v.active] == ReplicaLive
+	return v.serving && v.hasActive && v.phase(v.active) == ReplicaLive
 }
 
 // mayBeLive says that taking the assigned version away may end a live replica.
 func (v *vmState) mayBeLive() bool {
-	return v.hasActive && (!v.reported || v.phases[v.active] == ReplicaLive)
+	return v.hasActive && (!v.reported || v.phase(v.active) == ReplicaLive)
 }
 
-func (v *vmState) failed(r ref) bool { return v.phases[r] == ReplicaFailed }
+func (v *vmState) failed(r ref) bool { return v.phase(r) == ReplicaFailed }
 
 // assign notes that this plan activates another version on the VM.
 func (v *vmState) assign(r ref) {
@@ -74,7 +85,8 @@
 	target ref
 	// frozen rules name something that is not declared: what runs is kept,
 	// nothing new is placed.
-	frozen  bool
+	frozen bool
+	// zones are those that a restricted rule allows; nil allows any.
 	zones   map[string]bool
 	holders []*vmState
 	// spares are VMs that no rule needs and that serve nothing.
@@ -82,6 +94,8 @@
 	unmet  []Unmet
 }
 
+func (r *ruleState) allows(zone string) bool { return r.zones == nil || r.zones[zone] }
+
 func (r *ruleState) report(reason Reason, possible int) {
 	r.unmet = append(r.unmet, Unmet{Rule: r.Name, Reason: reason, Wanted: r.Copies, Possible: possible})
 }
@@ -101,7 +115,7 @@
 func (r *ruleState) failures(vms []*vmState) int {
 	n := 0
 	for _, v := range vms {
-		if r.zones[v.zone] && v.failed(r.target) {
+		if r.allows(v.zone) && v.failed(r.target) {
 			n++
 		}
 	}
@@ -176,10 +190,7 @@
 func (p *planner) loadReplicas(v *vmState) {
 	reports, reported := p.in.Reports[v.name]
 	v.reported = reported
-	v.phases = make(map[ref]ReplicaPhase, len(reports))
-	for _, r := range reports {
-		v.phases[ref{r.Model, r.Version}] = r.Phase
-	}
+	v.reports = reports
 	for _, w := range p.in.Current[v.name].Wants {
 		if w.Service != v.service {
 			continue
@@ -233,6 +244,9 @@
 func (p *planner) sortRules() {
 	sort.SliceStable(p.rules, func(i, j int) bool {
 		a, b := p.rules[i], p.rules[j]
+		if (a.zones == nil) != (b.zones == nil) {
+			return b.zones == nil
+		}
 		if len(a.zones) != len(b.zones) {
 			return len(a.zones) < len(b.zones)
 		}
@@ -240,23 +254,19 @@
 	})
 }
 
+// allowedZones returns the zones of a restricted rule, nil for one that is
+// not.
 func allowedZones(rule inventory.Rule, regions map[string]string) map[string]bool {
+	if len(rule.Zones) == 0 && len(rule.Regions) == 0 {
+		return nil
+	}
 	allowed := map[string]bool{}
 	for zone, region := range regions {
-		inZones := len(rule.Zones) == 0 || contains(rule.Zones, zone)
-		inRegions := len(rule.Regions) == 0 || contains(rule.Regions, region)
+		inZones := len(rule.Zones) == 0 || slices.Contains(rule.Zones, zone)
+		inRegions := len(rule.Regions) == 0 || slices.Contains(rule.Regions, region)
 		if inZones && inRegions {
 			allowed[zone] = true
 		}
 	}
 	return allowed
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/weights/swarm/swarm.go
+++ b/internal/weights/swarm/swarm.go
@@ -66,10 +66,10 @@
 	DefaultWindow          = 6
 	DefaultPerPeer         = 2
 	DefaultOriginStreams   = 8
-	DefaultDeadlineTime    = 500 * time.Millisecond
-	DefaultDeadlineBytes   = 2 * time.Second
+	DefaultDeadlineTime    = 800 * time.Millisecond
+	DefaultDeadlineBytes   = 1500 * time.Millisecond
 	DefaultChunksTime      = 16
-	DefaultChunksBytes     = 64
+	DefaultChunksBytes     = 32
 	DefaultProgressTimeout = time.Second
 	DefaultStrikes         = 3
 	DefaultAsideFor        = 30 * time.Second
@@ -153,7 +153,7 @@
 	nextID   uint64
 	usual    time.Duration // smoothed duration of a peer's request
 
-	fetch  fetching
+	feed   feeding
 	source source
 	gained time.Time // when the last chunk came
 	begun  bool
@@ -170,6 +170,10 @@
 	good     int // verified chunks since the last strike
 	stalls   int
 	notAsked time.Time // not before this time
+	busy     time.Time // queue full; not before this time unless it shrinks
+	// doubted is since when the peer has brought nothing that it was asked
+	// for, or has been set aside; zero if it is trusted.
+	doubted time.Time
 }
 
 type request struct {
