--- a/internal/systest/calls_test.go
+++ b/internal/systest/calls_test.go
@@ -161,18 +161,12 @@
 // metric returns the sum of a metric of a daemon over the series that have
 // all the label texts; false if it can't be had now.
 func metric(d *harness.Daemon, name string, labels ...string) (float64, bool) {
-	client := http.Client{Timeout: 5 * time.Second}
-	resp, err := client.Get("http://" + d.HTTPAddr + "/metrics")
-	if err != nil {
-		return 0, false
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK {
+	data, ok := metricsText(d)
+	if !ok {
 		return 0, false
 	}
 	sum := 0.0
-	for _, line := range strings.Split(string(data), "\n") {
+	for _, line := range strings.Split(data, "\n") {
 		rest, ok := strings.CutPrefix(line, name)
 		if !ok || (rest[0] != ' ' && rest[0] != '{') || !containsAll(rest, labels) {
 			continue
@@ -185,6 +179,18 @@
 	return sum, true
 }
 
+// metricsText returns all metrics of a daemon; false if they can't be had now.
+func metricsText(d *harness.Daemon) (string, bool) {
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + d.HTTPAddr + "/metrics")
+	if err != nil {
+		return "", false
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err == nil && resp.StatusCode == http.StatusOK
+}
+
 func containsAll(text string, parts []string) bool {
 	for _, part := range parts {
 		if !strings.Contains(text, part) {
--- a/internal/systest/system_test.go
+++ b/internal/systest/system_test.go
@@ -310,9 +310,22 @@
 	require.NoError(s.t, harness.Wait(patience, what, done))
 }
 
+// logCounters shows how the requests of a daemon ended.
+func (s *system) logCounters(d *harness.Daemon) {
+	text, ok := metricsText(d)
+	if !ok {
+		return
+	}
+	for _, line := range strings.Split(text, "\n") {
+		if strings.HasPrefix(line, "lynxgate_") && strings.Contains(line, "requests_total{") {
+			s.t.Logf("%s: %s", d.Name, line)
+		}
+	}
+}
+
 // end kills what still runs and shows the logs of a failed test.
 func (s *system) end() {
-	s.fleet.KillAll()
+	defer s.fleet.KillAll()
 	if !s.t.Failed() {
 		return
 	}
@@ -320,6 +333,7 @@
 		if d == nil || d.Process == nil {
 			continue
 		}
+		s.logCounters(d)
 		data, err := os.ReadFile(d.LogPath)
 		if err == nil {
 			s.t.Logf("log of %s:\n%s", d.Name, data[max(0, len(data)-logTail):])
