--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 bench-config: build
 	$(GO) build -o bin/bench-config ./internal/bench/config
 	bin/bench-config
+
+bench-requests: build
+	$(GO) build -o bin/bench-requests ./internal/bench/requests
+	bin/bench-requests
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -9,6 +9,7 @@
 	"lynxgate.dev/lynxgate/internal/configfeed"
 	"lynxgate.dev/lynxgate/internal/controlclient"
 	"lynxgate.dev/lynxgate/internal/entry"
+	"lynxgate.dev/lynxgate/internal/routing"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -59,6 +60,7 @@
 		DefaultDeadline:   s.Entry.DefaultDeadline,
 		RetryBudgetRatio:  s.Entry.RetryBudgetRatio,
 		WatchSubset:       s.Entry.WatchSubset,
+		Policy:            routingPolicy(s.Entry.Policy),
 		QueueLength:       s.Entry.QueueLength,
 		Incarnation:       d.incarnation,
 		Logger:            d.log,
@@ -66,6 +68,18 @@
 	}
 }
 
+// routingPolicy returns the policy of a setting; those but the default are
+// baselines for comparison.
+func routingPolicy(name string) routing.Policy {
+	switch name {
+	case "random":
+		return routing.Random{}
+	case "round-robin":
+		return &routing.RoundRobin{}
+	}
+	return routing.Balanced{}
+}
+
 func (r *entryRole) register(mux *drpcmux.Mux) error { return rpc.DRPCRegisterFeed(mux, r.source) }
 
 func (r *entryRole) run(ctx context.Context) error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"lynxgate.dev/lynxgate/internal/controlclient"
 	"lynxgate.dev/lynxgate/internal/keyspace"
 	"lynxgate.dev/lynxgate/internal/retry"
+	"lynxgate.dev/lynxgate/internal/routing"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
@@ -54,6 +55,8 @@
 	RetryBudgetRatio float64
 	// WatchSubset is how many agents of each service are watched.
 	WatchSubset int
+	// Policy chooses backend servers; routing.Balanced unless set.
+	Policy routing.Policy
 	// QueueLength is the most requests waiting for a backend server.
 	QueueLength int
 	// Incarnation rises with every start of the entry.
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -37,6 +37,7 @@
 	cfg := routing.DefaultConfig()
 	cfg.Entry = e.cfg.Name
 	cfg.Zone = e.cfg.Zone
+	cfg.Policy = e.cfg.Policy
 	if e.cfg.WatchSubset > 0 {
 		cfg.SubsetSize = e.cfg.WatchSubset
 	}
--- a/internal/settings/bad_input_test.go
+++ b/internal/settings/bad_input_test.go
@@ -24,8 +24,8 @@
 // is wrong and what is allowed.
 func TestBadInput(t *testing.T) {
 	cases := map[string]struct{ text, want string }{
-		"unknown key":           {entryPart + "queue_size = 3\n", `f.toml:10: entry.queue_size: unknown key; allowed here: callers_addr, control, default_deadline, feeds, idle_timeout, max_body_bytes, max_connections, max_header_bytes, queue_length, read_header_timeout, retry_budget_ratio, tls_cert, tls_key, watch_subset`},
-		"unknown table":         {entryPart + "[entry.tls]\n", `f.toml:10: entry.tls: unknown key; allowed here: callers_addr, control, default_deadline, feeds, idle_timeout, max_body_bytes, max_connections, max_header_bytes, queue_length, read_header_timeout, retry_budget_ratio, tls_cert, tls_key, watch_subset`},
+		"unknown key":           {entryPart + "queue_size = 3\n", `f.toml:10: entry.queue_size: unknown key; allowed here: callers_addr, control, default_deadline, feeds, idle_timeout, max_body_bytes, max_connections, max_header_bytes, policy, queue_length, read_header_timeout, retry_budget_ratio, tls_cert, tls_key, watch_subset`},
+		"unknown table":         {entryPart + "[entry.tls]\n", `f.toml:10: entry.tls: unknown key; allowed here: callers_addr, control, default_deadline, feeds, idle_timeout, max_body_bytes, max_connections, max_header_bytes, policy, queue_length, read_header_timeout, retry_budget_ratio, tls_cert, tls_key, watch_subset`},
 		"wrong type":            {entryPart + "queue_length = \"many\"\n", `f.toml:10: entry.queue_length: must be an integer, not a string`},
 		"bad duration":          {entryPart + "idle_timeout = \"2 minutes\"\n", `f.toml:10: entry.idle_timeout: "2 minutes" is not a duration in quotes such as "500ms", "2s" or "1h30m"`},
 		"explicit zero":         {entryPart + "queue_length = 0\n", `f.toml:10: entry.queue_length: must be above 0`},
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -29,6 +29,7 @@
 	defaultDeadline          = time.Minute
 	defaultRetryBudgetRatio  = 0.1
 	defaultWatchSubset       = 20
+	defaultPolicy            = "balanced"
 
 	defaultCapacity    = 1
 	defaultLoadTimeout = 5 * time.Minute
@@ -59,6 +60,7 @@
 			DefaultDeadline:   defaultDeadline,
 			RetryBudgetRatio:  defaultRetryBudgetRatio,
 			WatchSubset:       defaultWatchSubset,
+			Policy:            defaultPolicy,
 		},
 		Agent: &Agent{
 			Kind:        inventory.KindModel,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -141,6 +141,9 @@
 	// WatchSubset is how many agents of each service this entry watches and
 	// sends requests to.
 	WatchSubset int `toml:"watch_subset"`
+	// Policy chooses backend servers; "balanced" for production, the others
+	// for comparison: "random", "round-robin".
+	Policy string `toml:"policy"`
 }
 
 // Agent are the settings of the agent role.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -23,6 +23,7 @@
 	logLevels  = []string{"debug", "info", "warn", "error"}
 	roleNames  = []string{string(RoleControl), string(RoleEntry), string(RoleAgent)}
 	strategies = []string{"swarm", "origin", "tree", "chain"}
+	policies   = []string{"balanced", "random", "round-robin"}
 )
 
 // checker reports faults of one settings file.
@@ -119,6 +120,7 @@
 	positive(c, "entry.queue_length", entry.QueueLength)
 	positive(c, "entry.default_deadline", entry.DefaultDeadline)
 	positive(c, "entry.watch_subset", entry.WatchSubset)
+	c.oneOf("entry.policy", entry.Policy, policies)
 	if entry.RetryBudgetRatio < 0 || entry.RetryBudgetRatio > 1 {
 		c.doc.Report("entry.retry_budget_ratio", "must be between 0 and 1")
 	}
