Demo: -hold leaves the fleet running

Cause: the tour in the README needs a fleet that stays up, and starting nine daemons by hand takes longer than the tour. Ruled out: a shell script with its own settings files, a second fleet to keep in step with the demo's. Without the flag nothing changes.

--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -3,6 +3,9 @@
 // under that load, kills an entry and the control leader on the way, stops
 // everything gracefully and prints what happened. It exits 0 only if every
 // promise held.
+//
+// With -hold it only starts the fleet, with the inventory in force and no
+// rules, prints how to reach it and leaves it running until it is interrupted.
 package main
 
 import (
@@ -16,14 +19,15 @@
 func main() {
 	dir := flag.String("dir", "out/demo", "folder for settings, logs and data; emptied first")
 	bin := flag.String("bin", "bin", "folder with the programs")
+	hold := flag.Bool("hold", false, "start the fleet and leave it running until interrupted")
 	flag.Parse()
-	if err := run(*dir, *bin); err != nil {
+	if err := run(*dir, *bin, *hold); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		os.Exit(1)
 	}
 }
 
-func run(dir, bin string) error {
+func run(dir, bin string, hold bool) error {
 	if err := os.RemoveAll(dir); err != nil {
 		return err
 	}
@@ -36,5 +40,8 @@
 	if err != nil {
 		return err
 	}
+	if hold {
+		return s.hold()
+	}
 	return s.play()
 }
