Routing: a stream that has begun is no stalled request; room without the late load reports

Cause: bench-requests showed healthy backend servers set aside as "stalled" under long streams (899 of 955 calls of a closed loop refused as full), since the entry never told the routing table of first tokens. Room subtracted the reported load, half a second old, in which this entry's own requests of then look like those of others. Ruled out: slots lost by admission (SetFree), a race of Finished and the ticket. Change: FirstToken goes to the table with the first data; answers that come in one piece get a stall limit of their own; Room counts by entry and agents only.

--- a/internal/bench/requests/caller.go
+++ b/internal/bench/requests/caller.go
@@ -23,6 +23,9 @@
 // prompt is as long as a short question of a resident.
 const prompt = "the washing machine in the laundry room of the second house does not open its door any more"
 
+// maxErrorText bounds what is read of an error body, in bytes.
+const maxErrorText = 512
+
 // caller sends the same completion request again and again.
 type caller struct {
 	client *http.Client
@@ -57,7 +60,8 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %s", resp.Status)
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorText))
+		return fmt.Errorf("status %s: %s", resp.Status, text)
 	}
 	if c.stream {
 		return c.readEvents(resp.Body)
@@ -79,9 +83,18 @@
 	return fmt.Errorf("stream without an end: %w", lines.Err())
 }
 
+// failurePause keeps a worker whose call failed from calling again at once.
+const failurePause = 50 * time.Millisecond
+
 // closedLoop keeps workers calling for a time and returns how long the calls
 // took and how many failed.
 func (c *caller) closedLoop(workers int, duration time.Duration) (took *hdrhistogram.Histogram, failed int) {
+	var last error
+	defer func() {
+		if failed > 0 {
+			note("%d of %d calls failed; the last one: %v", failed, failed+int(took.TotalCount()), last)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
 	took = replay.NewHistogram()
@@ -95,10 +108,14 @@
 				mu.Lock()
 				if err != nil {
 					failed++
+					last = err
 				} else {
 					replay.Record(took, time.Since(begun))
 				}
 				mu.Unlock()
+				if err != nil {
+					time.Sleep(failurePause)
+				}
 			}
 		})
 	}
--- a/internal/bench/requests/load.go
+++ b/internal/bench/requests/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/harness"
@@ -93,14 +94,24 @@
 }
 
 // measureCapacity finds how many short requests the paced engines complete in
-// a second when all their slots are in use.
+// a second when they are asked directly and all their slots are in use.
 func (s *system) measureCapacity() float64 {
 	if s.capacity > 0 {
 		return s.capacity
 	}
-	c := newCaller(replay.NewClient(), "http://"+s.entries[0].CallersAddr, pacedService, shortTokens, true)
-	took, failed := c.closedLoop(engines*concurrency, loopDuration)
-	s.capacity = float64(took.TotalCount()) / loopDuration.Seconds()
-	note("capacity %.0f short requests a second (%d calls failed)", s.capacity, failed)
+	var wg sync.WaitGroup
+	done := make([]int64, engines)
+	for i, a := range s.paced {
+		c := newCaller(replay.NewClient(), "http://"+a.BackendAddr, pacedService, shortTokens, true)
+		wg.Go(func() {
+			took, _ := c.closedLoop(concurrency, loopDuration)
+			done[i] = took.TotalCount()
+		})
+	}
+	wg.Wait()
+	for _, n := range done {
+		s.capacity += float64(n) / loopDuration.Seconds()
+	}
+	note("capacity of the engines %.0f short requests a second", s.capacity)
 	return s.capacity
 }
--- a/internal/bench/requests/overhead.go
+++ b/internal/bench/requests/overhead.go
@@ -81,11 +81,8 @@
 	if err != nil {
 		return before, 0, err
 	}
-	took, failed := c.closedLoop(workers, loopDuration)
+	took, _ := c.closedLoop(workers, loopDuration)
 	after, err := s.readProcessorTime(agents)
-	if failed > 0 {
-		note("%d of %d calls failed in the closed loop", failed, failed+int(took.TotalCount()))
-	}
 	return processorTime{after.entry - before.entry, after.agents - before.agents}, float64(took.TotalCount()), err
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -52,6 +52,7 @@
 		Service:  t.call.service.Name,
 		Model:    t.call.service.Model,
 		Prefix:   t.call.prefixHash,
+		Whole:    !t.call.stream,
 		Excluded: excluded,
 	}
 	if t.answer.sent {
@@ -138,7 +139,7 @@
 			return assembler.Cut(o.Reason, o.Detail).Outcome
 		}
 		result := assembler.Step(frame)
-		if err := t.pass(result); err != nil {
+		if err := t.pass(ctx, result); err != nil {
 			return outcome.May(outcome.Cancelled, err.Error())
 		}
 		if result.Done {
@@ -169,12 +170,12 @@
 	}
 }
 
-func (t *attempt) pass(result frames.Result) error {
+func (t *attempt) pass(ctx context.Context, result frames.Result) error {
 	if result.Head != nil {
 		t.answer.head(result.Head.Status, result.Head.Headers)
 	}
 	if len(result.Data) > 0 && t.firstToken == 0 {
-		t.firstToken = time.Since(t.started)
+		t.begun(ctx)
 	}
 	for _, piece := range result.Data {
 		if err := t.answer.data(piece); err != nil {
@@ -184,6 +185,13 @@
 	return nil
 }
 
+// begun notes the time to the first part of the answer. The routing table
+// learns it at once: a long stream must not look like a stalled request.
+func (t *attempt) begun(ctx context.Context) {
+	t.firstToken = time.Since(t.started)
+	t.entry.router.step(ctx, routing.FirstToken{VM: t.target.VM, ID: t.id, Elapsed: t.firstToken})
+}
+
 // lost tells what an error of the connection to the agent means: the request
 // certainly did not run only if the connection could not be made.
 func lost(ctx context.Context, err error) outcome.Outcome {
--- a/internal/routing/event.go
+++ b/internal/routing/event.go
@@ -61,10 +61,12 @@
 type Dispatched struct {
 	VM string
 	ID string
+	// Whole is true for an answer that comes in one piece at its end.
+	Whole bool
 }
 
-// FirstToken says that the answer to a request has begun. It is optional:
-// Finished brings the same figure, later.
+// FirstToken says that the answer to a request has begun. Without it a long
+// stream looks like a request that still waits, until Finished.
 type FirstToken struct {
 	VM      string
 	ID      string
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -19,6 +19,10 @@
 	// StallFactor over the median makes a waiting request overdue; two
 	// overdue requests make a backend server stalled.
 	StallFactor float64
+	// WholeStallFactor and WholeStallMin take its place for answers that
+	// come in one piece, whose work differs much more.
+	WholeStallFactor float64
+	WholeStallMin    time.Duration
 	// ErrorRatio is the least share of failures that counts as failing.
 	ErrorRatio float64
 	// MaxAside is the largest share of a service's watched backend servers
@@ -44,12 +48,16 @@
 		LatencyFactor: 5,
 		LatencySlack:  20 * time.Millisecond,
 		StallFactor:   10,
-		ErrorRatio:    0.3,
-		MaxAside:      0.3,
-		Backoff:       10 * time.Second,
-		MaxBackoff:    2 * time.Minute,
-		ProbeShare:    0.05,
-		ProbeEvery:    time.Second,
+
+		WholeStallFactor: 100,
+		WholeStallMin:    time.Second,
+
+		ErrorRatio: 0.3,
+		MaxAside:   0.3,
+		Backoff:    10 * time.Second,
+		MaxBackoff: 2 * time.Minute,
+		ProbeShare: 0.05,
+		ProbeEvery: time.Second,
 	}
 }
 
@@ -60,6 +68,8 @@
 	c.LatencyFactor = orDefault(c.LatencyFactor, d.LatencyFactor)
 	c.LatencySlack = orDefault(c.LatencySlack, d.LatencySlack)
 	c.StallFactor = orDefault(c.StallFactor, d.StallFactor)
+	c.WholeStallFactor = orDefault(c.WholeStallFactor, d.WholeStallFactor)
+	c.WholeStallMin = orDefault(c.WholeStallMin, d.WholeStallMin)
 	c.ErrorRatio = orDefault(c.ErrorRatio, d.ErrorRatio)
 	c.MaxAside = orDefault(c.MaxAside, d.MaxAside)
 	c.Backoff = orDefault(c.Backoff, d.Backoff)
@@ -197,9 +207,14 @@
 // overdue counts the requests that wait too long for their first token.
 func (s *server) overdue(now time.Time, peers peerFigures, cfg *OutlierConfig) int {
 	limit := cfg.StallFactor*peers.latency + cfg.LatencySlack.Seconds()
+	wholeLimit := max(cfg.WholeStallFactor*peers.latency, cfg.WholeStallMin.Seconds())
 	n := 0
-	for _, at := range s.waiting {
-		if now.Sub(at).Seconds() > limit {
+	for _, w := range s.waiting {
+		allowed := limit
+		if w.whole {
+			allowed = wholeLimit
+		}
+		if now.Sub(w.since).Seconds() > allowed {
 			n++
 		}
 	}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -20,6 +20,9 @@
 	Prefix uint64
 	// Zone of the entry; the table's own if empty.
 	Zone string
+	// Whole is true for an answer that comes in one piece at its end: the time
+	// to its first byte is that of the whole work.
+	Whole bool
 	// Excluded VMs are not picked, as after a failed try.
 	Excluded []string
 }
@@ -219,14 +222,16 @@
 }
 
 // Room sums over what a request might be sent to. Warming ones count with
-// their share.
+// their share. What is taken is counted by this entry and the agents: the
+// load that backend servers report is late, and would count this entry's own
+// requests of a moment ago as those of others.
 func (v *View) Room(now time.Time, req Request) Room {
 	var room Room
 	for _, s := range v.tally(now, req).usable {
 		share := s.share(now)
 		room.Servers++
 		room.Slots += int(share * s.slots())
-		room.Free += max(0, int(share*s.slots()-s.load(now)))
+		room.Free += max(0, int(share*s.slots()-s.counted(now)))
 	}
 	return room
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -42,8 +42,16 @@
 	// the backend server was known without it.
 	liveSince map[Version]time.Time
 	health    health
-	// waiting are the dispatch times of requests without a first token.
-	waiting map[string]time.Time
+	// waiting are the requests without a first token.
+	waiting map[string]waiter
+}
+
+// waiter is a request without a first token.
+type waiter struct {
+	// since is when it was dispatched.
+	since time.Time
+	// whole is true when its first byte comes with its last.
+	whole bool
 }
 
 func newServer(m inventory.Member) *server {
@@ -52,7 +60,7 @@
 		hash:      hashString(m.VM),
 		count:     &counters{},
 		liveSince: map[Version]time.Time{},
-		waiting:   map[string]time.Time{},
+		waiting:   map[string]waiter{},
 	}
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -69,7 +69,7 @@
 		}
 	case Dispatched:
 		if s := t.servers[e.VM]; s != nil {
-			s.dispatched(now, e.ID)
+			s.dispatched(now, e.ID, e.Whole)
 		}
 	case FirstToken:
 		if s := t.servers[e.VM]; s != nil {
@@ -87,10 +87,10 @@
 	return nil
 }
 
-func (s *server) dispatched(now time.Time, id string) {
+func (s *server) dispatched(now time.Time, id string, whole bool) {
 	s.count.inFlight.Add(1)
 	s.count.lastDispatch.Store(now.UnixNano())
-	s.waiting[id] = now
+	s.waiting[id] = waiter{since: now, whole: whole}
 }
 
 func (t *Table) finished(now time.Time, s *server, e Finished) []Action {
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -133,14 +133,19 @@
 	return float64(s.count.inFlight.Load()) + s.estim.others(now, s.cfg.LoadHalfLife)
 }
 
+// counted is the requests on the backend server now by this entry's and the
+// agent's count.
+func (s *ServerView) counted(now time.Time) float64 {
+	return float64(s.count.inFlight.Load()) + s.estim.counted(now, s.cfg.LoadHalfLife)
+}
+
 // full says that a request more would only wait: this entry alone fills it,
 // or the last count of all requests does, with a margin since it is late.
 func (s *ServerView) full(now time.Time) bool {
-	own := float64(s.count.inFlight.Load())
-	if own >= s.slots() {
+	if float64(s.count.inFlight.Load()) >= s.slots() {
 		return true
 	}
-	return own+s.estim.counted(now, s.cfg.LoadHalfLife) >= s.cfg.FullAt*s.slots()
+	return s.counted(now) >= s.cfg.FullAt*s.slots()
 }
 
 // cost compares backend servers: the utilisation with one request more, times
