--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,9 +23,10 @@
 )
 
 // backend is the HTTP client of the backend server beside the agent. Calls
-// are never repeated by the transport: a plain service gets a connection of
-// its own per call, since net/http repeats a call with an Idempotency-Key on
-// a broken reused connection; an engine's calls carry no replayable body.
+// are never repeated by the transport: net/http repeats a call with an
+// Idempotency-Key, or a GET, when a reused connection breaks, unless its body
+// can't be rewound. A plain service also gets a connection of its own per
+// call, so that one closed while idle makes no call unknown.
 type backend struct {
 	base   string
 	client *http.Client
@@ -74,11 +76,11 @@
 }
 
 func (b *backend) request(ctx context.Context, in *rpc.RunRequest) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, in.Method, b.base+in.Path, bytes.NewReader(in.Body))
+	req, err := http.NewRequestWithContext(ctx, in.Method, b.base+in.Path, onceReader{bytes.NewReader(in.Body)})
 	if err != nil {
 		return nil, err
 	}
-	req.GetBody = nil
+	req.ContentLength = int64(len(in.Body))
 	for _, h := range in.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
@@ -88,6 +90,9 @@
 	return req, nil
 }
 
+// onceReader hides that a body could be rewound, or is empty.
+type onceReader struct{ io.Reader }
+
 // notSentError says that a request never left the agent.
 type notSentError struct{ err error }
 
