Entry: tests of the request path; a caller that sends its body slowly is cut off

Cause: the new test found that a caller who sends a part of the body and then nothing kept its connection for ever: the read deadline was cleared before the refusal, and net/http then waits for the rest of the body. Change: on a refusal the bound stays.

--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -17,11 +17,12 @@
 	conn := http.NewResponseController(w)
 	_ = conn.SetReadDeadline(time.Now().Add(e.cfg.ReadBodyTimeout))
 	c, err := e.resolve(r)
-	_ = conn.SetReadDeadline(time.Time{})
 	if err != nil {
+		// The bound stays: net/http may still read the rest of the body.
 		e.answerRefusal(w, err)
 		return
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	w.Header().Set(HeaderRequestID, c.id)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
