Entries share backend servers by fresh counts; admission sleeps while nothing waits

Ruled out: the fair queue itself (the wait was there with an empty entry queue), the load reports (left out of Room before). Admission ticked 100 times a second on an idle entry. Admission ticks only while requests are queued. 32 idle connections per agent instead of 4.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -10,7 +10,7 @@
 	"lynxgate.dev/lynxgate/internal/outcome"
 )
 
-// TickInterval is how often Run lets time pass for queued requests.
+// TickInterval is how often Run lets time pass while requests are queued.
 const TickInterval = 10 * time.Millisecond
 
 // Request is what Acquire needs to know of a request.
@@ -31,11 +31,18 @@
 	machine *Machine
 	lastID  uint64
 	waiting map[uint64]chan Action
+	// queued is signalled when a request had to queue.
+	queued chan struct{}
 }
 
 // NewController returns a controller without slots. It reads time from now.
 func NewController(cfg Config, now func() time.Time) *Controller {
-	return &Controller{now: now, machine: NewMachine(cfg), waiting: make(map[uint64]chan Action)}
+	return &Controller{
+		now:     now,
+		machine: NewMachine(cfg),
+		waiting: make(map[uint64]chan Action),
+		queued:  make(chan struct{}, 1),
+	}
 }
 
 // Ticket is the right to run one request.
@@ -120,12 +127,13 @@
 }
 
 // SetFree sets the slots to the running requests plus the free places that
-// the usable backend servers have now. It leaves at least one slot, so that a
-// service whose backend servers are only busy keeps its queue.
+// the usable backend servers have now; a negative number takes slots away. It
+// leaves at least one slot, so that a service whose backend servers are only
+// busy keeps its queue.
 func (c *Controller) SetFree(service string, free int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	slots := c.machine.Status(service).Running + max(free, 0)
+	slots := c.machine.Status(service).Running + free
 	c.step(CapacityChanged{Service: service, Slots: max(slots, 1)})
 }
 
@@ -143,11 +151,29 @@
 	c.event(LimitsChanged{Limits: limits})
 }
 
-// Tick refuses the queued requests that can no longer finish in time.
-func (c *Controller) Tick() { c.event(Tick{}) }
+// Tick refuses the queued requests that can no longer finish in time. It
+// reports whether any are queued still.
+func (c *Controller) Tick() (queued bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.step(Tick{})
+	return c.machine.Queued() > 0
+}
 
-// Run ticks until ctx ends.
+// Run ticks while requests are queued, until ctx ends. It sleeps while none
+// are.
 func (c *Controller) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.queued:
+			c.tickWhileQueued(ctx)
+		}
+	}
+}
+
+func (c *Controller) tickWhileQueued(ctx context.Context) {
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
 	for {
@@ -155,7 +181,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.Tick()
+			if !c.Tick() {
+				return
+			}
 		}
 	}
 }
@@ -184,4 +212,14 @@
 		delete(c.waiting, action.ID)
 		answer <- action
 	}
+	if c.machine.Queued() > 0 {
+		c.wake()
+	}
+}
+
+func (c *Controller) wake() {
+	select {
+	case c.queued <- struct{}{}:
+	default:
+	}
 }
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -146,3 +146,18 @@
 	require.Equal(t, 0, c.Status("s").Queued)
 	c.abandon(queuedID, queuedAnswer)
 }
+
+// Time is let pass only while requests are queued: an idle entry must not
+// wake up a hundred times a second.
+func TestIdleControllerSleeps(t *testing.T) {
+	c := NewController(DefaultConfig, (&testClock{}).now)
+	c.SetCapacity("s", 1)
+	ticket, _ := c.Acquire(context.Background(), Request{Organisation: "a", Service: "s"})
+	require.Empty(t, c.queued, "a request that starts at once wakes nobody")
+	_, answer := c.arrive(Request{Organisation: "a", Service: "s"})
+	require.Len(t, c.queued, 1)
+	require.True(t, c.Tick())
+	ticket.Finish(outcome.Completed, 0)
+	require.True(t, (<-answer).Start)
+	require.False(t, c.Tick())
+}
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -230,6 +230,15 @@
 	return Status{Slots: s.slots, Running: s.running, Queued: s.queued, MeanService: s.took.mean}
 }
 
+// Queued returns how many requests wait, over all services.
+func (m *Machine) Queued() int {
+	n := 0
+	for _, s := range m.order {
+		n += s.queued
+	}
+	return n
+}
+
 // startNext starts queued requests while there are free slots.
 func (m *Machine) startNext(now time.Time, s *service) {
 	for s.queued > 0 && s.running < s.slots {
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -21,7 +21,7 @@
 // reach the backend server ends with FRAME_NOT_RUN; one whose answer was cut
 // ends with FRAME_UNKNOWN.
 func (a *Agent) Run(in *rpc.RunRequest, stream rpc.DRPCDispatch_RunStream) error {
-	w := &sender{frames: frames.NewWriter(in.RequestId), stream: stream}
+	w := &sender{frames: frames.NewWriter(in.RequestId), stream: stream, gate: a.gate}
 	if in.Service != a.cfg.Service {
 		return a.notRun(w, outcome.NotFound, 0)
 	}
@@ -36,18 +36,28 @@
 
 func (a *Agent) notRun(w *sender, reason outcome.Reason, retryAfter time.Duration) error {
 	a.metrics.requests.WithLabelValues("not_run").Inc()
-	return w.stream.Send(w.frames.Fail(outcome.Not(reason, "", retryAfter)))
+	return w.send(w.frames.Fail(outcome.Not(reason, "", retryAfter)))
 }
 
 func (a *Agent) unknown(w *sender, reason outcome.Reason) error {
 	a.metrics.requests.WithLabelValues("unknown").Inc()
-	return w.stream.Send(w.frames.Fail(outcome.May(reason, "")))
+	return w.send(w.frames.Fail(outcome.May(reason, "")))
 }
 
 // sender numbers the frames of one answer and sends them.
 type sender struct {
 	frames *frames.Writer
 	stream rpc.DRPCDispatch_RunStream
+	gate   *gate
+}
+
+// send sends a frame. All but those with data bring the entry a fresh count
+// of the requests in progress.
+func (w *sender) send(f *rpc.ResponseFrame) error {
+	if f.Kind != rpc.FrameKind_FRAME_DATA {
+		f.InFlight = uint32(w.gate.state().inFlight)
+	}
+	return w.stream.Send(f)
 }
 
 func (a *Agent) forward(ctx context.Context, in *rpc.RunRequest, w *sender) error {
@@ -69,7 +79,7 @@
 		return a.unknown(w, outcome.AnswerCorrupt)
 	}
 	head := w.frames.Head(resp.StatusCode, answerHeaders(resp.Header))
-	if err := w.stream.Send(head); err != nil {
+	if err := w.send(head); err != nil {
 		return err
 	}
 	return a.stream(ctx, resp, w, started)
@@ -106,13 +116,13 @@
 				a.observeFirst(time.Since(started))
 				first = false
 			}
-			if err := w.stream.Send(w.frames.Data(buf[:n])); err != nil {
+			if err := w.send(w.frames.Data(buf[:n])); err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			a.metrics.requests.WithLabelValues("completed").Inc()
-			return w.stream.Send(w.frames.End())
+			return w.send(w.frames.End())
 		}
 		if err != nil {
 			return a.unknown(w, unknownReason(ctx))
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -138,6 +138,9 @@
 			o := lost(ctx, err)
 			return assembler.Cut(o.Reason, o.Detail).Outcome
 		}
+		if frame.InFlight > 0 {
+			t.entry.router.counted(ctx, t.target.VM, int(frame.InFlight))
+		}
 		result := assembler.Step(frame)
 		if err := t.pass(ctx, result); err != nil {
 			return outcome.May(outcome.Cancelled, err.Error())
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -16,6 +17,9 @@
 	watchRetry = 500 * time.Millisecond
 	// routerTick lets time pass in the routing table.
 	routerTick = time.Second
+	// capacityInterval is the least time between two updates of the capacity
+	// for agents' counts.
+	capacityInterval = 5 * time.Millisecond
 )
 
 // router feeds the routing table: members and rules from the configuration,
@@ -31,6 +35,9 @@
 	actions chan []routing.Action
 	// capacity is signalled when backend servers came, went or changed.
 	capacity chan struct{}
+	// countedAt is when an agent's count last led to an update of the
+	// capacity, a Unix time in nanoseconds.
+	countedAt atomic.Int64
 }
 
 func newRouter(e *Entry) *router {
@@ -154,9 +161,13 @@
 	}
 }
 
-// updateCapacity tells admission how many more requests may run now. Slots
-// that other entries have taken are not free; only a service without any
-// usable backend server has no capacity at all.
+// updateCapacity tells admission how many more requests may run now; only a
+// service without any usable backend server has no capacity at all.
+//
+// Entries before the same backend servers share them without talking to each
+// other: one with a queue asks for a slot more than it sees free, and when
+// there are too many requests, each gives up slots in proportion to its own.
+// So the parts of entries that all have a queue grow equal.
 func (r *router) updateCapacity() {
 	view := r.table.View()
 	now := time.Now()
@@ -166,7 +177,21 @@
 			r.entry.admission.SetCapacity(service.Name, 0)
 			continue
 		}
-		r.entry.admission.SetFree(service.Name, room.Free)
+		free := room.Free
+		if r.entry.admission.Status(service.Name).Queued > 0 {
+			free++
+		}
+		r.entry.admission.SetFree(service.Name, free)
+	}
+}
+
+// counted takes over an agent's count of requests that came with an answer.
+func (r *router) counted(ctx context.Context, vm string, inFlight int) {
+	now := time.Now()
+	r.step(ctx, routing.Counted{VM: vm, InFlight: inFlight})
+	last := r.countedAt.Load()
+	if now.UnixNano()-last >= int64(capacityInterval) && r.countedAt.CompareAndSwap(last, now.UnixNano()) {
+		r.wakeCapacity()
 	}
 }
 
--- a/internal/routing/event.go
+++ b/internal/routing/event.go
@@ -65,6 +65,13 @@
 	Whole bool
 }
 
+// Counted brings an agent's count of requests in progress, which comes with
+// its answers.
+type Counted struct {
+	VM       string
+	InFlight int
+}
+
 // FirstToken says that the answer to a request has begun. Without it a long
 // stream looks like a request that still waits, until Finished.
 type FirstToken struct {
@@ -127,6 +134,7 @@
 func (WatchLost) isEvent()     {}
 func (Tick) isEvent()          {}
 func (Dispatched) isEvent()    {}
+func (Counted) isEvent()       {}
 func (FirstToken) isEvent()    {}
 func (Finished) isEvent()      {}
 func (NotRun) isEvent()        {}
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -5,12 +5,9 @@
 	"time"
 )
 
-// loadEstimate is the load that others put on a backend server, in requests.
-// Own requests are counted exactly and left out here.
+// loadEstimate is the load that others put on a backend server, in requests,
+// as it reports it itself. Own requests are counted exactly and left out.
 type loadEstimate struct {
-	// inFlight is the agent's count less this entry's own, at inFlightAt.
-	inFlight   float64
-	inFlightAt time.Time
 	// reported is the backend server's late figure less this entry's own
 	// requests, and reportedAt when that figure last changed: one that stays
 	// the same in message after message loses its weight.
@@ -19,8 +16,6 @@
 }
 
 func (l *loadEstimate) update(now time.Time, old, st AgentState, own int64) {
-	l.inFlight = math.Max(0, float64(st.InFlight)-float64(own))
-	l.inFlightAt = now
 	if st.ReportedLoad < 0 {
 		l.reported = 0
 		return
@@ -32,18 +27,9 @@
 	l.reportedAt = now
 }
 
-// counted estimates the requests of other entries from the agent's count
-// alone.
-func (l *loadEstimate) counted(now time.Time, halfLife time.Duration) float64 {
-	return l.inFlight * decay(now.Sub(l.inFlightAt), halfLife)
-}
-
-// others estimates the requests of other entries now.
-func (l *loadEstimate) others(now time.Time, halfLife time.Duration) float64 {
-	return math.Max(
-		l.counted(now, halfLife),
-		l.reported*decay(now.Sub(l.reportedAt), halfLife),
-	)
+// now estimates the reported load of others now.
+func (l *loadEstimate) now(now time.Time, halfLife time.Duration) float64 {
+	return l.reported * decay(now.Sub(l.reportedAt), halfLife)
 }
 
 // decay is the weight left of a figure of that age.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -211,14 +212,15 @@
 	return version
 }
 
-// Room is how much a service can take, as this entry sees it. Other entries
-// see the same free slots.
+// Room is how much a service can take, as this entry sees it.
 type Room struct {
 	// Servers counts the backend servers that may be picked.
 	Servers int
-	// Slots is their concurrency, Free what is left of it.
+	// Slots is their concurrency.
 	Slots int
-	Free  int
+	// Free is what is left of it, which other entries see as well. Below 0 it
+	// is this entry's part of what the backend servers have too much.
+	Free int
 }
 
 // Room sums over what a request might be sent to. Warming ones count with
@@ -227,11 +229,18 @@
 // requests of a moment ago as those of others.
 func (v *View) Room(now time.Time, req Request) Room {
 	var room Room
+	over := 0.0
 	for _, s := range v.tally(now, req).usable {
-		share := s.share(now)
+		slots := s.share(now) * s.slots()
 		room.Servers++
-		room.Slots += int(share * s.slots())
-		room.Free += max(0, int(share*s.slots()-s.counted(now)))
+		room.Slots += int(slots)
+		left := slots - s.counted(now)
+		if left >= 0 {
+			room.Free += int(math.Round(left))
+			continue
+		}
+		over += left * float64(s.count.inFlight.Load()) / s.counted(now)
 	}
+	room.Free += int(math.Round(over))
 	return room
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -14,6 +14,33 @@
 	inFlight atomic.Int64
 	// lastDispatch is a Unix time in nanoseconds.
 	lastDispatch atomic.Int64
+	// others is the last word on the requests of other entries.
+	others atomic.Pointer[othersCount]
+}
+
+// othersCount is how many requests of other entries were in progress.
+type othersCount struct {
+	requests float64
+	at       time.Time
+}
+
+// agentCounted takes over an agent's count, this entry's own included.
+func (c *counters) agentCounted(now time.Time, inFlight int) {
+	c.setOthers(now, max(0, float64(inFlight)-float64(c.inFlight.Load())))
+}
+
+func (c *counters) setOthers(now time.Time, requests float64) {
+	c.others.Store(&othersCount{requests: requests, at: now})
+}
+
+// othersNow estimates the requests of other entries: a count loses weight
+// with its age.
+func (c *counters) othersNow(now time.Time, halfLife time.Duration) float64 {
+	last := c.others.Load()
+	if last == nil {
+		return 0
+	}
+	return last.requests * decay(now.Sub(last.at), halfLife)
 }
 
 // server is what the table knows of one backend server.
@@ -71,6 +98,7 @@
 	s.state = AgentState{}
 	s.leaving = false
 	s.load = loadEstimate{}
+	s.count.others.Store(nil)
 	s.hints = hintSet{}
 	s.liveSince = map[Version]time.Time{}
 	s.health = health{}
@@ -89,6 +117,7 @@
 		return false
 	}
 	s.noteLive(now, st.Live)
+	s.count.agentCounted(now, st.InFlight)
 	s.load.update(now, s.state, st, s.count.inFlight.Load())
 	s.hints = s.hints.with(now, st.CacheEvents, cfg)
 	s.takeLeaving(now, st.Leaving, cfg)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -71,6 +71,10 @@
 		if s := t.servers[e.VM]; s != nil {
 			s.dispatched(now, e.ID, e.Whole)
 		}
+	case Counted:
+		if s := t.servers[e.VM]; s != nil {
+			s.count.agentCounted(now, e.InFlight)
+		}
 	case FirstToken:
 		if s := t.servers[e.VM]; s != nil {
 			return t.sample(now, s, e.ID, e.Elapsed, false)
@@ -152,8 +156,7 @@
 	case NotRunVersion:
 		s.dropLive(e.Version)
 	case NotRunFull:
-		s.load.inFlight = t.cfg.FullAt * float64(t.slots(s))
-		s.load.inFlightAt = now
+		s.count.setOthers(now, t.cfg.FullAt*float64(t.slots(s)))
 	case NotRunUnreachable:
 		s.suspect = true
 		return t.sample(now, s, e.ID, 0, true)
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -306,3 +306,21 @@
 	room := b.table.View().Room(b.now, Request{Service: "chat", Model: "m"})
 	require.Equal(t, Room{Servers: 2, Slots: 8, Free: 7}, room)
 }
+
+// Where entries together put too much on a backend server, each gives up its
+// part; a fresh count by the agent holds at once, in every view.
+func TestRoomSharesWhatIsTooMuch(t *testing.T) {
+	b := newBed(t, 1, Config{})
+	b.beat(1, 0)
+	slots := b.table.View().Room(b.now, Request{Service: "chat", Model: "m"}).Slots
+	view := b.table.View()
+	for i := range slots / 2 {
+		b.step(Dispatched{"s0", fmt.Sprint(i), false})
+	}
+	free := func() int { return view.Room(b.now, Request{Service: "chat", Model: "m"}).Free }
+	require.Equal(t, slots/2, free())
+	b.step(Counted{"s0", slots})
+	require.Equal(t, 0, free())
+	b.step(Counted{"s0", 2 * slots})
+	require.Equal(t, -slots/4, free())
+}
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -130,13 +130,14 @@
 
 // load estimates the requests on the backend server now.
 func (s *ServerView) load(now time.Time) float64 {
-	return float64(s.count.inFlight.Load()) + s.estim.others(now, s.cfg.LoadHalfLife)
+	others := max(s.count.othersNow(now, s.cfg.LoadHalfLife), s.estim.now(now, s.cfg.LoadHalfLife))
+	return float64(s.count.inFlight.Load()) + others
 }
 
 // counted is the requests on the backend server now by this entry's and the
 // agent's count.
 func (s *ServerView) counted(now time.Time) float64 {
-	return float64(s.count.inFlight.Load()) + s.estim.counted(now, s.cfg.LoadHalfLife)
+	return float64(s.count.inFlight.Load()) + s.count.othersNow(now, s.cfg.LoadHalfLife)
 }
 
 // full says that a request more would only wait: this entry alone fills it,
--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -28,8 +28,10 @@
 	MaxMessageBytes = 16 << 20
 
 	idleExpiration = 30 * time.Second
-	idlePerAddr    = 4
-	idleTotal      = 256
+	// idlePerAddr covers the requests that a backend server runs at once for
+	// one entry; with fewer, each request over that would dial anew.
+	idlePerAddr = 32
+	idleTotal   = 512
 )
 
 // Pool keeps idle client connections for reuse. The zero value is not usable.
