Request path: reuse buffers and hashers

Ruled out: flushes and drpc frames (10 % of the time together). Change: sync.Pool for both; events counted without splitting.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/frames"
@@ -16,6 +17,9 @@
 // pieceBytes is the most answer data sent in one frame.
 const pieceBytes = 32 << 10
 
+// pieces holds buffers for reuse: a frame is encoded before Send returns.
+var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+
 // Run implements rpc.DRPCDispatchServer: it forwards one request to the
 // backend server and sends the answer back as frames. A request that did not
 // reach the backend server ends with FRAME_NOT_RUN; one whose answer was cut
@@ -107,7 +111,9 @@
 }
 
 func (a *Agent) stream(ctx context.Context, resp *http.Response, w *sender, started time.Time) error {
-	buf := make([]byte, pieceBytes)
+	piece := pieces.Get().(*[pieceBytes]byte)
+	defer pieces.Put(piece)
+	buf := piece[:]
 	first := true
 	for {
 		n, err := resp.Body.Read(buf)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -109,10 +109,15 @@
 
 func countEvents(events []byte) int {
 	n := 0
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		if bytes.HasPrefix(line, dataLine) {
+	for len(events) > 0 {
+		if bytes.HasPrefix(events, dataLine) {
 			n++
 		}
+		end := bytes.IndexByte(events, '\n')
+		if end < 0 {
+			break
+		}
+		events = events[end+1:]
 	}
 	return n
 }
--- a/internal/frames/assembler.go
+++ b/internal/frames/assembler.go
@@ -75,7 +75,7 @@
 
 // NewAssembler returns an Assembler for the answer to one request.
 func NewAssembler(cfg Config, requestID string) *Assembler {
-	return &Assembler{cfg: cfg, requestID: requestID, hasher: blake3.New(digestSize, nil)}
+	return &Assembler{cfg: cfg, requestID: requestID, hasher: takeHasher()}
 }
 
 // Step takes one frame as it arrives. The Assembler keeps a frame that came
@@ -234,6 +234,8 @@
 	a.outcome = o
 	a.held = nil
 	a.heldBytes = 0
+	hashers.Put(a.hasher)
+	a.hasher = nil
 }
 
 func failure(kind outcome.Kind, f *rpc.ResponseFrame) outcome.Outcome {
--- a/internal/frames/writer.go
+++ b/internal/frames/writer.go
@@ -31,7 +31,7 @@
 
 // NewWriter returns a Writer for the answer to one request.
 func NewWriter(requestID string) *Writer {
-	return &Writer{requestID: requestID, hasher: blake3.New(digestSize, nil)}
+	return &Writer{requestID: requestID, hasher: takeHasher()}
 }
 
 // Head returns the first frame of an answer: its HTTP status and headers.
@@ -52,9 +52,9 @@
 	if !w.headSent {
 		panic("frames: data before the head in the answer to " + w.requestID)
 	}
+	f := w.next(rpc.FrameKind_FRAME_DATA)
 	w.length += uint64(len(data))
 	w.hasher.Write(data) // never fails
-	f := w.next(rpc.FrameKind_FRAME_DATA)
 	f.Data = data
 	return f
 }
@@ -67,7 +67,7 @@
 	f := w.next(rpc.FrameKind_FRAME_END)
 	f.Length = w.length
 	f.Digest = w.hasher.Sum(nil)
-	w.ended = true
+	w.finish()
 	return f
 }
 
@@ -84,7 +84,7 @@
 	f := w.next(kind)
 	f.Reason = string(o.Reason)
 	f.RetryAfterMs = int64((o.RetryAfter + time.Millisecond - 1) / time.Millisecond)
-	w.ended = true
+	w.finish()
 	return f
 }
 
@@ -97,6 +97,12 @@
 // Length returns the bytes of body so far.
 func (w *Writer) Length() uint64 { return w.length }
 
+func (w *Writer) finish() {
+	w.ended = true
+	hashers.Put(w.hasher)
+	w.hasher = nil
+}
+
 func (w *Writer) next(kind rpc.FrameKind) *rpc.ResponseFrame {
 	if w.ended {
 		panic("frames: frame after the end of the answer to " + w.requestID)
