--- a/internal/bench/requests/overload.go
+++ b/internal/bench/requests/overload.go
@@ -10,6 +10,7 @@
 
 const (
 	goodputDuration  = 6 * time.Second
+	warmUpDuration   = 3 * time.Second
 	fairnessDuration = 6 * time.Second
 	// smallShare of the capacity is what the small organisations use.
 	smallShare = 0.3
@@ -21,6 +22,9 @@
 // before the same backend servers.
 func measureGoodput(s *system) error {
 	capacity := s.measureCapacity()
+	if err := s.warmUp(capacity / 2); err != nil {
+		return err
+	}
 	goodput := map[float64]float64{}
 	for _, times := range []float64{1, 2, 4} {
 		report, err := s.replay(offered{
@@ -36,10 +40,20 @@
 	}
 	figure("goodput.x1_over_capacity", goodput[1]/capacity)
 	figure("goodput.x2_over_x1", goodput[2]/goodput[1])
+	figure("goodput.x4_over_capacity", goodput[4]/capacity)
 	figure("goodput.x4_over_x1", goodput[4]/goodput[1])
 	return nil
 }
 
+// warmUp lets both entries learn the service time of short requests.
+func (s *system) warmUp(rate float64) error {
+	_, err := s.replay(offered{
+		name: "warm-up", rate: rate, duration: warmUpDuration,
+		organisations: shares(1, 0), loads: []trace.Load{shortLoad()}, targets: s.entries,
+	})
+	return err
+}
+
 // refusalTime is the 99th percentile of the time after which requests that
 // did not run were told so.
 func refusalTime(r *replay.Report) time.Duration {
