Replicated log: silent cuts test connections in the scale of the settings; segments removed one by one

Cause: a connection that a silent cut has left dead was trusted for 3 s whatever the settings, and a crash while old segments were removed could leave a gap that the next start takes for corruption. Change: trust for three election timeouts; the folder is synced after each removal.

--- a/internal/raftlog/segments.go
+++ b/internal/raftlog/segments.go
@@ -200,6 +200,10 @@
 		if err := os.Remove(s.path(segmentName(s.segments[0].number))); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return fmt.Errorf("remove segment: %w", err)
 		}
+		// One by one: after a crash no segment may be missing in between.
+		if err := syncDir(s.dir); err != nil {
+			return err
+		}
 		s.segments = s.segments[1:]
 	}
 	return nil
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -89,8 +89,8 @@
 }
 
 // AddLearner adds a server as a learner. The server must be running and
-// asking to join; the call waits for that until ctx ends. Adding a server
-// that is a learner already changes nothing.
+// asking to join; the call waits for that until ctx ends. Its address is the
+// one it gives itself. Adding a server that is a member already changes nothing.
 func (n *Node) AddLearner(ctx context.Context, member Member) error {
 	return n.change(ctx, changeAddLearner, member.Name)
 }
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -54,6 +54,7 @@
 // server is one node with its listener. Its data folder outlives stop.
 type server struct {
 	cfg   Config
+	addr  string // listened on; cfg.Addr may be a relay's
 	node  *Node
 	fsm   *listFSM
 	close func()
@@ -86,6 +87,10 @@
 
 // add starts a server with an empty data folder.
 func (c *cluster) add(m Member, adjust func(*Config)) *server {
+	return c.addAt(m, m.Addr, adjust)
+}
+
+func (c *cluster) addAt(m Member, addr string, adjust func(*Config)) *server {
 	cfg := Config{
 		Name: m.Name, Addr: m.Addr, Dir: c.t.TempDir(), Peers: c.peers,
 		TickInterval: 5 * time.Millisecond, Logger: zerolog.Nop(),
@@ -93,7 +98,7 @@
 	if adjust != nil {
 		adjust(&cfg)
 	}
-	s := &server{cfg: cfg}
+	s := &server{cfg: cfg, addr: addr}
 	c.servers[m.Name] = s
 	c.start(s)
 	c.t.Cleanup(s.kill)
@@ -107,7 +112,7 @@
 	s.node = node
 	mux := drpcmux.New()
 	require.NoError(c.t, node.Register(mux))
-	lis, err := net.Listen("tcp", s.cfg.Addr)
+	lis, err := net.Listen("tcp", s.addr)
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan struct{})
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -90,7 +90,7 @@
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), loopDone: make(chan struct{}),
 		reads: map[uint64][]*read{}, readContext: random.Uint64(),
 	}
-	n.transport = newTransport(cfg.Peers, n.metrics)
+	n.transport = newTransport(cfg.Peers, time.Duration(staleTimeouts*cfg.ElectionTicks)*cfg.TickInterval, n.metrics)
 	n.applier = newApplier(n, fsm, snapshot.Index)
 	n.core = consensus.New(consensus.Config{
 		ID: recovered.ID, Addr: cfg.Addr, Peers: cfg.peerNames(),
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -90,6 +90,11 @@
 	require.Eventually(t, func() bool {
 		return follower.node.Status().Role == RoleFollower
 	}, waitLimit, tick)
+
+	// The next failure may come right after the repair.
+	c.leader().kill()
+	c.propose("after")
+	c.requireList("one", "b49", "after")
 }
 
 func TestLeaderKilled(t *testing.T) {
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -22,9 +22,10 @@
 	dialTimeout = time.Second
 	// redialPause is the pause after a failed try.
 	redialPause = 200 * time.Millisecond
-	// staleAfter is how long a connection is trusted while its peer is not
-	// heard: after a silent cut, TCP alone would take minutes.
-	staleAfter = 3 * time.Second
+	// staleTimeouts is for how many election timeouts a connection is trusted
+	// while its peer is not heard: after a silent cut, TCP alone would take
+	// minutes.
+	staleTimeouts = 3
 	// peerIdle is after how long without a message a peer is forgotten.
 	peerIdle = time.Minute
 )
@@ -36,7 +37,9 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	metrics *metrics
-	peers   map[consensus.ServerID]*peer
+	// staleAfter is how long a connection is trusted while its peer is not heard.
+	staleAfter time.Duration
+	peers      map[consensus.ServerID]*peer
 
 	// names and ids hold addresses by name (from settings) and by identity
 	// (from the membership and from servers that ask to join).
@@ -54,10 +57,10 @@
 	lastSend time.Time
 }
 
-func newTransport(members []Member, m *metrics) *transport {
+func newTransport(members []Member, staleAfter time.Duration, m *metrics) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &transport{
-		ctx: ctx, cancel: cancel, metrics: m,
+		ctx: ctx, cancel: cancel, metrics: m, staleAfter: staleAfter,
 		peers: map[consensus.ServerID]*peer{},
 		names: map[string]string{},
 		ids:   map[consensus.ServerID]string{},
@@ -164,17 +167,20 @@
 	if err != nil {
 		return err
 	}
-	conn := rpcconn.NewConn(&meteredConn{Conn: raw, metrics: t.metrics})
+	conn := rpcconn.NewConn(&meteredConn{Conn: raw, writeTimeout: t.staleAfter, metrics: t.metrics})
 	defer conn.Close()
 	client, err := rpc.NewDRPCReplicationClient(conn).Messages(ctx)
 	if err != nil {
 		return err
 	}
-	connected := time.Now()
+	trusted := time.Now()
 	for {
 		if err := t.sendOne(client, m); err != nil {
 			return err
 		}
+		if m.Snapshot != nil {
+			trusted = time.Now() // the peer had nothing to answer meanwhile
+		}
 		select {
 		case m = <-queue:
 		case <-conn.Closed():
@@ -182,8 +188,8 @@
 		case <-ctx.Done():
 			return nil
 		}
-		lastHeard := max(connected.UnixNano(), heard.Load())
-		if time.Now().UnixNano()-lastHeard > int64(staleAfter) {
+		lastHeard := max(trusted.UnixNano(), heard.Load())
+		if time.Now().UnixNano()-lastHeard > int64(t.staleAfter) {
 			t.metrics.dropped.Inc()
 			return nil
 		}
@@ -208,11 +214,12 @@
 // meteredConn bounds each write and counts bytes on the connection.
 type meteredConn struct {
 	net.Conn
-	metrics *metrics
+	writeTimeout time.Duration
+	metrics      *metrics
 }
 
 func (c *meteredConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(staleAfter)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
