Consensus: only servers that asked to join lately are let in

Cause: a leader kept the identities of servers that had asked to join from an earlier leadership; an operator's add then put an incarnation that was gone in the place of the present one, which had stopped asking. Ruled out: a fault of the replacement itself (its hellos carry a fresh nonce). Change: requests to join are forgotten with the nonce; adding a name that is a member changes nothing.

--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -236,6 +236,25 @@
 	require.True(t, leader.core.State().Members.IsVoter(victim.id))
 }
 
+// A server that asked another leader, or before the last change, may be gone.
+func TestLearnerMustHaveAskedLately(t *testing.T) {
+	s := settledCluster(t, 3)
+	s.addServer("s9")
+	s.rounds(2 * simElectionTicks)
+	leader := s.leader()
+	require.Contains(t, leader.core.join.heard, "s9")
+	s.crash(s.servers["s9"])
+	require.True(t, leader.core.TransferLeadership(ServerID{}))
+	s.process(leader)
+	s.rounds(2 * simElectionTicks)
+	require.True(t, s.leader().core.TransferLeadership(leader.id))
+	s.process(s.leader())
+	s.rounds(2 * simElectionTicks)
+	require.Equal(t, leader, s.leader())
+	_, _, err := leader.core.ProposeLearner("s9")
+	require.ErrorIs(t, err, ErrUnknownServer)
+}
+
 // A second server under a name in use does not push out the first.
 func TestServerInUseIsNotReplaced(t *testing.T) {
 	s := settledCluster(t, 3)
@@ -263,3 +282,52 @@
 	}
 	require.Equal(t, members, decodeMembership(Entry{Data: encodeMembership(members)}))
 }
+
+// A crash may come between the two writes of the bootstrap.
+func TestFoundingSurvivesHalfAWrite(t *testing.T) {
+	for _, name := range []string{"s0", "s1", "s2"} {
+		s := newSim(t, 3, 7)
+		v := s.servers[name]
+		v.crashAt = crashHalfSync
+		for v.core != nil {
+			s.runRound()
+		}
+		require.EqualValues(t, FoundingTerm, v.disk.HardState.CurrentTerm)
+		require.Zero(t, v.disk.Snapshot.Index)
+		s.start(v)
+		s.requireSettled(t)
+	}
+}
+
+// The change that adds a server may be lost with its leader: until it is
+// committed, the server goes on asking to join.
+func TestUncommittedMemberAsksToJoin(t *testing.T) {
+	s := settledCluster(t, 3)
+	leader := s.leader()
+	wiped := s.others(leader)[0]
+	s.wipe(wiped)
+	s.lose = func(m Message) bool { return m.Kind == KindAppendEntriesReply && m.From.Name != wiped.id.Name }
+	listed := false
+	for i := 0; i < 20*simElectionTicks && !listed; i++ {
+		s.runRound()
+		members, _ := wiped.core.log.membership()
+		_, listed = members.Find(wiped.id)
+	}
+	require.True(t, listed)
+	require.False(t, wiped.core.log.membershipAt(wiped.core.log.commit).IsVoter(wiped.id))
+	s.crash(leader)
+	require.True(t, s.asksToJoin(wiped))
+}
+
+func (s *sim) asksToJoin(v *simServer) bool {
+	asks := false
+	s.lose = func(m Message) bool {
+		asks = asks || (m.Kind == KindHello && m.From == v.id)
+		return false
+	}
+	for range 2 * simElectionTicks {
+		s.tick(v)
+	}
+	s.lose = nil
+	return asks
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -139,7 +139,7 @@
 	c.heartbeatTick = c.now
 	c.peers = map[ServerID]*progress{}
 	c.reads = readQueue{}
-	c.join.nonce = c.rand.Uint64()
+	c.join.forget(c)
 	c.syncPeers()
 	for _, p := range c.peers {
 		p.active = true // a full timeout to be heard in
--- a/internal/consensus/found.go
+++ b/internal/consensus/found.go
@@ -53,6 +53,12 @@
 	j.acked = map[ServerID]bool{}
 }
 
+// forget makes hellos so far count no longer: their senders may be gone.
+func (j *joinState) forget(c *Core) {
+	j.nonce = c.rand.Uint64()
+	clear(j.heard)
+}
+
 // blank tells whether this server holds no state of a cluster.
 func (c *Core) blank() bool { return c.log.lastIndex() == 0 }
 
--- a/internal/consensus/reconfigure.go
+++ b/internal/consensus/reconfigure.go
@@ -18,7 +18,7 @@
 		return 0, 0, ErrBadChange
 	}
 	index = c.log.lastIndex() + 1
-	c.join.nonce = c.rand.Uint64() // older hellos no longer count
+	c.join.forget(c)
 	c.log.append([]Entry{{
 		Index: index, Term: c.hard.CurrentTerm, Kind: EntryMembership, Data: encodeMembership(next),
 	}})
@@ -40,13 +40,13 @@
 		return 0, 0, ErrNotLeader
 	}
 	members, _ := c.log.membership()
+	if _, exists := members.FindName(name); exists {
+		return 0, 0, ErrNoChange // another incarnation takes its place by itself
+	}
 	heard, ok := c.join.heard[name]
 	if !ok {
 		return 0, 0, ErrUnknownServer
 	}
-	if member, exists := members.FindName(name); exists && member.ID == heard.member.ID {
-		return 0, 0, ErrNoChange
-	}
 	next := heard.member
 	next.Learner = true
 	return c.proposeMembership(members.with(next))
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -138,6 +138,14 @@
 	c.start(follower)
 	c.requireList("one", "b99")
 	require.Positive(t, follower.counter("lynxgate_consensus_snapshots_installed_total"))
+
+	// What the follower had before is out of the way of its next start.
+	c.propose("more")
+	c.requireList("one", "b99", "more")
+	follower.kill()
+	c.start(follower)
+	c.propose("last")
+	c.requireList("one", "b99", "more", "last")
 }
 
 func TestAddAndRemoveServer(t *testing.T) {
