--- a/internal/bench/config/measure.go
+++ b/internal/bench/config/measure.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/controlclient"
 	"lynxgate.dev/lynxgate/internal/harness"
 	"lynxgate.dev/lynxgate/internal/inventory"
 )
@@ -140,8 +141,7 @@
 	if err := f.waitInForce(f.base); err != nil {
 		return err
 	}
-	// the daemons report the new revision within this time
-	time.Sleep(2 * time.Second)
+	time.Sleep(controlclient.DefaultMinGap) // the daemons report the new revision
 	to, err := f.sample(leader)
 	if err != nil {
 		return err
--- a/internal/configfeed/source.go
+++ b/internal/configfeed/source.go
@@ -53,6 +53,7 @@
 	if cfg.ConfirmTimeout == 0 {
 		cfg.ConfirmTimeout = DefaultConfirmTimeout
 	}
+	cfg.Store.keepHistory()
 	return &Source{
 		cfg:     cfg,
 		confirm: newConfirmer(cfg.Confirm, cfg.ConfirmTimeout),
--- a/internal/configfeed/store.go
+++ b/internal/configfeed/store.go
@@ -21,17 +21,16 @@
 type Store struct {
 	view atomic.Pointer[keyspace.View]
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// history is nil until a source serves the store: who feeds nobody needs
+	// no deltas.
 	history *keyspace.History
 	changed chan struct{}
 }
 
 // NewStore makes a store with an empty view at revision 0.
 func NewStore() *Store {
-	s := &Store{
-		history: keyspace.NewHistory(maxHistoryDeltas, maxHistoryBytes),
-		changed: make(chan struct{}),
-	}
+	s := &Store{changed: make(chan struct{})}
 	s.view.Store(keyspace.NewView(0, nil))
 	return s
 }
@@ -50,11 +49,22 @@
 	return s.changed
 }
 
+// keepHistory keeps deltas from now on.
+func (s *Store) keepHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.history == nil {
+		s.history = keyspace.NewHistory(maxHistoryDeltas, maxHistoryBytes)
+	}
+}
+
 // Advance puts a view into force that follows from the one before by changes.
 func (s *Store) Advance(view *keyspace.View, changes []*keyspace.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Append(keyspace.Delta{From: s.Revision(), To: view.Revision(), Changes: changes})
+	if s.history != nil {
+		s.history.Append(keyspace.Delta{From: s.Revision(), To: view.Revision(), Changes: changes})
+	}
 	s.publish(view)
 }
 
@@ -62,7 +72,9 @@
 func (s *Store) Replace(view *keyspace.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Reset()
+	if s.history != nil {
+		s.history.Reset()
+	}
 	s.publish(view)
 }
 
@@ -95,7 +107,8 @@
 }
 
 // since returns the update for a subscriber that holds revision have: a delta
-// where the history reaches back that far, a snapshot otherwise.
+// where the history reaches back that far, a snapshot otherwise. Only a source
+// calls it.
 func (s *Store) since(have uint64) update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/controlclient/announcer.go
+++ b/internal/controlclient/announcer.go
@@ -13,7 +13,7 @@
 // Defaults of AnnouncerConfig.
 const (
 	DefaultRenew  = 10 * time.Second
-	DefaultMinGap = time.Second
+	DefaultMinGap = 4 * time.Second
 
 	// urgentGap joins urgent changes that follow one another closely.
 	urgentGap        = 50 * time.Millisecond
@@ -28,9 +28,10 @@
 	// Renew is the time between announcements that say nothing new, until the
 	// leader has told its lease; from then on it is a third of the lease.
 	Renew time.Duration
-	// MinGap is the shortest time between two announcements of changes; the
-	// wait before one is drawn from up to this, so that daemons which learn
-	// of a change together do not announce together.
+	// MinGap bounds the wait before a change is announced; it is drawn from
+	// the upper half of it, so that daemons which learn of a change together
+	// do not announce together, and a run of changes costs the leader few
+	// announcements. Urgent changes do not wait for it.
 	MinGap time.Duration
 	// Superseded is called when another process has taken the name; may be nil.
 	Superseded func(known uint64)
--- /dev/null
+++ b/internal/controlclient/client_test.go
@@ -0,0 +1,163 @@
+package controlclient
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+const waitLong = 30 * time.Second
+
+// fakeServer answers claims and announcements as the test says.
+type fakeServer struct {
+	rpc.DRPCControlUnimplementedServer
+	addr  string
+	calls atomic.Int64
+
+	mu      sync.Mutex
+	status  rpc.Status
+	leader  string
+	err     error
+	leaving bool
+}
+
+func startFake(t *testing.T) *fakeServer {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &fakeServer{addr: lis.Addr().String()}
+	mux := drpcmux.New()
+	require.NoError(t, rpc.DRPCRegisterControl(mux, s))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = drpcserver.New(mux).Serve(ctx, lis) }()
+	return s
+}
+
+func (s *fakeServer) answer(status rpc.Status, leader string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status, s.leader, s.err = status, leader, err
+}
+
+func (s *fakeServer) Claim(context.Context, *rpc.ClaimRequest) (*rpc.ClaimResponse, error) {
+	s.calls.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &rpc.ClaimResponse{Status: s.status, LeaderAddr: s.leader, Token: 7}, s.err
+}
+
+func (s *fakeServer) Announce(_ context.Context, req *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error) {
+	s.calls.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = req.Leaving
+	return &rpc.AnnounceResponse{Status: s.status, LeaderAddr: s.leader, KnownIncarnation: 9}, s.err
+}
+
+func claim(t *testing.T, c *Client, timeout time.Duration) (*rpc.ClaimResponse, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return c.Claim(ctx, &rpc.ClaimRequest{})
+}
+
+// TestFindsTheLeader follows redirects, remembers the leader, and goes on to
+// the other servers when it is gone.
+func TestFindsTheLeader(t *testing.T) {
+	a, b := startFake(t), startFake(t)
+	a.answer(rpc.Status_STATUS_NOT_LEADER, b.addr, nil)
+	c := New(Config{Addrs: []string{"127.0.0.1:1", a.addr}}) // the leader is not in the list
+	defer c.Close()
+	resp, err := claim(t, c, waitLong)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, resp.Token)
+	asked := a.calls.Load()
+	_, err = claim(t, c, waitLong)
+	require.NoError(t, err)
+	require.Equal(t, asked, a.calls.Load(), "the leader is asked first")
+	b.answer(rpc.Status_STATUS_NOT_LEADER, a.addr, nil)
+	a.answer(rpc.Status_STATUS_OK, "", nil)
+	_, err = claim(t, c, waitLong)
+	require.NoError(t, err)
+}
+
+// TestFailureSaysWhatIsCertain tells a call that was never carried out from
+// one that may have been.
+func TestFailureSaysWhatIsCertain(t *testing.T) {
+	const short = 400 * time.Millisecond
+	a, b := startFake(t), startFake(t)
+	c := New(Config{Addrs: []string{a.addr, b.addr}})
+	defer c.Close()
+	for _, test := range []struct {
+		status rpc.Status
+		err    error
+		want   error
+	}{
+		{status: rpc.Status_STATUS_NO_QUORUM, want: ErrNoQuorum},
+		{status: rpc.Status_STATUS_NOT_LEADER, want: ErrNoQuorum},
+		{status: rpc.Status_STATUS_RESULT_UNKNOWN, want: ErrResultUnknown},
+		{err: errors.New("broken"), want: ErrResultUnknown},
+	} {
+		a.answer(test.status, b.addr, test.err)
+		b.answer(test.status, a.addr, test.err)
+		before := a.calls.Load() + b.calls.Load()
+		_, err := claim(t, c, short)
+		require.ErrorIs(t, err, test.want)
+		rounds := int64(short/retryPause) + 1
+		require.LessOrEqual(t, a.calls.Load()+b.calls.Load()-before, rounds*maxRedirects*2,
+			"servers that name each other are not asked without a pause")
+	}
+	none := New(Config{Addrs: []string{"127.0.0.1:1"}})
+	_, err := claim(t, none, short)
+	require.ErrorIs(t, err, ErrNoQuorum, "nothing was sent")
+
+	// one lost answer leaves the call unknown, whatever the others say
+	a.answer(0, "", errors.New("broken"))
+	b.answer(rpc.Status_STATUS_NO_QUORUM, "", nil)
+	_, err = claim(t, c, short)
+	require.ErrorIs(t, err, ErrResultUnknown)
+	a.answer(rpc.Status_STATUS_OK, "", nil)
+	resp, err := claim(t, c, waitLong)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, resp.Token)
+}
+
+func TestAnnouncer(t *testing.T) {
+	s := startFake(t)
+	var leaving atomic.Bool
+	superseded := make(chan uint64, 1)
+	c := New(Config{Addrs: []string{s.addr}})
+	a := NewAnnouncer(AnnouncerConfig{
+		Client:     c,
+		Request:    func() *rpc.AnnounceRequest { return &rpc.AnnounceRequest{Leaving: leaving.Load()} },
+		Renew:      time.Hour,
+		MinGap:     time.Hour,
+		Superseded: func(known uint64) { superseded <- known },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx) }()
+	require.Eventually(t, func() bool { return s.calls.Load() == 1 }, waitLong, time.Millisecond, "at once at the start")
+	a.Changed()
+	leaving.Store(true)
+	a.ChangedUrgently()
+	require.Eventually(t, func() bool { return s.calls.Load() >= 2 }, waitLong, time.Millisecond, "urgent changes do not wait")
+	s.mu.Lock()
+	require.True(t, s.leaving)
+	s.mu.Unlock()
+	s.answer(rpc.Status_STATUS_INVALID, "", nil)
+	a.ChangedUrgently()
+	require.EqualValues(t, 9, <-superseded)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
