Entry: idempotent attempts at a silent backend server are made again elsewhere

Cause: a frozen VM or a cut network breaks no connection; requests dispatched just before waited for their deadline and ended 504 unknown. Ruled out: ending every attempt there (the others may yet be answered and must not run twice); hedging on a slow first token (adds load in a brown-out). Change: the routing table names servers not heard of for the heartbeat limit (5 s); a guard ends the idempotent attempts there, which the retry policy then makes again within its budget.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -116,8 +116,11 @@
 
 // run dispatches the call and passes the answer on until it ends.
 func (t *attempt) run(ctx context.Context) outcome.Outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if t.call.idempotent() {
+		defer t.entry.router.guard.add(t.target.VM, t.id, cancel)()
+	}
 	conn := t.entry.pool.Get(ctx, t.target.Addr)
 	defer conn.Close()
 	stream, err := rpc.NewDRPCDispatchClient(conn).Run(ctx, t.request())
@@ -191,6 +194,8 @@
 	switch {
 	case errors.As(err, &dial):
 		return outcome.Not(outcome.BackendFailed, "the agent does not accept connections", 0)
+	case errors.Is(context.Cause(ctx), errSilent):
+		return outcome.May(outcome.ConnectionLost, errSilent.Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return outcome.May(outcome.DeadlineExceeded, "the deadline has passed")
 	case ctx.Err() != nil:
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -9,6 +9,7 @@
 	requests  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
 	aside     *prometheus.CounterVec
+	silent    prometheus.Counter
 	unsettled prometheus.Counter
 }
 
@@ -27,6 +28,10 @@
 			Name: "lynxgate_entry_servers_set_aside_total",
 			Help: "Backend servers set aside for a while, by cause.",
 		}, []string{"cause"}),
+		silent: f.NewCounter(prometheus.CounterOpts{
+			Name: "lynxgate_entry_silent_attempts_total",
+			Help: "Attempts ended since the backend server's agent fell silent.",
+		}),
 		unsettled: f.NewCounter(prometheus.CounterOpts{
 			Name: "lynxgate_entry_unsettled_claims_total",
 			Help: "Outcomes of at-most-once requests that could not be recorded; their keys become unknown.",
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -24,6 +24,7 @@
 type router struct {
 	entry *Entry
 	table *routing.Router
+	guard *guard
 	// members holds the revision of each member known to the table.
 	members map[string]uint64
 	watches map[string]context.CancelFunc
@@ -44,6 +45,7 @@
 	return &router{
 		entry:    e,
 		table:    routing.NewRouter(cfg),
+		guard:    newGuard(),
 		members:  map[string]uint64{},
 		watches:  map[string]context.CancelFunc{},
 		actions:  make(chan []routing.Action),
@@ -79,6 +81,7 @@
 		case <-ticker.C:
 			r.apply(ctx, routing.Tick{})
 			r.updateCapacity()
+			r.endSilent()
 		case <-r.capacity:
 			r.updateCapacity()
 		}
@@ -170,6 +173,14 @@
 	}
 }
 
+// endSilent ends idempotent attempts at backend servers that fell silent.
+func (r *router) endSilent() {
+	silent := r.table.View().Silent(time.Now())
+	if n := r.guard.end(silent); n > 0 {
+		r.entry.metrics.silent.Add(float64(n))
+	}
+}
+
 func (r *router) wakeCapacity() {
 	select {
 	case r.capacity <- struct{}{}:
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -163,3 +163,17 @@
 }
 
 func (s *ServerView) serves(v Version) bool { return slices.Contains(s.live, v) }
+
+// Silent returns the watched backend servers that were heard of once and then
+// not for the heartbeat limit.
+func (v *View) Silent(now time.Time) []string {
+	var silent []string
+	for _, servers := range v.services {
+		for _, s := range servers {
+			if !s.heard.IsZero() && !s.reachable(now) {
+				silent = append(silent, s.VM)
+			}
+		}
+	}
+	return silent
+}
