Routing: drained VMs get no new work; long answers are no stalls; the last resort has room

Cause: TestDrainOfVM, an engine VM and a plain VM drained under load, found three faults. (1) Entries went on sending to a drained plain service: only an agent's own word or the member record made a VM leaving, and nobody tells the agent of a plain service. (2) Entries never reported the first token to the routing table, so any answer longer than ten times the median first token counted as stalled, and a healthy engine was set aside; completions that are not streamed have no first token to report. (3) With only set-aside servers left, Room was 0 and admission refused everything, although Pick would take the last resort. Ruled out: the agent (worker-2 completed all it got), the watch (states came). Change: VMsChanged marks drained VMs as leaving at entries as soon as the configuration is in force there; the entry reports first tokens of streams and plain answers, and marks unstreamed completions as untimed: neither waiting nor their time is judged, failures are; Room counts what Pick would take. Seen to fail with the rule out: TestUntimedRequestsAreNoStall (overdue without the check; time counted), TestDrainedVMIsNotPicked (isLeaving without drained; late member without it), TestRoomOfTheLastResort (usable only). Tests of routing name the fields of Dispatched now, which has one more.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -53,6 +53,7 @@
 		Model:    t.call.service.Model,
 		Prefix:   t.call.prefixHash,
 		Excluded: excluded,
+		Untimed:  t.call.untimed(),
 	}
 	if t.answer.sent {
 		request.Version = t.answer.version
@@ -138,7 +139,7 @@
 			return assembler.Cut(o.Reason, o.Detail).Outcome
 		}
 		result := assembler.Step(frame)
-		if err := t.pass(result); err != nil {
+		if err := t.pass(ctx, result); err != nil {
 			return outcome.May(outcome.Cancelled, err.Error())
 		}
 		if result.Done {
@@ -169,12 +170,15 @@
 	}
 }
 
-func (t *attempt) pass(result frames.Result) error {
+func (t *attempt) pass(ctx context.Context, result frames.Result) error {
 	if result.Head != nil {
 		t.answer.head(result.Head.Status, result.Head.Headers)
 	}
 	if len(result.Data) > 0 && t.firstToken == 0 {
 		t.firstToken = time.Since(t.started)
+		if !t.call.untimed() {
+			t.entry.router.step(ctx, routing.FirstToken{VM: t.target.VM, ID: t.id, Elapsed: t.firstToken})
+		}
 	}
 	for _, piece := range result.Data {
 		if err := t.answer.data(piece); err != nil {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -65,6 +65,13 @@
 	return c.rule.Idempotent || c.service.Kind == inventory.KindModel
 }
 
+// untimed reports whether the time to the first byte of the answer says
+// nothing of the backend server: a completion that is not streamed begins
+// when it is done.
+func (c *call) untimed() bool {
+	return c.service.Kind == inventory.KindModel && !c.stream
+}
+
 // refusal is a request that is refused before anything is dispatched.
 type refusal struct{ outcome outcome.Outcome }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -100,6 +100,7 @@
 		Rules:    keyspace.List[inventory.Rule](view, inventory.PrefixRule),
 		Services: keyspace.List[inventory.Service](view, inventory.PrefixService),
 	})
+	r.apply(ctx, routing.VMsChanged{VMs: keyspace.List[inventory.VM](view, inventory.PrefixVM)})
 	r.followMembers(ctx, view)
 	r.updateCapacity()
 	return changed
--- a/internal/routing/event.go
+++ b/internal/routing/event.go
@@ -20,6 +20,9 @@
 	Services []inventory.Service
 }
 
+// VMsChanged gives all declared VMs; drained ones get no new requests.
+type VMsChanged struct{ VMs []inventory.VM }
+
 // MemberChanged is a member as the feed has it.
 type MemberChanged struct{ Member inventory.Member }
 
@@ -61,10 +64,13 @@
 type Dispatched struct {
 	VM string
 	ID string
+	// Untimed is true when the time to the answer's first byte says nothing
+	// of the backend server, as with a completion that is not streamed.
+	Untimed bool
 }
 
-// FirstToken says that the answer to a request has begun. It is optional:
-// Finished brings the same figure, later.
+// FirstToken says that the answer to a timed request has begun. Without it a
+// long answer looks like a stalled one; Finished brings the same figure.
 type FirstToken struct {
 	VM      string
 	ID      string
@@ -119,6 +125,7 @@
 
 func (ZonesChanged) isEvent()  {}
 func (RulesChanged) isEvent()  {}
+func (VMsChanged) isEvent()    {}
 func (MemberChanged) isEvent() {}
 func (MemberGone) isEvent()    {}
 func (AgentState) isEvent()    {}
--- /dev/null
+++ b/internal/routing/leaving_test.go
@@ -0,0 +1,61 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+)
+
+// A completion that isn't streamed begins when it is done: waiting for it is
+// no sign of a stall, its time no sign of slowness. A failure counts.
+func TestUntimedRequestsAreNoStall(t *testing.T) {
+	b := newBed(t, 4, Config{})
+	b.serveAll(4, 6, nil)
+	for _, id := range []string{"x", "y", "z"} {
+		b.step(Dispatched{VM: "s1", ID: id, Untimed: true})
+	}
+	b.beat(4, 3*time.Second)
+	require.Empty(t, b.step(Tick{}))
+	latency := b.table.servers["s1"].health.latency
+	for _, id := range []string{"x", "y", "z"} {
+		b.step(Finished{VM: "s1", ID: id, Outcome: Completed, FirstToken: 3 * time.Second, Total: 3 * time.Second})
+	}
+	require.InDelta(t, latency, b.table.servers["s1"].health.latency, 0)
+	require.Empty(t, b.table.servers["s1"].waiting)
+	for range 6 {
+		b.step(Dispatched{VM: "s1", ID: "f", Untimed: true})
+		b.step(Finished{VM: "s1", ID: "f", Outcome: Failed})
+	}
+	require.Equal(t, []Action{SetAside{"s1", AsideFailing}}, b.step(Tick{}))
+}
+
+// A drained VM gets nothing, whatever its agent says or fails to say, also
+// when it announces itself only after the drain.
+func TestDrainedVMIsNotPicked(t *testing.T) {
+	b := newBed(t, 2, Config{})
+	b.step(VMsChanged{[]inventory.VM{{Name: "s0", Drained: true}, {Name: "s1"}, {Name: "s2", Drained: true}}})
+	b.step(MemberChanged{member(2, inventory.MemberUp)})
+	b.state(2, "v1")
+	picks := b.picks(100, Request{Model: "m"})
+	require.Equal(t, 100, picks["s1"])
+	b.step(VMsChanged{[]inventory.VM{{Name: "s0"}, {Name: "s1", Drained: true}, {Name: "s2", Drained: true}}})
+	require.Equal(t, 100, b.picks(100, Request{Model: "m"})["s0"])
+}
+
+// What Pick takes as a last resort is room, else nobody would be let in to
+// try it.
+func TestRoomOfTheLastResort(t *testing.T) {
+	b := newBed(t, 2, Config{})
+	b.serveAll(2, 6, map[int]bool{1: true})
+	b.state(0, "")
+	request := Request{Service: "chat", Model: "m"}
+	choice, reason := b.table.Pick(b.now, request, b.rng)
+	require.Equal(t, Picked, reason)
+	require.True(t, choice.LastResort)
+	room := b.table.View().Room(b.now, request)
+	require.Equal(t, 1, room.Servers)
+	require.Positive(t, room.Free)
+}
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -199,7 +199,7 @@
 	limit := cfg.StallFactor*peers.latency + cfg.LatencySlack.Seconds()
 	n := 0
 	for _, at := range s.waiting {
-		if now.Sub(at).Seconds() > limit {
+		if !at.Equal(untimedSince) && now.Sub(at).Seconds() > limit {
 			n++
 		}
 	}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -22,6 +22,8 @@
 	Zone string
 	// Excluded VMs are not picked, as after a failed try.
 	Excluded []string
+	// Untimed is passed on to Dispatched.
+	Untimed bool
 }
 
 // Choice is the backend server a request goes to.
@@ -218,11 +220,12 @@
 	Free  int
 }
 
-// Room sums over what a request might be sent to. Warming ones count with
-// their share.
+// Room sums over what a request might be sent to, ones set aside only where
+// Pick would take them too. Warming ones count with their share.
 func (v *View) Room(now time.Time, req Request) Room {
 	var room Room
-	for _, s := range v.tally(now, req).usable {
+	servers, _ := v.tally(now, req).servers(v.announced[req.Service])
+	for _, s := range servers {
 		share := s.share(now)
 		room.Servers++
 		room.Slots += int(share * s.slots())
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -51,7 +51,7 @@
 		if reason != Picked {
 			return choice, reason
 		}
-		if r.dispatch(now, id, choice, attempt >= maxAttempts) {
+		if r.dispatch(now, id, req.Untimed, choice, attempt >= maxAttempts) {
 			return choice, Picked
 		}
 	}
@@ -59,7 +59,7 @@
 
 // dispatch counts the request, unless the backend server is leaving or gone
 // since the snapshot was made, or its slots are and force is not set.
-func (r *Router) dispatch(now time.Time, id string, choice Choice, force bool) bool {
+func (r *Router) dispatch(now time.Time, id string, untimed bool, choice Choice, force bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.table.servers[choice.VM]
@@ -69,7 +69,7 @@
 	if !force && s.count.inFlight.Load() >= int64(r.table.slots(s)) {
 		return false
 	}
-	s.dispatched(now, id)
+	s.dispatched(now, id, untimed)
 	return true
 }
 
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -30,6 +30,8 @@
 	heard    time.Time
 	// known is true once there was any message, of any incarnation.
 	known bool
+	// drained is true while operators want the VM without work.
+	drained bool
 	// suspect is true from the loss of the watch to the next message.
 	suspect bool
 	// leaving is true when the agent said so, in its state or in a refusal;
@@ -42,10 +44,14 @@
 	// the backend server was known without it.
 	liveSince map[Version]time.Time
 	health    health
-	// waiting are the dispatch times of requests without a first token.
+	// waiting are the dispatch times of requests without a first token;
+	// untimedSince stands for those that have none to wait for.
 	waiting map[string]time.Time
 }
 
+// untimedSince is the dispatch time of a request whose answer is not timed.
+var untimedSince time.Time
+
 func newServer(m inventory.Member) *server {
 	return &server{
 		member:    m,
@@ -105,7 +111,7 @@
 }
 
 func (s *server) isLeaving() bool {
-	return s.leaving || s.member.State == inventory.MemberLeaving
+	return s.leaving || s.drained || s.member.State == inventory.MemberLeaving
 }
 
 // noteLive keeps the times at which versions came to be live. What is live
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -20,8 +20,10 @@
 	byService map[string][]*server
 	// preferred are the versions that rules ask for.
 	preferred map[Version]bool
-	peers     map[string]peerFigures
-	view      *View
+	// drained are the VMs that operators have drained.
+	drained map[string]bool
+	peers   map[string]peerFigures
+	view    *View
 }
 
 // NewTable returns an empty table.
@@ -45,6 +47,8 @@
 		return t.zonesChanged(e)
 	case RulesChanged:
 		return t.rulesChanged(e)
+	case VMsChanged:
+		return t.vmsChanged(e)
 	case MemberChanged:
 		return t.memberChanged(now, e.Member)
 	case MemberGone:
@@ -69,7 +73,7 @@
 		}
 	case Dispatched:
 		if s := t.servers[e.VM]; s != nil {
-			s.dispatched(now, e.ID)
+			s.dispatched(now, e.ID, e.Untimed)
 		}
 	case FirstToken:
 		if s := t.servers[e.VM]; s != nil {
@@ -87,10 +91,13 @@
 	return nil
 }
 
-func (s *server) dispatched(now time.Time, id string) {
+func (s *server) dispatched(now time.Time, id string, untimed bool) {
 	s.count.inFlight.Add(1)
 	s.count.lastDispatch.Store(now.UnixNano())
 	s.waiting[id] = now
+	if untimed {
+		s.waiting[id] = untimedSince
+	}
 }
 
 func (t *Table) finished(now time.Time, s *server, e Finished) []Action {
@@ -100,9 +107,13 @@
 		return nil
 	}
 	failed := e.Outcome == Failed
-	if _, waiting := s.waiting[e.ID]; !waiting && !failed {
+	since, waiting := s.waiting[e.ID]
+	if !waiting && !failed {
 		return nil // its first token has been counted
 	}
+	if waiting && since.Equal(untimedSince) {
+		return t.sample(now, s, e.ID, 0, failed)
+	}
 	latency := e.FirstToken
 	if latency == 0 {
 		latency = e.Total
@@ -181,6 +192,18 @@
 	return nil
 }
 
+func (t *Table) vmsChanged(e VMsChanged) []Action {
+	t.view = nil
+	t.drained = map[string]bool{}
+	for _, vm := range e.VMs {
+		t.drained[vm.Name] = vm.Drained
+	}
+	for name, s := range t.servers {
+		s.drained = t.drained[name]
+	}
+	return nil
+}
+
 func (t *Table) rulesChanged(e RulesChanged) []Action {
 	t.view = nil
 	models := map[string]string{}
@@ -198,6 +221,7 @@
 	s := t.servers[m.VM]
 	if s == nil {
 		s = newServer(m)
+		s.drained = t.drained[m.VM]
 		t.servers[m.VM] = s
 	}
 	old := s.member
