--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 # the tables of docs/CAPACITY.md again.
 bench-slopes: build
 	$(GO) run ./internal/bench/slopes
+
 bench-config: build
 	$(GO) build -o bin/bench-config ./internal/bench/config
 	bin/bench-config
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -13,8 +13,13 @@
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
-// pieceBytes is the most answer data sent in one frame.
-const pieceBytes = 32 << 10
+const (
+	// pieceBytes is the most answer data sent in one frame.
+	pieceBytes = 32 << 10
+	// firstPieceBytes is the buffer that an answer begins with; most streams
+	// never fill it.
+	firstPieceBytes = 2 << 10
+)
 
 // Run implements rpc.DRPCDispatchServer: it forwards one request to the
 // backend server and sends the answer back as frames. A request that did not
@@ -97,7 +102,7 @@
 }
 
 func (a *Agent) stream(ctx context.Context, resp *http.Response, w *sender, started time.Time) error {
-	buf := make([]byte, pieceBytes)
+	buf := make([]byte, firstPieceBytes)
 	first := true
 	for {
 		n, err := resp.Body.Read(buf)
@@ -110,6 +115,9 @@
 				return err
 			}
 		}
+		if n == len(buf) && n < pieceBytes {
+			buf = make([]byte, pieceBytes)
+		}
 		if errors.Is(err, io.EOF) {
 			a.metrics.requests.WithLabelValues("completed").Inc()
 			return w.stream.Send(w.frames.End())
--- a/internal/bench/slopes/budget.go
+++ b/internal/bench/slopes/budget.go
@@ -28,6 +28,9 @@
 	quiet := func(name string) float64 {
 		value := r.slope(role, name).value()
 		more := r.slope(role, "server_"+name)
+		if more.level() {
+			return value
+		}
 		return value + more.Line.Slope*(targetControl-baseServers)
 	}
 	changed := func(name string) float64 { return r.slope(role, name).value() }
@@ -50,6 +53,15 @@
 // the fleet that the keys were added to.
 func (r *results) keySlope(role role, name string) float64 {
 	s := r.slope(role, name)
+	if s.level() {
+		return 0
+	}
+	return s.Line.Slope * s.Target
+}
+
+// streamMemory is what a daemon's share of the answers in progress adds.
+func (r *results) streamMemory(role role) float64 {
+	s := r.slope(role, "stream_rss")
 	return s.Line.Slope * s.Target
 }
 
@@ -77,6 +89,8 @@
 		name := roleNames[role]
 		t.add(name, "3% of a core", amount(x.cores, "cores"), verdict(x.cores, limitCores))
 		t.add(name, "32 MB", size(x.rss), verdict(x.rss, limitRSS))
+		whole := x.rss + r.streamMemory(role)
+		t.add(name+", streams at the peak included", "32 MB", size(whole), verdict(whole, limitRSS))
 		t.add(name, "2 KB/s, both ways together", size(x.in+x.out)+"/s", verdict(x.in+x.out, limitBytesPerSecond))
 	}
 	for _, role := range []role{leader, follower} {
--- a/internal/bench/slopes/page_test.go
+++ b/internal/bench/slopes/page_test.go
@@ -46,6 +46,11 @@
 	require.InDelta(t, 1, r.slope(leader, "change_bytes_in").Line.Slope, 1e-9)
 	require.InDelta(t, 1000, r.slope(agent, "key_rss").Line.Slope, 1e-9)
 
+	noise := slope{Target: 1000, Points: []point{{1, 10}, {2, 12}, {3, 11}}}
+	noise.Line = fitLine(noise.Points)
+	require.True(t, noise.level())
+	require.InDelta(t, 11, noise.value(), 1e-9, "noise is not extrapolated")
+
 	x := r.target(entry)
 	require.InDelta(t, 10*targetWatched+float64(targetDaemons)*revisionsPerDay/secondsPerDay, x.in, 1e-6)
 	require.InDelta(t, 20<<20+1000*targetKeys, x.rss, 1)
--- a/internal/bench/slopes/slopes.go
+++ b/internal/bench/slopes/slopes.go
@@ -27,8 +27,31 @@
 	Points   []point `json:"points"`
 }
 
-// value is the line at the target.
-func (s slope) value() float64 { return s.Line.at(s.Target) }
+// value is the line at the target, or the mean of the points where no rise
+// shows: noise must not be multiplied by how far the target lies beyond.
+func (s slope) value() float64 {
+	if s.level() {
+		var sum float64
+		for _, p := range s.Points {
+			sum += p.Y
+		}
+		return sum / float64(max(1, len(s.Points)))
+	}
+	return s.Line.at(s.Target)
+}
+
+// level reports whether the line falls, or rises by less over the measured
+// range than twice the residual. No cost falls with the size of the fleet.
+func (s slope) level() bool {
+	if len(s.Points) == 0 {
+		return true
+	}
+	low, high := s.Points[0].X, s.Points[0].X
+	for _, p := range s.Points {
+		low, high = min(low, p.X), max(high, p.X)
+	}
+	return s.Line.Slope*(high-low) <= 2*s.Line.Residual
+}
 
 // reach says how many times the largest measured x the target is.
 func (s slope) reach() float64 {
