Demo: the number of VMs is a parameter

Cause: the demo showed four replicas only. Change: -copies; the rule leaves at most a quarter out of service in a roll.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -14,8 +14,8 @@
 	plainService = "backoffice"
 	plainVM      = "backoffice-1"
 
-	copies     = 4
-	entryCount = 2
+	defaultCopies = 4
+	entryCount    = 2
 
 	startTimeout = 60 * time.Second
 	stopTimeout  = 40 * time.Second
@@ -40,14 +40,16 @@
 	entries  []*harness.Daemon
 	agents   []*harness.Agent
 	plain    *harness.Agent
-	origin   *harness.Source
-	store    *harness.Source
+	// copies is how many VMs hold the model.
+	copies int
+	origin *harness.Source
+	store  *harness.Source
 }
 
 // start starts three control servers, two entries, four agents beside engines,
 // one agent beside a plain service, an origin and a weight store.
-func start(fleet *harness.Fleet) (*system, error) {
-	s := &system{fleet: fleet}
+func start(fleet *harness.Fleet, copies int) (*system, error) {
+	s := &system{fleet: fleet, copies: copies}
 	steps := []func() error{s.startSources, s.startControl, s.startEntries, s.startAgents}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -94,7 +96,7 @@
 }
 
 func (s *system) startAgents() error {
-	for i := range copies {
+	for i := range s.copies {
 		a, err := s.fleet.StartAgent(harness.AgentSpec{
 			Name: vmName(i), Place: places[i%len(places)], Service: modelService, Kind: "model",
 			Control: s.control, Feeds: s.entries,
@@ -138,7 +140,8 @@
 	return b.String()
 }
 
-// rules wants the version on all four VMs.
-func rules(version string) string {
-	return fmt.Sprintf("[[rule]]\nname = \"drafts\"\nservice = %q\nversion = %q\ncopies = %d\nmin_live = %d\n", modelService, version, copies, copies-1)
+// rules wants the version on all VMs, and a quarter of them at most out of
+// service while a new version is brought up.
+func (s *system) rules(version string) string {
+	return fmt.Sprintf("[[rule]]\nname = \"drafts\"\nservice = %q\nversion = %q\ncopies = %d\nmin_live = %d\n", modelService, version, s.copies, s.copies-max(1, s.copies/4))
 }
--- a/internal/demo/hold.go
+++ b/internal/demo/hold.go
@@ -37,7 +37,7 @@
 	if _, err := s.fleet.Write(inventoryFile, s.inventory()); err != nil {
 		return err
 	}
-	_, err := s.fleet.Write(rulesFile, rules("v1"))
+	_, err := s.fleet.Write(rulesFile, s.rules("v1"))
 	return err
 }
 
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -1,5 +1,5 @@
 // Demo runs lynxgate's main job as separate processes on loopback: it brings
-// a model live on four VMs, serves a recorded load, rolls to a second version
+// a model live on some VMs, serves a recorded load, rolls to a second version
 // under that load, kills an entry and the control leader on the way, stops
 // everything gracefully and prints what happened. It exits 0 only if every
 // promise held.
@@ -20,14 +20,15 @@
 	dir := flag.String("dir", "out/demo", "folder for settings, logs and data; emptied first")
 	bin := flag.String("bin", "bin", "folder with the programs")
 	hold := flag.Bool("hold", false, "start the fleet and leave it running until interrupted")
+	copies := flag.Int("copies", defaultCopies, "VMs that hold the model, each with an engine and an agent")
 	flag.Parse()
-	if err := run(*dir, *bin, *hold); err != nil {
+	if err := run(*dir, *bin, *hold, *copies); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		os.Exit(1)
 	}
 }
 
-func run(dir, bin string, hold bool) error {
+func run(dir, bin string, hold bool, copies int) error {
 	if err := os.RemoveAll(dir); err != nil {
 		return err
 	}
@@ -36,7 +37,7 @@
 		return err
 	}
 	defer fleet.KillAll()
-	s, err := start(fleet)
+	s, err := start(fleet, copies)
 	if err != nil {
 		return err
 	}
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -40,7 +40,7 @@
 
 // bringLive applies the rules for a version and waits for its replicas.
 func (s *system) bringLive(t *table, version string) error {
-	fmt.Printf("bringing %s %s live on %d VMs\n", model, version, copies)
+	fmt.Printf("bringing %s %s live on %d VMs\n", model, version, s.copies)
 	if err := s.operator.Apply("inventory-in.toml", s.inventory()); err != nil {
 		return err
 	}
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	t.note(fmt.Sprintf("time to %d live replicas of %s", copies, version), elapsed.Round(10*time.Millisecond))
+	t.note(fmt.Sprintf("time to %d live replicas of %s", s.copies, version), elapsed.Round(10*time.Millisecond))
 	t.check("copies drawn from origin and store", fmt.Sprintf("%.2f", copiesSent[version]), copiesSent[version] <= 1.05)
 	return nil
 }
@@ -61,11 +61,11 @@
 // all VMs.
 func (s *system) applyVersion(version string) (time.Duration, error) {
 	started := time.Now()
-	if err := s.operator.Apply("rules-in.toml", rules(version)); err != nil {
+	if err := s.operator.Apply("rules-in.toml", s.rules(version)); err != nil {
 		return 0, err
 	}
 	err := harness.Wait(startTimeout, version+" live everywhere", func() bool {
-		return s.operator.Live(model, version) == copies
+		return s.operator.Live(model, version) == s.copies
 	})
 	return time.Since(started), err
 }
