--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -53,6 +53,7 @@
 		Model:    t.call.service.Model,
 		Prefix:   t.call.prefixHash,
 		Excluded: excluded,
+		Untimed:  t.call.untimed(),
 	}
 	if t.answer.sent {
 		request.Version = t.answer.version
@@ -116,8 +117,11 @@
 
 // run dispatches the call and passes the answer on until it ends.
 func (t *attempt) run(ctx context.Context) outcome.Outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if t.call.idempotent() {
+		defer t.entry.router.guard.add(t.target.VM, t.id, cancel)()
+	}
 	conn := t.entry.pool.Get(ctx, t.target.Addr)
 	defer conn.Close()
 	stream, err := rpc.NewDRPCDispatchClient(conn).Run(ctx, t.request())
@@ -138,7 +142,7 @@
 			return assembler.Cut(o.Reason, o.Detail).Outcome
 		}
 		result := assembler.Step(frame)
-		if err := t.pass(result); err != nil {
+		if err := t.pass(ctx, result); err != nil {
 			return outcome.May(outcome.Cancelled, err.Error())
 		}
 		if result.Done {
@@ -169,12 +173,15 @@
 	}
 }
 
-func (t *attempt) pass(result frames.Result) error {
+func (t *attempt) pass(ctx context.Context, result frames.Result) error {
 	if result.Head != nil {
 		t.answer.head(result.Head.Status, result.Head.Headers)
 	}
 	if len(result.Data) > 0 && t.firstToken == 0 {
 		t.firstToken = time.Since(t.started)
+		if !t.call.untimed() {
+			t.entry.router.step(ctx, routing.FirstToken{VM: t.target.VM, ID: t.id, Elapsed: t.firstToken})
+		}
 	}
 	for _, piece := range result.Data {
 		if err := t.answer.data(piece); err != nil {
@@ -191,6 +198,8 @@
 	switch {
 	case errors.As(err, &dial):
 		return outcome.Not(outcome.BackendFailed, "the agent does not accept connections", 0)
+	case errors.Is(context.Cause(ctx), errSilent):
+		return outcome.May(outcome.ConnectionLost, errSilent.Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return outcome.May(outcome.DeadlineExceeded, "the deadline has passed")
 	case ctx.Err() != nil:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"lynxgate.dev/lynxgate/internal/controlclient"
 	"lynxgate.dev/lynxgate/internal/keyspace"
 	"lynxgate.dev/lynxgate/internal/retry"
+	"lynxgate.dev/lynxgate/internal/routing"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
@@ -48,12 +49,16 @@
 	ReadHeaderTimeout time.Duration
 	ReadBodyTimeout   time.Duration
 	IdleTimeout       time.Duration
-	MaxConnections    int
+	// LeaveGrace is how long a leaving entry still takes new requests.
+	LeaveGrace     time.Duration
+	MaxConnections int
 	// DefaultDeadline holds for requests that name none.
 	DefaultDeadline  time.Duration
 	RetryBudgetRatio float64
 	// WatchSubset is how many agents of each service are watched.
 	WatchSubset int
+	// Policy chooses backend servers; routing.Balanced unless set.
+	Policy routing.Policy
 	// QueueLength is the most requests waiting for a backend server.
 	QueueLength int
 	// Incarnation rises with every start of the entry.
@@ -96,6 +101,9 @@
 	if cfg.ReadBodyTimeout == 0 {
 		cfg.ReadBodyTimeout = DefaultReadBodyTimeout
 	}
+	if cfg.LeaveGrace == 0 {
+		cfg.LeaveGrace = DefaultLeaveGrace
+	}
 	e := &Entry{
 		cfg:         cfg,
 		feed:        feed,
