--- a/internal/routing/event.go
+++ b/internal/routing/event.go
@@ -64,13 +64,14 @@
 type Dispatched struct {
 	VM string
 	ID string
-	// Untimed is true when the time to the answer's first byte says nothing
-	// of the backend server, as with a completion that is not streamed.
-	Untimed bool
+	// Whole is true for an answer that comes in one piece at its end. The time
+	// to its first byte is that of the whole work: it is no latency sample,
+	// and the answer may wait longer than others before it counts as stalled.
+	Whole bool
 }
 
-// FirstToken says that the answer to a timed request has begun. Without it a
-// long answer looks like a stalled one; Finished brings the same figure.
+// FirstToken says that the answer to a request has begun. Without it a long
+// stream looks like a request that still waits, until Finished.
 type FirstToken struct {
 	VM      string
 	ID      string
--- a/internal/routing/outlier_test.go
+++ b/internal/routing/outlier_test.go
@@ -87,6 +87,18 @@
 	require.Equal(t, []Action{SetAside{"s1", AsideStalled}}, b.step(Tick{}))
 }
 
+// Answers that come in one piece may take long without a sign of life.
+func TestWholeAnswersAreGivenMoreTime(t *testing.T) {
+	b := newBed(t, 4, Config{})
+	b.serveAll(4, 6, nil)
+	b.step(Dispatched{VM: "s1", ID: "x", Whole: true})
+	b.step(Dispatched{VM: "s1", ID: "y", Whole: true})
+	b.beat(4, time.Minute) // a thousand tokens
+	require.Empty(t, b.step(Tick{}))
+	b.beat(4, 2*time.Minute)
+	require.Equal(t, []Action{SetAside{"s1", AsideStalled}}, b.step(Tick{}))
+}
+
 // Cancelled requests say nothing; a whole service that slows down has no
 // outlier; and only a bounded share is set aside.
 func TestWhoIsNotSetAside(t *testing.T) {
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -20,10 +20,10 @@
 	Prefix uint64
 	// Zone of the entry; the table's own if empty.
 	Zone string
+	// Whole is passed on to Dispatched.
+	Whole bool
 	// Excluded VMs are not picked, as after a failed try.
 	Excluded []string
-	// Untimed is passed on to Dispatched.
-	Untimed bool
 }
 
 // Choice is the backend server a request goes to.
@@ -221,7 +221,9 @@
 }
 
 // Room sums over what a request might be sent to, ones set aside only where
-// Pick would take them too. Warming ones count with their share.
+// Pick would take them too. Warming ones count with their share. What is taken is counted by this entry and the agents: the
+// load that backend servers report is late, and would count this entry's own
+// requests of a moment ago as those of others.
 func (v *View) Room(now time.Time, req Request) Room {
 	var room Room
 	servers, _ := v.tally(now, req).servers(v.announced[req.Service])
@@ -229,7 +231,7 @@
 		share := s.share(now)
 		room.Servers++
 		room.Slots += int(share * s.slots())
-		room.Free += max(0, int(share*s.slots()-s.load(now)))
+		room.Free += max(0, int(share*s.slots()-s.counted(now)))
 	}
 	return room
 }
