--- a/internal/weights/pace/governor.go
+++ b/internal/weights/pace/governor.go
@@ -10,17 +10,17 @@
 const (
 	// minShare keeps a transfer going however slow live requests are.
 	minShare   = 0.25
-	fallFactor = 0.7
+	fallFactor = 0.8
 	rise       = 0.05
 	// stepEvery bounds how often the share rises, trialTime is how long a
 	// fall may take to show its effect, and holdOff is how long no other is
 	// tried after one without effect.
 	stepEvery = 200 * time.Millisecond
-	trialTime = time.Second
+	trialTime = 500 * time.Millisecond
 	holdOff   = 10 * time.Second
 	// sustained is how long latency must stay risen before a fall, so that one
 	// slow request does not cost a transfer its share.
-	sustained = 500 * time.Millisecond
+	sustained = time.Second
 	// Latency counts as risen above riseFactor times the usual one plus
 	// riseSlack, and a fall as effective if it is below helpFactor times
 	// what it was.
@@ -73,7 +73,7 @@
 
 // Tick lets the share rise when no live requests are observed.
 func (g *Governor) Tick(now time.Time) {
-	if g.share < 1 && now.Sub(g.stepped) >= 5*stepEvery && now.Sub(g.trial) >= 5*trialTime {
+	if g.share < 1 && now.Sub(g.stepped) >= 5*stepEvery && now.Sub(g.trial) >= 10*trialTime {
 		g.recent = g.usual
 		g.step(now)
 	}
--- a/internal/weights/swarm/swarm_test.go
+++ b/internal/weights/swarm/swarm_test.go
@@ -141,6 +141,26 @@
 	require.LessOrEqual(t, asked, DefaultPerPeer)
 }
 
+func TestDoubtedPeersGetSubstitutes(t *testing.T) {
+	m := newModel(7, 40, 8)
+	s := m.members[0].state
+	connected := func(actions []Action) int {
+		count := 0
+		for _, a := range actions {
+			if _, ok := a.(Connect); ok {
+				count++
+			}
+		}
+		return count
+	}
+	first := connected(s.Step(MembersChanged{Members: m.peers()}, m.now))
+	require.Less(t, first, 39)
+	require.Zero(t, connected(s.Step(Tick{}, m.now.Add(time.Second))), "not at once")
+	more := connected(s.Step(Tick{}, m.now.Add(3*time.Second))) // none has been heard of
+	require.Positive(t, more)
+	require.LessOrEqual(t, more, first)
+}
+
 func TestRefusalsForTheRateAreLearned(t *testing.T) {
 	var o source
 	now := time.Unix(0, 0)
--- a/internal/weights/transfer/failure_test.go
+++ b/internal/weights/transfer/failure_test.go
@@ -447,10 +447,35 @@
 	for i := 1; i < 8; i += 2 {
 		require.False(t, nodes[i].progressOf("v1").Staged)
 	}
+	origin.setRefuse(func(w http.ResponseWriter, r *http.Request) bool {
+		http.NotFound(w, r) // what the zone lacks must come from peers
+		return true
+	})
 	network.set(false)
 	requireStaged(t, nodes, "v1", data)
 }
 
+func TestPeersLearnedLater(t *testing.T) {
+	origin := newFakeOrigin(t)
+	data := weightsOf(1, testChunks)
+	ref := origin.publish(t, "v1", data)
+	nodes := startNodes(t, 2, nil)
+	want(nodes[:1], nodes[:1], ref)
+	requireStaged(t, nodes[:1], "v1", data)
+	origin.setRefuse(func(w http.ResponseWriter, r *http.Request) bool {
+		if strings.HasSuffix(r.URL.Path, "manifest.json") {
+			return false
+		}
+		http.NotFound(w, r)
+		return true
+	})
+	want(nodes[1:], nodes[1:], ref)
+	require.Eventually(t, func() bool { return nodes[1].progressOf("v1").Total > 0 }, patience, time.Millisecond)
+	require.Zero(t, nodes[1].progressOf("v1").Held)
+	want(nodes, nodes, ref)
+	requireStaged(t, nodes, "v1", data)
+}
+
 func TestManyJoinInMidBurst(t *testing.T) {
 	origin := newFakeOrigin(t)
 	data := weightsOf(1, testChunks)
