TestRestartBesideStaleServer: a stale server that can't catch up from its sockets, and an agent that has it alone

Cause: with the floor of the revision ignored, or an unconfirmed first configuration taken at once, the test still passed (trials on a scratch copy): the frozen server found the changes in its sockets when it was thawed, and the agent had an entry that knew better. Now the changes are larger than the sockets hold, the test waits until the thawed server shows an old revision, and in the end the agent has only that server and must refuse it.

--- a/internal/systest/freeze_test.go
+++ b/internal/systest/freeze_test.go
@@ -45,6 +45,28 @@
 	}
 }
 
+// changeKeys gives an organisation many keys, to make a large change.
+func (s *system) changeKeys(c *adminclient.Client, name string, round, keys int) uint64 {
+	s.t.Helper()
+	org := inventory.Organisation{Name: name}
+	for i := range keys {
+		org.KeyHashes = append(org.KeyHashes, harness.KeyHash(fmt.Sprintf("%s-%d-%d", name, round, i)))
+	}
+	value, err := json.Marshal(org)
+	require.NoError(s.t, err)
+	ctx := context.Background()
+	for {
+		snapshot, err := c.Config(ctx, "zone/")
+		require.NoError(s.t, err)
+		r, err := c.Apply(ctx, adminclient.NewOperationID(), snapshot.Revision, []inventory.Change{{Key: inventory.PrefixOrganisation + name, Value: value}})
+		if isConflict(err) {
+			continue
+		}
+		require.NoError(s.t, err)
+		return r.Revision
+	}
+}
+
 // rawAnswer is the answer of one control server, without any retry elsewhere.
 type rawAnswer struct {
 	status int
@@ -170,22 +192,25 @@
 	s.wait("the restarted entry", restarted(entry, newest))
 	s.wait("the restarted agent", restarted(agent, newest))
 
-	// Once more, with only the stale server left of the quorum. The entry's
-	// neighbour and the agent's own folder know better.
+	// Once more, with only the stale server left of the quorum. The changes are
+	// too large to wait for it in the sockets. The entry's neighbour and the
+	// agent's own folder know better.
 	require.NoError(t, s.control[stale].Freeze())
-	rest = s.clientOf(s.others(stale)...)
-	for i := range 10 {
-		newest = s.change(rest, "busy", 200+i)
+	const largeChanges, largeKeys = 24, 7500
+	for i := range largeChanges {
+		newest = s.changeKeys(rest, "large", i, largeKeys)
 	}
 	s.wait("the last change at the daemons", func() bool {
 		return watch.of(entry) >= newest && watch.of(agent) >= newest && watch.of(neighbour) >= newest
 	})
-	for _, d := range s.others(stale) {
+	for _, d := range append(s.others(stale), entry, agent) {
 		require.NoError(t, d.Kill())
 	}
-	require.NoError(t, entry.Kill())
-	require.NoError(t, agent.Kill())
 	require.NoError(t, s.control[stale].Thaw())
+	s.wait("the stale server with its old state", func() bool {
+		revision, ok := revisionOf(s.control[stale])
+		return ok && revision > 0 && uint64(revision) < newest
+	})
 	s.restart(agent)
 	s.restart(entry)
 	s.wait("the restarted entry without a quorum", restarted(entry, newest))
@@ -194,8 +219,18 @@
 		unconfirmed, ok := metric(entry, "lynxgate_config_unconfirmed")
 		return ok && unconfirmed == 1
 	})
+
+	// With no entry left the agent has the stale server alone to ask.
+	for _, d := range []*harness.Daemon{entry, neighbour, agent} {
+		require.NoError(t, d.Kill())
+	}
+	s.restart(agent)
+	s.wait("the agent to refuse the old state", func() bool {
+		refused, ok := metric(agent, "lynxgate_feed_refused_updates_total")
+		return ok && refused > 0
+	})
 	watch.check(t)
-	for _, d := range s.others(stale) {
+	for _, d := range append(s.others(stale), entry, neighbour) {
 		s.restart(d)
 	}
 	s.waitInForce()
