--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -31,11 +31,18 @@
 	machine *Machine
 	lastID  uint64
 	waiting map[uint64]chan Action
+	// queued is signalled when an arrival leaves requests waiting.
+	queued chan struct{}
 }
 
 // NewController returns a controller without slots. It reads time from now.
 func NewController(cfg Config, now func() time.Time) *Controller {
-	return &Controller{now: now, machine: NewMachine(cfg), waiting: make(map[uint64]chan Action)}
+	return &Controller{
+		now:     now,
+		machine: NewMachine(cfg),
+		waiting: make(map[uint64]chan Action),
+		queued:  make(chan struct{}, 1),
+	}
 }
 
 // Ticket is the right to run one request.
@@ -80,6 +87,9 @@
 		Deadline:     r.Deadline,
 		Tokens:       r.Tokens,
 	})
+	if len(c.waiting) > 0 {
+		c.wake()
+	}
 	return c.lastID, answer
 }
 
@@ -146,11 +156,29 @@
 // Tick refuses the queued requests that can no longer finish in time.
 func (c *Controller) Tick() { c.event(Tick{}) }
 
-// Run ticks until ctx ends.
+// Run ticks while requests are queued, until ctx ends. It sleeps while none is.
 func (c *Controller) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.queued:
+			c.tickWhileQueued(ctx)
+		}
+	}
+}
+
+func (c *Controller) wake() {
+	select {
+	case c.queued <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) tickWhileQueued(ctx context.Context) {
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
-	for {
+	for c.anyQueued() {
 		select {
 		case <-ctx.Done():
 			return
@@ -160,6 +188,12 @@
 	}
 }
 
+func (c *Controller) anyQueued() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waiting) > 0
+}
+
 // Status returns the state of a service for metrics.
 func (c *Controller) Status(service string) Status {
 	c.mu.Lock()
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -91,6 +91,35 @@
 	first.Finish(outcome.Completed, 0)
 }
 
+// Run sleeps while nothing is queued; each request that is queued afterwards
+// must still be refused when its time is out.
+func TestControllerTicksAgainAfterItsQueueWasEmpty(t *testing.T) {
+	clock := &testClock{}
+	c := NewController(DefaultConfig, clock.now)
+	c.SetCapacity("s", 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { c.Run(ctx); close(stopped) }()
+	first, _ := c.Acquire(ctx, Request{Organisation: "a", Service: "s"})
+	require.NotNil(t, first)
+	for round := range int64(3) {
+		now := 10_000 * round
+		clock.ms.Store(now)
+		done := make(chan outcome.Outcome, 1)
+		go func() {
+			_, why := c.Acquire(ctx, Request{Organisation: "a", Service: "s", Deadline: at(int(now) + 9000)})
+			done <- why
+		}()
+		require.Eventually(t, func() bool { return c.Status("s").Queued == 1 }, generous, time.Millisecond)
+		clock.ms.Store(now + 8500)
+		require.Eventually(t, func() bool { return len(done) == 1 }, generous, time.Millisecond)
+		require.Equal(t, outcome.Overloaded, (<-done).Reason)
+	}
+	cancel()
+	<-stopped
+	first.Finish(outcome.Completed, 0)
+}
+
 func TestControllerTakesLimitsFromTheInventory(t *testing.T) {
 	c := NewController(DefaultConfig, (&testClock{}).now)
 	c.SetCapacity("s", 9)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 // Run runs the daemon until stop is done, and then stops it gracefully. An
 // error says that it could not start, failed, or cut work in progress.
 func Run(stop context.Context, s *settings.Settings, log zerolog.Logger) error {
+	tuneMemory()
 	d := &daemon{
 		settings:    s,
 		log:         log,
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -214,12 +215,27 @@
 		return
 	}
 	defer stream.Close()
+	var last *rpc.AgentState
 	for {
 		state, err := stream.Recv()
 		if err != nil || state.Vm != vm {
 			return
 		}
 		r.step(ctx, routing.StateFromRPC(state))
-		r.wakeCapacity()
+		if last == nil || changesCapacity(last, state) {
+			r.wakeCapacity()
+		}
+		last = state
 	}
 }
+
+// changesCapacity says whether a state differs from the one before in what
+// capacity depends on; of a heartbeat that repeats it, time alone is news, and
+// that is looked at with each tick.
+func changesCapacity(a, b *rpc.AgentState) bool {
+	sameLive := slices.EqualFunc(a.Live, b.Live, func(x, y *rpc.LiveVersion) bool {
+		return x.Model == y.Model && x.Version == y.Version
+	})
+	return !sameLive || a.Incarnation != b.Incarnation || a.Service != b.Service || a.Leaving != b.Leaving ||
+		a.InFlight != b.InFlight || a.ReportedLoad != b.ReportedLoad || a.Concurrency != b.Concurrency
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -10,8 +10,12 @@
 // Router makes a Table safe for concurrent use: steps take a short lock,
 // picks read a snapshot without one.
 type Router struct {
-	// fresh is a snapshot, replaced after steps that change it.
+	// fresh is the snapshot last made.
 	fresh atomic.Pointer[View]
+	// stale says that a step has changed the table since. The next reader
+	// makes a new snapshot, so that the heartbeats of many agents between two
+	// requests cost one.
+	stale atomic.Bool
 	mu    sync.Mutex
 	table *Table
 }
@@ -28,8 +32,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	actions := r.table.Step(now, event)
-	if v := r.table.View(); v != r.fresh.Load() {
-		r.fresh.Store(v)
+	if r.table.view == nil {
+		r.stale.Store(true)
 	}
 	return actions
 }
@@ -46,7 +50,7 @@
 func (r *Router) Acquire(now time.Time, id string, req Request) (Choice, Reason) {
 	rng := rand.New(globalSource{})
 	for attempt := 1; ; attempt++ {
-		v := r.fresh.Load()
+		v := r.View()
 		choice, reason := v.Pick(now, req, rng)
 		if reason != Picked {
 			return choice, reason
@@ -74,7 +78,17 @@
 }
 
 // View returns the present snapshot, for Pick without dispatch and for Room.
-func (r *Router) View() *View { return r.fresh.Load() }
+func (r *Router) View() *View {
+	if !r.stale.Load() {
+		return r.fresh.Load()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stale.Store(false)
+	v := r.table.View()
+	r.fresh.Store(v)
+	return v
+}
 
 // globalSource draws from the process-wide random source.
 type globalSource struct{}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// Steps make no snapshot, the next reader makes one for all of them.
+func TestOneSnapshotForManySteps(t *testing.T) {
+	r := newRouter(2, 1)
+	before := r.View()
+	require.Same(t, before, r.View())
+	r.Step(start, MemberGone{VM: name(0)})
+	r.Step(start, Tick{})
+	require.Same(t, before, r.fresh.Load(), "no snapshot was made yet")
+	after := r.View()
+	require.Len(t, before.services["chat"], 2)
+	require.Len(t, after.services["chat"], 1)
+	require.Same(t, after, r.View())
+}
+
 // A snapshot taken before a server left must not lead a request there.
 func TestStaleSnapshotIsCheckedAtDispatch(t *testing.T) {
 	for _, e := range []Event{
