--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -24,6 +25,7 @@
 type router struct {
 	entry *Entry
 	table *routing.Router
+	guard *guard
 	// members holds the revision of each member known to the table.
 	members map[string]uint64
 	watches map[string]context.CancelFunc
@@ -37,12 +39,14 @@
 	cfg := routing.DefaultConfig()
 	cfg.Entry = e.cfg.Name
 	cfg.Zone = e.cfg.Zone
+	cfg.Policy = e.cfg.Policy
 	if e.cfg.WatchSubset > 0 {
 		cfg.SubsetSize = e.cfg.WatchSubset
 	}
 	return &router{
 		entry:    e,
 		table:    routing.NewRouter(cfg),
+		guard:    newGuard(),
 		members:  map[string]uint64{},
 		watches:  map[string]context.CancelFunc{},
 		actions:  make(chan []routing.Action),
@@ -78,6 +82,7 @@
 		case <-ticker.C:
 			r.apply(ctx, routing.Tick{})
 			r.updateCapacity()
+			r.endSilent()
 		case <-r.capacity:
 			r.updateCapacity()
 		}
@@ -100,6 +105,7 @@
 		Rules:    keyspace.List[inventory.Rule](view, inventory.PrefixRule),
 		Services: keyspace.List[inventory.Service](view, inventory.PrefixService),
 	})
+	r.apply(ctx, routing.VMsChanged{VMs: keyspace.List[inventory.VM](view, inventory.PrefixVM)})
 	r.followMembers(ctx, view)
 	r.updateCapacity()
 	return changed
@@ -169,6 +175,14 @@
 	}
 }
 
+// endSilent ends idempotent attempts at backend servers that fell silent.
+func (r *router) endSilent() {
+	silent := r.table.View().Silent(time.Now())
+	if n := r.guard.end(silent); n > 0 {
+		r.entry.metrics.silent.Add(float64(n))
+	}
+}
+
 func (r *router) wakeCapacity() {
 	select {
 	case r.capacity <- struct{}{}:
@@ -201,12 +215,27 @@
 		return
 	}
 	defer stream.Close()
+	var last *rpc.AgentState
 	for {
 		state, err := stream.Recv()
 		if err != nil || state.Vm != vm {
 			return
 		}
 		r.step(ctx, routing.StateFromRPC(state))
-		r.wakeCapacity()
+		if last == nil || changesCapacity(last, state) {
+			r.wakeCapacity()
+		}
+		last = state
 	}
 }
+
+// changesCapacity says whether a state differs from the one before in what
+// capacity depends on; of a heartbeat that repeats it, time alone is news, and
+// that is looked at with each tick.
+func changesCapacity(a, b *rpc.AgentState) bool {
+	sameLive := slices.EqualFunc(a.Live, b.Live, func(x, y *rpc.LiveVersion) bool {
+		return x.Model == y.Model && x.Version == y.Version
+	})
+	return !sameLive || a.Incarnation != b.Incarnation || a.Service != b.Service || a.Leaving != b.Leaving ||
+		a.InFlight != b.InFlight || a.ReportedLoad != b.ReportedLoad || a.Concurrency != b.Concurrency
+}
--- a/internal/routing/event.go
+++ b/internal/routing/event.go
@@ -20,6 +20,9 @@
 	Services []inventory.Service
 }
 
+// VMsChanged gives all declared VMs; drained ones get no new requests.
+type VMsChanged struct{ VMs []inventory.VM }
+
 // MemberChanged is a member as the feed has it.
 type MemberChanged struct{ Member inventory.Member }
 
@@ -61,10 +64,14 @@
 type Dispatched struct {
 	VM string
 	ID string
+	// Whole is true for an answer that comes in one piece at its end. The time
+	// to its first byte is that of the whole work: it is no latency sample,
+	// and the answer may wait longer than others before it counts as stalled.
+	Whole bool
 }
 
-// FirstToken says that the answer to a request has begun. It is optional:
-// Finished brings the same figure, later.
+// FirstToken says that the answer to a request has begun. Without it a long
+// stream looks like a request that still waits, until Finished.
 type FirstToken struct {
 	VM      string
 	ID      string
@@ -119,6 +126,7 @@
 
 func (ZonesChanged) isEvent()  {}
 func (RulesChanged) isEvent()  {}
+func (VMsChanged) isEvent()    {}
 func (MemberChanged) isEvent() {}
 func (MemberGone) isEvent()    {}
 func (AgentState) isEvent()    {}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// Steps make no snapshot, the next reader makes one for all of them.
+func TestOneSnapshotForManySteps(t *testing.T) {
+	r := newRouter(2, 1)
+	before := r.View()
+	require.Same(t, before, r.View())
+	r.Step(start, MemberGone{VM: name(0)})
+	r.Step(start, Tick{})
+	require.Same(t, before, r.fresh.Load(), "no snapshot was made yet")
+	after := r.View()
+	require.Len(t, before.services["chat"], 2)
+	require.Len(t, after.services["chat"], 1)
+	require.Same(t, after, r.View())
+}
+
 // A snapshot taken before a server left must not lead a request there.
 func TestStaleSnapshotIsCheckedAtDispatch(t *testing.T) {
 	for _, e := range []Event{
@@ -67,7 +81,7 @@
 		old, _ := r.View().Pick(start, Request{Service: "chat", Model: "m"}, rand.New(rand.NewPCG(1, 2)))
 		require.Equal(t, "s0", old.VM)
 		r.Step(start, e)
-		require.False(t, r.dispatch(start, "1", old, true))
+		require.False(t, r.dispatch(start, "1", false, old, true))
 	}
 }
 
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -30,6 +30,8 @@
 	heard    time.Time
 	// known is true once there was any message, of any incarnation.
 	known bool
+	// drained is true while operators want the VM without work.
+	drained bool
 	// suspect is true from the loss of the watch to the next message.
 	suspect bool
 	// leaving is true when the agent said so, in its state or in a refusal;
@@ -42,8 +44,16 @@
 	// the backend server was known without it.
 	liveSince map[Version]time.Time
 	health    health
-	// waiting are the dispatch times of requests without a first token.
-	waiting map[string]time.Time
+	// waiting are the requests without a first token.
+	waiting map[string]waiter
+}
+
+// waiter is a request without a first token.
+type waiter struct {
+	// since is when it was dispatched.
+	since time.Time
+	// whole is true when its first byte comes with its last.
+	whole bool
 }
 
 func newServer(m inventory.Member) *server {
@@ -52,7 +62,7 @@
 		hash:      hashString(m.VM),
 		count:     &counters{},
 		liveSince: map[Version]time.Time{},
-		waiting:   map[string]time.Time{},
+		waiting:   map[string]waiter{},
 	}
 }
 
@@ -105,7 +115,7 @@
 }
 
 func (s *server) isLeaving() bool {
-	return s.leaving || s.member.State == inventory.MemberLeaving
+	return s.leaving || s.drained || s.member.State == inventory.MemberLeaving
 }
 
 // noteLive keeps the times at which versions came to be live. What is live
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -133,14 +133,19 @@
 	return float64(s.count.inFlight.Load()) + s.estim.others(now, s.cfg.LoadHalfLife)
 }
 
+// counted is the requests on the backend server now by this entry's and the
+// agent's count.
+func (s *ServerView) counted(now time.Time) float64 {
+	return float64(s.count.inFlight.Load()) + s.estim.counted(now, s.cfg.LoadHalfLife)
+}
+
 // full says that a request more would only wait: this entry alone fills it,
 // or the last count of all requests does, with a margin since it is late.
 func (s *ServerView) full(now time.Time) bool {
-	own := float64(s.count.inFlight.Load())
-	if own >= s.slots() {
+	if float64(s.count.inFlight.Load()) >= s.slots() {
 		return true
 	}
-	return own+s.estim.counted(now, s.cfg.LoadHalfLife) >= s.cfg.FullAt*s.slots()
+	return s.counted(now) >= s.cfg.FullAt*s.slots()
 }
 
 // cost compares backend servers: the utilisation with one request more, times
@@ -163,3 +168,17 @@
 }
 
 func (s *ServerView) serves(v Version) bool { return slices.Contains(s.live, v) }
+
+// Silent returns the watched backend servers that were heard of once and then
+// not for the heartbeat limit.
+func (v *View) Silent(now time.Time) []string {
+	var silent []string
+	for _, servers := range v.services {
+		for _, s := range servers {
+			if !s.heard.IsZero() && !s.reachable(now) {
+				silent = append(silent, s.VM)
+			}
+		}
+	}
+	return silent
+}
