--- a/internal/agent/journal.go
+++ b/internal/agent/journal.go
@@ -8,10 +8,14 @@
 	"os"
 	"path/filepath"
 
+	"lynxgate.dev/lynxgate/internal/durable"
 	"lynxgate.dev/lynxgate/internal/orders"
 )
 
-const journalFile = "orders.json"
+const (
+	journalFile = "orders.json"
+	journalMode = 0o644
+)
 
 // readJournal returns the order journal kept in dir, or nil if there is none
 // that can be read: the machine then assumes an order in progress.
@@ -36,36 +40,8 @@
 	if err != nil {
 		return fmt.Errorf("encode order journal: %w", err)
 	}
-	path := filepath.Join(dir, journalFile)
-	if err := writeSynced(path+".new", data); err != nil {
-		return fmt.Errorf("write order journal: %w", err)
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return fmt.Errorf("replace order journal: %w", err)
-	}
-	return syncDir(dir)
-}
-
-func writeSynced(path string, data []byte) error {
-	f, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	if _, err := f.Write(data); err != nil {
-		return err
-	}
-	return f.Sync()
-}
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return fmt.Errorf("open folder: %w", err)
-	}
-	defer d.Close()
-	if err := d.Sync(); err != nil {
-		return fmt.Errorf("sync folder: %w", err)
+	if err := durable.ReplaceFile(filepath.Join(dir, journalFile), data, journalMode); err != nil {
+		return fmt.Errorf("order journal: %w", err)
 	}
 	return nil
 }
--- a/internal/configfeed/floor.go
+++ b/internal/configfeed/floor.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"io/fs"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
+
+	"lynxgate.dev/lynxgate/internal/durable"
 )
 
+const floorMode = 0o644
+
 // floorFile keeps the highest revision that was in force, synced, so that it
 // does not fall when the process restarts. An empty path keeps nothing.
 type floorFile struct{ path string }
@@ -39,37 +42,9 @@
 	if f.path == "" {
 		return nil
 	}
-	temp := f.path + ".tmp"
-	if err := writeSynced(temp, strconv.FormatUint(revision, 10)+"\n"); err != nil {
-		return fmt.Errorf("write revision floor: %w", err)
-	}
-	if err := os.Rename(temp, f.path); err != nil {
-		return fmt.Errorf("write revision floor: %w", err)
-	}
-	if err := syncDir(filepath.Dir(f.path)); err != nil {
-		return fmt.Errorf("write revision floor: %w", err)
+	text := strconv.FormatUint(revision, 10) + "\n"
+	if err := durable.ReplaceFile(f.path, []byte(text), floorMode); err != nil {
+		return fmt.Errorf("revision floor: %w", err)
 	}
 	return nil
 }
-
-func writeSynced(path, text string) error {
-	f, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	if _, err := f.WriteString(text); err != nil {
-		return errors.Join(err, f.Close())
-	}
-	if err := f.Sync(); err != nil {
-		return errors.Join(err, f.Close())
-	}
-	return f.Close()
-}
-
-func syncDir(path string) error {
-	d, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
-}
--- a/internal/configfeed/parts_test.go
+++ b/internal/configfeed/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
@@ -38,7 +39,7 @@
 	got, err := f.load()
 	require.NoError(t, err)
 	require.EqualValues(t, 7, got)
-	require.NoError(t, writeSynced(f.path, "x"))
+	require.NoError(t, os.WriteFile(f.path, []byte("x"), floorMode))
 	_, err = NewClient(ClientConfig{Upstreams: []string{"127.0.0.1:1"}, FloorPath: f.path})
 	require.Error(t, err, "to ignore it could let the revision fall")
 }
--- a/internal/raftlog/segments.go
+++ b/internal/raftlog/segments.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"lynxgate.dev/lynxgate/internal/consensus"
+	"lynxgate.dev/lynxgate/internal/durable"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -144,7 +145,7 @@
 	if err != nil {
 		return fmt.Errorf("create segment: %w", err)
 	}
-	if err := syncDir(s.dir); err != nil {
+	if err := durable.SyncDir(s.dir); err != nil {
 		return errors.Join(err, f.Close())
 	}
 	if s.file != nil {
@@ -201,7 +202,7 @@
 			return fmt.Errorf("remove segment: %w", err)
 		}
 		// One by one: after a crash no segment may be missing in between.
-		if err := syncDir(s.dir); err != nil {
+		if err := durable.SyncDir(s.dir); err != nil {
 			return err
 		}
 		s.segments = s.segments[1:]
