Age of a confirmation is taken from the monotonic clock

Cause: the time of the last confirmation was kept as wall-clock nanoseconds; a clock set back would have let a cut-off process call old state confirmed. Change: it keeps the monotonic reading. No test steps the system's clock.

--- a/internal/configfeed/client.go
+++ b/internal/configfeed/client.go
@@ -78,8 +78,10 @@
 	candidate *keyspace.View
 	ready     chan struct{}
 	readyOnce sync.Once
-	// confirmedAt is chooser.lastConfirmed in nanoseconds for other goroutines.
-	confirmedAt atomic.Int64
+	// confirmedAt is chooser.lastConfirmed for other goroutines, nil before the
+	// first. It holds a monotonic reading: a step of the clock must not make
+	// old state look fresh.
+	confirmedAt atomic.Pointer[time.Time]
 	source      atomic.Pointer[string]
 }
 
@@ -129,7 +131,7 @@
 // with a quorum lately.
 func (c *Client) Unconfirmed() bool {
 	at := c.confirmedAt.Load()
-	return at == 0 || time.Since(time.Unix(0, at)) > c.cfg.Patience
+	return at == nil || time.Since(*at) > c.cfg.Patience
 }
 
 // Confirmed is the opposite of Unconfirmed, for SourceConfig.
@@ -281,14 +283,14 @@
 func (c *Client) noteConfirmed() {
 	before := c.confirmedAt.Load()
 	if at := c.chooser.lastConfirmed; !at.IsZero() {
-		c.confirmedAt.Store(at.UnixNano())
+		c.confirmedAt.Store(&at)
 	}
 	value := 0.0
 	if c.Unconfirmed() {
 		value = 1
 	}
 	c.metrics.unconfirmed.Set(value)
-	if before == 0 && value == 0 {
+	if before == nil && value == 0 {
 		c.cfg.Logger.Info().Uint64("revision", c.Revision()).Msg("configuration confirmed")
 	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -121,9 +121,10 @@
 	peers   *controlclient.Client
 	metrics metrics
 	events  chan event
-	// confirmedAt is when the view was last known to be current, in
-	// nanoseconds; 0 if never.
-	confirmedAt atomic.Int64
+	// confirmedAt is when the view was last known to be current, nil if never.
+	// It holds a monotonic reading: a step of the clock must not make old
+	// state look fresh.
+	confirmedAt atomic.Pointer[time.Time]
 	// leaderAdmin is the operators' API address of the leader as it told.
 	leaderAdmin atomic.Pointer[leaderAdmin]
 	stopped     chan struct{}
@@ -220,7 +221,7 @@
 // Confirmed reports whether this server's view was confirmed with a quorum lately.
 func (s *Server) Confirmed() bool {
 	at := s.confirmedAt.Load()
-	return at != 0 && s.cfg.Now().Sub(time.Unix(0, at)) <= s.cfg.ConfirmWindow
+	return at != nil && s.cfg.Now().Sub(*at) <= s.cfg.ConfirmWindow
 }
 
 // confirmViews asks the quorum at intervals whether the view is current. To
@@ -249,7 +250,7 @@
 	if _, err := s.readIndex(ctx); err != nil {
 		return false
 	}
-	s.confirmedAt.Store(began.UnixNano())
+	s.confirmedAt.Store(&began)
 	return true
 }
 
