--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -52,8 +52,8 @@
 		Service:  t.call.service.Name,
 		Model:    t.call.service.Model,
 		Prefix:   t.call.prefixHash,
+		Whole:    t.call.whole(),
 		Excluded: excluded,
-		Untimed:  t.call.untimed(),
 	}
 	if t.answer.sent {
 		request.Version = t.answer.version
@@ -178,10 +178,7 @@
 		t.answer.head(result.Head.Status, result.Head.Headers)
 	}
 	if len(result.Data) > 0 && t.firstToken == 0 {
-		t.firstToken = time.Since(t.started)
-		if !t.call.untimed() {
-			t.entry.router.step(ctx, routing.FirstToken{VM: t.target.VM, ID: t.id, Elapsed: t.firstToken})
-		}
+		t.begun(ctx)
 	}
 	for _, piece := range result.Data {
 		if err := t.answer.data(piece); err != nil {
@@ -191,6 +188,16 @@
 	return nil
 }
 
+// begun notes the time to the first part of the answer. The routing table
+// learns it at once: a long stream must not look like a stalled request.
+func (t *attempt) begun(ctx context.Context) {
+	t.firstToken = time.Since(t.started)
+	if t.call.whole() {
+		return
+	}
+	t.entry.router.step(ctx, routing.FirstToken{VM: t.target.VM, ID: t.id, Elapsed: t.firstToken})
+}
+
 // lost tells what an error of the connection to the agent means: the request
 // certainly did not run only if the connection could not be made.
 func lost(ctx context.Context, err error) outcome.Outcome {
