--- a/internal/weights/transfer/manager.go
+++ b/internal/weights/transfer/manager.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"lynxgate.dev/lynxgate/internal/inventory"
 	"lynxgate.dev/lynxgate/internal/weights/manifest"
 	"lynxgate.dev/lynxgate/internal/weights/origin"
 	"lynxgate.dev/lynxgate/internal/weights/pace"
@@ -142,7 +141,7 @@
 		key := w.Ref.Ref()
 		named[key] = true
 		current := m.versions[key]
-		if current != nil && current.sameRef(w.Ref) {
+		if current != nil && current.ref == w.Ref {
 			current.setWanted(w)
 			continue
 		}
@@ -170,6 +169,7 @@
 // ended. The lock is held.
 func (m *Manager) start(w Wanted, earlier *version) *version {
 	v := newVersion(m, w)
+	v.hub = m.addHub(v.id)
 	before := []*version{earlier, m.stopping[v.id]}
 	delete(m.stopping, v.id)
 	m.running.Add(1)
@@ -242,16 +242,26 @@
 	return nil
 }
 
-// hub returns the hub of a version, wanted or not.
+// hub returns the hub of a version that peers ask about, wanted here or not.
+// Beyond the bound they get one that never tells anything.
 func (m *Manager) hub(id manifest.Digest) *hub {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if h := m.hubs[id]; h != nil {
+		return h
+	}
+	if len(m.hubs) >= maxHubs {
+		return newHub()
+	}
+	return m.addHub(id)
+}
+
+// addHub registers a hub. The lock is held.
+func (m *Manager) addHub(id manifest.Digest) *hub {
 	h := m.hubs[id]
 	if h == nil {
 		h = newHub()
-		if len(m.hubs) < maxHubs {
-			m.hubs[id] = h
-		}
+		m.hubs[id] = h
 	}
 	return h
 }
@@ -306,5 +316,3 @@
 	}
 	return int(max(1, m.cfg.MemoryBytes/chunkSize/int64(max(1, fetching))))
 }
-
-func (v *version) sameRef(ref inventory.ModelVersion) bool { return v.ref == ref }
--- /dev/null
+++ b/internal/weights/transfer/peers_test.go
@@ -0,0 +1,176 @@
+package transfer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/weights/store"
+)
+
+// spoiler changes what a node sends to its peers.
+type spoiler struct {
+	rpc.DRPCWeightsServer
+	// piece is called in place of the stream's Send.
+	piece func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error
+	// have is called before each have update is sent.
+	have func(u *rpc.HaveUpdate)
+}
+
+func (s *spoiler) Exchange(stream rpc.DRPCWeights_ExchangeStream) error {
+	if s.piece != nil {
+		stream = &spoiledExchange{DRPCWeights_ExchangeStream: stream, spoiler: s}
+	}
+	return s.DRPCWeightsServer.Exchange(stream)
+}
+
+func (s *spoiler) Haves(req *rpc.HavesRequest, stream rpc.DRPCWeights_HavesStream) error {
+	if s.have != nil {
+		stream = &spoiledHaves{DRPCWeights_HavesStream: stream, spoiler: s}
+	}
+	return s.DRPCWeightsServer.Haves(req, stream)
+}
+
+type spoiledExchange struct {
+	rpc.DRPCWeights_ExchangeStream
+	spoiler *spoiler
+}
+
+func (s *spoiledExchange) Send(p *rpc.ChunkPiece) error {
+	return s.spoiler.piece(s.DRPCWeights_ExchangeStream, p)
+}
+
+type spoiledHaves struct {
+	rpc.DRPCWeights_HavesStream
+	spoiler *spoiler
+}
+
+func (s *spoiledHaves) Send(u *rpc.HaveUpdate) error {
+	s.spoiler.have(u)
+	return s.DRPCWeights_HavesStream.Send(u)
+}
+
+func spoilPieces(piece func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error) nodeOptions {
+	return nodeOptions{serve: func(inner rpc.DRPCWeightsServer) rpc.DRPCWeightsServer {
+		return &spoiler{DRPCWeightsServer: inner, piece: piece}
+	}}
+}
+
+// isChunk tells chunks from manifests, which the spoilers let through.
+func isChunk(p *rpc.ChunkPiece) bool { return len(p.GetData()) > 0 && p.GetData()[0] != '{' }
+
+// A third of the nodes spoil what they send, each in another way; all nodes
+// stage the whole all the same, and never other bytes.
+func TestSpoiledPeers(t *testing.T) {
+	halt := func(stream rpc.DRPCWeights_ExchangeStream) error {
+		<-stream.Context().Done()
+		return context.Canceled
+	}
+	cases := map[string]func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error{
+		"corrupt": func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error {
+			if isChunk(p) {
+				p.Data = bytes.Clone(p.Data)
+				p.Data[len(p.Data)-1] ^= 1
+			}
+			return stream.Send(p)
+		},
+		"too long": func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error {
+			if isChunk(p) {
+				p.Data = append(bytes.Clone(p.Data), 0)
+			}
+			return stream.Send(p)
+		},
+		"stalled": func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error {
+			if isChunk(p) {
+				return halt(stream)
+			}
+			return stream.Send(p)
+		},
+		"stalled in mid-chunk": func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error {
+			if isChunk(p) {
+				_ = stream.Send(&rpc.ChunkPiece{Id: p.Id, Data: p.Data[:len(p.Data)/2]})
+				return halt(stream)
+			}
+			return stream.Send(p)
+		},
+		"broken off in mid-chunk": func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error {
+			if isChunk(p) {
+				_ = stream.Send(&rpc.ChunkPiece{Id: p.Id, Data: p.Data[:len(p.Data)/2]})
+				_ = stream.Close()
+				return context.Canceled
+			}
+			return stream.Send(p)
+		},
+	}
+	for name, piece := range cases {
+		t.Run(name, func(t *testing.T) {
+			origin := newFakeOrigin(t)
+			data := weightsOf(1, testChunks)
+			ref := origin.publish(t, "v1", data)
+			nodes := startNodes(t, 6, map[int]nodeOptions{1: spoilPieces(piece), 4: spoilPieces(piece)})
+			want(nodes, nodes, ref)
+			requireStaged(t, nodes, "v1", data)
+		})
+	}
+}
+
+func TestPeerThatClaimsAllAndHoldsNothing(t *testing.T) {
+	origin := newFakeOrigin(t)
+	data := weightsOf(1, testChunks)
+	ref := origin.publish(t, "v1", data)
+	lie := nodeOptions{
+		// Its own fetches are kept from it, so that it holds nothing.
+		config: func(c *Config) { c.MaxBytes = 1 },
+		serve: func(inner rpc.DRPCWeightsServer) rpc.DRPCWeightsServer {
+			return &spoiler{DRPCWeightsServer: inner, have: func(u *rpc.HaveUpdate) {
+				u.Reset_ = true
+				u.Bitmap = bytes.Repeat([]byte{0xff}, testChunks/8)
+				u.SeenBitmap = u.Bitmap
+			}}
+		},
+	}
+	nodes := startNodes(t, 4, map[int]nodeOptions{2: lie})
+	want(nodes, nodes, ref)
+	requireStaged(t, []*node{nodes[0], nodes[1], nodes[3]}, "v1", data)
+	require.False(t, nodes[2].progressOf("v1").Staged)
+	require.Contains(t, nodes[2].progressOf("v1").Err, store.ErrFull.Error())
+}
+
+func TestPeersKilledInTheBurst(t *testing.T) {
+	origin := newFakeOrigin(t)
+	data := weightsOf(1, testChunks)
+	ref := origin.publish(t, "v1", data)
+	var nodes []*node
+	var kill sync.Once
+	killed := make(chan struct{})
+	opts := spoilPieces(func(stream rpc.DRPCWeights_ExchangeStream, p *rpc.ChunkPiece) error {
+		if isChunk(p) {
+			_ = stream.Send(&rpc.ChunkPiece{Id: p.Id, Data: p.Data[:10]})
+			kill.Do(func() {
+				go func() {
+					nodes[0].kill()
+					close(killed)
+				}()
+			})
+			return errors.New("killed")
+		}
+		return stream.Send(p)
+	})
+	nodes = startNodes(t, 6, map[int]nodeOptions{0: opts})
+	want(nodes, nodes, ref)
+	requireStaged(t, nodes[1:], "v1", data)
+	kill.Do(func() { close(killed) })
+	<-killed
+}
+
+// Every VM takes its turn at being dead from the start: one of them is the
+// first feeder of any given chunk and of the manifest.
+// A restart after any number of chunks resumes: what was held is not fetched
+// again.
+// cutter is a network that can be cut between zones.
+// A model many times the memory bound must not be held in memory.
--- a/internal/weights/transfer/version.go
+++ b/internal/weights/transfer/version.go
@@ -121,7 +121,6 @@
 		<-v.ctx.Done()
 		return
 	}
-	v.hub = v.manager.hub(v.id)
 	pause := retryFirst
 	for v.ctx.Err() == nil {
 		began := time.Now()
