--- a/internal/bench/slopes/budget.go
+++ b/internal/bench/slopes/budget.go
@@ -12,6 +12,11 @@
 // revisionsPerDay are changes of operators and of members.
 const revisionsPerDay = targetChangesPerDay + revisionsPerRestart*(targetRestartsPerDay+targetFailuresPerDay)
 
+// segmentOverhead is what a message adds on the network where each travels in
+// a segment of its own and is acknowledged by another: two headers of IP and
+// TCP with time stamps. It is counted, not measured.
+const segmentOverhead = 2 * 52
+
 // atTarget is what a daemon of a role uses for control at the target's size.
 type atTarget struct {
 	// Cores, RSS in bytes and BytesPerSecond each way; over a day, changes
@@ -92,6 +97,8 @@
 		whole := x.rss + r.streamMemory(role)
 		t.add(name+", streams at the peak included", "32 MB", size(whole), verdict(whole, limitRSS))
 		t.add(name, "2 KB/s, both ways together", size(x.in+x.out)+"/s", verdict(x.in+x.out, limitBytesPerSecond))
+		wire := x.in + x.out + segmentOverhead*(x.messagesIn+x.messagesOut)
+		t.add(name+", headers of TCP and IP included", "2 KB/s, both ways together", size(wire)+"/s", verdict(wire, limitBytesPerSecond))
 	}
 	for _, role := range []role{leader, follower} {
 		x := r.target(role)
