--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -65,10 +65,10 @@
 	return c.rule.Idempotent || c.service.Kind == inventory.KindModel
 }
 
-// untimed reports whether the time to the first byte of the answer says
-// nothing of the backend server: a completion that is not streamed begins
-// when it is done.
-func (c *call) untimed() bool {
+// whole reports whether the answer comes in one piece: a completion that is
+// not streamed begins when it is done, so that the time to its first byte says
+// nothing of the backend server.
+func (c *call) whole() bool {
 	return c.service.Kind == inventory.KindModel && !c.stream
 }
 
--- a/internal/routing/leaving_test.go
+++ b/internal/routing/leaving_test.go
@@ -10,12 +10,13 @@
 )
 
 // A completion that isn't streamed begins when it is done: waiting for it is
-// no sign of a stall, its time no sign of slowness. A failure counts.
-func TestUntimedRequestsAreNoStall(t *testing.T) {
+// no early sign of a stall (see TestWholeAnswersAreGivenMoreTime), its time no
+// sign of slowness. A failure counts.
+func TestWholeAnswersAreNoLatencySamples(t *testing.T) {
 	b := newBed(t, 4, Config{})
 	b.serveAll(4, 6, nil)
 	for _, id := range []string{"x", "y", "z"} {
-		b.step(Dispatched{VM: "s1", ID: id, Untimed: true})
+		b.step(Dispatched{VM: "s1", ID: id, Whole: true})
 	}
 	b.beat(4, 3*time.Second)
 	require.Empty(t, b.step(Tick{}))
@@ -26,7 +27,7 @@
 	require.InDelta(t, latency, b.table.servers["s1"].health.latency, 0)
 	require.Empty(t, b.table.servers["s1"].waiting)
 	for range 6 {
-		b.step(Dispatched{VM: "s1", ID: "f", Untimed: true})
+		b.step(Dispatched{VM: "s1", ID: "f", Whole: true})
 		b.step(Finished{VM: "s1", ID: "f", Outcome: Failed})
 	}
 	require.Equal(t, []Action{SetAside{"s1", AsideFailing}}, b.step(Tick{}))
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -44,13 +44,17 @@
 	// the backend server was known without it.
 	liveSince map[Version]time.Time
 	health    health
-	// waiting are the dispatch times of requests without a first token;
-	// untimedSince stands for those that have none to wait for.
-	waiting map[string]time.Time
+	// waiting are the requests without a first token.
+	waiting map[string]waiter
 }
 
-// untimedSince is the dispatch time of a request whose answer is not timed.
-var untimedSince time.Time
+// waiter is a request without a first token.
+type waiter struct {
+	// since is when it was dispatched.
+	since time.Time
+	// whole is true when its first byte comes with its last.
+	whole bool
+}
 
 func newServer(m inventory.Member) *server {
 	return &server{
@@ -58,7 +62,7 @@
 		hash:      hashString(m.VM),
 		count:     &counters{},
 		liveSince: map[Version]time.Time{},
-		waiting:   map[string]time.Time{},
+		waiting:   map[string]waiter{},
 	}
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -73,7 +73,7 @@
 		}
 	case Dispatched:
 		if s := t.servers[e.VM]; s != nil {
-			s.dispatched(now, e.ID, e.Untimed)
+			s.dispatched(now, e.ID, e.Whole)
 		}
 	case FirstToken:
 		if s := t.servers[e.VM]; s != nil {
@@ -91,13 +91,10 @@
 	return nil
 }
 
-func (s *server) dispatched(now time.Time, id string, untimed bool) {
+func (s *server) dispatched(now time.Time, id string, whole bool) {
 	s.count.inFlight.Add(1)
 	s.count.lastDispatch.Store(now.UnixNano())
-	s.waiting[id] = now
-	if untimed {
-		s.waiting[id] = untimedSince
-	}
+	s.waiting[id] = waiter{since: now, whole: whole}
 }
 
 func (t *Table) finished(now time.Time, s *server, e Finished) []Action {
@@ -107,11 +104,11 @@
 		return nil
 	}
 	failed := e.Outcome == Failed
-	since, waiting := s.waiting[e.ID]
+	w, waiting := s.waiting[e.ID]
 	if !waiting && !failed {
 		return nil // its first token has been counted
 	}
-	if waiting && since.Equal(untimedSince) {
+	if w.whole {
 		return t.sample(now, s, e.ID, 0, failed)
 	}
 	latency := e.FirstToken
