Starting entries wait for their backend servers; status counts only leased replicas; seeds fixed

Cause, each found by the docs run-through or a flaky test: (1) a restarted entry served callers before its first watch had answered and refused them with no_backend_server (TestEntryKilledBeforeSettle failed once in three runs); (2) an entry without any configuration answered 401; (3) status counted the replicas of VMs that are down as live; (4) strategy 'tree' was accepted but is called zone-tree; (5) answers carried X-Request-Id twice; (6) property tests drew a new seed every run. Ruled out for (1): refusing until ready (the balancer may not look yet). Change: callers' connections wait, accepted by the kernel, until every watch has brought a state or failed, 5 s at most; 503 no_configuration; leases decide in status; testseed in every package with properties.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -113,6 +113,8 @@
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, "Date": true,
+	// The entry gives the caller the request's own id.
+	headerRequestID: true,
 }
 
 // answerHeaders returns the headers of a backend server's answer to pass on.
--- a/internal/bench/slopes/fit_test.go
+++ b/internal/bench/slopes/fit_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 func TestFitLineFindsTheLine(t *testing.T) {
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 var testLimits = Limits{
--- a/internal/configfeed/chooser_test.go
+++ b/internal/configfeed/chooser_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 var testTiming = timing{
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 // action is one step of a generated schedule; x and y choose its subjects.
--- a/internal/control/state/machine_test.go
+++ b/internal/control/state/machine_test.go
@@ -12,6 +12,8 @@
 	"lynxgate.dev/lynxgate/internal/claims"
 	"lynxgate.dev/lynxgate/internal/inventory"
 	"lynxgate.dev/lynxgate/internal/keyspace"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -47,7 +47,9 @@
 	counts := make(map[inventory.ModelVersion]*admin.ReplicaCount)
 	for _, d := range l.leads.registry.Daemons() {
 		l.describeDaemon(&out, d, now)
-		countReplicas(&out, counts, d)
+		if l.leads.registry.HasLease(d, now) {
+			countReplicas(&out, counts, d)
+		}
 	}
 	l.countWanted(counts)
 	out.Replicas = sortedCounts(counts)
@@ -117,7 +119,7 @@
 	}
 }
 
-// countReplicas counts a daemon's replicas by phase and notes its transfers.
+// countReplicas counts an agent's replicas by phase and notes its transfers.
 func countReplicas(out *admin.Status, counts map[inventory.ModelVersion]*admin.ReplicaCount, d *registry.Daemon) {
 	for _, r := range d.Replicas {
 		c := countOf(counts, r.Model, r.Version)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,10 @@
 	Registerer  prometheus.Registerer
 }
 
+// startWait bounds how long a starting entry waits to hear of its backend
+// servers before it serves callers.
+const startWait = 5 * time.Second
+
 // DefaultReadBodyTimeout bounds how long a caller takes to send a request.
 const DefaultReadBodyTimeout = 30 * time.Second
 
@@ -91,6 +95,7 @@
 	metrics     *metrics
 	server      *http.Server
 	leaving     atomic.Bool
+	serving     atomic.Bool
 
 	budgetMu sync.Mutex
 	budgets  map[string]*retry.Budget
@@ -136,9 +141,25 @@
 	go e.router.run(ctx)
 	go e.admission.Run(ctx)
 	defer e.pool.Close()
+	e.awaitSettled(ctx)
+	e.serving.Store(true)
 	return e.serveHTTP(ctx, lis)
 }
 
+// awaitSettled lets the first callers wait, connected but not yet served, until
+// the backend servers were heard of, startWait at most. Otherwise an entry that
+// has just started would refuse them for want of a backend server.
+func (e *Entry) awaitSettled(ctx context.Context) {
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-e.router.settled:
+	case <-timer.C:
+		e.cfg.Logger.Warn().Msg("serving callers although not all backend servers were heard of")
+	case <-ctx.Done():
+	}
+}
+
 // follow takes over a new configuration for requests to come.
 func (e *Entry) follow(view *keyspace.View) {
 	cat := newCatalog(view)
@@ -193,6 +214,8 @@
 		return "leaving", false
 	case e.feed.View().Revision() == 0:
 		return "no configuration received yet", false
+	case !e.serving.Load():
+		return "not all backend servers heard of yet", false
 	}
 	return "", true
 }
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -14,6 +14,11 @@
 // serve answers one request of a caller.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	// The bound on sending the request must not end a long answer too.
+	if e.catalog.Load().revision == 0 {
+		o := outcome.Not(outcome.NoConfiguration, "this entry has no configuration yet", noBackendRetry)
+		e.answerRefusal(w, &refusal{o})
+		return
+	}
 	conn := http.NewResponseController(w)
 	_ = conn.SetReadDeadline(time.Now().Add(e.cfg.ReadBodyTimeout))
 	c, err := e.resolve(r)
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,10 @@
 	actions chan []routing.Action
 	// capacity is signalled when backend servers came, went or changed.
 	capacity chan struct{}
+	// unheard counts watches that have neither brought a state nor failed yet.
+	unheard atomic.Int64
+	// settled is closed once there is a configuration and no watch is unheard.
+	settled chan struct{}
 	// countedAt is when an agent's count last led to an update of the
 	// capacity, a Unix time in nanoseconds.
 	countedAt atomic.Int64
@@ -58,6 +63,7 @@
 		watches:  map[string]context.CancelFunc{},
 		actions:  make(chan []routing.Action),
 		capacity: make(chan struct{}, 1),
+		settled:  make(chan struct{}),
 	}
 }
 
@@ -147,6 +153,7 @@
 			r.stopWatch(act.VM)
 			watchCtx, cancel := context.WithCancel(ctx)
 			r.watches[act.VM] = cancel
+			r.unheard.Add(1)
 			go r.watch(watchCtx, act.VM, act.Addr)
 		case routing.StopWatch:
 			r.stopWatch(act.VM)
@@ -188,6 +195,7 @@
 		}
 		r.entry.admission.SetFree(service.Name, free)
 	}
+	r.noteSettled()
 }
 
 // counted takes over an agent's count of requests that came with an answer.
@@ -208,6 +216,19 @@
 	}
 }
 
+// noteSettled closes settled when that has come about. It is called after the
+// capacity was updated, so that admission knows it too.
+func (r *router) noteSettled() {
+	if r.unheard.Load() > 0 || r.entry.catalog.Load().revision == 0 {
+		return
+	}
+	select {
+	case <-r.settled:
+	default:
+		close(r.settled)
+	}
+}
+
 func (r *router) wakeCapacity() {
 	select {
 	case r.capacity <- struct{}{}:
@@ -217,19 +238,22 @@
 
 // watch follows the state of one agent until ctx is done.
 func (r *router) watch(ctx context.Context, vm, addr string) {
+	heard := sync.OnceFunc(func() { r.unheard.Add(-1) })
+	defer heard()
 	for ctx.Err() == nil {
-		r.followAgent(ctx, vm, addr)
+		r.followAgent(ctx, vm, addr, heard)
 		if ctx.Err() != nil {
 			return
 		}
 		r.step(ctx, routing.WatchLost{VM: vm})
+		heard()
 		r.wakeCapacity()
 		sleep(ctx, watchRetry)
 	}
 }
 
 // followAgent takes over states of the agent until the watch is lost.
-func (r *router) followAgent(ctx context.Context, vm, addr string) {
+func (r *router) followAgent(ctx context.Context, vm, addr string, heard func()) {
 	conn, err := rpcconn.Dial(ctx, addr)
 	if err != nil {
 		return
@@ -247,6 +271,7 @@
 			return
 		}
 		r.step(ctx, routing.StateFromRPC(state))
+		heard()
 		if last == nil || changesCapacity(last, state) {
 			r.wakeCapacity()
 		}
--- a/internal/frames/frames_test.go
+++ b/internal/frames/frames_test.go
@@ -10,6 +10,8 @@
 	"lynxgate.dev/lynxgate/internal/outcome"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"pgregory.net/rapid"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 // answer makes the frames of a whole answer, and its body.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -54,6 +54,7 @@
 	// Refused or given up on by the system.
 	Overloaded       Reason = "overloaded"
 	NoBackend        Reason = "no_backend_server"
+	NoConfiguration  Reason = "no_configuration"
 	Leaving          Reason = "leaving"
 	VersionNotLive   Reason = "version_not_live"
 	NoQuorum         Reason = "no_quorum"
--- a/internal/raftlog/store_test.go
+++ b/internal/raftlog/store_test.go
@@ -12,6 +12,8 @@
 
 	"lynxgate.dev/lynxgate/internal/consensus"
 	"lynxgate.dev/lynxgate/internal/rpc"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 func open(t require.TestingT, dir string) (*Store, Recovered) {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -9,6 +9,8 @@
 
 	"lynxgate.dev/lynxgate/internal/inventory"
 	"lynxgate.dev/lynxgate/internal/placement"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 var testConfig = Config{Lease: 30 * time.Second, ForgetAfter: time.Hour}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/require"
 	"lynxgate.dev/lynxgate/internal/outcome"
 	"pgregory.net/rapid"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 var t0 = time.Unix(1_000_000, 0)
--- a/internal/routing/subset_test.go
+++ b/internal/routing/subset_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 const (
--- a/internal/settings/bad_input_test.go
+++ b/internal/settings/bad_input_test.go
@@ -53,7 +53,7 @@
 		"model key for plain":   {modelPart + "kind = \"plain\"\n", `f.toml:11: agent.scratch_dir: is only for kind = "model"; remove it or change the kind`},
 		"backend server afar":   {strings.Replace(modelPart, "127.0.0.1", "10.0.0.1", 1), `f.toml:9: agent.backend_addr: "10.0.0.1:8000" is not on loopback; the agent stands beside its backend server on the same VM, such as "127.0.0.1:8000"`},
 		"negative bound":        {modelPart + "scratch_max_bytes = -1\n", `f.toml:12: agent.scratch_max_bytes: must be at least 0`},
-		"strategy":              {modelPart + "strategy = \"rsync\"\n", `f.toml:12: agent.strategy: "rsync" is not allowed; allowed: "swarm", "origin", "tree", "chain"`},
+		"strategy":              {modelPart + "strategy = \"rsync\"\n", `f.toml:12: agent.strategy: "rsync" is not allowed; allowed: "swarm", "origin", "zone-tree", "chain"`},
 		"no peers":              {controlPart, `f.toml:7: control.peer: is missing; name each initial voter in a [[control.peer]] table with name and addr`},
 		"no data folder":        {strings.Replace(controlPart, "data_dir = \"data\"\n", "", 1) + peerPart, `f.toml:7: control.data_dir: is missing; must be a folder on a disk`},
 		"peer twice":            {controlPart + peerPart + "[[control.peer]]\nname = \"d\"\naddr = \"10.0.0.1:7100\"\n", "f.toml:13: control.peer[1].name: \"d\" is given twice\nf.toml:14: control.peer[1].addr: \"10.0.0.1:7100\" is given twice"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -176,7 +176,7 @@
 	// LoadTimeout is the longest a load order to the engine may take.
 	LoadTimeout time.Duration `toml:"load_timeout"`
 	// Strategy of transfers; "swarm" for production, the others for
-	// comparison: "origin", "tree", "chain".
+	// comparison: "origin", "zone-tree", "chain".
 	Strategy string `toml:"strategy"`
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -22,7 +22,7 @@
 var (
 	logLevels  = []string{"debug", "info", "warn", "error"}
 	roleNames  = []string{string(RoleControl), string(RoleEntry), string(RoleAgent)}
-	strategies = []string{"swarm", "origin", "tree", "chain"}
+	strategies = []string{"swarm", "origin", "zone-tree", "chain"}
 	policies   = []string{"balanced", "random", "round-robin"}
 )
 
--- a/internal/standin/engine/batch_test.go
+++ b/internal/standin/engine/batch_test.go
@@ -10,6 +10,8 @@
 	"pgregory.net/rapid"
 
 	"lynxgate.dev/lynxgate/internal/standin/tokens"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 func newBatch(slots, cacheBlocks int) *batch {
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -12,6 +12,8 @@
 	"pgregory.net/rapid"
 
 	"lynxgate.dev/lynxgate/internal/trace"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 func TestGeneratedTraces(t *testing.T) {
--- a/internal/weights/store/store_test.go
+++ b/internal/weights/store/store_test.go
@@ -11,6 +11,8 @@
 	"pgregory.net/rapid"
 
 	"lynxgate.dev/lynxgate/internal/weights/manifest"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 const chunkSize = 64
--- a/internal/weights/swarm/swarm_test.go
+++ b/internal/weights/swarm/swarm_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same schedules every run
 )
 
 func sum(counts map[int]int) int {
