--- a/internal/bench/weights/cluster.go
+++ b/internal/bench/weights/cluster.go
@@ -70,6 +70,8 @@
 	expected     int             // replicas that could be reached
 	originCopies float64
 	finals       []*finalReport
+	// machineCores is how many processors the whole machine kept busy.
+	machineCores float64
 	// originOverTime is copies drawn from the origin, every sampleEvery.
 	originOverTime []float64
 }
@@ -197,7 +199,7 @@
 func (r run) burst(agents []*process, origin *pacedOrigin, start startBurst) (*result, error) {
 	res := &result{run: r}
 	staged := make(chan int, len(agents))
-	began := time.Now()
+	began, busy := time.Now(), busySeconds()
 	for i, a := range agents {
 		if err := a.in.Encode(command{Start: &start}); err != nil {
 			return nil, err
@@ -227,6 +229,7 @@
 			waiting = 0
 		}
 	}
+	res.machineCores = (busySeconds() - busy) / time.Since(began).Seconds()
 	res.originCopies = float64(origin.sent.Load()) / float64(r.size)
 	for _, a := range agents {
 		if a.doomed {
--- a/internal/bench/weights/report.go
+++ b/internal/bench/weights/report.go
@@ -65,13 +65,13 @@
 		half = r.staged[len(r.staged)/2].Seconds() / r.bound().Seconds()
 	}
 	fmt.Fprintf(w, "# %-34s ratio %.3f (half %.3f) copies %.3f staged %d/%d live p95 %.1f -> %.1f ms, "+
-		"cpu/agent %.2f s, control/agent %.0f B, rss %.0f MB, busy %.0f stalled %.0f corrupt %.0f aside %.0f, sent %.2f x N, share %.2f least %.2f\n",
+		"cpu/agent %.2f s, control/agent %.0f B, rss %.0f MB, busy %.0f stalled %.0f corrupt %.0f aside %.0f, sent %.2f x N, share %.2f least %.2f, machine %.1f cores busy\n",
 		r.prefix(), r.timeRatio(), half, r.originCopies, len(r.staged), r.expected, quiet, burst,
 		r.mean(func(f *finalReport) float64 { return f.CPUSeconds }),
 		r.mean(func(f *finalReport) float64 { return f.ControlBytes }),
 		r.mean(func(f *finalReport) float64 { return float64(f.MaxRSSBytes) })/(1<<20),
 		sum("busy_answers_total"), sum("stalled_requests_total"), sum("corrupt_chunks_total"), sum("peers_set_aside_total"),
-		sum("sent_bytes_total")/float64(r.size)/float64(r.n), sum("transfer_share_ratio")/float64(max(1, len(r.finals))), r.leastShare())
+		sum("sent_bytes_total")/float64(r.size)/float64(r.n), sum("transfer_share_ratio")/float64(max(1, len(r.finals))), r.leastShare(), r.machineCores)
 	for _, f := range r.finals {
 		if f.Err != "" || !f.Staged {
 			fmt.Fprintf(w, "#   agent: held %d, origin %d, peers %d, %s\n", f.Held, f.OriginBytes, f.PeerBytes, f.Err)
