weights: bench's faults always hit two feeders

Cause: which VMs were killed and stalled followed their numbers; at N=48 and 96 no feeder was among them, and the faults looked cheap. Now one killed and one stalled VM are feeders at every N.

--- a/internal/bench/weights/cluster.go
+++ b/internal/bench/weights/cluster.go
@@ -12,14 +12,19 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
+	"lynxgate.dev/lynxgate/internal/weights/manifest"
 	"lynxgate.dev/lynxgate/internal/weights/swarm"
+	"lynxgate.dev/lynxgate/internal/weights/transfer"
 )
 
 const (
 	zones = 3
 	// Faults: shares of the agents, and when, in parts of the bound.
-	killEvery    = 20 // one agent in 20 is killed
-	stallEvery   = 20 // one in 20 has its uplink stalled
+	// Agents are counted in the order in which the swarm has them fetch from
+	// the origin, so that a killed one and a stalled one are always feeders.
+	faultEvery   = 20
+	killedRank   = 2
+	stalledRank  = 5
 	killAt       = 0.4
 	stallAt      = 0.3
 	corruptShare = 0.01
@@ -99,7 +104,7 @@
 		return nil, err
 	}
 	defer origin.close()
-	agents, err := r.spawn(dir)
+	agents, err := r.spawn(dir, r.ranks(origin.ref.Manifest))
 	defer stopAll(agents)
 	if err != nil {
 		return nil, err
@@ -119,12 +124,34 @@
 	return r.burst(agents, origin, startBurst{Ref: origin.ref, Prefer: r.prefer, Peers: peers})
 }
 
-func (r run) spawn(dir string) ([]*process, error) {
+// member returns the i-th agent as its peers know it, but for its address.
+func member(i int) swarm.Peer {
+	return swarm.Peer{VM: fmt.Sprintf("vm-%03d", i), Zone: fmt.Sprintf("zone-%d", i%zones)}
+}
+
+// ranks returns each agent's place among those that fetch from the origin.
+func (r run) ranks(manifestDigest string) []int {
+	id, err := manifest.ParseDigest(manifestDigest)
+	if err != nil {
+		panic(fmt.Sprintf("bench's own manifest digest %q: %v", manifestDigest, err))
+	}
+	var members []swarm.Peer
+	for i := range r.n {
+		members = append(members, member(i))
+	}
+	ranks := make([]int, r.n)
+	for i, m := range members {
+		ranks[i] = swarm.OriginRank(swarm.StrategySwarm, m, members, transfer.VersionSeed(id))
+	}
+	return ranks
+}
+
+func (r run) spawn(dir string, ranks []int) ([]*process, error) {
 	agents := make([]*process, r.n)
 	errs := make([]error, r.n)
 	var group sync.WaitGroup
 	for i := range agents {
-		group.Go(func() { agents[i], errs[i] = r.spawnOne(dir, i) })
+		group.Go(func() { agents[i], errs[i] = r.spawnOne(dir, i, ranks[i]) })
 	}
 	group.Wait()
 	var started []*process
@@ -139,15 +166,15 @@
 	return started, failed
 }
 
-func (r run) spawnOne(dir string, i int) (*process, error) {
+func (r run) spawnOne(dir string, i, rank int) (*process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
 	cfg := agentConfig{
-		VM:   fmt.Sprintf("vm-%03d", i),
-		Zone: fmt.Sprintf("zone-%d", i%zones),
-		Dir:  filepath.Join(dir, fmt.Sprintf("vm-%03d", i)), Strategy: r.strategy, Rate: r.rate, Seed: uint64(i + 1),
+		VM:   member(i).VM,
+		Zone: member(i).Zone,
+		Dir:  filepath.Join(dir, member(i).VM), Strategy: r.strategy, Rate: r.rate, Seed: uint64(i + 1),
 	}
 	if r.profile != "" {
 		cfg.Profile = filepath.Join(r.profile, cfg.VM+".pprof")
@@ -155,8 +182,8 @@
 	p := &process{events: make(chan event, 4)}
 	if r.faults {
 		cfg.CorruptShare = corruptShare
-		p.doomed = i%killEvery == 7
-		if i%stallEvery == 11 {
+		p.doomed = rank%faultEvery == killedRank
+		if rank%faultEvery == stalledRank {
 			cfg.StallAfterMS = int(stallAt * float64(r.bound().Milliseconds()))
 		}
 	}
--- a/internal/weights/transfer/bootstrap.go
+++ b/internal/weights/transfer/bootstrap.go
@@ -40,7 +40,7 @@
 	if m, ok := v.manager.store.Manifest(v.id); ok {
 		return m.Encode()
 	}
-	for _, p := range swarm.Neighbours(v.manager.cfg.Strategy, v.self, v.now.Peers, versionSeed(v.id)) {
+	for _, p := range swarm.Neighbours(v.manager.cfg.Strategy, v.self, v.now.Peers, VersionSeed(v.id)) {
 		v.connect(p)
 	}
 	b := &bootstrap{tried: map[string]time.Time{}}
@@ -54,7 +54,7 @@
 			f()
 		case w := <-v.wanted:
 			v.now = w
-			for _, p := range swarm.Neighbours(v.manager.cfg.Strategy, v.self, w.Peers, versionSeed(v.id)) {
+			for _, p := range swarm.Neighbours(v.manager.cfg.Strategy, v.self, w.Peers, VersionSeed(v.id)) {
 				v.connect(p)
 			}
 		case <-ticker.C:
@@ -75,7 +75,7 @@
 	if b.asked == nil {
 		v.askPeerForManifest(b, now)
 	}
-	rank := swarm.OriginRank(v.manager.cfg.Strategy, v.self, v.now.Peers, versionSeed(v.id))
+	rank := swarm.OriginRank(v.manager.cfg.Strategy, v.self, v.now.Peers, VersionSeed(v.id))
 	turn := began.Add(time.Duration(rank/manifestFetchers) * manifestDeadline)
 	if !b.origin && !now.Before(turn) && !now.Before(b.notAsked) {
 		v.askOriginForManifest(b)
--- a/internal/weights/transfer/manager.go
+++ b/internal/weights/transfer/manager.go
@@ -111,7 +111,7 @@
 // seedOf derives a seed from a name.
 func seedOf(name string) uint64 {
 	d := manifest.Sum([]byte(name))
-	return versionSeed(d)
+	return VersionSeed(d)
 }
 
 func (m *Manager) tick() {
--- a/internal/weights/transfer/version.go
+++ b/internal/weights/transfer/version.go
@@ -81,8 +81,8 @@
 	return v
 }
 
-// versionSeed makes all members of a swarm compute the same hashes.
-func versionSeed(id manifest.Digest) uint64 { return binary.LittleEndian.Uint64(id[:8]) }
+// VersionSeed makes all members of a swarm compute the same hashes.
+func VersionSeed(id manifest.Digest) uint64 { return binary.LittleEndian.Uint64(id[:8]) }
 
 func (v *version) snapshot() Progress { return *v.progress.Load() }
 
@@ -279,7 +279,7 @@
 	return swarm.New(swarm.Params{
 		Self:      v.self,
 		Strategy:  cfg.Strategy,
-		Version:   versionSeed(v.id),
+		Version:   VersionSeed(v.id),
 		Seed:      cfg.Seed,
 		Chunks:    m.Len(),
 		ChunkTime: chunkTime,
