--- a/internal/systest/drain_test.go
+++ b/internal/systest/drain_test.go
@@ -164,6 +164,12 @@
 	stopping := time.Now()
 	require.NoError(t, s.plains[0].Terminate())
 	require.NoError(t, s.engines[0].Stop(stopLimit))
+	// A resumed stream would hide from its caller that the agent cut it.
+	for _, e := range s.entries {
+		cut, ok := metric(e, "lynxgate_entry_retries_total", `reason="connection_lost"`)
+		require.True(t, ok)
+		require.Zero(t, cut, "requests that the stopping agents cut")
+	}
 	leader, _ := s.leader()
 	require.NoError(t, leader.Stop(stopLimit))
 	s.wait("requests that are in progress for long", func() bool { return time.Since(began) > 2*time.Second })
--- a/internal/systest/outage_test.go
+++ b/internal/systest/outage_test.go
@@ -102,6 +102,10 @@
 
 	// As docs/operating/control-servers.md has it: started with its old name
 	// on an empty disk it is put in its old place.
+	// Until it is let in the list shows the voter that its old disk was.
+	s.wait("the wiped server to be let in", func() bool {
+		return ask(wiped, http.MethodGet, "/readyz", "").status == http.StatusOK
+	})
 	s.wait("the wiped server to vote again", func() bool {
 		servers, err := s.client.Servers(ctx)
 		if err != nil {
