--- a/internal/bench/slopes/budget.go
+++ b/internal/bench/slopes/budget.go
@@ -64,6 +64,19 @@
 	return s.Line.Slope * s.Target
 }
 
+// engineExtra is what an agent before an engine uses above one before a plain
+// service that as many entries (one) watch: processor time and memory.
+func (r *results) engineExtra() (cores, rss float64, ok bool) {
+	idle, ok := r.quietPath()
+	if !ok {
+		return 0, 0, false
+	}
+	u := idle[agent]
+	cores = u.OSCPU/u.Seconds - r.slope(agent, "cpu").Line.at(1)
+	rss = u.OSRSS - r.slope(agent, "rss").Line.at(1)
+	return max(0, cores), max(0, rss), true
+}
+
 // streamMemory is what a daemon's share of the answers in progress adds.
 func (r *results) streamMemory(role role) float64 {
 	s := r.slope(role, "stream_rss")
@@ -100,6 +113,11 @@
 		wire := x.in + x.out + segmentOverhead*(x.messagesIn+x.messagesOut)
 		t.add(name+", headers of TCP and IP included", "2 KB/s, both ways together", size(wire)+"/s", verdict(wire, limitBytesPerSecond))
 	}
+	if cpu, rss, ok := r.engineExtra(); ok {
+		x := r.target(agent)
+		t.add("agent before an engine, idle", "3% of a core", amount(x.cores+cpu, "cores"), verdict(x.cores+cpu, limitCores))
+		t.add("agent before an engine, idle", "32 MB", size(x.rss+rss), verdict(x.rss+rss, limitRSS))
+	}
 	for _, role := range []role{leader, follower} {
 		x := r.target(role)
 		t.add(roleNames[role], "a VM of its own", fmt.Sprintf("%s, %s, %s/s", amount(x.cores, "cores"), size(x.rss), size(x.in+x.out)), "fits")
--- a/internal/bench/slopes/tables.go
+++ b/internal/bench/slopes/tables.go
@@ -86,22 +86,36 @@
 func accountingTable(r *results) string {
 	t := newTable("fleet", "role", "CPU: system / own", "RSS: system / own", "of it anonymous", "heap",
 		"read: system / own in", "written: system / own out")
-	for _, s := range r.Sizes {
+	add := func(fleet string, idle bill) {
 		for _, role := range roles {
-			u, ok := s.Idle[role]
-			if !ok || u.Seconds == 0 {
+			u := idle[role]
+			if u.Seconds == 0 {
 				continue
 			}
-			t.add(fmt.Sprintf("%d+%d+%d", s.Servers, s.Entries, s.Agents), roleNames[role],
+			t.add(fleet, roleNames[role],
 				fmt.Sprintf("%s%% / %s%%", digits(100*u.OSCPU/u.Seconds), digits(100*u.OwnCPU/u.Seconds)),
 				size(u.OSRSS)+" / "+size(u.OwnRSS), size(u.OSAnon), size(u.Heap),
 				size(u.OSRead/u.Seconds)+"/s / "+size(u.BytesIn/u.Seconds)+"/s",
 				size(u.OSWritten/u.Seconds)+"/s / "+size(u.BytesOut/u.Seconds)+"/s")
 		}
 	}
+	for _, s := range r.Sizes {
+		add(fmt.Sprintf("%d+%d+%d", s.Servers, s.Entries, s.Agents), s.Idle)
+	}
+	if idle, ok := r.quietPath(); ok {
+		add("1+1+1, the agent before an engine", idle)
+	}
 	return t.String()
 }
 
+// quietPath is the path of requests before any came.
+func (r *results) quietPath() (bill, bool) {
+	if len(r.Streams) == 0 || r.Streams[0].Streams != 0 {
+		return nil, false
+	}
+	return r.Streams[0].Use, true
+}
+
 func restartTable(r *results) string {
 	if r.Restart == nil {
 		return "Not measured in this run."
