--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -84,9 +84,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stale.Store(false)
 	v := r.table.View()
 	r.fresh.Store(v)
+	// Only now: a reader that sees no mark must find the new snapshot.
+	r.stale.Store(false)
 	return v
 }
 
