--- a/internal/weights/store/version.go
+++ b/internal/weights/store/version.go
@@ -10,6 +10,7 @@
 
 	"lukechampine.com/blake3"
 
+	"lynxgate.dev/lynxgate/internal/durable"
 	"lynxgate.dev/lynxgate/internal/weights/manifest"
 )
 
@@ -39,7 +40,7 @@
 	if err := os.MkdirAll(v.dir, dirMode); err != nil {
 		return nil, err
 	}
-	if err := writeSynced(filepath.Join(v.dir, manifestName), encoded); err != nil {
+	if err := durable.ReplaceFile(filepath.Join(v.dir, manifestName), encoded, fileMode); err != nil {
 		return nil, err
 	}
 	// A whole file of an earlier process is worth no more than its chunks
@@ -59,26 +60,6 @@
 	return v, nil
 }
 
-// writeSynced replaces a small file by way of a temporary name.
-func writeSynced(path string, data []byte) error {
-	temporary := path + ".new"
-	f, err := os.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return err
-	}
-	return os.Rename(temporary, path)
-}
-
 func (v *Version) path(name string) string { return filepath.Join(v.dir, name) }
 
 // ID returns the digest of the version's manifest.
@@ -208,7 +189,7 @@
 	if err := os.Rename(v.path(partialName), v.path(wholeName)); err != nil {
 		return classify(fmt.Errorf("stage weights: %w", err))
 	}
-	if err := syncDir(v.dir); err != nil {
+	if err := durable.SyncDir(v.dir); err != nil {
 		return classify(err)
 	}
 	v.mu.Lock()
@@ -295,12 +276,3 @@
 	v.Close()
 	v.store.forget(v)
 }
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
-}
