--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -31,7 +31,7 @@
 	machine *Machine
 	lastID  uint64
 	waiting map[uint64]chan Action
-	// queued is signalled when a request had to queue.
+	// queued is signalled while requests are queued.
 	queued chan struct{}
 }
 
@@ -160,8 +160,7 @@
 	return c.machine.Queued() > 0
 }
 
-// Run ticks while requests are queued, until ctx ends. It sleeps while none
-// are.
+// Run ticks while requests are queued, until ctx ends. It sleeps while none is.
 func (c *Controller) Run(ctx context.Context) {
 	for {
 		select {
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -14,11 +14,20 @@
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
-// pieceBytes is the most answer data sent in one frame.
-const pieceBytes = 32 << 10
+const (
+	// pieceBytes is the most answer data sent in one frame.
+	pieceBytes = 32 << 10
+	// firstPieceBytes is the buffer that an answer begins with; most streams
+	// never fill it.
+	firstPieceBytes = 2 << 10
+)
 
-// pieces holds buffers for reuse: a frame is encoded before Send returns.
-var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+// firstPieces and pieces hold buffers for reuse: a frame is encoded before Send
+// returns.
+var (
+	firstPieces = sync.Pool{New: func() any { return new([firstPieceBytes]byte) }}
+	pieces      = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+)
 
 // Run implements rpc.DRPCDispatchServer: it forwards one request to the
 // backend server and sends the answer back as frames. A request that did not
@@ -111,9 +120,9 @@
 }
 
 func (a *Agent) stream(ctx context.Context, resp *http.Response, w *sender, started time.Time) error {
-	piece := pieces.Get().(*[pieceBytes]byte)
-	defer pieces.Put(piece)
-	buf := piece[:]
+	small := firstPieces.Get().(*[firstPieceBytes]byte)
+	defer firstPieces.Put(small)
+	buf := small[:]
 	first := true
 	for {
 		n, err := resp.Body.Read(buf)
@@ -126,6 +135,11 @@
 				return err
 			}
 		}
+		if n == len(buf) && n == firstPieceBytes {
+			large := pieces.Get().(*[pieceBytes]byte)
+			defer pieces.Put(large)
+			buf = large[:]
+		}
 		if errors.Is(err, io.EOF) {
 			a.metrics.requests.WithLabelValues("completed").Inc()
 			return w.send(w.frames.End())
--- a/internal/bench/slopes/budget.go
+++ b/internal/bench/slopes/budget.go
@@ -12,6 +12,11 @@
 // revisionsPerDay are changes of operators and of members.
 const revisionsPerDay = targetChangesPerDay + revisionsPerRestart*(targetRestartsPerDay+targetFailuresPerDay)
 
+// segmentOverhead is what a message adds on the network where each travels in
+// a segment of its own and is acknowledged by another: two headers of IP and
+// TCP with time stamps. It is counted, not measured.
+const segmentOverhead = 2 * 52
+
 // atTarget is what a daemon of a role uses for control at the target's size.
 type atTarget struct {
 	// Cores, RSS in bytes and BytesPerSecond each way; over a day, changes
@@ -28,6 +33,9 @@
 	quiet := func(name string) float64 {
 		value := r.slope(role, name).value()
 		more := r.slope(role, "server_"+name)
+		if more.level() {
+			return value
+		}
 		return value + more.Line.Slope*(targetControl-baseServers)
 	}
 	changed := func(name string) float64 { return r.slope(role, name).value() }
@@ -50,6 +58,28 @@
 // the fleet that the keys were added to.
 func (r *results) keySlope(role role, name string) float64 {
 	s := r.slope(role, name)
+	if s.level() {
+		return 0
+	}
+	return s.Line.Slope * s.Target
+}
+
+// engineExtra is what an agent before an engine uses above one before a plain
+// service that as many entries (one) watch: processor time and memory.
+func (r *results) engineExtra() (cores, rss float64, ok bool) {
+	idle, ok := r.quietPath()
+	if !ok {
+		return 0, 0, false
+	}
+	u := idle[agent]
+	cores = u.OSCPU/u.Seconds - r.slope(agent, "cpu").Line.at(1)
+	rss = u.OSRSS - r.slope(agent, "rss").Line.at(1)
+	return max(0, cores), max(0, rss), true
+}
+
+// streamMemory is what a daemon's share of the answers in progress adds.
+func (r *results) streamMemory(role role) float64 {
+	s := r.slope(role, "stream_rss")
 	return s.Line.Slope * s.Target
 }
 
@@ -77,7 +107,16 @@
 		name := roleNames[role]
 		t.add(name, "3% of a core", amount(x.cores, "cores"), verdict(x.cores, limitCores))
 		t.add(name, "32 MB", size(x.rss), verdict(x.rss, limitRSS))
+		whole := x.rss + r.streamMemory(role)
+		t.add(name+", streams at the peak included", "32 MB", size(whole), verdict(whole, limitRSS))
 		t.add(name, "2 KB/s, both ways together", size(x.in+x.out)+"/s", verdict(x.in+x.out, limitBytesPerSecond))
+		wire := x.in + x.out + segmentOverhead*(x.messagesIn+x.messagesOut)
+		t.add(name+", headers of TCP and IP included", "2 KB/s, both ways together", size(wire)+"/s", verdict(wire, limitBytesPerSecond))
+	}
+	if cpu, rss, ok := r.engineExtra(); ok {
+		x := r.target(agent)
+		t.add("agent before an engine, idle", "3% of a core", amount(x.cores+cpu, "cores"), verdict(x.cores+cpu, limitCores))
+		t.add("agent before an engine, idle", "32 MB", size(x.rss+rss), verdict(x.rss+rss, limitRSS))
 	}
 	for _, role := range []role{leader, follower} {
 		x := r.target(role)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -56,7 +56,7 @@
 		Service:  t.call.service.Name,
 		Model:    t.call.service.Model,
 		Prefix:   t.call.prefixHash,
-		Whole:    !t.call.stream,
+		Whole:    t.call.whole(),
 		Excluded: excluded,
 	}
 	if t.answer.sent {
@@ -136,8 +136,11 @@
 
 // run dispatches the call and passes the answer on until it ends.
 func (t *attempt) run(ctx context.Context) outcome.Outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if t.call.idempotent() {
+		defer t.entry.router.guard.add(t.target.VM, t.id, cancel)()
+	}
 	conn := t.entry.pool.Get(ctx, t.target.Addr)
 	defer conn.Close()
 	stream, err := rpc.NewDRPCDispatchClient(conn).Run(ctx, t.request())
@@ -211,6 +214,9 @@
 // learns it at once: a long stream must not look like a stalled request.
 func (t *attempt) begun(ctx context.Context) {
 	t.firstToken = time.Since(t.started)
+	if t.call.whole() {
+		return
+	}
 	t.entry.router.step(ctx, routing.FirstToken{VM: t.target.VM, ID: t.id, Elapsed: t.firstToken})
 }
 
@@ -221,6 +227,8 @@
 	switch {
 	case errors.As(err, &dial):
 		return outcome.Not(outcome.BackendFailed, "the agent does not accept connections", 0)
+	case errors.Is(context.Cause(ctx), errSilent):
+		return outcome.May(outcome.ConnectionLost, errSilent.Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return outcome.May(outcome.DeadlineExceeded, "the deadline has passed")
 	case ctx.Err() != nil:
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -65,6 +65,13 @@
 	return c.rule.Idempotent || c.service.Kind == inventory.KindModel
 }
 
+// whole reports whether the answer comes in one piece: a completion that is
+// not streamed begins when it is done, so that the time to its first byte says
+// nothing of the backend server.
+func (c *call) whole() bool {
+	return c.service.Kind == inventory.KindModel && !c.stream
+}
+
 // refusal is a request that is refused before anything is dispatched.
 type refusal struct{ outcome outcome.Outcome }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +30,7 @@
 type router struct {
 	entry *Entry
 	table *routing.Router
+	guard *guard
 	// members holds the revision of each member known to the table.
 	members map[string]uint64
 	watches map[string]context.CancelFunc
@@ -35,6 +38,10 @@
 	actions chan []routing.Action
 	// capacity is signalled when backend servers came, went or changed.
 	capacity chan struct{}
+	// unheard counts watches that have neither brought a state nor failed yet.
+	unheard atomic.Int64
+	// settled is closed once there is a configuration and no watch is unheard.
+	settled chan struct{}
 	// countedAt is when an agent's count last led to an update of the
 	// capacity, a Unix time in nanoseconds.
 	countedAt atomic.Int64
@@ -51,10 +58,12 @@
 	return &router{
 		entry:    e,
 		table:    routing.NewRouter(cfg),
+		guard:    newGuard(),
 		members:  map[string]uint64{},
 		watches:  map[string]context.CancelFunc{},
 		actions:  make(chan []routing.Action),
 		capacity: make(chan struct{}, 1),
+		settled:  make(chan struct{}),
 	}
 }
 
@@ -86,6 +95,7 @@
 		case <-ticker.C:
 			r.apply(ctx, routing.Tick{})
 			r.updateCapacity()
+			r.endSilent()
 		case <-r.capacity:
 			r.updateCapacity()
 		}
@@ -108,6 +118,7 @@
 		Rules:    keyspace.List[inventory.Rule](view, inventory.PrefixRule),
 		Services: keyspace.List[inventory.Service](view, inventory.PrefixService),
 	})
+	r.apply(ctx, routing.VMsChanged{VMs: keyspace.List[inventory.VM](view, inventory.PrefixVM)})
 	r.followMembers(ctx, view)
 	r.updateCapacity()
 	return changed
@@ -142,6 +153,7 @@
 			r.stopWatch(act.VM)
 			watchCtx, cancel := context.WithCancel(ctx)
 			r.watches[act.VM] = cancel
+			r.unheard.Add(1)
 			go r.watch(watchCtx, act.VM, act.Addr)
 		case routing.StopWatch:
 			r.stopWatch(act.VM)
@@ -183,6 +195,7 @@
 		}
 		r.entry.admission.SetFree(service.Name, free)
 	}
+	r.noteSettled()
 }
 
 // counted takes over an agent's count of requests that came with an answer.
@@ -195,6 +208,27 @@
 	}
 }
 
+// endSilent ends idempotent attempts at backend servers that fell silent.
+func (r *router) endSilent() {
+	silent := r.table.View().Silent(time.Now())
+	if n := r.guard.end(silent); n > 0 {
+		r.entry.metrics.silent.Add(float64(n))
+	}
+}
+
+// noteSettled closes settled when that has come about. It is called after the
+// capacity was updated, so that admission knows it too.
+func (r *router) noteSettled() {
+	if r.unheard.Load() > 0 || r.entry.catalog.Load().revision == 0 {
+		return
+	}
+	select {
+	case <-r.settled:
+	default:
+		close(r.settled)
+	}
+}
+
 func (r *router) wakeCapacity() {
 	select {
 	case r.capacity <- struct{}{}:
@@ -204,19 +238,22 @@
 
 // watch follows the state of one agent until ctx is done.
 func (r *router) watch(ctx context.Context, vm, addr string) {
+	heard := sync.OnceFunc(func() { r.unheard.Add(-1) })
+	defer heard()
 	for ctx.Err() == nil {
-		r.followAgent(ctx, vm, addr)
+		r.followAgent(ctx, vm, addr, heard)
 		if ctx.Err() != nil {
 			return
 		}
 		r.step(ctx, routing.WatchLost{VM: vm})
+		heard()
 		r.wakeCapacity()
 		sleep(ctx, watchRetry)
 	}
 }
 
 // followAgent takes over states of the agent until the watch is lost.
-func (r *router) followAgent(ctx context.Context, vm, addr string) {
+func (r *router) followAgent(ctx context.Context, vm, addr string, heard func()) {
 	conn, err := rpcconn.Dial(ctx, addr)
 	if err != nil {
 		return
@@ -227,12 +264,28 @@
 		return
 	}
 	defer stream.Close()
+	var last *rpc.AgentState
 	for {
 		state, err := stream.Recv()
 		if err != nil || state.Vm != vm {
 			return
 		}
 		r.step(ctx, routing.StateFromRPC(state))
-		r.wakeCapacity()
+		heard()
+		if last == nil || changesCapacity(last, state) {
+			r.wakeCapacity()
+		}
+		last = state
 	}
 }
+
+// changesCapacity says whether a state differs from the one before in what
+// capacity depends on; of a heartbeat that repeats it, time alone is news, and
+// that is looked at with each tick.
+func changesCapacity(a, b *rpc.AgentState) bool {
+	sameLive := slices.EqualFunc(a.Live, b.Live, func(x, y *rpc.LiveVersion) bool {
+		return x.Model == y.Model && x.Version == y.Version
+	})
+	return !sameLive || a.Incarnation != b.Incarnation || a.Service != b.Service || a.Leaving != b.Leaving ||
+		a.InFlight != b.InFlight || a.ReportedLoad != b.ReportedLoad || a.Concurrency != b.Concurrency
+}
--- a/internal/routing/event.go
+++ b/internal/routing/event.go
@@ -20,6 +20,9 @@
 	Services []inventory.Service
 }
 
+// VMsChanged gives all declared VMs; drained ones get no new requests.
+type VMsChanged struct{ VMs []inventory.VM }
+
 // MemberChanged is a member as the feed has it.
 type MemberChanged struct{ Member inventory.Member }
 
@@ -61,7 +64,9 @@
 type Dispatched struct {
 	VM string
 	ID string
-	// Whole is true for an answer that comes in one piece at its end.
+	// Whole is true for an answer that comes in one piece at its end. The time
+	// to its first byte is that of the whole work: it is no latency sample,
+	// and the answer may wait longer than others before it counts as stalled.
 	Whole bool
 }
 
@@ -128,6 +133,7 @@
 
 func (ZonesChanged) isEvent()  {}
 func (RulesChanged) isEvent()  {}
+func (VMsChanged) isEvent()    {}
 func (MemberChanged) isEvent() {}
 func (MemberGone) isEvent()    {}
 func (AgentState) isEvent()    {}
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -50,7 +50,7 @@
 		StallFactor:   10,
 
 		WholeStallFactor: 100,
-		WholeStallMin:    time.Second,
+		WholeStallMin:    2 * time.Minute,
 
 		ErrorRatio: 0.3,
 		MaxAside:   0.3,
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -21,8 +21,7 @@
 	Prefix uint64
 	// Zone of the entry; the table's own if empty.
 	Zone string
-	// Whole is true for an answer that comes in one piece at its end: the time
-	// to its first byte is that of the whole work.
+	// Whole is passed on to Dispatched.
 	Whole bool
 	// Excluded VMs are not picked, as after a failed try.
 	Excluded []string
@@ -224,14 +223,16 @@
 	Free int
 }
 
-// Room sums over what a request might be sent to. Warming ones count with
-// their share. What is taken is counted by this entry and the agents: the
-// load that backend servers report is late, and would count this entry's own
-// requests of a moment ago as those of others.
+// Room sums over what a request might be sent to, ones set aside only where
+// Pick would take them too. Warming ones count with their share. What is taken
+// is counted by this entry and the agents: the load that backend servers report
+// is late, and would count this entry's own requests of a moment ago as those
+// of others.
 func (v *View) Room(now time.Time, req Request) Room {
 	var room Room
 	over := 0.0
-	for _, s := range v.tally(now, req).usable {
+	servers, _ := v.tally(now, req).servers(v.announced[req.Service])
+	for _, s := range servers {
 		slots := s.share(now) * s.slots()
 		room.Servers++
 		room.Own += int(s.count.inFlight.Load())
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -58,6 +58,8 @@
 	heard    time.Time
 	// known is true once there was any message, of any incarnation.
 	known bool
+	// drained is true while operators want the VM without work.
+	drained bool
 	// suspect is true from the loss of the watch to the next message.
 	suspect bool
 	// leaving is true when the agent said so, in its state or in a refusal;
@@ -143,7 +145,7 @@
 }
 
 func (s *server) isLeaving() bool {
-	return s.leaving || s.member.State == inventory.MemberLeaving
+	return s.leaving || s.drained || s.member.State == inventory.MemberLeaving
 }
 
 // noteLive keeps the times at which versions came to be live. What is live
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -20,8 +20,10 @@
 	byService map[string][]*server
 	// preferred are the versions that rules ask for.
 	preferred map[Version]bool
-	peers     map[string]peerFigures
-	view      *View
+	// drained are the VMs that operators have drained.
+	drained map[string]bool
+	peers   map[string]peerFigures
+	view    *View
 }
 
 // NewTable returns an empty table.
@@ -45,6 +47,8 @@
 		return t.zonesChanged(e)
 	case RulesChanged:
 		return t.rulesChanged(e)
+	case VMsChanged:
+		return t.vmsChanged(e)
 	case MemberChanged:
 		return t.memberChanged(now, e.Member)
 	case MemberGone:
@@ -104,9 +108,13 @@
 		return nil
 	}
 	failed := e.Outcome == Failed
-	if _, waiting := s.waiting[e.ID]; !waiting && !failed {
+	w, waiting := s.waiting[e.ID]
+	if !waiting && !failed {
 		return nil // its first token has been counted
 	}
+	if w.whole {
+		return t.sample(now, s, e.ID, 0, failed)
+	}
 	latency := e.FirstToken
 	if latency == 0 {
 		latency = e.Total
@@ -184,6 +192,18 @@
 	return nil
 }
 
+func (t *Table) vmsChanged(e VMsChanged) []Action {
+	t.view = nil
+	t.drained = map[string]bool{}
+	for _, vm := range e.VMs {
+		t.drained[vm.Name] = vm.Drained
+	}
+	for name, s := range t.servers {
+		s.drained = t.drained[name]
+	}
+	return nil
+}
+
 func (t *Table) rulesChanged(e RulesChanged) []Action {
 	t.view = nil
 	models := map[string]string{}
@@ -201,6 +221,7 @@
 	s := t.servers[m.VM]
 	if s == nil {
 		s = newServer(m)
+		s.drained = t.drained[m.VM]
 		t.servers[m.VM] = s
 	}
 	old := s.member
