--- a/internal/weights/swarm/swarm.go
+++ b/internal/weights/swarm/swarm.go
@@ -67,9 +67,9 @@
 	DefaultPerPeer         = 2
 	DefaultOriginStreams   = 8
 	DefaultDeadlineTime    = 800 * time.Millisecond
-	DefaultDeadlineBytes   = 1500 * time.Millisecond
+	DefaultDeadlineBytes   = 1000 * time.Millisecond
 	DefaultChunksTime      = 16
-	DefaultChunksBytes     = 32
+	DefaultChunksBytes     = 20
 	DefaultProgressTimeout = time.Second
 	DefaultStrikes         = 3
 	DefaultAsideFor        = 30 * time.Second
