--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -13,6 +13,7 @@
 
 	"lynxgate.dev/lynxgate/internal/frames"
 	"lynxgate.dev/lynxgate/internal/outcome"
+	"lynxgate.dev/lynxgate/internal/routing"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -202,3 +203,28 @@
 		require.Equal(t, 400, b.call(chatPath, wholeBody, HeaderDeadline, bad).status, bad)
 	}
 }
+
+// A long stream that has begun is no sign of a stalled backend server.
+func TestLongStreamsStallNobody(t *testing.T) {
+	answer := func(in *rpc.RunRequest, w *frames.Writer, send func(*rpc.ResponseFrame) error, ctx context.Context) error {
+		if bytes.Contains(in.Body, []byte("long")) {
+			return block(make(chan struct{}), true)(in, w, send, ctx)
+		}
+		return streamTo("v1", -1, 2)(in, w, send, ctx)
+	}
+	b := newBed(t, Config{}, &fakeAgent{version: "v1", run: answer}, &fakeAgent{version: "v1", run: answer})
+	for range 12 {
+		b.call(chatPath, streamBody)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 4 {
+		resp, err := b.send(ctx, chatPath, `{"model":"chat","prompt":"long","stream":true}`)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+	}
+	for _, action := range b.entry.router.table.Step(time.Now().Add(time.Hour), routing.Tick{}) {
+		_, aside := action.(routing.SetAside)
+		require.False(t, aside, "%+v", action)
+	}
+}
