--- a/internal/control/server_test.go
+++ b/internal/control/server_test.go
@@ -265,6 +265,29 @@
 	require.Equal(t, inventory.MemberLeaving, stateOf("vm1"), "a late announcement does not undo the leaving")
 }
 
+// TestStatusCountsLeasedReplicas lets the lease of an agent with a live replica
+// expire: the status still lists the agent, but not its replica as live.
+func TestStatusCountsLeasedReplicas(t *testing.T) {
+	_, servers := startFakes(t, 1, Config{Lease: minLease})
+	accept(t, servers[0], change("1", 0, fleet...))
+	client := controlclient.New(controlclient.Config{Addrs: []string{servers[0].addr}})
+	req := announceAgent("vm1", 1)
+	req.Replicas = []*rpc.ReplicaReport{{Model: "m", Version: "v1", Phase: "live"}}
+	_, err := client.Announce(context.Background(), req)
+	require.NoError(t, err)
+	live := func() int {
+		status, err := servers[0].Status(context.Background())
+		require.NoError(t, err)
+		n := 0
+		for _, r := range status.Replicas {
+			n += r.Live
+		}
+		return n
+	}
+	require.Equal(t, 1, live())
+	within(t, func() bool { return live() == 0 }, "its lease has expired")
+}
+
 // TestCutServerIsNotConfirmed cuts a follower off: it says so, and a process
 // that starts does not take its old state for current.
 func TestCutServerIsNotConfirmed(t *testing.T) {
--- a/internal/entry/bed_test.go
+++ b/internal/entry/bed_test.go
@@ -176,7 +176,7 @@
 }
 
 func (b *bed) start(cfg Config, view *keyspace.View, controlAddr string) {
-	cfg.Name, cfg.CallersAddr = "entry-1", freeAddr(b.t)
+	cfg.Name = "entry-1"
 	cfg.Logger, cfg.Registerer = zerolog.Nop(), prometheus.NewRegistry()
 	cfg.MaxBodyBytes = max(cfg.MaxBodyBytes, 1<<10)
 	cfg.MaxHeaderBytes = max(cfg.MaxHeaderBytes, 4<<10)
@@ -186,23 +186,17 @@
 	cfg.DefaultDeadline = patience
 	control := controlclient.New(controlclient.Config{Addrs: []string{controlAddr}})
 	b.entry = New(cfg, staticFeed{view}, control)
-	b.url = "http://" + cfg.CallersAddr
+	lis := listen(b.t)
+	b.url = "http://" + lis.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- b.entry.Serve(ctx) }()
+	go func() { served <- b.entry.serveOn(ctx, lis) }()
 	b.t.Cleanup(func() {
 		b.client.CloseIdleConnections()
 		cancel()
 		require.NoError(b.t, <-served)
 		_ = control.Close()
 	})
-	require.Eventually(b.t, func() bool {
-		conn, err := net.Dial("tcp", cfg.CallersAddr)
-		if err == nil {
-			conn.Close()
-		}
-		return err == nil
-	}, patience, time.Millisecond)
 }
 
 // awaitHeard waits until the entry has heard from an agent.
@@ -243,11 +237,10 @@
 	return lis.Addr().String(), stop
 }
 
-func freeAddr(t *testing.T) string {
+func listen(t *testing.T) net.Listener {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer lis.Close()
-	return lis.Addr().String()
+	return lis
 }
 
 // result is what a caller saw.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -49,6 +50,9 @@
 	ReadHeaderTimeout time.Duration
 	ReadBodyTimeout   time.Duration
 	IdleTimeout       time.Duration
+	// StartWait bounds how long a starting entry waits to hear of its backend
+	// servers before it serves callers; DefaultStartWait unless set.
+	StartWait time.Duration
 	// LeaveGrace is how long a leaving entry still takes new requests.
 	LeaveGrace     time.Duration
 	MaxConnections int
@@ -67,9 +71,8 @@
 	Registerer  prometheus.Registerer
 }
 
-// startWait bounds how long a starting entry waits to hear of its backend
-// servers before it serves callers.
-const startWait = 5 * time.Second
+// DefaultStartWait is the default of Config.StartWait.
+const DefaultStartWait = 5 * time.Second
 
 // DefaultReadBodyTimeout bounds how long a caller takes to send a request.
 const DefaultReadBodyTimeout = 30 * time.Second
@@ -109,6 +112,9 @@
 	if cfg.LeaveGrace == 0 {
 		cfg.LeaveGrace = DefaultLeaveGrace
 	}
+	if cfg.StartWait == 0 {
+		cfg.StartWait = DefaultStartWait
+	}
 	e := &Entry{
 		cfg:         cfg,
 		feed:        feed,
@@ -133,10 +139,15 @@
 
 // Serve works until ctx is done.
 func (e *Entry) Serve(ctx context.Context) error {
-	lis, err := e.listen()
+	lis, err := net.Listen("tcp", e.cfg.CallersAddr)
 	if err != nil {
 		return fmt.Errorf("callers_addr: %w", err)
 	}
+	return e.serveOn(ctx, lis)
+}
+
+// serveOn takes callers' connections from lis until ctx is done.
+func (e *Entry) serveOn(ctx context.Context, lis net.Listener) error {
 	go func() { _ = e.announcer.Run(ctx) }()
 	go e.router.run(ctx)
 	go e.admission.Run(ctx)
@@ -147,10 +158,10 @@
 }
 
 // awaitSettled lets the first callers wait, connected but not yet served, until
-// the backend servers were heard of, startWait at most. Otherwise an entry that
+// the backend servers were heard of, StartWait at most. Otherwise an entry that
 // has just started would refuse them for want of a backend server.
 func (e *Entry) awaitSettled(ctx context.Context) {
-	timer := time.NewTimer(startWait)
+	timer := time.NewTimer(e.cfg.StartWait)
 	defer timer.Stop()
 	select {
 	case <-e.router.settled:
--- a/internal/entry/leave_test.go
+++ b/internal/entry/leave_test.go
@@ -27,20 +27,16 @@
 // connection while the entry begins to leave is answered, and the answer
 // closes the connection.
 func TestKeptConnectionOfALeavingEntry(t *testing.T) {
-	addr := freeAddr(t)
+	lis := listen(t)
 	e := New(Config{
-		Name: "e", CallersAddr: addr, MaxConnections: 10, MaxHeaderBytes: 4096, MaxBodyBytes: 4096,
-		LeaveGrace: time.Hour, Registerer: prometheus.NewRegistry(),
+		Name: "e", MaxConnections: 10, MaxHeaderBytes: 4096, MaxBodyBytes: 4096,
+		LeaveGrace: time.Hour, StartWait: time.Millisecond, Registerer: prometheus.NewRegistry(),
 	}, emptyFeed{}, controlclient.New(controlclient.Config{Addrs: []string{"127.0.0.1:1"}}))
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- e.Serve(ctx) }()
-	var conn net.Conn
-	require.Eventually(t, func() bool {
-		var err error
-		conn, err = net.Dial("tcp", addr)
-		return err == nil
-	}, 30*time.Second, 10*time.Millisecond)
+	go func() { served <- e.serveOn(ctx, lis) }()
+	conn, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
 	answers := bufio.NewReader(conn)
 	ask := func() *http.Response {
 		_, err := fmt.Fprint(conn, "GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -74,15 +74,8 @@
 	}
 }
 
-func (e *Entry) listen() (net.Listener, error) {
-	lis, err := net.Listen("tcp", e.cfg.CallersAddr)
-	if err != nil {
-		return nil, err
-	}
-	return netutil.LimitListener(lis, e.cfg.MaxConnections), nil
-}
-
 func (e *Entry) serveHTTP(ctx context.Context, lis net.Listener) error {
+	lis = netutil.LimitListener(lis, e.cfg.MaxConnections)
 	stopped := context.AfterFunc(ctx, func() { _ = e.server.Close() })
 	defer stopped()
 	var err error
