Weights: an origin slower than the progress timeout is given the time

Cause: a fetch without a byte for 1 s was given up and begun again, for ever if the origin takes longer to its first byte; patience was learned from peers only. Seen by the process-level tests as 16 kB/s over a link of 150 kB/s; now reproduced in the model. Ruled out: a larger constant (a dead origin would be noticed later by all). Change: the origin's patience doubles with each failure in a row, 30 s at most, and is at least four times the usual duration of its fetches. Measured: the process-level case was not rerun.

--- a/internal/weights/swarm/model_test.go
+++ b/internal/weights/swarm/model_test.go
@@ -28,9 +28,11 @@
 	chunks  int
 	// originUp says whether the origin answers; nil means always.
 	originUp func(now time.Time) bool
-	limited  float64     // share of fetches refused for their rate
-	fetched  map[int]int // fetches from the origin by chunk
-	problems []string
+	// originTime is how long a fetch takes without a sign of progress.
+	originTime time.Duration
+	limited    float64     // share of fetches refused for their rate
+	fetched    map[int]int // fetches from the origin by chunk
+	problems   []string
 }
 
 type actor struct {
@@ -268,11 +270,18 @@
 		delete(a.open, x.ID)
 		a.step(Ended{ID: x.ID, Outcome: Limited, RetryAfter: 50 * time.Millisecond})
 	default:
-		m.fetched[x.Index]++
-		a.end(x.ID, Verified)
+		m.after(m.originTime, func() { a.fetchEnded(x) })
 	}
 }
 
+func (a *actor) fetchEnded(x Fetch) {
+	if _, ok := a.open[x.ID]; !ok {
+		return // given up
+	}
+	a.model.fetched[x.Index]++
+	a.end(x.ID, Verified)
+}
+
 func (a *actor) end(id uint64, outcome Outcome) {
 	if a.dead {
 		return
--- a/internal/weights/swarm/source.go
+++ b/internal/weights/swarm/source.go
@@ -23,6 +23,8 @@
 	gap      time.Duration
 	last     time.Time
 	notAsked time.Time // not before this time
+	// usual is the smoothed duration of a fetch that ended well.
+	usual time.Duration
 }
 
 func (o *source) open(now time.Time) bool {
@@ -37,10 +39,18 @@
 	o.notAsked = now.Add(o.gap)
 }
 
-func (o *source) ended(ev Ended, now time.Time) {
+// patience is how long a fetch may bring no byte: longer with each failure in
+// a row, or an origin that takes longer than the first would never be given
+// the time; and never shorter than a few times what fetches take.
+func (o *source) patience(first time.Duration) time.Duration {
+	return max(backoff(first, o.failures), min(maxPause, slowFactor*o.usual))
+}
+
+func (o *source) ended(ev Ended, took time.Duration, now time.Time) {
 	switch ev.Outcome {
 	case Verified:
 		o.failures = 0
+		o.usual = smoothed(o.usual, took)
 		o.gap -= time.Duration(gapShrink * float64(o.gap))
 	case Limited:
 		o.limited(ev.RetryAfter, now)
--- a/internal/weights/swarm/step.go
+++ b/internal/weights/swarm/step.go
@@ -226,7 +226,7 @@
 		out = s.gain(r, now)
 	}
 	if r.peer == nil {
-		s.source.ended(ev, now)
+		s.source.ended(ev, now.Sub(r.started), now)
 		return out
 	}
 	return append(out, s.judge(r.peer, r, ev, now)...)
@@ -283,12 +283,14 @@
 	return nil
 }
 
-func (s *State) took(d time.Duration) {
-	if s.usual == 0 {
-		s.usual = d
-		return
+func (s *State) took(d time.Duration) { s.usual = smoothed(s.usual, d) }
+
+// smoothed moves a usual duration towards a new one; 0 is none yet.
+func smoothed(usual, d time.Duration) time.Duration {
+	if usual == 0 {
+		return d
 	}
-	s.usual += time.Duration(usualWeight * float64(d-s.usual))
+	return usual + time.Duration(usualWeight*float64(d-usual))
 }
 
 func (s *State) strike(p *peer, now time.Time) []Action {
@@ -321,15 +323,18 @@
 }
 
 // patience is how long a request may bring nothing.
-func (s *State) patience() time.Duration {
+func (s *State) patience(r *request) time.Duration {
+	if r.peer == nil {
+		return s.source.patience(s.cfg.ProgressTimeout)
+	}
 	return max(s.cfg.ProgressTimeout, slowFactor*s.usual)
 }
 
 // expire gives up requests without progress.
 func (s *State) expire(now time.Time) []Action {
 	var out []Action
-	patience := s.patience()
 	for _, r := range slices.Clone(s.order) {
+		patience := s.patience(r)
 		if now.Sub(r.progress) < patience {
 			continue
 		}
--- a/internal/weights/swarm/swarm_test.go
+++ b/internal/weights/swarm/swarm_test.go
@@ -163,20 +163,34 @@
 	require.LessOrEqual(t, more, first)
 }
 
+// An origin that takes far longer than the progress timeout before the first
+// byte must be given the time in the end, or nothing would ever arrive.
+func TestSlowOriginIsGivenTime(t *testing.T) {
+	for _, hasStore := range []bool{false, true} {
+		m := newModel(5, 4, 16)
+		m.originTime = 5 * DefaultProgressTimeout
+		for _, a := range m.members {
+			a.state.source.hasStore = hasStore
+		}
+		m.start()
+		require.True(t, m.run(10*time.Minute), "store: %v", hasStore)
+	}
+}
+
 func TestRefusalsForTheRateAreLearned(t *testing.T) {
 	var o source
 	now := time.Unix(0, 0)
-	o.ended(Ended{Outcome: Limited, RetryAfter: 3 * time.Second}, now)
+	o.ended(Ended{Outcome: Limited, RetryAfter: 3 * time.Second}, time.Second, now)
 	require.False(t, o.open(now.Add(2900*time.Millisecond)))
 	require.True(t, o.open(now.Add(3*time.Second)))
 	require.False(t, o.store, "a refusal for the rate is no failure")
 	for range 5 {
-		o.ended(Ended{Outcome: Limited}, now)
+		o.ended(Ended{Outcome: Limited}, time.Second, now)
 	}
 	slow := o.gap
 	require.Greater(t, slow, 10*firstGap)
 	for range 100 {
-		o.ended(Ended{Outcome: Verified}, now)
+		o.ended(Ended{Outcome: Verified}, time.Second, now)
 	}
 	require.Less(t, o.gap, slow/10)
 }
@@ -185,7 +199,7 @@
 	o := source{hasStore: true}
 	now := time.Unix(0, 0)
 	for range storeAfter {
-		o.ended(Ended{Outcome: Failed}, now)
+		o.ended(Ended{Outcome: Failed}, time.Second, now)
 	}
 	require.True(t, o.store)
 	require.True(t, o.open(now))
