--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -78,10 +78,7 @@
 		return err
 	}
 	s.operator = s.fleet.Operator(s.control)
-	return harness.Wait(startTimeout, "a control leader", func() bool {
-		status, err := s.operator.Status()
-		return err == nil && status.Quorum
-	})
+	return s.operator.AwaitLeader(startTimeout)
 }
 
 func (s *system) startEntries() error {
--- a/internal/harness/operator.go
+++ b/internal/harness/operator.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"lynxgate.dev/lynxgate/internal/admin"
 )
@@ -61,6 +62,14 @@
 	return status, nil
 }
 
+// AwaitLeader waits until a control leader has a quorum.
+func (o *Operator) AwaitLeader(timeout time.Duration) error {
+	return Wait(timeout, "a control leader", func() bool {
+		status, err := o.Status()
+		return err == nil && status.Quorum
+	})
+}
+
 // Live returns how many replicas of a model version are live; 0 when the
 // status can't be had now.
 func (o *Operator) Live(model, version string) int {
