--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 )
 
 // errSilent ends an attempt whose backend server is not heard of any more.
@@ -56,3 +57,11 @@
 	}
 	return ended
 }
+
+// endSilent ends idempotent attempts at backend servers that fell silent.
+func (r *router) endSilent() {
+	silent := r.table.View().Silent(time.Now())
+	if n := r.guard.end(silent); n > 0 {
+		r.entry.metrics.silent.Add(float64(n))
+	}
+}
