Agent: bytes of live requests count on the VM's link, transfers make room

Cause: live latencies slowed transfers, but the bytes of requests were not counted on the link that transfers pace themselves by. Ruled out: passing live bytes through the bucket (a rate set below their need would hold requests up). Change: SpendLive counts them without a wait; transfers keep a piece every 250 ms whatever live requests take. Seen to fail: TestTransfersMakeRoomForLiveBytes without the charge, and without the bound.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -80,6 +80,7 @@
 	Status() []transfer.Progress
 	Changed() <-chan struct{}
 	ObserveLive(firstToken time.Duration)
+	SpendLive(up, down int)
 }
 
 // Agent stands for one backend server. Create it with New.
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -42,6 +42,7 @@
 		return a.notRun(w, reason, 0)
 	}
 	defer a.gate.leave()
+	a.spendLive(0, len(in.Body))
 	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(in.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	return a.forward(ctx, in, w)
@@ -131,6 +132,7 @@
 				a.observeFirst(time.Since(started))
 				first = false
 			}
+			a.spendLive(n, 0)
 			if err := w.send(w.frames.Data(buf[:n])); err != nil {
 				return err
 			}
@@ -158,6 +160,14 @@
 	return outcome.AnswerCut
 }
 
+// spendLive counts bytes of requests on the VM's link, so that transfers make
+// room for them.
+func (a *Agent) spendLive(up, down int) {
+	if a.transfers != nil {
+		a.transfers.SpendLive(up, down)
+	}
+}
+
 func (a *Agent) observeFirst(d time.Duration) {
 	a.metrics.firstByte.Observe(d.Seconds())
 	if a.transfers != nil {
--- a/internal/weights/pace/bucket.go
+++ b/internal/weights/pace/bucket.go
@@ -28,6 +28,10 @@
 // rate for longer.
 const burst = 25 * time.Millisecond
 
+// maxDebt bounds how long live bytes may keep the link from transfers at a
+// time: a rate set below what live requests need must not end transfers.
+const maxDebt = 250 * time.Millisecond
+
 type taker struct {
 	id    uint64
 	bytes int
@@ -62,6 +66,15 @@
 	return b.nextID
 }
 
+// Spend counts live bytes that pass the link without waiting: what is granted
+// next has to wait for them.
+func (b *Bucket) Spend(bytes int, now time.Time) {
+	b.charge(Live, bytes, now)
+	if limit := now.Add(maxDebt); b.free.After(limit) {
+		b.free = limit
+	}
+}
+
 // Remove drops a taker that no longer waits.
 func (b *Bucket) Remove(id uint64) {
 	for class := range b.queues {
--- a/internal/weights/pace/link.go
+++ b/internal/weights/pace/link.go
@@ -35,6 +35,13 @@
 	return l.down.take(ctx, class, bytes)
 }
 
+// SpendLive counts bytes of live requests that pass the link, up and down,
+// without holding them up: transfers make room for them.
+func (l *Link) SpendLive(up, down int) {
+	l.up.spend(up)
+	l.down.spend(down)
+}
+
 // ObserveLive takes the first-token latency of a live request and adapts the
 // transfers' share.
 func (l *Link) ObserveLive(latency time.Duration) {
@@ -107,6 +114,15 @@
 	}
 }
 
+func (d *direction) spend(bytes int) {
+	if bytes <= 0 || d.bucket.Rate() <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.bucket.Spend(bytes, d.now())
+}
+
 // advance releases granted callers and sets the timer. The lock is held.
 func (d *direction) advance() {
 	now := d.now()
--- a/internal/weights/pace/pace_test.go
+++ b/internal/weights/pace/pace_test.go
@@ -29,6 +29,24 @@
 	require.Equal(t, []uint64{live, fromOrigin, transfer}, order)
 }
 
+// Live bytes never wait, and transfers wait for them, yet not for ever.
+func TestTransfersMakeRoomForLiveBytes(t *testing.T) {
+	b := NewBucket(1000)
+	grantedAt := func(spend func(now time.Time)) time.Duration {
+		b.free, b.transferFree = start, start
+		spend(start)
+		b.Add(Transfer, 10)
+		for now := start; ; now = now.Add(time.Millisecond) {
+			if granted, _ := b.Advance(now); len(granted) > 0 {
+				return now.Sub(start)
+			}
+		}
+	}
+	require.Zero(t, grantedAt(func(time.Time) {}))
+	require.Equal(t, 100*time.Millisecond, grantedAt(func(now time.Time) { b.Spend(100, now) }))
+	require.Equal(t, maxDebt, grantedAt(func(now time.Time) { b.Spend(100_000, now) }))
+}
+
 // Over any span, no more passes than the rate allows plus the burst and the
 // one piece that may be on its way; transfers keep to their share.
 func TestRateIsNeverExceeded(t *testing.T) {
--- a/internal/weights/transfer/manager.go
+++ b/internal/weights/transfer/manager.go
@@ -225,6 +225,10 @@
 // give way when it rises.
 func (m *Manager) ObserveLive(firstToken time.Duration) { m.link.ObserveLive(firstToken) }
 
+// SpendLive counts bytes of live requests on the VM's link; transfers make
+// room for them.
+func (m *Manager) SpendLive(up, down int) { m.link.SpendLive(up, down) }
+
 // Link returns the VM's link, on which live traffic may be accounted so that
 // transfers make room for it.
 func (m *Manager) Link() *pace.Link { return m.link }
