--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # lynxgate: make test and make demo do everything on a fresh machine.
 GO ?= go
 
-.PHONY: build test lint demo generate bench-weights bench-config bench-requests bench-slopes
+.PHONY: build test lint demo generate bench-weights bench-config bench-requests bench-slopes bench-live
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -20,6 +20,10 @@
 generate:
 	internal/rpc/generate.sh
 
+# bench-live compares callers' times with and without a burst of weights.
+bench-live: build
+	$(GO) run ./internal/demo -live -copies 12
+
 # The benches print figures and compare within one run; no test depends on them.
 bench-weights bench-config bench-requests bench-slopes: bench-%: build
 	$(GO) build -o bin/bench-$* ./internal/bench/$*
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -6,6 +6,9 @@
 //
 // With -hold it only starts the fleet, with the inventory in force and no
 // rules, prints how to reach it and leaves it running until it is interrupted.
+//
+// With -live it replays one load on a quiet fleet and again while all VMs fetch
+// a new version, and prints the times that callers see.
 package main
 
 import (
@@ -20,15 +23,16 @@
 	dir := flag.String("dir", "out/demo", "folder for settings, logs and data; emptied first")
 	bin := flag.String("bin", "bin", "folder with the programs")
 	hold := flag.Bool("hold", false, "start the fleet and leave it running until interrupted")
+	live := flag.Bool("live", false, "compare callers' times with and without a burst of weights instead")
 	copies := flag.Int("copies", defaultCopies, "VMs that hold the model, each with an engine and an agent")
 	flag.Parse()
-	if err := run(*dir, *bin, *hold, *copies); err != nil {
+	if err := run(*dir, *bin, *hold, *live, *copies); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		os.Exit(1)
 	}
 }
 
-func run(dir, bin string, hold bool, copies int) error {
+func run(dir, bin string, hold, live bool, copies int) error {
 	if err := os.RemoveAll(dir); err != nil {
 		return err
 	}
@@ -44,5 +48,8 @@
 	if hold {
 		return s.hold()
 	}
+	if live {
+		return s.compareLive()
+	}
 	return s.play()
 }
