lynxctl replay lists the differing requests as text too

Cause: only -o json named them; found by running replay against a real fleet. Change: a table of request, expected, outcome and why before the summary. Seen to fail first: TestReplay. Measured: replay of a generated trace of 84 requests against the demo's fleet: 84 completed, 0 differences, exit 0; two requests for a service that is not there: 2 differences, exit 1.

--- a/cmd/lynxctl/replay.go
+++ b/cmd/lynxctl/replay.go
@@ -171,10 +171,26 @@
 	return out, nil
 }
 
+// printDifferences lists the requests that ended otherwise than stated.
+func (c *replayCommand) printDifferences(differences []replay.Difference) error {
+	if len(differences) == 0 {
+		return nil
+	}
+	t := newTable(c.env.stdout, "REQUEST", "EXPECTED", "OUTCOME", "WHY")
+	for _, d := range differences {
+		why := strings.TrimSpace(string(d.Problem) + " " + d.Detail)
+		t.row(d.ID, string(d.Expected), string(d.Outcome), why)
+	}
+	return t.flush()
+}
+
 func (c *replayCommand) print(out replayOutput) error {
 	if c.output.isJSON() {
 		return writeJSON(c.env.stdout, out)
 	}
+	if err := c.printDifferences(out.Differences); err != nil {
+		return err
+	}
 	fmt.Fprintln(c.env.stdout, strings.TrimSpace(out.Summary()))
 	if out.Runs != nil {
 		fmt.Fprintf(c.env.stdout, "runs: doubled %d, lost %d, wrongly not run %d\n",
--- a/cmd/lynxctl/replay_test.go
+++ b/cmd/lynxctl/replay_test.go
@@ -27,6 +27,9 @@
 	require.Contains(t, stdout, "runs: doubled 0, lost 0, wrongly not run 0")
 
 	server.Close()
+	status, stdout, _ = runWith(nil, "replay", "-entries", server.URL, trace)
+	require.Equal(t, exitFailed, status)
+	require.Regexp(t, `(?m)^r2 +answered-whole +not run`, stdout)
 	status, stdout, _ = runWith(nil, "replay", "-o", "json", "-entries", server.URL, trace)
 	require.Equal(t, exitFailed, status)
 	var out replayOutput
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -4,8 +4,8 @@
 // everything gracefully and prints what happened. It exits 0 only if every
 // promise held.
 //
-// With -hold it only starts the fleet, with the inventory in force and no
-// rules, prints how to reach it and leaves it running until it is interrupted.
+// With -hold it only starts the fleet, writes the files to apply, prints how to
+// reach it and leaves it running until it is interrupted.
 //
 // With -live it replays one load on a quiet fleet and again while all VMs fetch
 // a new version, and prints the times that callers see.
