Entry: prompt prefixes go by the engine's own hash, so that cache events match

Cause: the entry hashed a prompt's first bytes, engines name prefixes by blocks of words; their cache events could never match. Ruled out: matching in the agent (it does not see the prompts' shape either). Change: internal/engine.PrefixHash after the engine's protocol, checked against the fake's events; prompts of another shape go by their first bytes as before.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/claims"
+	"lynxgate.dev/lynxgate/internal/engine"
 	"lynxgate.dev/lynxgate/internal/inventory"
 	"lynxgate.dev/lynxgate/internal/outcome"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -190,7 +191,12 @@
 	return nil
 }
 
+// prefixHash names the prompt's prefix as engines do in their cache events. A
+// prompt without a whole block, or of another shape, goes by its first bytes.
 func prefixHash(messages, prompt json.RawMessage) uint64 {
+	if hash := engine.PrefixHash(promptText(messages, prompt)); hash != 0 {
+		return hash
+	}
 	text := messages
 	if len(text) == 0 {
 		text = prompt
@@ -200,6 +206,20 @@
 	return h.Sum64()
 }
 
+// promptText returns the prompt of a request as engines read it, or "" if it
+// has another shape than messages with text or one text.
+func promptText(messages, prompt json.RawMessage) string {
+	var text string
+	var chat []engine.Message
+	switch {
+	case len(messages) > 0 && json.Unmarshal(messages, &chat) == nil:
+		return engine.ChatPrompt(chat)
+	case json.Unmarshal(prompt, &text) == nil:
+		return text
+	}
+	return ""
+}
+
 func (c *call) readKey(r *http.Request) error {
 	c.key = r.Header.Get(HeaderIdempotencyKey)
 	if len(c.key) > maxIdempotencyKey {
