make test takes no result from the cache

Cause: internal/systest builds lynxgated and lynxctl itself, so go test did not see that they had changed and printed (cached) after a change of the entry. Change: -count=1.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# The process-level tests build the programs themselves, which go test cannot see:
+# no result is taken from its cache.
 test:
-	$(GO) test ./...
+	$(GO) test -count=1 ./...
 
 demo: build
 	$(GO) run ./internal/demo
