--- /dev/null
+++ b/cmd/lynxgated/platform.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/fleetcontrol"
+	"lynxgate.dev/lynxgate/internal/fleetdaemon"
+	"lynxgate.dev/lynxgate/internal/logsink"
+	"lynxgate.dev/lynxgate/platform"
+)
+
+const (
+	// settingsPoll is how often the settings file is looked at: it may change
+	// without a signal.
+	settingsPoll = 2 * time.Second
+	// memoryShare of the memory that the process may use is the limit above which
+	// garbage is collected at any cost.
+	memoryShare = 0.7
+	// gcPercent trades memory for processor time: the live heap is some MB.
+	gcPercent = 200
+)
+
+// liveSettings are the settings as of now.
+type liveSettings struct {
+	path    string
+	data    []byte
+	current atomic.Pointer[platform.Settings]
+}
+
+func (l *liveSettings) load() error {
+	data, err := os.ReadFile(l.path)
+	if err != nil {
+		return err
+	}
+	s, err := platform.ReadSettings(data)
+	if err != nil {
+		return err
+	}
+	l.data = data
+	l.current.Store(s)
+	return nil
+}
+
+// follow reads the settings again when told to, or when the file has changed.
+func (l *liveSettings) follow(ctx context.Context, log zerolog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-hup:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		before := l.data
+		if err := l.load(); err != nil {
+			log.Warn().Err(err).Msg("settings not reloaded; the old ones stay in force")
+			continue
+		}
+		if !bytes.Equal(before, l.data) {
+			log.Info().Strs("control_seeds", l.current.Load().ControlSeeds).Msg("settings reloaded")
+		}
+	}
+}
+
+// seeds returns the rpc addresses of the control servers that the settings name.
+func (l *liveSettings) seeds() []string {
+	s := l.current.Load()
+	var addrs []string
+	for _, seed := range s.ControlSeeds {
+		addrs = append(addrs, s.RPCAddr(seed))
+	}
+	return addrs
+}
+
+// peers returns the rpc addresses by the name under which a control server takes
+// part in the log: its IP number, which its VM keeps.
+func (l *liveSettings) peers() map[string]string {
+	out := map[string]string{}
+	for _, addr := range l.seeds() {
+		out[hostOf(addr)] = addr
+	}
+	return out
+}
+
+func hostOf(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr
+	}
+	return host
+}
+
+// servePlatform runs the process as the users' platform has set it up.
+func servePlatform() int {
+	sink := logsink.New(os.Stdout, logsink.DefaultRate)
+	defer sink.Close()
+	log := zerolog.New(sink).With().Timestamp().Logger()
+	path, err := platform.SettingsPath()
+	if err != nil {
+		log.Error().Err(err).Msg("no settings")
+		return exitSettings
+	}
+	live := &liveSettings{path: path}
+	if err := live.load(); err != nil {
+		log.Error().Err(err).Msg("settings are not valid")
+		return exitSettings
+	}
+	s := live.current.Load()
+	log = log.With().Str("daemon", s.Name).Logger()
+	debug.SetGCPercent(gcPercent)
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
+	}
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	go live.follow(stop, log)
+	cfg := platformConfig(live, log)
+	cfg.DroppedLines = sink.Dropped
+	if err := fleetdaemon.Run(stop, cfg); err != nil {
+		log.Error().Err(err).Msg("stopped with an error")
+		return exitFailed
+	}
+	log.Info().Msg("stopped")
+	return exitOK
+}
+
+// platformConfig puts what the platform tells into the daemon's own words.
+func platformConfig(live *liveSettings, log zerolog.Logger) fleetdaemon.Config {
+	s := live.current.Load()
+	cfg := fleetdaemon.Config{
+		Name: s.Name, Zone: s.Zone, RPCAddr: s.RPCAddr(s.IP), MetricsAddr: s.MetricsAddr(),
+		Seeds: live.seeds, Grace: seconds(s.Bounds.GraceS), Decode: platform.DecodeConfig,
+		VersionBound: seconds(s.Bounds.VersionMs / 1000), Logger: log,
+	}
+	if s.ServesCallers() {
+		cfg.Entry = &fleetdaemon.EntryConfig{
+			CallersAddr: s.Listen.Callers, ReadyAddr: s.Listen.Ready, MountReady: mountReady,
+			Headers: platform.Headers(), RetryShare: s.Bounds.RetryShare,
+			RetryFloor: int(s.Bounds.RetryFloor), RetryWindow: seconds(s.Bounds.RetryWindowS),
+		}
+	}
+	if s.ServesControl() {
+		cfg.Control = &fleetdaemon.ControlConfig{
+			OperatorsAddr: s.Listen.Control, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
+			Member: s.IP, Peers: live.peers,
+			Mount: func(e *echo.Echo, server *fleetcontrol.Server) { platform.MountControl(e, server) },
+		}
+	}
+	if s.ServesAgent() {
+		cfg.Agent = &fleetdaemon.AgentConfig{
+			EngineAddr: s.Engine.Addr, Service: s.Engine.Service,
+			Engine: platform.NewEngine(s.Engine.Addr), Origin: platform.NewOrigin(), PeerAddr: s.RPCAddr,
+		}
+	}
+	return cfg
+}
+
+func mountReady(mux *http.ServeMux, ready func() (string, bool)) { platform.MountReady(mux, ready) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/balance/server.go
@@ -0,0 +1,64 @@
+// Package balance chooses the backend server of each send among those that
+// announce themselves, by their load as far as it is known, and sets aside those
+// that fail. State: one record by start of a backend server, behind one lock.
+// Messages: none; time is an argument.
+package balance
+
+import (
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/dispatch"
+	"lynxgate.dev/lynxgate/internal/fleet"
+)
+
+// Server is one backend server as this entry sees it. The pool is safe for
+// concurrent use, the rest belongs to the Balancer.
+type Server struct {
+	ID   string
+	Addr string
+	Pool *dispatch.Pool
+
+	record *fleet.BackendServer
+	engine *fleet.Engine
+	near   bool
+
+	// inFlight are the requests of this entry.
+	inFlight int
+	load     load
+	health   health
+	// confirmed is the version of weights that the server was last seen to
+	// answer with; its announcements lag.
+	retired bool
+}
+
+// load is what the server last told of its load.
+type load struct {
+	known            bool
+	running, waiting int
+	at               time.Time
+	// ownThen are this entry's requests in flight when it was told.
+	ownThen int
+}
+
+// maxLoadAge is after how long what a server told of its load is not used any
+// more: an engine's requests last a second or two.
+const maxLoadAge = 1500 * time.Millisecond
+
+// queueLength estimates the requests at a server, of all entries: what it told,
+// corrected by what this entry has sent and got back since. Without a fresh
+// report the other entries are taken to send as much as this one.
+func (s *Server) queueLength(now time.Time, entries int) float64 {
+	if s.load.known && now.Sub(s.load.at) < maxLoadAge {
+		told := s.load.running + s.load.waiting + s.inFlight - s.load.ownThen
+		return float64(max(told, s.inFlight))
+	}
+	return float64(s.inFlight) * float64(max(entries, 1))
+}
+
+// slots is how many requests the server runs at once, at least 1.
+func (s *Server) slots() int {
+	if s.engine != nil && s.engine.Slots > 0 {
+		return s.engine.Slots
+	}
+	return max(s.record.Slots, 1)
+}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -21,6 +21,14 @@
 	// KeepEntries is the number of entries kept before a snapshot, so that a
 	// follower slightly behind needs no snapshot.
 	KeepEntries uint64
+	// JoinOnly keeps a blank server from founding a cluster: it only joins one.
+	JoinOnly bool
+	// AdmitNewcomers lets a leader add servers of any name that ask to join;
+	// without it operators add them.
+	AdmitNewcomers bool
+	// RetireTicks is after how long without a word a leader removes a member
+	// that makes the number of voters even, or a learner; 0 is never.
+	RetireTicks int
 	// Rand draws election timeouts and nonces.
 	Rand *rand.Rand
 }
--- a/internal/consensus/found.go
+++ b/internal/consensus/found.go
@@ -81,6 +81,9 @@
 }
 
 func (c *Core) isFounder() bool {
+	if c.cfg.JoinOnly && c.blank() {
+		return false
+	}
 	return slices.Contains(c.cfg.Peers, c.id.Name) && slices.Min(c.cfg.Peers) == c.id.Name
 }
 
@@ -96,7 +99,7 @@
 	// A change that is not committed may be lost with its leader.
 	_, member := c.log.membershipAt(c.log.commit).Find(c.id)
 	founding := c.isFounder() && !c.foundingComplete()
-	if member && !founding {
+	if member && !founding && !c.maybeRetired() {
 		return
 	}
 	if c.blank() && founding {
@@ -106,6 +109,12 @@
 	c.sendFound()
 }
 
+// maybeRetired tells whether this server may have been removed while it was out
+// of reach: it hears of no leader. A leader takes no notice of a hello of a member.
+func (c *Core) maybeRetired() bool {
+	return c.cfg.RetireTicks > 0 && c.role != Leader && c.leader.IsZero()
+}
+
 func (c *Core) sendHello() {
 	for _, name := range c.helloTargets() {
 		c.send(Message{
@@ -162,6 +171,7 @@
 	c.join.heard[m.From.Name] = heardServer{member: Member{ID: m.From, Addr: m.Addr}, blank: m.Commit == 0}
 	if c.role == Leader {
 		c.replaceIncarnation(m.From, m.Addr)
+		c.admitNewcomer(m.From, m.Addr)
 	}
 }
 
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -37,6 +37,8 @@
 	active    bool
 	heardTick uint64
 	heard     bool
+	// addedTick is when this leader began to follow the peer.
+	addedTick uint64
 	// readRound is the newest read round answered; commitSent the highest
 	// commit index sent by itself.
 	readRound  uint64
--- a/internal/consensus/reconfigure.go
+++ b/internal/consensus/reconfigure.go
@@ -99,6 +99,50 @@
 	_, _, _ = c.proposeMembership(members.with(next))
 }
 
+// admitNewcomer adds a server of an unknown name as a learner that becomes a
+// voter. A refused change is tried again at the next hello.
+func (c *Core) admitNewcomer(id ServerID, addr string) {
+	if !c.cfg.AdmitNewcomers {
+		return
+	}
+	members, _ := c.log.membership()
+	if _, known := members.FindName(id.Name); known {
+		return
+	}
+	next := Member{ID: id, Addr: addr, Learner: true, PromoteWhenReady: true}
+	_, _, _ = c.proposeMembership(members.with(next))
+}
+
+// retireLost removes a member that was not heard for RetireTicks: a learner, or
+// a voter whose removal lowers the quorum. That is so for an even number of
+// voters only; in an odd one a lost voter costs the others nothing.
+func (c *Core) retireLost() {
+	if c.cfg.RetireTicks <= 0 {
+		return
+	}
+	members, changedAt := c.log.membership()
+	if changedAt > c.log.commit || !c.committedInTerm() {
+		return
+	}
+	even := len(members.Voters())%2 == 0
+	for _, member := range members {
+		if member.ID == c.id || !c.unheardFor(member.ID, uint64(c.cfg.RetireTicks)) {
+			continue
+		}
+		if member.Learner || even {
+			_, _, _ = c.proposeMembership(members.without(member.ID.Name))
+			return
+		}
+	}
+}
+
+// unheardFor tells whether a peer was not heard for this many ticks, counted
+// from the start of this leadership at the earliest.
+func (c *Core) unheardFor(id ServerID, ticks uint64) bool {
+	p, ok := c.peers[id]
+	return ok && c.now-max(p.heardTick, p.addedTick) > ticks
+}
+
 // promoteReadyLearner makes a replaced server a voter again.
 func (c *Core) promoteReadyLearner() {
 	members, _ := c.log.membership()
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -40,7 +40,7 @@
 	}
 	for _, member := range members {
 		if _, ok := c.peers[member.ID]; !ok && member.ID != c.id {
-			c.peers[member.ID] = &progress{nextIndex: c.log.lastIndex() + 1}
+			c.peers[member.ID] = &progress{nextIndex: c.log.lastIndex() + 1, addedTick: c.now}
 		}
 	}
 }
@@ -67,6 +67,7 @@
 		}
 	}
 	c.promoteReadyLearner()
+	c.retireLost()
 	if c.now-c.heartbeatTick >= uint64(c.cfg.HeartbeatTicks) {
 		c.broadcastHeartbeat()
 	}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,55 @@
+package fleet
+
+import "time"
+
+// State is what a backend server says of itself.
+type State uint8
+
+// The states of a backend server. A later one is never left for an earlier one.
+const (
+	StateReady State = iota
+	// StateDraining servers take no new requests.
+	StateDraining
+	// StateGone servers have taken their leave.
+	StateGone
+)
+
+// String returns the state's name in logs.
+func (s State) String() string { return [...]string{"ready", "draining", "gone"}[s] }
+
+// Loaded is a version of a model's weights that an engine holds, with the
+// layers [From, To).
+type Loaded struct {
+	Model    string
+	Version  uint64
+	From, To int
+}
+
+// BackendServer is one start of a backend server as it announces itself.
+type BackendServer struct {
+	// ID is new with each start; Addr may have belonged to others before.
+	ID      string
+	Service string
+	Addr    string
+	Zone    string
+	Slots   int
+	State   State
+	// Seq rises with each announcement.
+	Seq uint64
+	// Cold is how much longer the server is slow after its start.
+	Cold   time.Duration
+	Models []Loaded
+	// SeenAt is when its newest announcement was received here.
+	SeenAt time.Time
+}
+
+// Holds returns the version of a model that the server holds whole; 0 if it
+// does not. Layers of 0 are not checked.
+func (b *BackendServer) Holds(model string, layers int) uint64 {
+	for _, m := range b.Models {
+		if m.Model == model && (layers == 0 || (m.From == 0 && m.To >= layers)) {
+			return m.Version
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fleetcontrol/hub.go
@@ -0,0 +1,324 @@
+package fleetcontrol
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/directory"
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// The roles of followers.
+const (
+	RoleEntry   = "entry"
+	RoleAgent   = "agent"
+	RoleControl = "control"
+)
+
+const (
+	// renewInterval is how long renewed announcements wait to share an update:
+	// entries judge by seconds whether a server is heard.
+	renewInterval = 400 * time.Millisecond
+	// forgetInterval is how often servers that were not heard are dropped.
+	forgetInterval = 5 * time.Second
+)
+
+// hub keeps the directory and spreads it, with the ledger, to followers.
+type hub struct {
+	ledger       *ledger.Ledger
+	controlAddrs func() []string
+	log          zerolog.Logger
+
+	mu        sync.Mutex
+	servers   *directory.Directory
+	followers map[*follower]bool
+}
+
+// follower is one stream. Its fields are guarded by the hub's lock.
+type follower struct {
+	name, role string
+	wake       chan struct{}
+	// changed and renewed hold the ids whose record is to be sent.
+	changed, renewed map[string]bool
+	configVersion    uint64
+	versions         map[string]uint64
+	controlAddrs     []string
+	entries          int
+	number, acked    uint64
+	waiters          []*waiter
+}
+
+// waiter waits until followers have acknowledged that a server leaves.
+type waiter struct {
+	id string
+	// number is of the update that tells the follower; 0 until it is made.
+	number uint64
+	left   *sync.WaitGroup
+}
+
+func newHub(l *ledger.Ledger, controlAddrs func() []string, log zerolog.Logger) *hub {
+	return &hub{
+		ledger: l, controlAddrs: controlAddrs, log: log,
+		servers: directory.New(), followers: map[*follower]bool{},
+	}
+}
+
+// run wakes followers at changes of the ledger and for renewals.
+func (h *hub) run(ctx context.Context) {
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
+	forget := time.NewTicker(forgetInterval)
+	defer forget.Stop()
+	for {
+		changed := h.ledger.Changed()
+		select {
+		case <-changed:
+			h.wakeAll()
+		case <-renew.C:
+			h.wakeAll()
+		case <-forget.C:
+			h.mu.Lock()
+			h.servers.Forget(time.Now())
+			h.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *hub) wakeAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for f := range h.followers {
+		f.notify()
+	}
+}
+
+func (f *follower) notify() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// merge takes a record in and marks it for the followers; the lock is held.
+func (h *hub) merge(b fleet.BackendServer, source string) directory.Change {
+	change := h.servers.Merge(b)
+	switch change {
+	case directory.Changed:
+		h.log.Info().Str("server", b.ID).Str("service", b.Service).Str("addr", b.Addr).Str("zone", b.Zone).
+			Stringer("state", b.State).Uint64("seq", b.Seq).Str("source", source).Msg("backend server changed")
+		for f := range h.followers {
+			f.changed[b.ID] = true
+			f.notify()
+		}
+	case directory.Renewed:
+		h.markRenewed(b.ID)
+	}
+	return change
+}
+
+func (h *hub) markRenewed(id string) {
+	for f := range h.followers {
+		f.renewed[id] = true
+	}
+}
+
+// announce merges an announcement and, if the server leaves, waits until the
+// followers know.
+func (h *hub) announce(ctx context.Context, b fleet.BackendServer) error {
+	h.mu.Lock()
+	change := h.merge(b, "announcement")
+	if change != directory.Changed || b.State == fleet.StateReady {
+		h.mu.Unlock()
+		return nil
+	}
+	var left sync.WaitGroup
+	for f := range h.followers {
+		left.Add(1)
+		f.waiters = append(f.waiters, &waiter{id: b.ID, left: &left})
+	}
+	h.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		left.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(spreadTimeout):
+		h.log.Warn().Str("server", b.ID).Msg("not all followers have acknowledged that the server leaves")
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// peerUpdate takes over what another control server knows of backend servers.
+func (h *hub) peerUpdate(source string, u *rpc.FleetUpdate) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for _, s := range u.Servers {
+		h.merge(follow.ServerFromProto(s, now), source)
+	}
+	for _, s := range u.Seen {
+		if h.servers.Renew(s.Id, s.Seq, now) == directory.Renewed {
+			h.markRenewed(s.Id)
+		}
+	}
+}
+
+// serve sends updates to one follower until its stream ends.
+func (h *hub) serve(stream rpc.DRPCFleet_FollowStream) error {
+	hello, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	f := h.join(hello)
+	defer h.leave(f)
+	go func() {
+		for {
+			m, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			h.acknowledged(f, m.Acknowledged)
+		}
+	}()
+	keepAlive := time.NewTicker(follow.KeepAlive)
+	defer keepAlive.Stop()
+	for {
+		u := h.next(f)
+		if u != nil {
+			if err := stream.Send(u); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-f.wake:
+		case <-keepAlive.C:
+			if err := stream.Send(&rpc.FleetUpdate{}); err != nil {
+				return err
+			}
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+func (h *hub) join(hello *rpc.FollowerMessage) *follower {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := &follower{
+		name: hello.Name, role: hello.Role, wake: make(chan struct{}, 1),
+		changed: map[string]bool{}, renewed: map[string]bool{}, versions: map[string]uint64{},
+	}
+	for _, b := range h.servers.All() {
+		f.changed[b.ID] = true
+	}
+	h.followers[f] = true
+	for other := range h.followers {
+		other.notify() // the number of entries may have changed
+	}
+	h.log.Info().Str("follower", f.name).Str("role", f.role).Msg("follower joined")
+	return f
+}
+
+func (h *hub) leave(f *follower) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.followers, f)
+	for _, w := range f.waiters {
+		w.left.Done()
+	}
+	f.waiters = nil
+	h.log.Info().Str("follower", f.name).Str("role", f.role).Msg("follower left")
+}
+
+func (h *hub) acknowledged(f *follower, number uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f.acked = max(f.acked, number)
+	f.waiters = slices.DeleteFunc(f.waiters, func(w *waiter) bool {
+		if w.number == 0 || w.number > f.acked {
+			return false
+		}
+		w.left.Done()
+		return true
+	})
+}
+
+// next makes the update that a follower lacks, nil if it lacks nothing.
+func (h *hub) next(f *follower) *rpc.FleetUpdate {
+	state := h.ledger.State()
+	addrs := h.controlAddrs()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	u := &rpc.FleetUpdate{ControlAddrs: addrs, Entries: uint32(h.entries())}
+	lacks := f.number == 0 || int(u.Entries) != f.entries || !slices.Equal(addrs, f.controlAddrs)
+	f.entries, f.controlAddrs = int(u.Entries), addrs
+	if f.role != RoleControl {
+		lacks = f.lackOfLedger(u, state, now) || lacks
+	}
+	for id := range f.changed {
+		if b := h.servers.Get(id); b != nil {
+			u.Servers = append(u.Servers, follow.ServerToProto(b, now))
+		}
+	}
+	for id := range f.renewed {
+		if b := h.servers.Get(id); b != nil && !f.changed[id] {
+			u.Seen = append(u.Seen, &rpc.ServerSeen{Id: id, Seq: b.Seq})
+		}
+	}
+	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 {
+		return nil
+	}
+	clear(f.changed)
+	clear(f.renewed)
+	f.number++
+	u.Number = f.number
+	for _, w := range f.waiters {
+		if w.number == 0 {
+			w.number = u.Number
+		}
+	}
+	return u
+}
+
+// lackOfLedger adds what is committed and was not sent yet.
+func (f *follower) lackOfLedger(u *rpc.FleetUpdate, state *ledger.State, now time.Time) (lacks bool) {
+	if state.ConfigVersion > f.configVersion {
+		u.ConfigVersion, u.Config = state.ConfigVersion, state.Config
+		f.configVersion = state.ConfigVersion
+		lacks = true
+	}
+	for model, v := range state.Versions {
+		if v.Number > f.versions[model] {
+			f.versions[model] = v.Number
+			u.Versions = append(u.Versions, &rpc.ModelVersion{
+				Model: model, Version: v.Number, AgeMs: now.Sub(v.AppliedAt).Milliseconds(),
+			})
+			lacks = true
+		}
+	}
+	return lacks
+}
+
+// entries counts the entries that follow; the lock is held.
+func (h *hub) entries() int {
+	names := map[string]bool{}
+	for f := range h.followers {
+		if f.role == RoleEntry {
+			names[f.name] = true
+		}
+	}
+	return len(names)
+}
--- /dev/null
+++ b/internal/fleetdaemon/agent.go
@@ -0,0 +1,43 @@
+package fleetdaemon
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"lynxgate.dev/lynxgate/internal/fleetcontrol"
+	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/staging"
+)
+
+// agentRole stages weights on the engine beside it.
+type agentRole struct {
+	stager *staging.Stager
+	client *follow.Client
+}
+
+func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
+	viewer := follow.NewViewer(cfg.Decode, nil, cfg.Logger)
+	a := cfg.Agent
+	return &agentRole{
+		client: newFollower(cfg, fleetcontrol.RoleAgent, viewer),
+		stager: staging.New(staging.Config{
+			Service: a.Service, EngineAddr: a.EngineAddr, PeerAddr: a.PeerAddr,
+			Engine: a.Engine, Origin: a.Origin, View: viewer.View,
+			VersionBound: cfg.VersionBound, Logger: cfg.Logger, Metrics: staging.NewMetrics(registry),
+		}),
+	}
+}
+
+func (r *agentRole) register(mux *drpcmux.Mux) error { return r.stager.Register(mux) }
+
+func (r *agentRole) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.client.Run(ctx) })
+	group.Go(func() error { return r.stager.Run(ctx) })
+	return group.Wait()
+}
+
+func (r *agentRole) leave(context.Context) error { return nil }
--- /dev/null
+++ b/internal/fleetdaemon/control.go
@@ -0,0 +1,115 @@
+package fleetdaemon
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"storj.io/drpc/drpcmux"
+
+	"lynxgate.dev/lynxgate/internal/fleetcontrol"
+	"lynxgate.dev/lynxgate/internal/raftlog"
+	"lynxgate.dev/lynxgate/internal/replica"
+)
+
+// Timing of the replicated log: a leader that is lost is replaced within about a
+// second, so that a change is accepted within the second that operators wait, or
+// at their next try.
+const (
+	tickInterval    = 50 * time.Millisecond
+	electionTicks   = 10
+	heartbeatTicks  = 2
+	snapshotEntries = 400
+	// retireAfter is longer than a restart or a cut of some seconds.
+	retireAfter = 6 * time.Second
+	// openRetry is the pause between tries to open a data folder.
+	openRetry = 300 * time.Millisecond
+)
+
+// controlRole is a control server with its operators' API.
+type controlRole struct {
+	server *fleetcontrol.Server
+	http   *http.Server
+}
+
+func newControlRole(stop context.Context, cfg *Config) (*controlRole, error) {
+	server, err := openControl(stop, cfg)
+	if err != nil {
+		return nil, err
+	}
+	e := echo.New()
+	cfg.Control.Mount(e, server)
+	return &controlRole{server: server, http: &http.Server{
+		Addr: cfg.Control.OperatorsAddr, Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}}, nil
+}
+
+// openControl opens the log, again and again while the disk refuses. A data folder
+// that is damaged is given up: the server joins as a new one, which the protocol
+// treats like a lost disk.
+func openControl(stop context.Context, cfg *Config) (*fleetcontrol.Server, error) {
+	for {
+		server, err := fleetcontrol.New(controlConfig(cfg))
+		if err == nil {
+			return server, nil
+		}
+		cfg.Logger.Error().Err(err).Msg("control server not started; trying again")
+		var corrupt *raftlog.CorruptError
+		if errors.As(err, &corrupt) {
+			if err := clearFolder(cfg.Control.DataFolder); err != nil {
+				cfg.Logger.Error().Err(err).Msg("damaged data folder not cleared")
+			}
+		}
+		select {
+		case <-time.After(openRetry):
+		case <-stop.Done():
+			return nil, err
+		}
+	}
+}
+
+func clearFolder(dir string) error {
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		if err := os.Remove(filepath.Join(dir, f.Name())); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+	}
+	return nil
+}
+
+func controlConfig(cfg *Config) fleetcontrol.Config {
+	c := cfg.Control
+	r := replica.Config{
+		Name: c.Member, Addr: cfg.RPCAddr, Dir: c.DataFolder,
+		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+		SnapshotEntries: snapshotEntries, JoinOnly: !c.FirstStart, AdmitNewcomers: true,
+		RetireAfter: retireAfter, RetryDisk: true, Logger: cfg.Logger,
+	}
+	for name, addr := range c.Peers() {
+		r.Peers = append(r.Peers, replica.Member{Name: name, Addr: addr})
+	}
+	return fleetcontrol.Config{
+		Name: cfg.Name, Addr: cfg.RPCAddr, Replica: r, Seeds: cfg.Seeds, Logger: cfg.Logger,
+	}
+}
+
+func (r *controlRole) register(mux *drpcmux.Mux) error { return r.server.Register(mux) }
+
+func (r *controlRole) run(ctx context.Context) error {
+	httpDone := make(chan error, 1)
+	go func() { httpDone <- serveHTTP(ctx, r.http) }()
+	err := r.server.Run(ctx)
+	return errors.Join(err, <-httpDone)
+}
+
+// leave hands leadership over while calls are still taken, then ends.
+func (r *controlRole) leave(ctx context.Context) error { return r.server.Stop(ctx) }
--- /dev/null
+++ b/internal/fleetdaemon/daemon.go
@@ -0,0 +1,198 @@
+// Package fleetdaemon assembles a process of a fleet whose backend servers
+// announce themselves and are called directly: an entry, a control server, an
+// agent, or several of them. The adapter to a platform fills in the Config.
+//
+// State: none beside the roles. On a stop every role first refuses new work and
+// says so, then finishes what is in progress.
+package fleetdaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/fleetcontrol"
+	"lynxgate.dev/lynxgate/internal/gateway"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
+	"lynxgate.dev/lynxgate/internal/staging"
+)
+
+// Config is what a process is told. Addresses are ip:port; a role without its
+// addresses is not taken on.
+type Config struct {
+	Name string
+	Zone string
+	// RPCAddr is for calls between daemons, MetricsAddr for metrics.
+	RPCAddr     string
+	MetricsAddr string
+	// Seeds returns rpc addresses of control servers, as of now.
+	Seeds func() []string
+	// Grace is how long a stop may take.
+	Grace time.Duration
+	// Decode reads the operators' document.
+	Decode func(document []byte) (*fleet.Config, error)
+	// VersionBound is how long a version may take to be in use everywhere.
+	VersionBound time.Duration
+	Entry        *EntryConfig
+	Control      *ControlConfig
+	Agent        *AgentConfig
+	Logger       zerolog.Logger
+	// DroppedLines returns how many log lines were dropped.
+	DroppedLines func() int64
+}
+
+// EntryConfig is of an entry.
+type EntryConfig struct {
+	CallersAddr string
+	ReadyAddr   string
+	// MountReady adds the call of the balancer in front.
+	MountReady  func(mux *http.ServeMux, ready func() (string, bool))
+	Headers     gateway.Headers
+	RetryShare  float64
+	RetryFloor  int
+	RetryWindow time.Duration
+}
+
+// ControlConfig is of a control server.
+type ControlConfig struct {
+	// OperatorsAddr is for operators and backend servers; Mount adds their calls.
+	OperatorsAddr string
+	Mount         func(e *echo.Echo, s *fleetcontrol.Server)
+	DataFolder    string
+	// FirstStart allows to found the cluster.
+	FirstStart bool
+	// Member names this server in the log; Peers are the founders by name.
+	Member string
+	Peers  func() map[string]string
+}
+
+// AgentConfig is of an agent.
+type AgentConfig struct {
+	EngineAddr string
+	Service    string
+	Engine     staging.Engine
+	Origin     staging.Origin
+	// PeerAddr returns the rpc address of the agent beside a backend server.
+	PeerAddr func(serverAddr string) string
+}
+
+// role is one duty of the process.
+type role interface {
+	register(mux *drpcmux.Mux) error
+	run(ctx context.Context) error
+	// leave finishes work in progress until ctx is done.
+	leave(ctx context.Context) error
+}
+
+// Run runs the process until stop is done, and then stops it gracefully.
+func Run(stop context.Context, cfg Config) error {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lynxgate_log_lines_dropped", Help: "Log lines dropped since the start.",
+	}, func() float64 { return float64(cfg.DroppedLines()) }))
+	roles, err := assemble(stop, &cfg, registry)
+	if err != nil {
+		return err
+	}
+	mux := drpcmux.New()
+	for _, r := range roles {
+		if err := r.register(mux); err != nil {
+			return fmt.Errorf("register services: %w", err)
+		}
+	}
+	running, end := context.WithCancel(context.Background())
+	defer end()
+	group, ctx := errgroup.WithContext(running)
+	group.Go(func() error { return serveMetrics(ctx, cfg.MetricsAddr, registry) })
+	if cfg.Control != nil || cfg.Agent != nil {
+		lis, err := net.Listen("tcp", cfg.RPCAddr)
+		if err != nil {
+			return fmt.Errorf("rpc address: %w", err)
+		}
+		group.Go(func() error { return rpcconn.Serve(ctx, lis, mux) })
+	}
+	for _, r := range roles {
+		group.Go(func() error { return r.run(ctx) })
+	}
+	cfg.Logger.Info().Str("zone", cfg.Zone).Str("rpc", cfg.RPCAddr).Int("roles", len(roles)).Msg("running")
+	select {
+	case <-stop.Done():
+	case <-ctx.Done():
+	}
+	leaveErr := leave(&cfg, roles)
+	end()
+	return errors.Join(leaveErr, ignoreCanceled(group.Wait()))
+}
+
+func assemble(stop context.Context, cfg *Config, registry *prometheus.Registry) ([]role, error) {
+	var roles []role
+	if cfg.Control != nil {
+		r, err := newControlRole(stop, cfg)
+		if err != nil {
+			return nil, err
+		}
+		roles = append(roles, r)
+	}
+	if cfg.Entry != nil {
+		roles = append(roles, newEntryRole(cfg, registry))
+	}
+	if cfg.Agent != nil {
+		roles = append(roles, newAgentRole(cfg, registry))
+	}
+	if len(roles) == 0 {
+		return nil, errors.New("no role is configured")
+	}
+	return roles, nil
+}
+
+// graceMargin is the part of the grace period left for the end of the process.
+const graceMargin = 400 * time.Millisecond
+
+func leave(cfg *Config, roles []role) error {
+	cfg.Logger.Info().Msg("stopping: refusing new work, finishing work in progress")
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.Grace-graceMargin)
+	defer cancel()
+	var group errgroup.Group
+	for _, r := range roles {
+		group.Go(func() error { return r.leave(ctx) })
+	}
+	return group.Wait()
+}
+
+func serveMetrics(ctx context.Context, addr string, registry *prometheus.Registry) error {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return serveHTTP(ctx, server)
+}
+
+// headerTimeout bounds the head of a request where no other limit is known.
+const headerTimeout = 3 * time.Second
+
+// serveHTTP serves until ctx is done.
+func serveHTTP(ctx context.Context, server *http.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", server.Addr, err)
+	}
+	return nil
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/fleetdaemon/entry.go
@@ -0,0 +1,101 @@
+package fleetdaemon
+
+import (
+	"context"
+	"io"
+	"log"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/fleetcontrol"
+	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/gateway"
+)
+
+const (
+	// idleTimeout is longer than callers leave a connection idle; those that
+	// are too many are bounded by the descriptors.
+	idleTimeout = 75 * time.Second
+	// headBytes bounds the head of a request; the configured limit is less.
+	headBytes = 64 << 10
+	// acceptAfterLeave is how long a stopping entry takes new connections: the
+	// balancer in front asks once a second and needs two misses.
+	acceptAfterLeave = 2600 * time.Millisecond
+	// leavePoll is how often a stopping entry looks whether it has finished.
+	leavePoll = 20 * time.Millisecond
+)
+
+// entryRole serves callers.
+type entryRole struct {
+	gateway *gateway.Gateway
+	client  *follow.Client
+	callers *http.Server
+	ready   *http.Server
+}
+
+func newEntryRole(cfg *Config, registry prometheus.Registerer) *entryRole {
+	e := cfg.Entry
+	g := gateway.New(gateway.Config{
+		Headers:    e.Headers,
+		Balance:    balance.Config{Zone: cfg.Zone, VersionBound: cfg.VersionBound, Logger: cfg.Logger},
+		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
+		Logger: cfg.Logger, Metrics: gateway.NewMetrics(registry),
+	})
+	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.Logger)
+	ready := http.NewServeMux()
+	e.MountReady(ready, g.Ready)
+	quiet := log.New(io.Discard, "", 0) // broken connections of callers are counted, not told
+	return &entryRole{
+		gateway: g,
+		client:  newFollower(cfg, fleetcontrol.RoleEntry, viewer),
+		callers: &http.Server{
+			Addr: e.CallersAddr, Handler: g, ErrorLog: quiet,
+			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headBytes,
+		},
+		ready: &http.Server{Addr: e.ReadyAddr, Handler: ready, ReadHeaderTimeout: headerTimeout, ErrorLog: quiet},
+	}
+}
+
+func newFollower(cfg *Config, role string, viewer *follow.Viewer) *follow.Client {
+	return follow.New(follow.Config{
+		Name: cfg.Name, Role: role, Seeds: cfg.Seeds,
+		Update: viewer.Update, Lost: viewer.Lost, Logger: cfg.Logger,
+	})
+}
+
+func (r *entryRole) register(*drpcmux.Mux) error { return nil }
+
+func (r *entryRole) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.client.Run(ctx) })
+	group.Go(func() error { return r.gateway.Run(ctx) })
+	group.Go(func() error { return serveHTTP(ctx, r.callers) })
+	group.Go(func() error { return serveHTTP(ctx, r.ready) })
+	return group.Wait()
+}
+
+// leave says that the entry is not ready, lets the balancer notice, and ends once
+// the requests in progress have ended.
+func (r *entryRole) leave(ctx context.Context) error {
+	r.gateway.Leave()
+	timer := time.NewTimer(acceptAfterLeave)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil
+	}
+	for r.gateway.InFlight() > 0 {
+		select {
+		case <-time.After(leavePoll):
+		case <-ctx.Done():
+			return nil // what is left is cut at the end of the grace period
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/follow/client.go
@@ -0,0 +1,194 @@
+// Package follow keeps a daemon in touch with all control servers: one stream
+// to each, of the committed configuration, the versions of weights and the
+// backend servers. State: one goroutine and one stream by control server; the
+// merged result belongs to a View. Messages: rpc.Fleet Follow.
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
+)
+
+const (
+	// KeepAlive is how often a control server sends something on each stream.
+	KeepAlive = 400 * time.Millisecond
+	// silence is after how long without a word a stream is given up: three
+	// keep-alives and the delay of a slow machine. TCP alone would take minutes
+	// to notice a cut.
+	silence = 1500 * time.Millisecond
+	// dialTimeout bounds one try to connect.
+	dialTimeout = 800 * time.Millisecond
+	// retryPause is the mean pause after a stream has ended.
+	retryPause = 150 * time.Millisecond
+	// keepUnlisted is for how long a control server that nobody lists is tried.
+	keepUnlisted = 20 * time.Second
+)
+
+// Config says who follows.
+type Config struct {
+	// Name and Role (entry, agent or control) of this daemon.
+	Name string
+	Role string
+	// Self is the rpc address of this daemon if it is a control server: it does
+	// not follow itself.
+	Self string
+	// Seeds returns the control servers that the settings name.
+	Seeds func() []string
+	// Update takes over what a control server sent; calls for one source are in
+	// order, those for several are concurrent.
+	Update func(source string, u *rpc.FleetUpdate)
+	// Lost is called when a stream has ended.
+	Lost   func(source string)
+	Logger zerolog.Logger
+}
+
+// Client follows all control servers.
+type Client struct {
+	cfg Config
+
+	mu     sync.Mutex
+	known  map[string]*source
+	closed sync.WaitGroup
+}
+
+// source is one control server.
+type source struct {
+	cancel   context.CancelFunc
+	listedAt time.Time
+}
+
+// New returns a client; Run starts it.
+func New(cfg Config) *Client { return &Client{cfg: cfg, known: map[string]*source{}} }
+
+// Run follows until ctx is done.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		c.list(ctx, c.cfg.Seeds())
+		c.dropUnlisted()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			c.closed.Wait()
+			return ctx.Err()
+		}
+	}
+}
+
+// list follows these control servers, too.
+func (c *Client) list(ctx context.Context, addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, addr := range addrs {
+		if addr == c.cfg.Self || addr == "" || ctx.Err() != nil {
+			continue
+		}
+		if s, ok := c.known[addr]; ok {
+			s.listedAt = now
+			continue
+		}
+		sourceCtx, cancel := context.WithCancel(ctx)
+		c.known[addr] = &source{cancel: cancel, listedAt: now}
+		c.closed.Add(1)
+		go func() {
+			defer c.closed.Done()
+			c.follow(sourceCtx, ctx, addr)
+		}()
+	}
+}
+
+func (c *Client) dropUnlisted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, s := range c.known {
+		if time.Since(s.listedAt) > keepUnlisted {
+			s.cancel()
+			delete(c.known, addr)
+		}
+	}
+}
+
+// follow keeps a stream to one control server.
+func (c *Client) follow(ctx, run context.Context, addr string) {
+	lost := false
+	for ctx.Err() == nil {
+		received, err := c.stream(ctx, run, addr)
+		if ctx.Err() != nil {
+			return
+		}
+		if received > 0 {
+			c.cfg.Lost(addr)
+		}
+		if received > 0 || !lost {
+			lost = true
+			c.cfg.Logger.Warn().Str("control", addr).Err(err).Int("updates", received).Msg("control server lost")
+		}
+		pause := retryPause/2 + rand.N(retryPause)
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// stream takes updates until the stream fails or falls silent.
+func (c *Client) stream(ctx, run context.Context, addr string) (received int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dialCtx, dialled := context.WithTimeout(ctx, dialTimeout)
+	conn, err := rpcconn.Dial(dialCtx, addr)
+	dialled()
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	// Closing the connection ends a stream whose peer no longer answers.
+	watchdog := time.AfterFunc(silence, func() { _ = conn.Close() })
+	defer watchdog.Stop()
+	stream, err := rpc.NewDRPCFleetClient(conn).Follow(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("follow %s: %w", addr, err)
+	}
+	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Role: c.cfg.Role}); err != nil {
+		return 0, fmt.Errorf("follow %s: %w", addr, err)
+	}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return received, streamError(addr, err)
+		}
+		watchdog.Reset(silence)
+		if u.Number == 0 {
+			continue
+		}
+		if received == 0 {
+			c.cfg.Logger.Info().Str("control", addr).Msg("control server reached")
+		}
+		received++
+		c.cfg.Update(addr, u)
+		c.list(run, u.ControlAddrs)
+		if err := stream.Send(&rpc.FollowerMessage{Acknowledged: u.Number}); err != nil {
+			return received, streamError(addr, err)
+		}
+	}
+}
+
+func streamError(addr string, err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, drpc.ClosedError.New("")) {
+		return fmt.Errorf("stream of %s ended", addr)
+	}
+	return fmt.Errorf("stream of %s: %w", addr, err)
+}
--- /dev/null
+++ b/internal/follow/view.go
@@ -0,0 +1,163 @@
+package follow
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/directory"
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// View is what all control servers together have told; it is immutable.
+type View struct {
+	// Table is nil while no configuration is known.
+	Table    *fleet.Table
+	Versions map[string]ledger.Version
+	// Servers holds the backend servers by service, those that left among them.
+	Servers map[string][]*fleet.BackendServer
+	// Entries is how many entries the control servers know of, at least 1.
+	Entries int
+}
+
+// Viewer merges updates into views. Within one process a configuration is
+// never followed by an older one.
+type Viewer struct {
+	decode func(document []byte) (*fleet.Config, error)
+	log    zerolog.Logger
+	// Changed is called after each new view.
+	changed func(*View)
+
+	view atomic.Pointer[View]
+
+	mu      sync.Mutex
+	servers *directory.Directory
+	entries map[string]int
+	forget  time.Time
+}
+
+// forgetInterval is how often servers that were not heard for long are dropped.
+const forgetInterval = 5 * time.Second
+
+// NewViewer returns a viewer. decode reads the operators' document; changed may
+// be nil.
+func NewViewer(decode func([]byte) (*fleet.Config, error), changed func(*View), log zerolog.Logger) *Viewer {
+	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(), entries: map[string]int{}}
+	v.view.Store(&View{Entries: 1})
+	return v
+}
+
+// View returns the newest view.
+func (v *Viewer) View() *View { return v.view.Load() }
+
+// Update takes one update over.
+func (v *Viewer) Update(source string, u *rpc.FleetUpdate) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := *v.view.Load()
+	changed := v.takeConfig(&next, source, u)
+	changed = v.takeVersions(&next, u) || changed
+	if v.takeServers(u) {
+		next.Servers = v.byService()
+		changed = true
+	}
+	v.entries[source] = int(u.Entries)
+	if n := v.entryCount(); n != next.Entries {
+		next.Entries = n
+		changed = true
+	}
+	if !changed {
+		return
+	}
+	v.view.Store(&next)
+	if v.changed != nil {
+		v.changed(&next)
+	}
+}
+
+// Lost forgets what only a living control server can tell.
+func (v *Viewer) Lost(source string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.entries, source)
+}
+
+func (v *Viewer) entryCount() int {
+	most := 1
+	for _, n := range v.entries {
+		most = max(most, n)
+	}
+	return most
+}
+
+func (v *Viewer) takeConfig(next *View, source string, u *rpc.FleetUpdate) bool {
+	if u.ConfigVersion == 0 || (next.Table != nil && u.ConfigVersion <= next.Table.Config.Version) {
+		return false
+	}
+	document, err := ledger.Inflate(u.Config)
+	if err != nil {
+		v.log.Error().Err(err).Str("control", source).Uint64("version", u.ConfigVersion).Msg("configuration not taken over")
+		return false
+	}
+	config, err := v.decode(document)
+	if err != nil {
+		v.log.Error().Err(err).Str("control", source).Uint64("version", u.ConfigVersion).Msg("configuration not taken over")
+		return false
+	}
+	next.Table = fleet.NewTable(config)
+	v.log.Info().Str("control", source).Uint64("version", config.Version).Int("routes", len(config.Routes)).
+		Int("organisations", len(config.Organisations)).Msg("configuration in force")
+	return true
+}
+
+func (v *Viewer) takeVersions(next *View, u *rpc.FleetUpdate) bool {
+	changed := false
+	for _, m := range u.Versions {
+		if m.Version <= next.Versions[m.Model].Number {
+			continue
+		}
+		versions := make(map[string]ledger.Version, len(next.Versions)+1)
+		for model, known := range next.Versions {
+			versions[model] = known
+		}
+		age := time.Duration(m.AgeMs) * time.Millisecond
+		versions[m.Model] = ledger.Version{Number: m.Version, AppliedAt: time.Now().Add(-age)}
+		next.Versions = versions
+		changed = true
+		v.log.Info().Str("model", m.Model).Uint64("version", m.Version).Dur("age", age).Msg("version of weights named")
+	}
+	return changed
+}
+
+func (v *Viewer) takeServers(u *rpc.FleetUpdate) bool {
+	changed := false
+	now := time.Now()
+	for _, s := range u.Servers {
+		b := ServerFromProto(s, now)
+		if v.servers.Merge(b) == directory.Changed {
+			changed = true
+			v.log.Info().Str("server", b.ID).Str("service", b.Service).Str("addr", b.Addr).Stringer("state", b.State).
+				Uint64("seq", b.Seq).Interface("models", b.Models).Msg("backend server changed")
+		}
+	}
+	for _, s := range u.Seen {
+		changed = v.servers.Renew(s.Id, s.Seq, now) != directory.Unchanged || changed
+	}
+	if now.After(v.forget) {
+		v.forget = now.Add(forgetInterval)
+		v.servers.Forget(now)
+	}
+	return changed
+}
+
+func (v *Viewer) byService() map[string][]*fleet.BackendServer {
+	out := map[string][]*fleet.BackendServer{}
+	for _, b := range v.servers.All() {
+		out[b.Service] = append(out[b.Service], b)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/dispatch"
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/ledger"
+)
+
+// hopFields concern one connection only and are not passed on (RFC 9110, 7.6.1).
+var hopFields = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Expect": true, "Content-Length": true, "Host": true,
+}
+
+// sendHead is what the head of one send has of its own.
+type sendHead struct {
+	server        string
+	expectVersion string
+}
+
+// head returns the bytes of a send: the caller's method, target, fields and body,
+// and the fields that the system sets.
+func (c *call) head(s sendHead) []byte {
+	h := &c.g.cfg.Headers
+	var b bytes.Buffer
+	b.Grow(512 + len(c.body))
+	b.WriteString(c.r.Method + " " + c.r.RequestURI + " HTTP/1.1\r\nHost: " + c.r.Host + "\r\n")
+	named := connectionFields(c.r.Header)
+	own := []string{h.Key, h.Organisation, h.ExpectServer, h.ExpectVersion, h.DeadlineMs, h.Priority, h.ResumeAfter}
+	for name, values := range c.r.Header {
+		if hopFields[name] || named[name] || containsFold(own, name) {
+			continue
+		}
+		for _, value := range values {
+			writeField(&b, name, value)
+		}
+	}
+	if len(c.body) > 0 || c.r.ContentLength >= 0 && c.r.Method != http.MethodGet && c.r.Method != http.MethodHead {
+		writeField(&b, "Content-Length", strconv.Itoa(len(c.body)))
+	}
+	writeField(&b, h.DeadlineMs, strconv.FormatInt(max(time.Until(c.by).Milliseconds(), 1), 10))
+	writeField(&b, h.ExpectServer, s.server)
+	if s.expectVersion != "" {
+		writeField(&b, h.ExpectVersion, s.expectVersion)
+	}
+	if c.org != nil {
+		writeField(&b, h.Organisation, c.org.Name)
+	}
+	if c.lastEvent != "" {
+		writeField(&b, h.ResumeAfter, c.lastEvent)
+	}
+	b.WriteString("\r\n")
+	b.Write(c.body)
+	return b.Bytes()
+}
+
+func writeField(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
+func containsFold(names []string, name string) bool {
+	for _, n := range names {
+		if n != "" && strings.EqualFold(n, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// connectionFields are the fields that a Connection field names.
+func connectionFields(h http.Header) map[string]bool {
+	values := h["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	named := map[string]bool{}
+	for _, value := range values {
+		for _, name := range strings.Split(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+// expectVersion is the version of weights that the next server must hold: that of
+// the events passed on so far, or the newest one once older ones must not be used.
+func (c *call) expectVersion() string {
+	if c.model == "" {
+		return ""
+	}
+	if c.events > 0 && c.version != "" {
+		return c.version
+	}
+	named := c.view.Versions[c.model]
+	if named.Number > 0 && c.choice.Version == named.Number && c.olderIsOver(named) {
+		return strconv.FormatUint(named.Number, 10)
+	}
+	return ""
+}
+
+// olderIsOver tells whether requests may no longer begin on an older version.
+func (c *call) olderIsOver(named ledger.Version) bool {
+	return time.Since(named.AppliedAt) > c.g.cfg.Balance.VersionBound/2
+}
+
+// copyHead takes over the fields of a server's answer.
+func (c *call) copyHead(a *dispatch.Answer) {
+	out := c.w.Header()
+	named := connectionFields(a.Header)
+	for name, values := range a.Header {
+		if hopFields[name] || named[name] {
+			continue
+		}
+		out[name] = values
+	}
+}
+
+// write writes an answer in one piece.
+func (c *call) write(status int, body []byte) {
+	c.committed = true
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(status)
+	if c.r.Method != http.MethodHead {
+		// An error means that the caller is gone, which the log tells by its context.
+		_, _ = c.w.Write(body)
+	}
+}
+
+// fail answers a request that the caller has to change.
+func (c *call) fail(status int, reason string) {
+	c.status, c.reason = status, reason
+	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	c.write(status, []byte(reason+"\n"))
+}
+
+// refuse answers a request that has not run and never will.
+func (c *call) refuse(status int, reason string, retryAfter time.Duration) {
+	seconds := strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64)
+	c.w.Header().Set("Retry-After", seconds)
+	c.fail(status, reason)
+}
+
+// giveUp ends a call without an answer of a server, at once. What has begun to be
+// written is broken off, so that it can not look whole.
+func (c *call) giveUp(reason string) {
+	switch {
+	case c.r.Context().Err() != nil:
+		c.status, c.reason = statusClientGone, "caller left"
+	case c.committed:
+		c.status, c.reason = http.StatusBadGateway, reason
+		c.broken = true
+	case !c.mayHaveRun:
+		c.refuse(http.StatusServiceUnavailable, reason, c.retryAfter())
+	case !time.Now().Before(c.by.Add(-leastSend)):
+		c.fail(http.StatusGatewayTimeout, reason)
+	default:
+		c.fail(http.StatusBadGateway, reason)
+	}
+}
+
+// retryAfter is when a refused caller should come back: when about an objective's
+// worth of work has been done, jittered so that not all come at once.
+func (c *call) retryAfter() time.Duration {
+	wait := defaultRetryAfter
+	if c.route != nil && c.route.Objective > 0 {
+		wait = c.route.Objective
+	}
+	return wait/2 + jitter(wait)
+}
+
+// queueLimit is how many requests per slot a server may have, itself included.
+// Repeats may exceed it: their caller has waited already.
+func (c *call) queueLimit(again bool) float64 {
+	if c.route.Kind != fleet.KindStream {
+		return wholeQueue
+	}
+	if again {
+		return streamQueue * 1.25
+	}
+	return streamQueue
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,419 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/dispatch"
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/follow"
+)
+
+const (
+	// defaultDeadline is for callers that state none.
+	defaultDeadline = 30 * time.Second
+	// leastSend is the least time left with which a send is worthwhile: below
+	// it a backend server can not answer in time.
+	leastSend = 20 * time.Millisecond
+	// maxDefaultBody bounds a body where the configuration does not, in bytes.
+	maxDefaultBody = 4 << 20
+)
+
+// call is one request of a caller on its way through the entry.
+type call struct {
+	g     *Gateway
+	w     http.ResponseWriter
+	r     *http.Request
+	began time.Time
+
+	view  *follow.View
+	id    string
+	route *fleet.Route
+	org   *fleet.Organisation
+	model string
+	body  []byte
+	// clientBy is when the caller gives up, by its own word; by is when we do.
+	clientBy, by time.Time
+	service      string
+
+	// sends counts those that left; mayHaveRun tells that one of them may have
+	// run, or has.
+	sends      int
+	mayHaveRun bool
+	tried      []*balance.Server
+	choice     balance.Choice
+	lastErr    error
+	// committed: the head of the answer has been written to the caller.
+	committed bool
+	// status and reason of the end, for the log and the counters.
+	status     int
+	reason     string
+	events     int
+	firstEvent time.Duration
+	// lastEvent is the id of the last event passed on, or that the caller has.
+	lastEvent string
+	// version of the weights that wrote the first events.
+	version string
+	// broken: the answer was begun and can not be ended.
+	broken bool
+}
+
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
+	return &call{
+		g: g, w: w, r: r, began: time.Now(), view: g.view.Load(),
+		id: r.Header.Get(g.cfg.Headers.RequestID), lastEvent: r.Header.Get(g.cfg.Headers.ResumeAfter),
+	}
+}
+
+// serve decides on the request and carries it out.
+func (c *call) serve() {
+	t := c.view.Table
+	if t == nil {
+		c.refuse(http.StatusServiceUnavailable, "no configuration is known", time.Second)
+		return
+	}
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route = t.Route(c.r.Host, path)
+	if c.route == nil {
+		c.fail(http.StatusNotFound, "no route")
+		return
+	}
+	if t.HasOrganisations() && !c.route.Anonymous {
+		c.org = t.Holder(c.r.Header.Get(c.g.cfg.Headers.Key))
+		if c.org == nil {
+			c.fail(http.StatusUnauthorized, "unknown key")
+			return
+		}
+	}
+	if !c.setDeadline() || !c.readBody(t.Config.Limits) {
+		return
+	}
+	c.service = pickTarget(c.route.Targets)
+	if s := t.Service(c.service); s != nil && s.Engine != nil {
+		c.model = c.r.Header.Get(c.g.cfg.Headers.Model)
+	}
+	c.g.budget(c.service).Request(c.g.steady(c.began))
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.by)
+	defer cancel()
+	c.attempts(ctx)
+}
+
+// pickTarget draws a service by the weights of the route.
+func pickTarget(targets []fleet.Target) string {
+	sum := 0
+	for _, t := range targets {
+		sum += t.Weight
+	}
+	n := rand.IntN(max(sum, 1))
+	for _, t := range targets {
+		if n -= t.Weight; n < 0 {
+			return t.Service
+		}
+	}
+	return targets[len(targets)-1].Service
+}
+
+// setDeadline takes over the caller's deadline and the route's timeout.
+func (c *call) setDeadline() bool {
+	wait := defaultDeadline
+	if text := c.r.Header.Get(c.g.cfg.Headers.DeadlineMs); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 || ms > float64(24*time.Hour/time.Millisecond) {
+			c.fail(http.StatusBadRequest, "unreadable deadline")
+			return false
+		}
+		wait = time.Duration(ms * float64(time.Millisecond))
+	}
+	c.clientBy = c.began.Add(wait)
+	c.by = c.began.Add(min(wait, c.route.Timeout))
+	return true
+}
+
+// readBody takes the whole body in, so that it can be sent again.
+func (c *call) readBody(limits fleet.Limits) bool {
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = maxDefaultBody
+	}
+	if c.r.ContentLength > limit {
+		c.fail(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		c.fail(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	case isTimeout(err):
+		c.w.Header().Set("Connection", "close")
+		c.fail(http.StatusRequestTimeout, "body came too slowly")
+		return false
+	case err != nil:
+		c.w.Header().Set("Connection", "close")
+		c.fail(http.StatusBadRequest, "unreadable body")
+		return false
+	}
+	c.body = body
+	return true
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// attempts sends the request until an answer stands, or gives it up.
+func (c *call) attempts(ctx context.Context) {
+	for {
+		if !c.choose(ctx) {
+			return
+		}
+		result := c.send(ctx)
+		if result == sendFinal {
+			return
+		}
+		if c.ended(ctx) {
+			return
+		}
+	}
+}
+
+// sendResult tells how to go on after a send.
+type sendResult uint8
+
+const (
+	// sendFinal: the caller has its answer, or is gone.
+	sendFinal sendResult = iota
+	// sendAgain: the request may be sent to another server.
+	sendAgain
+)
+
+// choose picks the server of the next send; false if the call has ended.
+func (c *call) choose(ctx context.Context) bool {
+	now := time.Now()
+	again := c.sends > 0
+	if again {
+		if c.sends >= max(c.route.MaxAttempts, 1) {
+			c.giveUp("all attempts are used")
+			return false
+		}
+		if !c.g.budget(c.service).TryRetry(c.g.steady(now)) {
+			c.giveUp("retry budget is used up")
+			return false
+		}
+	}
+	if c.by.Sub(now) < leastSend {
+		c.giveUp("no time left")
+		return false
+	}
+	want := balance.Want{Service: c.service, Model: c.model, Exclude: c.tried}
+	if c.events > 0 {
+		// The events so far bind the rest to their version; a version that can
+		// not be read binds to none, and the server is asked to check it.
+		want.Version, _ = strconv.ParseUint(c.version, 10, 64)
+	}
+	choice, room := c.g.balancer.Pick(now, want, c.queueLimit(again))
+	if choice.Server == nil {
+		c.noServer(room)
+		return false
+	}
+	c.choice = choice
+	c.tried = append(c.tried, choice.Server)
+	return true
+}
+
+// noServer ends a call that no server can take.
+func (c *call) noServer(room balance.Room) {
+	switch {
+	case room.Known == 0:
+		c.giveUp("no backend server is known")
+	case room.Fit == 0:
+		c.giveUp("no backend server can take it")
+	default:
+		c.giveUp("all backend servers are full")
+	}
+}
+
+// ended ends the call if the caller is gone or time is up.
+func (c *call) ended(ctx context.Context) bool {
+	if c.r.Context().Err() != nil {
+		c.status, c.reason = statusClientGone, "caller left"
+		return true
+	}
+	if ctx.Err() != nil {
+		c.giveUp("time is up")
+		return true
+	}
+	return false
+}
+
+// send sends the request once.
+func (c *call) send(ctx context.Context) sendResult {
+	s := c.choice.Server
+	request := &dispatch.Request{
+		Method: c.r.Method, Bytes: c.head(sendHead{server: s.ID, expectVersion: c.expectVersion()}),
+		IDHeader: c.g.cfg.Headers.RequestID, ID: c.id,
+	}
+	watch := c.watch(ctx)
+	defer watch.stop()
+	answer, err := s.Pool.Send(watch.ctx, request, c.by)
+	if err != nil {
+		return c.sendFailed(watch, err)
+	}
+	defer answer.Close()
+	c.sends++
+	now := time.Now()
+	c.g.balancer.Heard(s, now)
+	c.noteLoad(answer.Header, now)
+	return c.answered(watch, answer)
+}
+
+// ending judges a send that broke off, from what the server did.
+func (c *call) ending(watch *watchdog) balance.Ending {
+	switch {
+	case watch.stalled.Load():
+		return balance.EndedSilent
+	case watch.parent.Err() != nil:
+		return balance.EndedElse
+	}
+	return balance.EndedFailed
+}
+
+// sendFailed decides after a send without an answer.
+func (c *call) sendFailed(watch *watchdog, err error) sendResult {
+	c.lastErr = err
+	c.g.balancer.Done(c.choice.Server, time.Now(), c.ending(watch))
+	c.logSend("send failed", err)
+	if errors.Is(err, dispatch.ErrNotSent) {
+		return sendAgain
+	}
+	c.sends++
+	c.mayHaveRun = true
+	if c.route.Idempotent() {
+		return sendAgain
+	}
+	c.giveUp("connection to the backend server failed")
+	return sendFinal
+}
+
+// answered decides what the head of an answer means.
+func (c *call) answered(watch *watchdog, a *dispatch.Answer) sendResult {
+	switch {
+	case a.Header.Get(c.g.cfg.Headers.NotRun) != "", a.StatusCode == http.StatusMisdirectedRequest:
+		return c.notRun(a)
+	case a.StatusCode/100 != 2:
+		c.mayHaveRun = true
+		return c.failedAnswer(watch, a)
+	case a.Header.Get(c.g.cfg.Headers.Signature) == "" || a.Header.Get("Content-Encoding") != "":
+		c.mayHaveRun = true
+		return c.brokenAnswer(watch, "answer without a signature", nil)
+	}
+	c.mayHaveRun = true
+	if c.route.Kind == fleet.KindStream {
+		return c.stream(watch, a)
+	}
+	return c.whole(watch, a)
+}
+
+// notRun handles a server's word that it did not run the request.
+func (c *call) notRun(a *dispatch.Answer) sendResult {
+	ending := balance.EndedBusy
+	other := a.Header.Get(c.g.cfg.Headers.ServerID)
+	if a.StatusCode == http.StatusMisdirectedRequest && other != "" && other != c.choice.Server.ID {
+		ending = balance.EndedGone
+	}
+	_, _ = io.Copy(io.Discard, a)
+	c.g.balancer.Done(c.choice.Server, time.Now(), ending)
+	c.logSend("backend server did not run it: "+strconv.Itoa(a.StatusCode), nil)
+	return sendAgain
+}
+
+// failedAnswer handles a failure that a server has answered: idempotent requests
+// are sent again while they may, others are given the answer.
+func (c *call) failedAnswer(watch *watchdog, a *dispatch.Answer) sendResult {
+	body, err := readWhole(a, c.by)
+	if err != nil {
+		return c.brokenAnswer(watch, "answer broke off", err)
+	}
+	ending := balance.EndedWell
+	if a.StatusCode >= http.StatusInternalServerError {
+		ending = balance.EndedFailed
+	}
+	c.g.balancer.Done(c.choice.Server, time.Now(), ending)
+	c.logSend("backend server failed: "+strconv.Itoa(a.StatusCode), nil)
+	if a.StatusCode >= http.StatusInternalServerError && c.mayRepeat() {
+		return sendAgain
+	}
+	c.copyHead(a)
+	c.status, c.reason = a.StatusCode, "backend server failed"
+	c.write(a.StatusCode, body)
+	return sendFinal
+}
+
+// mayRepeat tells whether another send is allowed and likely to be possible.
+func (c *call) mayRepeat() bool {
+	if !c.route.Idempotent() || c.sends >= c.route.MaxAttempts {
+		return false
+	}
+	return time.Until(c.by) > leastSend
+}
+
+// brokenAnswer handles an answer that can not be given to the caller.
+func (c *call) brokenAnswer(watch *watchdog, what string, err error) sendResult {
+	c.lastErr = err
+	c.g.balancer.Done(c.choice.Server, time.Now(), c.ending(watch))
+	c.logSend(what, err)
+	if c.route.Idempotent() {
+		return sendAgain
+	}
+	c.giveUp(what)
+	return sendFinal
+}
+
+// whole gives the caller an answer in one piece, once it is there whole.
+func (c *call) whole(watch *watchdog, a *dispatch.Answer) sendResult {
+	body, err := readWhole(a, c.by)
+	if err != nil {
+		return c.brokenAnswer(watch, "answer broke off", err)
+	}
+	c.g.balancer.Done(c.choice.Server, time.Now(), balance.EndedWell)
+	c.copyHead(a)
+	c.status, c.reason = a.StatusCode, "served"
+	c.write(a.StatusCode, body)
+	return sendFinal
+}
+
+// maxAnswer bounds an answer in one piece, in bytes.
+const maxAnswer = 64 << 20
+
+func readWhole(a *dispatch.Answer, by time.Time) ([]byte, error) {
+	a.ReadBy(by)
+	return io.ReadAll(io.LimitReader(a, maxAnswer))
+}
+
+// noteLoad takes the load that an answer's head tells: running, waiting, slots.
+func (c *call) noteLoad(h http.Header, now time.Time) {
+	running, rest, ok := strings.Cut(h.Get(c.g.cfg.Headers.Load), ",")
+	if !ok {
+		return
+	}
+	waiting, _, _ := strings.Cut(rest, ",")
+	r, errRunning := strconv.Atoi(strings.TrimSpace(running))
+	q, errWaiting := strconv.Atoi(strings.TrimSpace(waiting))
+	if errRunning != nil || errWaiting != nil {
+		return // a report that can't be read tells nothing
+	}
+	c.g.balancer.Told(c.choice.Server, now, r, q)
+}
+
+// statusClientGone stands in logs and counters for a caller that left.
+const statusClientGone = 499
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,180 @@
+// Package gateway is the entry of a fleet whose backend servers are called
+// directly: it matches requests to routes, sends each to a backend server, and
+// gives the caller the whole answer to its own request, or a refusal that is true.
+//
+// State: the view of the fleet (a snapshot), the balancer, the retry budgets.
+// Each request runs on its connection's goroutine. Messages: HTTP/1.1 from
+// callers and to backend servers.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/retry"
+)
+
+// Headers names the header fields that callers and backend servers use. The
+// names are the platform's; each field says what the header holds.
+type Headers struct {
+	// RequestID names one attempt of a caller; echoed by backend servers.
+	RequestID string
+	// DeadlineMs is how long the sender will wait, in milliseconds.
+	DeadlineMs string
+	// Key is the organisation's secret; Organisation its name, set by us.
+	Key          string
+	Organisation string
+	// ExpectServer is the id of the backend server that must have the address,
+	// ExpectVersion the version of weights it must hold.
+	ExpectServer  string
+	ExpectVersion string
+	// NotRun is set by a backend server that did not run the request.
+	NotRun string
+	// Signature proves that an answer is a backend server's.
+	Signature string
+	// ServerID is the id of the backend server that answers; Load its running
+	// and waiting requests and its slots, separated by commas.
+	ServerID string
+	Load     string
+	// Model and its version that wrote the answer.
+	Model   string
+	Version string
+	// ResumeAfter is the id of the last event that was received.
+	ResumeAfter string
+	// Priority is for the backend server's queue; only the system sets it.
+	Priority string
+}
+
+// Config says how an entry works.
+type Config struct {
+	Headers Headers
+	Balance balance.Config
+	// RetryShare of the requests to a service in RetryWindow, and RetryFloor
+	// beside it, bound the repeats of all entries together.
+	RetryShare  float64
+	RetryFloor  int
+	RetryWindow time.Duration
+	Logger      zerolog.Logger
+	Metrics     *Metrics
+}
+
+// Gateway serves callers; it is an http.Handler.
+type Gateway struct {
+	cfg      Config
+	log      zerolog.Logger
+	view     atomic.Pointer[follow.View]
+	balancer *balance.Balancer
+	// start is the origin of the monotonic clock of the budgets: the time of
+	// day may jump.
+	start time.Time
+
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+// budgetShare is the part of the floor of repeats that the entries give out:
+// one that has just died or come may be counted wrongly.
+const budgetShare = 0.7
+
+// New makes an entry.
+func New(cfg Config) *Gateway {
+	g := &Gateway{
+		cfg: cfg, log: cfg.Logger, balancer: balance.New(cfg.Balance),
+		start: time.Now(), budgets: map[string]*retry.Budget{},
+	}
+	g.view.Store(&follow.View{Entries: 1})
+	return g
+}
+
+// SetView takes over a new view of the fleet.
+func (g *Gateway) SetView(v *follow.View) {
+	before := g.view.Swap(v)
+	g.balancer.SetView(v)
+	if before.Entries != v.Entries {
+		g.shareBudgets(v.Entries)
+	}
+}
+
+// Ready tells whether the entry should get new connections.
+func (g *Gateway) Ready() (reason string, ok bool) {
+	switch {
+	case g.leaving.Load():
+		return "stopping", false
+	case g.view.Load().Table == nil:
+		return "no configuration is known", false
+	}
+	return "", true
+}
+
+// Leave makes the entry not ready, and its answers close their connections.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// InFlight returns how many requests are in progress.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Run closes idle connections until ctx is done.
+func (g *Gateway) Run(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			g.balancer.CloseStale(now)
+			g.cfg.Metrics.Dialled.Set(float64(g.balancer.Dialled()))
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// budget returns the retry budget of a service.
+func (g *Gateway) budget(service string) *retry.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.NewBudget(retry.BudgetConfig{
+			Share: g.cfg.RetryShare * budgetShare, Window: g.cfg.RetryWindow,
+			Floor: g.retryFloor(g.view.Load().Entries),
+		})
+		g.budgets[service] = b
+	}
+	return b
+}
+
+func (g *Gateway) retryFloor(entries int) int {
+	return int(budgetShare * float64(g.cfg.RetryFloor) / float64(max(entries, 1)))
+}
+
+func (g *Gateway) shareBudgets(entries int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.budgets {
+		b.SetFloor(g.retryFloor(entries))
+	}
+}
+
+// steady is the time for budgets: it does not follow steps of the time of day.
+func (g *Gateway) steady(now time.Time) time.Time { return time.Unix(0, 0).Add(now.Sub(g.start)) }
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := g.newCall(w, r)
+	c.serve()
+	c.report()
+}
--- /dev/null
+++ b/internal/gateway/report.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// Metrics counts what happens to requests.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	whole    *prometheus.HistogramVec
+	// Dialled is the number of connections made to backend servers.
+	Dialled prometheus.Gauge
+}
+
+// latencyBuckets in seconds cover objectives of 100 to 400 ms and timeouts of 6 s.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8}
+
+// NewMetrics registers the metrics of an entry.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_requests_total", Help: "Requests by kind of route, status and reason.",
+		}, []string{"kind", "status", "reason"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_sends_total", Help: "Sends to backend servers by service; repeats among them.",
+		}, []string{"service", "repeat"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lynxgate_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
+		}, []string{"service"}),
+		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lynxgate_gateway_request_seconds", Help: "Time to the end of an answer.", Buckets: latencyBuckets,
+		}, []string{"kind"}),
+		Dialled: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
+		}),
+	}
+	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.Dialled)
+	return m
+}
+
+// report logs and counts how a call ended, and breaks the connection of one whose
+// answer was begun and can not be ended.
+func (c *call) report() {
+	kind, service := "none", c.service
+	if c.route != nil {
+		kind = c.route.Kind.String()
+	}
+	m := c.g.cfg.Metrics
+	m.requests.WithLabelValues(kind, strconv.Itoa(c.status), c.reason).Inc()
+	m.whole.WithLabelValues(kind).Observe(time.Since(c.began).Seconds())
+	if c.events > 0 {
+		m.first.WithLabelValues(service).Observe(c.firstEvent.Seconds())
+	}
+	for i := range c.sends {
+		m.sends.WithLabelValues(service, strconv.FormatBool(i > 0)).Inc()
+	}
+	c.logEnd(kind)
+	if c.broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// logEnd writes one line for a call that did not go as it should; good ones are
+// counted only.
+func (c *call) logEnd(kind string) {
+	late := c.route != nil && c.route.Objective > 0 && c.firstEvent > c.route.Objective
+	if c.reason == "served" && c.sends <= 1 && !late {
+		return
+	}
+	event := c.g.log.Info()
+	if c.status >= http.StatusInternalServerError {
+		event = c.g.log.Warn()
+	}
+	if c.route != nil {
+		event.Str("route", c.route.Name)
+	}
+	if c.lastErr != nil {
+		event.AnErr("last", c.lastErr)
+	}
+	c.describe(event).Str("kind", kind).Int("status", c.status).Str("reason", c.reason).
+		Bool("may_have_run", c.mayHaveRun).Int("events", c.events).Dur("first_ms", c.firstEvent).
+		Dur("took_ms", time.Since(c.began)).Msg("request ended")
+}
+
+// logSend writes one line for a send that did not give an answer to pass on.
+func (c *call) logSend(what string, err error) {
+	c.describe(c.g.log.Info()).Str("server", c.choice.Server.ID).Str("addr", c.choice.Server.Addr).
+		Float64("queue", c.choice.Queue).Int("slots", c.choice.Slots).Dur("load_age_ms", c.choice.Told).
+		AnErr("cause", err).Int64("left_ms", time.Until(c.by).Milliseconds()).Msg(what)
+}
+
+func (c *call) describe(e *zerolog.Event) *zerolog.Event {
+	var version uint64
+	if c.view.Table != nil {
+		version = c.view.Table.Config.Version
+	}
+	return e.Str("request", c.id).Str("service", c.service).Int("sends", c.sends).Uint64("config", version)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,126 @@
+// Package ledger is the replicated state of a fleet: the operators' newest
+// configuration document and the newest version of each model's weights. State:
+// one immutable State, replaced with each change. Messages: FleetCommand from
+// the log. The highest version wins; a lower or equal one changes nothing, so
+// that commands are idempotent and may come in any order.
+package ledger
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// State is what is committed as of one log entry. It is immutable.
+type State struct {
+	// ConfigVersion is 0 and Config is nil while there is no document. Config is
+	// deflated, see Deflate.
+	ConfigVersion uint64
+	Config        []byte
+	Versions      map[string]Version
+}
+
+// Version is a version of a model's weights, and when it was applied here.
+type Version struct {
+	Number    uint64
+	AppliedAt time.Time
+}
+
+// Ledger is the state machine; it implements replica.FSM.
+type Ledger struct {
+	state atomic.Pointer[State]
+	now   func() time.Time
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// New returns an empty ledger. now is the clock.
+func New(now func() time.Time) *Ledger {
+	l := &Ledger{now: now, changed: make(chan struct{})}
+	l.state.Store(&State{})
+	return l
+}
+
+// State returns the newest state.
+func (l *Ledger) State() *State { return l.state.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (l *Ledger) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *Ledger) publish(s *State) {
+	l.state.Store(s)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Apply executes one committed command. Its result is nil: there is none that
+// the versions do not tell.
+func (l *Ledger) Apply(index uint64, data []byte) any {
+	var c rpc.FleetCommand
+	if err := proto.Unmarshal(data, &c); err != nil {
+		panic(fmt.Sprintf("ledger: decode command of entry %d: %v", index, err))
+	}
+	next := *l.State()
+	if !next.apply(&c, l.now()) {
+		return nil
+	}
+	l.publish(&next)
+	return nil
+}
+
+func (s *State) apply(c *rpc.FleetCommand, now time.Time) (changed bool) {
+	if c.ConfigVersion > s.ConfigVersion {
+		s.ConfigVersion, s.Config = c.ConfigVersion, c.Config
+		changed = true
+	}
+	if c.Model != "" && c.Version > s.Versions[c.Model].Number {
+		versions := make(map[string]Version, len(s.Versions)+1)
+		for model, v := range s.Versions {
+			versions[model] = v
+		}
+		versions[c.Model] = Version{Number: c.Version, AppliedAt: now}
+		s.Versions = versions
+		changed = true
+	}
+	return changed
+}
+
+// Snapshot implements replica.FSM.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	s := l.State()
+	out := &rpc.FleetState{ConfigVersion: s.ConfigVersion, Config: s.Config}
+	for model, v := range s.Versions {
+		out.Versions = append(out.Versions, &rpc.ModelVersion{Model: model, Version: v.Number})
+	}
+	data, err := proto.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("encode ledger: %w", err)
+	}
+	return data, nil
+}
+
+// Restore implements replica.FSM.
+func (l *Ledger) Restore(snapshot []byte) error {
+	var in rpc.FleetState
+	if err := proto.Unmarshal(snapshot, &in); err != nil {
+		return fmt.Errorf("decode ledger: %w", err)
+	}
+	next := &State{ConfigVersion: in.ConfigVersion, Config: in.Config, Versions: map[string]Version{}}
+	for _, v := range in.Versions {
+		next.Versions[v.Model] = Version{Number: v.Version, AppliedAt: l.now()}
+	}
+	l.publish(next)
+	return nil
+}
--- a/internal/raftlog/segments.go
+++ b/internal/raftlog/segments.go
@@ -140,8 +140,10 @@
 	return nil
 }
 
+// beginSegment makes an empty segment the last one. A file of this number can
+// only be left over from a try that failed; nothing durable is in it.
 func (s *Store) beginSegment(number uint64) error {
-	f, err := os.OpenFile(s.path(segmentName(number)), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	f, err := os.OpenFile(s.path(segmentName(number)), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("create segment: %w", err)
 	}
@@ -159,8 +161,8 @@
 }
 
 // Append makes entries durable with one sync. They replace all earlier ones
-// from their first index on. After an error the store must not be used again:
-// what reached the disk is not known.
+// from their first index on. After an error nothing of it counts as written, and
+// the only call allowed is the same one again: it writes to the same place.
 func (s *Store) Append(entries []consensus.Entry) error {
 	return s.write(&rpc.RaftRecord{Entries: EntriesToProto(entries)})
 }
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -46,7 +46,17 @@
 	HeartbeatTicks int
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries int
-	Logger          zerolog.Logger
+	// JoinOnly keeps a server with an empty data folder from founding a cluster.
+	JoinOnly bool
+	// AdmitNewcomers lets the leader add servers that ask to join.
+	AdmitNewcomers bool
+	// RetireAfter is after how long without a word the leader removes a member
+	// that makes the number of voters even; 0 is never.
+	RetireAfter time.Duration
+	// RetryDisk keeps the node waiting for a disk that refuses writes, where it
+	// else stops: it answers nobody meanwhile, and the others elect a leader.
+	RetryDisk bool
+	Logger    zerolog.Logger
 }
 
 // Defaults of Config.
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -139,7 +139,7 @@
 	for n.core.HasReady() {
 		rd := n.core.Ready()
 		n.send(rd.Early)
-		if err := n.persist(rd); err != nil {
+		if err := n.persistWithRetry(rd); err != nil {
 			return err
 		}
 		n.send(rd.Messages)
@@ -156,6 +156,27 @@
 	return nil
 }
 
+// diskRetryInterval is the pause between tries at a disk that refuses writes; a
+// write that succeeds late costs the others an election timeout at most.
+const diskRetryInterval = 100 * time.Millisecond
+
+// persistWithRetry is persist on a disk that may be full for a while. All steps
+// of persist may be repeated: they write the same bytes to the same places.
+func (n *Node) persistWithRetry(rd consensus.Ready) error {
+	for {
+		err := n.persist(rd)
+		if err == nil || !n.cfg.RetryDisk {
+			return err
+		}
+		n.cfg.Logger.Error().Err(err).Msg("disk refuses the log; trying again")
+		select {
+		case <-n.stopped:
+			return err
+		case <-time.After(diskRetryInterval):
+		}
+	}
+}
+
 // persist makes the durable part of rd durable, in the order that a crash in
 // between leaves a state the protocol allows.
 func (n *Node) persist(rd consensus.Ready) error {
@@ -207,13 +228,22 @@
 }
 
 func (n *Node) handleSnapshotSaved(e snapshotSaved) {
+	if e.err != nil && n.cfg.RetryDisk {
+		n.cfg.Logger.Error().Err(e.err).Msg("snapshot not saved; the log is kept")
+		return
+	}
 	if e.err != nil {
 		n.fail(fmt.Errorf("save snapshot: %w", e.err))
 		return
 	}
 	n.metrics.snapshots.Inc()
 	n.core.Compact(e.snapshot)
-	if err := n.store.Compact(e.snapshot.Index); err != nil {
+	err := n.store.Compact(e.snapshot.Index)
+	if err != nil && n.cfg.RetryDisk {
+		n.cfg.Logger.Error().Err(err).Msg("old log segments not removed; tried again with the next snapshot")
+		return
+	}
+	if err != nil {
 		n.fail(fmt.Errorf("compact log: %w", err))
 	}
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -96,6 +96,8 @@
 		ID: recovered.ID, Addr: cfg.Addr, Peers: cfg.peerNames(),
 		ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks,
 		KeepEntries: uint64(cfg.SnapshotEntries / 4), Rand: random,
+		JoinOnly: cfg.JoinOnly, AdmitNewcomers: cfg.AdmitNewcomers,
+		RetireTicks: int(cfg.RetireAfter / cfg.TickInterval),
 	}, recovered.State)
 	n.metrics.cutTailBytes.Add(float64(recovered.CutBytes))
 	n.publish()
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -74,6 +74,14 @@
 	return true
 }
 
+// SetFloor changes the number of retries that are allowed without regard to the
+// share.
+func (b *Budget) SetFloor(floor int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Floor = floor
+}
+
 // Counts returns the requests and retries in the window.
 func (b *Budget) Counts(now time.Time) (requests, retries int) {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/staging/fetch.go
@@ -0,0 +1,416 @@
+package staging
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+const (
+	// maxDownloads is how many pieces are fetched from peers at once: enough to
+	// fill a link of 7.3 Mbit/s, on which one piece of 24 KB takes 27 ms.
+	maxDownloads = 4
+	// maxFromOrigin is how many pieces one agent fetches from the origin at once.
+	maxFromOrigin = 1
+	// maxUploads is how many pieces are sent to peers at once.
+	maxUploads = 4
+	// pieceTimeout bounds the fetch of one piece; all agents share the origin's
+	// link, on which a piece each of twelve takes 330 ms.
+	pieceTimeout = 2500 * time.Millisecond
+	// originPatience is for how long an agent waits for a piece that another one
+	// is to fetch from the origin, for each agent before it in the order.
+	originPatience = 1500 * time.Millisecond
+	// peerHead is the time that peers get to tell what they hold before the origin
+	// is asked.
+	peerHead = 150 * time.Millisecond
+	// completeTimeout bounds one try to complete a version; what was fetched stays.
+	completeTimeout = 5 * time.Second
+	// badPause is for how long a peer that failed or was busy is not asked.
+	badPause = 250 * time.Millisecond
+	// fetchTick is how often fetches are started without an event.
+	fetchTick     = 25 * time.Millisecond
+	digestTimeout = 600 * time.Millisecond
+)
+
+// peers are the agents beside the other backend servers of the service.
+func (s *Stager) peers() []string {
+	var out []string
+	for _, b := range s.servers() {
+		if b.Addr != s.cfg.EngineAddr {
+			out = append(out, s.cfg.PeerAddr(b.Addr))
+		}
+	}
+	return out
+}
+
+// servers are the backend servers of the service that have not left, in order.
+func (s *Stager) servers() []*fleet.BackendServer {
+	newest := map[string]*fleet.BackendServer{}
+	for _, b := range s.cfg.View().Servers[s.cfg.Service] {
+		known := newest[b.Addr]
+		if b.State != fleet.StateGone && (known == nil || known.SeenAt.Before(b.SeenAt)) {
+			newest[b.Addr] = b
+		}
+	}
+	out := make([]*fleet.BackendServer, 0, len(newest))
+	for _, b := range newest {
+		out = append(out, b)
+	}
+	slices.SortFunc(out, func(a, b *fleet.BackendServer) int { return cmpString(a.Addr, b.Addr) })
+	return out
+}
+
+func cmpString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// rank is the place of this engine among those of the service.
+func (s *Stager) rank() (rank, n int) {
+	servers := s.servers()
+	for i, b := range servers {
+		if b.Addr == s.cfg.EngineAddr {
+			rank = i
+		}
+	}
+	return rank, len(servers)
+}
+
+// turn is how many agents are to fetch a piece from the origin before this one:
+// by the highest random weight of address and piece.
+func (s *Stager) turn(servers []*fleet.BackendServer, piece int) int {
+	own := weight(s.cfg.EngineAddr, piece)
+	before := 0
+	for _, b := range servers {
+		if b.Addr != s.cfg.EngineAddr && weight(b.Addr, piece) > own {
+			before++
+		}
+	}
+	return before
+}
+
+func weight(addr string, piece int) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %s %d", piece, addr, piece)
+	return h.Sum64() * 0x9E3779B97F4A7C15
+}
+
+// complete returns the version's set once it holds all pieces, fetching them.
+func (s *Stager) complete(ctx context.Context, g goal) (*pieceSet, error) {
+	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
+	defer cancel()
+	k := key{g.model, g.version}
+	set := s.sets.get(k)
+	if set == nil {
+		digests, err := s.digests(ctx, g)
+		if err != nil {
+			return nil, err
+		}
+		set = s.sets.add(k, digests)
+		s.takeStaged(ctx, g, set)
+	}
+	if len(set.missing()) == 0 {
+		return set, nil
+	}
+	return set, s.fetch(ctx, g, set)
+}
+
+// digests asks the peers that come before this agent, then the origin.
+func (s *Stager) digests(ctx context.Context, g goal) ([]Digest, error) {
+	servers := s.servers()
+	turn := s.turn(servers, -1)
+	var lastErr error
+	for wait := time.Duration(0); turn > 0 && wait < time.Duration(turn)*originPatience/4; wait += fetchTick * 4 {
+		for _, b := range servers {
+			if b.Addr == s.cfg.EngineAddr || weight(b.Addr, -1) < weight(s.cfg.EngineAddr, -1) {
+				continue
+			}
+			digests, err := s.digestsOf(ctx, s.cfg.PeerAddr(b.Addr), g)
+			if err == nil && len(digests) == g.engine.Pieces {
+				return digests, nil
+			}
+			lastErr = err
+		}
+		select {
+		case <-time.After(fetchTick * 4):
+		case <-ctx.Done():
+			return nil, errors.Join(ctx.Err(), lastErr)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
+	digests, err := s.cfg.Origin.Digests(ctx, g.origin.Addr, g.model, g.version)
+	if err != nil {
+		return nil, fmt.Errorf("digests from the origin: %w", err)
+	}
+	if len(digests) != g.engine.Pieces {
+		return nil, fmt.Errorf("origin tells %d digests, the configuration %d pieces", len(digests), g.engine.Pieces)
+	}
+	s.log.Info().Str("model", g.model).Uint64("version", g.version).Msg("digests taken from the origin")
+	return digests, nil
+}
+
+func (s *Stager) digestsOf(ctx context.Context, peer string, g goal) ([]Digest, error) {
+	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+	defer cancel()
+	resp, err := rpc.NewDRPCPiecesClient(s.pool.Get(ctx, peer)).Digests(ctx, &rpc.HeldRequest{Model: g.model, Version: g.version})
+	if err != nil {
+		return nil, err
+	}
+	digests := make([]Digest, len(resp.Digests))
+	for i, d := range resp.Digests {
+		if len(d) != len(digests[i]) {
+			return nil, fmt.Errorf("digest of %d bytes from %s", len(d), peer)
+		}
+		copy(digests[i][:], d)
+	}
+	return digests, nil
+}
+
+// takeStaged takes in what lies at the engine already and is right.
+func (s *Stager) takeStaged(ctx context.Context, g goal, set *pieceSet) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	held, err := s.cfg.Engine.Held(callCtx, g.model)
+	cancel()
+	if err != nil {
+		s.log.Warn().Err(err).Msg("engine does not tell what it holds")
+		return
+	}
+	taken := 0
+	for _, piece := range held {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		data, err := s.cfg.Engine.Get(callCtx, g.model, piece)
+		cancel()
+		if err == nil && set.put(piece, data) {
+			taken++
+		}
+	}
+	s.log.Info().Uint64("version", g.version).Int("held", len(held)).Int("taken", taken).Msg("staged pieces taken in")
+	s.cfg.Metrics.pieces.WithLabelValues("staged").Add(float64(taken))
+}
+
+// fetched is how one fetch ended.
+type fetched struct {
+	piece int
+	peer  string // empty: the origin
+	data  []byte
+	err   error
+}
+
+// fetcher is one try to complete a set; its goroutine owns it.
+type fetcher struct {
+	s       *Stager
+	g       goal
+	set     *pieceSet
+	servers []*fleet.BackendServer
+	began   time.Time
+	// holders are the pieces that peers have told to hold.
+	holders  map[string]map[int]bool
+	inFlight map[int]bool
+	busy     map[string]bool
+	badUntil map[string]time.Time
+	downs    int
+	origins  int
+	results  chan fetched
+	told     chan heldBy
+}
+
+// heldBy is what a peer has told.
+type heldBy struct {
+	peer   string
+	pieces []uint32
+}
+
+// fetch completes a set.
+func (s *Stager) fetch(ctx context.Context, g goal, set *pieceSet) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f := &fetcher{
+		s: s, g: g, set: set, servers: s.servers(), began: time.Now(),
+		holders: map[string]map[int]bool{}, inFlight: map[int]bool{}, busy: map[string]bool{},
+		badUntil: map[string]time.Time{}, results: make(chan fetched), told: make(chan heldBy),
+	}
+	for _, peer := range s.peers() {
+		go f.listen(ctx, peer)
+	}
+	ticker := time.NewTicker(fetchTick)
+	defer ticker.Stop()
+	for {
+		missing := set.missing()
+		if len(missing) == 0 {
+			s.log.Info().Uint64("version", g.version).Dur("took_ms", time.Since(f.began)).
+				Dur("since_named_ms", g.age()).Msg("weights are complete")
+			return nil
+		}
+		f.start(ctx, missing)
+		select {
+		case r := <-f.results:
+			f.take(ctx, r)
+		case t := <-f.told:
+			f.note(t)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("%d pieces are missing: %w", len(missing), ctx.Err())
+		}
+	}
+}
+
+func (f *fetcher) note(t heldBy) {
+	if f.holders[t.peer] == nil {
+		f.holders[t.peer] = map[int]bool{}
+	}
+	for _, piece := range t.pieces {
+		f.holders[t.peer][int(piece)] = true
+	}
+}
+
+// start starts fetches of missing pieces, the rarest first.
+func (f *fetcher) start(ctx context.Context, missing []int) {
+	now := time.Now()
+	count := map[int]int{}
+	for _, held := range f.holders {
+		for piece := range held {
+			count[piece]++
+		}
+	}
+	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+	slices.SortStableFunc(missing, func(a, b int) int { return count[a] - count[b] })
+	for _, piece := range missing {
+		if f.inFlight[piece] {
+			continue
+		}
+		if count[piece] > 0 && f.downs < maxDownloads {
+			f.fromPeer(ctx, piece, now)
+		}
+		if f.originsTurn(piece, count[piece], now) {
+			f.fromOrigin(ctx, piece)
+		}
+	}
+}
+
+func (f *fetcher) fromPeer(ctx context.Context, piece int, now time.Time) {
+	var free []string
+	for peer, held := range f.holders {
+		if held[piece] && !f.busy[peer] && now.After(f.badUntil[peer]) {
+			free = append(free, peer)
+		}
+	}
+	if len(free) == 0 {
+		return
+	}
+	peer := free[rand.IntN(len(free))]
+	f.inFlight[piece], f.busy[peer] = true, true
+	f.downs++
+	go f.run(ctx, piece, peer, func(ctx context.Context) ([]byte, error) {
+		resp, err := rpc.NewDRPCPiecesClient(f.s.pool.Get(ctx, peer)).Piece(ctx, &rpc.PieceRequest{
+			Model: f.g.model, Version: f.g.version, Piece: uint32(piece),
+		})
+		if err != nil {
+			return nil, err
+		}
+		if len(resp.Data) == 0 {
+			return nil, errPeerBusy
+		}
+		return resp.Data, nil
+	})
+}
+
+var errPeerBusy = errors.New("peer is busy")
+
+// originsTurn tells whether it is for this agent to fetch a piece from the origin.
+func (f *fetcher) originsTurn(piece, holders int, now time.Time) bool {
+	if f.inFlight[piece] || f.origins >= maxFromOrigin {
+		return false
+	}
+	waited := now.Sub(f.began) - peerHead
+	if holders > 0 {
+		waited -= originPatience // peers that hold it are given a chance first
+	}
+	return waited >= time.Duration(f.s.turn(f.servers, piece))*originPatience
+}
+
+func (f *fetcher) fromOrigin(ctx context.Context, piece int) {
+	f.inFlight[piece] = true
+	f.origins++
+	go f.run(ctx, piece, "", func(ctx context.Context) ([]byte, error) {
+		return f.s.cfg.Origin.Piece(ctx, f.g.origin.Addr, f.g.model, f.g.version, piece)
+	})
+}
+
+func (f *fetcher) run(ctx context.Context, piece int, peer string, get func(context.Context) ([]byte, error)) {
+	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
+	data, err := get(callCtx)
+	select {
+	case f.results <- fetched{piece: piece, peer: peer, data: data, err: err}:
+	case <-ctx.Done():
+	}
+}
+
+// take takes the result of one fetch in, and lays the piece at the engine.
+func (f *fetcher) take(ctx context.Context, r fetched) {
+	delete(f.inFlight, r.piece)
+	source := "origin"
+	if r.peer == "" {
+		f.origins--
+	} else {
+		source = "peer"
+		f.downs--
+		delete(f.busy, r.peer)
+	}
+	if r.err == nil && !f.set.put(r.piece, r.data) {
+		r.err = errors.New("digest does not match")
+		delete(f.holders[r.peer], r.piece)
+	}
+	if r.err != nil {
+		f.badUntil[r.peer] = time.Now().Add(badPause)
+		f.s.cfg.Metrics.failures.WithLabelValues(source).Inc()
+		if !errors.Is(r.err, errPeerBusy) {
+			f.s.log.Warn().Err(r.err).Int("piece", r.piece).Str("source", source).Str("peer", r.peer).Msg("piece not fetched")
+		}
+		return
+	}
+	f.s.cfg.Metrics.pieces.WithLabelValues(source).Inc()
+	f.s.cfg.Metrics.bytes.WithLabelValues(source).Add(float64(len(r.data)))
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := f.s.cfg.Engine.Put(callCtx, f.g.model, r.piece, r.data); err != nil {
+		// It is laid before the load, when all are read back.
+		f.s.log.Warn().Err(err).Int("piece", r.piece).Msg("piece not laid at the engine")
+	}
+}
+
+// listen follows what a peer holds.
+func (f *fetcher) listen(ctx context.Context, peer string) {
+	for ctx.Err() == nil {
+		stream, err := rpc.NewDRPCPiecesClient(f.s.pool.Get(ctx, peer)).Held(ctx, &rpc.HeldRequest{Model: f.g.model, Version: f.g.version})
+		for err == nil {
+			var u *rpc.HeldUpdate
+			u, err = stream.Recv()
+			if err != nil {
+				break
+			}
+			select {
+			case f.told <- heldBy{peer: peer, pieces: u.Added}:
+			case <-ctx.Done():
+				return
+			}
+		}
+		select {
+		case <-time.After(badPause):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/staging/sets.go
@@ -0,0 +1,114 @@
+package staging
+
+import (
+	"crypto/sha256"
+	"sync"
+)
+
+// key names a version of a model's weights.
+type key struct {
+	model   string
+	version uint64
+}
+
+// keptVersions is how many versions are kept for peers: the one in use and the
+// one that is coming.
+const keptVersions = 2
+
+// sets are the piece sets by version.
+type sets struct {
+	mu   sync.Mutex
+	sets map[key]*pieceSet
+}
+
+func newSets() *sets { return &sets{sets: map[key]*pieceSet{}} }
+
+func (s *sets) get(k key) *pieceSet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sets[k]
+}
+
+// add makes an empty set, and drops the oldest of the model over keptVersions.
+func (s *sets) add(k key, digests []Digest) *pieceSet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.sets[k]; known != nil {
+		return known
+	}
+	set := newPieceSet(digests)
+	s.sets[k] = set
+	oldest, count := k, 0
+	for other := range s.sets {
+		if other.model != k.model {
+			continue
+		}
+		count++
+		if other.version < oldest.version {
+			oldest = other
+		}
+	}
+	if count > keptVersions {
+		delete(s.sets, oldest)
+	}
+	return set
+}
+
+// pieceSet holds the verified pieces of one version.
+type pieceSet struct {
+	digests []Digest
+
+	mu      sync.Mutex
+	pieces  [][]byte
+	order   []uint32 // pieces in the order in which they came
+	changed chan struct{}
+}
+
+func newPieceSet(digests []Digest) *pieceSet {
+	return &pieceSet{digests: digests, pieces: make([][]byte, len(digests)), changed: make(chan struct{})}
+}
+
+// put takes a piece in if its digest is right, and tells whether it is.
+func (p *pieceSet) put(piece int, data []byte) bool {
+	if piece < 0 || piece >= len(p.digests) || sha256.Sum256(data) != p.digests[piece] {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pieces[piece] == nil {
+		p.pieces[piece] = data
+		p.order = append(p.order, uint32(piece))
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
+	return true
+}
+
+func (p *pieceSet) get(piece int) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if piece < 0 || piece >= len(p.pieces) {
+		return nil
+	}
+	return p.pieces[piece]
+}
+
+// since returns the pieces that came after the first n, and a channel that is
+// closed at the next one.
+func (p *pieceSet) since(n int) ([]uint32, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.order[n:len(p.order):len(p.order)], p.changed
+}
+
+func (p *pieceSet) missing() []int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []int
+	for i, data := range p.pieces {
+		if data == nil {
+			out = append(out, i)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/staging/staging.go
@@ -0,0 +1,256 @@
+// Package staging brings named versions of weights onto the engine beside it: it
+// fetches the pieces from other agents and from the origin, checks each digest,
+// lays them at the engine, reads them back and orders the engine to load them.
+//
+// State: the pieces held by version, behind one lock; one goroutine decides and
+// gives orders, one at a time. Messages: rpc.Pieces between agents; the engine
+// and the origin behind interfaces.
+package staging
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
+)
+
+// Digest is the SHA-256 of a piece.
+type Digest [sha256.Size]byte
+
+// Report is what an engine says of itself.
+type Report struct {
+	Models []fleet.Loaded
+	// Busy tells that an order is in progress.
+	Busy             bool
+	Running, Waiting int
+}
+
+// Errors of an engine.
+var (
+	// ErrNotHeld says that a piece does not lie at the engine.
+	ErrNotHeld = errors.New("piece is not held")
+	// ErrOrderRefused says that an order does not fit the engine's state.
+	ErrOrderRefused = errors.New("order refused")
+)
+
+// Engine is the backend server beside the agent.
+type Engine interface {
+	Report(ctx context.Context) (Report, error)
+	// Held lists the pieces of a model that lie there, of whatever version.
+	Held(ctx context.Context, model string) ([]int, error)
+	Get(ctx context.Context, model string, piece int) ([]byte, error)
+	Put(ctx context.Context, model string, piece int, data []byte) error
+	// Load orders the engine to load what lies there as this version.
+	Load(ctx context.Context, model string, version uint64) error
+}
+
+// Origin is where weights come from.
+type Origin interface {
+	Digests(ctx context.Context, addr, model string, version uint64) ([]Digest, error)
+	Piece(ctx context.Context, addr, model string, version uint64, piece int) ([]byte, error)
+}
+
+// Config says how an agent stages weights.
+type Config struct {
+	// Service of the engine, and its ip:port.
+	Service    string
+	EngineAddr string
+	// PeerAddr returns the rpc address of the agent beside a backend server.
+	PeerAddr func(serverAddr string) string
+	Engine   Engine
+	Origin   Origin
+	View     func() *follow.View
+	// VersionBound is how long a version may take to be in use.
+	VersionBound time.Duration
+	Logger       zerolog.Logger
+	Metrics      *Metrics
+}
+
+const (
+	// pollInterval is how often the engine is asked for its state: it tells of a
+	// restart, and of the end of a load. The call is free on the own machine.
+	pollInterval = 250 * time.Millisecond
+	// callTimeout bounds one call to the engine.
+	callTimeout = 1 * time.Second
+	// orderRetry is the pause after an order without effect.
+	orderRetry = 500 * time.Millisecond
+)
+
+// Stager is one agent's staging.
+type Stager struct {
+	cfg   Config
+	log   zerolog.Logger
+	pool  *rpcconn.Pool
+	sets  *sets
+	slots chan struct{}
+
+	// Below: owned by Run.
+	orderedAt time.Time
+	loading   bool
+}
+
+// New makes a stager.
+func New(cfg Config) *Stager {
+	return &Stager{
+		cfg: cfg, log: cfg.Logger, pool: rpcconn.NewPool(), sets: newSets(),
+		slots: make(chan struct{}, maxUploads),
+	}
+}
+
+// Run works until ctx is done.
+func (s *Stager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		s.step(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// goal is the version that the engine is to hold.
+type goal struct {
+	model   string
+	version uint64
+	engine  *fleet.Engine
+	origin  *fleet.Origin
+	// named is when the version was named; zero if it never was.
+	named time.Time
+}
+
+// goal returns what the engine is to hold; false while that is not known.
+func (s *Stager) goal() (goal, bool) {
+	view := s.cfg.View()
+	if view.Table == nil {
+		return goal{}, false
+	}
+	service := view.Table.Service(s.cfg.Service)
+	origin := view.Table.Origin()
+	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 || service.Engine.Pieces == 0 || origin == nil {
+		return goal{}, false
+	}
+	g := goal{model: service.Engine.Models[0], version: 1, engine: service.Engine, origin: origin}
+	if v, ok := view.Versions[g.model]; ok && v.Number > g.version {
+		g.version, g.named = v.Number, v.AppliedAt
+	}
+	return g, true
+}
+
+// step brings the engine one step nearer to the goal.
+func (s *Stager) step(ctx context.Context) {
+	g, ok := s.goal()
+	if !ok {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	report, err := s.cfg.Engine.Report(callCtx)
+	cancel()
+	if err != nil {
+		s.log.Debug().Err(err).Msg("engine gives no report")
+		return
+	}
+	held := holds(report, g.model, g.engine.Layers)
+	s.noteLoading(report, g, held)
+	if report.Busy || held >= g.version {
+		return
+	}
+	set, err := s.complete(ctx, g)
+	if err != nil {
+		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("weights are not complete")
+		return
+	}
+	if held > 0 && !s.mayLoad(g) {
+		return
+	}
+	s.load(ctx, g, set)
+}
+
+func holds(r Report, model string, layers int) uint64 {
+	b := fleet.BackendServer{Models: r.Models}
+	return b.Holds(model, layers)
+}
+
+func (s *Stager) noteLoading(r Report, g goal, held uint64) {
+	if s.loading && !r.Busy {
+		s.loading = false
+		s.log.Info().Str("model", g.model).Uint64("version", held).Dur("took_ms", time.Since(s.orderedAt)).
+			Msg("engine has loaded")
+	}
+}
+
+// load lays what was spoilt anew and orders the engine to load.
+func (s *Stager) load(ctx context.Context, g goal, set *pieceSet) {
+	if time.Since(s.orderedAt) < orderRetry {
+		return
+	}
+	if err := s.verifyStaged(ctx, g, set); err != nil {
+		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("staged weights not verified")
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s.orderedAt = time.Now()
+	err := s.cfg.Engine.Load(callCtx, g.model, g.version)
+	s.loading = err == nil
+	s.cfg.Metrics.orders.Inc()
+	s.log.Info().Err(err).Str("model", g.model).Uint64("version", g.version).
+		Dur("since_named_ms", g.age()).Msg("engine ordered to load")
+}
+
+func (g goal) age() time.Duration {
+	if g.named.IsZero() {
+		return 0
+	}
+	return time.Since(g.named)
+}
+
+// verifyStaged reads all pieces back from the engine and lays those anew that
+// were spoilt: the engine takes them in unchecked.
+func (s *Stager) verifyStaged(ctx context.Context, g goal, set *pieceSet) error {
+	for i, digest := range set.digests {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		data, err := s.cfg.Engine.Get(callCtx, g.model, i)
+		cancel()
+		if err == nil && sha256.Sum256(data) == digest {
+			continue
+		}
+		if err != nil && !errors.Is(err, ErrNotHeld) {
+			return err
+		}
+		callCtx, cancel = context.WithTimeout(ctx, callTimeout)
+		err = s.cfg.Engine.Put(callCtx, g.model, i, set.get(i))
+		cancel()
+		if err != nil {
+			return err
+		}
+		s.cfg.Metrics.relaid.Inc()
+	}
+	return nil
+}
+
+// loadWindow is the part of the bound on a version in which engines that serve
+// are ordered to load, one after the other: an engine that loads takes nothing
+// new until its requests have ended.
+const (
+	loadWindowStart = 0.40
+	loadWindowEnd   = 0.80
+)
+
+// mayLoad spreads the loads of engines that serve over the time allowed.
+func (s *Stager) mayLoad(g goal) bool {
+	if g.named.IsZero() {
+		return true
+	}
+	rank, n := s.rank()
+	share := loadWindowStart + (loadWindowEnd-loadWindowStart)*float64(rank)/float64(max(n-1, 1))
+	return g.age() >= time.Duration(share*float64(s.cfg.VersionBound))
+}
