--- a/internal/bench/weights/main.go
+++ b/internal/bench/weights/main.go
@@ -47,7 +47,7 @@
 	bound := flag.Duration("bound", 2500*time.Millisecond, "bound T of runs, longer for the swarm with more than 48 agents; gives the links' rate")
 	cases := flag.String("cases", "quiet,faults", "cases to run")
 	policies := flag.String("policies", "time,origin-bytes", "policies of the swarm to run")
-	scratch := flag.String("scratch", defaultScratch(), "folder for the agents' scratch folders")
+	scratch := flag.String("scratch", os.TempDir(), "folder for the agents' scratch folders")
 	out := flag.String("out", "out/weights-replicas.svg", "plot to write")
 	repeat := flag.Int("repeat", 1, "runs of each case")
 	profile := flag.String("profile", "", "folder for CPU profiles of the agents' last bursts")
@@ -76,16 +76,6 @@
 	}
 }
 
-// defaultScratch prefers a file system in memory, so that the one disk of the
-// bench's machine is not measured in place of N disks of N VMs.
-func defaultScratch() string {
-	const memory = "/dev/shm"
-	if info, err := os.Stat(memory); err == nil && info.IsDir() {
-		return memory
-	}
-	return os.TempDir()
-}
-
 func (o options) bench() error {
 	var results []*result
 	for _, group := range grouped(o.runs()) {
