Agents report to entries through control servers; pieces go within a zone first, one upload at a time

Change: agents tell loading, models and load through the control servers; one agent of a zone fetches a piece from another zone; uploads are paced at 0.8 of the link; digests are known before they are needed; loads are spread over the version's bound.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -183,10 +183,16 @@
 	if s.health.probing && s.inFlight > 0 {
 		return 0, false
 	}
+	if now.Before(s.busyUntil) {
+		return 0, false
+	}
 	if w.Model == "" || s.engine == nil {
 		return 0, true
 	}
-	version := s.record.Holds(w.Model, s.engine.Layers)
+	if s.loading(now) {
+		return 0, false
+	}
+	version := s.holds(now, w.Model)
 	if version == 0 || (w.Version != 0 && version != w.Version) {
 		return 0, false
 	}
@@ -233,6 +239,23 @@
 	s.load = load{known: true, running: running, waiting: waiting, at: now, ownThen: s.inFlight}
 }
 
+// Reported takes the report of the agent beside the server at addr.
+func (b *Balancer) Reported(now time.Time, addr string, loading bool, models []fleet.Loaded, running, waiting int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.servers {
+		if s.Addr != addr || s.retired || s.record.State == fleet.StateGone {
+			continue
+		}
+		s.agent = agentReport{at: now, loading: loading, models: models}
+		s.load = load{known: true, running: running, waiting: waiting, at: now, ownThen: s.inFlight}
+	}
+}
+
+// busyPause is for how long a server that refused is spared, while its reports
+// may still lag.
+const busyPause = 150 * time.Millisecond
+
 // Ending is how a send ended, as far as it tells of the server.
 type Ending uint8
 
@@ -262,6 +285,8 @@
 		if s.health.succeeded() {
 			b.cfg.Logger.Info().Str("server", s.ID).Msg("backend server is back")
 		}
+	case EndedBusy:
+		s.busyUntil = now.Add(busyPause)
 	case EndedFailed, EndedSilent:
 		if s.health.failed(now) || (ending == EndedSilent && s.health.setAsideOnce(now)) {
 			b.cfg.Logger.Warn().Str("server", s.ID).Str("addr", s.Addr).Dur("for", s.health.aside).
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -26,9 +26,37 @@
 	inFlight int
 	load     load
 	health   health
-	// confirmed is the version of weights that the server was last seen to
-	// answer with; its announcements lag.
+	// retired: another server has its address.
 	retired bool
+	// busyUntil is until when a server that refused for want of room is spared.
+	busyUntil time.Time
+	agent     agentReport
+}
+
+// agentReport is what the agent beside the server told.
+type agentReport struct {
+	at      time.Time
+	loading bool
+	models  []fleet.Loaded
+}
+
+// maxReportAge is after how long an agent's word is not used any more: it reports
+// four times a second.
+const maxReportAge = 1500 * time.Millisecond
+
+// holds returns the version of the model that the server holds whole, from the
+// fresher of its agent's report and its own announcement.
+func (s *Server) holds(now time.Time, model string) uint64 {
+	if now.Sub(s.agent.at) < maxReportAge {
+		told := fleet.BackendServer{Models: s.agent.models}
+		return told.Holds(model, s.engine.Layers)
+	}
+	return s.record.Holds(model, s.engine.Layers)
+}
+
+// loading tells whether the server takes no new requests because it loads.
+func (s *Server) loading(now time.Time) bool {
+	return s.agent.loading && now.Sub(s.agent.at) < maxReportAge
 }
 
 // load is what the server last told of its load.
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -25,7 +25,7 @@
 const (
 	// renewInterval is how long renewed announcements wait to share an update:
 	// entries judge by seconds whether a server is heard.
-	renewInterval = 400 * time.Millisecond
+	renewInterval = 250 * time.Millisecond
 	// forgetInterval is how often servers that were not heard are dropped.
 	forgetInterval = 5 * time.Second
 )
@@ -39,6 +39,8 @@
 	mu        sync.Mutex
 	servers   *directory.Directory
 	followers map[*follower]bool
+	// reports are the agents' newest reports by address of the backend server.
+	reports map[string]*rpc.AgentReport
 }
 
 // follower is one stream. Its fields are guarded by the hub's lock.
@@ -47,12 +49,14 @@
 	wake       chan struct{}
 	// changed and renewed hold the ids whose record is to be sent.
 	changed, renewed map[string]bool
-	configVersion    uint64
-	versions         map[string]uint64
-	controlAddrs     []string
-	entries          int
-	number, acked    uint64
-	waiters          []*waiter
+	// reports holds the addresses whose report is to be sent.
+	reports       map[string]bool
+	configVersion uint64
+	versions      map[string]uint64
+	controlAddrs  []string
+	entries       int
+	number, acked uint64
+	waiters       []*waiter
 }
 
 // waiter waits until followers have acknowledged that a server leaves.
@@ -67,6 +71,7 @@
 	return &hub{
 		ledger: l, controlAddrs: controlAddrs, log: log,
 		servers: directory.New(), followers: map[*follower]bool{},
+		reports: map[string]*rpc.AgentReport{},
 	}
 }
 
@@ -189,6 +194,10 @@
 			if err != nil {
 				return
 			}
+			if m.Report != nil {
+				h.report(m.Report)
+				continue
+			}
 			h.acknowledged(f, m.Acknowledged)
 		}
 	}()
@@ -213,12 +222,38 @@
 	}
 }
 
+// report takes an agent's report; one that changes where requests may go is
+// passed on at once, others with the next renewals.
+func (h *hub) report(r *rpc.AgentReport) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known := h.reports[r.Addr]
+	if known != nil && known.Epoch == r.Epoch && known.Seq >= r.Seq {
+		return
+	}
+	h.reports[r.Addr] = r
+	urgent := known == nil || known.Loading != r.Loading || !follow.SameModels(known.Models, r.Models)
+	for f := range h.followers {
+		if f.role != RoleEntry {
+			continue
+		}
+		f.reports[r.Addr] = true
+		if urgent {
+			f.notify()
+		}
+	}
+}
+
 func (h *hub) join(hello *rpc.FollowerMessage) *follower {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := &follower{
 		name: hello.Name, role: hello.Role, wake: make(chan struct{}, 1),
 		changed: map[string]bool{}, renewed: map[string]bool{}, versions: map[string]uint64{},
+		reports: map[string]bool{},
+	}
+	for addr := range h.reports {
+		f.reports[addr] = f.role == RoleEntry
 	}
 	for _, b := range h.servers.All() {
 		f.changed[b.ID] = true
@@ -278,11 +313,17 @@
 			u.Seen = append(u.Seen, &rpc.ServerSeen{Id: id, Seq: b.Seq})
 		}
 	}
-	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 {
+	for addr, wanted := range f.reports {
+		if wanted {
+			u.Reports = append(u.Reports, h.reports[addr])
+		}
+	}
+	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 && len(u.Reports) == 0 {
 		return nil
 	}
 	clear(f.changed)
 	clear(f.renewed)
+	clear(f.reports)
 	f.number++
 	u.Number = f.number
 	for _, w := range f.waiters {
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -21,11 +21,12 @@
 func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
 	viewer := follow.NewViewer(cfg.Decode, nil, cfg.Logger)
 	a := cfg.Agent
+	client := newFollower(cfg, fleetcontrol.RoleAgent, viewer)
 	return &agentRole{
-		client: newFollower(cfg, fleetcontrol.RoleAgent, viewer),
+		client: client,
 		stager: staging.New(staging.Config{
 			Service: a.Service, EngineAddr: a.EngineAddr, PeerAddr: a.PeerAddr,
-			Engine: a.Engine, Origin: a.Origin, View: viewer.View,
+			Engine: a.Engine, Origin: a.Origin, View: viewer.View, Tell: client.Tell, Zone: cfg.Zone, LinkMbps: a.LinkMbps,
 			VersionBound: cfg.VersionBound, Logger: cfg.Logger, Metrics: staging.NewMetrics(registry),
 		}),
 	}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -81,8 +81,10 @@
 type AgentConfig struct {
 	EngineAddr string
 	Service    string
-	Engine     staging.Engine
-	Origin     staging.Origin
+	// LinkMbps is the bandwidth of the VM's link.
+	LinkMbps float64
+	Engine   staging.Engine
+	Origin   staging.Origin
 	// PeerAddr returns the rpc address of the agent beside a backend server.
 	PeerAddr func(serverAddr string) string
 }
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -47,6 +47,7 @@
 		Logger: cfg.Logger, Metrics: gateway.NewMetrics(registry),
 	})
 	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.Logger)
+	viewer.Reported = g.Reported
 	ready := http.NewServeMux()
 	e.MountReady(ready, g.Ready)
 	quiet := log.New(io.Discard, "", 0) // broken connections of callers are counted, not told
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +68,41 @@
 type source struct {
 	cancel   context.CancelFunc
 	listedAt time.Time
+	// stream is nil while the control server is not reached.
+	stream rpc.DRPCFleet_FollowClient
+}
+
+// Tell sends an agent's report: to all control servers that are reached, or to
+// one of them if the report changes nothing that they spread.
+func (c *Client) Tell(r *rpc.AgentReport, all bool) {
+	for _, stream := range c.streams() {
+		// A stream that fails is opened again by its own goroutine, and the next
+		// report is whole.
+		if err := stream.Send(&rpc.FollowerMessage{Report: r}); err == nil && !all {
+			return
+		}
+	}
+}
+
+// streams are the open streams, in the order of the addresses.
+func (c *Client) streams() []rpc.DRPCFleet_FollowClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []rpc.DRPCFleet_FollowClient
+	for _, addr := range slices.Sorted(maps.Keys(c.known)) {
+		if s := c.known[addr]; s.stream != nil {
+			out = append(out, s.stream)
+		}
+	}
+	return out
+}
+
+func (c *Client) setStream(addr string, stream rpc.DRPCFleet_FollowClient) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.known[addr]; s != nil {
+		s.stream = stream
+	}
 }
 
 // New returns a client; Run starts it.
@@ -165,6 +202,8 @@
 	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Role: c.cfg.Role}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
+	c.setStream(addr, stream)
+	defer c.setStream(addr, nil)
 	for {
 		u, err := stream.Recv()
 		if err != nil {
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -32,11 +32,15 @@
 	// Changed is called after each new view.
 	changed func(*View)
 
+	// Reported is called with each new report of an agent; may be nil.
+	Reported func(r *rpc.AgentReport)
+
 	view atomic.Pointer[View]
 
 	mu      sync.Mutex
 	servers *directory.Directory
 	entries map[string]int
+	reports map[string]*rpc.AgentReport
 	forget  time.Time
 }
 
@@ -46,7 +50,7 @@
 // NewViewer returns a viewer. decode reads the operators' document; changed may
 // be nil.
 func NewViewer(decode func([]byte) (*fleet.Config, error), changed func(*View), log zerolog.Logger) *Viewer {
-	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(), entries: map[string]int{}}
+	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(), entries: map[string]int{}, reports: map[string]*rpc.AgentReport{}}
 	v.view.Store(&View{Entries: 1})
 	return v
 }
@@ -70,13 +74,27 @@
 		next.Entries = n
 		changed = true
 	}
-	if !changed {
-		return
+	if changed {
+		v.view.Store(&next)
 	}
-	v.view.Store(&next)
-	if v.changed != nil {
+	if changed && v.changed != nil {
 		v.changed(&next)
 	}
+	v.takeReports(u)
+}
+
+// takeReports hands the reports on that are newer than the ones known.
+func (v *Viewer) takeReports(u *rpc.FleetUpdate) {
+	for _, r := range u.Reports {
+		known := v.reports[r.Addr]
+		if known != nil && known.Epoch == r.Epoch && known.Seq >= r.Seq {
+			continue
+		}
+		v.reports[r.Addr] = r
+		if v.Reported != nil {
+			v.Reported(r)
+		}
+	}
 }
 
 // Lost forgets what only a living control server can tell.
--- a/internal/follow/wire.go
+++ b/internal/follow/wire.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
@@ -14,11 +15,7 @@
 		State: uint32(b.State), Seq: b.Seq, ColdMs: b.Cold.Milliseconds(),
 		AgeMs: now.Sub(b.SeenAt).Milliseconds(),
 	}
-	for _, m := range b.Models {
-		out.Models = append(out.Models, &rpc.LoadedModel{
-			Model: m.Model, Version: m.Version, FromLayer: uint32(m.From), ToLayer: uint32(m.To),
-		})
-	}
+	out.Models = ModelsToProto(b.Models)
 	return out
 }
 
@@ -29,10 +26,33 @@
 		State: fleet.State(s.State), Seq: s.Seq, Cold: time.Duration(s.ColdMs) * time.Millisecond,
 		SeenAt: now.Add(-time.Duration(s.AgeMs) * time.Millisecond),
 	}
-	for _, m := range s.Models {
-		b.Models = append(b.Models, fleet.Loaded{
+	b.Models = ModelsFromProto(s.Models)
+	return b
+}
+
+// ModelsToProto returns the wire form of what an engine holds.
+func ModelsToProto(models []fleet.Loaded) []*rpc.LoadedModel {
+	var out []*rpc.LoadedModel
+	for _, m := range models {
+		out = append(out, &rpc.LoadedModel{
+			Model: m.Model, Version: m.Version, FromLayer: uint32(m.From), ToLayer: uint32(m.To),
+		})
+	}
+	return out
+}
+
+// ModelsFromProto is the inverse of ModelsToProto.
+func ModelsFromProto(models []*rpc.LoadedModel) []fleet.Loaded {
+	var out []fleet.Loaded
+	for _, m := range models {
+		out = append(out, fleet.Loaded{
 			Model: m.Model, Version: m.Version, From: int(m.FromLayer), To: int(m.ToLayer),
 		})
 	}
-	return b
+	return out
+}
+
+// SameModels tells whether two engines hold the same.
+func SameModels(a, b []*rpc.LoadedModel) bool {
+	return slices.Equal(ModelsFromProto(a), ModelsFromProto(b))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/retry"
+	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
 // Headers names the header fields that callers and backend servers use. The
@@ -105,6 +106,11 @@
 	}
 }
 
+// Reported takes an agent's report.
+func (g *Gateway) Reported(r *rpc.AgentReport) {
+	g.balancer.Reported(time.Now(), r.Addr, r.Loading, follow.ModelsFromProto(r.Models), int(r.Running), int(r.Waiting))
+}
+
 // Ready tells whether the entry should get new connections.
 func (g *Gateway) Ready() (reason string, ok bool) {
 	switch {
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -16,17 +16,24 @@
 const (
 	// maxDownloads is how many pieces are fetched from peers at once: enough to
 	// fill a link of 7.3 Mbit/s, on which one piece of 24 KB takes 27 ms.
-	maxDownloads = 4
+	maxDownloads = 3
 	// maxFromOrigin is how many pieces one agent fetches from the origin at once.
 	maxFromOrigin = 1
-	// maxUploads is how many pieces are sent to peers at once.
-	maxUploads = 4
+	// maxUploads is how many pieces are sent to peers at once: events of live
+	// requests wait behind one piece on the link, not behind several.
+	maxUploads = 1
+	// uploadShare is the part of the VM's link that uploads take.
+	uploadShare = 0.8
 	// pieceTimeout bounds the fetch of one piece; all agents share the origin's
 	// link, on which a piece each of twelve takes 330 ms.
 	pieceTimeout = 2500 * time.Millisecond
 	// originPatience is for how long an agent waits for a piece that another one
-	// is to fetch from the origin, for each agent before it in the order.
-	originPatience = 1500 * time.Millisecond
+	// is to fetch from the origin, for each agent before it in the order, beside
+	// the time that the origin's link takes for all pieces.
+	originPatience = 700 * time.Millisecond
+	// farPatience is for how long an agent waits for a piece that another one of
+	// its zone is to fetch from another zone, for each one before it in the order.
+	farPatience = 900 * time.Millisecond
 	// peerHead is the time that peers get to tell what they hold before the origin
 	// is asked.
 	peerHead = 150 * time.Millisecond
@@ -35,8 +42,17 @@
 	// badPause is for how long a peer that failed or was busy is not asked.
 	badPause = 250 * time.Millisecond
 	// fetchTick is how often fetches are started without an event.
-	fetchTick     = 25 * time.Millisecond
-	digestTimeout = 600 * time.Millisecond
+	fetchTick = 25 * time.Millisecond
+	// digestTimeout bounds the question for digests to one peer, digestPeers is how
+	// many are asked in a round, digestPatience how long an agent asks for each one
+	// before it in the order of those that ask the origin.
+	digestTimeout  = 300 * time.Millisecond
+	digestPeers    = 3
+	digestPatience = 400 * time.Millisecond
+	// digestsTurn stands for the digests among the pieces in that order.
+	digestsTurn = -1
+	// loadTurn stands for the order of loads.
+	loadTurn = -2
 )
 
 // peers are the agents beside the other backend servers of the service.
@@ -80,12 +96,7 @@
 // rank is the place of this engine among those of the service.
 func (s *Stager) rank() (rank, n int) {
 	servers := s.servers()
-	for i, b := range servers {
-		if b.Addr == s.cfg.EngineAddr {
-			rank = i
-		}
-	}
-	return rank, len(servers)
+	return s.turn(servers, loadTurn), len(servers)
 }
 
 // turn is how many agents are to fetch a piece from the origin before this one:
@@ -111,15 +122,9 @@
 func (s *Stager) complete(ctx context.Context, g goal) (*pieceSet, error) {
 	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
 	defer cancel()
-	k := key{g.model, g.version}
-	set := s.sets.get(k)
-	if set == nil {
-		digests, err := s.digests(ctx, g)
-		if err != nil {
-			return nil, err
-		}
-		set = s.sets.add(k, digests)
-		s.takeStaged(ctx, g, set)
+	set, err := s.openSet(ctx, g)
+	if err != nil {
+		return nil, err
 	}
 	if len(set.missing()) == 0 {
 		return set, nil
@@ -127,26 +132,33 @@
 	return set, s.fetch(ctx, g, set)
 }
 
-// digests asks the peers that come before this agent, then the origin.
+// openSet returns the version's set; a new one holds what lies at the engine.
+func (s *Stager) openSet(ctx context.Context, g goal) (*pieceSet, error) {
+	k := key{g.model, g.version}
+	if set := s.sets.get(k); set != nil {
+		return set, nil
+	}
+	digests, err := s.digests(ctx, g)
+	if err != nil {
+		return nil, err
+	}
+	set := s.sets.add(k, digests)
+	s.takeStaged(ctx, g, set)
+	return set, nil
+}
+
+// digests asks peers, and the origin when it is this agent's turn.
 func (s *Stager) digests(ctx context.Context, g goal) ([]Digest, error) {
 	servers := s.servers()
-	turn := s.turn(servers, -1)
-	var lastErr error
-	for wait := time.Duration(0); turn > 0 && wait < time.Duration(turn)*originPatience/4; wait += fetchTick * 4 {
-		for _, b := range servers {
-			if b.Addr == s.cfg.EngineAddr || weight(b.Addr, -1) < weight(s.cfg.EngineAddr, -1) {
-				continue
-			}
-			digests, err := s.digestsOf(ctx, s.cfg.PeerAddr(b.Addr), g)
-			if err == nil && len(digests) == g.engine.Pieces {
-				return digests, nil
-			}
-			lastErr = err
+	turn := s.turn(servers, digestsTurn)
+	for began := time.Now(); time.Since(began) < time.Duration(turn)*digestPatience; {
+		if digests := s.digestsOfPeers(ctx, g, servers); digests != nil {
+			return digests, nil
 		}
 		select {
-		case <-time.After(fetchTick * 4):
+		case <-time.After(digestPatience / 4):
 		case <-ctx.Done():
-			return nil, errors.Join(ctx.Err(), lastErr)
+			return nil, ctx.Err()
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
@@ -162,6 +174,20 @@
 	return digests, nil
 }
 
+// digestsOfPeers asks some peers, by lot; nil if none of them knows.
+func (s *Stager) digestsOfPeers(ctx context.Context, g goal, servers []*fleet.BackendServer) []Digest {
+	for _, i := range rand.Perm(len(servers))[:min(digestPeers, len(servers))] {
+		if servers[i].Addr == s.cfg.EngineAddr {
+			continue
+		}
+		digests, err := s.digestsOf(ctx, s.cfg.PeerAddr(servers[i].Addr), g)
+		if err == nil && len(digests) == g.engine.Pieces {
+			return digests
+		}
+	}
+	return nil
+}
+
 func (s *Stager) digestsOf(ctx context.Context, peer string, g goal) ([]Digest, error) {
 	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 	defer cancel()
@@ -215,7 +241,10 @@
 	g       goal
 	set     *pieceSet
 	servers []*fleet.BackendServer
-	began   time.Time
+	// near are those of the own zone, nearPeers the agents beside them.
+	near      []*fleet.BackendServer
+	nearPeers map[string]bool
+	began     time.Time
 	// holders are the pieces that peers have told to hold.
 	holders  map[string]map[int]bool
 	inFlight map[int]bool
@@ -242,6 +271,7 @@
 		holders: map[string]map[int]bool{}, inFlight: map[int]bool{}, busy: map[string]bool{},
 		badUntil: map[string]time.Time{}, results: make(chan fetched), told: make(chan heldBy),
 	}
+	f.sortByZone()
 	for _, peer := range s.peers() {
 		go f.listen(ctx, peer)
 	}
@@ -267,6 +297,16 @@
 	}
 }
 
+func (f *fetcher) sortByZone() {
+	f.nearPeers = map[string]bool{}
+	for _, b := range f.servers {
+		if b.Zone == f.s.cfg.Zone {
+			f.near = append(f.near, b)
+			f.nearPeers[f.s.cfg.PeerAddr(b.Addr)] = true
+		}
+	}
+}
+
 func (f *fetcher) note(t heldBy) {
 	if f.holders[t.peer] == nil {
 		f.holders[t.peer] = map[int]bool{}
@@ -301,11 +341,9 @@
 }
 
 func (f *fetcher) fromPeer(ctx context.Context, piece int, now time.Time) {
-	var free []string
-	for peer, held := range f.holders {
-		if held[piece] && !f.busy[peer] && now.After(f.badUntil[peer]) {
-			free = append(free, peer)
-		}
+	free := f.freeHolders(piece, now, true)
+	if len(free) == 0 && !f.heldNear(piece) && f.farTurn(piece, now) {
+		free = f.freeHolders(piece, now, false)
 	}
 	if len(free) == 0 {
 		return
@@ -327,6 +365,33 @@
 	})
 }
 
+// freeHolders are the peers, of the own zone or of others, that hold a piece and
+// may be asked now.
+func (f *fetcher) freeHolders(piece int, now time.Time, near bool) []string {
+	var free []string
+	for peer, held := range f.holders {
+		if held[piece] && f.nearPeers[peer] == near && !f.busy[peer] && now.After(f.badUntil[peer]) {
+			free = append(free, peer)
+		}
+	}
+	return free
+}
+
+func (f *fetcher) heldNear(piece int) bool {
+	for peer, held := range f.holders {
+		if held[piece] && f.nearPeers[peer] {
+			return true
+		}
+	}
+	return false
+}
+
+// farTurn tells whether it is for this agent to fetch a piece from another zone:
+// one agent of each zone does, the others wait for it.
+func (f *fetcher) farTurn(piece int, now time.Time) bool {
+	return now.Sub(f.began) >= time.Duration(f.s.turn(f.near, piece))*farPatience
+}
+
 var errPeerBusy = errors.New("peer is busy")
 
 // originsTurn tells whether it is for this agent to fetch a piece from the origin.
@@ -338,7 +403,20 @@
 	if holders > 0 {
 		waited -= originPatience // peers that hold it are given a chance first
 	}
-	return waited >= time.Duration(f.s.turn(f.servers, piece))*originPatience
+	turn := f.s.turn(f.servers, piece)
+	if turn == 0 {
+		return waited >= 0
+	}
+	return waited >= f.originTime()+time.Duration(turn)*originPatience
+}
+
+// originTime is how long the origin's link takes for one copy.
+func (f *fetcher) originTime() time.Duration {
+	if f.g.origin.LinkMbps <= 0 {
+		return 0
+	}
+	bits := float64(f.g.engine.Pieces*f.g.engine.PieceBytes) * 8
+	return time.Duration(bits / (f.g.origin.LinkMbps * 1e6) * float64(time.Second))
 }
 
 func (f *fetcher) fromOrigin(ctx context.Context, piece int) {
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -118,16 +118,39 @@
 		return &rpc.PieceResponse{Busy: true}, nil
 	}
 	k := key{req.Model, req.Version}
-	if set := s.stager.sets.get(k); set != nil {
-		return &rpc.PieceResponse{Data: set.get(int(req.Piece))}, nil
-	}
-	data, err := s.stager.cfg.Engine.Get(ctx, k.model, int(req.Piece))
+	data, err := s.piece(ctx, k, int(req.Piece))
 	if err != nil {
 		return &rpc.PieceResponse{}, nil // not held, or not now: the peer asks elsewhere
 	}
+	s.stager.pace(len(data))
 	return &rpc.PieceResponse{Data: data}, nil
 }
 
+func (s *server) piece(ctx context.Context, k key, piece int) ([]byte, error) {
+	if set := s.stager.sets.get(k); set != nil {
+		return set.get(piece), nil
+	}
+	return s.stager.cfg.Engine.Get(ctx, k.model, piece)
+}
+
+// pace waits until the link has had the time to send what was sent before, so
+// that the connection's buffers do not hold several pieces.
+func (s *Stager) pace(bytes int) {
+	if s.cfg.LinkMbps <= 0 {
+		return
+	}
+	took := time.Duration(float64(bytes) * 8 / (uploadShare * s.cfg.LinkMbps * 1e6) * float64(time.Second))
+	s.uploadMu.Lock()
+	now := time.Now()
+	wait := s.uploadFree.Sub(now)
+	if wait < 0 {
+		wait = 0
+	}
+	s.uploadFree = now.Add(wait + took)
+	s.uploadMu.Unlock()
+	time.Sleep(wait)
+}
+
 // Digests returns the digests of a version, none if they are not known.
 func (s *server) Digests(_ context.Context, req *rpc.HeldRequest) (*rpc.DigestsResponse, error) {
 	resp := &rpc.DigestsResponse{}
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -11,12 +11,14 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
 
@@ -66,6 +68,13 @@
 	Engine   Engine
 	Origin   Origin
 	View     func() *follow.View
+	// Tell sends a report to the control servers, to all of them or to one.
+	Tell func(r *rpc.AgentReport, all bool)
+	// LinkMbps is the bandwidth of the VM's link, which live requests share; 0 is
+	// not known.
+	LinkMbps float64
+	// Zone of this agent: bytes from other zones are paid for.
+	Zone string
 	// VersionBound is how long a version may take to be in use.
 	VersionBound time.Duration
 	Logger       zerolog.Logger
@@ -80,6 +89,9 @@
 	callTimeout = 1 * time.Second
 	// orderRetry is the pause after an order without effect.
 	orderRetry = 500 * time.Millisecond
+	// prepareRetry is the pause between tries to learn the digests of what the
+	// engine has loaded: nothing waits for them.
+	prepareRetry = 2 * time.Second
 )
 
 // Stager is one agent's staging.
@@ -89,10 +101,16 @@
 	pool  *rpcconn.Pool
 	sets  *sets
 	slots chan struct{}
+	// uploadFree is when the link will have sent the pieces given out so far.
+	uploadMu   sync.Mutex
+	uploadFree time.Time
 
 	// Below: owned by Run.
 	orderedAt time.Time
 	loading   bool
+	prepareAt time.Time
+	epoch     uint64
+	told      *rpc.AgentReport
 }
 
 // New makes a stager.
@@ -100,9 +118,21 @@
 	return &Stager{
 		cfg: cfg, log: cfg.Logger, pool: rpcconn.NewPool(), sets: newSets(),
 		slots: make(chan struct{}, maxUploads),
+		epoch: uint64(time.Now().UnixNano()), told: &rpc.AgentReport{},
 	}
 }
 
+// tell sends the engine's state to the entries, by the control servers.
+func (s *Stager) tell(r Report) {
+	next := &rpc.AgentReport{
+		Addr: s.cfg.EngineAddr, Epoch: s.epoch, Seq: s.told.Seq + 1, Loading: s.loading,
+		Models: follow.ModelsToProto(r.Models), Running: uint32(r.Running), Waiting: uint32(r.Waiting),
+	}
+	urgent := next.Loading != s.told.Loading || !follow.SameModels(next.Models, s.told.Models)
+	s.told = next
+	s.cfg.Tell(next, urgent)
+}
+
 // Run works until ctx is done.
 func (s *Stager) Run(ctx context.Context) error {
 	ticker := time.NewTicker(pollInterval)
@@ -160,7 +190,12 @@
 	}
 	held := holds(report, g.model, g.engine.Layers)
 	s.noteLoading(report, g, held)
-	if report.Busy || held >= g.version {
+	s.tell(report)
+	if report.Busy {
+		return
+	}
+	if held >= g.version {
+		s.prepare(ctx, g)
 		return
 	}
 	set, err := s.complete(ctx, g)
@@ -171,7 +206,21 @@
 	if held > 0 && !s.mayLoad(g) {
 		return
 	}
-	s.load(ctx, g, set)
+	s.load(ctx, g, set, report)
+}
+
+// prepare takes in what the engine has loaded, so that other agents can have it
+// from here at once.
+func (s *Stager) prepare(ctx context.Context, g goal) {
+	if s.sets.get(key{g.model, g.version}) != nil || time.Now().Before(s.prepareAt) {
+		return
+	}
+	s.prepareAt = time.Now().Add(prepareRetry)
+	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
+	defer cancel()
+	if _, err := s.openSet(ctx, g); err != nil {
+		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("digests not known")
+	}
 }
 
 func holds(r Report, model string, layers int) uint64 {
@@ -188,7 +237,7 @@
 }
 
 // load lays what was spoilt anew and orders the engine to load.
-func (s *Stager) load(ctx context.Context, g goal, set *pieceSet) {
+func (s *Stager) load(ctx context.Context, g goal, set *pieceSet, report Report) {
 	if time.Since(s.orderedAt) < orderRetry {
 		return
 	}
@@ -199,6 +248,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.orderedAt = time.Now()
+	s.loading = true
+	s.tell(report) // entries stop to send before the engine stops to take
 	err := s.cfg.Engine.Load(callCtx, g.model, g.version)
 	s.loading = err == nil
 	s.cfg.Metrics.orders.Inc()
@@ -241,7 +292,7 @@
 // are ordered to load, one after the other: an engine that loads takes nothing
 // new until its requests have ended.
 const (
-	loadWindowStart = 0.40
+	loadWindowStart = 0.38
 	loadWindowEnd   = 0.80
 )
 
