--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -196,8 +196,7 @@
 	if version == 0 || (w.Version != 0 && version != w.Version) {
 		return 0, false
 	}
-	named := b.view.Versions[w.Model]
-	if version < named.Number && now.Sub(named.AppliedAt) > b.cfg.VersionBound-versionMargin {
+	if version < b.view.Versions[w.Model].Floor(now, b.cfg.VersionBound-versionMargin) {
 		return 0, false
 	}
 	return version, true
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -341,8 +341,11 @@
 		f.configVersion = state.ConfigVersion
 		lacks = true
 	}
-	for model, v := range state.Versions {
-		if v.Number > f.versions[model] {
+	for model, newest := range state.Versions {
+		for _, v := range newest.History() {
+			if v.Number <= f.versions[model] {
+				continue
+			}
 			f.versions[model] = v.Number
 			u.Versions = append(u.Versions, &rpc.ModelVersion{
 				Model: model, Version: v.Number, AgeMs: now.Sub(v.AppliedAt).Milliseconds(),
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
@@ -26,8 +27,6 @@
 	// acceptAfterLeave is how long a stopping entry takes new connections: the
 	// balancer in front asks once a second and needs two misses.
 	acceptAfterLeave = 2600 * time.Millisecond
-	// leavePoll is how often a stopping entry looks whether it has finished.
-	leavePoll = 20 * time.Millisecond
 )
 
 // entryRole serves callers.
@@ -36,6 +35,7 @@
 	client  *follow.Client
 	callers *http.Server
 	ready   *http.Server
+	log     zerolog.Logger
 }
 
 func newEntryRole(cfg *Config, registry prometheus.Registerer) *entryRole {
@@ -53,6 +53,7 @@
 	quiet := log.New(io.Discard, "", 0) // broken connections of callers are counted, not told
 	return &entryRole{
 		gateway: g,
+		log:     cfg.Logger,
 		client:  newFollower(cfg, fleetcontrol.RoleEntry, viewer),
 		callers: &http.Server{
 			Addr: e.CallersAddr, Handler: g, ErrorLog: quiet,
@@ -91,12 +92,10 @@
 	case <-ctx.Done():
 		return nil
 	}
-	for r.gateway.InFlight() > 0 {
-		select {
-		case <-time.After(leavePoll):
-		case <-ctx.Done():
-			return nil // what is left is cut at the end of the grace period
-		}
+	// Idle connections are closed now: a request that came later on one of them
+	// might not end within the grace period.
+	if err := r.callers.Shutdown(ctx); err != nil {
+		r.log.Warn().Int64("requests", r.gateway.InFlight()).Msg("grace period is over; requests in progress are cut")
 	}
 	return nil
 }
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -143,7 +143,7 @@
 			versions[model] = known
 		}
 		age := time.Duration(m.AgeMs) * time.Millisecond
-		versions[m.Model] = ledger.Version{Number: m.Version, AppliedAt: time.Now().Add(-age)}
+		versions[m.Model] = next.Versions[m.Model].Next(m.Version, time.Now().Add(-age))
 		next.Versions = versions
 		changed = true
 		v.log.Info().Str("model", m.Model).Uint64("version", m.Version).Dur("age", age).Msg("version of weights named")
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,7 +9,6 @@
 
 	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/fleet"
-	"lynxgate.dev/lynxgate/internal/ledger"
 )
 
 // hopFields concern one connection only and are not passed on (RFC 9110, 7.6.1).
@@ -93,7 +92,7 @@
 }
 
 // expectVersion is the version of weights that the next server must hold: that of
-// the events passed on so far, or the newest one once older ones must not be used.
+// the events passed on so far.
 func (c *call) expectVersion() string {
 	if c.model == "" {
 		return ""
@@ -101,18 +100,9 @@
 	if c.events > 0 && c.version != "" {
 		return c.version
 	}
-	named := c.view.Versions[c.model]
-	if named.Number > 0 && c.choice.Version == named.Number && c.olderIsOver(named) {
-		return strconv.FormatUint(named.Number, 10)
-	}
 	return ""
 }
 
-// olderIsOver tells whether requests may no longer begin on an older version.
-func (c *call) olderIsOver(named ledger.Version) bool {
-	return time.Since(named.AppliedAt) > c.g.cfg.Balance.VersionBound/2
-}
-
 // copyHead takes over the fields of a server's answer.
 func (c *call) copyHead(a *dispatch.Answer) {
 	out := c.w.Header()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,68 @@
 type Version struct {
 	Number    uint64
 	AppliedAt time.Time
+	// Previous is the version named before, nil if it is not known.
+	Previous *Version
+}
+
+// keptVersions bounds the chain of previous versions: those named within the
+// bound on old weights matter, and a bound is some seconds.
+const keptVersions = 8
+
+// Next returns the version that follows v, named at this time.
+func (v Version) Next(number uint64, at time.Time) Version {
+	next := Version{Number: number, AppliedAt: at}
+	if v.Number > 0 {
+		previous := v.cut(keptVersions)
+		next.Previous = &previous
+	}
+	return next
+}
+
+// cut returns v with at most n versions before it.
+func (v Version) cut(n int) Version {
+	if v.Previous != nil {
+		if n <= 1 {
+			v.Previous = nil
+			return v
+		}
+		previous := v.Previous.cut(n - 1)
+		v.Previous = &previous
+	}
+	return v
+}
+
+// Floor returns the newest version that was named at least bound ago: requests
+// may no longer begin on an older one. It is 0 if there is none.
+func (v Version) Floor(now time.Time, bound time.Duration) uint64 {
+	for named := &v; named != nil; named = named.Previous {
+		if named.Number > 0 && now.Sub(named.AppliedAt) >= bound {
+			return named.Number
+		}
+	}
+	return 0
+}
+
+// NamedAfter returns when the first version after this one was named; zero if
+// there is none.
+func (v Version) NamedAfter(held uint64) time.Time {
+	var at time.Time
+	for named := &v; named != nil && named.Number > held; named = named.Previous {
+		at = named.AppliedAt
+	}
+	return at
+}
+
+// History returns the versions known, the oldest first.
+func (v Version) History() []Version {
+	var out []Version
+	for named := &v; named != nil; named = named.Previous {
+		if named.Number > 0 {
+			out = append(out, *named)
+		}
+	}
+	slices.Reverse(out)
+	return out
 }
 
 // Ledger is the state machine; it implements replica.FSM.
@@ -90,7 +153,7 @@
 		for model, v := range s.Versions {
 			versions[model] = v
 		}
-		versions[c.Model] = Version{Number: c.Version, AppliedAt: now}
+		versions[c.Model] = s.Versions[c.Model].Next(c.Version, now)
 		s.Versions = versions
 		changed = true
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -44,3 +44,19 @@
 	assert.EqualValues(t, 3, other.State().Versions["m"].Number)
 	assert.Error(t, other.Restore([]byte{0xff}))
 }
+
+func TestFloorCountsEachVersionFromItsOwnNaming(t *testing.T) {
+	start := time.Unix(100, 0)
+	const bound = 8 * time.Second
+	v := Version{}.Next(2, start).Next(3, start.Add(2*time.Second))
+	assert.EqualValues(t, 0, v.Floor(start.Add(7*time.Second), bound))
+	assert.EqualValues(t, 2, v.Floor(start.Add(8*time.Second), bound), "version 1 is over, 2 is not")
+	assert.EqualValues(t, 3, v.Floor(start.Add(10*time.Second), bound))
+	assert.Equal(t, start, v.NamedAfter(1))
+	assert.Equal(t, start.Add(2*time.Second), v.NamedAfter(2))
+	assert.True(t, v.NamedAfter(3).IsZero())
+	for i := range uint64(20) {
+		v = v.Next(4+i, start)
+	}
+	assert.LessOrEqual(t, len(v.History()), keptVersions+1)
+}
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -284,6 +284,9 @@
 				Dur("since_named_ms", g.age()).Msg("weights are complete")
 			return nil
 		}
+		if newer, ok := s.goal(); ok && newer.version != g.version {
+			return errOvertaken
+		}
 		f.start(ctx, missing)
 		select {
 		case r := <-f.results:
@@ -392,6 +395,9 @@
 	return now.Sub(f.began) >= time.Duration(f.s.turn(f.near, piece))*farPatience
 }
 
+// errOvertaken ends a fetch when a newer version has been named.
+var errOvertaken = errors.New("a newer version was named")
+
 var errPeerBusy = errors.New("peer is busy")
 
 // originsTurn tells whether it is for this agent to fetch a piece from the origin.
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -18,6 +18,7 @@
 
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/ledger"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
@@ -153,8 +154,8 @@
 	version uint64
 	engine  *fleet.Engine
 	origin  *fleet.Origin
-	// named is when the version was named; zero if it never was.
-	named time.Time
+	// named is the version as it was named; zero if it never was.
+	named ledger.Version
 }
 
 // goal returns what the engine is to hold; false while that is not known.
@@ -170,7 +171,7 @@
 	}
 	g := goal{model: service.Engine.Models[0], version: 1, engine: service.Engine, origin: origin}
 	if v, ok := view.Versions[g.model]; ok && v.Number > g.version {
-		g.version, g.named = v.Number, v.AppliedAt
+		g.version, g.named = v.Number, v
 	}
 	return g, true
 }
@@ -203,7 +204,7 @@
 		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("weights are not complete")
 		return
 	}
-	if held > 0 && !s.mayLoad(g) {
+	if held > 0 && !s.mayLoad(g, held) {
 		return
 	}
 	s.load(ctx, g, set, report)
@@ -258,10 +259,10 @@
 }
 
 func (g goal) age() time.Duration {
-	if g.named.IsZero() {
+	if g.named.Number == 0 {
 		return 0
 	}
-	return time.Since(g.named)
+	return time.Since(g.named.AppliedAt)
 }
 
 // verifyStaged reads all pieces back from the engine and lays those anew that
@@ -297,11 +298,14 @@
 )
 
 // mayLoad spreads the loads of engines that serve over the time allowed.
-func (s *Stager) mayLoad(g goal) bool {
-	if g.named.IsZero() {
+func (s *Stager) mayLoad(g goal, held uint64) bool {
+	// What is held must not be used VersionBound after the next version was named,
+	// which may have been before the newest one.
+	named := g.named.NamedAfter(held)
+	if named.IsZero() {
 		return true
 	}
 	rank, n := s.rank()
 	share := loadWindowStart + (loadWindowEnd-loadWindowStart)*float64(rank)/float64(max(n-1, 1))
-	return g.age() >= time.Duration(share*float64(s.cfg.VersionBound))
+	return time.Since(named) >= time.Duration(share*float64(s.cfg.VersionBound))
 }
