Staging: agents with nothing to do fetch what others were to fetch

Change: an idle agent takes over in turn after 250 ms; a piece of another zone is waited for from the moment it is held.

--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -33,7 +33,12 @@
 	originPatience = 700 * time.Millisecond
 	// farPatience is for how long an agent waits for a piece that another one of
 	// its zone is to fetch from another zone, for each one before it in the order.
-	farPatience = 900 * time.Millisecond
+	// It counts from when the piece was first told to be held.
+	farPatience = 400 * time.Millisecond
+	// idlePatience is how long an agent with nothing to do waits before it fetches
+	// pieces of others from the origin, for each agent before it in the order: the
+	// one whose turn it is may be dead, or behind a narrow link.
+	idlePatience = 250 * time.Millisecond
 	// peerHead is the time that peers get to tell what they hold before the origin
 	// is asked.
 	peerHead = 150 * time.Millisecond
@@ -246,14 +251,18 @@
 	nearPeers map[string]bool
 	began     time.Time
 	// holders are the pieces that peers have told to hold.
-	holders  map[string]map[int]bool
-	inFlight map[int]bool
-	busy     map[string]bool
-	badUntil map[string]time.Time
-	downs    int
-	origins  int
-	results  chan fetched
-	told     chan heldBy
+	holders map[string]map[int]bool
+	// heldSince is when a piece was first told to be held by a peer.
+	heldSince map[int]time.Time
+	// idleSince is since when nothing is in flight; zero while something is.
+	idleSince time.Time
+	inFlight  map[int]bool
+	busy      map[string]bool
+	badUntil  map[string]time.Time
+	downs     int
+	origins   int
+	results   chan fetched
+	told      chan heldBy
 }
 
 // heldBy is what a peer has told.
@@ -268,7 +277,7 @@
 	defer cancel()
 	f := &fetcher{
 		s: s, g: g, set: set, servers: s.servers(), began: time.Now(),
-		holders: map[string]map[int]bool{}, inFlight: map[int]bool{}, busy: map[string]bool{},
+		holders: map[string]map[int]bool{}, heldSince: map[int]time.Time{}, inFlight: map[int]bool{}, busy: map[string]bool{},
 		badUntil: map[string]time.Time{}, results: make(chan fetched), told: make(chan heldBy),
 	}
 	f.sortByZone()
@@ -316,6 +325,9 @@
 	}
 	for _, piece := range t.pieces {
 		f.holders[t.peer][int(piece)] = true
+		if f.heldSince[int(piece)].IsZero() {
+			f.heldSince[int(piece)] = time.Now()
+		}
 	}
 }
 
@@ -341,6 +353,16 @@
 			f.fromOrigin(ctx, piece)
 		}
 	}
+	f.noteIdle(now)
+}
+
+func (f *fetcher) noteIdle(now time.Time) {
+	switch {
+	case len(f.inFlight) > 0:
+		f.idleSince = time.Time{}
+	case f.idleSince.IsZero():
+		f.idleSince = now
+	}
 }
 
 func (f *fetcher) fromPeer(ctx context.Context, piece int, now time.Time) {
@@ -392,7 +414,7 @@
 // farTurn tells whether it is for this agent to fetch a piece from another zone:
 // one agent of each zone does, the others wait for it.
 func (f *fetcher) farTurn(piece int, now time.Time) bool {
-	return now.Sub(f.began) >= time.Duration(f.s.turn(f.near, piece))*farPatience
+	return now.Sub(f.heldSince[piece]) >= time.Duration(f.s.turn(f.near, piece))*farPatience
 }
 
 // errOvertaken ends a fetch when a newer version has been named.
@@ -413,6 +435,9 @@
 	if turn == 0 {
 		return waited >= 0
 	}
+	if !f.idleSince.IsZero() && now.Sub(f.idleSince) >= time.Duration(turn)*idlePatience {
+		return true
+	}
 	return waited >= f.originTime()+time.Duration(turn)*originPatience
 }
 
