Entry: predicted waits in place of queue lengths; early refusals; streams leave engines that are to load

Change: the balancer predicts the wait from the prompts it has sent and the slots; a request is sent if its first event is predicted within 0.85 of the objective, of those that come back 0.65; reports every 100 ms; streams are moved off an engine that waits for them to load.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -14,10 +14,22 @@
 )
 
 const (
-	// farPenalty is by how many requests in flight, as a share of the slots, a
-	// server of another zone has to be less loaded to be preferred: bytes between
-	// zones are paid for, and so is the wait.
-	farPenalty = 0.08
+	// perQueued is what one more request at a server counts beside its slots: it
+	// slows the others, and its prompt may be read first.
+	perQueued = 20 * time.Millisecond
+	// farPenalty is by how much a server of another zone has to be better to be
+	// preferred: bytes between zones are paid for.
+	farPenalty = 25 * time.Millisecond
+	// perFailure is what a share of failures of 1 counts.
+	perFailure = 300 * time.Millisecond
+	// silentPenalty and stalePenalty put servers last.
+	silentPenalty = 2 * time.Second
+	stalePenalty  = 4 * time.Second
+	// tieBreak is drawn, so that not all entries take the first of equals.
+	tieBreak = 3 * time.Millisecond
+	// wholeQueue is how many requests per slot a plain service is sent, whose work
+	// is short.
+	wholeQueue = 3
 	// staleAfter is after how long without an announcement a server is used only
 	// if no other is left: three heartbeats of 1.2 s that come late.
 	staleAfter = 5 * time.Second
@@ -110,6 +122,10 @@
 	Exclude []*Server
 	// Version is the version of weights that the request has begun on, 0 if none.
 	Version uint64
+	// Read is how long an engine reads the prompt; Budget is the longest wait for
+	// a slot and for the prompts before this one.
+	Read   time.Duration
+	Budget time.Duration
 }
 
 // Choice is the server chosen for one send.
@@ -120,6 +136,8 @@
 	// Queue is the estimated number of requests there, Slots how many it runs.
 	Queue float64
 	Slots int
+	// Wait is the predicted wait there, Read the time to read the prompt.
+	Wait, Read time.Duration
 	// Told is how old the server's report of its load is, -1 if there is none.
 	Told time.Duration
 }
@@ -130,14 +148,13 @@
 	Known, Fit int
 }
 
-// Pick chooses the server with the lowest estimated load and counts the request
-// as in flight there until Done. limit is the most requests per slot that a
-// server may have; 0 is no limit.
-func (b *Balancer) Pick(now time.Time, w Want, limit float64) (Choice, Room) {
+// Pick chooses the server with the lowest predicted wait, load and cost, and counts
+// the request as in flight there until Done.
+func (b *Balancer) Pick(now time.Time, w Want) (Choice, Room) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best Choice
-	bestScore := math.Inf(1)
+	bestScore := time.Duration(math.MaxInt64)
 	room := Room{}
 	for _, s := range b.services[w.Service] {
 		room.Known++
@@ -148,13 +165,14 @@
 		room.Fit++
 		queue := s.queueLength(now, b.view.Entries)
 		slots := s.slots()
-		if limit > 0 && queue >= limit*float64(slots) {
+		wait := s.predictWait(queue)
+		if s.engine == nil && queue >= wholeQueue*float64(slots) || s.engine != nil && wait > w.Budget {
 			continue
 		}
-		score := b.score(now, s, queue/float64(slots))
+		score := b.score(now, s, queue, wait)
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Told: -1}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1}
 			if s.load.known {
 				best.Told = now.Sub(s.load.at)
 			}
@@ -166,10 +184,29 @@
 			s.health.busySince = now
 		}
 		s.inFlight++
+		s.pendingRead += best.Read
 	}
 	return best, room
 }
 
+// predictWait predicts the wait of one more request for a slot, and for the prompts
+// of this entry that are to be read before its own.
+func (s *Server) predictWait(queue float64) time.Duration {
+	if s.engine == nil {
+		return 0
+	}
+	over := max(0, queue-float64(s.slots())+1)
+	return s.pendingRead + time.Duration(over*float64(s.engine.PerRequest()))
+}
+
+// Began notes that the first event of a request has come: its prompt is read.
+func (b *Balancer) Began(c *Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.Server.pendingRead -= c.Read
+	c.Read = 0
+}
+
 // fits tells whether a server may take the request now, and its version.
 func (b *Balancer) fits(now time.Time, s *Server, w Want) (uint64, bool) {
 	for _, tried := range w.Exclude {
@@ -203,18 +240,18 @@
 }
 
 // score orders servers, lowest first.
-func (b *Balancer) score(now time.Time, s *Server, load float64) float64 {
-	score := load + 0.01*rand.Float64() // no herd on the first of equals
+func (b *Balancer) score(now time.Time, s *Server, queue float64, wait time.Duration) time.Duration {
+	score := wait + time.Duration(queue*float64(perQueued)) + rand.N(tieBreak)
 	if !s.near {
 		score += farPenalty
 	}
 	if now.Sub(s.record.SeenAt) > staleAfter {
-		score += 10
+		score += stalePenalty
 	}
 	if s.health.silent(now, s.inFlight) {
-		score += 5
+		score += silentPenalty
 	}
-	return score + s.health.failures
+	return score + time.Duration(s.health.failures*float64(perFailure))
 }
 
 // Heard notes that bytes came from a server.
@@ -246,11 +283,22 @@
 		if s.Addr != addr || s.retired || s.record.State == fleet.StateGone {
 			continue
 		}
-		s.agent = agentReport{at: now, loading: loading, models: models}
+		since := s.agent.loadingSince
+		if !loading || !s.agent.loading {
+			since = now
+		}
+		s.agent = agentReport{at: now, loading: loading, loadingSince: since, models: models}
 		s.load = load{known: true, running: running, waiting: waiting, at: now, ownThen: s.inFlight}
 	}
 }
 
+// LoadingSince tells whether a server has been about to load for at least d.
+func (b *Balancer) LoadingSince(s *Server, now time.Time, d time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return s.loading(now) && now.Sub(s.agent.loadingSince) >= d
+}
+
 // busyPause is for how long a server that refused is spared, while its reports
 // may still lag.
 const busyPause = 150 * time.Millisecond
@@ -275,10 +323,13 @@
 )
 
 // Done ends a send.
-func (b *Balancer) Done(s *Server, now time.Time, ending Ending) {
+func (b *Balancer) Done(c *Choice, now time.Time, ending Ending) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	s := c.Server
 	s.inFlight--
+	s.pendingRead -= c.Read
+	c.Read = 0
 	switch ending {
 	case EndedWell:
 		if s.health.succeeded() {
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -22,10 +22,12 @@
 	engine *fleet.Engine
 	near   bool
 
-	// inFlight are the requests of this entry.
-	inFlight int
-	load     load
-	health   health
+	// inFlight are the requests of this entry; pendingRead is how long the engine
+	// reads the prompts of those that have no event yet.
+	inFlight    int
+	pendingRead time.Duration
+	load        load
+	health      health
 	// retired: another server has its address.
 	retired bool
 	// busyUntil is until when a server that refused for want of room is spared.
@@ -37,7 +39,9 @@
 type agentReport struct {
 	at      time.Time
 	loading bool
-	models  []fleet.Loaded
+	// loadingSince is when it was first told to be loading, this time.
+	loadingSince time.Time
+	models       []fleet.Loaded
 }
 
 // maxReportAge is after how long an agent's word is not used any more: it reports
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -106,6 +106,28 @@
 	Models     []string
 }
 
+// ReadTime is how long the engine reads a prompt of this many tokens.
+func (e *Engine) ReadTime(tokens int) time.Duration {
+	if e.ReadPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / e.ReadPerSecond * float64(time.Second))
+}
+
+// Pass is how long one pass takes in which all slots write: a request waits for
+// the one in progress.
+func (e *Engine) Pass() time.Duration {
+	return time.Duration(max(e.Stride, 1)) * (e.Step + time.Duration(e.Slots)*e.PerSequence)
+}
+
+// PerRequest is the engine's time for a usual request while all slots are taken:
+// its prompt is read alone, its answer written beside the others.
+func (e *Engine) PerRequest() time.Duration {
+	step := e.Step + time.Duration(e.Slots)*e.PerSequence
+	writing := time.Duration(e.UsualAnswer) * step / time.Duration(max(e.Slots, 1))
+	return max(e.ReadTime(e.UsualPrompt)+writing, time.Millisecond)
+}
+
 // Origin is where the weights come from.
 type Origin struct {
 	Addr string
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -25,7 +25,7 @@
 const (
 	// renewInterval is how long renewed announcements wait to share an update:
 	// entries judge by seconds whether a server is heard.
-	renewInterval = 250 * time.Millisecond
+	renewInterval = 100 * time.Millisecond
 	// forgetInterval is how often servers that were not heard are dropped.
 	forgetInterval = 5 * time.Second
 )
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/dispatch"
-	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
 // hopFields concern one connection only and are not passed on (RFC 9110, 7.6.1).
@@ -158,24 +157,13 @@
 	}
 }
 
-// retryAfter is when a refused caller should come back: when about an objective's
-// worth of work has been done, jittered so that not all come at once.
+// retryAfter is when a refused caller should come back: after some objectives'
+// worth of work, drawn so that not all come at once, and early enough that its
+// deadline leaves time for the answer.
 func (c *call) retryAfter() time.Duration {
-	wait := defaultRetryAfter
-	if c.route != nil && c.route.Objective > 0 {
-		wait = c.route.Objective
+	if c.route == nil || c.route.Objective <= 0 {
+		return defaultRetryAfter
 	}
-	return wait/2 + jitter(wait)
-}
-
-// queueLimit is how many requests per slot a server may have, itself included.
-// Repeats may exceed it: their caller has waited already.
-func (c *call) queueLimit(again bool) float64 {
-	if c.route.Kind != fleet.KindStream {
-		return wholeQueue
-	}
-	if again {
-		return streamQueue * 1.25
-	}
-	return streamQueue
+	wait := 2*c.route.Objective + jitter(3*c.route.Objective)
+	return min(wait, max(time.Until(c.clientBy)/3, 0))
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -44,9 +44,9 @@
 	clientBy, by time.Time
 	service      string
 
-	// sends counts those that left; mayHaveRun tells that one of them may have
-	// run, or has.
-	sends      int
+	// sends counts those that left, runs those that may have run.
+	sends, runs int
+	// mayHaveRun tells that a send may have run, or has.
 	mayHaveRun bool
 	tried      []*balance.Server
 	choice     balance.Choice
@@ -58,10 +58,15 @@
 	reason     string
 	events     int
 	firstEvent time.Duration
+	// longestGap is the longest pause between events, eventAt when the last came.
+	longestGap time.Duration
+	eventAt    time.Time
 	// lastEvent is the id of the last event passed on, or that the caller has.
 	lastEvent string
 	// version of the weights that wrote the first events.
 	version string
+	// moved is the server that the rest of the stream was promised.
+	moved *balance.Choice
 	// broken: the answer was begun and can not be ended.
 	broken bool
 }
@@ -182,6 +187,7 @@
 			return
 		}
 		if c.ended(ctx) {
+			c.releaseMoved()
 			return
 		}
 	}
@@ -199,10 +205,16 @@
 
 // choose picks the server of the next send; false if the call has ended.
 func (c *call) choose(ctx context.Context) bool {
+	if moved := c.moved; moved != nil {
+		c.moved = nil
+		c.choice = *moved
+		c.tried = append(c.tried, moved.Server)
+		return true
+	}
 	now := time.Now()
 	again := c.sends > 0
 	if again {
-		if c.sends >= max(c.route.MaxAttempts, 1) {
+		if c.attemptsUsed() {
 			c.giveUp("all attempts are used")
 			return false
 		}
@@ -211,17 +223,7 @@
 			return false
 		}
 	}
-	if c.by.Sub(now) < leastSend {
-		c.giveUp("no time left")
-		return false
-	}
-	want := balance.Want{Service: c.service, Model: c.model, Exclude: c.tried}
-	if c.events > 0 {
-		// The events so far bind the rest to their version; a version that can
-		// not be read binds to none, and the server is asked to check it.
-		want.Version, _ = strconv.ParseUint(c.version, 10, 64)
-	}
-	choice, room := c.g.balancer.Pick(now, want, c.queueLimit(again))
+	choice, room := c.pick(ctx, again)
 	if choice.Server == nil {
 		c.noServer(room)
 		return false
@@ -231,9 +233,47 @@
 	return true
 }
 
+// attemptsUsed tells whether no other server may get the request. A stream that
+// has begun is sent on after servers that refused it, since its caller can't.
+func (c *call) attemptsUsed() bool {
+	most := max(c.route.MaxAttempts, 1)
+	if c.events > 0 {
+		return c.runs >= most || c.sends >= most+resumeSends
+	}
+	return c.sends >= most
+}
+
+// pick asks the balancer for a server. The rest of a stream that has begun waits
+// for one for a while.
+func (c *call) pick(ctx context.Context, again bool) (balance.Choice, balance.Room) {
+	for {
+		now := time.Now()
+		if c.by.Sub(now) < leastSend {
+			return balance.Choice{}, balance.Room{}
+		}
+		want := c.want(c.share(again))
+		if c.events > 0 {
+			// The events so far bind the rest to their version; a version that can
+			// not be read binds to none, and the server is asked to check it.
+			want.Version, _ = strconv.ParseUint(c.version, 10, 64)
+		}
+		choice, room := c.g.balancer.Pick(now, want)
+		if choice.Server != nil || c.events == 0 || now.Sub(c.eventAt) > resumeWait {
+			return choice, room
+		}
+		select {
+		case <-time.After(resumePause):
+		case <-ctx.Done():
+			return choice, room
+		}
+	}
+}
+
 // noServer ends a call that no server can take.
 func (c *call) noServer(room balance.Room) {
 	switch {
+	case time.Until(c.by) < leastSend:
+		c.giveUp("no time left")
 	case room.Known == 0:
 		c.giveUp("no backend server is known")
 	case room.Fit == 0:
@@ -282,7 +322,7 @@
 	switch {
 	case watch.stalled.Load():
 		return balance.EndedSilent
-	case watch.parent.Err() != nil:
+	case watch.parent.Err() != nil, watch.moved.Load() != nil:
 		return balance.EndedElse
 	}
 	return balance.EndedFailed
@@ -291,13 +331,14 @@
 // sendFailed decides after a send without an answer.
 func (c *call) sendFailed(watch *watchdog, err error) sendResult {
 	c.lastErr = err
-	c.g.balancer.Done(c.choice.Server, time.Now(), c.ending(watch))
+	c.g.balancer.Done(&c.choice, time.Now(), c.ending(watch))
 	c.logSend("send failed", err)
 	if errors.Is(err, dispatch.ErrNotSent) {
 		return sendAgain
 	}
 	c.sends++
 	c.mayHaveRun = true
+	c.runs++
 	if c.route.Idempotent() {
 		return sendAgain
 	}
@@ -312,12 +353,17 @@
 		return c.notRun(a)
 	case a.StatusCode/100 != 2:
 		c.mayHaveRun = true
+		c.runs++
+		c.runs++
 		return c.failedAnswer(watch, a)
 	case a.Header.Get(c.g.cfg.Headers.Signature) == "" || a.Header.Get("Content-Encoding") != "":
 		c.mayHaveRun = true
+		c.runs++
+		c.runs++
 		return c.brokenAnswer(watch, "answer without a signature", nil)
 	}
 	c.mayHaveRun = true
+	c.runs++
 	if c.route.Kind == fleet.KindStream {
 		return c.stream(watch, a)
 	}
@@ -332,7 +378,7 @@
 		ending = balance.EndedGone
 	}
 	_, _ = io.Copy(io.Discard, a)
-	c.g.balancer.Done(c.choice.Server, time.Now(), ending)
+	c.g.balancer.Done(&c.choice, time.Now(), ending)
 	c.logSend("backend server did not run it: "+strconv.Itoa(a.StatusCode), nil)
 	return sendAgain
 }
@@ -348,7 +394,7 @@
 	if a.StatusCode >= http.StatusInternalServerError {
 		ending = balance.EndedFailed
 	}
-	c.g.balancer.Done(c.choice.Server, time.Now(), ending)
+	c.g.balancer.Done(&c.choice, time.Now(), ending)
 	c.logSend("backend server failed: "+strconv.Itoa(a.StatusCode), nil)
 	if a.StatusCode >= http.StatusInternalServerError && c.mayRepeat() {
 		return sendAgain
@@ -370,7 +416,7 @@
 // brokenAnswer handles an answer that can not be given to the caller.
 func (c *call) brokenAnswer(watch *watchdog, what string, err error) sendResult {
 	c.lastErr = err
-	c.g.balancer.Done(c.choice.Server, time.Now(), c.ending(watch))
+	c.g.balancer.Done(&c.choice, time.Now(), c.ending(watch))
 	c.logSend(what, err)
 	if c.route.Idempotent() {
 		return sendAgain
@@ -385,7 +431,7 @@
 	if err != nil {
 		return c.brokenAnswer(watch, "answer broke off", err)
 	}
-	c.g.balancer.Done(c.choice.Server, time.Now(), balance.EndedWell)
+	c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
 	c.copyHead(a)
 	c.status, c.reason = a.StatusCode, "served"
 	c.write(a.StatusCode, body)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	// Model and its version that wrote the answer.
 	Model   string
 	Version string
+	// Tokens are those of the prompt and the most of the answer, by a comma.
+	Tokens string
 	// ResumeAfter is the id of the last event that was received.
 	ResumeAfter string
 	// Priority is for the backend server's queue; only the system sets it.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,17 +2,86 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
 const (
 	// defaultRetryAfter is told where no objective is known.
 	defaultRetryAfter = time.Second
-	// streamQueue is how many requests per slot an engine is sent.
-	streamQueue = 1.5
-	// wholeQueue is the same for plain services, whose work is short.
-	wholeQueue = 3
+	// leastBudget is the wait that is allowed to requests whose prompt alone takes
+	// the objective: they are served late, or as soon as an engine is free.
+	leastBudget = 20 * time.Millisecond
+	// firstShare is the part of the objective within which the first event must be
+	// predicted for a request to be sent; the rest is for what the prediction does
+	// not know.
+	firstShare = 0.85
+	// comebackShare is the same for a caller that comes back after a refusal. It is
+	// lower, so that under lasting overload those who ask for the first time are
+	// served on time: else all of the room goes to callers who are late already.
+	comebackShare = 0.65
+	// resendShare is the same for our own repeats: their caller has waited already,
+	// and the time is gone whatever happens.
+	resendShare = 1.6
+	// resumeSends is how many servers beyond the route's attempts may refuse the
+	// rest of a stream; resumeWait is for how long after its last event a server is
+	// looked for, resumePause how often: callers leave after 2 s without an event.
+	resumeSends = 2
+	resumeWait  = 1200 * time.Millisecond
+	resumePause = 40 * time.Millisecond
+	// comesBackBelow is the share of the route's timeout below which a caller's
+	// deadline tells that it has tried before.
+	comesBackBelow = 0.97
 )
 
 // jitter draws a time up to d.
 func jitter(d time.Duration) time.Duration { return rand.N(max(d, 1)) }
+
+// comesBack tells whether the caller has tried before: its deadline is that of its
+// first attempt.
+func (c *call) comesBack() bool {
+	return c.clientBy.Sub(c.began) < time.Duration(comesBackBelow*float64(c.route.Timeout))
+}
+
+// share is the part of the objective within which the first event must be predicted.
+func (c *call) share(again bool) float64 {
+	switch {
+	case again:
+		return resendShare
+	case c.comesBack():
+		return comebackShare
+	}
+	return firstShare
+}
+
+// want says what a send needs whose first event must be predicted within this share
+// of the objective.
+func (c *call) want(share float64) balance.Want {
+	w := balance.Want{Service: c.service, Model: c.model, Exclude: c.tried}
+	if e := c.engine(); e != nil {
+		w.Read = e.ReadTime(c.promptTokens(e))
+		w.Budget = time.Duration(share*float64(c.route.Objective)) - w.Read - e.Pass()
+		w.Budget = max(w.Budget, leastBudget)
+	}
+	return w
+}
+
+func (c *call) engine() *fleet.Engine {
+	if s := c.view.Table.Service(c.service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// promptTokens is the size of the prompt by the caller's word, or the usual one.
+func (c *call) promptTokens(e *fleet.Engine) int {
+	prompt, _, _ := strings.Cut(c.r.Header.Get(c.g.cfg.Headers.Tokens), ",")
+	if n, err := strconv.Atoi(strings.TrimSpace(prompt)); err == nil && n > 0 {
+		return n
+	}
+	return e.UsualPrompt
+}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -71,6 +71,7 @@
 // counted only.
 func (c *call) logEnd(kind string) {
 	late := c.route != nil && c.route.Objective > 0 && c.firstEvent > c.route.Objective
+	late = late || c.route != nil && c.route.GapObjective > 0 && c.longestGap > c.route.GapObjective
 	if c.reason == "served" && c.sends <= 1 && !late {
 		return
 	}
@@ -81,11 +82,15 @@
 	if c.route != nil {
 		event.Str("route", c.route.Name)
 	}
+	if c.choice.Server != nil {
+		event.Str("server", c.choice.Server.ID).Float64("queue", c.choice.Queue).
+			Dur("wait_ms", c.choice.Wait).Dur("load_age_ms", c.choice.Told)
+	}
 	if c.lastErr != nil {
 		event.AnErr("last", c.lastErr)
 	}
 	c.describe(event).Str("kind", kind).Int("status", c.status).Str("reason", c.reason).
-		Bool("may_have_run", c.mayHaveRun).Int("events", c.events).Dur("first_ms", c.firstEvent).
+		Bool("may_have_run", c.mayHaveRun).Int("events", c.events).Dur("first_ms", c.firstEvent).Dur("gap_ms", c.longestGap).
 		Dur("took_ms", time.Since(c.began)).Msg("request ended")
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -32,25 +33,39 @@
 	if c.version == "" {
 		c.version = a.Header.Get(c.g.cfg.Headers.Version)
 	}
-	err := c.passEvents(a)
+	// A version that can't be read is 0: the stream is then not moved.
+	number, _ := strconv.ParseUint(c.version, 10, 64)
+	err := c.passEvents(a, func() { watch.version.Store(number) })
+	c.moved = watch.moved.Load()
 	if err == nil {
-		c.g.balancer.Done(c.choice.Server, time.Now(), balance.EndedWell)
+		c.releaseMoved()
+		c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
 		c.status, c.reason = a.StatusCode, "served"
 		return sendFinal
 	}
 	if errors.Is(err, errCallerGone) {
-		c.g.balancer.Done(c.choice.Server, time.Now(), balance.EndedElse)
+		c.releaseMoved()
+		c.g.balancer.Done(&c.choice, time.Now(), balance.EndedElse)
 		c.status, c.reason = statusClientGone, "caller left"
 		return sendFinal
 	}
 	return c.brokenAnswer(watch, "stream broke off", err)
 }
 
+// releaseMoved gives the place back that was taken for the rest of a stream that
+// has ended after all.
+func (c *call) releaseMoved() {
+	if c.moved != nil {
+		c.g.balancer.Done(c.moved, time.Now(), balance.EndedElse)
+		c.moved = nil
+	}
+}
+
 // errCallerGone says that the caller takes no more bytes.
 var errCallerGone = errors.New("caller is gone")
 
 // passEvents copies whole events until the answer's proper end.
-func (c *call) passEvents(a *dispatch.Answer) error {
+func (c *call) passEvents(a *dispatch.Answer, passed func()) error {
 	a.ReadBy(c.by)
 	buf := make([]byte, 0, streamBuffer)
 	for {
@@ -67,6 +82,7 @@
 			if err := c.passOn(a, buf[:end]); err != nil {
 				return err
 			}
+			passed()
 			buf = buf[:copy(buf, buf[end:])]
 		}
 		switch {
@@ -95,9 +111,14 @@
 
 // passOn writes whole events to the caller.
 func (c *call) passOn(a *dispatch.Answer, events []byte) error {
+	now := time.Now()
 	if c.events == 0 {
-		c.firstEvent = time.Since(c.began)
+		c.firstEvent = now.Sub(c.began)
+	} else {
+		c.longestGap = max(c.longestGap, now.Sub(c.eventAt))
 	}
+	c.eventAt = now
+	c.g.balancer.Began(&c.choice)
 	c.commit(a)
 	if id, ok := lastEventID(events); ok {
 		c.lastEvent = id
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
@@ -15,6 +16,12 @@
 	// given up at its server: work takes a fifth of the objective on average, and
 	// the rest of the time is left for another server.
 	wholeStall = 2
+	// moveAfter is how long a server that is to load may go on with its streams
+	// before they are moved: half of them have ended by then.
+	moveAfter = 700 * time.Millisecond
+	// moveShare of the objective is the longest predicted time until a moved stream
+	// goes on: a pause must not be noticed.
+	moveShare = 0.6
 )
 
 // watchdog ends a send whose server no longer does anything, so that the request
@@ -26,6 +33,11 @@
 	timer  *time.Timer
 	// stalled tells that the watchdog has ended the send.
 	stalled atomic.Bool
+	// version of the weights that write the stream, once an event was passed on.
+	version atomic.Uint64
+	// moved is the server that the rest of the stream is asked of, if the watchdog
+	// has ended the send for that.
+	moved atomic.Pointer[balance.Choice]
 }
 
 // watch starts a watchdog over one send.
@@ -42,16 +54,42 @@
 		}
 		return w
 	}
+	mayMove := c.sends+1 < c.route.MaxAttempts
+	want := c.want(moveShare)
 	w.timer = time.AfterFunc(silenceCheck, func() {
-		if c.g.balancer.Silent(server, time.Now()) {
+		now := time.Now()
+		if c.g.balancer.Silent(server, now) {
 			w.stall()
 			return
 		}
+		if want.Version = w.version.Load(); mayMove && want.Version != 0 && w.move(c, want, now) {
+			return
+		}
 		w.timer.Reset(silenceCheck)
 	})
 	return w
 }
 
+// move ends a send to a server that waits for its last streams to end so that it
+// can load, if another one has room for the rest. The server is spared up to two
+// seconds without new requests.
+func (w *watchdog) move(c *call, want balance.Want, now time.Time) bool {
+	if !c.g.balancer.LoadingSince(c.choice.Server, now, moveAfter) {
+		return false
+	}
+	choice, _ := c.g.balancer.Pick(now, want)
+	if choice.Server == nil {
+		return false
+	}
+	if !c.g.budget(c.service).TryRetry(c.g.steady(now)) {
+		c.g.balancer.Done(&choice, now, balance.EndedElse)
+		return false
+	}
+	w.moved.Store(&choice)
+	w.cancel()
+	return true
+}
+
 func (w *watchdog) stall() {
 	w.stalled.Store(true)
 	w.cancel()
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -23,7 +23,7 @@
 	// requests wait behind one piece on the link, not behind several.
 	maxUploads = 1
 	// uploadShare is the part of the VM's link that uploads take.
-	uploadShare = 0.8
+	uploadShare = 0.95
 	// pieceTimeout bounds the fetch of one piece; all agents share the origin's
 	// link, on which a piece each of twelve takes 330 ms.
 	pieceTimeout = 2500 * time.Millisecond
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -83,9 +83,10 @@
 }
 
 const (
-	// pollInterval is how often the engine is asked for its state: it tells of a
-	// restart, and of the end of a load. The call is free on the own machine.
-	pollInterval = 250 * time.Millisecond
+	// pollInterval is how often the engine is asked for its state and the entries
+	// are told: an engine takes a new request every 60 ms. The call is free on the
+	// own machine.
+	pollInterval = 100 * time.Millisecond
 	// callTimeout bounds one call to the engine.
 	callTimeout = 1 * time.Second
 	// orderRetry is the pause after an order without effect.
@@ -294,7 +295,7 @@
 // new until its requests have ended.
 const (
 	loadWindowStart = 0.38
-	loadWindowEnd   = 0.80
+	loadWindowEnd   = 0.85
 )
 
 // mayLoad spreads the loads of engines that serve over the time allowed.
