--- a/cmd/lynxgated/main.go
+++ b/cmd/lynxgated/main.go
@@ -30,10 +30,10 @@
 func run() int {
 	path := flag.String("settings", "", "TOML settings `file`")
 	check := flag.Bool("check", false, "check the settings and exit")
-	onPlatform := flag.Bool("platform", false, "run on the users' platform, which says where the settings are")
+	onPlatform := flag.Bool("platform", false, "run on the users' platform, which says where the settings are unless -settings does")
 	flag.Parse()
 	if *onPlatform {
-		return servePlatform()
+		return servePlatform(*path)
 	}
 	if *path == "" || flag.NArg() > 0 {
 		flag.Usage()
--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -106,14 +106,16 @@
 }
 
 // servePlatform runs the process as the users' platform has set it up.
-func servePlatform() int {
+func servePlatform(path string) int {
 	sink := logsink.New(os.Stdout, logsink.DefaultRate)
 	defer sink.Close()
 	log := zerolog.New(sink).With().Timestamp().Logger()
-	path, err := platform.SettingsPath()
-	if err != nil {
-		log.Error().Err(err).Msg("no settings")
-		return exitSettings
+	if path == "" {
+		var err error
+		if path, err = platform.SettingsPath(); err != nil {
+			log.Error().Err(err).Msg("no settings")
+			return exitSettings
+		}
 	}
 	live := &liveSettings{path: path}
 	if err := live.load(); err != nil {
