lynxctl explain; tests of dispatch, balance, open clusters; a first start outlives a crash

Cause: with bootstrap false after a crash in the middle of the first start no server would found the cluster any more (found by TestGeneratedSchedules with admission and retirement drawn in: no progress after a crash in the founding). A data folder made at the first start now says so; a wiped one does not. Ruled out in the same way: two failures with an operator's removal from an open cluster, which shrinks it to two while a disk is lost; nobody removes servers there.

--- a/cmd/lynxctl/main.go
+++ b/cmd/lynxctl/main.go
@@ -62,6 +62,7 @@
 	commander.Register(&statusCommand{env: env}, groupShow)
 	commander.Register(&auditCommand{env: env}, groupShow)
 	commander.Register(&checkCommand{env: env}, groupFiles)
+	commander.Register(&explainCommand{env: env}, groupFiles)
 	commander.Register(&manifestCommand{env: env}, groupFiles)
 	commander.Register(&replayCommand{env: env}, groupShow)
 	if err := flags.Parse(args); err != nil {
--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -22,6 +22,8 @@
 )
 
 const (
+	// logTime tells the milliseconds, by which lines of one request are ordered.
+	logTime = "2006-01-02T15:04:05.000Z07:00"
 	// settingsPoll is how often the settings file is looked at: it may change
 	// without a signal.
 	settingsPoll = 2 * time.Second
@@ -107,6 +109,7 @@
 
 // servePlatform runs the process as the users' platform has set it up.
 func servePlatform(path string) int {
+	zerolog.TimeFieldFormat = logTime
 	sink := logsink.New(os.Stdout, logsink.DefaultRate)
 	defer sink.Close()
 	log := zerolog.New(sink).With().Timestamp().Logger()
--- /dev/null
+++ b/internal/balance/balancer_test.go
@@ -0,0 +1,172 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/ledger"
+)
+
+const (
+	service = "drafts"
+	model   = "m"
+)
+
+var start = time.Unix(1000, 0)
+
+func record(id, zone string, version uint64) *fleet.BackendServer {
+	return &fleet.BackendServer{
+		ID: id, Service: service, Addr: "127.0.0.1:" + id, Zone: zone, Slots: 4, SeenAt: start,
+		Models: []fleet.Loaded{{Model: model, Version: version, To: 16}},
+	}
+}
+
+func view(records ...*fleet.BackendServer) *follow.View {
+	config := &fleet.Config{Version: 1, Services: []fleet.Service{{Name: service, MaxConns: 64, Engine: &fleet.Engine{
+		Slots: 4, Stride: 1, Step: 10 * time.Millisecond, ReadPerSecond: 10_000, UsualPrompt: 1000, UsualAnswer: 100, Layers: 16,
+	}}}}
+	return &follow.View{
+		Table: fleet.NewTable(config), Entries: 2,
+		Servers: map[string][]*fleet.BackendServer{service: records},
+	}
+}
+
+func balancer(v *follow.View) *Balancer {
+	b := New(Config{Zone: "here", VersionBound: 8 * time.Second, Logger: zerolog.Nop()})
+	b.SetView(v)
+	return b
+}
+
+func want() Want { return Want{Service: service, Model: model, Budget: time.Hour} }
+
+func pick(t *testing.T, b *Balancer, now time.Time, w Want) *Choice {
+	t.Helper()
+	c, _ := b.Pick(now, w)
+	require.NotNil(t, c.Server)
+	return &c
+}
+
+func TestNearServerIsPreferredUntilItIsBusier(t *testing.T) {
+	b := balancer(view(record("1", "here", 1), record("2", "there", 1)))
+	first := pick(t, b, start, want())
+	assert.Equal(t, "1", first.Server.ID)
+	b.Told(first.Server, start, 4, 4)
+	assert.Equal(t, "2", pick(t, b, start, want()).Server.ID)
+}
+
+func TestPromptsBeforeAreWaitedFor(t *testing.T) {
+	b := balancer(view(record("1", "here", 1), record("2", "here", 1)))
+	long := want()
+	long.Read = 400 * time.Millisecond
+	first := pick(t, b, start, long)
+	second := pick(t, b, start, want())
+	assert.NotEqual(t, first.Server, second.Server, "a long prompt is read there")
+	short := want()
+	short.Budget, short.Exclude = 300*time.Millisecond, []*Server{second.Server}
+	none, room := b.Pick(start, short)
+	assert.Nil(t, none.Server)
+	assert.Equal(t, Room{Known: 2, Fit: 1}, room)
+	b.Began(first)
+	assert.Equal(t, first.Server, pick(t, b, start, short).Server, "its prompt is read")
+}
+
+func TestBudgetCountsTheWaitForASlot(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	c := pick(t, b, start, want())
+	b.Told(c.Server, start, 4, 2)
+	w := want()
+	w.Budget = 900 * time.Millisecond // 3 requests before it, 350 ms each
+	none, _ := b.Pick(start, w)
+	assert.Nil(t, none.Server)
+	w.Budget = 1200 * time.Millisecond
+	pick(t, b, start, w)
+}
+
+func TestServerThatLeavesOrLoadsGetsNothing(t *testing.T) {
+	leaving := record("1", "here", 1)
+	leaving.State = fleet.StateDraining
+	b := balancer(view(leaving, record("2", "there", 1)))
+	assert.Equal(t, "2", pick(t, b, start, want()).Server.ID)
+	b.Reported(start, "127.0.0.1:2", true, []fleet.Loaded{{Model: model, Version: 1, To: 16}}, 1, 0)
+	none, _ := b.Pick(start, want())
+	assert.Nil(t, none.Server)
+	_, _ = b.Pick(start, want())
+	pick(t, b, start.Add(maxReportAge), want()) // an agent that is silent is not believed
+}
+
+func TestOldVersionIsOverAfterItsBound(t *testing.T) {
+	v := view(record("1", "here", 1), record("2", "there", 2))
+	v.Versions = map[string]ledger.Version{model: ledger.Version{}.Next(2, start)}
+	b := balancer(v)
+	assert.Equal(t, "1", pick(t, b, start.Add(time.Second), want()).Server.ID)
+	assert.Equal(t, "2", pick(t, b, start.Add(8*time.Second), want()).Server.ID)
+	pinned := want()
+	pinned.Version = 1
+	none, _ := b.Pick(start.Add(8*time.Second), pinned)
+	assert.Nil(t, none.Server)
+}
+
+func TestHalfLoadedServerGetsNothing(t *testing.T) {
+	half := record("1", "here", 1)
+	half.Models[0].To = 8
+	b := balancer(view(half))
+	none, room := b.Pick(start, want())
+	assert.Nil(t, none.Server)
+	assert.Equal(t, Room{Known: 1}, room)
+}
+
+func TestFailingServerIsSetAsideAndTriedAgain(t *testing.T) {
+	b := balancer(view(record("1", "here", 1), record("2", "there", 1)))
+	for range 3 {
+		c := pick(t, b, start, Want{Service: service, Model: model, Budget: time.Hour, Exclude: b.services[service][1:]})
+		require.Equal(t, "1", c.Server.ID)
+		b.Done(c, start, EndedFailed)
+	}
+	assert.Equal(t, "2", pick(t, b, start, want()).Server.ID)
+	later := start.Add(probeAfter)
+	only := Want{Service: service, Model: model, Budget: time.Hour, Exclude: b.services[service][1:]}
+	probe := pick(t, b, later, only)
+	none, _ := b.Pick(later, only)
+	assert.Nil(t, none.Server, "one request at a time until one ends well")
+	b.Done(probe, later, EndedWell)
+	pick(t, b, later, only)
+	pick(t, b, later, only)
+}
+
+func TestSilentServerIsSetAside(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	c := pick(t, b, start, want())
+	assert.False(t, b.Silent(c.Server, start.Add(suspectAfter)))
+	assert.True(t, b.Silent(c.Server, start.Add(suspectAfter+1)))
+	b.Heard(c.Server, start.Add(time.Second))
+	assert.False(t, b.Silent(c.Server, start.Add(time.Second)))
+	b.Done(c, start.Add(time.Second), EndedSilent)
+	none, _ := b.Pick(start.Add(time.Second), want())
+	assert.Nil(t, none.Server)
+}
+
+func TestAddressWithAnotherOwnerIsLeft(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	b.Done(pick(t, b, start, want()), start, EndedGone)
+	none, _ := b.Pick(start, want())
+	assert.Nil(t, none.Server)
+	b.SetView(view(record("1", "here", 1)))
+	none, _ = b.Pick(start, want())
+	assert.Nil(t, none.Server, "an announcement of the old start changes nothing")
+}
+
+func TestDoneGivesThePlaceBack(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	w := want()
+	w.Read = time.Second
+	c := pick(t, b, start, w)
+	b.Done(c, start, EndedElse)
+	assert.Zero(t, c.Server.inFlight)
+	assert.Zero(t, c.Server.pendingRead)
+}
--- a/internal/consensus/schedule_test.go
+++ b/internal/consensus/schedule_test.go
@@ -165,6 +165,9 @@
 	case "promote":
 		_, _, _ = leader.core.ProposePromote(extra)
 	case "remove":
+		if s.open {
+			return // nobody removes servers there but the leader itself
+		}
 		_, _, _ = leader.core.ProposeRemove(extra)
 	}
 	s.process(leader)
@@ -187,6 +190,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.SampledFrom([]int{3, 3, 3, 5, 1, 2}).Draw(t, "size")
 		s := newSim(t, size, rapid.Uint64().Draw(t, "seed"))
+		s.open = rapid.IntRange(0, 2).Draw(t, "open") == 0
+		for _, name := range s.names { // started before it was known
+			s.start(s.servers[name])
+		}
 		if rapid.IntRange(0, 3).Draw(t, "warm") > 0 {
 			for range 6 * simElectionTicks {
 				s.runRound()
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -29,10 +29,12 @@
 
 // simServer is one server: a disk, and a core while it runs.
 type simServer struct {
-	id      ServerID
-	disk    Restored
-	core    *Core // nil while down
-	frozen  bool
+	id     ServerID
+	disk   Restored
+	core   *Core // nil while down
+	frozen bool
+	// wiped: the disk is not the one of the first start.
+	wiped   bool
 	crashAt crashPoint
 	state   simState // the state machine
 	applied uint64
@@ -71,9 +73,12 @@
 	// reckless schedules wipe disks that the cluster can not spare: it may
 	// stop for good then, but must not forget.
 	reckless bool
-	round    int
-	clock    int64
-	nextInc  uint64
+	// open clusters admit servers that ask to join and retire lost ones; servers
+	// with another disk than at the first start do not found.
+	open    bool
+	round   int
+	clock   int64
+	nextInc uint64
 	// lostDisk: a disk was wiped or damaged at some time.
 	lostDisk bool
 	clients  *clients
@@ -127,6 +132,7 @@
 	v.core = New(Config{
 		ID: v.id, Addr: v.id.Name, Peers: s.peers, ElectionTicks: simElectionTicks, HeartbeatTicks: simHeartbeatTicks,
 		KeepEntries: 2, Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)),
+		AdmitNewcomers: s.open, RetireTicks: s.retireTicks(), JoinOnly: s.open && v.wiped,
 	}, disk)
 	v.frozen, v.crashAt = false, crashNow
 	v.proxied, v.reads, v.waiting = map[uint64]*clientOp{}, map[uint64]*clientOp{}, nil
@@ -134,6 +140,17 @@
 	s.restoreState(v, disk.Snapshot)
 }
 
+// simRetireTicks is longer than an election, so that a server is not retired
+// while it only waits for a leader.
+const simRetireTicks = 6 * simElectionTicks
+
+func (s *sim) retireTicks() int {
+	if s.open {
+		return simRetireTicks
+	}
+	return 0
+}
+
 func (s *sim) crash(v *simServer) {
 	if v.core == nil {
 		return
@@ -157,6 +174,7 @@
 	s.nextInc++
 	v.id.Incarnation = s.nextInc
 	v.disk = Restored{}
+	v.wiped = true
 	s.start(v)
 }
 
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const idHeader = "X-Id"
+
+// script is a server that answers the nth request of each connection with the nth
+// text, and then closes the connection if told to.
+func script(t *testing.T, closeAfter bool, texts ...string) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				br := bufio.NewReader(c)
+				for _, text := range texts {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					if _, err := io.WriteString(c, text); err != nil {
+						return
+					}
+				}
+				if closeAfter {
+					c.Close()
+				}
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func send(p *Pool, id string) (*Answer, string, error) {
+	a, err := p.Send(context.Background(), &Request{
+		Method: "GET", Bytes: []byte("GET / HTTP/1.1\r\nHost: h\r\n" + idHeader + ": " + id + "\r\n\r\n"),
+		IDHeader: idHeader, ID: id,
+	}, time.Now().Add(time.Second))
+	if err != nil {
+		return nil, "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return a, string(body), err
+}
+
+func whole(id, body string) string {
+	return "HTTP/1.1 200 OK\r\n" + idHeader + ": " + id + "\r\nContent-Length: 4\r\n\r\n" + body
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	p := NewPool(script(t, false, whole("a", "aaaa"), whole("b", "bbbb")))
+	for _, id := range []string{"a", "b"} {
+		_, body, err := send(p, id)
+		require.NoError(t, err)
+		assert.Equal(t, id+id+id+id, body)
+	}
+	assert.EqualValues(t, 1, p.Dialled.Load())
+}
+
+func TestAnswerToAnotherRequestIsPassedOver(t *testing.T) {
+	// The first request's second answer stands where the second one's is due.
+	p := NewPool(script(t, false, whole("a", "aaaa"), whole("a", "late")+whole("b", "bbbb")))
+	_, _, err := send(p, "a")
+	require.NoError(t, err)
+	_, body, err := send(p, "b")
+	require.NoError(t, err)
+	assert.Equal(t, "bbbb", body)
+}
+
+func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
+	p := NewPool(script(t, false, whole("a", "aaaa")+whole("a", "more"), whole("b", "bbbb")))
+	_, _, err := send(p, "a")
+	require.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	_, _, err = send(p, "b")
+	// The second request goes over a new connection, whose script begins anew.
+	assert.EqualValues(t, 2, p.Dialled.Load())
+	assert.Error(t, err, "the answer there is to another request")
+}
+
+func TestClosedIdleConnectionIsNotReused(t *testing.T) {
+	p := NewPool(script(t, true, whole("a", "aaaa")))
+	for range 2 {
+		_, _, err := send(p, "a")
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.EqualValues(t, 2, p.Dialled.Load())
+}
+
+func TestAnswerThatBreaksOffIsNoWholeAnswer(t *testing.T) {
+	p := NewPool(script(t, true, "HTTP/1.1 200 OK\r\n"+idHeader+": a\r\nContent-Length: 10\r\n\r\nhalf"))
+	_, _, err := send(p, "a")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+
+	p = NewPool(script(t, true, "HTTP/1.1 200 OK\r\n"+idHeader+": a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"))
+	_, _, err = send(p, "a")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	p := NewPool(script(t, true, "HTTP/1.1 200 OK\r\n"+idHeader+": a\r\n\r\nall of it"))
+	_, body, err := send(p, "a")
+	require.NoError(t, err)
+	assert.Equal(t, "all of it", body)
+	assert.EqualValues(t, 0, p.open.Load(), "the connection is not kept")
+}
+
+func TestErrorsTellWhatIsCertain(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := lis.Addr().String()
+	require.NoError(t, lis.Close())
+	_, _, err = send(NewPool(addr), "a")
+	assert.ErrorIs(t, err, ErrNotSent)
+
+	_, _, err = send(NewPool(script(t, true, "")), "a")
+	assert.ErrorIs(t, err, ErrLost)
+	assert.False(t, errors.Is(err, ErrNotSent))
+
+	_, _, err = send(NewPool(script(t, true, "this is not HTTP\r\n\r\n")), "a")
+	assert.ErrorIs(t, err, ErrGarbled)
+
+	p := NewPool(script(t, false, whole("a", "aaaa")))
+	p.SetMax(1)
+	p.open.Store(1)
+	_, _, err = send(p, "a")
+	assert.ErrorIs(t, err, ErrNotSent)
+}
+
+func TestCancelBreaksTheConnection(t *testing.T) {
+	p := NewPool(script(t, false, "HTTP/1.1 200 OK\r\n"+idHeader+": a\r\nContent-Length: 10\r\n\r\nhalf"))
+	ctx, cancel := context.WithCancel(context.Background())
+	a, err := p.Send(ctx, &Request{Method: "GET", Bytes: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), IDHeader: idHeader, ID: "a"}, time.Now().Add(time.Minute))
+	require.NoError(t, err)
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err = io.ReadAll(a)
+	assert.Error(t, err)
+	a.Close()
+	assert.EqualValues(t, 0, p.open.Load())
+}
+
+func TestKeepAliveOfTheServerIsKept(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nKeep-Alive: timeout=1\r\nContent-Length: 4\r\n\r\naaaa"
+	p := NewPool(script(t, false, text, text))
+	_, _, err := send(p, "a")
+	require.NoError(t, err)
+	p.CloseStale(time.Now().Add(400 * time.Millisecond))
+	assert.Empty(t, p.idle, "closed before the server's own timeout of a second")
+}
--- a/internal/fleetdaemon/control.go
+++ b/internal/fleetdaemon/control.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"storj.io/drpc/drpcmux"
 
+	"lynxgate.dev/lynxgate/internal/durable"
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/raftlog"
 	"lynxgate.dev/lynxgate/internal/replica"
@@ -54,7 +55,11 @@
 // treats like a lost disk.
 func openControl(stop context.Context, cfg *Config) (*fleetcontrol.Server, error) {
 	for {
-		server, err := fleetcontrol.New(controlConfig(cfg))
+		found, err := mayFound(cfg.Control)
+		var server *fleetcontrol.Server
+		if err == nil {
+			server, err = fleetcontrol.New(controlConfig(cfg, found))
+		}
 		if err == nil {
 			return server, nil
 		}
@@ -73,6 +78,23 @@
 	}
 }
 
+// firstStartFile marks a data folder that was made at the first start of the whole
+// system: its server may go on founding the cluster after a crash.
+const firstStartFile = "first-start"
+
+// mayFound tells whether this server may found the cluster.
+func mayFound(c *ControlConfig) (bool, error) {
+	path := filepath.Join(c.DataFolder, firstStartFile)
+	if !c.FirstStart {
+		_, err := os.Stat(path)
+		return err == nil, nil
+	}
+	if err := os.MkdirAll(c.DataFolder, 0o700); err != nil {
+		return false, err
+	}
+	return true, durable.ReplaceFile(path, nil, 0o600)
+}
+
 func clearFolder(dir string) error {
 	files, err := os.ReadDir(dir)
 	if err != nil {
@@ -86,12 +108,12 @@
 	return nil
 }
 
-func controlConfig(cfg *Config) fleetcontrol.Config {
+func controlConfig(cfg *Config, found bool) fleetcontrol.Config {
 	c := cfg.Control
 	r := replica.Config{
 		Name: c.Member, Addr: cfg.RPCAddr, Dir: c.DataFolder,
 		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-		SnapshotEntries: snapshotEntries, JoinOnly: !c.FirstStart, AdmitNewcomers: true,
+		SnapshotEntries: snapshotEntries, JoinOnly: !found, AdmitNewcomers: true,
 		RetireAfter: retireAfter, RetryDisk: true, Logger: cfg.Logger,
 	}
 	for name, addr := range c.Peers() {
