--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,361 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/follow"
+)
+
+var headers = Headers{
+	RequestID: "X-Id", DeadlineMs: "X-Wait", Key: "X-Key", Organisation: "X-Org", ExpectServer: "X-Expect",
+	ExpectVersion: "X-Expect-Weights", NotRun: "X-Not-Run", Signature: "X-Signed", ServerID: "X-Server",
+	Load: "X-Load", Model: "X-Of-Model", Version: "X-Weights", Tokens: "X-Tokens", ResumeAfter: "Last-Event-ID", Priority: "X-Rank",
+}
+
+// backend is a fake backend server that answers each request with its script.
+type backend struct {
+	*httptest.Server
+	id string
+	mu sync.Mutex
+	// seen are the requests that came.
+	seen []*http.Request
+}
+
+func newBackend(t *testing.T, id string, serve func(w http.ResponseWriter, r *http.Request)) *backend {
+	b := &backend{id: id}
+	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.seen = append(b.seen, r)
+		b.mu.Unlock()
+		w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
+		w.Header().Set(headers.ServerID, id)
+		serve(w, r)
+	}))
+	t.Cleanup(b.Close)
+	return b
+}
+
+func (b *backend) requests() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seen
+}
+
+func good(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headers.Signature, "signed")
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(headers.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func cut(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+// events writes the events after the last one that the caller has, and breaks off
+// in the middle of the one after stop, if that is not 0.
+func events(stop int) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.Signature, "signed")
+		w.Header().Set(headers.Version, "7")
+		last, _ := strconv.Atoi(r.Header.Get(headers.ResumeAfter))
+		for i := last + 1; i <= 5; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+			if i == stop {
+				fmt.Fprintf(w, "id: %d\nda", i+1)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+}
+
+const wholeStream = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\n"
+
+// entry is a gateway before some backends of the services plain and engine.
+type entry struct {
+	*Gateway
+	*httptest.Server
+	logs *bytes.Buffer
+}
+
+func newEntry(t *testing.T, backends ...*backend) *entry {
+	var logs bytes.Buffer
+	g := New(Config{
+		Headers: headers, Balance: balance.Config{Zone: "z", VersionBound: 8 * time.Second, Logger: zerolog.Nop()},
+		RetryShare: 0.2, RetryFloor: 100, RetryWindow: 10 * time.Second,
+		Logger: zerolog.New(zerolog.SyncWriter(&logs)), Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
+	server := httptest.NewUnstartedServer(g)
+	server.Config.ErrorLog = nil
+	server.Start()
+	t.Cleanup(server.Close)
+	if backends == nil {
+		return &entry{g, server, &logs}
+	}
+	config := &fleet.Config{
+		Version: 3,
+		Services: []fleet.Service{
+			{Name: "plain", MaxConns: 64},
+			{Name: "engine", MaxConns: 64, Engine: &fleet.Engine{Slots: 4, Stride: 1, Step: time.Millisecond, ReadPerSecond: 1e4, UsualPrompt: 100, UsualAnswer: 10, Models: []string{"m"}}},
+		},
+		Organisations: []fleet.Organisation{{Name: "org", Keys: []string{"key"}}},
+		Limits:        fleet.Limits{BodyBytes: 1000},
+	}
+	route := func(name, service string, kind fleet.Kind, attempts int, resumable bool) {
+		config.Routes = append(config.Routes, fleet.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second, Objective: 200 * time.Millisecond,
+			Targets: []fleet.Target{{Service: service, Weight: 1}}, MaxAttempts: attempts, Resumable: resumable,
+		})
+	}
+	route("unsafe", "plain", fleet.KindUnsafe, 1, false)
+	route("safe", "plain", fleet.KindSafe, 2, false)
+	route("stream", "engine", fleet.KindStream, 2, true)
+	route("once", "engine", fleet.KindStream, 2, false)
+	servers := map[string][]*fleet.BackendServer{}
+	for i, b := range backends {
+		for _, service := range []string{"plain", "engine"} {
+			servers[service] = append(servers[service], &fleet.BackendServer{
+				// The order of the backends is the order of preference.
+				ID: b.id, Service: service, Addr: strings.TrimPrefix(b.URL, "http://"), Zone: map[bool]string{true: "z"}[i == 0],
+				Slots: 4, SeenAt: time.Now(), Models: []fleet.Loaded{{Model: "m", Version: 7}},
+			})
+		}
+	}
+	// A server has one record; the last service wins, so each test uses one.
+	g.SetView(&follow.View{Table: fleet.NewTable(config), Servers: servers, Entries: 1})
+	return &entry{g, server, &logs}
+}
+
+type got struct {
+	status int
+	body   string
+	head   http.Header
+	err    error
+}
+
+func (e *entry) ask(t *testing.T, method, path string, change ...func(*http.Request)) got {
+	t.Helper()
+	req, err := http.NewRequest(method, e.URL+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set(headers.RequestID, "id-1")
+	req.Header.Set(headers.Key, "key")
+	req.Header.Set(headers.Model, "m")
+	req.Header.Set(headers.DeadlineMs, "2000")
+	for _, c := range change {
+		c(req)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return got{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return got{resp.StatusCode, string(body), resp.Header, err}
+}
+
+func TestUnknownConfigurationIsARefusal(t *testing.T) {
+	e := newEntry(t)
+	a := e.ask(t, "POST", "/unsafe/1")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.NotEmpty(t, a.head.Get("Retry-After"))
+	_, ready := e.Ready()
+	assert.False(t, ready)
+}
+
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	b := newBackend(t, "b-1", good)
+	e := newEntry(t, b)
+	a := e.ask(t, "POST", "/unsafe/a%2Fb?q=1;2", func(r *http.Request) {
+		r.Header.Set(headers.Organisation, "forged")
+		r.Header.Set(headers.Priority, "0")
+		r.Header.Set("X-Extra", "kept")
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "dropped")
+	})
+	assert.Equal(t, "POST /unsafe/a%2Fb?q=1;2 body", a.body)
+	assert.Equal(t, "signed", a.head.Get(headers.Signature))
+	r := b.requests()[0]
+	assert.Equal(t, "h", r.Host)
+	assert.Equal(t, "org", r.Header.Get(headers.Organisation))
+	assert.Equal(t, "b-1", r.Header.Get(headers.ExpectServer))
+	assert.Equal(t, "kept", r.Header.Get("X-Extra"))
+	assert.Empty(t, r.Header.Get("X-Hop"))
+	assert.Empty(t, r.Header.Get(headers.Key), "the key is a secret")
+	assert.Empty(t, r.Header.Get(headers.Priority))
+	left, err := strconv.Atoi(r.Header.Get(headers.DeadlineMs))
+	assert.NoError(t, err)
+	assert.InDelta(t, 1950, left, 50)
+}
+
+func TestRefusalsAreTrue(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		serve  func(http.ResponseWriter, *http.Request)
+		status int
+		sends  int
+	}{
+		"refused by the server":    {"/unsafe/1", notRun, http.StatusServiceUnavailable, 1},
+		"cut, may have run":        {"/unsafe/1", cut, http.StatusBadGateway, 1},
+		"cut stream, may have run": {"/once/1", cut, http.StatusBadGateway, 1},
+		"cut twice, idempotent":    {"/safe/1", cut, http.StatusBadGateway, 2},
+		"not signed":               {"/unsafe/1", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }, http.StatusBadGateway, 1},
+		"its own failure": {"/unsafe/1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headers.Signature, "signed")
+			w.WriteHeader(500)
+		}, 500, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b1, b2 := newBackend(t, "b-1", c.serve), newBackend(t, "b-2", c.serve)
+			e := newEntry(t, b1, b2)
+			a := e.ask(t, "POST", c.path)
+			assert.Equal(t, c.status, a.status)
+			assert.Equal(t, c.status == http.StatusServiceUnavailable, a.head.Get("Retry-After") != "")
+			assert.Equal(t, c.sends, len(b1.requests())+len(b2.requests()))
+		})
+	}
+}
+
+func TestIdempotentRequestGoesToAnotherServer(t *testing.T) {
+	for name, first := range map[string]func(http.ResponseWriter, *http.Request){
+		"cut": cut, "not run": notRun, "failed": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) },
+		"other address": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headers.ServerID, "someone-else")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		},
+		"silent": func(_ http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(3 * time.Second):
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEntry(t, newBackend(t, "b-1", first), newBackend(t, "b-2", good))
+			a := e.ask(t, "POST", "/safe/1")
+			assert.Equal(t, "POST /safe/1 body", a.body)
+		})
+	}
+}
+
+func TestStreamGoesOnWhereItBrokeOff(t *testing.T) {
+	for stop := 1; stop <= 4; stop++ {
+		b1, b2 := newBackend(t, "b-1", events(stop)), newBackend(t, "b-2", events(0))
+		e := newEntry(t, b1, b2)
+		a := e.ask(t, "POST", "/stream/1")
+		require.NoError(t, a.err)
+		assert.Equal(t, wholeStream, a.body)
+		require.Len(t, b2.requests(), 1)
+		assert.Equal(t, strconv.Itoa(stop), b2.requests()[0].Header.Get(headers.ResumeAfter))
+		assert.Equal(t, "7", b2.requests()[0].Header.Get(headers.ExpectVersion), "one answer, one version of the weights")
+	}
+}
+
+func TestStreamThatCanNotGoOnDoesNotLookWhole(t *testing.T) {
+	e := newEntry(t, newBackend(t, "b-1", events(2)), newBackend(t, "b-2", notRun))
+	a := e.ask(t, "POST", "/stream/1")
+	assert.Error(t, a.err)
+	e = newEntry(t, newBackend(t, "b-1", events(2)), newBackend(t, "b-2", events(0)))
+	a = e.ask(t, "POST", "/once/1")
+	assert.Error(t, a.err, "a stream that must not be resumed")
+	assert.Equal(t, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", a.body)
+}
+
+func TestCallerThatLeavesStopsTheWork(t *testing.T) {
+	left := make(chan struct{})
+	b := newBackend(t, "b-1", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		<-r.Context().Done()
+		close(left)
+	})
+	e := newEntry(t, b)
+	req, err := http.NewRequest("POST", e.URL+"/unsafe/1", strings.NewReader("body"))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set(headers.Key, "key")
+	c := &http.Client{Timeout: 100 * time.Millisecond}
+	_, err = c.Do(req)
+	require.Error(t, err)
+	select {
+	case <-left:
+	case <-time.After(time.Second):
+		t.Fatal("the backend server still works half a second after its caller left")
+	}
+}
+
+func TestTimeoutOfTheRouteEndsTheWait(t *testing.T) {
+	e := newEntry(t, newBackend(t, "b-1", func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(5 * time.Second):
+		}
+	}))
+	began := time.Now()
+	a := e.ask(t, "POST", "/unsafe/1", func(r *http.Request) { r.Header.Set(headers.DeadlineMs, "300") })
+	assert.Equal(t, http.StatusGatewayTimeout, a.status)
+	assert.WithinDuration(t, began.Add(300*time.Millisecond), time.Now(), 200*time.Millisecond)
+}
+
+func TestRepeatsAreBounded(t *testing.T) {
+	e := newEntry(t, newBackend(t, "b-1", notRun), newBackend(t, "b-2", notRun))
+	e.cfg.RetryFloor = 10 // 7 of them are given out, and a share of the requests
+	for range 20 {
+		e.ask(t, "POST", "/safe/1")
+	}
+	requests, repeats := e.budget("plain").Counts(e.steady(time.Now()))
+	assert.Equal(t, 20, requests)
+	assert.LessOrEqual(t, repeats, 7+int(0.2*20))
+}
+
+func TestCallersThatComeBackAreTold(t *testing.T) {
+	// Four slots are taken and told: a first event within 0.6 of 200 ms is not to
+	// be had, so the caller is refused at once.
+	busy := newBackend(t, "b-1", good)
+	e := newEntry(t, busy)
+	for range 3 {
+		e.balancer.Reported(time.Now(), strings.TrimPrefix(busy.URL, "http://"), false, []fleet.Loaded{{Model: "m", Version: 7}}, 4, 50)
+	}
+	began := time.Now()
+	a := e.ask(t, "POST", "/stream/1")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	assert.Less(t, time.Since(began), 50*time.Millisecond)
+	after, err := strconv.ParseFloat(a.head.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	assert.Positive(t, after)
+	assert.LessOrEqual(t, after, 2.0/3, "a third of what is left")
+	assert.Empty(t, busy.requests())
+	assert.Contains(t, e.logs.String(), "all backend servers are full")
+}
+
+func TestWholeEvents(t *testing.T) {
+	for text, want := range map[string]int{
+		"": 0, "id: 1\n": 0, "id: 1\n\n": 7, "id: 1\n\nid: 2": 7, "a\n\nb\n\n": 6, "a\r\n\r\nb": 5,
+	} {
+		assert.Equal(t, want, wholeEvents([]byte(text)), "%q", text)
+	}
+	id, ok := lastEventID([]byte("id: 1\ndata: x\n\nid: 22\ndata: y\n\ndata: z\n\n"))
+	assert.True(t, ok)
+	assert.Equal(t, "22", id)
+	_, ok = lastEventID([]byte("data: x\n\n"))
+	assert.False(t, ok)
+}
