--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -138,6 +138,9 @@
 	Slots int
 	// Wait is the predicted wait there, Read the time to read the prompt.
 	Wait, Read time.Duration
+	// pickedAt is when the server was chosen; begun tells that an event has come.
+	pickedAt time.Time
+	begun    bool
 	// Told is how old the server's report of its load is, -1 if there is none.
 	Told time.Duration
 }
@@ -165,14 +168,14 @@
 		room.Fit++
 		queue := s.queueLength(now, b.view.Entries)
 		slots := s.slots()
-		wait := s.predictWait(queue)
+		wait := s.predictWait(now, queue)
 		if s.engine == nil && queue >= wholeQueue*float64(slots) || s.engine != nil && wait > w.Budget {
 			continue
 		}
 		score := b.score(now, s, queue, wait)
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1, pickedAt: now}
 			if s.load.known {
 				best.Told = now.Sub(s.load.at)
 			}
@@ -189,20 +192,27 @@
 	return best, room
 }
 
-// predictWait predicts the wait of one more request for a slot, and for the prompts
-// of this entry that are to be read before its own.
-func (s *Server) predictWait(queue float64) time.Duration {
+// predictWait predicts the wait of one more request for a slot, for the prompts
+// of this entry that are to be read before its own, and by what came late before.
+func (s *Server) predictWait(now time.Time, queue float64) time.Duration {
 	if s.engine == nil {
 		return 0
 	}
 	over := max(0, queue-float64(s.slots())+1)
-	return s.pendingRead + time.Duration(over*float64(s.engine.PerRequest()))
+	return s.pendingRead + time.Duration(over*float64(s.engine.PerRequest())) + s.excess.now(now)
 }
 
-// Began notes that the first event of a request has come: its prompt is read.
-func (b *Balancer) Began(c *Choice) {
+// Began notes that an event of a request has come: its prompt is read.
+func (b *Balancer) Began(c *Choice, now time.Time) {
+	if c.begun {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c.begun = true
+	if s := c.Server; s.engine != nil {
+		s.excess.observe(now, now.Sub(c.pickedAt)-c.Wait-c.Read-s.engine.Pass())
+	}
 	c.Server.pendingRead -= c.Read
 	c.Read = 0
 }
@@ -233,7 +243,8 @@
 	if version == 0 || (w.Version != 0 && version != w.Version) {
 		return 0, false
 	}
-	if version < b.view.Versions[w.Model].Floor(now, b.cfg.VersionBound-versionMargin) {
+	margin := versionMargin + 2*s.excess.now(now)
+	if version < b.view.Versions[w.Model].Floor(now, b.cfg.VersionBound-margin) {
 		return 0, false
 	}
 	return version, true
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -72,7 +72,7 @@
 	none, room := b.Pick(start, short)
 	assert.Nil(t, none.Server)
 	assert.Equal(t, Room{Known: 2, Fit: 1}, room)
-	b.Began(first)
+	b.Began(first, start)
 	assert.Equal(t, first.Server, pick(t, b, start, short).Server, "its prompt is read")
 }
 
@@ -170,3 +170,25 @@
 	assert.Zero(t, c.Server.inFlight)
 	assert.Zero(t, c.Server.pendingRead)
 }
+
+func TestServerBehindASlowLinkIsLeft(t *testing.T) {
+	v := view(record("1", "here", 1), record("2", "there", 1))
+	v.Versions = map[string]ledger.Version{model: ledger.Version{}.Next(2, start)}
+	b := balancer(v)
+	for range 4 {
+		c := pick(t, b, start, Want{Service: service, Model: model, Budget: time.Hour, Exclude: b.services[service][1:]})
+		b.Began(c, start.Add(900*time.Millisecond))
+		b.Done(c, start.Add(900*time.Millisecond), EndedWell)
+	}
+	now := start.Add(900 * time.Millisecond)
+	assert.Equal(t, "2", pick(t, b, now, want()).Server.ID)
+	short := Want{Service: service, Model: model, Budget: 100 * time.Millisecond, Exclude: b.services[service][1:]}
+	none, _ := b.Pick(now, short)
+	assert.Nil(t, none.Server)
+	pick(t, b, now.Add(6*time.Second), short) // it is tried again
+	// What is sent there arrives late: the old version is over there earlier.
+	b.servers["1"].excess = excess{value: time.Second, at: start.Add(6 * time.Second)}
+	only := Want{Service: service, Model: model, Budget: time.Hour, Exclude: b.services[service][1:]}
+	none, _ = b.Pick(start.Add(6*time.Second), only)
+	assert.Nil(t, none.Server)
+}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/dispatch"
@@ -28,6 +29,7 @@
 	pendingRead time.Duration
 	load        load
 	health      health
+	excess      excess
 	// retired: another server has its address.
 	retired bool
 	// busyUntil is until when a server that refused for want of room is spared.
@@ -94,3 +96,35 @@
 	}
 	return max(s.record.Slots, 1)
 }
+
+// excess is by how much first events came later than predicted: the server or the
+// way to it is slow. It fades, so that a server is tried again.
+type excess struct {
+	value time.Duration
+	at    time.Time
+}
+
+const (
+	// excessGain is the weight of the newest first event.
+	excessGain = 0.3
+	// excessHalfLife is how fast an excess fades: a server that is 0.6 s late is
+	// tried again after some seconds.
+	excessHalfLife = 1500 * time.Millisecond
+	// excessNoise is what predictions may miss at a sound server.
+	excessNoise = 60 * time.Millisecond
+)
+
+func (e *excess) now(now time.Time) time.Duration {
+	age := now.Sub(e.at)
+	if e.value == 0 || age <= 0 {
+		return e.value
+	}
+	return time.Duration(float64(e.value) * math.Exp2(-float64(age)/float64(excessHalfLife)))
+}
+
+// observe takes the time of a first event beyond the predicted one.
+func (e *excess) observe(now time.Time, late time.Duration) {
+	late = max(0, late-excessNoise)
+	e.value = time.Duration((1-excessGain)*float64(e.now(now)) + excessGain*float64(late))
+	e.at = now
+}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -88,9 +88,19 @@
 	}
 	c.join.init(c)
 	c.becomeFollower(c.hard.CurrentTerm, ServerID{})
+	if !c.blank() {
+		c.hurryFirstElection()
+	}
 	return c
 }
 
+// hurryFirstElection shortens the first election timeout of a server that starts
+// with state: after a loss of power of all servers, none of them waits for a
+// leader that can't be there. Where there is one, the pre-vote is not granted.
+func (c *Core) hurryFirstElection() {
+	c.electionTimeout = 1 + c.cfg.ElectionTicks/4 + c.rand.IntN(c.cfg.ElectionTicks)/2
+}
+
 // Tick moves logical time by one step.
 func (c *Core) Tick() {
 	c.now++
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -118,7 +118,7 @@
 		c.longestGap = max(c.longestGap, now.Sub(c.eventAt))
 	}
 	c.eventAt = now
-	c.g.balancer.Began(&c.choice)
+	c.g.balancer.Began(&c.choice, now)
 	c.commit(a)
 	if id, ok := lastEventID(events); ok {
 		c.lastEvent = id
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -43,7 +43,7 @@
 	// is asked.
 	peerHead = 150 * time.Millisecond
 	// completeTimeout bounds one try to complete a version; what was fetched stays.
-	completeTimeout = 5 * time.Second
+	completeTimeout = 8 * time.Second
 	// badPause is for how long a peer that failed or was busy is not asked.
 	badPause = 250 * time.Millisecond
 	// fetchTick is how often fetches are started without an event.
@@ -125,8 +125,6 @@
 
 // complete returns the version's set once it holds all pieces, fetching them.
 func (s *Stager) complete(ctx context.Context, g goal) (*pieceSet, error) {
-	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
-	defer cancel()
 	set, err := s.openSet(ctx, g)
 	if err != nil {
 		return nil, err
@@ -293,13 +291,13 @@
 				Dur("since_named_ms", g.age()).Msg("weights are complete")
 			return nil
 		}
-		if newer, ok := s.goal(); ok && newer.version != g.version {
+		if s.overtaken(g) {
 			return errOvertaken
 		}
 		f.start(ctx, missing)
 		select {
 		case r := <-f.results:
-			f.take(ctx, r)
+			f.take(r)
 		case t := <-f.told:
 			f.note(t)
 		case <-ticker.C:
@@ -459,8 +457,8 @@
 	}
 }
 
-// take takes the result of one fetch in, and lays the piece at the engine.
-func (f *fetcher) take(ctx context.Context, r fetched) {
+// take takes the result of one fetch in.
+func (f *fetcher) take(r fetched) {
 	delete(f.inFlight, r.piece)
 	source := "origin"
 	if r.peer == "" {
@@ -484,12 +482,6 @@
 	}
 	f.s.cfg.Metrics.pieces.WithLabelValues(source).Inc()
 	f.s.cfg.Metrics.bytes.WithLabelValues(source).Add(float64(len(r.data)))
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := f.s.cfg.Engine.Put(callCtx, f.g.model, r.piece, r.data); err != nil {
-		// It is laid before the load, when all are read back.
-		f.s.log.Warn().Err(err).Int("piece", r.piece).Msg("piece not laid at the engine")
-	}
 }
 
 // listen follows what a peer holds.
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -12,6 +12,7 @@
 	"crypto/sha256"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -91,9 +92,6 @@
 	callTimeout = 1 * time.Second
 	// orderRetry is the pause after an order without effect.
 	orderRetry = 500 * time.Millisecond
-	// prepareRetry is the pause between tries to learn the digests of what the
-	// engine has loaded: nothing waits for them.
-	prepareRetry = 2 * time.Second
 )
 
 // Stager is one agent's staging.
@@ -107,14 +105,16 @@
 	uploadMu   sync.Mutex
 	uploadFree time.Time
 
-	// Below: owned by Run.
+	// holding is the version that the engine holds whole, as it last told.
+	holding atomic.Uint64
+
+	// Below: owned by the goroutine of step.
 	orderedAt time.Time
 	loading   bool
-	prepareAt time.Time
-	// holding is the version that the engine holds whole, as it last told.
-	holding uint64
-	epoch   uint64
-	told    *rpc.AgentReport
+	// laid is the version that was last laid at the engine.
+	laid  uint64
+	epoch uint64
+	told  *rpc.AgentReport
 }
 
 // New makes a stager.
@@ -137,8 +137,13 @@
 	s.cfg.Tell(next, urgent)
 }
 
-// Run works until ctx is done.
+// Run works until ctx is done: one goroutine fetches, one gives orders.
 func (s *Stager) Run(ctx context.Context) error {
+	fetched := make(chan struct{})
+	go func() {
+		defer close(fetched)
+		s.fetchAll(ctx)
+	}()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
@@ -146,11 +151,63 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			<-fetched
 			return ctx.Err()
 		}
 	}
 }
 
+// fetchAll keeps what the engine holds, and is to hold, at hand: for its own loads
+// and for other agents.
+func (s *Stager) fetchAll(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		for _, g := range s.wanted() {
+			tryCtx, cancel := context.WithTimeout(ctx, completeTimeout)
+			_, err := s.complete(tryCtx, g)
+			cancel()
+			if err != nil && ctx.Err() == nil {
+				s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("weights are not complete")
+				break
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// wanted returns the versions to have at hand, in the order in which to fetch them:
+// the next one to load, then the newest.
+func (s *Stager) wanted() []goal {
+	next, ok := s.goal()
+	if !ok {
+		return nil
+	}
+	newest := next
+	if v, named := s.cfg.View().Versions[next.model]; named && v.Number > next.version {
+		newest.version, newest.named = v.Number, v
+		return []goal{next, newest}
+	}
+	return []goal{next}
+}
+
+// overtaken tells whether another version than g is to be fetched first.
+func (s *Stager) overtaken(g goal) bool {
+	for _, other := range s.wanted() {
+		if other.version == g.version {
+			return false
+		}
+		if set := s.sets.get(key{other.model, other.version}); set == nil || len(set.missing()) > 0 {
+			return true
+		}
+	}
+	return true
+}
+
 // goal is the version that the engine is to hold.
 type goal struct {
 	model   string
@@ -189,7 +246,7 @@
 	if before == nil || before.Number == 0 || time.Since(before.AppliedAt) > s.cfg.VersionBound {
 		return newest
 	}
-	if s.holding >= before.Number || newest.AppliedAt.Sub(before.AppliedAt) < g.originTime() {
+	if s.holding.Load() >= before.Number || newest.AppliedAt.Sub(before.AppliedAt) < g.originTime() {
 		return newest
 	}
 	return *before
@@ -218,20 +275,22 @@
 		return
 	}
 	held := holds(report, g.model, g.engine.Layers)
-	s.holding = held
+	s.holding.Store(held)
 	s.noteLoading(report, g, held)
 	s.tell(report)
-	if report.Busy {
+	if report.Busy || held >= g.version {
 		return
 	}
-	if held >= g.version {
-		s.prepare(ctx, g)
+	set := s.sets.get(key{g.model, g.version})
+	if set == nil || len(set.missing()) > 0 {
 		return
 	}
-	set, err := s.complete(ctx, g)
-	if err != nil {
-		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("weights are not complete")
-		return
+	if s.laid != g.version {
+		if err := s.verifyStaged(ctx, g, set); err != nil {
+			s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("weights not laid at the engine")
+			return
+		}
+		s.laid = g.version
 	}
 	if held > 0 && !s.mayLoad(g, held) {
 		return
@@ -239,20 +298,6 @@
 	s.load(ctx, g, set, report)
 }
 
-// prepare takes in what the engine has loaded, so that other agents can have it
-// from here at once.
-func (s *Stager) prepare(ctx context.Context, g goal) {
-	if s.sets.get(key{g.model, g.version}) != nil || time.Now().Before(s.prepareAt) {
-		return
-	}
-	s.prepareAt = time.Now().Add(prepareRetry)
-	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
-	defer cancel()
-	if _, err := s.openSet(ctx, g); err != nil {
-		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("digests not known")
-	}
-}
-
 func holds(r Report, model string, layers int) uint64 {
 	b := fleet.BackendServer{Models: r.Models}
 	return b.Holds(model, layers)
