Fewer streams and messages with many engines; a fetch beside orders does not ask for what is loaded

Change: agents follow two control servers and get no renewals; reports and renewals wake only those that lack them; renewals do not rebuild the view; beyond 24 agents a swarm listens to 16 and asks the agents that fetch from the origin directly; polls slow down with the number of engines.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -99,6 +99,9 @@
 		b.servers[record.ID] = s
 	}
 	s.record = record
+	if record.SeenAt.After(s.seenAt) {
+		s.seenAt = record.SeenAt
+	}
 	s.near = record.Zone == b.cfg.Zone
 	if t := b.view.Table; t != nil {
 		if declared := t.Service(service); declared != nil {
@@ -224,7 +227,7 @@
 			return 0, false
 		}
 	}
-	if s.retired || now.Sub(s.record.SeenAt) > lostAfter || now.Before(s.health.asideUntil) {
+	if s.retired || now.Sub(s.seenAt) > lostAfter || now.Before(s.health.asideUntil) {
 		return 0, false
 	}
 	if s.health.probing && s.inFlight > 0 {
@@ -256,7 +259,7 @@
 	if !s.near {
 		score += farPenalty
 	}
-	if now.Sub(s.record.SeenAt) > staleAfter {
+	if now.Sub(s.seenAt) > staleAfter {
 		score += stalePenalty
 	}
 	if s.health.silent(now, s.inFlight) {
@@ -303,6 +306,15 @@
 	}
 }
 
+// Renewed notes that a server was heard.
+func (b *Balancer) Renewed(id string, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[id]; s != nil && at.After(s.seenAt) {
+		s.seenAt = at
+	}
+}
+
 // LoadingSince tells whether a server has been about to load for at least d.
 func (b *Balancer) LoadingSince(s *Server, now time.Time, d time.Duration) bool {
 	b.mu.Lock()
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -20,6 +20,8 @@
 	Pool *dispatch.Pool
 
 	record *fleet.BackendServer
+	// seenAt is when its newest announcement was received.
+	seenAt time.Time
 	engine *fleet.Engine
 	near   bool
 
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -25,7 +25,9 @@
 const (
 	// renewInterval is how long renewed announcements wait to share an update:
 	// entries judge by seconds whether a server is heard.
-	renewInterval = 100 * time.Millisecond
+	renewInterval = 500 * time.Millisecond
+	// reportInterval is the same for agents' reports, by which entries choose.
+	reportInterval = 100 * time.Millisecond
 	// forgetInterval is how often servers that were not heard are dropped.
 	forgetInterval = 5 * time.Second
 )
@@ -79,6 +81,8 @@
 func (h *hub) run(ctx context.Context) {
 	renew := time.NewTicker(renewInterval)
 	defer renew.Stop()
+	report := time.NewTicker(reportInterval)
+	defer report.Stop()
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
 	for {
@@ -87,7 +91,9 @@
 		case <-changed:
 			h.wakeAll()
 		case <-renew.C:
-			h.wakeAll()
+			h.wakeFor(func(f *follower) bool { return len(f.renewed) > 0 })
+		case <-report.C:
+			h.wakeFor(func(f *follower) bool { return len(f.reports) > 0 })
 		case <-forget.C:
 			h.mu.Lock()
 			h.servers.Forget(time.Now())
@@ -98,11 +104,15 @@
 	}
 }
 
-func (h *hub) wakeAll() {
+func (h *hub) wakeAll() { h.wakeFor(func(*follower) bool { return true }) }
+
+func (h *hub) wakeFor(lacks func(*follower) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for f := range h.followers {
-		f.notify()
+		if lacks(f) {
+			f.notify()
+		}
 	}
 }
 
@@ -132,7 +142,9 @@
 
 func (h *hub) markRenewed(id string) {
 	for f := range h.followers {
-		f.renewed[id] = true
+		if f.role != RoleAgent { // agents need changes only
+			f.renewed[id] = true
+		}
 	}
 }
 
@@ -253,7 +265,9 @@
 		reports: map[string]bool{},
 	}
 	for addr := range h.reports {
-		f.reports[addr] = f.role == RoleEntry
+		if f.role == RoleEntry {
+			f.reports[addr] = true
+		}
 	}
 	for _, b := range h.servers.All() {
 		f.changed[b.ID] = true
@@ -313,10 +327,8 @@
 			u.Seen = append(u.Seen, &rpc.ServerSeen{Id: id, Seq: b.Seq})
 		}
 	}
-	for addr, wanted := range f.reports {
-		if wanted {
-			u.Reports = append(u.Reports, h.reports[addr])
-		}
+	for addr := range f.reports {
+		u.Reports = append(u.Reports, h.reports[addr])
 	}
 	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 && len(u.Reports) == 0 {
 		return nil
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -12,6 +12,11 @@
 	"lynxgate.dev/lynxgate/internal/staging"
 )
 
+// agentFollows is how many control servers an agent follows: it needs what is
+// committed, which one of them is enough for, and the other guards against one that
+// is cut off. All agents following all of them would be most of the streams.
+const agentFollows = 2
+
 // agentRole stages weights on the engine beside it.
 type agentRole struct {
 	stager *staging.Stager
@@ -21,7 +26,7 @@
 func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
 	viewer := follow.NewViewer(cfg.Decode, nil, cfg.Logger)
 	a := cfg.Agent
-	client := newFollower(cfg, fleetcontrol.RoleAgent, viewer)
+	client := newFollower(cfg, fleetcontrol.RoleAgent, viewer, agentFollows)
 	return &agentRole{
 		client: client,
 		stager: staging.New(staging.Config{
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -47,14 +47,14 @@
 		Logger: cfg.Logger, Metrics: gateway.NewMetrics(registry),
 	})
 	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.Logger)
-	viewer.Reported = g.Reported
+	viewer.Reported, viewer.Renewed = g.Reported, g.Renewed
 	ready := http.NewServeMux()
 	e.MountReady(ready, g.Ready)
 	quiet := log.New(io.Discard, "", 0) // broken connections of callers are counted, not told
 	return &entryRole{
 		gateway: g,
 		log:     cfg.Logger,
-		client:  newFollower(cfg, fleetcontrol.RoleEntry, viewer),
+		client:  newFollower(cfg, fleetcontrol.RoleEntry, viewer, 0),
 		callers: &http.Server{
 			Addr: e.CallersAddr, Handler: g, ErrorLog: quiet,
 			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headBytes,
@@ -63,9 +63,9 @@
 	}
 }
 
-func newFollower(cfg *Config, role string, viewer *follow.Viewer) *follow.Client {
+func newFollower(cfg *Config, role string, viewer *follow.Viewer, most int) *follow.Client {
 	return follow.New(follow.Config{
-		Name: cfg.Name, Role: role, Seeds: cfg.Seeds,
+		Name: cfg.Name, Role: role, Most: most, Seeds: cfg.Seeds,
 		Update: viewer.Update, Lost: viewer.Lost, Logger: cfg.Logger,
 	})
 }
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -33,6 +34,9 @@
 	dialTimeout = 800 * time.Millisecond
 	// retryPause is the mean pause after a stream has ended.
 	retryPause = 150 * time.Millisecond
+	// lostPause is for how long a control server that failed is passed over for
+	// the next ones.
+	lostPause = 3 * time.Second
 	// keepUnlisted is for how long a control server that nobody lists is tried.
 	keepUnlisted = 20 * time.Second
 )
@@ -45,6 +49,9 @@
 	// Self is the rpc address of this daemon if it is a control server: it does
 	// not follow itself.
 	Self string
+	// Most is how many control servers are followed at once; 0 is all of them. Those
+	// that need no more than what is committed follow a few.
+	Most int
 	// Seeds returns the control servers that the settings name.
 	Seeds func() []string
 	// Update takes over what a control server sent; calls for one source are in
@@ -68,6 +75,8 @@
 type source struct {
 	cancel   context.CancelFunc
 	listedAt time.Time
+	// failedAt is when the last stream or try to connect ended.
+	failedAt time.Time
 	// stream is nil while the control server is not reached.
 	stream rpc.DRPCFleet_FollowClient
 }
@@ -97,6 +106,14 @@
 	return out
 }
 
+func (c *Client) noteFailed(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.known[addr]; s != nil {
+		s.failedAt = time.Now()
+	}
+}
+
 func (c *Client) setStream(addr string, stream rpc.DRPCFleet_FollowClient) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -162,10 +179,19 @@
 func (c *Client) follow(ctx, run context.Context, addr string) {
 	lost := false
 	for ctx.Err() == nil {
+		if !c.mayFollow(addr) {
+			select {
+			case <-time.After(retryPause):
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
 		received, err := c.stream(ctx, run, addr)
 		if ctx.Err() != nil {
 			return
 		}
+		c.noteFailed(addr)
 		if received > 0 {
 			c.cfg.Lost(addr)
 		}
@@ -181,6 +207,33 @@
 	}
 }
 
+// mayFollow tells whether a control server is among the Most that come first for
+// this daemon, by the highest random weight, of those that are reached or not
+// known to be lost.
+func (c *Client) mayFollow(addr string) bool {
+	if c.cfg.Most <= 0 {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := 0
+	own := c.weight(addr)
+	for other, s := range c.known {
+		usable := s.stream != nil || time.Since(s.failedAt) > lostPause
+		if other != addr && usable && c.weight(other) > own {
+			before++
+		}
+	}
+	return before < c.cfg.Most
+}
+
+func (c *Client) weight(addr string) uint64 {
+	h := fnv.New64a()
+	// A hash's Write does not fail.
+	_, _ = io.WriteString(h, c.cfg.Name+" "+addr+" "+c.cfg.Name)
+	return h.Sum64() * 0x9E3779B97F4A7C15
+}
+
 // stream takes updates until the stream fails or falls silent.
 func (c *Client) stream(ctx, run context.Context, addr string) (received int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -32,8 +32,10 @@
 	// Changed is called after each new view.
 	changed func(*View)
 
-	// Reported is called with each new report of an agent; may be nil.
+	// Reported is called with each new report of an agent, Renewed when a server
+	// was heard without a change; both may be nil.
 	Reported func(r *rpc.AgentReport)
+	Renewed  func(id string, at time.Time)
 
 	view atomic.Pointer[View]
 
@@ -163,7 +165,9 @@
 		}
 	}
 	for _, s := range u.Seen {
-		changed = v.servers.Renew(s.Id, s.Seq, now) != directory.Unchanged || changed
+		if v.servers.Renew(s.Id, s.Seq, now) != directory.Unchanged && v.Renewed != nil {
+			v.Renewed(s.Id, now)
+		}
 	}
 	if now.After(v.forget) {
 		v.forget = now.Add(forgetInterval)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,9 @@
 	g.balancer.Reported(time.Now(), r.Addr, r.Loading, follow.ModelsFromProto(r.Models), int(r.Running), int(r.Waiting))
 }
 
+// Renewed notes that a backend server was heard.
+func (g *Gateway) Renewed(id string, at time.Time) { g.balancer.Renewed(id, at) }
+
 // Ready tells whether the entry should get new connections.
 func (g *Gateway) Ready() (reason string, ok bool) {
 	switch {
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -38,7 +38,19 @@
 	// idlePatience is how long an agent with nothing to do waits before it fetches
 	// pieces of others from the origin, for each agent before it in the order: the
 	// one whose turn it is may be dead, or behind a narrow link.
-	idlePatience = 250 * time.Millisecond
+	// In a large swarm it does not hear of all that is held, and waits longer.
+	idlePatience      = 250 * time.Millisecond
+	idlePatienceLarge = 700 * time.Millisecond
+	// listenAll is up to how many agents each listens to what all others hold. With
+	// 44 that would be 180,000 messages a version; beyond it, an agent listens to
+	// listenNear of its own zone and listenFar of others, and asks the agents that
+	// fetch from the origin directly.
+	listenAll  = 24
+	listenNear = 8
+	listenFar  = 8
+	// maxDirect is how many pieces are asked for at once of the agents that fetch
+	// them from the origin.
+	maxDirect = 8
 	// peerHead is the time that peers get to tell what they hold before the origin
 	// is asked.
 	peerHead = 150 * time.Millisecond
@@ -234,8 +246,10 @@
 type fetched struct {
 	piece int
 	peer  string // empty: the origin
-	data  []byte
-	err   error
+	// direct: asked of the agent whose turn at the origin it is.
+	direct bool
+	data   []byte
+	err    error
 }
 
 // fetcher is one try to complete a set; its goroutine owns it.
@@ -259,8 +273,12 @@
 	badUntil  map[string]time.Time
 	downs     int
 	origins   int
-	results   chan fetched
-	told      chan heldBy
+	// directs are the pieces asked of the agents whose turn at the origin it is;
+	// asked holds all that were.
+	directs int
+	asked   map[int]bool
+	results chan fetched
+	told    chan heldBy
 }
 
 // heldBy is what a peer has told.
@@ -275,11 +293,11 @@
 	defer cancel()
 	f := &fetcher{
 		s: s, g: g, set: set, servers: s.servers(), began: time.Now(),
-		holders: map[string]map[int]bool{}, heldSince: map[int]time.Time{}, inFlight: map[int]bool{}, busy: map[string]bool{},
+		holders: map[string]map[int]bool{}, heldSince: map[int]time.Time{}, asked: map[int]bool{}, inFlight: map[int]bool{}, busy: map[string]bool{},
 		badUntil: map[string]time.Time{}, results: make(chan fetched), told: make(chan heldBy),
 	}
 	f.sortByZone()
-	for _, peer := range s.peers() {
+	for _, peer := range f.listened() {
 		go f.listen(ctx, peer)
 	}
 	ticker := time.NewTicker(fetchTick)
@@ -317,6 +335,32 @@
 	}
 }
 
+// listened are the peers whose holdings are followed: some of the own zone, and
+// fewer of others, which stand in where nobody near holds a piece. They are drawn,
+// so that all together form one connected swarm.
+func (f *fetcher) listened() []string {
+	var near, far []string
+	for _, b := range f.servers {
+		peer := f.s.cfg.PeerAddr(b.Addr)
+		switch {
+		case b.Addr == f.s.cfg.EngineAddr:
+		case f.nearPeers[peer]:
+			near = append(near, peer)
+		default:
+			far = append(far, peer)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	if !f.large() {
+		return append(near, far...)
+	}
+	return append(near[:min(len(near), listenNear)], far[:min(len(far), listenFar)]...)
+}
+
+// large tells whether the swarm is too large for each to listen to all.
+func (f *fetcher) large() bool { return len(f.servers) > listenAll }
+
 func (f *fetcher) note(t heldBy) {
 	if f.holders[t.peer] == nil {
 		f.holders[t.peer] = map[int]bool{}
@@ -341,6 +385,12 @@
 	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	slices.SortStableFunc(missing, func(a, b int) int { return count[a] - count[b] })
 	for _, piece := range missing {
+		if f.inFlight[piece] {
+			continue
+		}
+		if f.large() && f.directs < maxDirect && !f.asked[piece] && count[piece] == 0 && f.s.turn(f.near, piece) == 0 {
+			f.fromFetcher(ctx, piece)
+		}
 		if f.inFlight[piece] {
 			continue
 		}
@@ -374,20 +424,46 @@
 	peer := free[rand.IntN(len(free))]
 	f.inFlight[piece], f.busy[peer] = true, true
 	f.downs++
-	go f.run(ctx, piece, peer, func(ctx context.Context) ([]byte, error) {
-		resp, err := rpc.NewDRPCPiecesClient(f.s.pool.Get(ctx, peer)).Piece(ctx, &rpc.PieceRequest{
-			Model: f.g.model, Version: f.g.version, Piece: uint32(piece),
-		})
-		if err != nil {
-			return nil, err
-		}
-		if len(resp.Data) == 0 {
-			return nil, errPeerBusy
+	go f.run(ctx, fetched{piece: piece, peer: peer}, func(ctx context.Context) ([]byte, error) {
+		return f.ask(ctx, peer, piece, false)
+	})
+}
+
+// fromFetcher asks the agent of another zone that is to fetch a piece from the
+// origin for it, and waits until that one has it: one agent of each zone does.
+func (f *fetcher) fromFetcher(ctx context.Context, piece int) {
+	f.asked[piece] = true
+	var first *fleet.BackendServer
+	for _, b := range f.servers {
+		if first == nil || weight(b.Addr, piece) > weight(first.Addr, piece) {
+			first = b
 		}
-		return resp.Data, nil
+	}
+	if first == nil || first.Zone == f.s.cfg.Zone {
+		return
+	}
+	f.inFlight[piece] = true
+	f.directs++
+	peer := f.s.cfg.PeerAddr(first.Addr)
+	go f.run(ctx, fetched{piece: piece, peer: peer, direct: true}, func(ctx context.Context) ([]byte, error) {
+		return f.ask(ctx, peer, piece, true)
 	})
 }
 
+// ask asks a peer for a piece; with wait, until the peer holds it.
+func (f *fetcher) ask(ctx context.Context, peer string, piece int, wait bool) ([]byte, error) {
+	resp, err := rpc.NewDRPCPiecesClient(f.s.pool.Get(ctx, peer)).Piece(ctx, &rpc.PieceRequest{
+		Model: f.g.model, Version: f.g.version, Piece: uint32(piece), Wait: wait,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(resp.Data) == 0 {
+		return nil, errPeerBusy
+	}
+	return resp.Data, nil
+}
+
 // freeHolders are the peers, of the own zone or of others, that hold a piece and
 // may be asked now.
 func (f *fetcher) freeHolders(piece int, now time.Time, near bool) []string {
@@ -433,7 +509,11 @@
 	if turn == 0 {
 		return waited >= 0
 	}
-	if !f.idleSince.IsZero() && now.Sub(f.idleSince) >= time.Duration(turn)*idlePatience {
+	patience := idlePatience
+	if f.large() {
+		patience = idlePatienceLarge
+	}
+	if !f.idleSince.IsZero() && now.Sub(f.idleSince) >= time.Duration(turn)*patience {
 		return true
 	}
 	return waited >= f.g.originTime()+time.Duration(turn)*originPatience
@@ -442,17 +522,17 @@
 func (f *fetcher) fromOrigin(ctx context.Context, piece int) {
 	f.inFlight[piece] = true
 	f.origins++
-	go f.run(ctx, piece, "", func(ctx context.Context) ([]byte, error) {
+	go f.run(ctx, fetched{piece: piece}, func(ctx context.Context) ([]byte, error) {
 		return f.s.cfg.Origin.Piece(ctx, f.g.origin.Addr, f.g.model, f.g.version, piece)
 	})
 }
 
-func (f *fetcher) run(ctx context.Context, piece int, peer string, get func(context.Context) ([]byte, error)) {
+func (f *fetcher) run(ctx context.Context, r fetched, get func(context.Context) ([]byte, error)) {
 	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
-	data, err := get(callCtx)
+	r.data, r.err = get(callCtx)
 	select {
-	case f.results <- fetched{piece: piece, peer: peer, data: data, err: err}:
+	case f.results <- r:
 	case <-ctx.Done():
 	}
 }
@@ -461,9 +541,15 @@
 func (f *fetcher) take(r fetched) {
 	delete(f.inFlight, r.piece)
 	source := "origin"
-	if r.peer == "" {
+	switch {
+	case r.peer == "":
 		f.origins--
-	} else {
+	case r.direct:
+		source = "peer"
+		f.directs--
+		// It may still be to come; beyond that time others are asked.
+		f.asked[r.piece] = r.err == nil || time.Since(f.began) > f.g.originTime()
+	default:
 		source = "peer"
 		f.downs--
 		delete(f.busy, r.peer)
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -53,6 +53,10 @@
 // setWait is how often a peer that asks for a version not known yet is looked after.
 const setWait = 100 * time.Millisecond
 
+// heldInterval is the least time between two updates: a link of 7.3 Mbit/s brings a
+// piece in 27 ms.
+const heldInterval = 50 * time.Millisecond
+
 // Held streams the pieces held of one version.
 func (s *server) Held(req *rpc.HeldRequest, stream rpc.DRPCPieces_HeldStream) error {
 	k := key{req.Model, req.Version}
@@ -71,6 +75,8 @@
 				if err := stream.Send(&rpc.HeldUpdate{Added: added}); err != nil {
 					return err
 				}
+				time.Sleep(heldInterval) // what comes meanwhile shares the next update
+				continue
 			}
 		}
 		select {
@@ -111,12 +117,13 @@
 
 // Piece returns one piece.
 func (s *server) Piece(ctx context.Context, req *rpc.PieceRequest) (*rpc.PieceResponse, error) {
-	select {
-	case s.stager.slots <- struct{}{}:
-		defer func() { <-s.stager.slots }()
-	default:
+	if req.Wait && !s.waitFor(ctx, key{req.Model, req.Version}, int(req.Piece)) {
+		return &rpc.PieceResponse{}, nil
+	}
+	if !s.takeSlot(ctx, req.Wait) {
 		return &rpc.PieceResponse{Busy: true}, nil
 	}
+	defer func() { <-s.stager.slots }()
 	k := key{req.Model, req.Version}
 	data, err := s.piece(ctx, k, int(req.Piece))
 	if err != nil {
@@ -126,6 +133,52 @@
 	return &rpc.PieceResponse{Data: data}, nil
 }
 
+// maxPieceWait bounds the wait for a piece that is still to come, and for an upload
+// slot after it: the caller asks elsewhere then.
+const maxPieceWait = 2 * time.Second
+
+// waitFor waits until a piece is held; false if it is not in time.
+func (s *server) waitFor(ctx context.Context, k key, piece int) bool {
+	deadline := time.NewTimer(maxPieceWait)
+	defer deadline.Stop()
+	for {
+		var changed <-chan struct{}
+		if set := s.stager.sets.get(k); set != nil {
+			_, changed = set.since(0)
+			if set.get(piece) != nil {
+				return true
+			}
+		}
+		select {
+		case <-changed:
+		case <-time.After(setWait):
+		case <-deadline.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// takeSlot takes an upload slot; callers that do not wait get one only if it is free.
+func (s *server) takeSlot(ctx context.Context, wait bool) bool {
+	select {
+	case s.stager.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if !wait {
+		return false
+	}
+	select {
+	case s.stager.slots <- struct{}{}:
+		return true
+	case <-time.After(maxPieceWait):
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (s *server) piece(ctx context.Context, k key, piece int) ([]byte, error) {
 	if set := s.stager.sets.get(k); set != nil {
 		return set.get(piece), nil
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -88,6 +88,10 @@
 	// are told: an engine takes a new request every 60 ms. The call is free on the
 	// own machine.
 	pollInterval = 100 * time.Millisecond
+	// pollServers is up to how many engines pollInterval holds; with more, it grows
+	// in proportion up to maxPollInterval.
+	pollServers     = 20
+	maxPollInterval = 500 * time.Millisecond
 	// callTimeout bounds one call to the engine.
 	callTimeout = 1 * time.Second
 	// orderRetry is the pause after an order without effect.
@@ -107,6 +111,8 @@
 
 	// holding is the version that the engine holds whole, as it last told.
 	holding atomic.Uint64
+	// reported: the engine has told its state at least once.
+	reported atomic.Bool
 
 	// Below: owned by the goroutine of step.
 	orderedAt time.Time
@@ -144,19 +150,26 @@
 		defer close(fetched)
 		s.fetchAll(ctx)
 	}()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
 	for {
 		s.step(ctx)
+		timer := time.NewTimer(s.pollPause())
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
+			timer.Stop()
 			<-fetched
 			return ctx.Err()
 		}
 	}
 }
 
+// pollPause grows with the number of engines: so the reports of all of them take a
+// bounded part of the entries' time.
+func (s *Stager) pollPause() time.Duration {
+	n := len(s.cfg.View().Servers[s.cfg.Service])
+	return min(maxPollInterval, pollInterval*time.Duration(max(n, pollServers))/pollServers)
+}
+
 // fetchAll keeps what the engine holds, and is to hold, at hand: for its own loads
 // and for other agents.
 func (s *Stager) fetchAll(ctx context.Context) {
@@ -165,7 +178,7 @@
 	for {
 		for _, g := range s.wanted() {
 			tryCtx, cancel := context.WithTimeout(ctx, completeTimeout)
-			_, err := s.complete(tryCtx, g)
+			err := s.haveAtHand(tryCtx, g)
 			cancel()
 			if err != nil && ctx.Err() == nil {
 				s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("weights are not complete")
@@ -180,11 +193,22 @@
 	}
 }
 
+// haveAtHand completes a version, or takes in what lies at an engine that has
+// loaded it: what is spoilt there nobody needs but peers, who check it.
+func (s *Stager) haveAtHand(ctx context.Context, g goal) error {
+	if s.holding.Load() >= g.version {
+		_, err := s.openSet(ctx, g)
+		return err
+	}
+	_, err := s.complete(ctx, g)
+	return err
+}
+
 // wanted returns the versions to have at hand, in the order in which to fetch them:
 // the next one to load, then the newest.
 func (s *Stager) wanted() []goal {
 	next, ok := s.goal()
-	if !ok {
+	if !ok || !s.reported.Load() {
 		return nil
 	}
 	newest := next
@@ -276,6 +300,7 @@
 	}
 	held := holds(report, g.model, g.engine.Layers)
 	s.holding.Store(held)
+	s.reported.Store(true)
 	s.noteLoading(report, g, held)
 	s.tell(report)
 	if report.Busy || held >= g.version {
