--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -148,10 +148,14 @@
 	Told time.Duration
 }
 
-// Room tells of the servers that could take a request when none was chosen.
+// Room tells why servers of a service did not take a request.
 type Room struct {
-	// Known servers of the service, and those that hold what is wanted.
+	// Known servers of the service, and those that fit but are too full.
 	Known, Fit int
+	// Tried were sent this request before; Aside failed lately or are silent in the
+	// directory; Busy refused a moment ago; Loading take nothing new; Empty hold no
+	// weights, Old hold a version that is over, Other one that the request can't use.
+	Tried, Aside, Busy, Loading, Empty, Old, Other int
 }
 
 // Pick chooses the server with the lowest predicted wait, load and cost, and counts
@@ -164,7 +168,7 @@
 	room := Room{}
 	for _, s := range b.services[w.Service] {
 		room.Known++
-		version, fits := b.fits(now, s, w)
+		version, fits := b.fits(now, s, w, &room)
 		if !fits {
 			continue
 		}
@@ -220,37 +224,42 @@
 	c.Read = 0
 }
 
-// fits tells whether a server may take the request now, and its version.
-func (b *Balancer) fits(now time.Time, s *Server, w Want) (uint64, bool) {
+// fits tells whether a server may take the request now, and its version; if not,
+// it counts why.
+func (b *Balancer) fits(now time.Time, s *Server, w Want, room *Room) (uint64, bool) {
 	for _, tried := range w.Exclude {
 		if tried == s {
+			room.Tried++
 			return 0, false
 		}
 	}
-	if s.retired || now.Sub(s.seenAt) > lostAfter || now.Before(s.health.asideUntil) {
+	switch {
+	case s.retired || now.Sub(s.seenAt) > lostAfter || now.Before(s.health.asideUntil),
+		s.health.probing && s.inFlight > 0:
+		room.Aside++
 		return 0, false
-	}
-	if s.health.probing && s.inFlight > 0 {
-		return 0, false
-	}
-	if now.Before(s.busyUntil) {
+	case now.Before(s.busyUntil):
+		room.Busy++
 		return 0, false
-	}
-	if w.Model == "" || s.engine == nil {
+	case w.Model == "" || s.engine == nil:
 		return 0, true
-	}
-	if s.loading(now) {
+	case s.loading(now):
+		room.Loading++
 		return 0, false
 	}
 	version := s.holds(now, w.Model)
-	if version == 0 || (w.Version != 0 && version != w.Version) {
-		return 0, false
-	}
 	margin := versionMargin + 2*s.excess.now(now)
-	if version < b.view.Versions[w.Model].Floor(now, b.cfg.VersionBound-margin) {
-		return 0, false
+	switch {
+	case version == 0:
+		room.Empty++
+	case w.Version != 0 && version != w.Version:
+		room.Other++
+	case version < b.view.Versions[w.Model].Floor(now, b.cfg.VersionBound-margin):
+		room.Old++
+	default:
+		return version, true
 	}
-	return version, true
+	return 0, false
 }
 
 // score orders servers, lowest first.
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -71,7 +71,7 @@
 	short.Budget, short.Exclude = 300*time.Millisecond, []*Server{second.Server}
 	none, room := b.Pick(start, short)
 	assert.Nil(t, none.Server)
-	assert.Equal(t, Room{Known: 2, Fit: 1}, room)
+	assert.Equal(t, Room{Known: 2, Fit: 1, Tried: 1}, room)
 	b.Began(first, start)
 	assert.Equal(t, first.Server, pick(t, b, start, short).Server, "its prompt is read")
 }
@@ -118,7 +118,7 @@
 	b := balancer(view(half))
 	none, room := b.Pick(start, want())
 	assert.Nil(t, none.Server)
-	assert.Equal(t, Room{Known: 1}, room)
+	assert.Equal(t, Room{Known: 1, Empty: 1}, room)
 }
 
 func TestFailingServerIsSetAsideAndTriedAgain(t *testing.T) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -119,6 +120,21 @@
 	return n
 }
 
+// servers puts into words why the servers of the service did not take a request.
+func (l Line) servers() string {
+	counts, ok := l.Fields["servers"].(map[string]any)
+	if !ok {
+		return ""
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		if n, _ := counts[name].(float64); n > 0 {
+			parts = append(parts, fmt.Sprintf("%s %.0f", strings.ToLower(name), n))
+		}
+	}
+	return " (servers: " + strings.Join(parts, ", ") + ")"
+}
+
 // decide names the line that decided: the last one about a send that failed, or
 // the end itself.
 func (r *Report) decide(request string) {
@@ -154,7 +170,7 @@
 		return fmt.Sprintf("late at %s: first event after %.0f ms (predicted wait %.0f ms, queue %.0f, told %.0f ms before), longest pause %.0f ms",
 			end.text("server"), end.number("first_ms"), end.number("wait_ms"), end.number("queue"), end.number("load_age_ms"), end.number("gap_ms"))
 	case end.number("sends") == 0 && deciding.Message == ended:
-		return fmt.Sprintf("refused with %d before any send: %s", status, reason)
+		return fmt.Sprintf("refused with %d before any send: %s", status, reason) + end.servers()
 	case deciding.Message != ended:
 		return fmt.Sprintf("ended with %d (%s) after %q at %s", status, reason, strings.TrimSpace(deciding.Message+" "+deciding.text("cause")), deciding.text("server"))
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -12,7 +12,7 @@
    3.1 entry-1 {"daemon":"entry-1","time":"2026-01-01T00:00:03.100Z","server":"s-2","message":"backend server set aside"}
 {"daemon":"entry-1","request":"r-1","server":"s-2","sends":0,"cause":"connection reset","time":"2026-01-01T00:00:04.000Z","message":"send failed"}
 {"daemon":"entry-1","request":"r-1","server":"s-2","sends":1,"status":502,"reason":"connection to the backend server failed","time":"2026-01-01T00:00:04.001Z","message":"request ended"}
-{"daemon":"entry-1","request":"r-2","sends":0,"status":503,"reason":"all backend servers are full","time":"2026-01-01T00:00:05.000Z","message":"request ended"}
+{"daemon":"entry-1","request":"r-2","sends":0,"status":503,"reason":"all backend servers are full","servers":{"Known":3,"Fit":2,"Aside":1,"Old":0},"time":"2026-01-01T00:00:05.000Z","message":"request ended"}
 {"daemon":"entry-1","request":"r-3","server":"s-1","sends":1,"status":200,"reason":"served","first_ms":900,"wait_ms":20,"queue":3,"load_age_ms":80,"gap_ms":50,"time":"2026-01-01T00:00:06.000Z","message":"request ended"}
 not JSON
 `
@@ -34,7 +34,7 @@
 }
 
 func TestRefusalDecidesByItself(t *testing.T) {
-	assert.Equal(t, "refused with 503 before any send: all backend servers are full", read(t, "r-2").Cause)
+	assert.Equal(t, "refused with 503 before any send: all backend servers are full (servers: aside 1, fit 2, known 3)", read(t, "r-2").Cause)
 }
 
 func TestLateAnswerTellsWhatWasPredicted(t *testing.T) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -51,6 +51,10 @@
 	tried      []*balance.Server
 	choice     balance.Choice
 	lastErr    error
+	// endedBy tells who ended the last send that broke off.
+	endedBy string
+	// room tells why no server was chosen.
+	room balance.Room
 	// committed: the head of the answer has been written to the caller.
 	committed bool
 	// status and reason of the end, for the log and the counters.
@@ -271,6 +275,7 @@
 
 // noServer ends a call that no server can take.
 func (c *call) noServer(room balance.Room) {
+	c.room = room
 	switch {
 	case time.Until(c.by) < leastSend:
 		c.giveUp("no time left")
@@ -317,14 +322,20 @@
 	return c.answered(watch, answer)
 }
 
-// ending judges a send that broke off, from what the server did.
+// ending judges a send that broke off, from who ended it.
 func (c *call) ending(watch *watchdog) balance.Ending {
 	switch {
 	case watch.stalled.Load():
+		c.endedBy = "entry: nothing came from the server"
 		return balance.EndedSilent
-	case watch.parent.Err() != nil, watch.moved.Load() != nil:
+	case watch.moved.Load() != nil:
+		c.endedBy = "entry: moved to another server"
+		return balance.EndedElse
+	case watch.parent.Err() != nil:
+		c.endedBy = "caller or deadline"
 		return balance.EndedElse
 	}
+	c.endedBy = "server or link"
 	return balance.EndedFailed
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -86,6 +86,9 @@
 		event.Str("server", c.choice.Server.ID).Float64("queue", c.choice.Queue).
 			Dur("wait_ms", c.choice.Wait).Dur("load_age_ms", c.choice.Told)
 	}
+	if c.room.Known > 0 {
+		event.Interface("servers", c.room)
+	}
 	if c.lastErr != nil {
 		event.AnErr("last", c.lastErr)
 	}
@@ -96,7 +99,11 @@
 
 // logSend writes one line for a send that did not give an answer to pass on.
 func (c *call) logSend(what string, err error) {
-	c.describe(c.g.log.Info()).Str("server", c.choice.Server.ID).Str("addr", c.choice.Server.Addr).
+	event := c.g.log.Info()
+	if c.endedBy != "" {
+		event.Str("ended_by", c.endedBy)
+	}
+	c.describe(event).Str("server", c.choice.Server.ID).Str("addr", c.choice.Server.Addr).
 		Float64("queue", c.choice.Queue).Int("slots", c.choice.Slots).Dur("load_age_ms", c.choice.Told).
 		AnErr("cause", err).Int64("left_ms", time.Until(c.by).Milliseconds()).Msg(what)
 }
