--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -24,6 +24,9 @@
 const (
 	// logTime tells the milliseconds, by which lines of one request are ordered.
 	logTime = "2006-01-02T15:04:05.000Z07:00"
+	// exitMargin is how long before the end of the grace period the process ends
+	// whatever hangs, a stalled disk for example.
+	exitMargin = 150 * time.Millisecond
 	// settingsPoll is how often the settings file is looked at: it may change
 	// without a signal.
 	settingsPoll = 2 * time.Second
@@ -135,6 +138,13 @@
 	defer cancel()
 	go live.follow(stop, log)
 	cfg := platformConfig(live, log)
+	context.AfterFunc(stop, func() {
+		time.AfterFunc(cfg.Grace-exitMargin, func() {
+			log.Error().Msg("grace period is over; ending with work in progress")
+			sink.Close()
+			os.Exit(exitFailed)
+		})
+	})
 	cfg.DroppedLines = sink.Dropped
 	if err := fleetdaemon.Run(stop, cfg); err != nil {
 		log.Error().Err(err).Msg("stopped with an error")
