--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -27,6 +27,12 @@
 	stalePenalty  = 4 * time.Second
 	// tieBreak is drawn, so that not all entries take the first of equals.
 	tieBreak = 3 * time.Millisecond
+	// freeEntries is up to how many entries each one looks at all servers. With
+	// more, each looks at a drawn part of them: entries that see the same reports
+	// would else send to the same server until the next one.
+	freeEntries = 4
+	// leastSample is the least number of servers that are looked at.
+	leastSample = 3
 	// wholeQueue is how many requests per slot a plain service is sent, whose work
 	// is short.
 	wholeQueue = 3
@@ -168,7 +174,12 @@
 	var best Choice
 	bestScore := time.Duration(math.MaxInt64)
 	room := Room{}
-	for _, s := range b.services[w.Service] {
+	servers := b.services[w.Service]
+	for i, at := range rand.Perm(len(servers)) {
+		if i >= b.sample(len(servers)) && best.Server != nil {
+			break
+		}
+		s := servers[at]
 		room.Known++
 		version, fits := b.fits(now, s, w, &room)
 		if !fits {
@@ -201,6 +212,14 @@
 	return best, room
 }
 
+// sample is how many servers of n are looked at, if one of them fits.
+func (b *Balancer) sample(n int) int {
+	if b.view.Entries <= freeEntries {
+		return n
+	}
+	return max(leastSample, n*freeEntries/b.view.Entries)
+}
+
 // predictWait predicts the wait of one more request for a slot, for the prompts
 // of this entry that are to be read before its own, and by what came late before.
 func (s *Server) predictWait(now time.Time, queue float64) time.Duration {
@@ -273,7 +292,7 @@
 	if now.Sub(s.seenAt) > staleAfter {
 		score += stalePenalty
 	}
-	if s.health.silent(now, s.inFlight) {
+	if s.silent(now) {
 		score += silentPenalty
 	}
 	return score + time.Duration(s.health.failures*float64(perFailure))
@@ -290,7 +309,7 @@
 func (b *Balancer) Silent(s *Server, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return s.health.silent(now, s.inFlight)
+	return s.silent(now)
 }
 
 // Told takes a server's report of its load.
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -193,3 +194,29 @@
 	none, _ = b.Pick(start.Add(6*time.Second), only)
 	assert.Nil(t, none.Server)
 }
+
+func TestAgentThatReportsVouchesForItsServer(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	c := pick(t, b, start, want())
+	later := start.Add(suspectAfter + 1)
+	b.Reported(later, "127.0.0.1:1", false, []fleet.Loaded{{Model: model, Version: 1, To: 16}}, 1, 0)
+	assert.False(t, b.Silent(c.Server, later))
+	assert.True(t, b.Silent(c.Server, later.Add(suspectAfter+1)), "the agent is silent, too")
+	much := start.Add(suspectTold + 1)
+	b.Reported(much, "127.0.0.1:1", false, []fleet.Loaded{{Model: model, Version: 1, To: 16}}, 1, 0)
+	assert.True(t, b.Silent(c.Server, much))
+}
+
+func TestManyEntriesDoNotTakeTheSameServer(t *testing.T) {
+	var records []*fleet.BackendServer
+	for i := range 30 {
+		records = append(records, record(fmt.Sprint(i+1), "here", 1))
+	}
+	v := view(records...)
+	v.Entries = 15
+	first := map[string]bool{}
+	for range v.Entries {
+		first[pick(t, balancer(v), start, want()).Server.ID] = true
+	}
+	assert.Greater(t, len(first), v.Entries/3)
+}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -17,6 +17,9 @@
 	// flight counts as silent: an engine writes to all of its requests about
 	// every 60 ms, and reads a long prompt in 200 ms.
 	suspectAfter = 600 * time.Millisecond
+	// suspectTold is the same while the agent beside it goes on to report: an entry
+	// with few requests there hears of it seldom.
+	suspectTold = 1500 * time.Millisecond
 )
 
 // health is how a server did in this entry's own sends.
@@ -69,13 +72,16 @@
 }
 
 // silent tells whether requests wait at the server and nothing comes.
-func (h *health) silent(now time.Time, inFlight int) bool {
-	if inFlight == 0 {
+func (s *Server) silent(now time.Time) bool {
+	if s.inFlight == 0 {
 		return false
 	}
-	since := h.heardAt
-	if h.busySince.After(since) {
-		since = h.busySince
+	since := s.health.heardAt
+	if s.health.busySince.After(since) {
+		since = s.health.busySince
+	}
+	if now.Sub(s.agent.at) <= suspectAfter {
+		return now.Sub(since) > suspectTold
 	}
 	return now.Sub(since) > suspectAfter
 }
