--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(GO) run ./internal/demo
 
 lint:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: files above need formatting"; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; echo "gofmt: files above need formatting"; exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -70,7 +70,6 @@
 	servers map[string]*Server
 	// services holds the servers by service that have not left.
 	services map[string][]*Server
-	versions map[string]time.Time
 	view     *follow.View
 }
 
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/dispatch"
+	"lynxgate.dev/lynxgate/internal/fleet"
+)
+
+// send sends the request once.
+func (c *call) send(ctx context.Context) sendResult {
+	s := c.choice.Server
+	request := &dispatch.Request{
+		Method: c.r.Method, Bytes: c.head(sendHead{server: s.ID, expectVersion: c.expectVersion()}),
+		IDHeader: c.g.cfg.Headers.RequestID, ID: c.id,
+	}
+	watch := c.watch(ctx)
+	defer watch.stop()
+	answer, err := s.Pool.Send(watch.ctx, request, c.by)
+	if err != nil {
+		return c.sendFailed(watch, err)
+	}
+	defer answer.Close()
+	c.sends++
+	now := time.Now()
+	c.g.balancer.Heard(s, now)
+	c.noteLoad(answer.Header, now)
+	return c.answered(watch, answer)
+}
+
+// ending judges a send that broke off, from who ended it.
+func (c *call) ending(watch *watchdog) balance.Ending {
+	switch {
+	case watch.stalled.Load():
+		c.endedBy = "entry: nothing came from the server"
+		return balance.EndedSilent
+	case watch.moved.Load() != nil:
+		c.endedBy = "entry: moved to another server"
+		return balance.EndedElse
+	case watch.parent.Err() != nil:
+		c.endedBy = "caller or deadline"
+		return balance.EndedElse
+	}
+	c.endedBy = "server or link"
+	return balance.EndedFailed
+}
+
+// sendFailed decides after a send without an answer.
+func (c *call) sendFailed(watch *watchdog, err error) sendResult {
+	c.lastErr = err
+	c.g.balancer.Done(&c.choice, time.Now(), c.ending(watch))
+	c.logSend("send failed", err)
+	if errors.Is(err, dispatch.ErrNotSent) {
+		return sendAgain
+	}
+	c.sends++
+	c.mayHaveRun = true
+	c.runs++
+	if c.route.Idempotent() {
+		return sendAgain
+	}
+	c.giveUp("connection to the backend server failed")
+	return sendFinal
+}
+
+// answered decides what the head of an answer means.
+func (c *call) answered(watch *watchdog, a *dispatch.Answer) sendResult {
+	switch {
+	case a.Header.Get(c.g.cfg.Headers.NotRun) != "", a.StatusCode == http.StatusMisdirectedRequest:
+		return c.notRun(a)
+	case a.StatusCode/100 != 2:
+		c.mayHaveRun = true
+		c.runs++
+		c.runs++
+		return c.failedAnswer(watch, a)
+	case a.Header.Get(c.g.cfg.Headers.Signature) == "" || a.Header.Get("Content-Encoding") != "":
+		c.mayHaveRun = true
+		c.runs++
+		c.runs++
+		return c.brokenAnswer(watch, "answer without a signature", nil)
+	}
+	c.mayHaveRun = true
+	c.runs++
+	if c.route.Kind == fleet.KindStream {
+		return c.stream(watch, a)
+	}
+	return c.whole(watch, a)
+}
+
+// notRun handles a server's word that it did not run the request.
+func (c *call) notRun(a *dispatch.Answer) sendResult {
+	ending := balance.EndedBusy
+	other := a.Header.Get(c.g.cfg.Headers.ServerID)
+	if a.StatusCode == http.StatusMisdirectedRequest && other != "" && other != c.choice.Server.ID {
+		ending = balance.EndedGone
+	}
+	_, _ = io.Copy(io.Discard, a)
+	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.logSend("backend server did not run it: "+strconv.Itoa(a.StatusCode), nil)
+	return sendAgain
+}
+
+// failedAnswer handles a failure that a server has answered: idempotent requests
+// are sent again while they may, others are given the answer.
+func (c *call) failedAnswer(watch *watchdog, a *dispatch.Answer) sendResult {
+	body, err := readWhole(a, c.by)
+	if err != nil {
+		return c.brokenAnswer(watch, "answer broke off", err)
+	}
+	ending := balance.EndedWell
+	if a.StatusCode >= http.StatusInternalServerError {
+		ending = balance.EndedFailed
+	}
+	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.logSend("backend server failed: "+strconv.Itoa(a.StatusCode), nil)
+	if a.StatusCode >= http.StatusInternalServerError && c.mayRepeat() {
+		return sendAgain
+	}
+	c.copyHead(a)
+	c.status, c.reason = a.StatusCode, "backend server failed"
+	c.write(a.StatusCode, body)
+	return sendFinal
+}
+
+// mayRepeat tells whether another send is allowed and likely to be possible.
+func (c *call) mayRepeat() bool {
+	if !c.route.Idempotent() || c.sends >= c.route.MaxAttempts {
+		return false
+	}
+	return time.Until(c.by) > leastSend
+}
+
+// brokenAnswer handles an answer that can not be given to the caller.
+func (c *call) brokenAnswer(watch *watchdog, what string, err error) sendResult {
+	c.lastErr = err
+	c.g.balancer.Done(&c.choice, time.Now(), c.ending(watch))
+	c.logSend(what, err)
+	if c.route.Idempotent() {
+		return sendAgain
+	}
+	c.giveUp(what)
+	return sendFinal
+}
+
+// whole gives the caller an answer in one piece, once it is there whole.
+func (c *call) whole(watch *watchdog, a *dispatch.Answer) sendResult {
+	body, err := readWhole(a, c.by)
+	if err != nil {
+		return c.brokenAnswer(watch, "answer broke off", err)
+	}
+	c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
+	c.copyHead(a)
+	c.status, c.reason = a.StatusCode, "served"
+	c.write(a.StatusCode, body)
+	return sendFinal
+}
+
+// maxAnswer bounds an answer in one piece, in bytes.
+const maxAnswer = 64 << 20
+
+func readWhole(a *dispatch.Answer, by time.Time) ([]byte, error) {
+	a.ReadBy(by)
+	return io.ReadAll(io.LimitReader(a, maxAnswer))
+}
+
+// noteLoad takes the load that an answer's head tells: running, waiting, slots.
+func (c *call) noteLoad(h http.Header, now time.Time) {
+	running, rest, ok := strings.Cut(h.Get(c.g.cfg.Headers.Load), ",")
+	if !ok {
+		return
+	}
+	waiting, _, _ := strings.Cut(rest, ",")
+	r, errRunning := strconv.Atoi(strings.TrimSpace(running))
+	q, errWaiting := strconv.Atoi(strings.TrimSpace(waiting))
+	if errRunning != nil || errWaiting != nil {
+		return // a report that can't be read tells nothing
+	}
+	c.g.balancer.Told(c.choice.Server, now, r, q)
+}
--- /dev/null
+++ b/internal/staging/digests.go
@@ -0,0 +1,118 @@
+package staging
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// complete returns the version's set once it holds all pieces, fetching them.
+func (s *Stager) complete(ctx context.Context, g goal) (*pieceSet, error) {
+	set, err := s.openSet(ctx, g)
+	if err != nil {
+		return nil, err
+	}
+	if len(set.missing()) == 0 {
+		return set, nil
+	}
+	return set, s.fetch(ctx, g, set)
+}
+
+// openSet returns the version's set; a new one holds what lies at the engine.
+func (s *Stager) openSet(ctx context.Context, g goal) (*pieceSet, error) {
+	k := key{g.model, g.version}
+	if set := s.sets.get(k); set != nil {
+		return set, nil
+	}
+	digests, err := s.digests(ctx, g)
+	if err != nil {
+		return nil, err
+	}
+	set := s.sets.add(k, digests)
+	s.takeStaged(ctx, g, set)
+	return set, nil
+}
+
+// digests asks peers, and the origin when it is this agent's turn.
+func (s *Stager) digests(ctx context.Context, g goal) ([]Digest, error) {
+	servers := s.servers()
+	turn := s.turn(servers, digestsTurn)
+	for began := time.Now(); time.Since(began) < time.Duration(turn)*digestPatience; {
+		if digests := s.digestsOfPeers(ctx, g, servers); digests != nil {
+			return digests, nil
+		}
+		select {
+		case <-time.After(digestPatience / 4):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
+	digests, err := s.cfg.Origin.Digests(ctx, g.origin.Addr, g.model, g.version)
+	if err != nil {
+		return nil, fmt.Errorf("digests from the origin: %w", err)
+	}
+	if len(digests) != g.engine.Pieces {
+		return nil, fmt.Errorf("origin tells %d digests, the configuration %d pieces", len(digests), g.engine.Pieces)
+	}
+	s.log.Info().Str("model", g.model).Uint64("version", g.version).Msg("digests taken from the origin")
+	return digests, nil
+}
+
+// digestsOfPeers asks some peers, by lot; nil if none of them knows.
+func (s *Stager) digestsOfPeers(ctx context.Context, g goal, servers []*fleet.BackendServer) []Digest {
+	for _, i := range rand.Perm(len(servers))[:min(digestPeers, len(servers))] {
+		if servers[i].Addr == s.cfg.EngineAddr {
+			continue
+		}
+		digests, err := s.digestsOf(ctx, s.cfg.PeerAddr(servers[i].Addr), g)
+		if err == nil && len(digests) == g.engine.Pieces {
+			return digests
+		}
+	}
+	return nil
+}
+
+func (s *Stager) digestsOf(ctx context.Context, peer string, g goal) ([]Digest, error) {
+	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+	defer cancel()
+	resp, err := rpc.NewDRPCPiecesClient(s.pool.Get(ctx, peer)).Digests(ctx, &rpc.HeldRequest{Model: g.model, Version: g.version})
+	if err != nil {
+		return nil, err
+	}
+	digests := make([]Digest, len(resp.Digests))
+	for i, d := range resp.Digests {
+		if len(d) != len(digests[i]) {
+			return nil, fmt.Errorf("digest of %d bytes from %s", len(d), peer)
+		}
+		copy(digests[i][:], d)
+	}
+	return digests, nil
+}
+
+// takeStaged takes in what lies at the engine already and is right.
+func (s *Stager) takeStaged(ctx context.Context, g goal, set *pieceSet) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	held, err := s.cfg.Engine.Held(callCtx, g.model)
+	cancel()
+	if err != nil {
+		s.log.Warn().Err(err).Msg("engine does not tell what it holds")
+		return
+	}
+	taken := 0
+	for _, piece := range held {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		data, err := s.cfg.Engine.Get(callCtx, g.model, piece)
+		cancel()
+		if err == nil && set.put(piece, data) {
+			taken++
+		}
+	}
+	s.log.Info().Uint64("version", g.version).Int("held", len(held)).Int("taken", taken).Msg("staged pieces taken in")
+	s.cfg.Metrics.pieces.WithLabelValues("staged").Add(float64(taken))
+}
--- /dev/null
+++ b/internal/staging/turns.go
@@ -0,0 +1,61 @@
+package staging
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+)
+
+// servers are the backend servers of the service that have not left, in order.
+func (s *Stager) servers() []*fleet.BackendServer {
+	newest := map[string]*fleet.BackendServer{}
+	for _, b := range s.cfg.View().Servers[s.cfg.Service] {
+		known := newest[b.Addr]
+		if b.State != fleet.StateGone && (known == nil || known.SeenAt.Before(b.SeenAt)) {
+			newest[b.Addr] = b
+		}
+	}
+	out := make([]*fleet.BackendServer, 0, len(newest))
+	for _, b := range newest {
+		out = append(out, b)
+	}
+	slices.SortFunc(out, func(a, b *fleet.BackendServer) int { return cmpString(a.Addr, b.Addr) })
+	return out
+}
+
+func cmpString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// rank is the place of this engine among those of the service.
+func (s *Stager) rank() (rank, n int) {
+	servers := s.servers()
+	return s.turn(servers, loadTurn), len(servers)
+}
+
+// turn is how many agents are to fetch a piece from the origin before this one:
+// by the highest random weight of address and piece.
+func (s *Stager) turn(servers []*fleet.BackendServer, piece int) int {
+	own := weight(s.cfg.EngineAddr, piece)
+	before := 0
+	for _, b := range servers {
+		if b.Addr != s.cfg.EngineAddr && weight(b.Addr, piece) > own {
+			before++
+		}
+	}
+	return before
+}
+
+func weight(addr string, piece int) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %s %d", piece, addr, piece)
+	return h.Sum64() * 0x9E3779B97F4A7C15
+}
