--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -44,7 +44,9 @@
 	Lines []Line
 	// Deciding is the index of the line that decided, -1 if there is none.
 	Deciding int
-	Cause    string
+	// Ended: the logs hold the request's last line.
+	Ended bool
+	Cause string
 }
 
 // Read finds a request in logs.
@@ -149,7 +151,8 @@
 			r.Deciding = i
 		}
 	}
-	if end < 0 {
+	r.Ended = end >= 0
+	if !r.Ended {
 		r.Cause = "the request has not ended in these logs"
 		return
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -29,6 +29,7 @@
 	assert.Len(t, r.Lines, 3)
 	assert.Equal(t, "backend server set aside", r.Lines[0].Message)
 	assert.Equal(t, "send failed", r.Lines[r.Deciding].Message)
+	assert.True(t, r.Ended)
 	assert.Contains(t, r.Cause, "connection reset")
 	assert.Contains(t, r.Cause, "s-2")
 }
