Entries of a zone share its backend servers out among them

Change: control servers tell entries who the entries are; each server has one owner in its zone (bounded rendezvous hashing), whose own count of requests is its load. Servers of others are taken when they are 60 ms better. One hash for all rendezvous choices (internal/rendezvous); three copies went. Ruled out: more frequent reports (bytes between zones are dear); a smaller sample (herding comes from the age of the reports).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -20,6 +20,9 @@
 	// farPenalty is by how much a server of another zone has to be better to be
 	// preferred: bytes between zones are paid for.
 	farPenalty = 25 * time.Millisecond
+	// foreignPenalty is by how much a server that another entry owns has to be
+	// better: what that entry has just sent there is not known here yet.
+	foreignPenalty = 60 * time.Millisecond
 	// perFailure is what a share of failures of 1 counts.
 	perFailure = 300 * time.Millisecond
 	// silentPenalty and stalePenalty put servers last.
@@ -55,6 +58,8 @@
 
 // Config says how to choose.
 type Config struct {
+	// Name and Zone of this entry.
+	Name string
 	Zone string
 	// VersionBound is after how long from the naming of a version requests may no
 	// longer begin on an older one.
@@ -75,7 +80,7 @@
 
 // New returns a balancer that knows no servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{Entries: 1}}
+	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}}
 }
 
 // SetView takes over a new view of the fleet.
@@ -97,6 +102,9 @@
 			delete(b.servers, id)
 		}
 	}
+	for _, servers := range b.services {
+		b.shareOut(servers)
+	}
 }
 
 func (b *Balancer) setRecord(service string, record *fleet.BackendServer) {
@@ -113,7 +121,7 @@
 	if t := b.view.Table; t != nil {
 		if declared := t.Service(service); declared != nil {
 			s.engine = declared.Engine
-			s.Pool.SetMax(max(minConns, int(connShare*float64(declared.MaxConns))/b.view.Entries))
+			s.Pool.SetMax(max(minConns, int(connShare*float64(declared.MaxConns))/b.view.EntryCount()))
 		}
 	}
 	if record.State != fleet.StateReady || s.retired {
@@ -173,19 +181,20 @@
 	var best Choice
 	bestScore := time.Duration(math.MaxInt64)
 	room := Room{}
-	servers := b.services[w.Service]
-	for i, at := range rand.Perm(len(servers)) {
-		if i >= b.sample(len(servers)) && best.Server != nil {
-			break
+	others := 0
+	for _, s := range b.inOrder(w.Service) {
+		if !s.own {
+			if others++; others > b.sample(len(b.services[w.Service])) && best.Server != nil {
+				break
+			}
 		}
-		s := servers[at]
 		room.Known++
 		version, fits := b.fits(now, s, w, &room)
 		if !fits {
 			continue
 		}
 		room.Fit++
-		queue := s.queueLength(now, b.view.Entries)
+		queue := s.queueLength(now, b.view.EntryCount())
 		slots := s.slots()
 		wait := s.predictWait(now, queue)
 		if s.engine == nil && queue >= wholeQueue*float64(slots) || s.engine != nil && wait > w.Budget {
@@ -211,12 +220,31 @@
 	return best, room
 }
 
-// sample is how many servers of n are looked at, if one of them fits.
+// inOrder returns the servers of a service: the entry's own first, then the others
+// in a drawn order.
+func (b *Balancer) inOrder(service string) []*Server {
+	servers := b.services[service]
+	order := make([]*Server, 0, len(servers))
+	for _, s := range servers {
+		if s.own {
+			order = append(order, s)
+		}
+	}
+	for _, at := range rand.Perm(len(servers)) {
+		if !servers[at].own {
+			order = append(order, servers[at])
+		}
+	}
+	return order
+}
+
+// sample is how many servers of n beside the own ones are looked at, if one of them
+// fits.
 func (b *Balancer) sample(n int) int {
-	if b.view.Entries <= freeEntries {
+	if b.view.EntryCount() <= freeEntries {
 		return n
 	}
-	return max(leastSample, n*freeEntries/b.view.Entries)
+	return max(leastSample, n*freeEntries/b.view.EntryCount())
 }
 
 // predictWait predicts the wait of one more request for a slot, for the prompts
@@ -288,6 +316,9 @@
 	if !s.near {
 		score += farPenalty
 	}
+	if s.foreign {
+		score += foreignPenalty
+	}
 	if now.Sub(s.seenAt) > staleAfter {
 		score += stalePenalty
 	}
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -33,13 +33,13 @@
 		Slots: 4, Stride: 1, Step: 10 * time.Millisecond, ReadPerSecond: 10_000, UsualPrompt: 1000, UsualAnswer: 100, Layers: 16,
 	}}}}
 	return &follow.View{
-		Table: fleet.NewTable(config), Entries: 2,
+		Table: fleet.NewTable(config), Entries: []follow.Entry{{Name: "entry", Zone: "here"}, {Name: "other", Zone: "there"}},
 		Servers: map[string][]*fleet.BackendServer{service: records},
 	}
 }
 
 func balancer(v *follow.View) *Balancer {
-	b := New(Config{Zone: "here", VersionBound: 8 * time.Second, Logger: zerolog.Nop()})
+	b := New(Config{Name: "entry", Zone: "here", VersionBound: 8 * time.Second, Logger: zerolog.Nop()})
 	b.SetView(v)
 	return b
 }
@@ -207,16 +207,83 @@
 	assert.True(t, b.Silent(c.Server, much))
 }
 
-func TestManyEntriesDoNotTakeTheSameServer(t *testing.T) {
+// manyEntries is a view of entries and servers of one zone.
+func manyEntries(entries, servers int) *follow.View {
 	var records []*fleet.BackendServer
-	for i := range 30 {
+	for i := range servers {
 		records = append(records, record(fmt.Sprint(i+1), "here", 1))
 	}
 	v := view(records...)
-	v.Entries = 15
+	v.Entries = nil
+	for i := range entries {
+		v.Entries = append(v.Entries, follow.Entry{Name: fmt.Sprint("entry-", i), Zone: "here"})
+	}
+	return v
+}
+
+func named(name string, v *follow.View) *Balancer {
+	b := New(Config{Name: name, Zone: "here", VersionBound: 8 * time.Second, Logger: zerolog.Nop()})
+	b.SetView(v)
+	return b
+}
+
+func TestManyEntriesDoNotTakeTheSameServer(t *testing.T) {
+	v := manyEntries(15, 30)
 	first := map[string]bool{}
-	for range v.Entries {
-		first[pick(t, balancer(v), start, want()).Server.ID] = true
+	for _, e := range v.Entries {
+		first[pick(t, named(e.Name, v), start, want()).Server.ID] = true
+	}
+	assert.Len(t, first, len(v.Entries))
+}
+
+func TestServersAreSharedOutEvenly(t *testing.T) {
+	v := manyEntries(5, 14)
+	owner := map[string]string{}
+	for _, e := range v.Entries {
+		owned := 0
+		for _, s := range named(e.Name, v).services[service] {
+			assert.NotEqual(t, s.own, s.foreign)
+			if s.own {
+				assert.Empty(t, owner[s.ID], "a server has one owner")
+				owner[s.ID] = e.Name
+				owned++
+			}
+		}
+		assert.GreaterOrEqual(t, owned, 2)
+		assert.LessOrEqual(t, owned, 3)
+	}
+	assert.Len(t, owner, 14)
+}
+
+func TestFewServersChangeTheirOwner(t *testing.T) {
+	before, after := manyEntries(5, 40), manyEntries(5, 41)
+	changed := 0
+	for _, e := range before.Entries {
+		own := map[string]bool{}
+		for _, s := range named(e.Name, before).services[service] {
+			own[s.ID] = s.own
+		}
+		for _, s := range named(e.Name, after).services[service] {
+			if s.own && !own[s.ID] {
+				changed++
+			}
+		}
+	}
+	assert.LessOrEqual(t, changed, 8, "of 41 servers")
+}
+
+func TestServersOfOthersTakeWhatOwnOnesHaveNoRoomFor(t *testing.T) {
+	v := manyEntries(2, 2)
+	b := named("entry-0", v)
+	own := pick(t, b, start, want())
+	require.True(t, own.Server.own)
+	b.Told(own.Server, start, 4, 4)
+	other := pick(t, b, start, want())
+	assert.True(t, other.Server.foreign)
+}
+
+func TestServersAreNotSharedOutAmongMoreEntries(t *testing.T) {
+	for _, s := range named("entry-0", manyEntries(5, 4)).services[service] {
+		assert.False(t, s.own || s.foreign)
 	}
-	assert.Greater(t, len(first), v.Entries/3)
 }
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -24,6 +24,9 @@
 	seenAt time.Time
 	engine *fleet.Engine
 	near   bool
+	// own: this entry owns it; foreign: another one does. Both are false where
+	// servers are not shared out.
+	own, foreign bool
 
 	// inFlight are the requests of this entry; pendingRead is how long the engine
 	// reads the prompts of those that have no event yet.
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -1,6 +1,7 @@
 package fleetcontrol
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -47,8 +48,8 @@
 
 // follower is one stream. Its fields are guarded by the hub's lock.
 type follower struct {
-	name, role string
-	wake       chan struct{}
+	name, role, zone string
+	wake             chan struct{}
 	// changed and renewed hold the ids whose record is to be sent.
 	changed, renewed map[string]bool
 	// reports holds the addresses whose report is to be sent.
@@ -56,7 +57,7 @@
 	configVersion uint64
 	versions      map[string]uint64
 	controlAddrs  []string
-	entries       int
+	entries       []*rpc.Entry
 	number, acked uint64
 	waiters       []*waiter
 }
@@ -260,7 +261,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := &follower{
-		name: hello.Name, role: hello.Role, wake: make(chan struct{}, 1),
+		name: hello.Name, role: hello.Role, zone: hello.Zone, wake: make(chan struct{}, 1),
 		changed: map[string]bool{}, renewed: map[string]bool{}, versions: map[string]uint64{},
 		reports: map[string]bool{},
 	}
@@ -274,7 +275,7 @@
 	}
 	h.followers[f] = true
 	for other := range h.followers {
-		other.notify() // the number of entries may have changed
+		other.notify() // the entries may have changed
 	}
 	h.log.Info().Str("follower", f.name).Str("role", f.role).Msg("follower joined")
 	return f
@@ -311,9 +312,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	u := &rpc.FleetUpdate{ControlAddrs: addrs, Entries: uint32(h.entries())}
-	lacks := f.number == 0 || int(u.Entries) != f.entries || !slices.Equal(addrs, f.controlAddrs)
-	f.entries, f.controlAddrs = int(u.Entries), addrs
+	u := &rpc.FleetUpdate{ControlAddrs: addrs}
+	lacks := f.number == 0 || !slices.Equal(addrs, f.controlAddrs)
+	f.controlAddrs = addrs
+	if f.role == RoleEntry {
+		lacks = f.lackOfEntries(u, h.entries()) || lacks
+	}
 	if f.role != RoleControl {
 		lacks = f.lackOfLedger(u, state, now) || lacks
 	}
@@ -368,13 +372,25 @@
 	return lacks
 }
 
-// entries counts the entries that follow; the lock is held.
-func (h *hub) entries() int {
-	names := map[string]bool{}
+// lackOfEntries adds the entries if they are others than the follower knows.
+func (f *follower) lackOfEntries(u *rpc.FleetUpdate, entries []*rpc.Entry) bool {
+	same := func(a, b *rpc.Entry) bool { return a.Name == b.Name && a.Zone == b.Zone }
+	if slices.EqualFunc(entries, f.entries, same) {
+		return false
+	}
+	f.entries = entries
+	u.Entries = &rpc.EntryList{Entries: entries}
+	return true
+}
+
+// entries are those that follow, in the order of names; the lock is held.
+func (h *hub) entries() []*rpc.Entry {
+	var out []*rpc.Entry
 	for f := range h.followers {
 		if f.role == RoleEntry {
-			names[f.name] = true
+			out = append(out, &rpc.Entry{Name: f.name, Zone: f.zone})
 		}
 	}
-	return len(names)
+	slices.SortFunc(out, func(a, b *rpc.Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return slices.CompactFunc(out, func(a, b *rpc.Entry) bool { return a.Name == b.Name })
 }
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -42,7 +42,7 @@
 	e := cfg.Entry
 	g := gateway.New(gateway.Config{
 		Headers:    e.Headers,
-		Balance:    balance.Config{Zone: cfg.Zone, VersionBound: cfg.VersionBound, Logger: cfg.Logger},
+		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, VersionBound: cfg.VersionBound, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
 		Logger: cfg.Logger, Metrics: gateway.NewMetrics(registry),
 	})
@@ -65,7 +65,7 @@
 
 func newFollower(cfg *Config, role string, viewer *follow.Viewer, most int) *follow.Client {
 	return follow.New(follow.Config{
-		Name: cfg.Name, Role: role, Most: most, Seeds: cfg.Seeds,
+		Name: cfg.Name, Zone: cfg.Zone, Role: role, Most: most, Seeds: cfg.Seeds,
 		Update: viewer.Update, Lost: viewer.Lost, Logger: cfg.Logger,
 	})
 }
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -19,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"lynxgate.dev/lynxgate/internal/rendezvous"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
@@ -43,8 +43,9 @@
 
 // Config says who follows.
 type Config struct {
-	// Name and Role (entry, agent or control) of this daemon.
+	// Name, Zone and Role (entry, agent or control) of this daemon.
 	Name string
+	Zone string
 	Role string
 	// Self is the rpc address of this daemon if it is a control server: it does
 	// not follow itself.
@@ -228,10 +229,7 @@
 }
 
 func (c *Client) weight(addr string) uint64 {
-	h := fnv.New64a()
-	// A hash's Write does not fail.
-	_, _ = io.WriteString(h, c.cfg.Name+" "+addr+" "+c.cfg.Name)
-	return h.Sum64() * 0x9E3779B97F4A7C15
+	return rendezvous.Weight(rendezvous.Hash(c.cfg.Name), rendezvous.Hash(addr))
 }
 
 // stream takes updates until the stream fails or falls silent.
@@ -252,7 +250,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
-	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Role: c.cfg.Role}); err != nil {
+	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
 	c.setStream(addr, stream)
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,10 +22,16 @@
 	Versions map[string]ledger.Version
 	// Servers holds the backend servers by service, those that left among them.
 	Servers map[string][]*fleet.BackendServer
-	// Entries is how many entries the control servers know of, at least 1.
-	Entries int
+	// Entries are those that any control server knows of, by name.
+	Entries []Entry
 }
 
+// Entry is one entry of the fleet.
+type Entry struct{ Name, Zone string }
+
+// EntryCount is how many entries share what is bounded for all together, at least 1.
+func (v *View) EntryCount() int { return max(len(v.Entries), 1) }
+
 // Viewer merges updates into views. Within one process a configuration is
 // never followed by an older one.
 type Viewer struct {
@@ -41,7 +49,8 @@
 
 	mu      sync.Mutex
 	servers *directory.Directory
-	entries map[string]int
+	// entries are those that each control server knows of.
+	entries map[string][]Entry
 	reports map[string]*rpc.AgentReport
 	forget  time.Time
 }
@@ -52,8 +61,8 @@
 // NewViewer returns a viewer. decode reads the operators' document; changed may
 // be nil.
 func NewViewer(decode func([]byte) (*fleet.Config, error), changed func(*View), log zerolog.Logger) *Viewer {
-	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(), entries: map[string]int{}, reports: map[string]*rpc.AgentReport{}}
-	v.view.Store(&View{Entries: 1})
+	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(), entries: map[string][]Entry{}, reports: map[string]*rpc.AgentReport{}}
+	v.view.Store(&View{})
 	return v
 }
 
@@ -71,11 +80,7 @@
 		next.Servers = v.byService()
 		changed = true
 	}
-	v.entries[source] = int(u.Entries)
-	if n := v.entryCount(); n != next.Entries {
-		next.Entries = n
-		changed = true
-	}
+	changed = v.takeEntries(&next, source, u) || changed
 	if changed {
 		v.view.Store(&next)
 	}
@@ -106,12 +111,31 @@
 	delete(v.entries, source)
 }
 
-func (v *Viewer) entryCount() int {
-	most := 1
-	for _, n := range v.entries {
-		most = max(most, n)
+func (v *Viewer) takeEntries(next *View, source string, u *rpc.FleetUpdate) bool {
+	if u.Entries == nil {
+		return false
+	}
+	told := make([]Entry, 0, len(u.Entries.Entries))
+	for _, e := range u.Entries.Entries {
+		told = append(told, Entry{Name: e.Name, Zone: e.Zone})
+	}
+	v.entries[source] = told
+	all := v.allEntries()
+	if slices.Equal(all, next.Entries) {
+		return false
+	}
+	next.Entries = all
+	return true
+}
+
+// allEntries are those that any control server knows of, in the order of names.
+func (v *Viewer) allEntries() []Entry {
+	var all []Entry
+	for _, told := range v.entries {
+		all = append(all, told...)
 	}
-	return most
+	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return slices.CompactFunc(all, func(a, b Entry) bool { return a.Name == b.Name })
 }
 
 func (v *Viewer) takeConfig(next *View, source string, u *rpc.FleetUpdate) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 		cfg: cfg, log: cfg.Logger, balancer: balance.New(cfg.Balance),
 		start: time.Now(), budgets: map[string]*retry.Budget{},
 	}
-	g.view.Store(&follow.View{Entries: 1})
+	g.view.Store(&follow.View{})
 	return g
 }
 
@@ -103,8 +103,8 @@
 func (g *Gateway) SetView(v *follow.View) {
 	before := g.view.Swap(v)
 	g.balancer.SetView(v)
-	if before.Entries != v.Entries {
-		g.shareBudgets(v.Entries)
+	if before.EntryCount() != v.EntryCount() {
+		g.shareBudgets(v.EntryCount())
 	}
 }
 
@@ -156,7 +156,7 @@
 	if b == nil {
 		b = retry.NewBudget(retry.BudgetConfig{
 			Share: g.cfg.RetryShare * budgetShare, Window: g.cfg.RetryWindow,
-			Floor: g.retryFloor(g.view.Load().Entries),
+			Floor: g.retryFloor(g.view.Load().EntryCount()),
 		})
 		g.budgets[service] = b
 	}
@@ -164,7 +164,7 @@
 }
 
 func (g *Gateway) retryFloor(entries int) int {
-	return int(budgetShare * float64(g.cfg.RetryFloor) / float64(max(entries, 1)))
+	return int(budgetShare * float64(g.cfg.RetryFloor) / float64(entries))
 }
 
 func (g *Gateway) shareBudgets(entries int) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -144,7 +144,7 @@
 		}
 	}
 	// A server has one record; the last service wins, so each test uses one.
-	g.SetView(&follow.View{Table: fleet.NewTable(config), Servers: servers, Entries: 1})
+	g.SetView(&follow.View{Table: fleet.NewTable(config), Servers: servers})
 	return &entry{g, server, &logs}
 }
 
--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"lynxgate.dev/lynxgate/internal/rendezvous"
 	"maps"
 	"time"
 )
@@ -74,7 +75,7 @@
 }
 
 func outranks(prefix uint64, a, b *ServerView) bool {
-	wa, wb := rendezvous(prefix, a.hash), rendezvous(prefix, b.hash)
+	wa, wb := rendezvous.Weight(prefix, a.hash), rendezvous.Weight(prefix, b.hash)
 	if wa != wb {
 		return wa > wb
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"lynxgate.dev/lynxgate/internal/rendezvous"
 	"sync/atomic"
 	"time"
 
@@ -87,7 +88,7 @@
 func newServer(m inventory.Member) *server {
 	return &server{
 		member:    m,
-		hash:      hashString(m.VM),
+		hash:      rendezvous.Hash(m.VM),
 		count:     &counters{},
 		liveSince: map[Version]time.Time{},
 		waiting:   map[string]waiter{},
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"lynxgate.dev/lynxgate/internal/rendezvous"
 	"math"
 	"sort"
 )
@@ -19,7 +20,7 @@
 func subset(entry uint64, zone string, members []subsetMember, size int, nearShare float64) []subsetMember {
 	sorted := append([]subsetMember(nil), members...)
 	sort.Slice(sorted, func(i, j int) bool {
-		a, b := rendezvous(entry, sorted[i].hash), rendezvous(entry, sorted[j].hash)
+		a, b := rendezvous.Weight(entry, sorted[i].hash), rendezvous.Weight(entry, sorted[j].hash)
 		if a != b {
 			return a > b
 		}
--- a/internal/routing/subset_test.go
+++ b/internal/routing/subset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"lynxgate.dev/lynxgate/internal/rendezvous"
 	"math/rand/v2"
 	"testing"
 
@@ -26,7 +27,7 @@
 	members := make([]subsetMember, n)
 	for i := range members {
 		vm := fmt.Sprintf("worker-%03d", i)
-		members[i] = subsetMember{vm, fmt.Sprintf("z%02d", i%targetZones), hashString(vm)}
+		members[i] = subsetMember{vm, fmt.Sprintf("z%02d", i%targetZones), rendezvous.Hash(vm)}
 	}
 	return members
 }
@@ -36,7 +37,7 @@
 	all := make([][]subsetMember, targetEntries)
 	for e := range all {
 		zone := fmt.Sprintf("z%02d", e%entryZones)
-		all[e] = subset(hashString(fmt.Sprintf("entry-%03d", e)), zone, workers, subsetSize, DefaultConfig().NearShare)
+		all[e] = subset(rendezvous.Hash(fmt.Sprintf("entry-%03d", e)), zone, workers, subsetSize, DefaultConfig().NearShare)
 	}
 	return all
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"lynxgate.dev/lynxgate/internal/rendezvous"
 	"maps"
 	"slices"
 	"strings"
@@ -31,7 +32,7 @@
 	cfg = cfg.withDefaults()
 	return &Table{
 		cfg:       cfg,
-		entry:     hashString(cfg.Entry),
+		entry:     rendezvous.Hash(cfg.Entry),
 		regions:   map[string]string{},
 		servers:   map[string]*server{},
 		preferred: map[Version]bool{},
--- a/internal/staging/turns.go
+++ b/internal/staging/turns.go
@@ -1,11 +1,11 @@
 package staging
 
 import (
-	"fmt"
-	"hash/fnv"
+	"cmp"
 	"slices"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/rendezvous"
 )
 
 // servers are the backend servers of the service that have not left, in order.
@@ -21,20 +21,10 @@
 	for _, b := range newest {
 		out = append(out, b)
 	}
-	slices.SortFunc(out, func(a, b *fleet.BackendServer) int { return cmpString(a.Addr, b.Addr) })
+	slices.SortFunc(out, func(a, b *fleet.BackendServer) int { return cmp.Compare(a.Addr, b.Addr) })
 	return out
 }
 
-func cmpString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // rank is the place of this engine among those of the service.
 func (s *Stager) rank() (rank, n int) {
 	servers := s.servers()
@@ -55,7 +45,5 @@
 }
 
 func weight(addr string, piece int) uint64 {
-	h := fnv.New64a()
-	fmt.Fprintf(h, "%d %s %d", piece, addr, piece)
-	return h.Sum64() * 0x9E3779B97F4A7C15
+	return rendezvous.Weight(rendezvous.Hash(addr), uint64(piece))
 }
