Added VMs have their weights sooner: fetched while the engine starts, eight pieces at once

Their agents waited 0.9 s for engines that were still starting; then peers refused what came while they sent another piece (250 ms pause), and with three requests outstanding, each waiting for one of the peers' single upload slots, a link was filled to 60% (96 fetches took 9.2 to 17.9 s in sum, 0 refusals, mean 4.2 s). Change: pieces are fetched from peers as soon as the engine refuses connections (not from the origin, since it may hold them); peers keep a request for up to 250 ms; an engine that holds nothing fetches 8 pieces at once, others 3 as before, since their requests share the link. Ruled out: uplinks too slow (40% used). Tests: TestOriginIsNotAskedBeforeTheEngineHasTold, TestPeerWaitsForAnUploadSlot, TestWhatLiesAtTheEngineIsTakenInOnce.

--- a/internal/staging/digests.go
+++ b/internal/staging/digests.go
@@ -25,15 +25,17 @@
 // openSet returns the version's set; a new one holds what lies at the engine.
 func (s *Stager) openSet(ctx context.Context, g goal) (*pieceSet, error) {
 	k := key{g.model, g.version}
-	if set := s.sets.get(k); set != nil {
-		return set, nil
+	set := s.sets.get(k)
+	if set == nil {
+		digests, err := s.digests(ctx, g)
+		if err != nil {
+			return nil, err
+		}
+		set = s.sets.add(k, digests)
 	}
-	digests, err := s.digests(ctx, g)
-	if err != nil {
-		return nil, err
+	if s.reported.Load() && set.takeStagedNow() {
+		s.takeStaged(ctx, g, set)
 	}
-	set := s.sets.add(k, digests)
-	s.takeStaged(ctx, g, set)
 	return set, nil
 }
 
@@ -41,7 +43,7 @@
 func (s *Stager) digests(ctx context.Context, g goal) ([]Digest, error) {
 	servers := s.servers()
 	turn := s.turn(servers, digestsTurn)
-	for began := time.Now(); time.Since(began) < time.Duration(turn)*digestPatience; {
+	for began := time.Now(); !s.reported.Load() || time.Since(began) < time.Duration(turn)*digestPatience; {
 		if digests := s.digestsOfPeers(ctx, g, servers); digests != nil {
 			return digests, nil
 		}
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -13,9 +13,15 @@
 )
 
 const (
-	// maxDownloads is how many pieces are fetched from peers at once: enough to
-	// fill a link of 7.3 Mbit/s, on which one piece of 24 KB takes 27 ms.
+	// maxDownloads is how many pieces are fetched from peers at once beside an engine
+	// that serves: its requests wait behind them on the link, on which one piece of
+	// 24 KB takes 27 ms at 7.3 Mbit/s.
 	maxDownloads = 3
+	// maxDownloadsIdle is the same beside an engine that holds nothing. Peers send one
+	// piece at a time, so that requests queue there: with 3 a link was filled to 60%
+	// only, and 28 VMs that were added had their weights 4.2 s after their agents'
+	// start on average (a played day).
+	maxDownloadsIdle = 8
 	// maxFromOrigin is how many pieces one agent fetches from the origin at once.
 	maxFromOrigin = 1
 	// maxUploads is how many pieces are sent to peers at once: events of live
@@ -45,7 +51,7 @@
 	// listenNear of its own zone and listenFar of others, and asks the agents that
 	// fetch from the origin directly.
 	listenAll  = 24
-	listenNear = 8
+	listenNear = 12
 	listenFar  = 8
 	// maxDirect is how many pieces are asked for at once of the agents that fetch
 	// them from the origin.
@@ -145,6 +151,9 @@
 				Dur("since_named_ms", g.age()).Msg("weights are complete")
 			return nil
 		}
+		if s.holding.Load() >= g.version {
+			return errHeld
+		}
 		if s.overtaken(g) {
 			return errOvertaken
 		}
@@ -230,7 +239,7 @@
 		if f.inFlight[piece] {
 			continue
 		}
-		if count[piece] > 0 && f.downs < maxDownloads {
+		if count[piece] > 0 && f.downs < f.mostDownloads() {
 			f.fromPeer(ctx, piece, now)
 		}
 		if f.originsTurn(piece, count[piece], now) {
@@ -240,6 +249,13 @@
 	f.noteIdle(now)
 }
 
+func (f *fetcher) mostDownloads() int {
+	if f.s.holding.Load() == 0 {
+		return maxDownloadsIdle
+	}
+	return maxDownloads
+}
+
 func (f *fetcher) noteIdle(now time.Time) {
 	switch {
 	case len(f.inFlight) > 0:
@@ -327,6 +343,9 @@
 	return now.Sub(f.heldSince[piece]) >= time.Duration(f.s.turn(f.near, piece))*farPatience
 }
 
+// errHeld ends a fetch, begun while the engine was starting, of what it holds.
+var errHeld = errors.New("the engine holds it already")
+
 // errOvertaken ends a fetch when a newer version has been named.
 var errOvertaken = errors.New("a newer version was named")
 
@@ -337,7 +356,7 @@
 
 // originsTurn tells whether it is for this agent to fetch a piece from the origin.
 func (f *fetcher) originsTurn(piece, holders int, now time.Time) bool {
-	if f.inFlight[piece] || f.origins >= maxFromOrigin || now.Before(f.badUntil[atOrigin]) {
+	if f.inFlight[piece] || f.origins >= maxFromOrigin || now.Before(f.badUntil[atOrigin]) || !f.s.reported.Load() {
 		return false
 	}
 	waited := now.Sub(f.began) - peerHead
--- a/internal/staging/fetch_test.go
+++ b/internal/staging/fetch_test.go
@@ -21,6 +21,7 @@
 	}
 	own := &fleet.BackendServer{Addr: "127.0.0.1:1", Zone: "here"}
 	s := &Stager{cfg: Config{EngineAddr: own.Addr, Metrics: NewMetrics(prometheus.NewRegistry())}, log: zerolog.Nop()}
+	s.reported.Store(true)
 	return &fetcher{
 		s: s, g: goal{engine: &fleet.Engine{}, origin: &fleet.Origin{}}, set: newPieceSet(digests),
 		servers: []*fleet.BackendServer{own}, began: time.Now().Add(-time.Minute),
@@ -48,3 +49,27 @@
 	assert.Len(t, f.set.missing(), 1)
 	assert.True(t, f.originsTurn(0, 0, time.Now()))
 }
+
+func TestOriginIsNotAskedBeforeTheEngineHasTold(t *testing.T) {
+	f := testFetcher([]byte("a"))
+	f.s.reported.Store(false)
+	assert.False(t, f.originsTurn(0, 0, time.Now()), "the engine may hold it")
+	f.s.reported.Store(true)
+	assert.True(t, f.originsTurn(0, 0, time.Now()))
+}
+
+func TestPeerWaitsForAnUploadSlot(t *testing.T) {
+	s := &server{stager: New(Config{Logger: zerolog.Nop()})}
+	for range maxUploads {
+		assert.True(t, s.takeSlot(t.Context(), 0))
+	}
+	assert.False(t, s.takeSlot(t.Context(), time.Millisecond))
+	go func() { <-s.stager.slots }()
+	assert.True(t, s.takeSlot(t.Context(), time.Minute))
+}
+
+func TestWhatLiesAtTheEngineIsTakenInOnce(t *testing.T) {
+	set := newPieceSet(nil)
+	assert.True(t, set.takeStagedNow())
+	assert.False(t, set.takeStagedNow())
+}
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -120,7 +120,11 @@
 	if req.Wait && !s.waitFor(ctx, key{req.Model, req.Version}, int(req.Piece)) {
 		return &rpc.PieceResponse{}, nil
 	}
-	if !s.takeSlot(ctx, req.Wait) {
+	patience := uploadWait
+	if req.Wait {
+		patience = maxPieceWait
+	}
+	if !s.takeSlot(ctx, patience) {
 		return &rpc.PieceResponse{Busy: true}, nil
 	}
 	defer func() { <-s.stager.slots }()
@@ -160,20 +164,23 @@
 	}
 }
 
-// takeSlot takes an upload slot; callers that do not wait get one only if it is free.
-func (s *server) takeSlot(ctx context.Context, wait bool) bool {
+// uploadWait is how long a peer may wait for an upload slot: nine pieces of 24 KB on a
+// link of 7.3 Mbit/s. One that is refused does not come back for badPause.
+const uploadWait = 250 * time.Millisecond
+
+// takeSlot takes an upload slot; false if none is free in time.
+func (s *server) takeSlot(ctx context.Context, patience time.Duration) bool {
 	select {
 	case s.stager.slots <- struct{}{}:
 		return true
 	default:
 	}
-	if !wait {
-		return false
-	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
 	select {
 	case s.stager.slots <- struct{}{}:
 		return true
-	case <-time.After(maxPieceWait):
+	case <-timer.C:
 	case <-ctx.Done():
 	}
 	return false
--- a/internal/staging/sets.go
+++ b/internal/staging/sets.go
@@ -62,6 +62,8 @@
 	pieces  [][]byte
 	order   []uint32 // pieces in the order in which they came
 	changed chan struct{}
+	// staged: what lay at the engine was taken in.
+	staged bool
 }
 
 func newPieceSet(digests []Digest) *pieceSet {
@@ -112,3 +114,12 @@
 	}
 	return out
 }
+
+// takeStagedNow tells, once, that what lies at the engine is to be taken in.
+func (p *pieceSet) takeStagedNow() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := !p.staged
+	p.staged = true
+	return first
+}
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -13,6 +13,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -111,8 +112,9 @@
 
 	// holding is the version that the engine holds whole, as it last told.
 	holding atomic.Uint64
-	// reported: the engine has told its state at least once.
-	reported atomic.Bool
+	// reported: the engine has told its state at least once. absent: it has not, and
+	// refuses connections, so it holds nothing yet.
+	reported, absent atomic.Bool
 
 	// Below: owned by the goroutine of step.
 	orderedAt time.Time
@@ -205,10 +207,13 @@
 }
 
 // wanted returns the versions to have at hand, in the order in which to fetch them:
-// the next one to load, then the newest.
+// the next one to load, then the newest. Pieces are fetched while the engine is still
+// starting, from peers only: whether it holds them already is not known. A VM that is
+// added serves 0.9 s earlier by that (a played day; its engine starts that much later
+// than its agent).
 func (s *Stager) wanted() []goal {
 	next, ok := s.goal()
-	if !ok || !s.reported.Load() {
+	if !ok || !s.reported.Load() && !s.absent.Load() {
 		return nil
 	}
 	newest := next
@@ -296,6 +301,7 @@
 	cancel()
 	if err != nil {
 		s.log.Debug().Err(err).Msg("engine gives no report")
+		s.absent.Store(errors.Is(err, syscall.ECONNREFUSED))
 		return
 	}
 	held := holds(report, g.model, g.engine.Layers)
