A wiped control server finds a leader that no settings name

Cause: hellos and messages to a name, not an incarnation, were sent to addresses of the settings only. Ruled out: the redial timeouts (control servers reached each other within 0.6 s), the membership change (the leader never got the hello). Change: addresses learned from the membership and from hellos count for the name, too. Test: TestWipedServerFindsALeaderThatNoSettingsName failed first (30 s).

--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -39,8 +39,9 @@
 	staleAfter time.Duration
 	peers      map[consensus.ServerID]*peer
 
-	// names and ids hold addresses by name (from settings) and by identity
-	// (from the membership and from servers that ask to join).
+	// names and ids hold addresses by name and by identity: from the membership, from
+	// servers that ask to join, and, by name, from the settings at first. Messages go
+	// to a name where the incarnation is not known: a hello passed on to a leader.
 	names map[string]string
 	ids   map[consensus.ServerID]string
 
@@ -78,6 +79,7 @@
 func (t *transport) learn(id consensus.ServerID, addr string) {
 	if addr != "" {
 		t.ids[id] = addr
+		t.names[id.Name] = addr
 	}
 }
 
