Servers of others are taken when they are 200 ms better; reports every 100 ms up to 40 engines

Cause: an entry left its own servers at 10 requests for others that seemed to have 5 by reports half a second old, all entries at once.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -22,7 +22,7 @@
 	farPenalty = 25 * time.Millisecond
 	// foreignPenalty is by how much a server that another entry owns has to be
 	// better: what that entry has just sent there is not known here yet.
-	foreignPenalty = 60 * time.Millisecond
+	foreignPenalty = 200 * time.Millisecond
 	// perFailure is what a share of failures of 1 counts.
 	perFailure = 300 * time.Millisecond
 	// silentPenalty and stalePenalty put servers last.
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -91,7 +91,7 @@
 	pollInterval = 100 * time.Millisecond
 	// pollServers is up to how many engines pollInterval holds; with more, it grows
 	// in proportion up to maxPollInterval.
-	pollServers     = 20
+	pollServers     = 40
 	maxPollInterval = 500 * time.Millisecond
 	// callTimeout bounds one call to the engine.
 	callTimeout = 1 * time.Second
