Callers are told to come back late when no server can be used at all

Change: where no server fits, Retry-After is three quarters to the whole of a third of the time left (callers do not wait longer); jitter keeps them apart. Test: TestCallersComeBackLateWhenNoServerCanBeUsed.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -159,11 +159,15 @@
 
 // retryAfter is when a refused caller should come back: after some objectives'
 // worth of work, drawn so that not all come at once, and early enough that its
-// deadline leaves time for the answer.
+// deadline leaves time for the answer. Where no server can be used at all, that will
+// last for seconds, and the caller should come back as late as it may.
 func (c *call) retryAfter() time.Duration {
 	if c.route == nil || c.route.Objective <= 0 {
 		return defaultRetryAfter
 	}
-	wait := 2*c.route.Objective + jitter(3*c.route.Objective)
-	return min(wait, max(time.Until(c.clientBy)/3, 0))
+	most := max(time.Until(c.clientBy)/retryAfterPart, 0)
+	if c.room.Fit == 0 {
+		return most - jitter(most/4)
+	}
+	return min(2*c.route.Objective+jitter(3*c.route.Objective), most)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -362,6 +362,19 @@
 	assert.Contains(t, e.logs.String(), "all backend servers are full")
 }
 
+func TestCallersComeBackLateWhenNoServerCanBeUsed(t *testing.T) {
+	empty := newBackend(t, "b-1", good)
+	e := newEntry(t, empty)
+	e.balancer.Reported(time.Now(), strings.TrimPrefix(empty.URL, "http://"), false, nil, 0, 0)
+	a := e.ask(t, "POST", "/stream/1")
+	assert.Equal(t, http.StatusServiceUnavailable, a.status)
+	after, err := strconv.ParseFloat(a.head.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	assert.Greater(t, after, 0.45, "of 2 s")
+	assert.LessOrEqual(t, after, 2.0/3)
+	assert.Contains(t, e.logs.String(), "no backend server can take it")
+}
+
 func TestWholeEvents(t *testing.T) {
 	for text, want := range map[string]int{
 		"": 0, "id: 1\n": 0, "id: 1\n\n": 7, "id: 1\n\nid: 2": 7, "a\n\nb\n\n": 6, "a\r\n\r\nb": 5,
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// retryAfterPart of the time that a caller has left is the latest that it is told
+	// to come back: callers do not wait longer.
+	retryAfterPart = 3
 	// defaultRetryAfter is told where no objective is known.
 	defaultRetryAfter = time.Second
 	// leastBudget is the wait that is allowed to requests whose prompt alone takes
