--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -19,7 +19,9 @@
 	// preferred: bytes between zones are paid for.
 	farPenalty = 25 * time.Millisecond
 	// foreignPenalty is by how much a server that another entry owns has to be
-	// better: what that entry has just sent there is not known here yet.
+	// better: what that entry has just sent there is not known here yet. With 60 ms,
+	// three requests, 0.92 to 0.94 of the credit was earned in calm seconds of a day of
+	// 15 entries and 72 engines, with 200 ms 0.99 (one played day each).
 	foreignPenalty = 200 * time.Millisecond
 	// perFailure is what a share of failures of 1 counts.
 	perFailure = 300 * time.Millisecond
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -365,6 +365,9 @@
 func TestCallersComeBackLateWhenNoServerCanBeUsed(t *testing.T) {
 	empty := newBackend(t, "b-1", good)
 	e := newEntry(t, empty)
+	view := *e.view.Load()
+	view.Servers = map[string][]*fleet.BackendServer{"engine": view.Servers["engine"]}
+	e.SetView(&view) // it is an engine only
 	e.balancer.Reported(time.Now(), strings.TrimPrefix(empty.URL, "http://"), false, nil, 0, 0)
 	a := e.ask(t, "POST", "/stream/1")
 	assert.Equal(t, http.StatusServiceUnavailable, a.status)
@@ -373,6 +376,15 @@
 	assert.Greater(t, after, 0.45, "of 2 s")
 	assert.LessOrEqual(t, after, 2.0/3)
 	assert.Contains(t, e.logs.String(), "no backend server can take it")
+
+	c := &call{route: &fleet.Route{Objective: 200 * time.Millisecond}, clientBy: time.Now().Add(time.Minute)}
+	for range 100 {
+		assert.Greater(t, c.retryAfter(), 14*time.Second, "a quarter less than a third")
+	}
+	c.room.Fit = 1
+	for range 100 {
+		assert.LessOrEqual(t, c.retryAfter(), time.Second, "five objectives")
+	}
 }
 
 func TestWholeEvents(t *testing.T) {
