--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -401,9 +401,7 @@
 func TestCallersComeBackLateWhenNoServerCanBeUsed(t *testing.T) {
 	empty := newBackend(t, "b-1", good)
 	e := newEntry(t, empty)
-	view := *e.view.Load()
-	view.Servers = map[string][]*fleet.BackendServer{"engine": view.Servers["engine"]}
-	e.SetView(&view) // it is an engine only
+	e.onlyEngines()
 	e.balancer.Reported(time.Now(), strings.TrimPrefix(empty.URL, "http://"), false, nil, 0, 0)
 	a := e.ask(t, "POST", "/stream/1")
 	assert.Equal(t, http.StatusServiceUnavailable, a.status)
