A running stream is kept until another server has begun to go on with it

Cause: a stream was taken from a server that is to load, or that was silent, before the next server had said that it takes it (break before make). Room at the next one is predicted from reports 0.1 to 0.3 s old; when it refused, the others were loading or held the new weights, and the caller's connection was closed. Servers that had only refused were never asked again, and a look for a server ended 1.2 s after the last event, though the caller was still there. Change: the first server goes on writing while another one is asked; its events are held back, since those of two runs can't be joined; once the other has written an event the first is ended. The rest of a stream that did break off is looked for as long as its caller waits and any server may come to take it, also at servers that refused, within the retry budget; if none can ever take it, it is ended at once.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -270,6 +270,16 @@
 	}
 }
 
+// InFlight returns how many sends have not ended.
+func (b *Balancer) InFlight() (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.servers {
+		n += s.inFlight
+	}
+	return n
+}
+
 // Dialled returns how many connections to backend servers were made.
 func (b *Balancer) Dialled() (n int64) {
 	b.mu.Lock()
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -19,6 +19,8 @@
 	// a slot and for the prompts before this one.
 	Read   time.Duration
 	Budget time.Duration
+	// Free wants a slot that is free now, by what is known of the server's load.
+	Free bool
 }
 
 // Choice is the server chosen for one send.
@@ -49,6 +51,8 @@
 	// directory; Busy refused a moment ago; Loading take nothing new; Empty hold no
 	// weights, Old hold a version that is over, Other one that the request can't use.
 	Tried, Aside, Busy, Loading, Empty, Old, Other int
+	// Later are those set aside or busy that else fit: they may take it in a while.
+	Later int
 }
 
 // Pick chooses the server with the lowest predicted wait, load and cost, and counts
@@ -78,6 +82,9 @@
 		if s.engine == nil && queue >= wholeQueue*float64(slots) || s.engine != nil && wait > w.Budget {
 			continue
 		}
+		if w.Free && queue+1 > float64(slots) {
+			continue
+		}
 		score := b.score(now, s, queue, wait)
 		if score < bestScore {
 			bestScore = score
@@ -160,33 +167,50 @@
 			return 0, false
 		}
 	}
+	version, why := b.usableVersion(now, s, w, room)
 	switch {
-	case s.retired || now.Sub(s.seenAt) > lostAfter || now.Before(s.health.asideUntil),
-		s.health.probing && s.inFlight > 0:
+	case s.retired || now.Sub(s.seenAt) > lostAfter:
+		room.Aside++
+	case now.Before(s.health.asideUntil), s.health.probing && s.inFlight > 0:
 		room.Aside++
-		return 0, false
+		room.laterIf(why == nil)
 	case now.Before(s.busyUntil):
 		room.Busy++
-		return 0, false
-	case w.Model == "" || s.engine == nil:
-		return 0, true
-	case s.loading(now):
-		room.Loading++
-		return 0, false
-	}
-	version := s.holds(now, w.Model)
+		room.laterIf(why == nil)
+	case why != nil:
+		*why++
+	default:
+		return version, true
+	}
+	return 0, false
+}
+
+func (r *Room) laterIf(usable bool) {
+	if usable {
+		r.Later++
+	}
+}
+
+// usableVersion returns the version of weights that a server may begin the request on,
+// 0 for plain services, or the counter of the reason why it may not.
+func (b *Balancer) usableVersion(now time.Time, s *Server, w Want, room *Room) (version uint64, why *int) {
+	if w.Model == "" || s.engine == nil {
+		return 0, nil
+	}
+	if s.loading(now) {
+		return 0, &room.Loading
+	}
+	version = s.holds(now, w.Model)
 	margin := versionMargin + 2*s.excess.now(now)
 	switch {
 	case version == 0:
-		room.Empty++
+		return 0, &room.Empty
 	case w.Version != 0 && version != w.Version:
-		room.Other++
+		return 0, &room.Other
 	case version < b.view.Versions[w.Model].Floor(now, b.cfg.VersionBound-margin):
-		room.Old++
-	default:
-		return version, true
+		return 0, &room.Old
 	}
-	return 0, false
+	return version, nil
 }
 
 // score orders servers, lowest first.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -69,8 +70,14 @@
 	lastEvent string
 	// version of the weights that wrote the first events.
 	version string
-	// moved is the server that the rest of the stream was promised.
-	moved *balance.Choice
+	// passing guards what is passed on to the caller while another server is asked to
+	// go on with the stream: the handover, the events that are held back for it, and
+	// lastEvent, eventAt, events, sends and runs until it is settled.
+	passing  sync.Mutex
+	handover *handover
+	held     []byte
+	// next is the server that has taken the stream over.
+	next *handover
 	// broken: the answer was begun and can not be ended.
 	broken bool
 }
@@ -199,20 +206,28 @@
 // attempts sends the request until an answer stands, or gives it up.
 func (c *call) attempts(ctx context.Context) {
 	for {
-		if !c.choose(ctx) {
-			return
-		}
-		result := c.send(ctx)
-		if result == sendFinal {
+		if c.attempt(ctx) == sendFinal {
 			return
 		}
 		if c.ended(ctx) {
-			c.releaseMoved()
+			c.releaseNext()
 			return
 		}
 	}
 }
 
+// attempt goes on at the server that has taken the stream over, or at one chosen now.
+func (c *call) attempt(ctx context.Context) sendResult {
+	if h := c.next; h != nil {
+		c.next = nil
+		return c.goOn(h)
+	}
+	if !c.choose(ctx) {
+		return sendFinal
+	}
+	return c.send(ctx)
+}
+
 // sendResult tells how to go on after a send.
 type sendResult uint8
 
@@ -225,20 +240,13 @@
 
 // choose picks the server of the next send; false if the call has ended.
 func (c *call) choose(ctx context.Context) bool {
-	if moved := c.moved; moved != nil {
-		c.moved = nil
-		c.choice = *moved
-		c.tried = append(c.tried, moved.Server)
-		return true
-	}
-	now := time.Now()
 	again := c.sends > 0
 	if again {
 		if c.attemptsUsed() {
 			c.giveUp("all attempts are used")
 			return false
 		}
-		if !c.g.budget(c.service).TryRetry(c.g.steady(now)) {
+		if !c.takeRetry(ctx) {
 			c.giveUp("retry budget is used up")
 			return false
 		}
@@ -253,18 +261,44 @@
 	return true
 }
 
-// attemptsUsed tells whether no other server may get the request. A stream that
-// has begun is sent on after servers that refused it, since its caller can't.
+// attemptsUsed tells whether no other server may get the request. The rest of a stream
+// that has begun is sent on after servers that refused it, since its caller can't
+// start again; the retry budget bounds that.
 func (c *call) attemptsUsed() bool {
 	most := max(c.route.MaxAttempts, 1)
 	if c.events > 0 {
-		return c.runs >= most || c.sends >= most+resumeSends
+		return c.runs >= most
 	}
 	return c.sends >= most
 }
 
+// takeRetry takes a repeat from the budget. The rest of a stream that has begun waits
+// for one.
+func (c *call) takeRetry(ctx context.Context) bool {
+	for !c.g.budget(c.service).TryRetry(c.g.steady(time.Now())) {
+		if c.events == 0 || !c.resumeLater(ctx) {
+			return false
+		}
+	}
+	return true
+}
+
+// resumeLater waits before the next look for a server that goes on with a stream;
+// false if there is no time left.
+func (c *call) resumeLater(ctx context.Context) bool {
+	if time.Until(c.by) < leastSend+resumePause {
+		return false
+	}
+	select {
+	case <-time.After(resumePause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // pick asks the balancer for a server. The rest of a stream that has begun waits
-// for one for a while.
+// for one as long as its caller does and any server may come to take it.
 func (c *call) pick(ctx context.Context, again bool) (balance.Choice, balance.Room) {
 	for {
 		now := time.Now()
@@ -273,17 +307,10 @@
 		}
 		want := c.want(c.share(again))
 		if c.events > 0 {
-			// The events so far bind the rest to their version; a version that can
-			// not be read binds to none, and the server is asked to check it.
-			want.Version, _ = strconv.ParseUint(c.version, 10, 64)
+			want.Version = c.versionNumber()
 		}
 		choice, room := c.g.balancer.Pick(now, want)
-		if choice.Server != nil || c.events == 0 || now.Sub(c.eventAt) > resumeWait {
-			return choice, room
-		}
-		select {
-		case <-time.After(resumePause):
-		case <-ctx.Done():
+		if choice.Server != nil || c.events == 0 || room.Fit+room.Later == 0 || !c.resumeLater(ctx) {
 			return choice, room
 		}
 	}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,3 +108,157 @@
 	assert.NotEmpty(t, full.requests(), "another server was asked to go on")
 	assert.Empty(t, rolled.requests(), "a begun stream stays on its version")
 }
+
+// cancelled counts the requests that are cancelled while serve works on them.
+func cancelled(serve func(w http.ResponseWriter, r *http.Request), ended *atomic.Int64) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		serve(w, r)
+		if r.Context().Err() != nil {
+			ended.Add(1)
+		}
+	}
+}
+
+func TestStreamGoesOnAtTheServerThatHasBegun(t *testing.T) {
+	const count, pause = 15, 100 * time.Millisecond
+	var left atomic.Int64
+	loads := newBackend(t, "b-loads", cancelled(slowEvents(count, pause), &left))
+	free := newBackend(t, "b-free", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(pause) // reads the prompt: events of the first server come meanwhile
+		slowEvents(count, pause/10)(w, r)
+	})
+	e := newEntry(t, loads, free)
+	e.onlyEngines()
+	time.AfterFunc(pause, func() { e.report(t, loads, true, 7) })
+
+	a := e.ask(t, http.MethodPost, "/stream/x")
+	require.NoError(t, a.err, e.logs.String())
+	assert.Equal(t, slowStream(count), a.body, "each event once, of one run after the other")
+	require.Len(t, free.requests(), 1)
+	after, err := strconv.Atoi(free.requests()[0].Header.Get(headers.ResumeAfter))
+	require.NoError(t, err)
+	assert.Less(t, after, count)
+	assert.Positive(t, after)
+	assert.Equal(t, "7", free.requests()[0].Header.Get(headers.ExpectVersion))
+	assert.Eventually(t, func() bool { return left.Load() == 1 }, time.Second, 10*time.Millisecond, "the first server works on")
+	e.assertNothingInFlight(t)
+}
+
+func TestSlowHandoverIsCalledOff(t *testing.T) {
+	const count, pause = 15, 100 * time.Millisecond
+	loads := newBackend(t, "b-loads", slowEvents(count, pause))
+	var left atomic.Int64
+	slow := newBackend(t, "b-slow", cancelled(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // only then a closed connection is noticed
+		<-r.Context().Done()
+	}, &left))
+	e := newEntry(t, loads, slow)
+	e.onlyEngines()
+	time.AfterFunc(pause, func() { e.report(t, loads, true, 7) })
+
+	var longest time.Duration
+	a, at := e.askEvents(t, "/stream/x")
+	for i := 1; i < len(at); i++ {
+		longest = max(longest, at[i].Sub(at[i-1]))
+	}
+	assert.Equal(t, slowStream(count), a)
+	assert.Less(t, longest, holdLimit+2*pause, "the caller is not kept waiting for the other server")
+	assert.NotEmpty(t, slow.requests())
+	assert.Eventually(t, func() bool { return left.Load() == int64(len(slow.requests())) }, time.Second, 10*time.Millisecond)
+	e.assertNothingInFlight(t)
+}
+
+func TestStreamGoesOnWhereItsServerFailsDuringAHandover(t *testing.T) {
+	const count, pause = 15, 100 * time.Millisecond
+	asked := make(chan struct{})
+	var once sync.Once
+	breaks := newBackend(t, "b-breaks", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.Signature, "signed")
+		w.Header().Set(headers.Version, "7")
+		for i := 1; i <= count; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-asked:
+				panic(http.ErrAbortHandler)
+			case <-time.After(pause):
+			}
+		}
+	})
+	takes := newBackend(t, "b-takes", func(w http.ResponseWriter, r *http.Request) {
+		once.Do(func() { close(asked) })
+		time.Sleep(pause)
+		slowEvents(count, pause/10)(w, r)
+	})
+	e := newEntry(t, breaks, takes)
+	e.onlyEngines()
+	time.AfterFunc(pause, func() { e.report(t, breaks, true, 7) })
+	a := e.ask(t, http.MethodPost, "/stream/x")
+	require.NoError(t, a.err, e.logs.String())
+	assert.Equal(t, slowStream(count), a.body)
+	e.assertNothingInFlight(t)
+}
+
+func TestRestOfAStreamWaitsForAServerThatWasFull(t *testing.T) {
+	var arrivals atomic.Int64
+	full := newBackend(t, "b-full", func(w http.ResponseWriter, r *http.Request) {
+		if arrivals.Add(1) <= 5 {
+			notRun(w, r)
+			return
+		}
+		events(0)(w, r)
+	})
+	e := newEntry(t, newBackend(t, "b-breaks", events(2)), full)
+	e.onlyEngines()
+	a := e.ask(t, http.MethodPost, "/stream/x")
+	require.NoError(t, a.err, e.logs.String())
+	assert.Equal(t, wholeStream, a.body)
+	assert.Equal(t, int64(6), arrivals.Load())
+}
+
+func TestStreamThatNoServerCanEverGoOnWithIsEndedAtOnce(t *testing.T) {
+	rolled := newBackend(t, "b-rolled", events(0))
+	e := newEntry(t, newBackend(t, "b-breaks", events(2)), rolled)
+	e.onlyEngines()
+	e.report(t, rolled, false, 8)
+	began := time.Now()
+	a := e.ask(t, http.MethodPost, "/stream/x")
+	assert.Error(t, a.err, "it does not look whole")
+	assert.Less(t, time.Since(began), 500*time.Millisecond)
+	assert.Empty(t, rolled.requests())
+}
+
+// askEvents sends a request and returns the answer's body and when its parts came.
+func (e *entry) askEvents(t *testing.T, path string) (string, []time.Time) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, e.URL+path, strings.NewReader("body"))
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set(headers.RequestID, "id-1")
+	req.Header.Set(headers.Key, "key")
+	req.Header.Set(headers.Model, "m")
+	req.Header.Set(headers.DeadlineMs, "2000")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var body strings.Builder
+	var at []time.Time
+	buf := make([]byte, 4096)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			body.Write(buf[:n])
+			at = append(at, time.Now())
+		}
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF)
+			return body.String(), at
+		}
+	}
+}
+
+// assertNothingInFlight checks that each place that was taken at a server was given back.
+func (e *entry) assertNothingInFlight(t *testing.T) {
+	t.Helper()
+	assert.Eventually(t, func() bool { return e.InFlight() == 0 && e.balancer.InFlight() == 0 }, time.Second, 10*time.Millisecond)
+}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -32,11 +32,7 @@
 	// resendShare is the same for our own repeats: their caller has waited already,
 	// and the time is gone whatever happens.
 	resendShare = 1.6
-	// resumeSends is how many servers beyond the route's attempts may refuse the
-	// rest of a stream; resumeWait is for how long after its last event a server is
-	// looked for, resumePause how often: callers leave after 2 s without an event.
-	resumeSends = 2
-	resumeWait  = 1200 * time.Millisecond
+	// resumePause is how often a server is looked for that can go on with a stream.
 	resumePause = 40 * time.Millisecond
 	// comesBackBelow is the share of the route's timeout below which a caller's
 	// deadline tells that it has tried before.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -17,13 +17,9 @@
 // send sends the request once.
 func (c *call) send(ctx context.Context) sendResult {
 	s := c.choice.Server
-	request := &dispatch.Request{
-		Method: c.r.Method, Bytes: c.head(sendHead{server: s.ID, expectVersion: c.expectVersion()}),
-		IDHeader: c.g.cfg.Headers.RequestID, ID: c.id,
-	}
 	watch := c.watch(ctx)
 	defer watch.stop()
-	answer, err := s.Pool.Send(watch.ctx, request, c.by)
+	answer, err := s.Pool.Send(watch.ctx, c.request(s), c.by)
 	if err != nil {
 		return c.sendFailed(watch, err)
 	}
@@ -31,10 +27,18 @@
 	c.sends++
 	now := time.Now()
 	c.g.balancer.Heard(s, now)
-	c.noteLoad(answer.Header, now)
+	c.noteLoad(s, answer.Header, now)
 	return c.answered(watch, answer)
 }
 
+// request is what a server is sent.
+func (c *call) request(s *balance.Server) *dispatch.Request {
+	return &dispatch.Request{
+		Method: c.r.Method, Bytes: c.head(sendHead{server: s.ID, expectVersion: c.expectVersion()}),
+		IDHeader: c.g.cfg.Headers.RequestID, ID: c.id,
+	}
+}
+
 // ending judges a send that broke off, from who ended it.
 func (c *call) ending(watch *watchdog) balance.Ending {
 	switch {
@@ -44,9 +48,6 @@
 	case watch.over.Load():
 		c.endedBy = "entry: the server's weights are over"
 		return balance.EndedElse
-	case watch.moved.Load() != nil:
-		c.endedBy = "entry: moved to another server"
-		return balance.EndedElse
 	case watch.parent.Err() != nil:
 		c.endedBy = "caller or deadline"
 		return balance.EndedElse
@@ -79,13 +80,13 @@
 // answered decides what the head of an answer means.
 func (c *call) answered(watch *watchdog, a *dispatch.Answer) sendResult {
 	switch {
-	case a.Header.Get(c.g.cfg.Headers.NotRun) != "", a.StatusCode == http.StatusMisdirectedRequest:
+	case c.isNotRun(a):
 		return c.notRun(a)
 	case a.StatusCode/100 != 2:
 		c.mayHaveRun = true
 		c.runs++
 		return c.failedAnswer(watch, a)
-	case a.Header.Get(c.g.cfg.Headers.Signature) == "" || a.Header.Get("Content-Encoding") != "":
+	case !c.signed(a):
 		c.mayHaveRun = true
 		c.runs++
 		return c.brokenAnswer(watch, "answer without a signature", nil)
@@ -93,19 +94,38 @@
 	c.mayHaveRun = true
 	c.runs++
 	if c.route.Kind == fleet.KindStream {
-		return c.stream(watch, a)
+		return c.stream(watch, a, nil)
 	}
 	return c.whole(watch, a)
 }
 
-// notRun handles a server's word that it did not run the request.
-func (c *call) notRun(a *dispatch.Answer) sendResult {
-	ending := balance.EndedBusy
+// isNotRun tells whether a server says that it did not run the request.
+func (c *call) isNotRun(a *dispatch.Answer) bool {
+	return a.Header.Get(c.g.cfg.Headers.NotRun) != "" || a.StatusCode == http.StatusMisdirectedRequest
+}
+
+// signed tells whether an answer is a backend server's own, as it wrote it.
+func (c *call) signed(a *dispatch.Answer) bool {
+	return a.Header.Get(c.g.cfg.Headers.Signature) != "" && a.Header.Get("Content-Encoding") == ""
+}
+
+// refusal tells how a send ended that its server did not run.
+func (c *call) refusal(a *dispatch.Answer, choice *balance.Choice) balance.Ending {
 	other := a.Header.Get(c.g.cfg.Headers.ServerID)
-	if a.StatusCode == http.StatusMisdirectedRequest && other != "" && other != c.choice.Server.ID {
-		ending = balance.EndedGone
+	if a.StatusCode == http.StatusMisdirectedRequest && other != "" && other != choice.Server.ID {
+		return balance.EndedGone
 	}
+	return balance.EndedBusy
+}
+
+// notRun handles a server's word that it did not run the request. The rest of a stream
+// that has begun may be asked of the same server again: its caller can't start again.
+func (c *call) notRun(a *dispatch.Answer) sendResult {
+	ending := c.refusal(a, &c.choice)
 	_, _ = io.Copy(io.Discard, a)
+	if c.events > 0 && ending == balance.EndedBusy {
+		c.tried = c.tried[:len(c.tried)-1]
+	}
 	c.g.balancer.Done(&c.choice, time.Now(), ending)
 	c.logSend("backend server did not run it: "+strconv.Itoa(a.StatusCode), nil)
 	return sendAgain
@@ -145,9 +165,7 @@
 func (c *call) brokenAnswer(watch *watchdog, what string, err error) sendResult {
 	c.lastErr = err
 	c.g.balancer.Done(&c.choice, time.Now(), c.ending(watch))
-	if c.events > 0 && c.interruptedBy == "" {
-		c.interruptedBy = c.endedBy
-	}
+	c.noteInterrupted()
 	c.logSend(what, err)
 	if c.route.Idempotent() {
 		return sendAgain
@@ -178,7 +196,7 @@
 }
 
 // noteLoad takes the load that an answer's head tells: running, waiting, slots.
-func (c *call) noteLoad(h http.Header, now time.Time) {
+func (c *call) noteLoad(s *balance.Server, h http.Header, now time.Time) {
 	running, rest, ok := strings.Cut(h.Get(c.g.cfg.Headers.Load), ",")
 	if !ok {
 		return
@@ -189,5 +207,5 @@
 	if errRunning != nil || errWaiting != nil {
 		return // a report that can't be read tells nothing
 	}
-	c.g.balancer.Told(c.choice.Server, now, r, q)
+	c.g.balancer.Told(s, now, r, q)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,47 +27,69 @@
 
 var errEventTooLarge = errors.New("event is too large")
 
-// stream passes events on as they come, whole ones only. When it breaks off and
-// the route allows it, the rest is asked of another server.
-func (c *call) stream(watch *watchdog, a *dispatch.Answer) sendResult {
+// stream passes events on as they come, whole ones only; read is what was read of the
+// answer already. When it breaks off and the route allows it, the rest is asked of
+// another server.
+func (c *call) stream(watch *watchdog, a *dispatch.Answer, read []byte) sendResult {
 	if c.version == "" {
 		c.version = a.Header.Get(c.g.cfg.Headers.Version)
 	}
-	// A version that can't be read is 0: the stream is then not moved.
-	number, _ := strconv.ParseUint(c.version, 10, 64)
-	err := c.passEvents(a, func() { watch.version.Store(number) })
-	c.moved = watch.moved.Load()
-	if err == nil {
-		c.releaseMoved()
+	h, err := c.settleHandover(watch, a, c.passEvents(watch, a, read))
+	switch {
+	case err == nil:
 		c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
 		c.status, c.reason = a.StatusCode, "served"
 		return sendFinal
-	}
-	if errors.Is(err, errCallerGone) {
-		c.releaseMoved()
+	case errors.Is(err, errCallerGone):
 		c.g.balancer.Done(&c.choice, time.Now(), balance.EndedElse)
 		c.status, c.reason = statusClientGone, "caller left"
 		return sendFinal
+	case h != nil:
+		c.handedOver(h)
+		return sendAgain
 	}
 	return c.brokenAnswer(watch, "stream broke off", err)
 }
 
-// releaseMoved gives the place back that was taken for the rest of a stream that
-// has ended after all.
-func (c *call) releaseMoved() {
-	if c.moved != nil {
-		c.g.balancer.Done(c.moved, time.Now(), balance.EndedElse)
-		c.moved = nil
+// handedOver ends a send whose stream another server has taken over.
+func (c *call) handedOver(h *handover) {
+	ending := balance.EndedElse
+	c.endedBy = "entry: moved to another server"
+	if h.silent {
+		ending = balance.EndedSilent
+		c.endedBy = "entry: nothing came from the server"
+	}
+	c.noteInterrupted()
+	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.logSend("stream goes on at another server", nil)
+	c.next = h
+}
+
+// noteInterrupted notes who ended the first send of a stream that has begun.
+func (c *call) noteInterrupted() {
+	if c.events > 0 && c.interruptedBy == "" {
+		c.interruptedBy = c.endedBy
 	}
 }
 
+// versionNumber is the version of weights that the events so far bind the rest of the
+// stream to. One that can't be read is 0, which binds to none: the server is then
+// asked to check it.
+func (c *call) versionNumber() uint64 {
+	number, _ := strconv.ParseUint(c.version, 10, 64)
+	return number
+}
+
 // errCallerGone says that the caller takes no more bytes.
 var errCallerGone = errors.New("caller is gone")
 
 // passEvents copies whole events until the answer's proper end.
-func (c *call) passEvents(a *dispatch.Answer, passed func()) error {
+func (c *call) passEvents(watch *watchdog, a *dispatch.Answer, read []byte) error {
 	a.ReadBy(c.by)
-	buf := make([]byte, 0, streamBuffer)
+	buf, err := c.passWhole(watch, a, append(make([]byte, 0, max(streamBuffer, 2*len(read))), read...))
+	if err != nil {
+		return err
+	}
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= maxEvent {
@@ -75,28 +97,35 @@
 			}
 			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
 		}
-		n, err := a.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if end := wholeEvents(buf); end > 0 {
-			c.g.balancer.Heard(c.choice.Server, time.Now())
-			if err := c.passOn(a, buf[:end]); err != nil {
-				return err
-			}
-			passed()
-			buf = buf[:copy(buf, buf[end:])]
+		n, readErr := a.Read(buf[len(buf):cap(buf)])
+		if buf, err = c.passWhole(watch, a, buf[:len(buf)+n]); err != nil {
+			return err
 		}
 		switch {
-		case err == io.EOF && len(buf) > 0:
+		case readErr == io.EOF && len(buf) > 0:
 			return io.ErrUnexpectedEOF // in the middle of an event
-		case err == io.EOF:
-			c.commit(a) // a stream without events
-			return nil
-		case err != nil:
-			return err
+		case readErr == io.EOF:
+			return c.endEvents(a)
+		case readErr != nil:
+			return readErr
 		}
 	}
 }
 
+// passWhole passes the whole events in buf on and returns the rest.
+func (c *call) passWhole(watch *watchdog, a *dispatch.Answer, buf []byte) ([]byte, error) {
+	end := wholeEvents(buf)
+	if end == 0 {
+		return buf, nil
+	}
+	c.g.balancer.Heard(c.choice.Server, time.Now())
+	if err := c.takeEvents(a, buf[:end]); err != nil {
+		return nil, err
+	}
+	watch.begun.Store(true)
+	return buf[:copy(buf, buf[end:])], nil
+}
+
 // wholeEvents returns the length of the whole events at the start of buf.
 func wholeEvents(buf []byte) int {
 	end := 0
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -19,96 +19,77 @@
 	// overGuard is how long before weights are over a request that waits at its server
 	// for its first event is taken back: a check, and the way to the server.
 	overGuard = 400 * time.Millisecond
-	// moveAfter is how long a server that is to load may go on with its streams
-	// before they are moved: half of them have ended by then.
-	moveAfter = 700 * time.Millisecond
-	// moveShare of the objective is the longest predicted time until a moved stream
-	// goes on: a pause must not be noticed.
-	moveShare = 0.6
 )
 
-// watchdog ends a send whose server no longer does anything, so that the request
-// can go on elsewhere. It exists for requests that may run twice only.
+// watchdog watches a send whose server may no longer do anything, so that the request
+// can go on elsewhere. It exists for requests that may run twice only. One that has
+// not begun is taken back; a stream that has begun stays until another server has
+// taken it over.
 type watchdog struct {
 	parent context.Context
 	ctx    context.Context
 	cancel context.CancelFunc
 	timer  *time.Timer
+	server *balance.Server
+	// weights is the version that the server was chosen for.
+	weights uint64
 	// stalled tells that the watchdog has ended the send.
 	stalled atomic.Bool
 	// over tells that the watchdog has ended the send, since its server's weights
 	// would have been over before it began.
 	over atomic.Bool
-	// version of the weights that write the stream, once an event was passed on.
-	version atomic.Uint64
-	// moved is the server that the rest of the stream is asked of, if the watchdog
-	// has ended the send for that.
-	moved atomic.Pointer[balance.Choice]
+	// begun tells that an event was passed on.
+	begun atomic.Bool
+	// ended: the send has ended. Guarded by call.passing.
+	ended bool
 }
 
-// watch starts a watchdog over one send.
-func (c *call) watch(ctx context.Context) *watchdog {
+func newWatchdog(ctx context.Context) *watchdog {
 	w := &watchdog{parent: ctx}
 	w.ctx, w.cancel = context.WithCancel(ctx)
-	if !c.route.Idempotent() {
-		return w
-	}
-	server := c.choice.Server
-	if c.route.Kind != fleet.KindStream {
-		if c.sends+1 < c.route.MaxAttempts && c.route.Objective > 0 {
-			w.timer = time.AfterFunc(wholeStall*c.route.Objective, w.stall)
-		}
-		return w
-	}
-	mayMove := c.sends+1 < c.route.MaxAttempts
-	want := c.want(moveShare)
-	version := c.choice.Version
-	w.timer = time.AfterFunc(silenceCheck, func() {
-		now := time.Now()
-		if c.g.balancer.Silent(server, now) {
-			w.stall()
-			return
-		}
-		if w.version.Load() == 0 && c.g.balancer.VersionOver(c.model, version, now.Add(overGuard)) {
-			w.over.Store(true)
-			w.cancel()
-			return
-		}
-		if want.Version = w.version.Load(); mayMove && want.Version != 0 && w.move(c, want, now) {
-			return
-		}
-		w.timer.Reset(silenceCheck)
-	})
 	return w
 }
 
-// move ends a send to a server that waits for its last streams to end so that it
-// can load, if another one has room for the rest. The server is spared up to two
-// seconds without new requests.
-func (w *watchdog) move(c *call, want balance.Want, now time.Time) bool {
-	if !c.g.balancer.LoadingSince(c.choice.Server, now, moveAfter) {
-		return false
-	}
-	choice, _ := c.g.balancer.Pick(now, want)
-	if choice.Server == nil {
-		return false
-	}
-	if !c.g.budget(c.service).TryRetry(c.g.steady(now)) {
-		c.g.balancer.Done(&choice, now, balance.EndedElse)
-		return false
+// watch starts a watchdog over one send.
+func (c *call) watch(ctx context.Context) *watchdog {
+	w := newWatchdog(ctx)
+	c.startWatch(w)
+	return w
+}
+
+func (c *call) startWatch(w *watchdog) {
+	w.server, w.weights = c.choice.Server, c.choice.Version
+	switch {
+	case !c.route.Idempotent():
+	case c.route.Kind == fleet.KindStream:
+		// Started by Reset, once the field that the check reads is set.
+		w.timer = time.AfterFunc(time.Hour, func() { c.checkStream(w) })
+		w.timer.Reset(silenceCheck)
+	case c.sends+1 < c.route.MaxAttempts && c.route.Objective > 0:
+		w.timer = time.AfterFunc(wholeStall*c.route.Objective, w.stall)
 	}
-	c.logMove(&choice)
-	w.moved.Store(&choice)
-	w.cancel()
-	return true
 }
 
-// logMove writes one line for the decision to move a stream. It runs beside the
-// call's own goroutine and reads only what does not change.
-func (c *call) logMove(to *balance.Choice) {
-	c.g.log.Info().Str("request", c.id).Str("service", c.service).Str("from", c.choice.Server.ID).Str("to", to.Server.ID).
-		Float64("queue", to.Queue).Int("slots", to.Slots).Dur("wait_ms", to.Wait).Dur("load_age_ms", to.Told).
-		Uint64("weights", to.Version).Msg("stream is moved: its server is to load")
+// checkStream looks at a stream's server, again and again.
+func (c *call) checkStream(w *watchdog) {
+	now := time.Now()
+	silent := c.g.balancer.Silent(w.server, now)
+	switch {
+	case w.begun.Load():
+		if silent || c.g.balancer.LoadingSince(w.server, now, moveAfter) {
+			c.handOver(w, silent)
+		}
+	case silent:
+		w.stall()
+		return
+	case c.g.balancer.VersionOver(c.model, w.weights, now.Add(overGuard)):
+		w.over.Store(true)
+		w.cancel()
+		return
+	}
+	if w.ctx.Err() == nil {
+		w.timer.Reset(silenceCheck)
+	}
 }
 
 func (w *watchdog) stall() {
