Waiting requests are looked at when they are to be taken back; streams whose connection went silent are asked of another server

Two small changes of the watch over streams, since both touch the same check.

Cause: a request that waits for its first event on weights that are over soon was looked at every 250 ms and taken back at 400 ms before the bound, so that 150 ms were left in the worst case. Change: the next look is at the moment at which the request is to be taken back (nextCheck). Cause, for connections that go silent for good: a stream's server is judged by all requests, so that a stream on the one silent connection waited until its caller left. Change: after 0.8 s without an event another server is asked to go on, while the first one keeps the stream; idle connections to the first server are closed if it was left.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -130,12 +130,16 @@
 	b.services[service] = append(b.services[service], s)
 }
 
-// VersionOver tells whether requests may no longer begin on a version of a model's
-// weights at this time.
-func (b *Balancer) VersionOver(model string, version uint64, at time.Time) bool {
+// VersionLeft returns for how long requests may still begin on a version of a model's
+// weights; false if no newer one was named.
+func (b *Balancer) VersionLeft(model string, version uint64, now time.Time) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return version != 0 && version < b.view.Versions[model].Floor(at, b.cfg.VersionBound)
+	named := b.view.Versions[model].NamedAfter(version)
+	if version == 0 || named.IsZero() {
+		return 0, false
+	}
+	return named.Add(b.cfg.VersionBound).Sub(now), true
 }
 
 // Heard notes that bytes came from a server.
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -78,11 +78,23 @@
 // SetMax bounds the connections that may be open.
 func (p *Pool) SetMax(n int) { p.max.Store(int64(n)) }
 
+// CloseIdle closes idle connections: one to the server has gone silent for good, and
+// others that were open at the same time may have, too.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropIdle()
+}
+
 // Close closes idle connections; those in use are closed when they come back.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.dropIdle()
+}
+
+func (p *Pool) dropIdle() {
 	for _, c := range p.idle {
 		p.drop(c)
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -27,6 +27,10 @@
 	// askLimit is how long another server may take until it goes on. A full one
 	// refuses within 0.3 s, one that reads prompts goes on within 1 s.
 	askLimit = 1200 * time.Millisecond
+	// streamSilence is after how long without an event a stream is asked of another server,
+	// though its own one goes on with others: its connection may have gone silent for good.
+	// Engines write to all their requests about every 60 ms, and callers leave after 2 s.
+	streamSilence = 800 * time.Millisecond
 	// maxAsks is how many servers beyond the route's attempts may be asked.
 	maxAsks = 2
 )
@@ -34,6 +38,42 @@
 // errHandedOver ends a send whose stream goes on at another server.
 var errHandedOver = errors.New("another server goes on with the stream")
 
+// moveReason tells why another server is asked to go on with a stream.
+type moveReason string
+
+const (
+	// moveLoading: its server waits for its last streams to end, so that it can load.
+	moveLoading moveReason = "moved to another server"
+	// moveServerSilent: nothing comes from the server, for this stream and others.
+	moveServerSilent moveReason = "nothing came from the server"
+	// moveConnectionSilent: nothing comes for this stream.
+	moveConnectionSilent moveReason = "nothing came over the connection"
+)
+
+// moveReason tells whether another server should be asked to go on with a stream, and
+// why; it is empty if not.
+func (c *call) moveReason(w *watchdog, now time.Time) moveReason {
+	switch {
+	case c.g.balancer.Silent(w.server, now):
+		return moveServerSilent
+	case c.pausedFor(now) > streamSilence:
+		return moveConnectionSilent
+	case c.g.balancer.LoadingSince(w.server, now, moveAfter):
+		return moveLoading
+	}
+	return ""
+}
+
+// pausedFor is for how long no event has come; 0 while some are passed on, since the
+// caller may take them slowly.
+func (c *call) pausedFor(now time.Time) time.Duration {
+	if !c.passing.TryLock() {
+		return 0
+	}
+	defer c.passing.Unlock()
+	return now.Sub(c.eventAt)
+}
+
 // handover asks another server for the rest of a running stream while the first
 // one goes on writing it. The first server keeps the stream until the other one has
 // written an event: room there is only predicted, from reports 0.1 to 0.3 s old, and
@@ -42,8 +82,7 @@
 type handover struct {
 	choice  balance.Choice
 	request *dispatch.Request
-	// silent: the first server is silent; else it is to load.
-	silent bool
+	why     moveReason
 	// next watches the other server once it has taken the stream over.
 	next *watchdog
 	// settled is closed when the other server has taken over or has not.
@@ -63,14 +102,14 @@
 }
 
 // handOver asks another server to go on with the stream that w watches.
-func (c *call) handOver(w *watchdog, silent bool) {
-	if h := c.beginHandover(w, silent); h != nil {
+func (c *call) handOver(w *watchdog, why moveReason) {
+	if h := c.beginHandover(w, why); h != nil {
 		c.ask(w, h)
 	}
 }
 
 // beginHandover chooses the other server; nil if there is none.
-func (c *call) beginHandover(w *watchdog, silent bool) *handover {
+func (c *call) beginHandover(w *watchdog, why moveReason) *handover {
 	c.passing.Lock()
 	defer c.passing.Unlock()
 	most := max(c.route.MaxAttempts, 1)
@@ -91,7 +130,7 @@
 	}
 	c.sends++
 	c.handover = &handover{
-		choice: choice, silent: silent, next: newWatchdog(w.parent), settled: make(chan struct{}),
+		choice: choice, why: why, next: newWatchdog(w.parent), settled: make(chan struct{}),
 		request: c.request(choice.Server),
 	}
 	c.logHandover("another server is asked to go on with the stream", w, c.handover, nil)
@@ -292,7 +331,7 @@
 	if err != nil {
 		event.AnErr("cause", err).Bool("called_off", h.calledOff)
 	}
-	c.describe(event).Str("server", w.server.ID).Bool("silent", h.silent).Str("to", h.choice.Server.ID).
+	c.describe(event).Str("server", w.server.ID).Str("why", string(h.why)).Str("to", h.choice.Server.ID).
 		Float64("queue", h.choice.Queue).Int("slots", h.choice.Slots).Dur("wait_ms", h.choice.Wait).
 		Dur("load_age_ms", h.choice.Told).Uint64("weights", h.choice.Version).Str("after_event", c.lastEvent).Msg(what)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -43,7 +43,7 @@
 func (c *call) ending(watch *watchdog) balance.Ending {
 	switch {
 	case watch.stalled.Load():
-		c.endedBy = "entry: nothing came from the server"
+		c.endedBy = "entry: " + string(moveServerSilent)
 		return balance.EndedSilent
 	case watch.over.Load():
 		c.endedBy = "entry: the server's weights are over"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,11 +54,13 @@
 // handedOver ends a send whose stream another server has taken over.
 func (c *call) handedOver(h *handover) {
 	ending := balance.EndedElse
-	c.endedBy = "entry: moved to another server"
-	if h.silent {
+	switch h.why {
+	case moveServerSilent:
 		ending = balance.EndedSilent
-		c.endedBy = "entry: nothing came from the server"
+	case moveConnectionSilent:
+		c.choice.Server.Pool.CloseIdle() // they may have gone silent, too
 	}
+	c.endedBy = "entry: " + string(h.why)
 	c.noteInterrupted()
 	c.g.balancer.Done(&c.choice, time.Now(), ending)
 	c.logSend("stream goes on at another server", nil)
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -17,7 +17,8 @@
 	// the rest of the time is left for another server.
 	wholeStall = 2
 	// overGuard is how long before weights are over a request that waits at its server
-	// for its first event is taken back: a check, and the way to the server.
+	// for its first event is taken back: an entry that is busy with a configuration for
+	// 0.3 s, and the way to the server.
 	overGuard = 400 * time.Millisecond
 )
 
@@ -73,23 +74,37 @@
 // checkStream looks at a stream's server, again and again.
 func (c *call) checkStream(w *watchdog) {
 	now := time.Now()
-	silent := c.g.balancer.Silent(w.server, now)
+	next := silenceCheck
 	switch {
 	case w.begun.Load():
-		if silent || c.g.balancer.LoadingSince(w.server, now, moveAfter) {
-			c.handOver(w, silent)
+		if why := c.moveReason(w, now); why != "" {
+			c.handOver(w, why)
 		}
-	case silent:
+	case c.g.balancer.Silent(w.server, now):
 		w.stall()
 		return
-	case c.g.balancer.VersionOver(c.model, w.weights, now.Add(overGuard)):
-		w.over.Store(true)
-		w.cancel()
-		return
+	default:
+		left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, now)
+		if bounded && left <= overGuard {
+			w.over.Store(true)
+			w.cancel()
+			return
+		}
+		next = nextCheck(left, bounded)
 	}
 	if w.ctx.Err() == nil {
-		w.timer.Reset(silenceCheck)
+		w.timer.Reset(next)
+	}
+}
+
+// nextCheck is when to look at a request again that waits for its first event, if its
+// server's weights are over after left: the moment to take it back is not missed by the
+// length of a check, since a busy entry may need the whole of overGuard.
+func nextCheck(left time.Duration, bounded bool) time.Duration {
+	if !bounded {
+		return silenceCheck
 	}
+	return min(silenceCheck, left-overGuard)
 }
 
 func (w *watchdog) stall() {
