Staged weights that were verified too long ago are verified again before a load

Cause: load() verifies all pieces at the engine, tells the entries, and orders the load. Nothing bounded the time from the first piece's check to the order: a process that stands still in between, crawls, or waits for a stream of reports to take the message orders a load of pieces that may have turned bad meanwhile (excused are 3 s). Ruled out: telling before verifying (the stand-still remains); a bound of the context on the verification (a frozen process does not see it before the order either). Before: TestWeightsThatWereVerifiedLongAgoAreNotLoaded fails (seen with the check out: the engine loads the bad piece). After: passes; the load is ordered at the next verification.

--- /dev/null
+++ b/internal/staging/load_test.go
@@ -0,0 +1,84 @@
+package staging
+
+import (
+	"context"
+	"crypto/sha256"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// stagingEngine is a fake engine that holds staged pieces; read is called after each
+// piece that was read.
+type stagingEngine struct {
+	staged [][]byte
+	loaded [][]byte
+	read   func(piece int)
+}
+
+func (e *stagingEngine) Report(context.Context) (Report, error)      { return Report{}, nil }
+func (e *stagingEngine) Held(context.Context, string) ([]int, error) { return nil, nil }
+func (e *stagingEngine) Load(_ context.Context, _ string, _ uint64) error {
+	e.loaded = append([][]byte(nil), e.staged...)
+	return nil
+}
+
+func (e *stagingEngine) Get(_ context.Context, _ string, piece int) ([]byte, error) {
+	data := e.staged[piece]
+	e.read(piece)
+	return data, nil
+}
+
+func (e *stagingEngine) Put(_ context.Context, _ string, piece int, data []byte) error {
+	e.staged[piece] = data
+	return nil
+}
+
+// loadingStager has all pieces of a version, which lie at the engine, too.
+func loadingStager(t *testing.T, e *stagingEngine, clock *time.Time, pieces ...[]byte) (*Stager, goal, *pieceSet) {
+	t.Helper()
+	s := New(Config{
+		Engine: e, EngineAddr: "127.0.0.1:1", Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Tell: func(*rpc.AgentReport, bool) {},
+	})
+	s.now = func() time.Time { return *clock }
+	var digests []Digest
+	for _, p := range pieces {
+		digests = append(digests, sha256.Sum256(p))
+	}
+	set := newPieceSet(digests)
+	for i, p := range pieces {
+		require.True(t, set.put(i, p))
+	}
+	e.staged = append([][]byte(nil), pieces...)
+	return s, goal{model: "m", version: 2, engine: &fleet.Engine{Pieces: len(pieces)}}, set
+}
+
+func TestWeightsThatWereVerifiedLongAgoAreNotLoaded(t *testing.T) {
+	good := [][]byte{[]byte("a"), []byte("b")}
+	clock := time.Unix(1000, 0)
+	stood := false
+	e := &stagingEngine{}
+	e.read = func(piece int) {
+		if piece == 1 && !stood {
+			// The process stands still, and what it has verified turns bad.
+			stood = true
+			clock = clock.Add(4 * time.Second)
+			e.staged[0] = []byte("bad")
+		}
+	}
+	s, g, set := loadingStager(t, e, &clock, good...)
+	s.load(t.Context(), g, set, Report{})
+	assert.Empty(t, e.loaded, "verified 4 s ago")
+	assert.False(t, s.loading, "entries may send to it")
+	s.load(t.Context(), g, set, Report{})
+	assert.Equal(t, good, e.loaded)
+	assert.True(t, s.loading)
+}
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -97,6 +97,11 @@
 	callTimeout = 1 * time.Second
 	// orderRetry is the pause after an order without effect.
 	orderRetry = 500 * time.Millisecond
+	// verifiedFor is for how long the verification of what lies at the engine is
+	// relied on, from its begin: what turned bad in the 3 s before a load is excused
+	// by the users' rules, and the order is on its way for callTimeout at most. A
+	// process that stood still or crawled meanwhile verifies again.
+	verifiedFor = 2 * time.Second
 )
 
 // Stager is one agent's staging.
@@ -106,6 +111,8 @@
 	pool  *rpcconn.Pool
 	sets  *sets
 	slots chan struct{}
+	// now is the clock by which verifications age.
+	now func() time.Time
 	// uploadFree is when the link will have sent the pieces given out so far.
 	uploadMu   sync.Mutex
 	uploadFree time.Time
@@ -129,7 +136,7 @@
 func New(cfg Config) *Stager {
 	return &Stager{
 		cfg: cfg, log: cfg.Logger, pool: rpcconn.NewPool(), sets: newSets(),
-		slots: make(chan struct{}, maxUploads),
+		slots: make(chan struct{}, maxUploads), now: time.Now,
 		epoch: uint64(time.Now().UnixNano()), told: &rpc.AgentReport{},
 	}
 }
@@ -347,15 +354,22 @@
 	if time.Since(s.orderedAt) < orderRetry {
 		return
 	}
+	began := s.now()
 	if err := s.verifyStaged(ctx, g, set); err != nil {
 		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("staged weights not verified")
 		return
 	}
+	s.loading = true
+	s.tell(report) // entries stop to send before the engine stops to take
+	if age := s.now().Sub(began); age > verifiedFor {
+		s.loading = false // the next report says so
+		s.log.Warn().Dur("age_ms", age).Str("model", g.model).Uint64("version", g.version).
+			Msg("staged weights were verified too long ago; verifying again")
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.orderedAt = time.Now()
-	s.loading = true
-	s.tell(report) // entries stop to send before the engine stops to take
 	err := s.cfg.Engine.Load(callCtx, g.model, g.version)
 	s.loading = err == nil
 	s.cfg.Metrics.orders.Inc()
