A control server that is stopped ends without an error

Ruled out: a fault of the log (node.Err() is nil). Before: TestStopIsNotAFault fails. After: passes; a fault of the log is still an error. Conclusion: exit status 1 of a control server means a fault again.

--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -92,7 +92,8 @@
 	return nil
 }
 
-// Run works until ctx is done or the log fails.
+// Run works until ctx is done, Stop has stopped the log, or the log fails, which alone
+// is an error beside that of ctx.
 func (s *Server) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -102,7 +103,10 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-s.node.Done():
-		return fmt.Errorf("replicated log stopped: %w", s.node.Err())
+		if err := s.node.Err(); err != nil {
+			return fmt.Errorf("replicated log stopped: %w", err)
+		}
+		return nil
 	}
 }
 
