The floor of repeats is shared out among the most entries of the last window

Cause: each entry takes floor/EntryCount, and what is known of the entries shrinks for a moment when all control servers restart: Viewer.Lost drops their lists, and the first one that is back lists who has come back to it. Ruled out: keeping the lists of lost control servers (entries that are gone would stay). Before: TestEntriesThatAreNotListedForAMomentShareTheFloorOfRepeats fails with the window out. After: passes; go test ./internal/gateway passes. Conclusion: a proposal, found by reading. Open: an entry that starts while all others do knows no list yet and counts itself alone until the first one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
+	entries entryCount
 }
 
 // budgetShare is the part of the floor of repeats that the entries give out:
@@ -101,11 +102,9 @@
 
 // SetView takes over a new view of the fleet.
 func (g *Gateway) SetView(v *follow.View) {
-	before := g.view.Swap(v)
+	g.view.Store(v)
 	g.balancer.SetView(v)
-	if before.EntryCount() != v.EntryCount() {
-		g.shareBudgets(v.EntryCount())
-	}
+	g.shareBudgets(time.Now())
 }
 
 // Reported takes an agent's report.
@@ -141,6 +140,7 @@
 		select {
 		case now := <-ticker.C:
 			g.balancer.CloseStale(now)
+			g.shareBudgets(now)
 			g.setGauges(now)
 		case <-ctx.Done():
 			return ctx.Err()
@@ -173,22 +173,29 @@
 	if b == nil {
 		b = retry.NewBudget(retry.BudgetConfig{
 			Share: g.cfg.RetryShare * budgetShare, Window: g.cfg.RetryWindow,
-			Floor: g.retryFloor(g.view.Load().EntryCount()),
+			Floor: g.retryFloor(),
 		})
 		g.budgets[service] = b
 	}
 	return b
 }
 
-func (g *Gateway) retryFloor(entries int) int {
-	return int(budgetShare * float64(g.cfg.RetryFloor) / float64(entries))
+// retryFloor is this entry's part of the floor of repeats; the lock is held.
+func (g *Gateway) retryFloor() int {
+	return int(budgetShare * float64(g.cfg.RetryFloor) / float64(g.entries.most()))
 }
 
-func (g *Gateway) shareBudgets(entries int) {
+// shareBudgets shares the floor out among the entries as of now.
+func (g *Gateway) shareBudgets(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := g.entries.most()
+	g.entries.note(now, g.view.Load().EntryCount(), g.cfg.RetryWindow)
+	if g.entries.most() == before {
+		return
+	}
 	for _, b := range g.budgets {
-		b.SetFloor(g.retryFloor(entries))
+		b.SetFloor(g.retryFloor())
 	}
 }
 
