Requests that have not begun and whole answers are kept, too, until another server goes on

A request that waited at a silent server, and a whole answer that took over twice its objective, were ended at their server before another one had said that it takes them; when it refused, the caller got 502 though the first server would have answered. Change: the watch asks another server beside the first one and ends the first one only when the other has begun or has answered whole; the other may not begin on weights that are over. Ruled out: for requests on weights that are over soon: these must be taken back in time. After: go test -race -count=2 ./internal/gateway passes.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -9,6 +9,7 @@
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/dispatch"
+	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
 const (
@@ -48,6 +49,10 @@
 	moveServerSilent moveReason = "nothing came from the server"
 	// moveConnectionSilent: nothing comes for this stream.
 	moveConnectionSilent moveReason = "nothing came over the connection"
+	// moveAnswered: the server has answered after all, and tells nothing by that.
+	moveAnswered moveReason = "another server was faster"
+	// moveLate: an answer in one piece takes long.
+	moveLate moveReason = "no answer came from the server"
 )
 
 // moveReason tells whether another server should be asked to go on with a stream, and
@@ -74,11 +79,12 @@
 	return now.Sub(c.eventAt)
 }
 
-// handover asks another server for the rest of a running stream while the first
-// one goes on writing it. The first server keeps the stream until the other one has
-// written an event: room there is only predicted, from reports 0.1 to 0.3 s old, and
-// a stream that was given up for a server that then refuses it would be cut. Events of
-// the first server are held back meanwhile, since those of two runs can't be joined.
+// handover asks another server for a request, or for the rest of a running stream, while
+// the first one goes on with it. The first server keeps it until the other one has
+// written an event, or its whole answer: room there is only predicted, from reports 0.1
+// to 0.3 s old, and a stream that was given up for a server that then refuses it would
+// be cut. Events of the first server are held back meanwhile, since those of two runs
+// can't be joined.
 type handover struct {
 	choice  balance.Choice
 	request *dispatch.Request
@@ -112,15 +118,11 @@
 func (c *call) beginHandover(w *watchdog, why moveReason) *handover {
 	c.passing.Lock()
 	defer c.passing.Unlock()
-	most := max(c.route.MaxAttempts, 1)
-	if w.ended || c.runs >= most || c.sends >= most+maxAsks {
+	if w.ended || c.handover != nil || !c.mayAsk(w) {
 		return nil
 	}
 	now := time.Now()
-	want := c.want(moveShare)
-	want.Free = true
-	want.Version = c.versionNumber()
-	choice, _ := c.g.balancer.Pick(now, want)
+	choice, _ := c.g.balancer.Pick(now, c.wantOther(why))
 	if choice.Server == nil {
 		return nil
 	}
@@ -133,14 +135,39 @@
 		choice: choice, why: why, next: newWatchdog(w.parent), settled: make(chan struct{}),
 		request: c.request(choice.Server),
 	}
-	c.logHandover("another server is asked to go on with the stream", w, c.handover, nil)
+	c.logHandover("another server is asked to go on", w, c.handover, nil)
 	return c.handover
 }
 
-// ask asks the other server, until it has written an event or has refused.
+// mayAsk tells whether another server may be asked beside the one that w watches. What
+// that one was sent is counted only once it has answered.
+func (c *call) mayAsk(w *watchdog) bool {
+	most := max(c.route.MaxAttempts, 1)
+	if w.begun.Load() {
+		return c.runs < most && c.sends < most+maxAsks
+	}
+	return c.sends+1 < most
+}
+
+// wantOther says what another server must have. One is asked instead of a server that
+// is to load only if the caller will not notice.
+func (c *call) wantOther(why moveReason) balance.Want {
+	want := c.want(resendShare)
+	if why == moveLoading {
+		want = c.want(moveShare)
+		want.Free = true
+	}
+	if c.events > 0 {
+		want.Version = c.versionNumber()
+	}
+	return want
+}
+
+// ask asks the other server, until it has written an event, or its whole answer, or has
+// refused.
 func (c *call) ask(w *watchdog, h *handover) {
 	defer close(h.settled)
-	limit := time.AfterFunc(askLimit, h.next.cancel)
+	limit := time.AfterFunc(c.askTime(h), h.next.cancel)
 	defer limit.Stop()
 	answer, err := h.choice.Server.Pool.Send(h.next.ctx, h.request, c.by)
 	if err != nil {
@@ -150,7 +177,7 @@
 	now := time.Now()
 	c.g.balancer.Heard(h.choice.Server, now)
 	c.noteLoad(h.choice.Server, answer.Header, now)
-	read, ending, err := c.firstEvents(h, answer)
+	read, ending, err := c.firstPart(h, answer)
 	if err != nil {
 		answer.Close()
 		c.askFailed(w, h, ending, err)
@@ -164,16 +191,27 @@
 		return
 	}
 	c.runs++
+	c.mayHaveRun = true
 	h.answer, h.read = answer, read
 	w.cancel() // the first server's work ends here
 }
 
+// askTime is how long the other server may take until it goes on: a request must not
+// begin there on weights that are over.
+func (c *call) askTime(h *handover) time.Duration {
+	left, bounded := c.g.balancer.VersionLeft(c.model, h.choice.Version, time.Now())
+	if !bounded {
+		return askLimit
+	}
+	return min(askLimit, left-overGuard)
+}
+
 // errRefused says that a server did not run the request.
 var errRefused = errors.New("not run")
 
-// firstEvents reads the first whole events of the rest of a stream. If the server
-// does not go on, it tells how the send ended.
-func (c *call) firstEvents(h *handover, a *dispatch.Answer) ([]byte, balance.Ending, error) {
+// firstPart reads the first whole events of a stream, or a whole answer in one piece. If
+// the server does not go on, it tells how the send ended.
+func (c *call) firstPart(h *handover, a *dispatch.Answer) ([]byte, balance.Ending, error) {
 	switch {
 	case c.isNotRun(a):
 		_, _ = io.Copy(io.Discard, a)
@@ -182,6 +220,10 @@
 		return nil, balance.EndedFailed, errors.New("no signed answer: " + strconv.Itoa(a.StatusCode))
 	}
 	a.ReadBy(c.by)
+	if c.route.Kind != fleet.KindStream {
+		body, err := readWhole(a, c.by)
+		return body, balance.EndedFailed, err
+	}
 	buf := make([]byte, 0, streamBuffer)
 	for wholeEvents(buf) == 0 {
 		if len(buf) == cap(buf) {
@@ -211,6 +253,7 @@
 		c.tried = append(c.tried, h.choice.Server)
 		if !errors.Is(err, dispatch.ErrNotSent) {
 			c.runs++ // it may have begun
+			c.mayHaveRun = true
 		}
 	case balance.EndedGone:
 		c.tried = append(c.tried, h.choice.Server)
@@ -226,7 +269,7 @@
 	}
 	h.next.cancel()
 	c.g.balancer.Done(&h.choice, time.Now(), ending)
-	c.logHandover("stream stays at its server", w, h, err)
+	c.logHandover("request stays at its server", w, h, err)
 }
 
 // takeEvents passes events of a stream's server on, or holds them back while another
@@ -294,7 +337,7 @@
 		c.held = nil
 		return h, errHandedOver
 	}
-	if err != nil && !errors.Is(err, errCallerGone) {
+	if a != nil && err != nil && !errors.Is(err, errCallerGone) {
 		if gone := c.release(a, nil); gone != nil {
 			return nil, gone
 		}
@@ -302,12 +345,32 @@
 	return nil, err
 }
 
-// goOn passes on the rest of a stream from the server that has taken it over.
+// overtaken tells whether another server has taken over a request that the watched one
+// has not begun to answer, or has answered with a failure.
+func (c *call) overtaken(w *watchdog, err error) bool {
+	h, _ := c.settleHandover(w, nil, err)
+	if h == nil {
+		return false
+	}
+	if err == nil || errors.Is(err, errRefused) {
+		h.why = moveAnswered
+	}
+	c.handedOver(h)
+	return true
+}
+
+// goOn passes on what the server writes that has taken a request or a stream over.
 func (c *call) goOn(h *handover) sendResult {
 	c.choice = h.choice
 	c.tried = append(c.tried, h.choice.Server)
 	defer h.next.stop()
 	defer h.answer.Close()
+	if c.route.Kind != fleet.KindStream {
+		return c.giveWhole(h.answer, h.read)
+	}
+	if c.events == 0 {
+		c.version = "" // that of the first server binds nothing
+	}
 	h.next.begun.Store(true)
 	c.startWatch(h.next)
 	return c.stream(h.next, h.answer, h.read)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -17,6 +17,7 @@
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/ledger"
 )
 
 // What users saw: while entries were being stopped under load and engines rolled to
@@ -299,6 +300,74 @@
 	assert.Eventually(t, func() bool { return e.InFlight() == 0 && e.balancer.InFlight() == 0 }, time.Second, 10*time.Millisecond)
 }
 
+func TestSlowWholeAnswerIsKeptUntilAnotherServerHasAnswered(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(800 * time.Millisecond) // twice the objective is 400 ms
+		good(w, r)
+	}
+	full := newBackend(t, "b-full", notRun)
+	e := newEntry(t, newBackend(t, "b-slow", slow), full)
+	a := e.ask(t, http.MethodPost, "/safe/x")
+	require.NoError(t, a.err)
+	assert.Equal(t, http.StatusOK, a.status, e.logs.String())
+	assert.Equal(t, "POST /safe/x body", a.body)
+	assert.Len(t, full.requests(), 1, "another server was asked, once")
+	e.assertNothingInFlight(t)
+
+	var left atomic.Int64
+	hangs := cancelled(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // only then a closed connection is noticed
+		<-r.Context().Done()
+	}, &left)
+	e = newEntry(t, newBackend(t, "b-hangs", hangs), newBackend(t, "b-2", good))
+	began := time.Now()
+	a = e.ask(t, http.MethodPost, "/safe/x")
+	assert.Equal(t, "POST /safe/x body", a.body)
+	assert.Less(t, time.Since(began), time.Second)
+	assert.Eventually(t, func() bool { return left.Load() == 1 }, time.Second, 10*time.Millisecond, "the first server works on")
+	e.assertNothingInFlight(t)
+}
+
+func TestRequestAtASilentServerIsKeptUntilAnotherServerHasBegun(t *testing.T) {
+	wakes := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1200 * time.Millisecond) // silent after 600 ms
+		events(0)(w, r)
+	}
+	full := newBackend(t, "b-full", notRun)
+	e := newEntry(t, newBackend(t, "b-wakes", wakes), full)
+	e.onlyEngines()
+	a := e.ask(t, http.MethodPost, "/stream/x")
+	require.NoError(t, a.err, e.logs.String())
+	assert.Equal(t, http.StatusOK, a.status)
+	assert.Equal(t, wholeStream, a.body)
+	assert.NotEmpty(t, full.requests(), "another server was asked")
+	e.assertNothingInFlight(t)
+
+	e = newEntry(t, newBackend(t, "b-hangs", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}), newBackend(t, "b-2", events(0)))
+	e.onlyEngines()
+	began := time.Now()
+	a = e.ask(t, http.MethodPost, "/stream/x")
+	assert.Equal(t, wholeStream, a.body)
+	assert.Less(t, time.Since(began), 1500*time.Millisecond)
+	e.assertNothingInFlight(t)
+}
+
+func TestOtherServerIsNotWaitedForUntilItsWeightsAreOver(t *testing.T) {
+	e := newEntry(t, newBackend(t, "b-1", good))
+	c := &call{g: e.Gateway, model: "m"}
+	h := &handover{choice: balance.Choice{Version: 7}}
+	assert.Equal(t, askLimit, c.askTime(h))
+	view := *e.view.Load()
+	view.Versions = map[string]ledger.Version{"m": ledger.Version{}.Next(8, time.Now().Add(-7*time.Second))}
+	e.SetView(&view) // 7 is over in 1 s
+	assert.LessOrEqual(t, c.askTime(h), time.Second-overGuard)
+	h.choice.Version = 8
+	assert.Equal(t, askLimit, c.askTime(h))
+}
+
 func TestWaitingRequestIsLookedAtWhenItIsToBeTakenBack(t *testing.T) {
 	assert.Equal(t, silenceCheck, nextCheck(0, false), "no newer version was named")
 	assert.Equal(t, silenceCheck, nextCheck(5*time.Second, true))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -21,16 +21,38 @@
 	defer watch.stop()
 	answer, err := s.Pool.Send(watch.ctx, c.request(s), c.by)
 	if err != nil {
-		return c.sendFailed(watch, err)
+		if !c.overtaken(watch, err) {
+			return c.sendFailed(watch, err)
+		}
+		if !errors.Is(err, dispatch.ErrNotSent) {
+			c.noteSent()
+			c.noteRun() // it may have begun
+		}
+		return sendAgain
 	}
 	defer answer.Close()
-	c.sends++
+	c.noteSent()
 	now := time.Now()
 	c.g.balancer.Heard(s, now)
 	c.noteLoad(s, answer.Header, now)
 	return c.answered(watch, answer)
 }
 
+// noteSent counts a send that left.
+func (c *call) noteSent() {
+	c.passing.Lock()
+	defer c.passing.Unlock()
+	c.sends++
+}
+
+// noteRun counts a send that may have run.
+func (c *call) noteRun() {
+	c.passing.Lock()
+	defer c.passing.Unlock()
+	c.mayHaveRun = true
+	c.runs++
+}
+
 // request is what a server is sent.
 func (c *call) request(s *balance.Server) *dispatch.Request {
 	return &dispatch.Request{
@@ -42,9 +64,6 @@
 // ending judges a send that broke off, from who ended it.
 func (c *call) ending(watch *watchdog) balance.Ending {
 	switch {
-	case watch.stalled.Load():
-		c.endedBy = "entry: " + string(moveServerSilent)
-		return balance.EndedSilent
 	case watch.over.Load():
 		c.endedBy = "entry: the server's weights are over"
 		return balance.EndedElse
@@ -64,7 +83,7 @@
 	if errors.Is(err, dispatch.ErrNotSent) {
 		return sendAgain
 	}
-	c.sends++
+	c.noteSent()
 	c.mayHaveRun = true
 	if watch.over.Load() {
 		return sendAgain // it has most likely not begun, and idempotent ones are watched only
@@ -79,24 +98,27 @@
 
 // answered decides what the head of an answer means.
 func (c *call) answered(watch *watchdog, a *dispatch.Answer) sendResult {
+	notRun := c.isNotRun(a)
+	if !notRun {
+		c.noteRun()
+	}
+	good := !notRun && a.StatusCode/100 == 2 && c.signed(a)
+	if good && c.route.Kind == fleet.KindStream {
+		return c.stream(watch, a, nil)
+	}
+	if good {
+		return c.whole(watch, a)
+	}
+	if c.overtaken(watch, errRefused) {
+		return sendAgain
+	}
 	switch {
-	case c.isNotRun(a):
+	case notRun:
 		return c.notRun(a)
 	case a.StatusCode/100 != 2:
-		c.mayHaveRun = true
-		c.runs++
 		return c.failedAnswer(watch, a)
-	case !c.signed(a):
-		c.mayHaveRun = true
-		c.runs++
-		return c.brokenAnswer(watch, "answer without a signature", nil)
-	}
-	c.mayHaveRun = true
-	c.runs++
-	if c.route.Kind == fleet.KindStream {
-		return c.stream(watch, a, nil)
 	}
-	return c.whole(watch, a)
+	return c.brokenAnswer(watch, "answer without a signature", nil)
 }
 
 // isNotRun tells whether a server says that it did not run the request.
@@ -177,9 +199,17 @@
 // whole gives the caller an answer in one piece, once it is there whole.
 func (c *call) whole(watch *watchdog, a *dispatch.Answer) sendResult {
 	body, err := readWhole(a, c.by)
+	if c.overtaken(watch, err) {
+		return sendAgain
+	}
 	if err != nil {
 		return c.brokenAnswer(watch, "answer broke off", err)
 	}
+	return c.giveWhole(a, body)
+}
+
+// giveWhole gives the caller a whole answer.
+func (c *call) giveWhole(a *dispatch.Answer, body []byte) sendResult {
 	c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
 	c.copyHead(a)
 	c.status, c.reason = a.StatusCode, "served"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,9 +31,7 @@
 // answer already. When it breaks off and the route allows it, the rest is asked of
 // another server.
 func (c *call) stream(watch *watchdog, a *dispatch.Answer, read []byte) sendResult {
-	if c.version == "" {
-		c.version = a.Header.Get(c.g.cfg.Headers.Version)
-	}
+	c.noteVersion(a)
 	h, err := c.settleHandover(watch, a, c.passEvents(watch, a, read))
 	switch {
 	case err == nil:
@@ -51,11 +49,20 @@
 	return c.brokenAnswer(watch, "stream broke off", err)
 }
 
+// noteVersion takes the version of weights that a stream begins on.
+func (c *call) noteVersion(a *dispatch.Answer) {
+	c.passing.Lock()
+	defer c.passing.Unlock()
+	if c.version == "" {
+		c.version = a.Header.Get(c.g.cfg.Headers.Version)
+	}
+}
+
 // handedOver ends a send whose stream another server has taken over.
 func (c *call) handedOver(h *handover) {
 	ending := balance.EndedElse
 	switch h.why {
-	case moveServerSilent:
+	case moveServerSilent, moveLate:
 		ending = balance.EndedSilent
 	case moveConnectionSilent:
 		c.choice.Server.Pool.CloseIdle() // they may have gone silent, too
@@ -63,7 +70,7 @@
 	c.endedBy = "entry: " + string(h.why)
 	c.noteInterrupted()
 	c.g.balancer.Done(&c.choice, time.Now(), ending)
-	c.logSend("stream goes on at another server", nil)
+	c.logSend("request goes on at another server", nil)
 	c.next = h
 }
 
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -13,8 +13,7 @@
 	// silenceCheck is how often a stream asks whether its server is silent.
 	silenceCheck = 250 * time.Millisecond
 	// wholeStall times the objective is after how long an answer in one piece is
-	// given up at its server: work takes a fifth of the objective on average, and
-	// the rest of the time is left for another server.
+	// asked of another server, too: work takes a fifth of the objective on average.
 	wholeStall = 2
 	// overGuard is how long before weights are over a request that waits at its server
 	// for its first event is taken back: an entry that is busy with a configuration for
@@ -23,9 +22,9 @@
 )
 
 // watchdog watches a send whose server may no longer do anything, so that the request
-// can go on elsewhere. It exists for requests that may run twice only. One that has
-// not begun is taken back; a stream that has begun stays until another server has
-// taken it over.
+// can go on elsewhere. It exists for requests that may run twice only. They stay at
+// their server until another one has taken them over; only what would begin on weights
+// that are over is taken back before.
 type watchdog struct {
 	parent context.Context
 	ctx    context.Context
@@ -34,8 +33,6 @@
 	server *balance.Server
 	// weights is the version that the server was chosen for.
 	weights uint64
-	// stalled tells that the watchdog has ended the send.
-	stalled atomic.Bool
 	// over tells that the watchdog has ended the send, since its server's weights
 	// would have been over before it began.
 	over atomic.Bool
@@ -67,7 +64,8 @@
 		w.timer = time.AfterFunc(time.Hour, func() { c.checkStream(w) })
 		w.timer.Reset(silenceCheck)
 	case c.sends+1 < c.route.MaxAttempts && c.route.Objective > 0:
-		w.timer = time.AfterFunc(wholeStall*c.route.Objective, w.stall)
+		w.timer = time.AfterFunc(time.Hour, func() { c.checkWhole(w) })
+		w.timer.Reset(wholeStall * c.route.Objective)
 	}
 }
 
@@ -80,10 +78,10 @@
 		if why := c.moveReason(w, now); why != "" {
 			c.handOver(w, why)
 		}
-	case c.g.balancer.Silent(w.server, now):
-		w.stall()
-		return
 	default:
+		if c.g.balancer.Silent(w.server, now) {
+			go c.handOver(w, moveServerSilent) // the check of the version goes on
+		}
 		left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, now)
 		if bounded && left <= overGuard {
 			w.over.Store(true)
@@ -107,9 +105,12 @@
 	return min(silenceCheck, left-overGuard)
 }
 
-func (w *watchdog) stall() {
-	w.stalled.Store(true)
-	w.cancel()
+// checkWhole asks another server for an answer in one piece that takes long.
+func (c *call) checkWhole(w *watchdog) {
+	c.handOver(w, moveLate)
+	if w.ctx.Err() == nil {
+		w.timer.Reset(silenceCheck)
+	}
 }
 
 func (w *watchdog) stop() {
