--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,6 +46,8 @@
 
 	// sends counts those that left, runs those that may have run.
 	sends, runs int
+	// refusals counts those that a server refused.
+	refusals int
 	// mayHaveRun tells that a send may have run, or has.
 	mayHaveRun bool
 	tried      []*balance.Server
@@ -246,7 +248,7 @@
 			c.giveUp("all attempts are used")
 			return false
 		}
-		if !c.takeRetry(ctx) {
+		if !c.backOff(ctx) || !c.takeRetry(ctx) {
 			c.giveUp("retry budget is used up")
 			return false
 		}
@@ -272,6 +274,17 @@
 	return c.sends >= most
 }
 
+// backOff waits before the rest of a stream that has begun is asked of further servers,
+// once some have refused it: a stream that waits for room must not use up the repeats of
+// all others. It returns false if there is no time left.
+func (c *call) backOff(ctx context.Context) bool {
+	if c.events == 0 || c.refusals <= freeRefusals {
+		return true
+	}
+	pause := min(resumePause<<min(c.refusals-freeRefusals, maxDoublings), maxResumePause)
+	return c.wait(ctx, pause)
+}
+
 // takeRetry takes a repeat from the budget. The rest of a stream that has begun waits
 // for one.
 func (c *call) takeRetry(ctx context.Context) bool {
@@ -285,12 +298,15 @@
 
 // resumeLater waits before the next look for a server that goes on with a stream;
 // false if there is no time left.
-func (c *call) resumeLater(ctx context.Context) bool {
-	if time.Until(c.by) < leastSend+resumePause {
+func (c *call) resumeLater(ctx context.Context) bool { return c.wait(ctx, resumePause) }
+
+// wait waits, and returns false if there is no time left for a send then.
+func (c *call) wait(ctx context.Context, d time.Duration) bool {
+	if time.Until(c.by) < leastSend+d {
 		return false
 	}
 	select {
-	case <-time.After(resumePause):
+	case <-time.After(d):
 		return true
 	case <-ctx.Done():
 		return false
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -55,12 +55,19 @@
 	moveLate moveReason = "no answer came from the server"
 )
 
-// moveReason tells whether another server should be asked to go on with a stream, and
+// moveReason tells whether another server should be asked to go on with a request, and
 // why; it is empty if not.
 func (c *call) moveReason(w *watchdog, now time.Time) moveReason {
 	switch {
+	case !c.route.Idempotent():
+		return ""
+	case c.route.Kind != fleet.KindStream:
+		if c.route.Objective > 0 && now.Sub(w.sentAt) >= wholeStall*c.route.Objective {
+			return moveLate
+		}
 	case c.g.balancer.Silent(w.server, now):
 		return moveServerSilent
+	case !w.begun.Load():
 	case c.pausedFor(now) > streamSilence:
 		return moveConnectionSilent
 	case c.g.balancer.LoadingSince(w.server, now, moveAfter):
@@ -99,6 +106,8 @@
 	answer    *dispatch.Answer
 	read      []byte
 	calledOff bool
+	// began: the other server has begun. It belongs to the goroutine that asks it.
+	began bool
 }
 
 // callOff ends a handover that is not settled. call.passing is held.
@@ -219,6 +228,7 @@
 	case a.StatusCode/100 != 2, !c.signed(a):
 		return nil, balance.EndedFailed, errors.New("no signed answer: " + strconv.Itoa(a.StatusCode))
 	}
+	h.began = true
 	a.ReadBy(c.by)
 	if c.route.Kind != fleet.KindStream {
 		body, err := readWhole(a, c.by)
@@ -226,8 +236,9 @@
 	}
 	buf := make([]byte, 0, streamBuffer)
 	for wholeEvents(buf) == 0 {
-		if len(buf) == cap(buf) {
-			return nil, balance.EndedFailed, errEventTooLarge
+		var err error
+		if buf, err = roomFor(buf); err != nil {
+			return nil, balance.EndedFailed, err
 		}
 		n, err := a.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -245,19 +256,18 @@
 func (c *call) askFailed(w *watchdog, h *handover, ending balance.Ending, err error) {
 	c.passing.Lock()
 	defer c.passing.Unlock()
-	if h.next.ctx.Err() != nil {
+	switch {
+	case h.next.ctx.Err() != nil:
 		ending = balance.EndedElse // ended by us: it tells nothing of the server
+	case errors.Is(err, dispatch.ErrNoConnection):
+		ending = balance.EndedBusy
 	}
-	switch ending {
-	case balance.EndedFailed:
-		c.tried = append(c.tried, h.choice.Server)
-		if !errors.Is(err, dispatch.ErrNotSent) {
-			c.runs++ // it may have begun
-			c.mayHaveRun = true
-		}
-	case balance.EndedGone:
+	if ending == balance.EndedFailed || ending == balance.EndedGone {
 		c.tried = append(c.tried, h.choice.Server)
 	}
+	if ending == balance.EndedFailed && !errors.Is(err, dispatch.ErrNotSent) {
+		h.began = true // it may have
+	}
 	c.dropHandover(w, h, ending, err)
 }
 
@@ -267,6 +277,10 @@
 	if errors.Is(err, dispatch.ErrNotSent) {
 		c.sends--
 	}
+	if h.began {
+		c.runs++
+		c.mayHaveRun = true
+	}
 	h.next.cancel()
 	c.g.balancer.Done(&h.choice, time.Now(), ending)
 	c.logHandover("request stays at its server", w, h, err)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -34,6 +34,12 @@
 	resendShare = 1.6
 	// resumePause is how often a server is looked for that can go on with a stream.
 	resumePause = 40 * time.Millisecond
+	// freeRefusals is after how many refusals of the rest of a stream the pause before the
+	// next send begins to double, up to maxResumePause: a stream that waits 2 s makes some
+	// eight sends.
+	freeRefusals   = 2
+	maxResumePause = 640 * time.Millisecond
+	maxDoublings   = 4
 	// comesBackBelow is the share of the route's timeout below which a caller's
 	// deadline tells that it has tried before.
 	comesBackBelow = 0.97
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -78,15 +78,20 @@
 // sendFailed decides after a send without an answer.
 func (c *call) sendFailed(watch *watchdog, err error) sendResult {
 	c.lastErr = err
-	c.g.balancer.Done(&c.choice, time.Now(), c.ending(watch))
+	ending := c.ending(watch)
+	if errors.Is(err, dispatch.ErrNoConnection) {
+		ending = balance.EndedBusy
+	}
+	c.g.balancer.Done(&c.choice, time.Now(), ending)
 	c.logSend("send failed", err)
 	if errors.Is(err, dispatch.ErrNotSent) {
+		c.mayAskAgain(ending)
 		return sendAgain
 	}
 	c.noteSent()
 	c.mayHaveRun = true
-	if watch.over.Load() {
-		return sendAgain // it has most likely not begun, and idempotent ones are watched only
+	if watch.over.Load() && c.route.Idempotent() {
+		return sendAgain // it has most likely not begun
 	}
 	c.runs++
 	if c.route.Idempotent() {
@@ -140,19 +145,25 @@
 	return balance.EndedBusy
 }
 
-// notRun handles a server's word that it did not run the request. The rest of a stream
-// that has begun may be asked of the same server again: its caller can't start again.
+// notRun handles a server's word that it did not run the request.
 func (c *call) notRun(a *dispatch.Answer) sendResult {
 	ending := c.refusal(a, &c.choice)
 	_, _ = io.Copy(io.Discard, a)
-	if c.events > 0 && ending == balance.EndedBusy {
-		c.tried = c.tried[:len(c.tried)-1]
-	}
+	c.mayAskAgain(ending)
+	c.refusals++
 	c.g.balancer.Done(&c.choice, time.Now(), ending)
 	c.logSend("backend server did not run it: "+strconv.Itoa(a.StatusCode), nil)
 	return sendAgain
 }
 
+// mayAskAgain allows the server that was tried last to be asked again for the rest of a
+// stream that has begun, if it was only full.
+func (c *call) mayAskAgain(ending balance.Ending) {
+	if c.events > 0 && ending == balance.EndedBusy {
+		c.tried = c.tried[:len(c.tried)-1]
+	}
+}
+
 // failedAnswer handles a failure that a server has answered: idempotent requests
 // are sent again while they may, others are given the answer.
 func (c *call) failedAnswer(watch *watchdog, a *dispatch.Answer) sendResult {
@@ -166,6 +177,9 @@
 	}
 	c.g.balancer.Done(&c.choice, time.Now(), ending)
 	c.logSend("backend server failed: "+strconv.Itoa(a.StatusCode), nil)
+	if c.committed {
+		return sendAgain // a failure of the rest does not belong into a stream that has begun
+	}
 	if a.StatusCode >= http.StatusInternalServerError && c.mayRepeat() {
 		return sendAgain
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -100,11 +100,8 @@
 		return err
 	}
 	for {
-		if len(buf) == cap(buf) {
-			if cap(buf) >= maxEvent {
-				return errEventTooLarge
-			}
-			buf = append(make([]byte, 0, 2*cap(buf)), buf...)
+		if buf, err = roomFor(buf); err != nil {
+			return err
 		}
 		n, readErr := a.Read(buf[len(buf):cap(buf)])
 		if buf, err = c.passWhole(watch, a, buf[:len(buf)+n]); err != nil {
@@ -121,6 +118,17 @@
 	}
 }
 
+// roomFor makes room behind buf for more of an event.
+func roomFor(buf []byte) ([]byte, error) {
+	if len(buf) < cap(buf) {
+		return buf, nil
+	}
+	if cap(buf) >= maxEvent {
+		return nil, errEventTooLarge
+	}
+	return append(make([]byte, 0, 2*cap(buf)), buf...), nil
+}
+
 // passWhole passes the whole events in buf on and returns the rest.
 func (c *call) passWhole(watch *watchdog, a *dispatch.Answer, buf []byte) ([]byte, error) {
 	end := wholeEvents(buf)
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -31,8 +31,9 @@
 	cancel context.CancelFunc
 	timer  *time.Timer
 	server *balance.Server
-	// weights is the version that the server was chosen for.
+	// weights is the version that the server was chosen for, 0 for plain services.
 	weights uint64
+	sentAt  time.Time
 	// over tells that the watchdog has ended the send, since its server's weights
 	// would have been over before it began.
 	over atomic.Bool
@@ -56,32 +57,29 @@
 }
 
 func (c *call) startWatch(w *watchdog) {
-	w.server, w.weights = c.choice.Server, c.choice.Version
-	switch {
-	case !c.route.Idempotent():
-	case c.route.Kind == fleet.KindStream:
-		// Started by Reset, once the field that the check reads is set.
-		w.timer = time.AfterFunc(time.Hour, func() { c.checkStream(w) })
-		w.timer.Reset(silenceCheck)
-	case c.sends+1 < c.route.MaxAttempts && c.route.Objective > 0:
-		w.timer = time.AfterFunc(time.Hour, func() { c.checkWhole(w) })
-		w.timer.Reset(wholeStall * c.route.Objective)
+	w.server, w.weights, w.sentAt = c.choice.Server, c.choice.Version, time.Now()
+	if c.route.Kind != fleet.KindStream && !c.route.Idempotent() {
+		return // it can be neither moved nor, since it may have begun, taken back
 	}
+	// Started by Reset, once the field that the check reads is set.
+	w.timer = time.AfterFunc(time.Hour, func() { c.check(w) })
+	w.timer.Reset(c.firstCheck(w))
 }
 
-// checkStream looks at a stream's server, again and again.
-func (c *call) checkStream(w *watchdog) {
+// firstCheck is when to look at a send first. A whole answer of a plain service is
+// looked at once it is late only.
+func (c *call) firstCheck(w *watchdog) time.Duration {
+	if c.route.Kind != fleet.KindStream && w.weights == 0 && c.route.Objective > 0 {
+		return wholeStall * c.route.Objective
+	}
+	return nextCheck(c.g.balancer.VersionLeft(c.model, w.weights, w.sentAt))
+}
+
+// check looks at a send, again and again.
+func (c *call) check(w *watchdog) {
 	now := time.Now()
 	next := silenceCheck
-	switch {
-	case w.begun.Load():
-		if why := c.moveReason(w, now); why != "" {
-			c.handOver(w, why)
-		}
-	default:
-		if c.g.balancer.Silent(w.server, now) {
-			go c.handOver(w, moveServerSilent) // the check of the version goes on
-		}
+	if !w.begun.Load() {
 		left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, now)
 		if bounded && left <= overGuard {
 			w.over.Store(true)
@@ -90,6 +88,9 @@
 		}
 		next = nextCheck(left, bounded)
 	}
+	if why := c.moveReason(w, now); why != "" {
+		go c.handOver(w, why) // the check of the version goes on
+	}
 	if w.ctx.Err() == nil {
 		w.timer.Reset(next)
 	}
@@ -102,15 +103,7 @@
 	if !bounded {
 		return silenceCheck
 	}
-	return min(silenceCheck, left-overGuard)
-}
-
-// checkWhole asks another server for an answer in one piece that takes long.
-func (c *call) checkWhole(w *watchdog) {
-	c.handOver(w, moveLate)
-	if w.ctx.Err() == nil {
-		w.timer.Reset(silenceCheck)
-	}
+	return min(silenceCheck, max(left-overGuard, 0))
 }
 
 func (w *watchdog) stop() {
