The start that is at an address is told by its life, not by who was heard last

Cause: a heartbeat that a cut delayed may arrive after its sender has crashed and another start has registered at its address. Both stayed in the directory for 60 s, both were chosen until each entry had got a 421 from the address, reports were noted for both, shares were given to both, and agents took the one heard last: the dead one.

Ruled out: "last heard wins" and "first heard wins" (a control server that was restarted hears the late one last, or first); leaving the dead start gone in the directory, as a wrong order could never be taken back; the order of ids, which are drawn.

Change: a directory estimates each start's beginning: the least time heard less one interval for each announcement before. The later beginning has the address (2 s of slack: closer ones are both tried), unless the earlier one is heard for 5 s after it. No field on the wire is new: age and sequence number are there.

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -161,7 +161,7 @@
 	cfg := fleetdaemon.Config{
 		Name: s.Name, Zone: s.Zone, RPCAddr: s.RPCAddr(s.IP), MetricsAddr: s.MetricsAddr(),
 		Seeds: live.seeds, Grace: seconds(s.Bounds.GraceS), Decode: platform.DecodeConfig,
-		VersionBound: seconds(s.Bounds.VersionMs / 1000), Logger: log,
+		VersionBound: seconds(s.Bounds.VersionMs / 1000), AnnounceInterval: seconds(s.AnnounceMs / 1000), Logger: log,
 	}
 	if s.ServesCallers() {
 		cfg.Entry = &fleetdaemon.EntryConfig{
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -101,6 +101,7 @@
 			delete(b.servers, id)
 		}
 	}
+	b.linkRivals()
 	for _, servers := range b.services {
 		b.shareOut(servers)
 	}
@@ -164,7 +165,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.servers {
-		if s.Addr != addr || s.retired || s.record.State == fleet.StateGone {
+		if s.Addr != addr || s.retired || s.record.State == fleet.StateGone || s.replaced() {
 			continue
 		}
 		since := s.agent.loadingSince
@@ -239,11 +240,7 @@
 				Float64("failures", s.health.failures).Msg("backend server set aside")
 		}
 	case EndedGone:
-		if !s.retired {
-			b.cfg.Logger.Warn().Str("server", s.ID).Str("addr", s.Addr).Msg("backend server's address has another owner")
-		}
-		s.retired = true
-		s.Pool.Close()
+		b.retire(s)
 	}
 }
 
@@ -255,6 +252,9 @@
 	ages := make(map[string]time.Duration, len(b.services))
 	for service, servers := range b.services {
 		for _, s := range servers {
+			if s.replaced() {
+				continue
+			}
 			ages[service] = max(ages[service], now.Sub(s.seenAt))
 		}
 	}
--- a/internal/balance/ownership.go
+++ b/internal/balance/ownership.go
@@ -19,7 +19,7 @@
 	var near []*Server
 	for _, s := range servers {
 		s.own, s.foreign = false, false
-		if s.near && s.engine != nil {
+		if s.near && s.engine != nil && !s.replaced() {
 			near = append(near, s)
 		}
 	}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -45,8 +45,8 @@
 type Room struct {
 	// Known servers of the service, and those that fit but are too full.
 	Known, Fit int
-	// Tried were sent this request before; Aside failed lately or are silent in the
-	// directory; Busy refused a moment ago; Loading take nothing new; Empty hold no
+	// Tried were sent this request before; Aside failed lately, are silent in the
+	// directory or have another's address; Busy refused a moment ago; Loading take nothing new; Empty hold no
 	// weights, Old hold a version that is over, Other one that the request can't use.
 	Tried, Aside, Busy, Loading, Empty, Old, Other int
 }
@@ -161,7 +161,7 @@
 		}
 	}
 	switch {
-	case s.retired || now.Sub(s.seenAt) > lostAfter || now.Before(s.health.asideUntil),
+	case s.retired || s.replaced() || now.Sub(s.seenAt) > lostAfter || now.Before(s.health.asideUntil),
 		s.health.probing && s.inFlight > 0:
 		room.Aside++
 		return 0, false
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -35,8 +35,10 @@
 	load        load
 	health      health
 	excess      excess
-	// retired: another server has its address.
+	// retired: another server has its address, and said so; rivals announce the same
+	// address, see replaced.
 	retired bool
+	rivals  []*Server
 	// busyUntil is until when a server that refused for want of room is spared.
 	busyUntil time.Time
 	agent     agentReport
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,13 +16,21 @@
 // come seconds late at most.
 const forgetAfter = 60 * time.Second
 
+// maxLife bounds what a sequence number is taken to say of a server's age.
+const maxLife = 10 * 365 * 24 * time.Hour
+
 // Directory is a table of backend servers. It is not safe for concurrent use.
 type Directory struct {
 	servers map[string]*fleet.BackendServer
+	// interval is the time between two announcements of one server.
+	interval time.Duration
 }
 
-// New returns an empty directory.
-func New() *Directory { return &Directory{servers: map[string]*fleet.BackendServer{}} }
+// New returns an empty directory of servers that announce themselves at this interval,
+// 0 if it isn't known.
+func New(interval time.Duration) *Directory {
+	return &Directory{servers: map[string]*fleet.BackendServer{}, interval: interval}
+}
 
 // Change tells what an announcement changed.
 type Change uint8
@@ -39,11 +47,14 @@
 
 // Merge takes an announcement in.
 func (d *Directory) Merge(b fleet.BackendServer) Change {
+	b.StartedAt = d.startedAt(b.Seq, b.SeenAt)
 	known, ok := d.servers[b.ID]
 	if !ok {
 		d.servers[b.ID] = &b
 		return Changed
 	}
+	known = d.noteStart(known, b.StartedAt)
+	b.StartedAt = known.StartedAt
 	if b.State < known.State {
 		return Unchanged // it has said that it leaves
 	}
@@ -65,6 +76,28 @@
 	return change
 }
 
+// startedAt is when a server started that is heard with this sequence number, which
+// rises by one with each announcement: this late at the latest, if it was not
+// repeated more often than it was delayed.
+func (d *Directory) startedAt(seq uint64, at time.Time) time.Time {
+	if d.interval <= 0 {
+		return at
+	}
+	return at.Add(-time.Duration(min(seq, uint64(maxLife/d.interval))) * d.interval)
+}
+
+// noteStart returns the record of a server with the earlier one of two estimates of
+// its start.
+func (d *Directory) noteStart(known *fleet.BackendServer, startedAt time.Time) *fleet.BackendServer {
+	if !startedAt.Before(known.StartedAt) {
+		return known
+	}
+	next := *known
+	next.StartedAt = startedAt
+	d.servers[known.ID] = &next
+	return &next
+}
+
 // leave is the record of a server of which only the id is told.
 func leave(known *fleet.BackendServer, b fleet.BackendServer) fleet.BackendServer {
 	next := *known
@@ -79,7 +112,7 @@
 	if !ok || seq <= known.Seq {
 		return Unchanged
 	}
-	next := *known
+	next := *d.noteStart(known, d.startedAt(seq, at))
 	next.Seq = seq
 	next.SeenAt = at
 	d.servers[id] = &next
@@ -103,6 +136,16 @@
 // Get returns a server's record, nil if it is not known. It must not be changed.
 func (d *Directory) Get(id string) *fleet.BackendServer { return d.servers[id] }
 
+// Replaced tells whether a later start has a server's address.
+func (d *Directory) Replaced(b *fleet.BackendServer) bool {
+	for _, other := range d.servers {
+		if other.ID != b.ID && other.Addr == b.Addr && b.Life().EndedBefore(other.Life()) {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns all records, in no order. They must not be changed.
 func (d *Directory) All() []*fleet.BackendServer {
 	all := make([]*fleet.BackendServer, 0, len(d.servers))
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -6,7 +6,10 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"pgregory.net/rapid"
+
 	"lynxgate.dev/lynxgate/internal/fleet"
+	_ "lynxgate.dev/lynxgate/internal/testseed" // the same announcements every run
 )
 
 func server(seq uint64, state fleet.State) fleet.BackendServer {
@@ -14,7 +17,7 @@
 }
 
 func TestLateAnnouncementChangesNothing(t *testing.T) {
-	d := New()
+	d := New(0)
 	assert.Equal(t, Changed, d.Merge(server(5, fleet.StateReady)))
 	assert.Equal(t, Unchanged, d.Merge(server(4, fleet.StateReady)))
 	assert.Equal(t, Renewed, d.Merge(server(6, fleet.StateReady)))
@@ -22,7 +25,7 @@
 }
 
 func TestServerThatLeavesDoesNotComeBack(t *testing.T) {
-	d := New()
+	d := New(0)
 	d.Merge(server(5, fleet.StateReady))
 	assert.Equal(t, Changed, d.Merge(server(6, fleet.StateDraining)))
 	assert.Equal(t, Unchanged, d.Merge(server(9, fleet.StateReady)), "a late announcement")
@@ -33,14 +36,91 @@
 }
 
 func TestLeaveOfUnknownServerIsKept(t *testing.T) {
-	d := New()
+	d := New(0)
 	d.Merge(fleet.BackendServer{ID: "a", State: fleet.StateGone, SeenAt: time.Unix(1, 0)})
 	assert.Equal(t, Unchanged, d.Merge(server(3, fleet.StateReady)))
 	assert.Equal(t, fleet.StateGone, d.Get("a").State)
 }
 
+// starts of a server of 1 s between announcements, in the order of its life.
+func announced(id string, seq uint64, seenAt int64) fleet.BackendServer {
+	return fleet.BackendServer{ID: id, Service: "s", Addr: "127.0.0.1:1", Seq: seq, SeenAt: time.Unix(seenAt, 0)}
+}
+
+func TestLateAnnouncementOfADeadStartDoesNotEndTheNextOne(t *testing.T) {
+	for name, d := range map[string]*Directory{
+		"known before":   merged(announced("old", 40, 100), announced("new", 1, 110), announced("old", 41, 113)),
+		"same once more": merged(announced("old", 40, 100), announced("new", 1, 110), announced("old", 40, 113)),
+		"lower, late":    merged(announced("old", 40, 100), announced("new", 1, 110), announced("old", 38, 113)),
+		"new here":       merged(announced("new", 1, 110), announced("old", 41, 113)),
+		"first of all":   merged(announced("old", 41, 113), announced("new", 3, 112)),
+		"left meanwhile": merged(announced("old", 40, 100), announced("new", 1, 110), fleet.BackendServer{ID: "new", State: fleet.StateGone, SeenAt: time.Unix(112, 0)}, announced("old", 41, 113)),
+	} {
+		older, newer := d.Get("old").Life(), d.Get("new").Life()
+		assert.True(t, older.EndedBefore(newer), name)
+		assert.False(t, newer.EndedBefore(older), name)
+	}
+}
+
+func TestStartThatIsHeardOnIsNotTakenForDead(t *testing.T) {
+	// All that was heard of the dead start came late, so it seems to be the later one.
+	d := merged(announced("alive", 20, 120), announced("dead", 1, 120))
+	assert.True(t, d.Get("alive").Life().EndedBefore(d.Get("dead").Life()))
+	d.Renew("alive", 24, time.Unix(124, 0))
+	assert.True(t, d.Get("alive").Life().EndedBefore(d.Get("dead").Life()), "one of them may be late")
+	d.Renew("alive", 26, time.Unix(126, 0))
+	assert.False(t, d.Get("alive").Life().EndedBefore(d.Get("dead").Life()))
+	assert.False(t, d.Get("dead").Life().EndedBefore(d.Get("alive").Life()))
+}
+
+func TestStartsWithoutAnIntervalAreOrderedByWhenTheyWereFirstHeard(t *testing.T) {
+	d := New(0)
+	d.Merge(announced("old", 40, 100))
+	d.Merge(announced("new", 1, 110))
+	d.Merge(announced("old", 41, 113))
+	assert.True(t, d.Get("old").Life().EndedBefore(d.Get("new").Life()))
+	assert.Equal(t, time.Unix(100, 0), d.Get("old").StartedAt)
+	huge := New(time.Second)
+	huge.Merge(announced("old", 1<<63, 100))
+	assert.True(t, huge.Get("old").StartedAt.Before(time.Unix(100, 0)), "no overflow")
+}
+
+// TestMergeTakesAnyOrder: announcements of one start and what is derived from them, in
+// any order and any number of times.
+func TestMergeTakesAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// A server that has said that it leaves says nothing else later.
+		drains := rapid.Uint64Range(1, 9).Draw(t, "drains")
+		goes := rapid.Uint64Range(drains, 9).Draw(t, "goes")
+		one := rapid.Custom(func(t *rapid.T) fleet.BackendServer {
+			seq := rapid.Uint64Range(1, 8).Draw(t, "seq")
+			b := announced("a", seq, int64(seq)+rapid.Int64Range(0, 5).Draw(t, "delay"))
+			switch {
+			case seq >= goes:
+				b.State = fleet.StateGone
+			case seq >= drains:
+				b.State = fleet.StateDraining
+			}
+			return b
+		})
+		all := rapid.SliceOfN(one, 1, 8).Draw(t, "announcements")
+		first, second := merged(all...), merged(append(rapid.Permutation(all).Draw(t, "order"), all...)...)
+		assert.Equal(t, first.Get("a").State, second.Get("a").State)
+		assert.Equal(t, first.Get("a").StartedAt, second.Get("a").StartedAt)
+		assert.Equal(t, first.Get("a").Seq, second.Get("a").Seq)
+	})
+}
+
+func merged(announcements ...fleet.BackendServer) *Directory {
+	d := New(time.Second)
+	for _, b := range announcements {
+		d.Merge(b)
+	}
+	return d
+}
+
 func TestForget(t *testing.T) {
-	d := New()
+	d := New(0)
 	d.Merge(server(1, fleet.StateGone))
 	d.Forget(time.Unix(30, 0))
 	assert.NotNil(t, d.Get("a"))
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -41,6 +41,8 @@
 	Models []Loaded
 	// SeenAt is when its newest announcement was received here.
 	SeenAt time.Time
+	// StartedAt is when it started, as estimated here; see Life.
+	StartedAt time.Time
 }
 
 // Holds returns the version of a model that the server holds whole; 0 if it
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -77,10 +77,10 @@
 	left   *sync.WaitGroup
 }
 
-func newHub(l *ledger.Ledger, controlAddrs func() []string, log zerolog.Logger) *hub {
+func newHub(l *ledger.Ledger, controlAddrs func() []string, announceInterval time.Duration, log zerolog.Logger) *hub {
 	return &hub{
 		ledger: l, controlAddrs: controlAddrs, log: log,
-		servers: directory.New(), followers: map[*follower]bool{},
+		servers: directory.New(announceInterval), followers: map[*follower]bool{},
 		reports: map[string]*rpc.AgentReport{},
 	}
 }
--- a/internal/fleetcontrol/metrics.go
+++ b/internal/fleetcontrol/metrics.go
@@ -29,12 +29,12 @@
 }
 
 // directoryAge is how long ago the backend server that was heard longest ago was
-// heard, of those that are ready.
+// heard, of those that are ready and have their address.
 func (h *hub) directoryAge(now time.Time) (age time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, b := range h.servers.All() {
-		if b.State == fleet.StateReady {
+		if b.State == fleet.StateReady && !h.servers.Replaced(b) {
 			age = max(age, now.Sub(b.SeenAt))
 		}
 	}
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -51,8 +51,11 @@
 	Addr    string
 	Replica replica.Config
 	// Seeds returns rpc addresses of control servers that the settings name.
-	Seeds  func() []string
-	Logger zerolog.Logger
+	Seeds func() []string
+	// AnnounceInterval is the time between two announcements of a backend server, 0
+	// if it isn't known.
+	AnnounceInterval time.Duration
+	Logger           zerolog.Logger
 }
 
 // Server is one control server.
@@ -73,7 +76,7 @@
 		return nil, fmt.Errorf("start replicated log: %w", err)
 	}
 	s := &Server{cfg: cfg, node: node, ledger: l, pool: rpcconn.NewPool()}
-	s.hub = newHub(l, s.controlAddrs, cfg.Logger)
+	s.hub = newHub(l, s.controlAddrs, cfg.AnnounceInterval, cfg.Logger)
 	s.peers = follow.New(follow.Config{
 		Name: cfg.Name, Role: RoleControl, Self: cfg.Addr, Seeds: s.peerAddrs,
 		Update: s.hub.peerUpdate, Lost: func(string) {}, Logger: cfg.Logger,
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -24,7 +24,7 @@
 }
 
 func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
-	viewer := follow.NewViewer(cfg.Decode, nil, cfg.Logger)
+	viewer := follow.NewViewer(cfg.Decode, nil, cfg.AnnounceInterval, cfg.Logger)
 	a := cfg.Agent
 	client := newFollower(cfg, fleetcontrol.RoleAgent, viewer, agentFollows)
 	return &agentRole{
--- a/internal/fleetdaemon/control.go
+++ b/internal/fleetdaemon/control.go
@@ -124,7 +124,8 @@
 		r.Peers = append(r.Peers, replica.Member{Name: name, Addr: addr})
 	}
 	return fleetcontrol.Config{
-		Name: cfg.Name, Addr: cfg.RPCAddr, Replica: r, Seeds: cfg.Seeds, Logger: cfg.Logger,
+		Name: cfg.Name, Addr: cfg.RPCAddr, Replica: r, Seeds: cfg.Seeds,
+		AnnounceInterval: cfg.AnnounceInterval, Logger: cfg.Logger,
 	}
 }
 
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -44,10 +44,13 @@
 	Decode func(document []byte) (*fleet.Config, error)
 	// VersionBound is how long a version may take to be in use everywhere.
 	VersionBound time.Duration
-	Entry        *EntryConfig
-	Control      *ControlConfig
-	Agent        *AgentConfig
-	Logger       zerolog.Logger
+	// AnnounceInterval is the time between two announcements of a backend server, 0
+	// if it isn't known.
+	AnnounceInterval time.Duration
+	Entry            *EntryConfig
+	Control          *ControlConfig
+	Agent            *AgentConfig
+	Logger           zerolog.Logger
 	// DroppedLines returns how many log lines were dropped.
 	DroppedLines func() int64
 }
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -46,7 +46,7 @@
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
 		Logger: cfg.Logger, Metrics: gateway.NewMetrics(registry),
 	})
-	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.Logger)
+	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.AnnounceInterval, cfg.Logger)
 	viewer.Reported, viewer.Renewed = g.Reported, g.Renewed
 	ready := http.NewServeMux()
 	e.MountReady(ready, g.Ready)
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -58,10 +58,10 @@
 // forgetInterval is how often servers that were not heard for long are dropped.
 const forgetInterval = 5 * time.Second
 
-// NewViewer returns a viewer. decode reads the operators' document; changed may
-// be nil.
-func NewViewer(decode func([]byte) (*fleet.Config, error), changed func(*View), log zerolog.Logger) *Viewer {
-	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(), entries: map[string][]Entry{}, reports: map[string]*rpc.AgentReport{}}
+// NewViewer returns a viewer of servers that announce themselves at this interval, 0
+// if it isn't known. decode reads the operators' document; changed may be nil.
+func NewViewer(decode func([]byte) (*fleet.Config, error), changed func(*View), interval time.Duration, log zerolog.Logger) *Viewer {
+	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(interval), entries: map[string][]Entry{}, reports: map[string]*rpc.AgentReport{}}
 	v.view.Store(&View{})
 	return v
 }
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -168,7 +168,7 @@
 // pollPause grows with the number of engines: so the reports of all of them take a
 // bounded part of the entries' time.
 func (s *Stager) pollPause() time.Duration {
-	n := len(s.cfg.View().Servers[s.cfg.Service])
+	n := len(s.servers())
 	return min(maxPollInterval, pollInterval*time.Duration(max(n, pollServers))/pollServers)
 }
 
--- a/internal/staging/turns.go
+++ b/internal/staging/turns.go
@@ -10,16 +10,26 @@
 
 // servers are the backend servers of the service that have not left, in order.
 func (s *Stager) servers() []*fleet.BackendServer {
-	newest := map[string]*fleet.BackendServer{}
-	for _, b := range s.cfg.View().Servers[s.cfg.Service] {
-		known := newest[b.Addr]
-		if b.State != fleet.StateGone && (known == nil || known.SeenAt.Before(b.SeenAt)) {
-			newest[b.Addr] = b
+	return present(s.cfg.View().Servers, s.cfg.Service)
+}
+
+// present are the servers of a service that have not left and whose address no later
+// start has, of whatever service, in order. Agents hear of servers at changes only, so
+// that when they were last heard says nothing here.
+func present(servers map[string][]*fleet.BackendServer, service string) []*fleet.BackendServer {
+	latest := map[string]*fleet.BackendServer{}
+	for _, records := range servers {
+		for _, b := range records {
+			if known := latest[b.Addr]; known == nil || known.StartedAt.Before(b.StartedAt) {
+				latest[b.Addr] = b
+			}
 		}
 	}
-	out := make([]*fleet.BackendServer, 0, len(newest))
-	for _, b := range newest {
-		out = append(out, b)
+	out := make([]*fleet.BackendServer, 0, len(latest))
+	for _, b := range latest {
+		if b.Service == service && b.State != fleet.StateGone {
+			out = append(out, b)
+		}
 	}
 	slices.SortFunc(out, func(a, b *fleet.BackendServer) int { return cmp.Compare(a.Addr, b.Addr) })
 	return out
