A voter that is away is kept while disks may be lost

Of five servers one is cut off for longer, another one loses its disk and is put in its place again as a learner: for that moment there are four voters, and the one that is away was removed. Then two disks are lost, as tolerated: the two that are left of four voters are no majority, and the one that comes back is no voter. Nothing that was acknowledged could be read again, for good.

Ruled out: never to remove voters (a replaced server would raise the majority of six to four for ever); counting the seeds as the fleet (three are named of five).

Before: TestVoterThatIsAwayIsKeptWhileDisksMayBeLost: not settled.

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -172,7 +172,7 @@
 	}
 	if s.ServesControl() {
 		cfg.Control = &fleetdaemon.ControlConfig{
-			OperatorsAddr: s.Listen.Control, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
+			OperatorsAddr: s.Listen.Control, DataFolder: s.DataFolder, FirstStart: s.FirstStart, LostDisks: s.LostDisks,
 			Member: s.IP, Peers: live.peers,
 			Mount: func(e *echo.Echo, server *fleetcontrol.Server) { platform.MountControl(e, server) },
 		}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -29,6 +29,9 @@
 	// RetireTicks is after how long without a word a leader removes a member
 	// that makes the number of voters even, or a learner; 0 is never.
 	RetireTicks int
+	// MinVoters is how many voters are kept though some are not heard: twice the
+	// number of disks whose loss is to be borne, and one.
+	MinVoters int
 	// Rand draws election timeouts and nonces.
 	Rand *rand.Rand
 }
--- a/internal/consensus/fault_test.go
+++ b/internal/consensus/fault_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -18,7 +19,7 @@
 	size := 2*tolerated + 1
 	founders := rapid.SampledFrom([]int{3, size}).Draw(t, "founders")
 	s := newSim(t, founders, rapid.Uint64().Draw(t, "seed"))
-	s.open = true
+	s.open, s.minVoters = true, size
 	for _, name := range s.names {
 		s.start(s.servers[name])
 	}
@@ -176,3 +177,47 @@
 }
 
 func (d *Restored) lastIndex() uint64 { return d.Snapshot.Index + uint64(len(d.Entries)) }
+
+// A server that is away for long, another one that loses its disk meanwhile and is put
+// in its place again, and then as many lost disks as tolerated: the one that was away
+// is needed, and must still count.
+func TestVoterThatIsAwayIsKeptWhileDisksMayBeLost(t *testing.T) {
+	s := newSim(t, 5, 7)
+	s.open, s.minVoters = true, 5
+	for _, v := range s.all() {
+		s.start(v)
+	}
+	s.requireSettled(t)
+	leader := s.leader()
+	away, wiped := s.others(leader)[0], s.others(leader)[1]
+	s.isolate(away.id.Name)
+	s.rounds(2 * simRetireTicks)
+	s.wipe(wiped)
+	s.rounds(4 * simRetireTicks)
+	require.Contains(t, s.voters(), wiped.id.Name, "it is a voter again")
+	s.write(t, "accepted")
+
+	lost := []*simServer{s.leader()}
+	for _, v := range s.others(s.leader()) {
+		if v != away && v != wiped && len(lost) < 2 {
+			lost = append(lost, v)
+		}
+	}
+	for _, v := range s.all() {
+		s.crash(v)
+	}
+	s.pool = nil
+	clear(s.cut)
+	for _, v := range lost {
+		s.wipe(v)
+	}
+	for _, v := range s.all() {
+		if v.core == nil {
+			s.start(v)
+		}
+	}
+	s.requireSettled(t)
+	for _, v := range s.all() {
+		require.Equal(t, "accepted", v.state["k"])
+	}
+}
--- a/internal/consensus/reconfigure.go
+++ b/internal/consensus/reconfigure.go
@@ -115,7 +115,9 @@
 
 // retireLost removes a member that was not heard for RetireTicks: a learner, or
 // a voter whose removal lowers the quorum. That is so for an even number of
-// voters only; in an odd one a lost voter costs the others nothing.
+// voters only; in an odd one a lost voter costs the others nothing. A voter that
+// MinVoters needs is kept: it is most likely away with its disk, and where others
+// lose theirs later, its vote is what brings a majority about.
 func (c *Core) retireLost() {
 	if c.cfg.RetireTicks <= 0 {
 		return
@@ -124,12 +126,13 @@
 	if changedAt > c.log.commit || !c.committedInTerm() {
 		return
 	}
-	even := len(members.Voters())%2 == 0
+	voters := len(members.Voters())
+	spare := voters%2 == 0 && voters > c.cfg.MinVoters
 	for _, member := range members {
 		if member.ID == c.id || !c.unheardFor(member.ID, uint64(c.cfg.RetireTicks)) {
 			continue
 		}
-		if member.Learner || even {
+		if member.Learner || spare {
 			_, _, _ = c.proposeMembership(members.without(member.ID.Name))
 			return
 		}
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -75,10 +75,12 @@
 	reckless bool
 	// open clusters admit servers that ask to join and retire lost ones; servers
 	// with another disk than at the first start do not found.
-	open    bool
-	round   int
-	clock   int64
-	nextInc uint64
+	open bool
+	// minVoters are kept in open clusters though they are not heard.
+	minVoters int
+	round     int
+	clock     int64
+	nextInc   uint64
 	// lostDisk: a disk was wiped or damaged at some time.
 	lostDisk bool
 	clients  *clients
@@ -132,7 +134,7 @@
 	v.core = New(Config{
 		ID: v.id, Addr: v.id.Name, Peers: s.peers, ElectionTicks: simElectionTicks, HeartbeatTicks: simHeartbeatTicks,
 		KeepEntries: 2, Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)),
-		AdmitNewcomers: s.open, RetireTicks: s.retireTicks(), JoinOnly: s.open && v.wiped,
+		AdmitNewcomers: s.open, RetireTicks: s.retireTicks(), MinVoters: s.minVoters, JoinOnly: s.open && v.wiped,
 	}, disk)
 	v.frozen, v.crashAt = false, crashNow
 	v.proxied, v.reads, v.waiting = map[uint64]*clientOp{}, map[uint64]*clientOp{}, nil
--- a/internal/fleetdaemon/control.go
+++ b/internal/fleetdaemon/control.go
@@ -118,7 +118,7 @@
 		Name: c.Member, Addr: cfg.RPCAddr, Dir: c.DataFolder,
 		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		SnapshotEntries: snapshotEntries, JoinOnly: !found, AdmitNewcomers: true,
-		RetireAfter: retireAfter, RetryDisk: true, Logger: cfg.Logger,
+		RetireAfter: retireAfter, LostDisks: c.LostDisks, RetryDisk: true, Logger: cfg.Logger,
 	}
 	for name, addr := range c.Peers() {
 		r.Peers = append(r.Peers, replica.Member{Name: name, Addr: addr})
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -75,6 +75,8 @@
 	DataFolder    string
 	// FirstStart allows to found the cluster.
 	FirstStart bool
+	// LostDisks is how many control servers may lose their disks at once.
+	LostDisks int
 	// Member names this server in the log; Peers are the founders by name.
 	Member string
 	Peers  func() map[string]string
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -53,6 +53,9 @@
 	// RetireAfter is after how long without a word the leader removes a member
 	// that makes the number of voters even; 0 is never.
 	RetireAfter time.Duration
+	// LostDisks is how many members may lose their disks at once. The leader keeps
+	// more than twice as many voters, though some are not heard.
+	LostDisks int
 	// RetryDisk keeps the node waiting for a disk that refuses writes, where it
 	// else stops: it answers nobody meanwhile, and the others elect a leader.
 	RetryDisk bool
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -97,7 +97,7 @@
 		ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks,
 		KeepEntries: uint64(cfg.SnapshotEntries / 4), Rand: random,
 		JoinOnly: cfg.JoinOnly, AdmitNewcomers: cfg.AdmitNewcomers,
-		RetireTicks: int(cfg.RetireAfter / cfg.TickInterval),
+		RetireTicks: int(cfg.RetireAfter / cfg.TickInterval), MinVoters: 2*cfg.LostDisks + 1,
 	}, recovered.State)
 	n.metrics.cutTailBytes.Add(float64(recovered.CutBytes))
 	n.publish()
