A connection between control servers is renewed with its peer's

Cause: a connection may go silent for good, without a reset, while new ones work. Messages take one connection in each direction, and one was given up only when its peer wasn't heard for 1.5 s. Where the one to a follower is silent, the follower misses its leader, asks for votes over its own connection again and again, is so heard, and is never reached: until its requests happened to come 1.5 s apart, or TCP gave up after minutes.

Ruled out: to measure replies only (a heartbeat's reply, an append's): the direction of replies may be the silent one; an answer on each stream (another message on the wire).

Change: a server that hears nothing opens its own connection anew, as before; a peer that sees a connection begin well after its own one began opens its own one anew, too. The message that shows a connection to be stale goes over the next one instead of being dropped. Times are of a clock that steps of the time of day don't change.

TestConnectionIsRenewedWithThePeers fails with the rule out.

--- a/internal/replica/cut_test.go
+++ b/internal/replica/cut_test.go
@@ -119,3 +119,66 @@
 	relays[old.cfg.Name].heal()
 	c.requireList("one", "two")
 }
+
+// relayed starts a cluster whose members reach each other over relays.
+func relayed(t *testing.T) (*cluster, map[string]*relay) {
+	c := &cluster{t: t, servers: map[string]*server{}}
+	relays := map[string]*relay{}
+	listen := map[string]string{}
+	for _, name := range []string{"c0", "c1", "c2"} {
+		listen[name] = reserveAddr(t)
+		relays[name] = newRelay(t, listen[name])
+		c.peers = append(c.peers, Member{Name: name, Addr: relays[name].lis.Addr().String()})
+	}
+	for _, p := range c.peers {
+		c.addAt(p, listen[p.Name], nil)
+	}
+	return c, relays
+}
+
+// silence makes all connections to a server silent for good, while new ones work.
+func (r *relay) silence() {
+	r.cut()
+	r.heal()
+}
+
+// Connections to one server go silent for good, without a reset, and those from it
+// go on: it is heard, so nothing but its own renewed connections tells the others.
+func TestConnectionsToAServerGoSilentForGood(t *testing.T) {
+	for _, deaf := range []string{"leader", "follower"} {
+		c, relays := relayed(t)
+		c.propose("one")
+		c.requireList("one")
+		leader := c.leader()
+		for name := range c.servers {
+			if (name == leader.cfg.Name) == (deaf == "leader") {
+				relays[name].silence()
+				break
+			}
+		}
+		c.propose("two")
+		c.requireList("one", "two")
+	}
+}
+
+// The same with a majority that needs each of its connections.
+func TestSilentConnectionsOfTheLastMajority(t *testing.T) {
+	c, relays := relayed(t)
+	c.propose("one")
+	c.requireList("one")
+	leader := c.leader()
+	for name, s := range c.servers {
+		if s != leader {
+			s.kill()
+			delete(c.servers, name)
+			break
+		}
+	}
+	for name := range c.servers {
+		if name != leader.cfg.Name {
+			relays[name].silence()
+		}
+	}
+	c.propose("two")
+	c.requireList("one", "two")
+}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -45,10 +45,22 @@
 	names map[string]string
 	ids   map[consensus.ServerID]string
 
-	// heard holds, by server name, when a message last arrived (Unix nanoseconds).
-	heard sync.Map
+	// signs holds what arrives from each server, by its name.
+	signs sync.Map
+	// started is where clock begins.
+	started time.Time
 }
 
+// signs are the signs of life of one server, as times of transport.clock.
+type signs struct {
+	// heard is when a message last arrived, opened when a connection last began.
+	heard, opened atomic.Int64
+}
+
+// clock returns the time since the start in nanoseconds; steps of the time of day do
+// not change it.
+func (t *transport) clock() int64 { return int64(time.Since(t.started)) }
+
 type peer struct {
 	addr     string
 	queue    chan consensus.Message
@@ -62,7 +74,7 @@
 		ctx: ctx, cancel: cancel, metrics: m, staleAfter: staleAfter,
 		peers: map[consensus.ServerID]*peer{},
 		names: map[string]string{},
-		ids:   map[consensus.ServerID]string{},
+		ids:   map[consensus.ServerID]string{}, started: time.Now(),
 	}
 	for _, member := range members {
 		t.names[member.Name] = member.Addr
@@ -116,11 +128,11 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	p := &peer{addr: addr, queue: make(chan consensus.Message, peerQueue), cancel: cancel}
 	t.peers[id] = p
-	heard := t.heardBy(id.Name)
+	signs := t.signsOf(id.Name)
 	t.done.Add(1)
 	go func() {
 		defer t.done.Done()
-		t.runPeer(ctx, p.queue, addr, heard)
+		t.runPeer(ctx, p.queue, addr, signs)
 	}()
 	return p
 }
@@ -135,27 +147,32 @@
 	}
 }
 
-// heardBy returns the cell that holds when a server was last heard.
-func (t *transport) heardBy(name string) *atomic.Int64 {
-	cell, _ := t.heard.LoadOrStore(name, new(atomic.Int64))
-	return cell.(*atomic.Int64)
+// signsOf returns the signs of life of a server.
+func (t *transport) signsOf(name string) *signs {
+	s, _ := t.signs.LoadOrStore(name, new(signs))
+	return s.(*signs)
 }
 
 // runPeer connects, sends what is queued, and connects again after an error.
-func (t *transport) runPeer(ctx context.Context, queue <-chan consensus.Message, addr string, heard *atomic.Int64) {
+func (t *transport) runPeer(ctx context.Context, queue <-chan consensus.Message, addr string, signs *signs) {
 	failed := 0
+	var unsent *consensus.Message
 	for ctx.Err() == nil {
 		var first consensus.Message
-		select {
-		case first = <-queue:
-		case <-ctx.Done():
-			return
+		if unsent != nil {
+			first, unsent = *unsent, nil
+		} else {
+			select {
+			case first = <-queue:
+			case <-ctx.Done():
+				return
+			}
 		}
 		conn, err := t.dial(ctx, addr, rpcconn.RedialTimeout(failed))
 		failed++
 		if err == nil {
 			failed = 0
-			err = t.stream(ctx, conn, first, queue, heard)
+			unsent, err = t.stream(ctx, conn, first, queue, signs)
 		}
 		if err == nil {
 			continue
@@ -178,32 +195,36 @@
 }
 
 // stream sends messages over one connection until it fails or goes stale, and closes
-// it.
-func (t *transport) stream(ctx context.Context, conn *rpcconn.Conn, m consensus.Message, queue <-chan consensus.Message, heard *atomic.Int64) error {
+// it. A connection may go silent for good while the one in the other direction, over
+// which the peer is heard, goes on: it is the peer that misses what is sent then, and
+// opens its own connection anew. That is a sign to do the same here. The message that
+// was to be sent over a stale connection is returned.
+func (t *transport) stream(ctx context.Context, conn *rpcconn.Conn, m consensus.Message, queue <-chan consensus.Message, signs *signs) (unsent *consensus.Message, err error) {
 	defer conn.Close()
 	client, err := rpc.NewDRPCReplicationClient(conn).Messages(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	trusted := time.Now()
+	began := t.clock()
+	trusted := began
 	for {
 		if err := t.sendOne(client, m); err != nil {
-			return err
+			return nil, err
 		}
 		if m.Snapshot != nil {
-			trusted = time.Now() // the peer had nothing to answer meanwhile
+			trusted = t.clock() // the peer had nothing to answer meanwhile
 		}
 		select {
 		case m = <-queue:
 		case <-conn.Closed():
-			return nil
+			return nil, nil
 		case <-ctx.Done():
-			return nil
+			return nil, nil
 		}
-		lastHeard := max(trusted.UnixNano(), heard.Load())
-		if time.Now().UnixNano()-lastHeard > int64(t.staleAfter) {
-			t.metrics.dropped.Inc()
-			return nil
+		silent := t.clock()-max(trusted, signs.heard.Load()) > int64(t.staleAfter)
+		reopened := signs.opened.Load()-began > int64(t.staleAfter)
+		if silent || reopened {
+			return &m, nil
 		}
 	}
 }
@@ -247,6 +268,7 @@
 // Messages takes one peer's messages in.
 func (r *receiver) Messages(stream rpc.DRPCReplication_MessagesStream) error {
 	var d decoder
+	opened := false
 	for {
 		in, err := stream.Recv()
 		if err != nil {
@@ -256,7 +278,12 @@
 		if err != nil {
 			return err
 		}
-		r.node.transport.heardBy(in.GetFrom().GetName()).Store(time.Now().UnixNano())
+		now, signs := r.node.transport.clock(), r.node.transport.signsOf(in.GetFrom().GetName())
+		signs.heard.Store(now)
+		if !opened {
+			opened = true
+			signs.opened.Store(now)
+		}
 		if !whole {
 			continue
 		}
--- /dev/null
+++ b/internal/replica/transport_test.go
@@ -0,0 +1,84 @@
+package replica
+
+import (
+	"context"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"lynxgate.dev/lynxgate/internal/consensus"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// arrival is one message, with the number of the connection that it came over.
+type arrival struct {
+	conn int
+	term uint64
+}
+
+// sink takes messages in. One connection is open at a time.
+type sink struct {
+	conns    int
+	arrivals chan arrival
+}
+
+func (s *sink) Messages(stream rpc.DRPCReplication_MessagesStream) error {
+	s.conns++
+	conn := s.conns
+	for {
+		in, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		s.arrivals <- arrival{conn: conn, term: in.Term}
+	}
+}
+
+// A connection is opened anew, and nothing is lost with it, once its peer has opened
+// its own one anew though it is heard all the time: it may miss all that is sent.
+func TestConnectionIsRenewedWithThePeers(t *testing.T) {
+	const staleAfter = 50 * time.Millisecond
+	received := &sink{arrivals: make(chan arrival, 16)}
+	mux := drpcmux.New()
+	require.NoError(t, rpc.DRPCRegisterReplication(mux, received))
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- drpcserver.New(mux).Serve(ctx, lis) }()
+	defer func() {
+		cancel()
+		<-served
+	}()
+
+	transport := newTransport([]Member{{Name: "peer", Addr: lis.Addr().String()}}, staleAfter, newMetrics())
+	defer transport.close()
+	signs := transport.signsOf("peer")
+	signs.heard.Store(math.MaxInt64) // always
+	send := func(term uint64) arrival {
+		transport.send(consensus.Message{Kind: consensus.KindHeartbeat, To: consensus.ServerID{Name: "peer"}, Term: term}, time.Now())
+		select {
+		case a := <-received.arrivals:
+			return a
+		case <-time.After(waitLimit):
+			t.Fatal("nothing arrived")
+		}
+		return arrival{}
+	}
+
+	signs.opened.Store(transport.clock()) // before: both have just begun
+	require.Equal(t, arrival{conn: 1, term: 1}, send(1))
+	require.Equal(t, arrival{conn: 1, term: 2}, send(2))
+	signs.opened.Store(transport.clock() + int64(2*staleAfter))
+	require.Equal(t, arrival{conn: 2, term: 3}, send(3))
+	signs.opened.Store(0)
+	require.Equal(t, arrival{conn: 2, term: 4}, send(4))
+	signs.heard.Store(transport.clock() - int64(2*staleAfter))
+	time.Sleep(2 * staleAfter) // a new connection is trusted for as long
+	require.Equal(t, arrival{conn: 3, term: 5}, send(5))
+}
