--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -64,7 +64,6 @@
 	node   *replica.Node
 	ledger *ledger.Ledger
 	hub    *hub
-	pool   *rpcconn.Pool
 	peers  *follow.Client
 }
 
@@ -75,7 +74,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start replicated log: %w", err)
 	}
-	s := &Server{cfg: cfg, node: node, ledger: l, pool: rpcconn.NewPool()}
+	s := &Server{cfg: cfg, node: node, ledger: l}
 	s.hub = newHub(l, s.controlAddrs, cfg.AnnounceInterval, cfg.Logger)
 	s.peers = follow.New(follow.Config{
 		Name: cfg.Name, Role: RoleControl, Self: cfg.Addr, Seeds: s.peerAddrs,
@@ -111,7 +110,7 @@
 
 // Stop hands leadership over and stops the log.
 func (s *Server) Stop(ctx context.Context) error {
-	return errors.Join(s.node.Stop(ctx), s.pool.Close())
+	return s.node.Stop(ctx)
 }
 
 // Status is the state of the replicated log here.
@@ -227,9 +226,21 @@
 	if !errors.As(err, &notLeader) || notLeader.Leader == "" || notLeader.Leader == s.cfg.Addr {
 		return err
 	}
-	resp, err := rpc.NewDRPCFleetClient(s.pool.Get(ctx, notLeader.Leader)).Submit(ctx, &rpc.SubmitRequest{Command: data})
+	return submitTo(ctx, notLeader.Leader, data)
+}
+
+// submitTo hands a command to the leader over a connection of its own: changes are few,
+// and a kept connection may have gone silent, which would cost each change that took it
+// its whole time.
+func submitTo(ctx context.Context, leader string, data []byte) error {
+	conn, err := rpcconn.Dial(ctx, leader)
+	if err != nil {
+		return fmt.Errorf("submit to leader: %w", err)
+	}
+	defer conn.Close()
+	resp, err := rpc.NewDRPCFleetClient(conn).Submit(ctx, &rpc.SubmitRequest{Command: data})
 	if err != nil {
-		return fmt.Errorf("submit to leader %s: %w", notLeader.Leader, err)
+		return fmt.Errorf("submit to leader %s: %w", leader, err)
 	}
 	switch resp.Status {
 	case rpc.Status_STATUS_OK:
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -186,8 +186,7 @@
 }
 
 func (t *transport) dial(ctx context.Context, addr string, timeout time.Duration) (*rpcconn.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout}
-	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	raw, err := rpcconn.DialTCP(ctx, addr, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -128,12 +128,22 @@
 
 // Dial opens a connection of its own to addr ("ip:port").
 func Dial(ctx context.Context, addr string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: DialTimeout}
+	conn, err := DialTCP(ctx, addr, DialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(conn), nil
+}
+
+// DialTCP opens a TCP connection to addr for NewConn. Errors are of type *DialError.
+func DialTCP(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, &DialError{Addr: addr, Err: err}
 	}
-	return NewConn(conn), nil
+	boundUnacked(conn)
+	return conn, nil
 }
 
 // Serve answers calls registered on mux until ctx is done.
--- a/internal/rpcconn/traffic.go
+++ b/internal/rpcconn/traffic.go
@@ -36,12 +36,16 @@
 		Name: "lynxgate_rpc_connections",
 		Help: "Open connections between daemons, by this end's side.",
 	}, []string{"side"})
+	unbounded = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "lynxgate_rpc_unbounded_connections_total",
+		Help: "Connections between daemons that the system did not let bound what is unacknowledged.",
+	})
 )
 
 // Collectors returns the counters of this process's traffic. Daemons that
 // share a process share them.
 func Collectors() []prometheus.Collector {
-	return []prometheus.Collector{bytesTotal, messagesTotal, connections}
+	return []prometheus.Collector{bytesTotal, messagesTotal, connections, unbounded}
 }
 
 // meter holds the counters of one service and side.
@@ -136,6 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
+	boundUnacked(conn)
 	return newCountedConn(conn, sideServer), nil
 }
 
