A peer that tells nothing for 2.5 s is asked anew what it holds

Cause: an agent that fetches weights listens to what its peers hold; the listening end sends nothing, so that a connection that goes silent for good was noticed by nobody until the whole try to complete a version ended after 8 s, which is the bound on a version.

Ruled out: keep-alive probes on all kept connections between agents (bytes between zones are dear, and most connections are idle).

Change: as above, over another connection; a peer that holds all is listened to no more.

--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -70,6 +71,9 @@
 	originPause = 300 * time.Millisecond
 	// fetchTick is how often fetches are started without an event.
 	fetchTick = 25 * time.Millisecond
+	// heldSilence is after how long without news a peer is asked anew what it holds: as
+	// long as for one piece.
+	heldSilence = pieceTimeout
 	// digestTimeout bounds the question for digests to one peer, digestPeers is how
 	// many are asked in a round, digestPatience how long an agent asks for each one
 	// before it in the order of those that ask the origin.
@@ -323,21 +327,12 @@
 	}
 }
 
-// listen follows what a peer holds.
+// listen follows what a peer holds until it holds all.
 func (f *fetcher) listen(ctx context.Context, peer string) {
-	for ctx.Err() == nil {
-		stream, err := rpc.NewDRPCPiecesClient(f.s.pool.Get(ctx, peer)).Held(ctx, &rpc.HeldRequest{Model: f.g.model, Version: f.g.version})
-		for err == nil {
-			var u *rpc.HeldUpdate
-			u, err = stream.Recv()
-			if err != nil {
-				break
-			}
-			select {
-			case f.told <- heldBy{peer: peer, pieces: u.Added}:
-			case <-ctx.Done():
-				return
-			}
+	known := map[uint32]bool{}
+	for ctx.Err() == nil && len(known) < f.g.engine.Pieces {
+		if f.listenOnce(ctx, peer, known) {
+			continue
 		}
 		select {
 		case <-time.After(badPause):
@@ -345,3 +340,34 @@
 		}
 	}
 }
+
+// listenOnce follows until the stream ends or nothing was told for heldSilence, and
+// tells whether it was the latter: the peer may have nothing to tell, or the connection
+// may have gone silent, and another one is tried.
+func (f *fetcher) listenOnce(ctx context.Context, peer string, known map[uint32]bool) (silent bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var ended atomic.Bool
+	watchdog := time.AfterFunc(heldSilence, func() {
+		ended.Store(true)
+		cancel()
+	})
+	defer watchdog.Stop()
+	stream, err := rpc.NewDRPCPiecesClient(f.s.pool.Get(ctx, peer)).Held(ctx, &rpc.HeldRequest{Model: f.g.model, Version: f.g.version})
+	for err == nil && len(known) < f.g.engine.Pieces {
+		var u *rpc.HeldUpdate
+		u, err = stream.Recv()
+		if err != nil {
+			break
+		}
+		watchdog.Reset(heldSilence)
+		for _, piece := range u.Added {
+			known[piece] = true
+		}
+		select {
+		case f.told <- heldBy{peer: peer, pieces: u.Added}:
+		case <-ctx.Done():
+		}
+	}
+	return ended.Load()
+}
