--- a/internal/rpcconn/socket_test.go
+++ b/internal/rpcconn/socket_test.go
@@ -3,21 +3,19 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/unacked"
 )
 
-func unackedBound(t *testing.T, conn net.Conn) (ms int) {
-	raw, err := conn.(syscall.Conn).SyscallConn()
-	require.NoError(t, err)
-	require.NoError(t, raw.Control(func(fd uintptr) {
-		ms, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
-	}))
+func unackedBound(t *testing.T, conn net.Conn) time.Duration {
+	bound, err := unacked.Of(conn)
 	require.NoError(t, err)
-	return ms
+	return bound
 }
 
 // Both ends notice a connection that went silent.
@@ -32,11 +30,11 @@
 	accepted, err := lis.Accept()
 	require.NoError(t, err)
 	defer accepted.Close()
-	assert.EqualValues(t, 3000, unackedBound(t, dialled.transport.Conn))
-	assert.EqualValues(t, 3000, unackedBound(t, accepted.(*countedConn).Conn))
+	assert.Equal(t, unackedTimeout, unackedBound(t, dialled.transport.Conn))
+	assert.Equal(t, unackedTimeout, unackedBound(t, accepted.(*countedConn).Conn))
 
 	raw, err := DialTCP(context.Background(), lis.Addr().String(), DialTimeout)
 	require.NoError(t, err)
 	defer raw.Close()
-	assert.EqualValues(t, 3000, unackedBound(t, raw))
+	assert.Equal(t, unackedTimeout, unackedBound(t, raw))
 }
