A connection to a backend server on which a request is not acknowledged ends after 1.5 s

Cause: what is sent over a kept connection that went silent waits for the request's deadline; so does the next request, over the next one of these connections.

Ruled out: sending the request again (it may have run, if the acknowledgement was lost); closing idle connections whenever a caller leaves or a deadline passes (a slow server is no silent connection, and new connections are paid for); keep-alive probes (nothing is idle while a request is unacknowledged).

Change: TCP_USER_TIMEOUT of 1.5 s on each connection. A send that fails by it is lost, as after a reset: idempotent ones go on elsewhere while their callers still wait, others end. The idle connections of that server are closed then, since they may be silent, too. Connections used last are taken first already, and none is kept idle for over 4 s.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/unacked"
 )
 
 const (
@@ -37,6 +39,11 @@
 	// maxDiscard bounds an answer that is passed over, in bytes.
 	maxDiscard = 1 << 20
 	readBuffer = 4 << 10
+	// unackedTimeout is for how long a request may be without an acknowledgement of the
+	// server's kernel: the connection has gone silent, or the server is cut off. Callers
+	// wait for the first event of a stream for 1.6 s at least; a link that is full
+	// holds a packet for half a second.
+	unackedTimeout = 1500 * time.Millisecond
 )
 
 // Errors of a send. Only after ErrNotSent is it certain that nothing was sent.
@@ -78,17 +85,29 @@
 // SetMax bounds the connections that may be open.
 func (p *Pool) SetMax(n int) { p.max.Store(int64(n)) }
 
-// Close closes idle connections; those in use are closed when they come back.
-func (p *Pool) Close() {
+// CloseIdle closes idle connections: one to the server has gone silent for good, and
+// others that were open at the same time may have, too.
+func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = true
+	p.dropIdle()
+}
+
+func (p *Pool) dropIdle() {
 	for _, c := range p.idle {
 		p.drop(c)
 	}
 	p.idle = nil
 }
 
+// Close closes idle connections; those in use are closed when they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.dropIdle()
+}
+
 func (p *Pool) drop(c *conn) {
 	p.open.Add(-1)
 	_ = c.Close()
@@ -110,6 +129,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.Dialled.Add(1)
+	// Where the system does not know the option, the deadline of each send is left.
+	_ = unacked.Bound(nc, unackedTimeout)
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idleLimit: maxIdle}, nil
 }
 
@@ -212,6 +233,9 @@
 		stop()
 		p.mu.Lock()
 		p.drop(c)
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			p.dropIdle()
+		}
 		p.mu.Unlock()
 		return nil, err
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/unacked"
 )
 
 const idHeader = "X-Id"
@@ -158,6 +161,39 @@
 	assert.EqualValues(t, 0, p.open.Load())
 }
 
+// silentConn is a connection on which what is sent is never acknowledged.
+type silentConn struct{ *net.TCPConn }
+
+func (silentConn) Read([]byte) (int, error) { return 0, syscall.ETIMEDOUT }
+
+func TestIdleConnectionsAreDroppedOnceOneWasSilent(t *testing.T) {
+	p := NewPool(script(t, false, whole("a", "aaaa"), whole("b", "bbbb")))
+	answers := make([]*Answer, 3)
+	for i := range answers {
+		a, err := p.Send(context.Background(), &Request{Method: "GET", Bytes: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), IDHeader: idHeader, ID: "a"}, time.Now().Add(time.Minute))
+		require.NoError(t, err)
+		_, err = io.ReadAll(a)
+		require.NoError(t, err)
+		answers[i] = a
+	}
+	for _, a := range answers {
+		a.Close()
+	}
+	require.Len(t, p.idle, 3)
+	last := p.idle[2]
+	bound, err := unacked.Of(last.Conn)
+	require.NoError(t, err)
+	assert.Equal(t, unackedTimeout, bound)
+	last.Conn = silentConn{last.Conn.(*net.TCPConn)}
+	last.br.Reset(last.Conn)
+	_, _, err = send(p, "b")
+	assert.ErrorIs(t, err, ErrLost)
+	assert.Empty(t, p.idle)
+	assert.Zero(t, p.open.Load())
+	_, _, err = send(p, "a")
+	assert.NoError(t, err, "over a new connection")
+}
+
 func TestKeepAliveOfTheServerIsKept(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nKeep-Alive: timeout=1\r\nContent-Length: 4\r\n\r\naaaa"
 	p := NewPool(script(t, false, text, text))
