--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -41,7 +41,7 @@
 	readBuffer = 4 << 10
 	// unackedTimeout is for how long a request may be without an acknowledgement of the
 	// server's kernel: the connection has gone silent, or the server is cut off. Callers
-	// wait for the first event of a stream for 1.6 s at least; a link that is full
+	// wait for the first event of a stream for 2 s at least; a link that is full
 	// holds a packet for half a second.
 	unackedTimeout = 1500 * time.Millisecond
 )
