--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -47,12 +47,13 @@
 type Room struct {
 	// Known servers of the service, and those that fit but are too full.
 	Known, Fit int
-	// Tried were sent this request before; Aside failed lately or are silent in the
-	// directory; Busy refused a moment ago; Loading take nothing new; Empty hold no
-	// weights, Old hold a version that is over, Other one that the request can't use.
+	// Tried were sent this request before; Aside failed lately, are silent in the
+	// directory or have another's address; Busy refused a moment ago; Loading take
+	// nothing new; Empty hold no weights, Old hold a version that is over, Other one that the request can't use.
 	Tried, Aside, Busy, Loading, Empty, Old, Other int
-	// Later are those set aside or busy that else fit: they may take it in a while.
-	Later int
+	// Later are those set aside or busy that else fit: they may take it in a while. They
+	// are counted above, too, and not logged.
+	Later int `json:"-"`
 }
 
 // Pick chooses the server with the lowest predicted wait, load and cost, and counts
@@ -169,7 +170,7 @@
 	}
 	version, why := b.usableVersion(now, s, w, room)
 	switch {
-	case s.retired || now.Sub(s.seenAt) > lostAfter:
+	case s.retired || s.replaced() || now.Sub(s.seenAt) > lostAfter:
 		room.Aside++
 	case now.Before(s.health.asideUntil), s.health.probing && s.inFlight > 0:
 		room.Aside++
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/unacked"
 )
 
 const (
@@ -37,6 +39,11 @@
 	// maxDiscard bounds an answer that is passed over, in bytes.
 	maxDiscard = 1 << 20
 	readBuffer = 4 << 10
+	// unackedTimeout is for how long a request may be without an acknowledgement of the
+	// server's kernel: the connection has gone silent, or the server is cut off. Callers
+	// wait for the first event of a stream for 2 s at least; a link that is full
+	// holds a packet for half a second.
+	unackedTimeout = 1500 * time.Millisecond
 )
 
 // Errors of a send. Only after ErrNotSent is it certain that nothing was sent.
@@ -125,6 +132,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.Dialled.Add(1)
+	// Where the system does not know the option, the deadline of each send is left.
+	_ = unacked.Bound(nc, unackedTimeout)
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idleLimit: maxIdle}, nil
 }
 
@@ -227,6 +236,9 @@
 		stop()
 		p.mu.Lock()
 		p.drop(c)
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			p.dropIdle()
+		}
 		p.mu.Unlock()
 		return nil, err
 	}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -44,10 +44,13 @@
 	Decode func(document []byte) (*fleet.Config, error)
 	// VersionBound is how long a version may take to be in use everywhere.
 	VersionBound time.Duration
-	Entry        *EntryConfig
-	Control      *ControlConfig
-	Agent        *AgentConfig
-	Logger       zerolog.Logger
+	// AnnounceInterval is the time between two announcements of a backend server, 0
+	// if it isn't known.
+	AnnounceInterval time.Duration
+	Entry            *EntryConfig
+	Control          *ControlConfig
+	Agent            *AgentConfig
+	Logger           zerolog.Logger
 	// DroppedLines returns how many log lines were dropped.
 	DroppedLines func() int64
 }
@@ -72,6 +75,8 @@
 	DataFolder    string
 	// FirstStart allows to found the cluster.
 	FirstStart bool
+	// LostDisks is how many control servers may lose their disks at once.
+	LostDisks int
 	// Member names this server in the log; Peers are the founders by name.
 	Member string
 	Peers  func() map[string]string
