The rest of a stream waits for servers that load its version

Ruled out: waiting for any loading server; those past the version never take it. Conclusion: in the first half of a roll, streams on the new version had nowhere to wait for.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -49,10 +49,12 @@
 	Known, Fit int
 	// Tried were sent this request before; Aside failed lately, are silent in the
 	// directory or have another's address; Busy refused a moment ago; Loading take
-	// nothing new; Empty hold no weights, Old hold a version that is over, Other one that the request can't use.
+	// nothing new; Empty hold no weights, Old hold a version that is over, Other one that
+	// the request can't use.
 	Tried, Aside, Busy, Loading, Empty, Old, Other int
-	// Later are those set aside or busy that else fit: they may take it in a while. They
-	// are counted above, too, and not logged.
+	// Later are those that may take it in a while: set aside or busy ones that else fit,
+	// and those that have the version of a begun request still to load. They are counted
+	// above, too, and not logged.
 	Later int `json:"-"`
 }
 
@@ -180,6 +182,7 @@
 		room.laterIf(why == nil)
 	case why != nil:
 		*why++
+		room.laterIf(w.Version != 0 && s.holds(now, w.Model) < w.Version)
 	default:
 		return version, true
 	}
