No handover begins once a stream's end was passed on, nor goes on with less than the first server wrote

Ruled out: the other order; a handover that was taken before makes endEvents give way. Before and after: no test from outside reaches the window; go test ./internal/gateway ./internal/balance passes. Conclusion: the end is noted under the lock under which the last events are passed on.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -194,7 +194,10 @@
 	}
 	c.passing.Lock()
 	defer c.passing.Unlock()
-	if h.calledOff || !limit.Stop() {
+	// A server that has nothing left to write can't go on where the first one has written
+	// more meanwhile.
+	behind := len(read) == 0 && len(c.held) > 0
+	if h.calledOff || behind || !limit.Stop() {
 		answer.Close()
 		c.dropHandover(w, h, balance.EndedElse, context.Canceled)
 		return
@@ -305,9 +308,10 @@
 }
 
 // endEvents ends a stream that its server has written to its end.
-func (c *call) endEvents(a *dispatch.Answer) error {
+func (c *call) endEvents(w *watchdog, a *dispatch.Answer) error {
 	c.passing.Lock()
 	defer c.passing.Unlock()
+	w.ended = true // nothing is handed over of what has ended
 	if h := c.handover; h != nil && !h.calledOff {
 		if h.answer != nil {
 			return errHandedOver
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,7 +111,7 @@
 		case readErr == io.EOF && len(buf) > 0:
 			return io.ErrUnexpectedEOF // in the middle of an event
 		case readErr == io.EOF:
-			return c.endEvents(a)
+			return c.endEvents(watch, a)
 		case readErr != nil:
 			return readErr
 		}
