A request that an asked server may have run is not said to be not run

Cause: a server that was asked beside the first one and was given up without an answer did not count as one that may have run the request; when the first one then refused, the caller got 503. Ruled out: requests that must not be repeated: no other server is asked for them. Before: TestRequestThatAnotherServerMayHaveRunIsNotSaidToBeNotRun got 503.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -282,7 +282,9 @@
 	}
 	if h.began {
 		c.runs++
-		c.mayHaveRun = true
+	}
+	if !errors.Is(err, dispatch.ErrNotSent) && !errors.Is(err, errRefused) {
+		c.mayHaveRun = true // whatever we have heard of it
 	}
 	h.next.cancel()
 	c.g.balancer.Done(&h.choice, time.Now(), ending)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -373,3 +373,17 @@
 	assert.Equal(t, silenceCheck, nextCheck(5*time.Second, true))
 	assert.Equal(t, 50*time.Millisecond, nextCheck(overGuard+50*time.Millisecond, true))
 }
+
+func TestRequestThatAnotherServerMayHaveRunIsNotSaidToBeNotRun(t *testing.T) {
+	refuses := newBackend(t, "b-refuses", late(500*time.Millisecond, notRun))
+	hangs := newBackend(t, "b-hangs", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // only then a closed connection is noticed
+		<-r.Context().Done()
+	})
+	e := newEntry(t, refuses, hangs)
+	a := e.ask(t, http.MethodPost, "/safe/x")
+	require.NoError(t, a.err)
+	require.Len(t, hangs.requests(), 1, "asked after twice the objective")
+	assert.Equal(t, http.StatusBadGateway, a.status, "the second one may have run it")
+	e.assertNothingInFlight(t)
+}
