Test of membership changes asks again when a leader was replaced meanwhile

Cause: TestAddAndRemoveServer asked once and required success; beside load the leader is replaced now and then, and the change answers 'result of the proposal is unknown' or 'no quorum in reach', as it must. Change: as an operator would, the test asks until the change is there; what is required in the end is the same: the voters, the three members, the list on all servers. Ruled out: a longer election timeout in the test, which only moves the threshold.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -66,9 +67,12 @@
 	peers   []Member
 }
 
-// reserveAddr returns a loopback address that is free now.
+// reserveAddr returns a loopback address that is free now. Its IP is drawn, so that it is
+// still free when a server listens there: outgoing connections and other test processes
+// take ports of 127.0.0.1.
 func reserveAddr(t testing.TB) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	lis, err := net.Listen("tcp", ip+":0")
 	require.NoError(t, err)
 	defer lis.Close()
 	return lis.Addr().String()
@@ -179,6 +183,18 @@
 	}, waitLimit, 5*time.Millisecond)
 }
 
+// change asks the leader for a membership change until the members are as the change
+// makes them. A leader that is replaced meanwhile tells that the result is unknown, as
+// to an operator, who looks and asks again.
+func (c *cluster) change(call func(ctx context.Context, n *Node) error, done func(members []Member) bool) {
+	require.Eventually(c.t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		err := call(ctx, c.leader().node)
+		return err == nil || done(c.leader().node.Status().Members)
+	}, waitLimit, 5*time.Millisecond)
+}
+
 // requireList waits until every running server has applied the same commands,
 // each of want among them.
 func (c *cluster) requireList(want ...string) {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -148,14 +149,20 @@
 	c.requireList("one", "b99", "more", "last")
 }
 
+func has(name string) func(members []Member) bool {
+	return func(members []Member) bool {
+		return slices.ContainsFunc(members, func(m Member) bool { return m.Name == name })
+	}
+}
+
 func TestAddAndRemoveServer(t *testing.T) {
 	c := newCluster(t, 3, nil)
 	c.propose("one")
 	added := c.add(Member{Name: "c3", Addr: reserveAddr(t)}, nil)
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
-	require.NoError(t, c.leader().node.AddLearner(ctx, Member{Name: "c3"}))
-	require.NoError(t, c.leader().node.Promote(ctx, Member{Name: "c3"}))
+	c.change(func(ctx context.Context, n *Node) error { return n.AddLearner(ctx, Member{Name: "c3"}) }, has("c3"))
+	c.change(func(ctx context.Context, n *Node) error { return n.Promote(ctx, Member{Name: "c3"}) }, func(members []Member) bool {
+		return slices.ContainsFunc(members, func(m Member) bool { return m.Name == "c3" && !m.Learner })
+	})
 	c.requireVoters("c0", "c1", "c2", "c3")
 	c.requireList("one")
 
@@ -165,9 +172,11 @@
 			removed = s
 		}
 	}
-	require.NoError(t, c.leader().node.Remove(ctx, Member{Name: removed.cfg.Name}))
+	c.change(func(ctx context.Context, n *Node) error { return n.Remove(ctx, Member{Name: removed.cfg.Name}) }, func(members []Member) bool {
+		return !has(removed.cfg.Name)(members)
+	})
 	removed.kill()
-	require.Len(t, c.leader().node.Status().Members, 3)
+	require.Eventually(t, func() bool { return len(c.leader().node.Status().Members) == 3 }, waitLimit, tick)
 	c.propose("two")
 	c.requireList("one", "two")
 }
