Waits that a context may end stand once, in internal/pause

Cause: the same wait stood five times: adminclient, configfeed, controlclient, entry and replay, each with a timer and a select, in three variants of what they return. Ruled out: taking in waitAtMost of weights/transfer and the waits in longer selects: they wait for a third thing as well. Change: pause.For(ctx, d). Where the time and the end of the context come at once, it tells that the context is done; configfeed's own told the contrary, and its caller then found the context done one call later. No other change of behaviour.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/admin"
+	"lynxgate.dev/lynxgate/internal/pause"
 )
 
 // Defaults of Config.
@@ -94,16 +95,7 @@
 		cfg.Patience = DefaultPatience
 	}
 	if cfg.Pause == nil {
-		cfg.Pause = sleep
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		cfg.Pause = func(ctx context.Context, d time.Duration) { pause.For(ctx, d) }
 	}
 }
 
--- a/internal/configfeed/client.go
+++ b/internal/configfeed/client.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"lynxgate.dev/lynxgate/internal/keyspace"
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
@@ -149,7 +150,7 @@
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		a := c.chooser.next(time.Now())
-		if !sleep(ctx, a.wait+c.jitter(a.wait)) {
+		if !pause.For(ctx, a.wait+c.jitter(a.wait)) {
 			break
 		}
 		addr := c.cfg.Upstreams[a.upstream]
@@ -295,20 +296,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // RendezvousOrder returns the addresses in an order that differs from name to
 // name, so that many processes spread over them evenly, and that moves few
 // processes when an address comes or goes.
--- a/internal/controlclient/announcer.go
+++ b/internal/controlclient/announcer.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -104,7 +105,7 @@
 			a.spread(ctx)
 		case <-a.urgent:
 			renew.Stop()
-			sleep(ctx, urgentGap)
+			pause.For(ctx, urgentGap)
 		}
 	}
 }
@@ -121,15 +122,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (a *Announcer) announce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.Renew)
 	defer cancel()
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -18,6 +18,7 @@
 
 	"storj.io/drpc/drpcpool"
 
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
@@ -140,7 +141,7 @@
 				break
 			}
 		}
-		sleep(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	var none Resp
 	return none, out.failure()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -9,6 +9,7 @@
 
 	"lynxgate.dev/lynxgate/internal/frames"
 	"lynxgate.dev/lynxgate/internal/outcome"
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/routing"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
@@ -85,7 +86,7 @@
 			t.started = now
 			return target, reason
 		}
-		sleep(ctx, fullPoll)
+		pause.For(ctx, fullPoll)
 	}
 }
 
--- a/internal/entry/flow.go
+++ b/internal/entry/flow.go
@@ -8,6 +8,7 @@
 
 	"lynxgate.dev/lynxgate/internal/admission"
 	"lynxgate.dev/lynxgate/internal/outcome"
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/retry"
 )
 
@@ -113,16 +114,7 @@
 		}
 		e.metrics.retries.WithLabelValues(c.service.Name, string(o.Reason)).Inc()
 		a.restart()
-		sleep(ctx, decision.After)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, decision.After)
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,6 +13,7 @@
 
 	"lynxgate.dev/lynxgate/internal/httplimit"
 	"lynxgate.dev/lynxgate/internal/outcome"
+	"lynxgate.dev/lynxgate/internal/pause"
 )
 
 // DefaultLeaveGrace is how long a leaving entry still takes new requests, so
@@ -96,7 +97,7 @@
 func (e *Entry) Leave(ctx context.Context) error {
 	e.leaving.Store(true)
 	e.announcer.ChangedUrgently()
-	sleep(ctx, e.cfg.LeaveGrace)
+	pause.For(ctx, e.cfg.LeaveGrace)
 	if err := e.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("requests still in progress: %w", err)
 	}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/routing"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
@@ -25,7 +26,7 @@
 		r.step(ctx, routing.WatchLost{VM: vm})
 		heard()
 		r.wakeCapacity()
-		sleep(ctx, watchRetry)
+		pause.For(ctx, watchRetry)
 	}
 }
 
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/trace"
 )
 
@@ -89,7 +90,7 @@
 	for i, request := range requests {
 		results[i] = Result{Request: request, ID: request.ID}
 		due := start.Add(time.Duration(float64(request.OffsetMS) / cfg.Speed * float64(time.Millisecond)))
-		if !waitUntil(ctx, due) {
+		if !pause.For(ctx, time.Until(due)) {
 			continue
 		}
 		target := cfg.Targets[i%len(cfg.Targets)]
@@ -99,18 +100,6 @@
 	return newReport(results), nil
 }
 
-// waitUntil waits until the time; false if the context ends before.
-func waitUntil(ctx context.Context, due time.Time) bool {
-	timer := time.NewTimer(time.Until(due))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // send sends one request and fills its result.
 func (cfg Config) send(ctx context.Context, target string, due time.Time, result *Result) {
 	request := result.Request
