--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -169,6 +169,18 @@
 	return leader
 }
 
+// follower returns a server that does not lead; the last one of those.
+func (c *cluster) follower() *server {
+	leader := c.leader()
+	var follower *server
+	for _, s := range c.servers {
+		if s != leader {
+			follower = s
+		}
+	}
+	return follower
+}
+
 // propose tries until some leader has accepted the command.
 func (c *cluster) propose(command string) {
 	require.Eventually(c.t, func() bool {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -71,12 +71,7 @@
 func TestWipedFollowerIsRebuilt(t *testing.T) {
 	c := newCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries = 10 })
 	c.propose("one")
-	var follower *server
-	for _, s := range c.servers {
-		if s != c.leader() {
-			follower = s
-		}
-	}
+	follower := c.follower()
 	old := follower.node.Status().Incarnation
 	follower.kill()
 	for i := range 50 {
@@ -125,12 +120,7 @@
 func TestLaggardGetsSnapshot(t *testing.T) {
 	c := newCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries = 10 })
 	c.propose("one")
-	var follower *server
-	for _, s := range c.servers {
-		if s != c.leader() {
-			follower = s
-		}
-	}
+	follower := c.follower()
 	follower.kill()
 	for i := range 100 {
 		c.propose(fmt.Sprint("b", i))
@@ -214,12 +204,7 @@
 		c.propose(fmt.Sprint("a", i))
 	}
 	c.requireList("a9")
-	var follower *server
-	for _, s := range c.servers {
-		if s != c.leader() {
-			follower = s
-		}
-	}
+	follower := c.follower()
 	old := follower.node.Status().Incarnation
 	follower.kill()
 	path := filepath.Join(follower.cfg.Dir, "log-0000000000000001.seg")
