Staging: the time of bytes on a link stands once

Cause: bytes were turned into time on a link at three places (the origin's, the VM's own and uploads), each with a bare 8 and 1e6. Change: timeOnLink, with named factors and a test of its own. The products are taken in the same order, so the times are the same to the last bit. Ruled out: a bound for bandwidths of 0: all three callers check that before, each with another meaning. Conclusion: no change of behaviour.

--- a/internal/staging/link.go
+++ b/internal/staging/link.go
@@ -16,6 +16,18 @@
 	mostSlowness = 6
 )
 
+// bitsPerByte and bitsPerMegabit convert sizes in bytes and bandwidths in Mbit/s.
+const (
+	bitsPerByte    = 8
+	bitsPerMegabit = 1e6
+)
+
+// timeOnLink is how long a link of mbps Mbit/s, which must be more than 0, takes for
+// bytes.
+func timeOnLink(bytes int, mbps float64) time.Duration {
+	return time.Duration(float64(bytes) * bitsPerByte / (mbps * bitsPerMegabit) * float64(time.Second))
+}
+
 // linkState judges the VM's own link by how much longer pieces take than it should
 // need for them. Behind a narrow one pieces are fetched one at a time, since requests
 // wait behind them: four pieces on a link of 0.91 Mbit/s held requests and the ends of
@@ -42,7 +54,7 @@
 	if errors.Is(r.err, errPeerBusy) || f.s.cfg.LinkMbps <= 0 {
 		return
 	}
-	piece := time.Duration(float64(f.g.engine.PieceBytes) * 8 / (f.s.cfg.LinkMbps * 1e6) * float64(time.Second))
+	piece := timeOnLink(f.g.engine.PieceBytes, f.s.cfg.LinkMbps)
 	before := f.link.narrow()
 	f.link.observe(r.took, time.Duration(max(r.beside, 1))*piece)
 	if now := f.link.narrow(); now != before {
--- a/internal/staging/link_test.go
+++ b/internal/staging/link_test.go
@@ -73,3 +73,9 @@
 	}
 	assert.False(t, f.link.narrow())
 }
+
+func TestTimeOnLink(t *testing.T) {
+	assert.Equal(t, 25*time.Millisecond, timeOnLink(25_000, 8))
+	assert.Equal(t, time.Second, timeOnLink(125, 0.001))
+	assert.Zero(t, timeOnLink(0, 8))
+}
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -200,7 +200,7 @@
 	if s.cfg.LinkMbps <= 0 {
 		return
 	}
-	took := time.Duration(float64(bytes) * 8 / (uploadShare * s.cfg.LinkMbps * 1e6) * float64(time.Second))
+	took := timeOnLink(bytes, uploadShare*s.cfg.LinkMbps)
 	s.uploadMu.Lock()
 	now := time.Now()
 	wait := s.uploadFree.Sub(now)
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -286,8 +286,7 @@
 	if g.origin.LinkMbps <= 0 {
 		return 0
 	}
-	bits := float64(g.engine.Pieces*g.engine.PieceBytes) * 8
-	return time.Duration(bits / (g.origin.LinkMbps * 1e6) * float64(time.Second))
+	return timeOnLink(g.engine.Pieces*g.engine.PieceBytes, g.origin.LinkMbps)
 }
 
 // step brings the engine one step nearer to the goal.
