--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -2,109 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"syscall"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
-const (
-	// maxDownloads is how many pieces are fetched from peers at once beside an engine
-	// that serves: its requests wait behind them on the link, on which one piece of
-	// 24 KB takes 27 ms at 7.3 Mbit/s.
-	maxDownloads = 3
-	// maxDownloadsIdle is the same beside an engine that holds nothing. Peers send one
-	// piece at a time, so that requests queue there: with 3 a link was filled to 60%
-	// only, and 28 VMs that were added had their weights 4.2 s after their agents'
-	// start on average (a played day).
-	maxDownloadsIdle = 8
-	// maxFromOrigin is how many pieces one agent fetches from the origin at once.
-	maxFromOrigin = 1
-	// maxUploads is how many pieces are sent to peers at once: events of live
-	// requests wait behind one piece on the link, not behind several.
-	maxUploads = 1
-	// uploadShare is the part of the VM's link that uploads take.
-	uploadShare = 0.95
-	// pieceTimeout bounds the fetch of one piece; all agents share the origin's
-	// link, on which a piece each of twelve takes 330 ms.
-	pieceTimeout = 2500 * time.Millisecond
-	// originPatience is for how long an agent waits for a piece that another one
-	// is to fetch from the origin, for each agent before it in the order, beside
-	// the time that the origin's link takes for all pieces.
-	originPatience = 700 * time.Millisecond
-	// farPatience is for how long an agent waits for a piece that another one of
-	// its zone is to fetch from another zone, for each one before it in the order.
-	// It counts from when the piece was first told to be held.
-	farPatience = 400 * time.Millisecond
-	// idlePatience is how long an agent with nothing to do waits before it fetches
-	// pieces of others from the origin, for each agent before it in the order: the
-	// one whose turn it is may be dead, or behind a narrow link.
-	// In a large swarm it does not hear of all that is held, and waits longer.
-	idlePatience      = 250 * time.Millisecond
-	idlePatienceLarge = 700 * time.Millisecond
-	// listenAll is up to how many agents each listens to what all others hold. With
-	// 44 that would be 180,000 messages a version; beyond it, an agent listens to
-	// listenNear of its own zone and listenFar of others, and asks the agents that
-	// fetch from the origin directly.
-	listenAll  = 24
-	listenNear = 12
-	listenFar  = 8
-	// maxDirect is how many pieces are asked for at once of the agents that fetch
-	// them from the origin.
-	maxDirect = 8
-	// peerHead is the time that peers get to tell what they hold before the origin
-	// is asked.
-	peerHead = 150 * time.Millisecond
-	// completeTimeout bounds one try to complete a version; what was fetched stays.
-	completeTimeout = 8 * time.Second
-	// badPause is for how long a peer that failed or was busy is not asked.
-	badPause = 250 * time.Millisecond
-	// originPause is for how long the origin is not asked after a try failed. One
-	// that refuses connections was dialled 28,580 times in 6 s by twelve agents
-	// without it (a played day, counted in their logs).
-	originPause = 300 * time.Millisecond
-	// fetchTick is how often fetches are started without an event.
-	fetchTick = 25 * time.Millisecond
-	// digestTimeout bounds the question for digests to one peer, digestPeers is how
-	// many are asked in a round, digestPatience how long an agent asks for each one
-	// before it in the order of those that ask the origin.
-	digestTimeout  = 300 * time.Millisecond
-	digestPeers    = 3
-	digestPatience = 400 * time.Millisecond
-	// digestsTurn stands for the digests among the pieces in that order.
-	digestsTurn = -1
-	// refreshInterval is how often a fetch looks anew at who there is: pieces that were
-	// the turn of an agent that has left are another one's.
-	refreshInterval = 250 * time.Millisecond
-	// refusedPause is for how long an agent that refused a connection, as one whose VM
-	// is gone does, takes no turns and is not asked; one that was killed is back within a second.
-	refusedPause = 2 * time.Second
-	// loadTurn stands for the order of loads.
-	loadTurn = -2
-)
-
-// atOrigin stands for the origin where else a peer's address stands.
-const atOrigin = ""
-
-// fetched is how one fetch ended.
-type fetched struct {
-	piece int
-	peer  string // or atOrigin
-	// direct: asked of the agent whose turn at the origin it is.
-	direct bool
-	data   []byte
-	err    error
-	// took is the time of the fetch without its wait at the peer; beside is how many
-	// shared the link with it at its start or its end, itself among them.
-	took   time.Duration
-	beside int
-}
-
 // fetcher is one try to complete a set; its goroutine owns it.
 type fetcher struct {
 	s       *Stager
@@ -250,79 +156,6 @@
 	}
 }
 
-// errHeld ends a fetch, begun while the engine was starting, of what it holds.
-var errHeld = errors.New("the engine holds it already")
-
-// errOvertaken ends a fetch when a newer version has been named.
-var errOvertaken = errors.New("a newer version was named")
-
-var errPeerBusy = errors.New("peer is busy")
-
-// errDigest says that bytes are not those of the piece.
-var errDigest = errors.New("digest does not match")
-
-func (f *fetcher) run(ctx context.Context, r fetched, get func(context.Context) ([]byte, time.Duration, error)) {
-	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
-	defer cancel()
-	began := time.Now()
-	var waited time.Duration
-	r.data, waited, r.err = get(callCtx)
-	r.took = time.Since(began) - waited
-	select {
-	case f.results <- r:
-	case <-ctx.Done():
-	}
-}
-
-// take takes the result of one fetch in.
-func (f *fetcher) take(r fetched) {
-	delete(f.inFlight, r.piece)
-	source := "origin"
-	switch {
-	case r.peer == atOrigin:
-		f.origins--
-	case r.direct:
-		source = "peer"
-		f.directs--
-		// It may still be to come; beyond that time others are asked.
-		f.asked[r.piece] = r.err == nil || time.Since(f.began) > f.g.originTime()
-	default:
-		source = "peer"
-		r.beside = max(r.beside, f.downs)
-		f.noteLink(r)
-		f.downs--
-		delete(f.busy, r.peer)
-	}
-	if r.err == nil && !f.set.put(r.piece, r.data) {
-		r.err = errDigest
-		delete(f.holders[r.peer], r.piece)
-	}
-	if r.err != nil {
-		f.pauseAfter(r)
-		f.s.cfg.Metrics.failures.WithLabelValues(source).Inc()
-		if !errors.Is(r.err, errPeerBusy) {
-			f.s.log.Warn().Err(r.err).Int("piece", r.piece).Str("source", source).Str("peer", r.peer).Msg("piece not fetched")
-		}
-		return
-	}
-	f.s.cfg.Metrics.pieces.WithLabelValues(source).Inc()
-	f.s.cfg.Metrics.bytes.WithLabelValues(source).Add(float64(len(r.data)))
-}
-
-// pauseAfter spares the source of a failed fetch for a while. Bytes of the origin
-// that were corrupted on the way are asked for again at once: it is the only source.
-func (f *fetcher) pauseAfter(r fetched) {
-	now := time.Now()
-	switch {
-	case r.peer != atOrigin && errors.Is(r.err, syscall.ECONNREFUSED):
-		f.noteRefused(r.peer, now)
-	case r.peer != atOrigin:
-		f.badUntil[r.peer] = now.Add(badPause)
-	case !errors.Is(r.err, errDigest):
-		f.badUntil[atOrigin] = now.Add(originPause)
-	}
-}
-
 // listen follows what a peer holds.
 func (f *fetcher) listen(ctx context.Context, peer string) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/staging/fetched.go
@@ -0,0 +1,100 @@
+package staging
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+)
+
+// atOrigin stands for the origin where else a peer's address stands.
+const atOrigin = ""
+
+// fetched is how one fetch ended.
+type fetched struct {
+	piece int
+	peer  string // or atOrigin
+	// direct: asked of the agent whose turn at the origin it is.
+	direct bool
+	data   []byte
+	err    error
+	// took is the time of the fetch without its wait at the peer; beside is how many
+	// shared the link with it at its start or its end, itself among them.
+	took   time.Duration
+	beside int
+}
+
+// errHeld ends a fetch, begun while the engine was starting, of what it holds.
+var errHeld = errors.New("the engine holds it already")
+
+// errOvertaken ends a fetch when a newer version has been named.
+var errOvertaken = errors.New("a newer version was named")
+
+// errPeerBusy says that a peer sends to others, or has not got the piece.
+var errPeerBusy = errors.New("peer is busy")
+
+// errDigest says that bytes are not those of the piece.
+var errDigest = errors.New("digest does not match")
+
+// run makes one fetch and hands its result to the fetcher.
+func (f *fetcher) run(ctx context.Context, r fetched, get func(context.Context) ([]byte, time.Duration, error)) {
+	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
+	began := time.Now()
+	var waited time.Duration
+	r.data, waited, r.err = get(callCtx)
+	r.took = time.Since(began) - waited
+	select {
+	case f.results <- r:
+	case <-ctx.Done():
+	}
+}
+
+// take takes the result of one fetch in.
+func (f *fetcher) take(r fetched) {
+	delete(f.inFlight, r.piece)
+	source := "origin"
+	switch {
+	case r.peer == atOrigin:
+		f.origins--
+	case r.direct:
+		source = "peer"
+		f.directs--
+		// It may still be to come; beyond that time others are asked.
+		f.asked[r.piece] = r.err == nil || time.Since(f.began) > f.g.originTime()
+	default:
+		source = "peer"
+		r.beside = max(r.beside, f.downs)
+		f.noteLink(r)
+		f.downs--
+		delete(f.busy, r.peer)
+	}
+	if r.err == nil && !f.set.put(r.piece, r.data) {
+		r.err = errDigest
+		delete(f.holders[r.peer], r.piece)
+	}
+	if r.err != nil {
+		f.pauseAfter(r)
+		f.s.cfg.Metrics.failures.WithLabelValues(source).Inc()
+		if !errors.Is(r.err, errPeerBusy) {
+			f.s.log.Warn().Err(r.err).Int("piece", r.piece).Str("source", source).Str("peer", r.peer).Msg("piece not fetched")
+		}
+		return
+	}
+	f.s.cfg.Metrics.pieces.WithLabelValues(source).Inc()
+	f.s.cfg.Metrics.bytes.WithLabelValues(source).Add(float64(len(r.data)))
+}
+
+// pauseAfter spares the source of a failed fetch for a while. Bytes of the origin
+// that were corrupted on the way are asked for again at once: it is the only source.
+func (f *fetcher) pauseAfter(r fetched) {
+	now := time.Now()
+	switch {
+	case r.peer != atOrigin && errors.Is(r.err, syscall.ECONNREFUSED):
+		f.noteRefused(r.peer, now)
+	case r.peer != atOrigin:
+		f.badUntil[r.peer] = now.Add(badPause)
+	case !errors.Is(r.err, errDigest):
+		f.badUntil[atOrigin] = now.Add(originPause)
+	}
+}
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -20,47 +19,10 @@
 
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
-	"lynxgate.dev/lynxgate/internal/ledger"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
 
-// Digest is the SHA-256 of a piece.
-type Digest [sha256.Size]byte
-
-// Report is what an engine says of itself.
-type Report struct {
-	Models []fleet.Loaded
-	// Busy tells that an order is in progress.
-	Busy             bool
-	Running, Waiting int
-}
-
-// Errors of an engine.
-var (
-	// ErrNotHeld says that a piece does not lie at the engine.
-	ErrNotHeld = errors.New("piece is not held")
-	// ErrOrderRefused says that an order does not fit the engine's state.
-	ErrOrderRefused = errors.New("order refused")
-)
-
-// Engine is the backend server beside the agent.
-type Engine interface {
-	Report(ctx context.Context) (Report, error)
-	// Held lists the pieces of a model that lie there, of whatever version.
-	Held(ctx context.Context, model string) ([]int, error)
-	Get(ctx context.Context, model string, piece int) ([]byte, error)
-	Put(ctx context.Context, model string, piece int, data []byte) error
-	// Load orders the engine to load what lies there as this version.
-	Load(ctx context.Context, model string, version uint64) error
-}
-
-// Origin is where weights come from.
-type Origin interface {
-	Digests(ctx context.Context, addr, model string, version uint64) ([]Digest, error)
-	Piece(ctx context.Context, addr, model string, version uint64, piece int) ([]byte, error)
-}
-
 // Config says how an agent stages weights.
 type Config struct {
 	// Service of the engine, and its ip:port.
@@ -206,89 +168,6 @@
 	return err
 }
 
-// wanted returns the versions to have at hand, in the order in which to fetch them:
-// the next one to load, then the newest. Pieces are fetched while the engine is still
-// starting, from peers only: whether it holds them already is not known. A VM that is
-// added serves 0.9 s earlier by that (a played day; its engine starts that much later
-// than its agent).
-func (s *Stager) wanted() []goal {
-	next, ok := s.goal()
-	if !ok || !s.reported.Load() && !s.absent.Load() {
-		return nil
-	}
-	newest := next
-	if v, named := s.cfg.View().Versions[next.model]; named && v.Number > next.version {
-		newest.version, newest.named = v.Number, v
-		return []goal{next, newest}
-	}
-	return []goal{next}
-}
-
-// overtaken tells whether another version than g is to be fetched first.
-func (s *Stager) overtaken(g goal) bool {
-	for _, other := range s.wanted() {
-		if other.version == g.version {
-			return false
-		}
-		if set := s.sets.get(key{other.model, other.version}); set == nil || len(set.missing()) > 0 {
-			return true
-		}
-	}
-	return true
-}
-
-// goal is the version that the engine is to hold.
-type goal struct {
-	model   string
-	version uint64
-	engine  *fleet.Engine
-	origin  *fleet.Origin
-	// named is the version as it was named; zero if it never was.
-	named ledger.Version
-}
-
-// goal returns what the engine is to hold; false while that is not known.
-func (s *Stager) goal() (goal, bool) {
-	view := s.cfg.View()
-	if view.Table == nil {
-		return goal{}, false
-	}
-	service := view.Table.Service(s.cfg.Service)
-	origin := view.Table.Origin()
-	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 || service.Engine.Pieces == 0 || origin == nil {
-		return goal{}, false
-	}
-	g := goal{model: service.Engine.Models[0], version: 1, engine: service.Engine, origin: origin}
-	if v, ok := view.Versions[g.model]; ok && v.Number > g.version {
-		v = s.nearest(g, v)
-		g.version, g.named = v.Number, v
-	}
-	return g, true
-}
-
-// nearest returns the version to go for: the newest, or the one before it if most
-// of that had time to arrive before the newest was named. To begin anew would leave
-// the engines without a version that may be used. All agents judge by the same
-// times, so that they go for the same.
-func (s *Stager) nearest(g goal, newest ledger.Version) ledger.Version {
-	before := newest.Previous
-	if before == nil || before.Number == 0 || time.Since(before.AppliedAt) > s.cfg.VersionBound {
-		return newest
-	}
-	if s.holding.Load() >= before.Number || newest.AppliedAt.Sub(before.AppliedAt) < g.originTime() {
-		return newest
-	}
-	return *before
-}
-
-// originTime is how long the origin's link takes for one copy.
-func (g goal) originTime() time.Duration {
-	if g.origin.LinkMbps <= 0 {
-		return 0
-	}
-	return timeOnLink(g.engine.Pieces*g.engine.PieceBytes, g.origin.LinkMbps)
-}
-
 // step brings the engine one step nearer to the goal.
 func (s *Stager) step(ctx context.Context) {
 	g, ok := s.goal()
@@ -340,93 +219,3 @@
 			Msg("engine has loaded")
 	}
 }
-
-// load lays what was spoilt anew and orders the engine to load.
-func (s *Stager) load(ctx context.Context, g goal, set *pieceSet, report Report) {
-	if time.Since(s.orderedAt) < orderRetry {
-		return
-	}
-	if err := s.verifyStaged(ctx, g, set); err != nil {
-		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("staged weights not verified")
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	s.orderedAt = time.Now()
-	s.loading = true
-	s.tell(report) // entries stop to send before the engine stops to take
-	err := s.cfg.Engine.Load(callCtx, g.model, g.version)
-	s.loading = err == nil
-	s.cfg.Metrics.orders.Inc()
-	s.log.Info().Err(err).Str("model", g.model).Uint64("version", g.version).
-		Dur("since_named_ms", g.age()).Msg("engine ordered to load")
-}
-
-func (g goal) age() time.Duration {
-	if g.named.Number == 0 {
-		return 0
-	}
-	return time.Since(g.named.AppliedAt)
-}
-
-// verifyStaged reads all pieces back from the engine and lays those anew that
-// were spoilt: the engine takes them in unchecked.
-func (s *Stager) verifyStaged(ctx context.Context, g goal, set *pieceSet) error {
-	for i, digest := range set.digests {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		data, err := s.cfg.Engine.Get(callCtx, g.model, i)
-		cancel()
-		if err == nil && sha256.Sum256(data) == digest {
-			continue
-		}
-		if err != nil && !errors.Is(err, ErrNotHeld) {
-			return err
-		}
-		callCtx, cancel = context.WithTimeout(ctx, callTimeout)
-		err = s.cfg.Engine.Put(callCtx, g.model, i, set.get(i))
-		cancel()
-		if err != nil {
-			return err
-		}
-		s.cfg.Metrics.relaid.Inc()
-	}
-	return nil
-}
-
-// loadWindow is the part of the bound on a version in which engines that serve
-// are ordered to load, one after the other: an engine that loads takes nothing
-// new until its requests have ended.
-const (
-	loadWindowStart = 0.38
-	loadWindowEnd   = 0.85
-	// loadMargin is how long before the bound the last engine is ordered to load at
-	// the latest: entries stop to use old weights 1 s before it.
-	loadMargin = 1300 * time.Millisecond
-)
-
-// mayLoad spreads the loads of engines that serve over the time allowed.
-func (s *Stager) mayLoad(g goal, held uint64, set *pieceSet) bool {
-	// What is held must not be used VersionBound after the next version was named,
-	// which may have been before the newest one.
-	named := g.named.NamedAfter(held)
-	if named.IsZero() {
-		return true
-	}
-	rank, n := s.rank()
-	share := float64(rank) / float64(max(n-1, 1))
-	return time.Since(named) >= loadTime(s.cfg.VersionBound, set.completedAt().Sub(named), share)
-}
-
-// loadTime returns how long after the naming of a version an engine is ordered to
-// load, which comes after this share of the others and has the pieces since complete.
-// Where they come late, as from an origin that was down, what is left of the time is
-// shared: on a day with that, 58 of 59 engines loaded at once, and nothing was served
-// for 1.5 s.
-func loadTime(bound, complete time.Duration, share float64) time.Duration {
-	begin := max(time.Duration(loadWindowStart*float64(bound)), complete)
-	end := max(time.Duration(loadWindowEnd*float64(bound)), bound-loadMargin)
-	if begin >= end {
-		return begin
-	}
-	return begin + time.Duration(share*float64(end-begin))
-}
