Staging: the first version and the interval of questions for digests are named

Cause: "version: 1" and "digestPatience / 4" stood bare in the code, and two waits that a context may end were written out. Change: firstVersion with its origin, digestInterval beside its sisters, pause.For. Ruled out: the waits of serve.go: they wait for a change as well. After: go test ./internal/staging passed. Conclusion: no change of behaviour.

--- a/internal/staging/digests.go
+++ b/internal/staging/digests.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -47,9 +48,7 @@
 		if digests := s.digestsOfPeers(ctx, g, servers); digests != nil {
 			return digests, nil
 		}
-		select {
-		case <-time.After(digestPatience / 4):
-		case <-ctx.Done():
+		if !pause.For(ctx, digestInterval) {
 			return nil, ctx.Err()
 		}
 	}
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -172,9 +173,6 @@
 				return
 			}
 		}
-		select {
-		case <-time.After(badPause):
-		case <-ctx.Done():
-		}
+		pause.For(ctx, badPause)
 	}
 }
--- a/internal/staging/goal.go
+++ b/internal/staging/goal.go
@@ -48,6 +48,10 @@
 	named ledger.Version
 }
 
+// firstVersion is the one that is in use before any is named: backend servers that are
+// there when the system starts may hold it.
+const firstVersion = 1
+
 // goal returns what the engine is to hold; false while that is not known.
 func (s *Stager) goal() (goal, bool) {
 	view := s.cfg.View()
@@ -59,7 +63,7 @@
 	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 || service.Engine.Pieces == 0 || origin == nil {
 		return goal{}, false
 	}
-	g := goal{model: service.Engine.Models[0], version: 1, engine: service.Engine, origin: origin}
+	g := goal{model: service.Engine.Models[0], version: firstVersion, engine: service.Engine, origin: origin}
 	if v, ok := view.Versions[g.model]; ok && v.Number > g.version {
 		v = s.nearest(g, v)
 		g.version, g.named = v.Number, v
--- a/internal/staging/limits.go
+++ b/internal/staging/limits.go
@@ -88,10 +88,12 @@
 // How digests are asked for.
 const (
 	// digestTimeout bounds the question for digests to one peer, digestPeers is how
-	// many are asked in a round, digestPatience how long an agent asks for each one
-	// before it in the order of those that ask the origin.
+	// many are asked in a round, digestInterval the pause between rounds,
+	// digestPatience how long an agent asks for each one before it in the order of
+	// those that ask the origin.
 	digestTimeout  = 300 * time.Millisecond
 	digestPeers    = 3
+	digestInterval = digestPatience / 4
 	digestPatience = 400 * time.Millisecond
 )
 
