Header fields to pass on are chosen at one place

Cause: the agent and the entry each had the loop that drops fields and the list of those of one connection; a field added to one list would have been missed in the other. The sets are the same as before: eight fields in common, two more at the agent, ten more at the entry. Ruled out: taking in the gateway's list, which differs (Proxy-Authenticate and Proxy-Authorization as well): that would change behaviour. Conclusion: no change of behaviour.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -108,25 +108,10 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// hopHeaders are meant for one connection and not passed on.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Date": true,
+// withheldHeaders of a backend server's answer are not passed on.
+var withheldHeaders = map[string]bool{
+	// The entry's own answer has a date.
+	"Date": true,
 	// The entry gives the caller the request's own id.
 	headerRequestID: true,
 }
-
-// answerHeaders returns the headers of a backend server's answer to pass on.
-func answerHeaders(h http.Header) []*rpc.Header {
-	var out []*rpc.Header
-	for name, values := range h {
-		if hopHeaders[name] {
-			continue
-		}
-		for _, value := range values {
-			out = append(out, &rpc.Header{Name: name, Value: value})
-		}
-	}
-	return out
-}
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/frames"
+	"lynxgate.dev/lynxgate/internal/headers"
 	"lynxgate.dev/lynxgate/internal/orders"
 	"lynxgate.dev/lynxgate/internal/outcome"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -92,7 +93,7 @@
 		a.metrics.foreignWeights.Inc()
 		return a.unknown(w, outcome.AnswerCorrupt)
 	}
-	head := w.frames.Head(resp.StatusCode, answerHeaders(resp.Header))
+	head := w.frames.Head(resp.StatusCode, headers.Passed(resp.Header, withheldHeaders))
 	if err := w.send(head); err != nil {
 		return err
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -14,6 +14,7 @@
 
 	"lynxgate.dev/lynxgate/internal/claims"
 	"lynxgate.dev/lynxgate/internal/engine"
+	"lynxgate.dev/lynxgate/internal/headers"
 	"lynxgate.dev/lynxgate/internal/inventory"
 	"lynxgate.dev/lynxgate/internal/outcome"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -106,7 +107,7 @@
 	if err := c.readDeadline(r, min(e.cfg.DefaultDeadline, c.maxDeadline())); err != nil {
 		return nil, err
 	}
-	c.headers = passedHeaders(r.Header)
+	c.headers = headers.Passed(r.Header, withheldHeaders)
 	return c, nil
 }
 
@@ -256,24 +257,9 @@
 	return maxDeadline
 }
 
-// withheldHeaders are for the entry alone or for one connection.
+// withheldHeaders are for the entry alone.
 var withheldHeaders = map[string]bool{
-	"Authorization": true, "Connection": true, "Keep-Alive": true, "Cookie": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true,
-	"Upgrade": true, "Content-Length": true, "Accept-Encoding": true, "Host": true,
+	"Authorization": true, "Cookie": true, "Accept-Encoding": true, "Host": true, "Expect": true,
 	HeaderDeadline: true, HeaderRequestID: true, "X-Priority": true,
-	"X-Organisation": true, "X-Resume-Tokens": true, "Expect": true,
-}
-
-func passedHeaders(h http.Header) []*rpc.Header {
-	var out []*rpc.Header
-	for name, values := range h {
-		if withheldHeaders[name] {
-			continue
-		}
-		for _, value := range values {
-			out = append(out, &rpc.Header{Name: name, Value: value})
-		}
-	}
-	return out
+	"X-Organisation": true, "X-Resume-Tokens": true,
 }
