--- a/internal/bench/requests/caller.go
+++ b/internal/bench/requests/caller.go
@@ -1,14 +1,9 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,9 +18,6 @@
 // prompt is as long as a short question of a resident.
 const prompt = "the washing machine in the laundry room of the second house does not open its door any more"
 
-// maxErrorText bounds what is read of an error body, in bytes.
-const maxErrorText = 512
-
 // caller sends the same completion request again and again.
 type caller struct {
 	client *http.Client
@@ -48,39 +40,11 @@
 
 // call sends one request and reads the whole answer.
 func (c *caller) call(ctx context.Context) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, bytes.NewReader(c.body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Authorization", "Bearer "+harness.Key(largeOrganisation))
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorText))
-		return fmt.Errorf("status %s: %s", resp.Status, text)
-	}
+	var token func()
 	if c.stream {
-		return c.readEvents(resp.Body)
-	}
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err
-}
-
-func (c *caller) readEvents(body io.Reader) error {
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		switch text := lines.Text(); {
-		case text == "data: [DONE]":
-			return nil
-		case strings.HasPrefix(text, "data: "):
-			c.tokens.Add(1)
-		}
+		token = func() { c.tokens.Add(1) }
 	}
-	return fmt.Errorf("stream without an end: %w", lines.Err())
+	return harness.Complete(ctx, c.client, c.url, largeOrganisation, c.body, token)
 }
 
 // failurePause keeps a worker whose call failed from calling again at once.
--- a/internal/bench/slopes/requests.go
+++ b/internal/bench/slopes/requests.go
@@ -1,13 +1,9 @@
 package main
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -187,41 +183,5 @@
 
 func (c *caller) receive(ctx context.Context, tokens int) error {
 	body := fmt.Sprintf(`{"model":%q,"prompt":"a line for the spring brochure","max_tokens":%d,"stream":true}`, modelService, tokens)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Authorization", "Bearer "+harness.Key(organisation))
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, 200))
-		return fmt.Errorf("status %d: %s", resp.StatusCode, text)
-	}
-	return c.readEvents(resp.Body)
-}
-
-var errCut = errors.New("the answer ended without its end mark")
-
-// readEvents counts the tokens of a streamed answer.
-func (c *caller) readEvents(body io.Reader) error {
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		switch {
-		case !ok:
-		case data == "[DONE]":
-			return nil
-		default:
-			c.tokens.Add(1)
-		}
-	}
-	if err := lines.Err(); err != nil {
-		return err
-	}
-	return errCut
+	return harness.Complete(ctx, c.client, c.url, organisation, []byte(body), func() { c.tokens.Add(1) })
 }
