Constants say their unit and what they are for

Cause: some limits and timeouts had no comment, three stood bare in calls (agent's connections to its backend server), and maxIdempotencyKey bounded request ids as well. Change: doc comments; idleConns, idleConnTimeout and reachTimeout named; maxIdempotencyKey is maxNameBytes; keyHashBytes is taken from sha256. No value is changed. Ruled out: one dialTimeout for rpcconn and weights/transfer: they bound different dials. After: tests of the ten packages passed. Conclusion: no change of behaviour.

--- a/cmd/lynxctl/manifest.go
+++ b/cmd/lynxctl/manifest.go
@@ -14,9 +14,13 @@
 )
 
 const (
+	// defaultChunkSize, in bytes, suits weights of some gigabytes: see
+	// docs/operating/weights.md.
 	defaultChunkSize = 4 << 20
-	readBufferBytes  = 1 << 20
-	manifestMode     = 0o644
+	// readBufferBytes is how much of the weights file is read at once.
+	readBufferBytes = 1 << 20
+	// manifestMode lets every user read a manifest: it holds no secret.
+	manifestMode = 0o644
 )
 
 // manifestCommand writes the manifest of a weights file.
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -100,15 +100,21 @@
 	return e
 }
 
+// Bounds on the callers of an API.
+const (
+	// readHeaderTimeout bounds sending a header, as entries' read_header_timeout does
+	// by default.
+	readHeaderTimeout = 5 * time.Second
+	// readTimeout bounds sending a whole request.
+	readTimeout = 30 * time.Second
+	// idleTimeout closes a connection without requests.
+	idleTimeout = 2 * time.Minute
+)
+
 // NewHTTPServer returns a server for the handler with the header limit and
 // timeouts of an API. A header past maxHeaderBytes but under twice as much
 // reaches the API, which can then answer in JSON.
 func NewHTTPServer(addr string, handler http.Handler, maxHeaderBytes int) *http.Server {
-	const (
-		readHeaderTimeout = 5 * time.Second
-		readTimeout       = 30 * time.Second
-		idleTimeout       = 2 * time.Minute
-	)
 	return &http.Server{
 		Addr:              addr,
 		Handler:           handler,
--- a/internal/adminclient/calls.go
+++ b/internal/adminclient/calls.go
@@ -16,6 +16,7 @@
 	"lynxgate.dev/lynxgate/internal/inventory"
 )
 
+// operationIDBytes are 128 random bits: no two ids are the same.
 const operationIDBytes = 16
 
 // NewOperationID returns a fresh random operation id.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,6 +58,7 @@
 }
 
 const (
+	// tickInterval is how often the control loop runs without an event.
 	tickInterval = time.Second
 	// leaveAnnounceTimeout bounds telling the control servers of leaving.
 	leaveAnnounceTimeout = 3 * time.Second
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -32,12 +32,22 @@
 	client *http.Client
 }
 
+const (
+	// idleConns is how many unused connections to an engine are kept, each for
+	// idleConnTimeout; not measured.
+	idleConns       = 64
+	idleConnTimeout = 30 * time.Second
+	// reachTimeout bounds the try to connect to a backend server, which is on the own
+	// machine.
+	reachTimeout = time.Second
+)
+
 func newBackend(addr string, plain bool) *backend {
 	transport := &http.Transport{
 		DisableKeepAlives:   plain,
 		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleConnTimeout,
 	}
 	client := &http.Client{
 		Transport:     transport,
@@ -48,7 +58,7 @@
 
 // reachable reports whether the backend server accepts connections.
 func (b *backend) reachable(ctx context.Context) bool {
-	dialer := net.Dialer{Timeout: time.Second}
+	dialer := net.Dialer{Timeout: reachTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", strings.TrimPrefix(b.base, "http://"))
 	if err != nil {
 		return false
--- a/internal/agent/journal.go
+++ b/internal/agent/journal.go
@@ -14,6 +14,7 @@
 
 const (
 	journalFile = "orders.json"
+	// journalMode lets every user read the journal: it holds no secret.
 	journalMode = 0o644
 )
 
--- a/internal/configfeed/floor.go
+++ b/internal/configfeed/floor.go
@@ -11,6 +11,7 @@
 	"lynxgate.dev/lynxgate/internal/durable"
 )
 
+// floorMode lets every user read the revision: it is no secret.
 const floorMode = 0o644
 
 // floorFile keeps the highest revision that was in force, synced, so that it
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -31,8 +31,10 @@
 )
 
 const (
-	maxIdempotencyKey = 255
-	maxDeadline       = time.Hour
+	// maxNameBytes bounds a request's id and its idempotency key.
+	maxNameBytes = 255
+	// maxDeadline bounds the deadline of a request.
+	maxDeadline = time.Hour
 	// prefixBytes of a prompt decide which server may have it cached.
 	prefixBytes = 256
 
@@ -112,7 +114,7 @@
 }
 
 func requestID(r *http.Request) string {
-	if id := r.Header.Get(HeaderRequestID); id != "" && len(id) <= maxIdempotencyKey {
+	if id := r.Header.Get(HeaderRequestID); id != "" && len(id) <= maxNameBytes {
 		return id
 	}
 	return rand.Text()
@@ -223,8 +225,8 @@
 
 func (c *call) readKey(r *http.Request) error {
 	c.key = r.Header.Get(HeaderIdempotencyKey)
-	if len(c.key) > maxIdempotencyKey {
-		return refuse(outcome.InvalidRequest, "header %s: over %d bytes", HeaderIdempotencyKey, maxIdempotencyKey)
+	if len(c.key) > maxNameBytes {
+		return refuse(outcome.InvalidRequest, "header %s: over %d bytes", HeaderIdempotencyKey, maxNameBytes)
 	}
 	if c.rule.AtMostOnce && c.key == "" {
 		return refuse(outcome.MissingKey,
--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -27,11 +27,13 @@
 	// MaxMessageBytes bounds one message in either direction.
 	MaxMessageBytes = 16 << 20
 
+	// idleExpiration is how long an unused connection is kept.
 	idleExpiration = 30 * time.Second
 	// idlePerAddr covers the requests that a backend server runs at once for
 	// one entry; with fewer, each request over that would dial anew.
 	idlePerAddr = 32
-	idleTotal   = 512
+	// idleTotal bounds the unused connections to all addresses.
+	idleTotal = 512
 )
 
 const (
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"slices"
@@ -13,7 +14,8 @@
 )
 
 const (
-	keyHashBytes = 32
+	// keyHashBytes is the length of the digests of operators' keys.
+	keyHashBytes = sha256.Size
 	// minElectionRatio of election to heartbeat ticks keeps one lost
 	// heartbeat from starting an election.
 	minElectionRatio = 3
--- a/internal/weights/store/store.go
+++ b/internal/weights/store/store.go
@@ -48,8 +48,9 @@
 	manifestName = "manifest.json"
 	partialName  = "weights.partial"
 	wholeName    = "weights"
-	dirMode      = 0o755
-	fileMode     = 0o644
+	// Every user of the VM may read what is staged: the engine may run as another one.
+	dirMode  = 0o755
+	fileMode = 0o644
 )
 
 // Store is a scratch folder.
--- a/internal/weights/transfer/config.go
+++ b/internal/weights/transfer/config.go
@@ -77,6 +77,8 @@
 }
 
 const (
+	// defaultMemoryBytes is two of the largest chunks, of 16 MiB.
 	defaultMemoryBytes = 32 << 20
-	dialTimeout        = 2 * time.Second
+	// dialTimeout bounds connecting to another agent.
+	dialTimeout = 2 * time.Second
 )
--- a/internal/weights/transfer/link.go
+++ b/internal/weights/transfer/link.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// redialFirst is the pause after a connection was lost or not made. It doubles each
+	// time up to redialMax, and starts anew after a connection that held for longer.
 	redialFirst = 100 * time.Millisecond
 	redialMax   = 5 * time.Second
 	// maxMessage bounds one message from a peer, in bytes: a piece, or a
