--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -32,12 +32,22 @@
 	client *http.Client
 }
 
+const (
+	// idleConns is how many unused connections to an engine are kept, each for
+	// idleConnTimeout; not measured.
+	idleConns       = 64
+	idleConnTimeout = 30 * time.Second
+	// reachTimeout bounds the try to connect to a backend server, which is on the own
+	// machine.
+	reachTimeout = time.Second
+)
+
 func newBackend(addr string, plain bool) *backend {
 	transport := &http.Transport{
 		DisableKeepAlives:   plain,
 		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleConnTimeout,
 	}
 	client := &http.Client{
 		Transport:     transport,
@@ -48,7 +58,7 @@
 
 // reachable reports whether the backend server accepts connections.
 func (b *backend) reachable(ctx context.Context) bool {
-	dialer := net.Dialer{Timeout: time.Second}
+	dialer := net.Dialer{Timeout: reachTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", strings.TrimPrefix(b.base, "http://"))
 	if err != nil {
 		return false
@@ -108,25 +118,10 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// hopHeaders are meant for one connection and not passed on.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Date": true,
+// withheldHeaders of a backend server's answer are not passed on.
+var withheldHeaders = map[string]bool{
+	// The entry's own answer has a date.
+	"Date": true,
 	// The entry gives the caller the request's own id.
 	headerRequestID: true,
 }
-
-// answerHeaders returns the headers of a backend server's answer to pass on.
-func answerHeaders(h http.Header) []*rpc.Header {
-	var out []*rpc.Header
-	for name, values := range h {
-		if hopHeaders[name] {
-			continue
-		}
-		for _, value := range values {
-			out = append(out, &rpc.Header{Name: name, Value: value})
-		}
-	}
-	return out
-}
