Tests: faults of a VM and of the network between daemons, from outside

Cause: the fault soak could only kill, freeze and wipe daemons: the time of day, disks that stall or refuse, and cuts between daemons were left out, since the product has no hooks and daemons reach each other at fixed addresses. Ruled out: settings (addresses that daemons tell each other cannot be replaced by a proxy's for one pair), network namespaces and mounts (root), hooks in the product.

--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -17,6 +17,8 @@
 	"path/filepath"
 	"sync"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/harness/intercept"
 )
 
 // Ports of every process; the IP number tells processes apart.
@@ -42,6 +44,9 @@
 	Dir string
 	// Bin is the folder with the lynxgated and lynxstandin programs.
 	Bin string
+	// Intercept, if set, is asked when a process starts; one with a redirect is
+	// started under interception.
+	Intercept func(name string) *intercept.Redirect
 
 	mu     sync.Mutex
 	subnet string
@@ -80,7 +85,11 @@
 // Start runs a program of the fleet's Bin folder, or restarts the one that
 // ran under that name before.
 func (f *Fleet) Start(name, program string, args ...string) (*Process, error) {
-	p, err := startProcess(f.Dir, name, filepath.Join(f.Bin, program), args...)
+	var redirect *intercept.Redirect
+	if f.Intercept != nil {
+		redirect = f.Intercept(name)
+	}
+	p, err := startProcess(f.Dir, name, filepath.Join(f.Bin, program), redirect, args...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/harness/intercept"
 )
 
 // Process is one started process. Its output goes to a log file in the
@@ -19,6 +22,9 @@
 	// LogPath is the file with the process's output.
 	LogPath string
 
+	// Kernel changes what the process sees of its VM; nil if the fleet has not asked.
+	Kernel *intercept.Target
+
 	cmd  *exec.Cmd
 	done chan struct{}
 	mu   sync.Mutex
@@ -26,27 +32,36 @@
 }
 
 // startProcess starts path with args; its log is dir/name.log, appended to
-// when a process of that name ran before.
-func startProcess(dir, name, path string, args ...string) (*Process, error) {
+// when a process of that name ran before. With a redirect it is intercepted, and its
+// log goes through a pipe, so that it goes on while the process' disk is full.
+func startProcess(dir, name, path string, redirect *intercept.Redirect, args ...string) (*Process, error) {
 	logPath := filepath.Join(dir, name+".log")
 	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("open log of %s: %w", name, err)
 	}
-	defer log.Close()
 	cmd := exec.Command(path, args...)
 	cmd.Dir = dir
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return nil, fmt.Errorf("start %s: %w", name, err)
-	}
 	p := &Process{Name: name, LogPath: logPath, cmd: cmd, done: make(chan struct{})}
-	go p.wait()
+	if redirect == nil {
+		err = cmd.Start()
+	} else {
+		piped := struct{ io.Writer }{log}
+		cmd.Stdout, cmd.Stderr = piped, piped
+		p.Kernel, err = intercept.Start(cmd, *redirect)
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("start %s: %w", name, err), log.Close())
+	}
+	go p.wait(log)
 	return p, nil
 }
 
-func (p *Process) wait() {
+func (p *Process) wait(log io.Closer) {
 	err := p.cmd.Wait()
+	// The log was written, line by line; closing it has nothing to add.
+	_ = log.Close()
 	p.mu.Lock()
 	p.err = err
 	p.mu.Unlock()
@@ -110,6 +125,9 @@
 // Thaw lets a frozen process go on.
 func (p *Process) Thaw() error { return p.signal(syscall.SIGCONT) }
 
+// Reload tells the process to read its settings again.
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
 // Terminate asks the process to stop gracefully and does not wait.
 func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
 
