A step back of the time of day does not hide silent connections

Cause: the replicated log's transport took the time of day (UnixNano) to tell how long a peer was not heard. After a step back, a connection that goes silent for good counted as heard in the future and was kept for as long as the step; when this met two of three control servers, no change was accepted for an hour. Change: the age of the transport, which is monotonic, in place of the time of day.

--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -45,10 +45,16 @@
 	names map[string]string
 	ids   map[consensus.ServerID]string
 
-	// heard holds, by server name, when a message last arrived (Unix nanoseconds).
+	// heard holds, by server name, when a message last arrived, as age tells it.
 	heard sync.Map
+	start time.Time
 }
 
+// age returns the time since the transport was made, in nanoseconds. The time of day
+// would not do: after a step back of an hour no connection would count as stale for an
+// hour.
+func (t *transport) age() int64 { return int64(time.Since(t.start)) }
+
 type peer struct {
 	addr     string
 	queue    chan consensus.Message
@@ -63,6 +69,7 @@
 		peers: map[consensus.ServerID]*peer{},
 		names: map[string]string{},
 		ids:   map[consensus.ServerID]string{},
+		start: time.Now(),
 	}
 	for _, member := range members {
 		t.names[member.Name] = member.Addr
@@ -185,13 +192,13 @@
 	if err != nil {
 		return err
 	}
-	trusted := time.Now()
+	trusted := t.age()
 	for {
 		if err := t.sendOne(client, m); err != nil {
 			return err
 		}
 		if m.Snapshot != nil {
-			trusted = time.Now() // the peer had nothing to answer meanwhile
+			trusted = t.age() // the peer had nothing to answer meanwhile
 		}
 		select {
 		case m = <-queue:
@@ -200,8 +207,7 @@
 		case <-ctx.Done():
 			return nil
 		}
-		lastHeard := max(trusted.UnixNano(), heard.Load())
-		if time.Now().UnixNano()-lastHeard > int64(t.staleAfter) {
+		if t.age()-max(trusted, heard.Load()) > int64(t.staleAfter) {
 			t.metrics.dropped.Inc()
 			return nil
 		}
@@ -256,7 +262,7 @@
 		if err != nil {
 			return err
 		}
-		r.node.transport.heardBy(in.GetFrom().GetName()).Store(time.Now().UnixNano())
+		r.node.transport.heardBy(in.GetFrom().GetName()).Store(r.node.transport.age())
 		if !whole {
 			continue
 		}
