--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -159,7 +159,7 @@
 func platformConfig(live *liveSettings, log zerolog.Logger) fleetdaemon.Config {
 	s := live.current.Load()
 	cfg := fleetdaemon.Config{
-		Name: s.Name, Zone: s.Zone, RPCAddr: s.RPCAddr(s.IP), MetricsAddr: s.MetricsAddr(),
+		Name: s.Name, Zone: s.Zone, RPCAddr: s.RPCAddr(s.IP), ListenAddr: s.InternalAddr(), MetricsAddr: s.MetricsAddr(),
 		Seeds: live.seeds, Grace: seconds(s.Bounds.GraceS), Decode: platform.DecodeConfig,
 		VersionBound: seconds(s.Bounds.VersionMs / 1000), Logger: log,
 	}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -33,8 +33,10 @@
 type Config struct {
 	Name string
 	Zone string
-	// RPCAddr is for calls between daemons, MetricsAddr for metrics.
+	// RPCAddr is for calls between daemons, as others are told it; ListenAddr is where
+	// these calls are listened for, MetricsAddr for metrics.
 	RPCAddr     string
+	ListenAddr  string
 	MetricsAddr string
 	// Seeds returns rpc addresses of control servers, as of now.
 	Seeds func() []string
@@ -119,7 +121,7 @@
 	group, ctx := errgroup.WithContext(running)
 	group.Go(func() error { return serveMetrics(ctx, cfg.MetricsAddr, registry) })
 	if cfg.Control != nil || cfg.Agent != nil {
-		lis, err := net.Listen("tcp", cfg.RPCAddr)
+		lis, err := net.Listen("tcp", cfg.ListenAddr)
 		if err != nil {
 			return fmt.Errorf("rpc address: %w", err)
 		}
