Connections between control servers that go silent one way are replaced

Cause: the transport trusted a connection to a peer as long as the peer was heard over any connection. A server that hears of no leader says hello and asks for votes all the time over connections of its own; so a connection to it that had gone silent for good (bytes taken, none delivered, as after a cut that a middlebox forgot) was kept. TestFaultSoak/2 found it: two control servers of three had no leader for 50 s and would not have had one again; one silent follower lags for good. Ruled out: consensus (goroutine dumps and counters of both servers: loops idle, terms equal, hellos arrive, requests for votes do not); the disk (its limit was lifted, nothing waits); counting only answers as heard (a stream that carries only answers would never be judged); TCP_USER_TIMEOUT (something between that takes the bytes acknowledges them). Change: each piece of a message gets a receipt on its own stream; a connection without a receipt for three election timeouts, while one is due, is replaced when there is something to send.

On the wire: Replication.Messages answers with a stream. A control server of the version before takes no notice of receipts; one that is sent to by a new one gives none, so its connection is made anew every 1.5 s (one message lost each time, repaired by the protocol) until it is replaced, too. Mixed versions were not run. TestFaultSoak/2 failed 3 of 3 times before, passes now (19 s); /1 passes. Conclusion: liveness is judged per connection. Cost: one more small frame a message; not measured.

--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,8 +20,8 @@
 	// redialPause is the pause after a failed try.
 	redialPause = 100 * time.Millisecond
 	// staleTimeouts is for how many election timeouts a connection is trusted
-	// while its peer is not heard: after a silent cut, TCP alone would take
-	// minutes.
+	// without a receipt for what was sent over it: after a silent cut, TCP alone
+	// would take minutes.
 	staleTimeouts = 3
 	// peerIdle is after how long without a message a peer is forgotten.
 	peerIdle = time.Minute
@@ -35,7 +34,9 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	metrics *metrics
-	// staleAfter is how long a connection is trusted while its peer is not heard.
+	// now is the clock; it has a monotonic part.
+	now func() time.Time
+	// staleAfter is how long a connection is trusted without a receipt.
 	staleAfter time.Duration
 	peers      map[consensus.ServerID]*peer
 
@@ -44,17 +45,8 @@
 	// to a name where the incarnation is not known: a hello passed on to a leader.
 	names map[string]string
 	ids   map[consensus.ServerID]string
-
-	// heard holds, by server name, when a message last arrived, as age tells it.
-	heard sync.Map
-	start time.Time
 }
 
-// age returns the time since the transport was made, in nanoseconds. The time of day
-// would not do: after a step back of an hour no connection would count as stale for an
-// hour.
-func (t *transport) age() int64 { return int64(time.Since(t.start)) }
-
 type peer struct {
 	addr     string
 	queue    chan consensus.Message
@@ -65,11 +57,10 @@
 func newTransport(members []Member, staleAfter time.Duration, m *metrics) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &transport{
-		ctx: ctx, cancel: cancel, metrics: m, staleAfter: staleAfter,
+		ctx: ctx, cancel: cancel, metrics: m, now: time.Now, staleAfter: staleAfter,
 		peers: map[consensus.ServerID]*peer{},
 		names: map[string]string{},
 		ids:   map[consensus.ServerID]string{},
-		start: time.Now(),
 	}
 	for _, member := range members {
 		t.names[member.Name] = member.Addr
@@ -123,11 +114,10 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	p := &peer{addr: addr, queue: make(chan consensus.Message, peerQueue), cancel: cancel}
 	t.peers[id] = p
-	heard := t.heardBy(id.Name)
 	t.done.Add(1)
 	go func() {
 		defer t.done.Done()
-		t.runPeer(ctx, p.queue, addr, heard)
+		t.runPeer(ctx, p.queue, addr)
 	}()
 	return p
 }
@@ -142,14 +132,8 @@
 	}
 }
 
-// heardBy returns the cell that holds when a server was last heard.
-func (t *transport) heardBy(name string) *atomic.Int64 {
-	cell, _ := t.heard.LoadOrStore(name, new(atomic.Int64))
-	return cell.(*atomic.Int64)
-}
-
 // runPeer connects, sends what is queued, and connects again after an error.
-func (t *transport) runPeer(ctx context.Context, queue <-chan consensus.Message, addr string, heard *atomic.Int64) {
+func (t *transport) runPeer(ctx context.Context, queue <-chan consensus.Message, addr string) {
 	failed := 0
 	for ctx.Err() == nil {
 		var first consensus.Message
@@ -162,7 +146,7 @@
 		failed++
 		if err == nil {
 			failed = 0
-			err = t.stream(ctx, conn, first, queue, heard)
+			err = t.stream(ctx, conn, first, queue)
 		}
 		if err == nil {
 			continue
@@ -186,20 +170,27 @@
 
 // stream sends messages over one connection until it fails or goes stale, and closes
 // it.
-func (t *transport) stream(ctx context.Context, conn *rpcconn.Conn, m consensus.Message, queue <-chan consensus.Message, heard *atomic.Int64) error {
+func (t *transport) stream(ctx context.Context, conn *rpcconn.Conn, m consensus.Message, queue <-chan consensus.Message) error {
 	defer conn.Close()
 	client, err := rpc.NewDRPCReplicationClient(conn).Messages(ctx)
 	if err != nil {
 		return err
 	}
-	trusted := t.age()
+	r := &receipts{now: t.now}
+	t.done.Add(1)
+	go func() {
+		defer t.done.Done()
+		for {
+			if _, err := client.Recv(); err != nil {
+				return // sending fails, too, or the connection goes stale
+			}
+			r.arrived()
+		}
+	}()
 	for {
-		if err := t.sendOne(client, m); err != nil {
+		if err := t.sendOne(client, m, r); err != nil {
 			return err
 		}
-		if m.Snapshot != nil {
-			trusted = t.age() // the peer had nothing to answer meanwhile
-		}
 		select {
 		case m = <-queue:
 		case <-conn.Closed():
@@ -207,19 +198,20 @@
 		case <-ctx.Done():
 			return nil
 		}
-		if t.age()-max(trusted, heard.Load()) > int64(t.staleAfter) {
+		if r.waiting() > t.staleAfter {
 			t.metrics.dropped.Inc()
 			return nil
 		}
 	}
 }
 
-func (t *transport) sendOne(client rpc.DRPCReplication_MessagesClient, m consensus.Message) error {
+func (t *transport) sendOne(client rpc.DRPCReplication_MessagesClient, m consensus.Message, r *receipts) error {
 	pieces, err := encodeMessage(m)
 	if err != nil {
 		return err
 	}
 	for _, piece := range pieces {
+		r.sent()
 		if err := client.Send(piece); err != nil {
 			return err
 		}
@@ -250,7 +242,7 @@
 	node *Node
 }
 
-// Messages takes one peer's messages in.
+// Messages takes one peer's messages in, and gives a receipt for each piece.
 func (r *receiver) Messages(stream rpc.DRPCReplication_MessagesStream) error {
 	var d decoder
 	for {
@@ -262,7 +254,9 @@
 		if err != nil {
 			return err
 		}
-		r.node.transport.heardBy(in.GetFrom().GetName()).Store(r.node.transport.age())
+		if err := stream.Send(&rpc.RaftReceipt{}); err != nil {
+			return err
+		}
 		if !whole {
 			continue
 		}
