Tests of stalled and refusing disks below the replicated log

Cause: the fault soak can fill disks of processes, and can neither stall them nor make single syncs fail without interception. Change: what a node keeps durable is an interface inside internal/replica; its tests put one between that stalls or refuses. Tests: a leader whose disk stalls is replaced and takes over what was decided; a follower whose disk refuses catches up; no change is acknowledged while a majority's disks refuse. Ruled out: a file interface below internal/raftlog (no more would be seen of agreement).

--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -57,6 +57,8 @@
 	// else stops: it answers nobody meanwhile, and the others elect a leader.
 	RetryDisk bool
 	Logger    zerolog.Logger
+	// wrapStorage, if set, returns what the node uses in place of its storage.
+	wrapStorage func(storage) storage
 }
 
 // Defaults of Config.
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -21,10 +21,20 @@
 // eventQueue bounds the events waiting for the loop; senders wait beyond it.
 const eventQueue = 1024
 
+// storage is what is durable of a node; raftlog.Store is the one.
+type storage interface {
+	SaveHardState(consensus.HardState) error
+	SaveSnapshot(consensus.Snapshot) error
+	Reset(index uint64) error
+	Append([]consensus.Entry) error
+	Compact(index uint64) error
+	Close() error
+}
+
 // Node is one member of the replicated log.
 type Node struct {
 	cfg       Config
-	store     *raftlog.Store
+	store     storage
 	metrics   *metrics
 	transport *transport
 	applier   *applier
@@ -61,7 +71,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
-	n, err := newNode(cfg, store, recovered, fsm)
+	var disk storage = store
+	if cfg.wrapStorage != nil {
+		disk = cfg.wrapStorage(store)
+	}
+	n, err := newNode(cfg, disk, recovered, fsm)
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
@@ -74,7 +88,7 @@
 	return n, nil
 }
 
-func newNode(cfg Config, store *raftlog.Store, recovered raftlog.Recovered, fsm FSM) (*Node, error) {
+func newNode(cfg Config, store storage, recovered raftlog.Recovered, fsm FSM) (*Node, error) {
 	snapshot := recovered.State.Snapshot
 	if snapshot.Index > consensus.FoundingIndex {
 		if err := fsm.Restore(snapshot.Data); err != nil {
