Daemons on the platform take signals before they read their settings

Cause: SIGHUP was taken only by the goroutine that follows the settings, which starts after they were read and checked; a SIGHUP before that ended the process. Change: both signals are taken first. What comes before main can't be helped from inside.

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -59,10 +59,8 @@
 	return nil
 }
 
-// follow reads the settings again when told to, or when the file has changed.
-func (l *liveSettings) follow(ctx context.Context, log zerolog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+// follow reads the settings again when hup tells it to, or when the file has changed.
+func (l *liveSettings) follow(ctx context.Context, hup <-chan os.Signal, log zerolog.Logger) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	for {
@@ -113,6 +111,12 @@
 
 // servePlatform runs the process as the users' platform has set it up.
 func servePlatform(path string) int {
+	// Signals are taken before anything that takes time: without a taker each of them
+	// ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	zerolog.TimeFieldFormat = logTime
 	sink := logsink.New(os.Stdout, logsink.DefaultRate)
 	defer sink.Close()
@@ -135,9 +139,7 @@
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * s.Limits.MemoryMB * (1 << 20)))
 	}
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	go live.follow(stop, log)
+	go live.follow(stop, hup, log)
 	cfg := platformConfig(live, log)
 	context.AfterFunc(stop, func() {
 		time.AfterFunc(cfg.Grace-exitMargin, func() {
