--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -42,6 +42,9 @@
 	Dir string
 	// Bin is the folder with the lynxgated and lynxstandin programs.
 	Bin string
+	// PipeLogs leads output to log files through a pipe: a process then logs on while
+	// limits of its own keep it from writing files.
+	PipeLogs bool
 
 	mu     sync.Mutex
 	subnet string
@@ -80,7 +83,7 @@
 // Start runs a program of the fleet's Bin folder, or restarts the one that
 // ran under that name before.
 func (f *Fleet) Start(name, program string, args ...string) (*Process, error) {
-	p, err := startProcess(f.Dir, name, filepath.Join(f.Bin, program), args...)
+	p, err := startProcess(f.Dir, name, filepath.Join(f.Bin, program), f.PipeLogs, args...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,8 +20,8 @@
 	// redialPause is the pause after a failed try.
 	redialPause = 100 * time.Millisecond
 	// staleTimeouts is for how many election timeouts a connection is trusted
-	// while its peer is not heard: after a silent cut, TCP alone would take
-	// minutes.
+	// without a receipt for what was sent over it: after a silent cut, TCP alone
+	// would take minutes.
 	staleTimeouts = 3
 	// peerIdle is after how long without a message a peer is forgotten.
 	peerIdle = time.Minute
@@ -35,7 +34,9 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	metrics *metrics
-	// staleAfter is how long a connection is trusted while its peer is not heard.
+	// now is the clock; it has a monotonic part.
+	now func() time.Time
+	// staleAfter is how long a connection is trusted without a receipt.
 	staleAfter time.Duration
 	peers      map[consensus.ServerID]*peer
 
@@ -44,23 +45,8 @@
 	// to a name where the incarnation is not known: a hello passed on to a leader.
 	names map[string]string
 	ids   map[consensus.ServerID]string
-
-	// signs holds what arrives from each server, by its name.
-	signs sync.Map
-	// started is where clock begins.
-	started time.Time
-}
-
-// signs are the signs of life of one server, as times of transport.clock.
-type signs struct {
-	// heard is when a message last arrived, opened when a connection last began.
-	heard, opened atomic.Int64
 }
 
-// clock returns the time since the start in nanoseconds; steps of the time of day do
-// not change it.
-func (t *transport) clock() int64 { return int64(time.Since(t.started)) }
-
 type peer struct {
 	addr     string
 	queue    chan consensus.Message
@@ -71,10 +57,10 @@
 func newTransport(members []Member, staleAfter time.Duration, m *metrics) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &transport{
-		ctx: ctx, cancel: cancel, metrics: m, staleAfter: staleAfter,
+		ctx: ctx, cancel: cancel, metrics: m, now: time.Now, staleAfter: staleAfter,
 		peers: map[consensus.ServerID]*peer{},
 		names: map[string]string{},
-		ids:   map[consensus.ServerID]string{}, started: time.Now(),
+		ids:   map[consensus.ServerID]string{},
 	}
 	for _, member := range members {
 		t.names[member.Name] = member.Addr
@@ -128,11 +114,10 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	p := &peer{addr: addr, queue: make(chan consensus.Message, peerQueue), cancel: cancel}
 	t.peers[id] = p
-	signs := t.signsOf(id.Name)
 	t.done.Add(1)
 	go func() {
 		defer t.done.Done()
-		t.runPeer(ctx, p.queue, addr, signs)
+		t.runPeer(ctx, p.queue, addr)
 	}()
 	return p
 }
@@ -147,14 +132,8 @@
 	}
 }
 
-// signsOf returns the signs of life of a server.
-func (t *transport) signsOf(name string) *signs {
-	s, _ := t.signs.LoadOrStore(name, new(signs))
-	return s.(*signs)
-}
-
 // runPeer connects, sends what is queued, and connects again after an error.
-func (t *transport) runPeer(ctx context.Context, queue <-chan consensus.Message, addr string, signs *signs) {
+func (t *transport) runPeer(ctx context.Context, queue <-chan consensus.Message, addr string) {
 	failed := 0
 	var unsent *consensus.Message
 	for ctx.Err() == nil {
@@ -172,7 +151,7 @@
 		failed++
 		if err == nil {
 			failed = 0
-			unsent, err = t.stream(ctx, conn, first, queue, signs)
+			unsent, err = t.stream(ctx, conn, first, queue)
 		}
 		if err == nil {
 			continue
@@ -194,25 +173,28 @@
 }
 
 // stream sends messages over one connection until it fails or goes stale, and closes
-// it. A connection may go silent for good while the one in the other direction, over
-// which the peer is heard, goes on: it is the peer that misses what is sent then, and
-// opens its own connection anew. That is a sign to do the same here. The message that
-// was to be sent over a stale connection is returned.
-func (t *transport) stream(ctx context.Context, conn *rpcconn.Conn, m consensus.Message, queue <-chan consensus.Message, signs *signs) (unsent *consensus.Message, err error) {
+// it. The message that was to be sent over a stale one is returned.
+func (t *transport) stream(ctx context.Context, conn *rpcconn.Conn, m consensus.Message, queue <-chan consensus.Message) (unsent *consensus.Message, err error) {
 	defer conn.Close()
 	client, err := rpc.NewDRPCReplicationClient(conn).Messages(ctx)
 	if err != nil {
 		return nil, err
 	}
-	began := t.clock()
-	trusted := began
+	r := &receipts{now: t.now}
+	t.done.Add(1)
+	go func() {
+		defer t.done.Done()
+		for {
+			if _, err := client.Recv(); err != nil {
+				return // sending fails, too, or the connection goes stale
+			}
+			r.arrived()
+		}
+	}()
 	for {
-		if err := t.sendOne(client, m); err != nil {
+		if err := t.sendOne(client, m, r); err != nil {
 			return nil, err
 		}
-		if m.Snapshot != nil {
-			trusted = t.clock() // the peer had nothing to answer meanwhile
-		}
 		select {
 		case m = <-queue:
 		case <-conn.Closed():
@@ -220,20 +202,19 @@
 		case <-ctx.Done():
 			return nil, nil
 		}
-		silent := t.clock()-max(trusted, signs.heard.Load()) > int64(t.staleAfter)
-		reopened := signs.opened.Load()-began > int64(t.staleAfter)
-		if silent || reopened {
+		if r.waiting() > t.staleAfter {
 			return &m, nil
 		}
 	}
 }
 
-func (t *transport) sendOne(client rpc.DRPCReplication_MessagesClient, m consensus.Message) error {
+func (t *transport) sendOne(client rpc.DRPCReplication_MessagesClient, m consensus.Message, r *receipts) error {
 	pieces, err := encodeMessage(m)
 	if err != nil {
 		return err
 	}
 	for _, piece := range pieces {
+		r.sent()
 		if err := client.Send(piece); err != nil {
 			return err
 		}
@@ -264,10 +245,9 @@
 	node *Node
 }
 
-// Messages takes one peer's messages in.
+// Messages takes one peer's messages in, and gives a receipt for each piece.
 func (r *receiver) Messages(stream rpc.DRPCReplication_MessagesStream) error {
 	var d decoder
-	opened := false
 	for {
 		in, err := stream.Recv()
 		if err != nil {
@@ -277,11 +257,8 @@
 		if err != nil {
 			return err
 		}
-		now, signs := r.node.transport.clock(), r.node.transport.signsOf(in.GetFrom().GetName())
-		signs.heard.Store(now)
-		if !opened {
-			opened = true
-			signs.opened.Store(now)
+		if err := stream.Send(&rpc.RaftReceipt{}); err != nil {
+			return err
 		}
 		if !whole {
 			continue
