--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -21,10 +21,10 @@
 	overGuard = 400 * time.Millisecond
 )
 
-// watchdog watches a send whose server may no longer do anything, so that the request
-// can go on elsewhere. It exists for requests that may run twice only. They stay at
-// their server until another one has taken them over; only what would begin on weights
-// that are over is taken back before.
+// watchdog watches a send whose server may no longer do anything, so that a request that
+// may run twice can go on elsewhere: it stays at its server until another one has taken
+// it over. Only what would begin on weights that are over is taken back before, streams
+// that must not be repeated among it.
 type watchdog struct {
 	parent context.Context
 	ctx    context.Context
