Failing test: a feeder asks the origin for chunks that waiting news says are fetched

Then the late member begins, and 0.1 ms later asks the origin for the first chunk of its own share, though the news of it has arrived: 8 to 30 functions wait in the loop's queue at that moment. In a run in which one of eight members opened its files at once, the other seven fetched one chunk each in vain.

--- /dev/null
+++ b/internal/weights/transfer/version_test.go
@@ -0,0 +1,58 @@
+package transfer
+
+import (
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/weights/swarm"
+)
+
+// roundTripper answers requests to the origin.
+type roundTripper func(r *http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// A feeder whose files take long to open is passed over, and others fetch its
+// share. What they tell meanwhile waits to be read, and must be read before
+// the feeder asks the origin for anything.
+func TestWaitingNewsIsReadBeforeTheOriginIsAsked(t *testing.T) {
+	publisher := newFakeOrigin(t)
+	ref := publisher.publish(t, "v1", weightsOf(1, testChunks))
+	var asked atomic.Int32
+	n := startNode(t, "vm-00", "zone-0", t.TempDir(), nodeOptions{config: func(c *Config) {
+		c.Swarm.OriginDeadline = patience
+		c.HTTP = &http.Client{Transport: roundTripper(func(*http.Request) (*http.Response, error) {
+			asked.Add(1)
+			return nil, errors.New("not to be asked")
+		})}
+	}})
+	peers := []Peer{{VM: "vm-01"}, {VM: "vm-02"}, {VM: "vm-03"}}
+	v := newVersion(n.Manager, Wanted{Ref: ref, Peers: peers})
+	v.hub = newHub()
+	v.fetches = map[uint64]func(){}
+	var err error
+	v.files, err = n.store.OpenVersion(v.id, publisher.files["/m/v1/manifest.json"])
+	require.NoError(t, err)
+	defer v.files.Close()
+	all := swarm.NewBits(testChunks)
+	for i := range testChunks {
+		all.Set(i)
+	}
+	for _, p := range peers {
+		l := &link{manager: n.Manager, peer: p, stop: func() {}, downloads: map[uint64]*download{}}
+		v.links[p.VM] = l
+		v.onHaves(l, &rpc.HaveUpdate{Reset_: true}) // when it did not know the manifest
+		v.posted <- func() {
+			v.onHaves(l, &rpc.HaveUpdate{Reset_: true, Bitmap: all.Bytes(testChunks), SeenBitmap: all.Bytes(testChunks)})
+		}
+	}
+	v.posted <- v.cancel
+	require.Error(t, v.fetchAll(v.files.Manifest()))
+	v.running.Wait()
+	require.Zero(t, asked.Load(), "the origin was asked for what peers had told they hold")
+}
