What waits to be read is taken in before a member judges others or asks the origin

Cause: a version's loop gave the scheduler one event at a time, and the scheduler decided after each. A loop that had not run for a while (it opens the files itself, 300 to 525 ms beside load; after a restart it hashes what is held) thus decided by the oldest of the news in its queue: it fetched chunks that others had fetched, and a tick could find feeders late, or requests without progress, whose news was next in the queue.

Step now takes several events and decides once, after the last. The loop gives it all that is waiting: with the members at the begin of a fetch, with each posted function, and before each tick.

Ruled out: draining the queue only at the begin; after any pause of the loop the first of the waiting events would still be judged by alone.

Left: the queue holds 256; what peers tell beyond that while files are opened for long waits in the connections and is read just after the first decision.

--- a/internal/weights/swarm/model_test.go
+++ b/internal/weights/swarm/model_test.go
@@ -156,7 +156,7 @@
 	if a.dead {
 		return
 	}
-	for _, action := range a.state.Step(ev, a.model.now) {
+	for _, action := range a.state.Step(a.model.now, ev) {
 		a.act(action)
 	}
 }
--- a/internal/weights/swarm/step.go
+++ b/internal/weights/swarm/step.go
@@ -16,36 +16,53 @@
 	maxPause    = 30 * time.Second
 )
 
-// Step takes an event and returns what is to be done. Call it with Tick at
-// least every TickInterval.
-func (s *State) Step(ev Event, now time.Time) []Action {
+// Step takes events, in the order in which they happened, and returns what is
+// to be done. All are taken in before anything is decided: whoever was kept from
+// running for a while must not judge others, or ask the origin, by a view that
+// is older than what it has been told. Call it with Tick at least every
+// TickInterval.
+func (s *State) Step(now time.Time, events ...Event) []Action {
 	if s.begun.IsZero() {
 		s.begin(now)
 	}
 	var out []Action
+	decide := false
+	for _, ev := range events {
+		out = append(out, s.take(ev, now)...)
+		if _, progress := ev.(Progress); !progress {
+			decide = true // progress frees nothing, so there is nothing to schedule
+		}
+	}
+	if !decide {
+		return out
+	}
+	out = append(out, s.expire(now)...)
+	return append(out, s.schedule(now)...)
+}
+
+// take brings the state up to date with an event.
+func (s *State) take(ev Event, now time.Time) []Action {
 	switch ev := ev.(type) {
 	case MembersChanged:
-		out = s.membersChanged(ev.Members, now)
+		return s.membersChanged(ev.Members, now)
 	case PeerHaves:
-		out = s.peerHaves(ev, now)
+		return s.peerHaves(ev, now)
 	case PeerQueue:
 		if p := s.peer(ev.VM); p != nil {
 			p.setQueue(ev.Queue)
 		}
 	case PeerLost:
-		out = s.peerLost(ev.VM, now)
+		return s.peerLost(ev.VM, now)
 	case Progress:
 		if r := s.requests[ev.ID]; r != nil {
 			r.progress = now
 		}
-		return nil // frees nothing, so there is nothing to schedule
 	case Ended:
-		out = s.ended(ev, now)
+		return s.ended(ev, now)
 	case Tick:
-		out = s.substitute(now)
+		return s.substitute(now)
 	}
-	out = append(out, s.expire(now)...)
-	return append(out, s.schedule(now)...)
+	return nil
 }
 
 // TickInterval is how often Step wants a Tick when nothing else happens.
--- a/internal/weights/swarm/swarm.go
+++ b/internal/weights/swarm/swarm.go
@@ -2,7 +2,7 @@
 //
 // State holds what one member knows about one model version: chunks held here,
 // held by connected peers and seen anywhere, requests in flight, and the
-// conduct of peers, origin and weight store. Step is pure: state + event + now
+// conduct of peers, origin and weight store. Step is pure: state + events + now
 // -> state + actions. It does no I/O, reads no clock, and its tie-breaks come
 // from a seeded source, so a run can be repeated exactly.
 //
--- a/internal/weights/swarm/swarm_test.go
+++ b/internal/weights/swarm/swarm_test.go
@@ -121,6 +121,54 @@
 	})
 }
 
+// A member that did not run for longer than every timeout must not take others
+// for late, nor give up its requests, while what they did meanwhile waits.
+func TestOwnPauseIsNobodysDelay(t *testing.T) {
+	const chunks = 64
+	m := newModel(8, 3, chunks)
+	s := m.members[0].state
+	own := m.members[0].peer.VM
+	events := []Event{MembersChanged{Members: m.peers()}}
+	news := map[string]*PeerHaves{}
+	for _, a := range m.members[1:] {
+		events = append(events, PeerHaves{VM: a.peer.VM, Reset: true, Holds: NewBits(chunks), Seen: NewBits(chunks)})
+		news[a.peer.VM] = &PeerHaves{VM: a.peer.VM}
+	}
+	fetches := fetchesOf(s.Step(m.now, events...))
+	require.Len(t, fetches, 2)
+	for i := range chunks {
+		if feeder := feederOf(m, i); feeder != own && len(news[feeder].Added) < 2 {
+			news[feeder].Added = append(news[feeder].Added, uint32(i))
+		}
+	}
+
+	later := m.now.Add(2 * deadlineLimit * DefaultDeadlineBytes)
+	events = []Event{Ended{ID: fetches[0].ID}, Progress{ID: fetches[1].ID}}
+	for _, a := range m.members[1:] {
+		require.NotEmpty(t, news[a.peer.VM].Added)
+		events = append(events, *news[a.peer.VM])
+	}
+	actions := s.Step(later, append(events, Tick{})...)
+	require.Equal(t, make([]bool, len(s.feed.feeders)), s.feed.late, "taken for late though their news was waiting")
+	require.NotContains(t, actions, Stalled{}, "given up though its progress was waiting")
+	for _, f := range fetchesOf(actions) {
+		require.Equal(t, own, feederOf(m, f.Index), "another's share")
+	}
+
+	s.Step(later.Add(2*deadlineLimit*DefaultDeadlineBytes), Ended{ID: fetches[1].ID})
+	require.Contains(t, s.feed.late, true, "nothing has come, and nothing was waiting")
+}
+
+func fetchesOf(actions []Action) []Fetch {
+	var list []Fetch
+	for _, a := range actions {
+		if f, ok := a.(Fetch); ok {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 func TestPeerIsSetAsideAfterStrikes(t *testing.T) {
 	m := newModel(6, 2, 16)
 	other := m.members[1]
@@ -155,10 +203,10 @@
 		}
 		return count
 	}
-	first := connected(s.Step(MembersChanged{Members: m.peers()}, m.now))
+	first := connected(s.Step(m.now, MembersChanged{Members: m.peers()}))
 	require.Less(t, first, 39)
-	require.Zero(t, connected(s.Step(Tick{}, m.now.Add(time.Second))), "not at once")
-	more := connected(s.Step(Tick{}, m.now.Add(3*time.Second))) // none has been heard of
+	require.Zero(t, connected(s.Step(m.now.Add(time.Second), Tick{})), "not at once")
+	more := connected(s.Step(m.now.Add(3*time.Second), Tick{})) // none has been heard of
 	require.Positive(t, more)
 	require.LessOrEqual(t, more, first)
 }
--- a/internal/weights/transfer/version.go
+++ b/internal/weights/transfer/version.go
@@ -53,6 +53,7 @@
 	state   *swarm.State
 	fetches map[uint64]func() // cancels, by request id
 	events  []swarm.Event     // not yet taken by the scheduler
+	holding bool              // events are gathered, or actions carried out
 	fault   error             // ends the present attempt
 }
 
@@ -237,20 +238,29 @@
 // fetchAll runs the swarm until every chunk is held.
 func (v *version) fetchAll(m *manifest.Manifest) error {
 	v.state = v.newState(m)
-	v.step(swarm.MembersChanged{Members: v.now.Peers})
-	v.replayHaves(m.Len())
+	v.together(func() {
+		v.step(swarm.MembersChanged{Members: v.now.Peers})
+		v.replayHaves(m.Len())
+		v.takeWaiting()
+	})
 	ticker := time.NewTicker(swarm.TickInterval)
 	defer ticker.Stop()
 	looked := v.manager.cfg.Now()
 	for !v.state.Complete() && v.fault == nil {
 		select {
 		case f := <-v.posted:
-			f()
+			v.together(func() {
+				f()
+				v.takeWaiting()
+			})
 		case w := <-v.wanted:
 			v.now = w
 			v.step(swarm.MembersChanged{Members: w.Peers})
 		case <-ticker.C:
-			v.step(swarm.Tick{})
+			v.together(func() {
+				v.takeWaiting()
+				v.step(swarm.Tick{})
+			})
 			if now := v.manager.cfg.Now(); now.Sub(looked) >= intactEvery {
 				looked = now
 				v.checkIntact()
@@ -292,20 +302,43 @@
 	})
 }
 
-// step runs the scheduler and carries out what it says. An action that ends
-// at once brings another event, which waits until its turn.
+// takeWaiting runs what has been posted up to now.
+func (v *version) takeWaiting() {
+	for range len(v.posted) {
+		(<-v.posted)()
+	}
+}
+
+// together gives the scheduler all events of f at once.
+func (v *version) together(f func()) {
+	v.holding = true
+	f()
+	v.holding = false
+	v.decide()
+}
+
+// step gives the scheduler an event: at once, or, if it comes while events are
+// gathered or actions carried out, together with the others.
 func (v *version) step(ev swarm.Event) {
 	if v.state == nil {
 		return
 	}
 	v.events = append(v.events, ev)
-	if len(v.events) > 1 {
-		return // called from an action
+	if !v.holding {
+		v.decide()
 	}
+}
+
+// decide runs the scheduler and carries out what it says. An action that ends
+// at once brings another event, which waits until its turn.
+func (v *version) decide() {
+	v.holding = true
+	defer func() { v.holding = false }()
 	for len(v.events) > 0 {
-		for _, action := range v.state.Step(v.events[0], v.manager.cfg.Now()) {
+		events := v.events
+		v.events = nil
+		for _, action := range v.state.Step(v.manager.cfg.Now(), events...) {
 			v.act(action)
 		}
-		v.events = v.events[1:]
 	}
 }
