A follower that lost what it had acknowledged is brought up to date by its leader

Cause: the leader took a refusal at or below what a follower had acknowledged for a late message, always. A follower whose log had lost its synced end without a trace (the last write looks interrupted, so it keeps its identity) refused every append and stayed behind until another server led. TestFaultSoak/52 found it: one control server of three answered no read for 28 s after damage to its log. Ruled out: the network (heartbeats and the leader's name arrived, nothing was cut); the receipts (the stream was not replaced); that the soak alone is wrong: no disk of the users' platform loses what was synced, but nothing is gained by a server that stays useless. Change: when the follower refuses the very index it had acknowledged, in answer to the probe under way, the acknowledgement is taken back. What is committed stays so; a refusal that is late costs entries sent twice.

--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -69,6 +69,14 @@
 	return true
 }
 
+// lost takes back what a peer had acknowledged above an index: it refuses what it had, so
+// its disk has lost it without a trace. Entries that are committed stay so. A refusal that
+// is only late costs entries sent twice.
+func (p *progress) lost(above uint64) {
+	p.matchIndex = min(p.matchIndex, above)
+	p.commitSent = min(p.commitSent, above)
+}
+
 func (p *progress) toProbe(next uint64) {
 	p.state = stateProbe
 	p.probeSent = false
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -204,12 +204,15 @@
 }
 
 func (c *Core) handleAppendRejected(m Message, p *progress) {
-	if p.state == stateSnapshot || m.Index <= p.matchIndex {
+	if p.state == stateSnapshot || m.Index < p.matchIndex || (m.Index == p.matchIndex && p.state != stateProbe) {
 		return // stale
 	}
 	if p.state == stateProbe && m.Index != p.nextIndex-1 {
 		return // answers an earlier probe
 	}
+	if m.Index == p.matchIndex {
+		p.lost(m.RejectHint)
+	}
 	p.toProbe(min(m.Index, m.RejectHint+1))
 	c.sendAppend(m.From)
 }
