--- a/internal/replica/cut_test.go
+++ b/internal/replica/cut_test.go
@@ -98,17 +98,7 @@
 // A leader that is cut off silently gives up, another one takes over, and the
 // old one catches up over new connections once the cut ends.
 func TestSilentCutOfTheLeader(t *testing.T) {
-	c := &cluster{t: t, servers: map[string]*server{}}
-	relays := map[string]*relay{}
-	listen := map[string]string{}
-	for _, name := range []string{"c0", "c1", "c2"} {
-		listen[name] = reserveAddr(t)
-		relays[name] = newRelay(t, listen[name])
-		c.peers = append(c.peers, Member{Name: name, Addr: relays[name].lis.Addr().String()})
-	}
-	for _, p := range c.peers {
-		c.addAt(p, listen[p.Name], nil)
-	}
+	c, relays := relayed(t, nil)
 	c.propose("one")
 	old := c.leader()
 	relays[old.cfg.Name].cut()
@@ -120,8 +110,9 @@
 	c.requireList("one", "two")
 }
 
-// relayed starts a cluster whose members reach each other over relays.
-func relayed(t *testing.T) (*cluster, map[string]*relay) {
+// relayed starts three servers whose messages all pass relays, by name of the server they
+// lead to.
+func relayed(t *testing.T, adjust func(*Config)) (*cluster, map[string]*relay) {
 	c := &cluster{t: t, servers: map[string]*server{}}
 	relays := map[string]*relay{}
 	listen := map[string]string{}
@@ -131,7 +122,7 @@
 		c.peers = append(c.peers, Member{Name: name, Addr: relays[name].lis.Addr().String()})
 	}
 	for _, p := range c.peers {
-		c.addAt(p, listen[p.Name], nil)
+		c.addAt(p, listen[p.Name], adjust)
 	}
 	return c, relays
 }
@@ -146,7 +137,7 @@
 // go on: it is heard, so nothing but its own renewed connections tells the others.
 func TestConnectionsToAServerGoSilentForGood(t *testing.T) {
 	for _, deaf := range []string{"leader", "follower"} {
-		c, relays := relayed(t)
+		c, relays := relayed(t, nil)
 		c.propose("one")
 		c.requireList("one")
 		leader := c.leader()
@@ -163,7 +154,7 @@
 
 // The same with a majority that needs each of its connections.
 func TestSilentConnectionsOfTheLastMajority(t *testing.T) {
-	c, relays := relayed(t)
+	c, relays := relayed(t, nil)
 	c.propose("one")
 	c.requireList("one")
 	leader := c.leader()
