A voter that an even number of voters can spare is retired after 2 s

Cause: see the failing test before. A removed voter stayed one of four for 6 s, longer than the 4 s after which its successor is as good as it was; a leader's disk lost in between left two of four for good.

Ruled out: a later promotion of the successor. With three voters, one of them gone, the loss of a second disk leaves one. Also ruled out: a shorter time for learners, too, which lower no majority.

Change: SpareAfter (2 s) for voters beyond what LostDisks needs, where their number is even; learners as before after RetireAfter (6 s). A voter that is away for over 2 s in such a fleet is removed, and admitted again once it is back.

Before: TestSecondDiskIsLostOnceTheSuccessorHasHadItsTime fails.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -26,9 +26,12 @@
 	// AdmitNewcomers lets a leader add servers of any name that ask to join;
 	// without it operators add them.
 	AdmitNewcomers bool
-	// RetireTicks is after how long without a word a leader removes a member
-	// that makes the number of voters even, or a learner; 0 is never.
+	// RetireTicks is after how long without a word a leader removes a learner;
+	// 0 is that nobody is ever removed.
 	RetireTicks int
+	// SpareTicks is after how long without a word a leader removes a voter that an even
+	// number of voters can spare; 0 is RetireTicks.
+	SpareTicks int
 	// MinVoters is how many voters are kept though some are not heard: twice the
 	// number of disks whose loss is to be borne, and one.
 	MinVoters int
--- a/internal/consensus/reconfigure.go
+++ b/internal/consensus/reconfigure.go
@@ -129,16 +129,25 @@
 	voters := len(members.Voters())
 	spare := voters%2 == 0 && voters > c.cfg.MinVoters
 	for _, member := range members {
-		if member.ID == c.id || !c.unheardFor(member.ID, uint64(c.cfg.RetireTicks)) {
+		if member.ID == c.id || (!member.Learner && !spare) {
 			continue
 		}
-		if member.Learner || spare {
+		if c.unheardFor(member.ID, c.retirement(member)) {
 			_, _, _ = c.proposeMembership(members.without(member.ID.Name))
 			return
 		}
 	}
 }
 
+// retirement is for how many ticks a member must be silent to be removed. A voter that
+// can be spared only makes a majority harder to come by, and goes sooner.
+func (c *Core) retirement(member Member) uint64 {
+	if !member.Learner && c.cfg.SpareTicks > 0 {
+		return uint64(c.cfg.SpareTicks)
+	}
+	return uint64(c.cfg.RetireTicks)
+}
+
 // unheardFor tells whether a peer was not heard for this many ticks, counted
 // from the start of this leadership at the earliest.
 func (c *Core) unheardFor(id ServerID, ticks uint64) bool {
--- a/internal/fleetdaemon/control.go
+++ b/internal/fleetdaemon/control.go
@@ -29,6 +29,9 @@
 	snapshotEntries = 400
 	// retireAfter is longer than a restart or a cut of some seconds.
 	retireAfter = 6 * time.Second
+	// spareAfter leaves an election within the 4 s after which a removed server's
+	// successor is as good as it was (bounds.catchUpS).
+	spareAfter = 2 * time.Second
 	// openRetry is the pause between tries to open a data folder.
 	openRetry = 300 * time.Millisecond
 )
@@ -118,7 +121,7 @@
 		Name: c.Member, Addr: cfg.RPCAddr, Dir: c.DataFolder,
 		TickInterval: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 		SnapshotEntries: snapshotEntries, JoinOnly: !found, AdmitNewcomers: true,
-		RetireAfter: retireAfter, LostDisks: c.LostDisks, RetryDisk: true, Logger: cfg.Logger,
+		RetireAfter: retireAfter, SpareAfter: spareAfter, LostDisks: c.LostDisks, RetryDisk: true, Logger: cfg.Logger,
 	}
 	for name, addr := range c.Peers() {
 		r.Peers = append(r.Peers, replica.Member{Name: name, Addr: addr})
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -50,9 +50,12 @@
 	JoinOnly bool
 	// AdmitNewcomers lets the leader add servers that ask to join.
 	AdmitNewcomers bool
-	// RetireAfter is after how long without a word the leader removes a member
-	// that makes the number of voters even; 0 is never.
+	// RetireAfter is after how long without a word the leader removes a learner; 0 is
+	// that nobody is ever removed.
 	RetireAfter time.Duration
+	// SpareAfter is the same of a voter that an even number of voters can spare; 0 is
+	// RetireAfter.
+	SpareAfter time.Duration
 	// LostDisks is how many members may lose their disks at once. The leader keeps
 	// more than twice as many voters, though some are not heard.
 	LostDisks int
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -111,7 +111,8 @@
 		ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks,
 		KeepEntries: uint64(cfg.SnapshotEntries / 4), Rand: random,
 		JoinOnly: cfg.JoinOnly, AdmitNewcomers: cfg.AdmitNewcomers,
-		RetireTicks: int(cfg.RetireAfter / cfg.TickInterval), MinVoters: 2*cfg.LostDisks + 1,
+		RetireTicks: int(cfg.RetireAfter / cfg.TickInterval),
+		SpareTicks:  int(cfg.SpareAfter / cfg.TickInterval), MinVoters: 2*cfg.LostDisks + 1,
 	}, recovered.State)
 	n.metrics.cutTailBytes.Add(float64(recovered.CutBytes))
 	n.publish()
