--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"strings"
@@ -45,27 +44,33 @@
 	}
 }
 
-// processes is a cluster of control servers as processes.
+// processes is a cluster of control servers as processes. Each has an IP number of its
+// own: a port of 127.0.0.1 is given to others while the server that had it is down.
 type processes struct {
 	t        *testing.T
 	settings []*settings.Settings
 	commands []*exec.Cmd
+	outputs  []*bytes.Buffer
 	operator *adminclient.Client
 	base     uint64
 }
 
-func freeAddr(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer lis.Close()
-	return lis.Addr().String()
-}
+// Ports of every server; the IP number tells servers apart.
+const (
+	serverRPCPort  = 7100
+	serverHTTPPort = 7200
+)
 
 func startProcesses(t *testing.T, n int) *processes {
-	p := &processes{t: t, commands: make([]*exec.Cmd, n)}
+	p := &processes{t: t, commands: make([]*exec.Cmd, n), outputs: make([]*bytes.Buffer, n)}
+	fleet, err := harness.NewFleet(t.TempDir(), t.TempDir())
+	require.NoError(t, err)
 	var peers []settings.Peer
 	for i := range n {
-		peers = append(peers, settings.Peer{Name: fmt.Sprint("c", i), Addr: freeAddr(t), AdminAddr: freeAddr(t)})
+		ip := fleet.IP()
+		peers = append(peers, settings.Peer{
+			Name: fmt.Sprint("c", i), Addr: fmt.Sprint(ip, ":", serverRPCPort), AdminAddr: fmt.Sprint(ip, ":", serverHTTPPort),
+		})
 	}
 	for i, peer := range peers {
 		p.settings = append(p.settings, &settings.Settings{
@@ -90,8 +95,8 @@
 	require.NoError(p.t, err)
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), serverEnv+"="+string(text))
-	var output bytes.Buffer
-	cmd.Stderr = &output
+	p.outputs[i] = &bytes.Buffer{}
+	cmd.Stderr = p.outputs[i]
 	require.NoError(p.t, cmd.Start())
 	p.commands[i] = cmd
 }
@@ -106,12 +111,16 @@
 	_ = p.commands[i].Wait()
 }
 
+// killAll ends all processes, and shows what they have written if the test has failed.
 func (p *processes) killAll() {
-	for _, cmd := range p.commands {
+	for i, cmd := range p.commands {
 		if cmd.ProcessState == nil {
 			_ = cmd.Process.Kill()
 			_ = cmd.Wait()
 		}
+		if p.t.Failed() {
+			p.t.Logf("%s, last started: %v\n%s", p.settings[i].Name, cmd.ProcessState, p.outputs[i])
+		}
 	}
 }
 
--- a/internal/weights/transfer/act.go
+++ b/internal/weights/transfer/act.go
@@ -12,6 +12,10 @@
 	"lynxgate.dev/lynxgate/internal/weights/swarm"
 )
 
+// memoryRetry is after how long a chunk is asked for again for which there was no memory:
+// a write of a chunk that holds its buffer takes some milliseconds on a sound disk.
+const memoryRetry = 20 * time.Millisecond
+
 // act carries out one action of the scheduler.
 func (v *version) act(action swarm.Action) {
 	log := &v.manager.cfg.Logger
@@ -119,6 +123,12 @@
 	}
 	m, files := v.files.Manifest(), v.files
 	length := m.ChunkLen(a.Index)
+	memory := v.manager.memoryFor(length)
+	if !v.manager.memory.TryAcquire(memory) {
+		// Fetches that were given up still use their buffers.
+		v.step(swarm.Ended{ID: a.ID, Outcome: swarm.Busy, RetryAfter: memoryRetry})
+		return
+	}
 	d := &download{
 		id:       a.ID,
 		digest:   m.Chunks[a.Index],
@@ -127,15 +137,20 @@
 		held:     uint32(1000 * v.state.Held() / m.Len()),
 		progress: func() { v.post(func() { v.step(swarm.Progress{ID: a.ID}) }) },
 	}
+	d.release = func() {
+		v.manager.chunks.put(d.buf)
+		v.manager.memory.Release(memory)
+	}
 	d.done = func(outcome swarm.Outcome, retry time.Duration) {
+		defer d.release()
 		if outcome != swarm.Verified {
 			v.postEnded(files, a.ID, outcome, retry)
 			return
 		}
 		v.keep(files, a, d.buf, false)
-		v.manager.chunks.put(d.buf)
 	}
 	if l.ask(d) != nil {
+		d.release()
 		v.step(swarm.Ended{ID: a.ID, Outcome: swarm.Failed})
 		return
 	}
@@ -155,7 +170,14 @@
 	go func() {
 		defer v.running.Done()
 		defer cancel()
-		buf := v.manager.chunks.get(m.ChunkLen(a.Index))
+		length := m.ChunkLen(a.Index)
+		memory := v.manager.memoryFor(length)
+		if err := v.manager.memory.Acquire(ctx, memory); err != nil {
+			v.postEnded(files, a.ID, swarm.Dropped, 0) // given up before it began
+			return
+		}
+		defer v.manager.memory.Release(memory)
+		buf := v.manager.chunks.get(length)
 		defer v.manager.chunks.put(buf)
 		progress := func(int) { v.post(func() { v.step(swarm.Progress{ID: a.ID}) }) }
 		err := v.manager.origin.Range(ctx, base, m.Model, m.Version, buf, m.Offset(a.Index), progress)
--- a/internal/weights/transfer/bootstrap.go
+++ b/internal/weights/transfer/bootstrap.go
@@ -90,7 +90,8 @@
 		b.asked, b.since = l, now
 		b.tried[l.peer.VM] = now
 		d := &download{
-			id: manifestID, digest: v.id, limit: manifest.MaxEncodedSize,
+			release: func() {},
+			id:      manifestID, digest: v.id, limit: manifest.MaxEncodedSize,
 			progress: func() { v.post(func() { b.since = v.manager.cfg.Now() }) },
 		}
 		d.done = func(outcome swarm.Outcome, _ time.Duration) {
--- a/internal/weights/transfer/link.go
+++ b/internal/weights/transfer/link.go
@@ -46,8 +46,11 @@
 	held     uint32 // thousandths of the version held here
 	progress func()
 	told     time.Time // when progress was last told
-	// done is called once, from the link's goroutine.
+	// done is called once, from the link's goroutine, unless the request is cancelled. It
+	// releases the buffer.
 	done func(swarm.Outcome, time.Duration)
+	// release gives the buffer back.
+	release func()
 }
 
 // link is the connection to one peer for one version: a stream of what the
@@ -205,8 +208,9 @@
 func (l *link) cancel(id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.downloads[id]; ok {
+	if d := l.downloads[id]; d != nil {
 		delete(l.downloads, id)
+		d.release()
 		_ = l.enqueue(&rpc.ChunkRequest{Id: id, Cancel: true})
 	}
 }
@@ -215,25 +219,27 @@
 func (l *link) take(piece *rpc.ChunkPiece) {
 	l.mu.Lock()
 	d := l.downloads[piece.GetId()]
-	l.mu.Unlock()
 	if d == nil {
+		l.mu.Unlock()
 		return // cancelled meanwhile
 	}
 	data := piece.GetData()
+	tooLong := len(d.buf)+len(data) > d.limit
+	if !tooLong {
+		d.buf = append(d.buf, data...) // under the lock: a cancel gives the buffer back
+	}
+	l.mu.Unlock()
 	l.manager.metrics.fromPeers.Add(float64(len(data)))
 	switch {
 	case piece.GetNotHeld():
 		l.end(d, swarm.NotHeld, 0)
 	case piece.GetBusyRetryMs() > 0:
 		l.end(d, swarm.Busy, time.Duration(piece.GetBusyRetryMs())*time.Millisecond)
-	case len(d.buf)+len(data) > d.limit:
+	case tooLong:
 		l.end(d, swarm.Corrupt, 0)
+	case piece.GetLast():
+		l.end(d, swarm.Verified, 0)
 	default:
-		d.buf = append(d.buf, data...)
-		if piece.GetLast() {
-			l.end(d, swarm.Verified, 0)
-			return
-		}
 		if now := time.Now(); now.Sub(d.told) > progressEvery {
 			d.told = now
 			d.progress()
--- a/internal/weights/transfer/manager.go
+++ b/internal/weights/transfer/manager.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"lynxgate.dev/lynxgate/internal/weights/manifest"
 	"lynxgate.dev/lynxgate/internal/weights/origin"
 	"lynxgate.dev/lynxgate/internal/weights/pace"
@@ -32,6 +34,9 @@
 	origin  *origin.Client
 	uploads *uploads
 	metrics *metrics
+	// memory is what Config.MemoryBytes leaves for chunk buffers, in bytes: a fetch that
+	// is given up keeps its part until nobody uses its buffer any more.
+	memory *semaphore.Weighted
 	// chunks and pieces recycle the buffers of downloads and uploads.
 	chunks  buffers
 	pieces  buffers
@@ -69,6 +74,7 @@
 		link:      link,
 		uploads:   newUploads(cfg.UpBytesPerSecond),
 		metrics:   counters,
+		memory:    semaphore.NewWeighted(cfg.MemoryBytes),
 		changed:   make(chan struct{}, 1),
 		ctx:       ctx,
 		cancel:    cancel,
@@ -307,6 +313,10 @@
 	m.manifests[id] = encoded
 }
 
+// memoryFor is the part of the memory that the buffer of a chunk takes; a chunk larger
+// than all of it takes all.
+func (m *Manager) memoryFor(length int) int64 { return min(int64(length), m.cfg.MemoryBytes) }
+
 // window returns how many chunks of the given size one version may have in
 // flight, so that all versions together keep to the memory bound.
 func (m *Manager) window(chunkSize int64) int {
--- a/internal/weights/transfer/scratch_test.go
+++ b/internal/weights/transfer/scratch_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"os"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,6 +123,56 @@
 	require.Less(t, most-min(most, before), uint64(6*bound), "two nodes, their bounds, and room for the rest")
 }
 
+// TestFetchesGivenUpCountAgainstTheMemoryBound gives up fetches whose reads go on for
+// longer: their buffers are held until then, and no others may be made beyond the bound.
+func TestFetchesGivenUpCountAgainstTheMemoryBound(t *testing.T) {
+	const chunks, bound = 16, 4 * testChunk
+	origin := newFakeOrigin(t)
+	data := weightsOf(1, chunks)
+	ref := origin.publish(t, "v1", data)
+	slow := &slowReads{stuck: make(chan struct{})}
+	nodes := startNodes(t, 1, map[int]nodeOptions{0: {config: func(c *Config) {
+		c.MemoryBytes = bound
+		c.HTTP = &http.Client{Transport: slow}
+	}}})
+	release := sync.OnceFunc(func() { close(slow.stuck) })
+	t.Cleanup(release)
+	want(nodes, nodes, ref)
+	time.Sleep(8 * testConfig("", "", "").Swarm.ProgressTimeout)
+	require.NotZero(t, slow.most.Load())
+	require.LessOrEqual(t, slow.most.Load(), int64(bound/testChunk), "fetches that hold a buffer at once")
+	release()
+	requireStaged(t, nodes, "v1", data)
+}
+
+// slowReads is an http.RoundTripper whose answers with chunks are not read on, whatever
+// ends the request, until stuck is closed.
+type slowReads struct {
+	stuck     chan struct{}
+	now, most atomic.Int64
+}
+
+func (s *slowReads) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil || !strings.HasSuffix(r.URL.Path, "weights") {
+		return resp, err
+	}
+	resp.Body = &slowBody{ReadCloser: resp.Body, reads: s}
+	return resp, nil
+}
+
+type slowBody struct {
+	io.ReadCloser
+	reads *slowReads
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	b.reads.most.Store(max(b.reads.most.Load(), b.reads.now.Add(1)))
+	defer b.reads.now.Add(-1)
+	<-b.reads.stuck
+	return b.ReadCloser.Read(p)
+}
+
 func liveHeap() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
