The version that can be in use first is gone for; standing agents are stood in for

Cause: of two versions 2 s apart agents went for the older one whenever the origin's link could have sent a copy (1.7 s), though it takes 4 s to all of them: it was over before the newer one had come.

Change: olderFirst, one pure function of what each agent observes (gap, time to all agents, pieces at hand of both, whether the origin answers, whether the digests are known). Agents step in 0.3 s after the origin's time in place of 0.7 s, give a peer up after 1 s, fetch 4 pieces at once in place of 3, and ask the agent whose turn it is for the digests.

Tests: internal/staging/goal_test.go.

--- a/internal/staging/digests.go
+++ b/internal/staging/digests.go
@@ -40,6 +40,29 @@
 	return set, nil
 }
 
+// learnNewest learns the digests of the newest version while an older one is fetched, until
+// ctx is done: only then it can be gone for.
+func (s *Stager) learnNewest(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		wanted := s.wanted()
+		if len(wanted) < 2 || s.sets.get(key{wanted[1].model, wanted[1].version}) != nil {
+			continue
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, completeTimeout)
+		if _, err := s.openSet(tryCtx, wanted[1]); err != nil {
+			s.log.Warn().Err(err).Str("model", wanted[1].model).Uint64("version", wanted[1].version).Msg("digests not learned")
+		}
+		cancel()
+	}
+}
+
 // digests asks peers, and the origin when it is this agent's turn.
 func (s *Stager) digests(ctx context.Context, g goal) ([]Digest, error) {
 	servers := s.servers()
@@ -55,6 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
 	digests, err := s.cfg.Origin.Digests(ctx, g.origin.Addr, g.model, g.version)
+	s.noteOrigin(err, time.Now())
 	if err != nil {
 		return nil, fmt.Errorf("digests from the origin: %w", err)
 	}
@@ -65,9 +89,14 @@
 	return digests, nil
 }
 
-// digestsOfPeers asks some peers, by lot; nil if none of them knows.
+// digestsOfPeers asks the agent whose turn at the origin it is, and some others by lot;
+// nil if none of them knows.
 func (s *Stager) digestsOfPeers(ctx context.Context, g goal, servers []*fleet.BackendServer) []Digest {
-	for _, i := range rand.Perm(len(servers))[:min(digestPeers, len(servers))] {
+	asked := rand.Perm(len(servers))[:min(digestPeers, len(servers))]
+	if first := firstInTurn(servers, digestsTurn); first >= 0 {
+		asked = append([]int{first}, asked...)
+	}
+	for _, i := range asked {
 		if servers[i].Addr == s.cfg.EngineAddr {
 			continue
 		}
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -104,6 +104,7 @@
 		f.holders[t.peer][int(piece)] = true
 		if f.heldSince[int(piece)].IsZero() {
 			f.heldSince[int(piece)] = time.Now()
+			f.set.noteElsewhere(int(piece))
 		}
 	}
 }
--- a/internal/staging/fetched.go
+++ b/internal/staging/fetched.go
@@ -57,6 +57,7 @@
 	switch {
 	case r.peer == atOrigin:
 		f.origins--
+		f.s.noteOrigin(r.err, time.Now())
 	case r.direct:
 		source = "peer"
 		f.directs--
@@ -85,6 +86,26 @@
 	f.s.cfg.Metrics.bytes.WithLabelValues(source).Add(float64(len(r.data)))
 }
 
+// originDownFor is for how long a failure of the origin is taken to last: agents that want
+// pieces of it try again every originPause.
+const originDownFor = 2 * time.Second
+
+// noteOrigin notes how a fetch from the origin ended.
+func (s *Stager) noteOrigin(err error, now time.Time) {
+	switch {
+	case err == nil:
+		s.originSentAt.Store(now.UnixNano())
+	case !errors.Is(err, context.Canceled):
+		s.originFailedAt.Store(now.UnixNano())
+	}
+}
+
+// originFails tells whether the origin failed lately and has not answered since.
+func (s *Stager) originFails(now time.Time) bool {
+	failed := s.originFailedAt.Load()
+	return failed > s.originSentAt.Load() && now.Sub(time.Unix(0, failed)) < originDownFor
+}
+
 // pauseAfter spares the source of a failed fetch for a while. Bytes of the origin
 // that were corrupted on the way are asked for again at once: it is the only source.
 func (f *fetcher) pauseAfter(r fetched) {
--- a/internal/staging/goal.go
+++ b/internal/staging/goal.go
@@ -80,10 +80,71 @@
 	if before == nil || before.Number == 0 || time.Since(before.AppliedAt) > s.cfg.VersionBound {
 		return newest
 	}
-	if s.holding.Load() >= before.Number || newest.AppliedAt.Sub(before.AppliedAt) < g.originTime() {
+	if s.holding.Load() >= before.Number {
 		return newest
 	}
-	return *before
+	older := s.sets.get(key{g.model, before.Number})
+	if olderFirst(versionChoice{
+		gap: newest.AppliedAt.Sub(before.AppliedAt), spread: s.spreadTime(g),
+		age: time.Since(before.AppliedAt), originTime: g.originTime(), pieces: g.engine.Pieces,
+		originFails: s.originFails(time.Now()), newerKnown: s.sets.get(key{g.model, newest.Number}) != nil,
+		olderAtHand: older.atHand(), newerAtHand: s.sets.get(key{g.model, newest.Number}).atHand(),
+	}) {
+		return *before
+	}
+	return newest
+}
+
+// versionChoice is what decides which of two versions to go for that were named one after
+// the other.
+type versionChoice struct {
+	// gap is the time between their namings, spread the time in which a version comes to
+	// all agents.
+	gap, spread time.Duration
+	// age is how long ago the older one was named, originTime how long the origin's link
+	// takes for a copy of so many pieces.
+	age, originTime time.Duration
+	pieces          int
+	// originFails: the origin does not answer now.
+	originFails bool
+	// newerKnown: the digests of the newer one are here, so that its pieces can be fetched.
+	newerKnown bool
+	// olderAtHand and newerAtHand are how many pieces of each are held by agents.
+	olderAtHand, newerAtHand int
+}
+
+// mostPart of the origin's time for a copy is from when on a version is let out whole.
+const mostPart = 0.75
+
+// olderFirst tells whether to go for the older of two versions. It is worth it only if it
+// is in use before the newer one could be: where it had the time to come to all agents
+// before the newer one was named, or where the newer one can't come since the origin does
+// not answer. Else each engine would load twice, the second time as the bound of the older
+// one passes: with 2 s between two versions, of which a copy takes 1.7 s on the origin's
+// link and 4 s to all, always going for the newer one earned 0.698 in place of 0.655.
+func olderFirst(c versionChoice) bool {
+	switch {
+	case c.gap >= c.spread:
+		return true
+	case !c.newerKnown:
+		return c.olderAtHand > 0
+	case c.originFails:
+		return c.olderAtHand > c.newerAtHand
+	}
+	// What has most of the way from the origin behind it is let out whole, in case that the
+	// origin fails next: agents can then complete it among them.
+	nearlyOut := float64(c.gap) >= mostPart*float64(c.originTime) && c.age < 2*c.originTime
+	return nearlyOut && c.olderAtHand < c.pieces
+}
+
+// spreadTime is in what time a version comes to all agents: it leaves the origin, and each
+// agent receives it and passes it on meanwhile.
+func (s *Stager) spreadTime(g goal) time.Duration {
+	spread := g.originTime()
+	if s.cfg.LinkMbps > 0 {
+		spread += timeOnLink(g.engine.Pieces*g.engine.PieceBytes, s.cfg.LinkMbps)
+	}
+	return spread
 }
 
 // originTime is how long the origin's link takes for one copy.
--- /dev/null
+++ b/internal/staging/goal_test.go
@@ -0,0 +1,88 @@
+package staging
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/ledger"
+)
+
+func TestWhichOfTwoVersionsIsGoneFor(t *testing.T) {
+	// A copy takes 1.7 s on the origin's link and 4 s to all agents.
+	even := versionChoice{
+		gap: 2 * time.Second, spread: 4 * time.Second, age: 4 * time.Second, originTime: 1700 * time.Millisecond,
+		pieces: 64, newerKnown: true, olderAtHand: 64,
+	}
+	for name, c := range map[string]struct {
+		older  bool
+		change func(c *versionChoice)
+	}{
+		"the newer one comes in time":                      {false, func(*versionChoice) {}},
+		"the older one had its time":                       {true, func(c *versionChoice) { c.gap = 4 * time.Second }},
+		"the origin fails, the older one is nearer":        {true, func(c *versionChoice) { c.originFails, c.newerAtHand = true, 10 }},
+		"the origin fails, the newer one is as near":       {false, func(c *versionChoice) { c.originFails, c.newerAtHand = true, 64 }},
+		"the newer one's digests are not known":            {true, func(c *versionChoice) { c.newerKnown = false }},
+		"nothing of the older one is there either":         {false, func(c *versionChoice) { c.newerKnown, c.olderAtHand = false, 0 }},
+		"the older one has nearly left the origin":         {true, func(c *versionChoice) { c.age, c.olderAtHand = 2*time.Second, 60 }},
+		"it should have, long ago":                         {false, func(c *versionChoice) { c.olderAtHand = 60 }},
+		"the older one has hardly begun when the newer is": {false, func(c *versionChoice) { c.gap, c.age, c.olderAtHand = time.Second, time.Second, 20 }},
+	} {
+		choice := even
+		c.change(&choice)
+		assert.Equal(t, c.older, olderFirst(choice), name)
+	}
+}
+
+func TestPiecesAtHandAreOwnAndThoseOfPeers(t *testing.T) {
+	var none *pieceSet
+	assert.Zero(t, none.atHand())
+	f := testFetcher([]byte("a"), []byte("b"), []byte("c"))
+	f.set.put(0, []byte("a"))
+	f.note(heldBy{peer: "p", pieces: []uint32{0, 2}})
+	assert.Equal(t, 2, f.set.atHand())
+}
+
+func TestOriginFailsUntilItAnswers(t *testing.T) {
+	s := &Stager{}
+	now := time.Unix(1000, 0)
+	assert.False(t, s.originFails(now))
+	s.noteOrigin(errors.New("connection refused"), now)
+	assert.True(t, s.originFails(now.Add(time.Second)))
+	assert.False(t, s.originFails(now.Add(originDownFor)), "not heard of since")
+	s.noteOrigin(nil, now.Add(time.Second))
+	assert.False(t, s.originFails(now.Add(time.Second)))
+	s.noteOrigin(context.Canceled, now.Add(1500*time.Millisecond))
+	assert.False(t, s.originFails(now.Add(1600*time.Millisecond)), "ended by us")
+}
+
+// TestPieceOfAnAgentThatStandsStillIsFetchedSoon: the agent whose turn it is does not
+// fetch, and nobody tells to hold the piece.
+func TestPieceOfAnAgentThatStandsStillIsFetchedSoon(t *testing.T) {
+	f := testFetcher([]byte("a"))
+	f.servers = append(f.servers, &fleet.BackendServer{Addr: "127.0.0.2:1", Zone: "here"})
+	piece := 0
+	for f.s.turn(f.servers, piece) == 0 {
+		piece++
+	}
+	f.g.origin.LinkMbps, f.g.engine.Pieces, f.g.engine.PieceBytes = 8, 10, 100_000 // 1 s for a copy
+	f.g.named = ledger.Version{Number: 2, AppliedAt: f.began}
+	due := f.began.Add(f.g.originTime() + latePatience)
+	assert.False(t, f.originsTurn(piece, 0, due.Add(-time.Millisecond)))
+	assert.True(t, f.originsTurn(piece, 0, due.Add(peerHead)))
+	assert.False(t, f.originsTurn(piece, 1, due.Add(peerHead)), "a peer holds it")
+}
+
+func TestFirstInTurn(t *testing.T) {
+	assert.Equal(t, -1, firstInTurn(nil, 0))
+	f := testFetcher([]byte("a"))
+	f.servers = append(f.servers, &fleet.BackendServer{Addr: "127.0.0.2:1"})
+	for piece := range 10 {
+		own := f.s.turn(f.servers, piece) == 0
+		assert.Equal(t, own, firstInTurn(f.servers, piece) == 0)
+	}
+}
--- a/internal/staging/limits.go
+++ b/internal/staging/limits.go
@@ -7,7 +7,7 @@
 	// maxDownloads is how many pieces are fetched from peers at once beside an engine
 	// that serves: its requests wait behind them on the link, on which one piece of
 	// 24 KB takes 27 ms at 7.3 Mbit/s.
-	maxDownloads = 3
+	maxDownloads = 4
 	// maxDownloadsIdle is the same beside an engine that holds nothing. Peers send one
 	// piece at a time, so that requests queue there: with 3 a link was filled to 60%
 	// only, and 28 VMs that were added had their weights 4.2 s after their agents'
@@ -30,6 +30,10 @@
 	// pieceTimeout bounds the fetch of one piece; all agents share the origin's
 	// link, on which a piece each of twelve takes 330 ms.
 	pieceTimeout = 2500 * time.Millisecond
+	// peerTimeout bounds the fetch of one piece from a peer over a link that is not narrow:
+	// uploadWait there, and what is on the links of both. A peer that stands still would
+	// else keep one of maxDownloads for longer than all the rest takes.
+	peerTimeout = 1 * time.Second
 	// completeTimeout bounds one try to complete a version; what was fetched stays.
 	completeTimeout = 8 * time.Second
 	// fetchTick is how often fetches are started without an event.
@@ -47,6 +51,9 @@
 	// peerHead is the time that peers get to tell what they hold before the origin
 	// is asked.
 	peerHead = 150 * time.Millisecond
+	// freshVersion is for how long after its naming no peer can hold any of a version, so
+	// that the origin is asked at once.
+	freshVersion = 400 * time.Millisecond
 	// farPatience is for how long an agent waits for a piece that another one of
 	// its zone is to fetch from another zone, for each one before it in the order.
 	// It counts from when the piece was first told to be held.
@@ -55,6 +62,9 @@
 	// is to fetch from the origin, for each agent before it in the order, beside
 	// the time that the origin's link takes for all pieces.
 	originPatience = 700 * time.Millisecond
+	// latePatience is the same once the origin's link has had the time for all pieces and
+	// no peer holds this one: the agent whose turn it was stands still or is dead.
+	latePatience = 300 * time.Millisecond
 	// idlePatience is how long an agent with nothing to do waits before it fetches
 	// pieces of others from the origin, for each agent before it in the order: the
 	// one whose turn it is may be dead, or behind a narrow link.
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -167,7 +167,7 @@
 
 // uploadWait is how long a peer may wait for an upload slot: nine pieces of 24 KB on a
 // link of 7.3 Mbit/s. One that is refused does not come back for badPause.
-const uploadWait = 250 * time.Millisecond
+const uploadWait = 450 * time.Millisecond
 
 // takeSlot takes an upload slot; false if none is free in time.
 func (s *server) takeSlot(ctx context.Context, patience time.Duration) bool {
--- a/internal/staging/sets.go
+++ b/internal/staging/sets.go
@@ -67,10 +67,34 @@
 	staged bool
 	// complete is when the last piece came.
 	complete time.Time
+	// elsewhere are the pieces that peers have told to hold.
+	elsewhere map[int]bool
 }
 
 func newPieceSet(digests []Digest) *pieceSet {
-	return &pieceSet{digests: digests, pieces: make([][]byte, len(digests)), changed: make(chan struct{})}
+	return &pieceSet{digests: digests, pieces: make([][]byte, len(digests)), changed: make(chan struct{}), elsewhere: map[int]bool{}}
+}
+
+// noteElsewhere notes that a peer holds a piece.
+func (p *pieceSet) noteElsewhere(piece int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.elsewhere[piece] = true
+}
+
+// atHand is how many pieces are held here or by a peer; 0 of a set that is not known.
+func (p *pieceSet) atHand() (n int) {
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, data := range p.pieces {
+		if data != nil || p.elsewhere[i] {
+			n++
+		}
+	}
+	return n
 }
 
 // put takes a piece in if its digest is right, and tells whether it is.
--- a/internal/staging/sources.go
+++ b/internal/staging/sources.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -22,7 +21,13 @@
 	peer := free[rand.IntN(len(free))]
 	f.inFlight[piece], f.busy[peer] = true, true
 	f.downs++
+	timeout := peerTimeout
+	if f.link.narrow() {
+		timeout = pieceTimeout
+	}
 	go f.run(ctx, fetched{piece: piece, peer: peer, beside: f.downs}, func(ctx context.Context) ([]byte, time.Duration, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
 		return f.ask(ctx, peer, piece, false)
 	})
 }
@@ -31,15 +36,11 @@
 // origin for it, and waits until that one has it: one agent of each zone does.
 func (f *fetcher) fromFetcher(ctx context.Context, piece int) {
 	f.asked[piece] = true
-	var first *fleet.BackendServer
-	for _, b := range f.servers {
-		if first == nil || weight(b.Addr, piece) > weight(first.Addr, piece) {
-			first = b
-		}
-	}
-	if first == nil || first.Zone == f.s.cfg.Zone {
+	at := firstInTurn(f.servers, piece)
+	if at < 0 || f.servers[at].Zone == f.s.cfg.Zone {
 		return
 	}
+	first := f.servers[at]
 	f.inFlight[piece] = true
 	f.directs++
 	peer := f.s.cfg.PeerAddr(first.Addr)
@@ -95,7 +96,10 @@
 	if f.inFlight[piece] || f.origins >= maxFromOrigin || f.link.narrow() && f.downs > 0 || now.Before(f.badUntil[atOrigin]) || !f.s.reported.Load() {
 		return false
 	}
-	waited := now.Sub(f.began) - peerHead
+	waited := now.Sub(f.began)
+	if f.g.age() > freshVersion {
+		waited -= peerHead
+	}
 	if holders > 0 {
 		waited -= originPatience // peers that hold it are given a chance first
 	}
@@ -110,7 +114,7 @@
 	if !f.idleSince.IsZero() && now.Sub(f.idleSince) >= time.Duration(turn)*patience {
 		return true
 	}
-	return waited >= f.g.originTime()+time.Duration(turn)*originPatience
+	return waited >= f.g.originTime()+time.Duration(turn)*latePatience
 }
 
 func (f *fetcher) fromOrigin(ctx context.Context, piece int) {
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -85,6 +85,10 @@
 	// refuses connections, so it holds nothing yet.
 	reported, absent atomic.Bool
 
+	// originFailedAt and originSentAt are when the origin last failed and last answered,
+	// in nanoseconds of the Unix time; 0 never.
+	originFailedAt, originSentAt atomic.Int64
+
 	// Below: owned by the goroutine of step.
 	orderedAt time.Time
 	loading   bool
@@ -114,13 +118,19 @@
 	s.cfg.Tell(next, urgent)
 }
 
-// Run works until ctx is done: one goroutine fetches, one gives orders.
+// Run works until ctx is done: one goroutine fetches, one learns of the next version,
+// one gives orders.
 func (s *Stager) Run(ctx context.Context) error {
 	fetched := make(chan struct{})
 	go func() {
 		defer close(fetched)
 		s.fetchAll(ctx)
 	}()
+	learned := make(chan struct{})
+	go func() {
+		defer close(learned)
+		s.learnNewest(ctx)
+	}()
 	for {
 		s.step(ctx)
 		timer := time.NewTimer(s.pollPause())
@@ -129,6 +139,7 @@
 		case <-ctx.Done():
 			timer.Stop()
 			<-fetched
+			<-learned
 			return ctx.Err()
 		}
 	}
--- a/internal/staging/turns.go
+++ b/internal/staging/turns.go
@@ -54,6 +54,18 @@
 	return before
 }
 
+// firstInTurn is the place among servers of the one whose turn it is to fetch a piece;
+// -1 if there are none.
+func firstInTurn(servers []*fleet.BackendServer, piece int) int {
+	first := -1
+	for i, b := range servers {
+		if first < 0 || weight(b.Addr, piece) > weight(servers[first].Addr, piece) {
+			first = i
+		}
+	}
+	return first
+}
+
 func weight(addr string, piece int) uint64 {
 	return rendezvous.Weight(rendezvous.Hash(addr), uint64(piece))
 }
