An engine that has just loaded is not flooded by all entries at once

Change: prompts of other entries are predicted as many as one's own and one more each; one unread prompt at a time at servers that others use, too; the only entry of a zone owns its servers. Streams that must leave an engine may go where no slot is free but the wait is short.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -75,13 +75,19 @@
 	// services holds the servers by service that have not left.
 	services map[string][]*Server
 	view     *follow.View
+	// freed is called, without the lock, when a server may have got room.
+	freed func()
 }
 
 // New returns a balancer that knows no servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}}
+	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, freed: func() {}}
 }
 
+// OnRoom sets what is called when a server may have got room. Call it before any other
+// goroutine uses the balancer.
+func (b *Balancer) OnRoom(freed func()) { b.freed = freed }
+
 // SetView takes over a new view of the fleet.
 func (b *Balancer) SetView(v *follow.View) {
 	b.mu.Lock()
@@ -159,6 +165,7 @@
 
 // Told takes a server's report of its load.
 func (b *Balancer) Told(s *Server, now time.Time, running, waiting int) {
+	defer b.freed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.load = load{known: true, running: running, waiting: waiting, at: now, ownThen: s.inFlight}
@@ -166,6 +173,7 @@
 
 // Reported takes the report of the agent beside the server at addr.
 func (b *Balancer) Reported(now time.Time, addr string, loading bool, models []fleet.Loaded, running, waiting int) {
+	defer b.freed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.servers {
@@ -222,6 +230,7 @@
 
 // Done ends a send.
 func (b *Balancer) Done(c *Choice, now time.Time, ending Ending) {
+	defer b.freed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.Server
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -72,7 +72,7 @@
 	short.Budget, short.Exclude = 300*time.Millisecond, []*Server{second.Server}
 	none, room := b.Pick(start, short)
 	assert.Nil(t, none.Server)
-	assert.Equal(t, Room{Known: 2, Fit: 1, Tried: 1}, room)
+	assert.Equal(t, Room{Known: 2, Fit: 1, Tried: 1, Soonest: 400 * time.Millisecond}, room)
 	b.Began(first, start)
 	assert.Equal(t, first.Server, pick(t, b, start, short).Server, "its prompt is read")
 }
--- a/internal/balance/ownership.go
+++ b/internal/balance/ownership.go
@@ -11,7 +11,9 @@
 // server sends most of what it gets, so it knows its load without waiting for
 // reports, which are some hundred ms old; entries that all chose by the same
 // reports would choose the same server until the next one. What an entry's own
-// servers have no room for goes to those of others.
+// servers have no room for goes to those of others. The only entry of a zone owns all of
+// its servers: entries of other zones take them when they are much better only, as it
+// does theirs.
 
 // shareOut marks the servers of one service that this entry owns, and those that
 // others own.
@@ -24,12 +26,12 @@
 		}
 	}
 	entries := b.entriesNear()
-	if len(entries) < 2 || len(near) < len(entries) {
+	if b.view.EntryCount() < 2 || len(near) < len(entries) {
 		return
 	}
 	owned := owners(entries, near)
 	for _, s := range servers {
-		s.own = owned[s] == b.cfg.Name
+		s.own = owned[s.Addr] == b.cfg.Name
 		s.foreign = !s.own
 	}
 }
@@ -48,16 +50,16 @@
 	return names
 }
 
-// owners returns the owner of each server: the entry with the highest random weight
+// owners returns the owner of each server, by its address: the entry with the highest random weight
 // among those that own less than their share, rounded up. All entries that know the
 // same servers come to the same result; one that joins or leaves changes few.
-func owners(entries []string, servers []*Server) map[*Server]string {
+func owners(entries []string, servers []*Server) map[string]string {
 	most := (len(servers) + len(entries) - 1) / len(entries)
 	sorted := slices.SortedFunc(slices.Values(servers), func(a, b *Server) int {
 		return cmp.Or(cmp.Compare(rendezvous.Hash(a.Addr), rendezvous.Hash(b.Addr)), cmp.Compare(a.ID, b.ID))
 	})
 	owned := map[string]int{}
-	out := make(map[*Server]string, len(servers))
+	out := make(map[string]string, len(servers))
 	for _, s := range sorted {
 		var best string
 		var bestWeight uint64
@@ -68,7 +70,7 @@
 			}
 		}
 		owned[best]++
-		out[s] = best
+		out[s.Addr] = best
 	}
 	return out
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -19,8 +19,6 @@
 	// a slot and for the prompts before this one.
 	Read   time.Duration
 	Budget time.Duration
-	// Free wants a slot that is free now, by what is known of the server's load.
-	Free bool
 }
 
 // Choice is the server chosen for one send.
@@ -56,6 +54,8 @@
 	// and those that have the version of a begun request still to load. They are counted
 	// above, too, and not logged.
 	Later int `json:"-"`
+	// Soonest is the least predicted wait at those that fit.
+	Soonest time.Duration `json:"-"`
 }
 
 // Pick chooses the server with the lowest predicted wait, load and cost, and counts
@@ -63,6 +63,28 @@
 func (b *Balancer) Pick(now time.Time, w Want) (Choice, Room) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	best, room := b.choose(now, w)
+	if best.Server != nil {
+		s := best.Server
+		if s.inFlight == 0 {
+			s.health.busySince = now
+		}
+		s.inFlight++
+		s.pendingRead += best.Read
+	}
+	return best, room
+}
+
+// Look tells which servers there are for a request, and chooses none.
+func (b *Balancer) Look(now time.Time, w Want) (Choice, Room) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, room := b.choose(now, w)
+	return Choice{}, room
+}
+
+// choose finds the best server, and tells of the others.
+func (b *Balancer) choose(now time.Time, w Want) (Choice, Room) {
 	var best Choice
 	bestScore := time.Duration(math.MaxInt64)
 	room := Room{}
@@ -81,11 +103,14 @@
 		room.Fit++
 		queue := s.queueLength(now, b.view.EntryCount())
 		slots := s.slots()
-		wait := s.predictWait(now, queue)
-		if s.engine == nil && queue >= wholeQueue*float64(slots) || s.engine != nil && wait > w.Budget {
-			continue
+		wait := s.predictWait(now, queue, b.othersAt(s))
+		if room.Fit == 1 || wait < room.Soonest {
+			room.Soonest = wait
+		}
+		if s.pendingRead > 0 && b.othersAt(s) >= 1 {
+			continue // others send to it just now, too: one unread prompt of each at a time
 		}
-		if w.Free && queue+1 > float64(slots) {
+		if s.engine == nil && queue >= wholeQueue*float64(slots) || s.engine != nil && wait > w.Budget {
 			continue
 		}
 		score := b.score(now, s, queue, wait)
@@ -97,14 +122,6 @@
 			}
 		}
 	}
-	if best.Server != nil {
-		s := best.Server
-		if s.inFlight == 0 {
-			s.health.busySince = now
-		}
-		s.inFlight++
-		s.pendingRead += best.Read
-	}
 	return best, room
 }
 
@@ -136,14 +153,31 @@
 	return drawnServers
 }
 
-// predictWait predicts the wait of one more request for a slot, for the prompts
-// of this entry that are to be read before its own, and by what came late before.
-func (s *Server) predictWait(now time.Time, queue float64) time.Duration {
+// othersAt is how many other entries are taken to send to a server at the same moment as
+// this one: all of those that look at it, unless this one owns it.
+func (b *Balancer) othersAt(s *Server) float64 {
+	if s.own {
+		return 0
+	}
+	servers := len(b.services[s.record.Service])
+	looked := float64(b.sample(servers)) / float64(max(servers, 1))
+	return min(looked, 1) * float64(b.view.EntryCount()-1)
+}
+
+// predictWait predicts the wait of one more request for a slot, for the prompts that are
+// to be read before its own, and by what came late before. Prompts that others send are
+// not known here before the next report: they are taken to be as many as this entry's and one more each.
+// Without that an engine that had just loaded, empty by its last report, got a dozen
+// prompts at once from several entries, each of which is read for 32 ms: 17 requests in
+// 0.1 s, whose first events came after 0.5 s.
+func (s *Server) predictWait(now time.Time, queue, others float64) time.Duration {
 	if s.engine == nil {
 		return 0
 	}
 	over := max(0, queue-float64(s.slots())+1)
-	return s.pendingRead + time.Duration(over*float64(s.engine.PerRequest())) + s.excess.now(now)
+	usual := s.engine.ReadTime(s.engine.UsualPrompt)
+	reading := s.pendingRead + time.Duration(others*float64(s.pendingRead+usual))
+	return reading + time.Duration(over*float64(s.engine.PerRequest())) + s.excess.now(now)
 }
 
 // Began notes that an event of a request has come: its prompt is read.
@@ -151,6 +185,7 @@
 	if c.begun {
 		return
 	}
+	defer b.freed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.begun = true
