--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -325,7 +325,7 @@
 		if c.by.Sub(now) < leastSend {
 			return balance.Choice{}, balance.Room{}
 		}
-		want := c.want(c.share(again))
+		want := c.want(share(again))
 		if c.events > 0 {
 			want.Version = c.versionNumber()
 		}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -21,14 +21,11 @@
 	leastBudget = 20 * time.Millisecond
 	// firstShare is the part of the objective within which the first event must be
 	// predicted for a request to be sent; the rest is for what the prediction does
-	// not know. Under lasting overload of 1.35 times, 0.6 and 0.4 earned 0.70 of the
-	// credit, 0.85 and 0.65 earned 0.65, 1.0 and 0.6 earned 0.62; with room to spare
-	// they do the same (one played day each).
+	// not know. Under lasting overload of 1.35 times, 0.6 earned 0.70 of the credit, 0.85
+	// earned 0.65, 1.0 earned 0.62; with room to spare they do the same (one played day
+	// each, with a lower share for callers that came back, which since they come after
+	// others measures nothing).
 	firstShare = 0.6
-	// comebackShare is the same for a caller that comes back after a refusal. It is
-	// lower, so that under lasting overload those who ask for the first time are
-	// served on time: else all of the room goes to callers who are late already.
-	comebackShare = 0.4
 	// resendShare is the same for our own repeats: their caller has waited already,
 	// and the time is gone whatever happens.
 	resendShare = 1.6
@@ -46,12 +43,9 @@
 func jitter(d time.Duration) time.Duration { return rand.N(max(d, 1)) }
 
 // share is the part of the objective within which the first event must be predicted.
-func (c *call) share(again bool) float64 {
-	switch {
-	case again:
+func share(again bool) float64 {
+	if again {
 		return resendShare
-	case c.cameBack:
-		return comebackShare
 	}
 	return firstShare
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -17,6 +17,8 @@
 	whole    *prometheus.HistogramVec
 	wait     *prometheus.HistogramVec
 	gap      *prometheus.HistogramVec
+	// room is how long requests waited for room, by whether they got it.
+	room *prometheus.HistogramVec
 	// interrupted counts streams whose server stopped to write them before their end.
 	interrupted *prometheus.CounterVec
 	// Gauges that Run sets once a second.
@@ -51,6 +53,9 @@
 		gap: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lynxgate_gateway_longest_gap_seconds", Help: "Longest pause between two events of a stream.", Buckets: latencyBuckets,
 		}, []string{"service"}),
+		room: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lynxgate_gateway_room_wait_seconds", Help: "Wait for room at a backend server, by whether it came in time.", Buckets: latencyBuckets,
+		}, []string{"service", "given"}),
 		interrupted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_gateway_streams_interrupted_total", Help: "Streams interrupted after their first event, by who did it first and how they ended.",
 		}, []string{"by", "end"}),
@@ -67,7 +72,7 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.interrupted, m.budgetLeft, m.directoryAge, m.configVersion, m.Dialled)
+	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.room, m.interrupted, m.budgetLeft, m.directoryAge, m.configVersion, m.Dialled)
 	return m
 }
 
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -164,5 +165,6 @@
 	}
 	choice, ok := c.g.rooms.wait(ctx, r, want)
 	c.waited = time.Since(r.Since)
+	c.g.cfg.Metrics.room.WithLabelValues(c.service, strconv.FormatBool(ok)).Observe(c.waited.Seconds())
 	return choice, ok
 }
--- a/internal/staging/goal.go
+++ b/internal/staging/goal.go
@@ -84,15 +84,23 @@
 		return newest
 	}
 	older := s.sets.get(key{g.model, before.Number})
-	if olderFirst(versionChoice{
+	choice := versionChoice{
 		gap: newest.AppliedAt.Sub(before.AppliedAt), spread: s.spreadTime(g),
 		age: time.Since(before.AppliedAt), originTime: g.originTime(), pieces: g.engine.Pieces,
 		originFails: s.originFails(time.Now()), newerKnown: s.sets.get(key{g.model, newest.Number}) != nil,
 		olderAtHand: older.atHand(), newerAtHand: s.sets.get(key{g.model, newest.Number}).atHand(),
-	}) {
-		return *before
 	}
-	return newest
+	chosen := newest
+	if olderFirst(choice) {
+		chosen = *before
+	}
+	if s.goingFor.Swap(chosen.Number) != chosen.Number {
+		s.log.Info().Str("model", g.model).Uint64("version", chosen.Number).Uint64("older", before.Number).Uint64("newer", newest.Number).
+			Dur("gap_ms", choice.gap).Dur("spread_ms", choice.spread).Bool("origin_fails", choice.originFails).
+			Bool("newer_known", choice.newerKnown).Int("older_at_hand", choice.olderAtHand).Int("newer_at_hand", choice.newerAtHand).
+			Msg("version to go for chosen")
+	}
+	return chosen
 }
 
 // versionChoice is what decides which of two versions to go for that were named one after
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -85,6 +85,9 @@
 	// refuses connections, so it holds nothing yet.
 	reported, absent atomic.Bool
 
+	// goingFor is the version that was chosen last of two that were named shortly after
+	// each other.
+	goingFor atomic.Uint64
 	// originFailedAt and originSentAt are when the origin last failed and last answered,
 	// in nanoseconds of the Unix time; 0 never.
 	originFailedAt, originSentAt atomic.Int64
