The origin is spared again where peers may hold a version that was never named

Cause, found by reading the change: the time that peers get to tell what they hold was left out for versions that were never named, since their age counts as 0, so agents that start would ask the origin at once. The moments at which the origin failed followed the time of day, and what was learned of routes was kept for good.

Comments say what the thresholds gain. Tests: TestOriginIsSparedForWhatPeersMayHold, TestRoutesThatAreGoneAreForgotten.

--- a/internal/balance/ownership.go
+++ b/internal/balance/ownership.go
@@ -50,8 +50,8 @@
 	return names
 }
 
-// owners returns the owner of each server, by its address: the entry with the highest random weight
-// among those that own less than their share, rounded up. All entries that know the
+// owners returns the owner of each server, by its address: the entry with the highest
+// random weight among those that own less than their share, rounded up. All entries that know the
 // same servers come to the same result; one that joins or leaves changes few.
 func owners(entries []string, servers []*Server) map[string]string {
 	most := (len(servers) + len(entries) - 1) / len(entries)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,7 +106,9 @@
 
 // SetView takes over a new view of the fleet.
 func (g *Gateway) SetView(v *follow.View) {
-	g.view.Store(v)
+	if before := g.view.Swap(v).Table; v.Table != nil && v.Table != before {
+		g.rooms.keepRoutes(v.Table)
+	}
 	g.balancer.SetView(v)
 	g.shareBudgets(time.Now())
 }
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -51,6 +51,17 @@
 	return q.deadlines.ComesBack(now, route.Name, deadline, route.Timeout)
 }
 
+// keepRoutes forgets what was learned of routes that a configuration no longer has.
+func (q *roomQueues) keepRoutes(t *fleet.Table) {
+	names := make([]string, len(t.Config.Routes))
+	for i, route := range t.Config.Routes {
+		names[i] = route.Name
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deadlines.Keep(names)
+}
+
 // refused notes that a caller was told to come back.
 func (q *roomQueues) refused(now time.Time, after time.Duration) {
 	q.mu.Lock()
--- a/internal/staging/fetched.go
+++ b/internal/staging/fetched.go
@@ -94,16 +94,16 @@
 func (s *Stager) noteOrigin(err error, now time.Time) {
 	switch {
 	case err == nil:
-		s.originSentAt.Store(now.UnixNano())
+		s.originSentAt.Store(int64(now.Sub(s.start)))
 	case !errors.Is(err, context.Canceled):
-		s.originFailedAt.Store(now.UnixNano())
+		s.originFailedAt.Store(int64(now.Sub(s.start)))
 	}
 }
 
 // originFails tells whether the origin failed lately and has not answered since.
 func (s *Stager) originFails(now time.Time) bool {
 	failed := s.originFailedAt.Load()
-	return failed > s.originSentAt.Load() && now.Sub(time.Unix(0, failed)) < originDownFor
+	return failed > s.originSentAt.Load() && now.Sub(s.start)-time.Duration(failed) < originDownFor
 }
 
 // pauseAfter spares the source of a failed fetch for a while. Bytes of the origin
--- a/internal/staging/goal_test.go
+++ b/internal/staging/goal_test.go
@@ -48,8 +48,8 @@
 }
 
 func TestOriginFailsUntilItAnswers(t *testing.T) {
-	s := &Stager{}
 	now := time.Unix(1000, 0)
+	s := &Stager{start: now.Add(-time.Minute)}
 	assert.False(t, s.originFails(now))
 	s.noteOrigin(errors.New("connection refused"), now)
 	assert.True(t, s.originFails(now.Add(time.Second)))
@@ -77,6 +77,19 @@
 	assert.False(t, f.originsTurn(piece, 1, due.Add(peerHead)), "a peer holds it")
 }
 
+// TestOriginIsSparedForWhatPeersMayHold: peers are given time to tell what they hold, but of
+// a version that was named just now.
+func TestOriginIsSparedForWhatPeersMayHold(t *testing.T) {
+	f := testFetcher([]byte("a"))
+	f.began = time.Now()
+	assert.False(t, f.originsTurn(0, 0, f.began), "a version that never was named")
+	f.g.named = ledger.Version{Number: 2, AppliedAt: f.began.Add(-time.Minute)}
+	assert.False(t, f.originsTurn(0, 0, f.began), "named long ago")
+	assert.True(t, f.originsTurn(0, 0, f.began.Add(peerHead)))
+	f.g.named.AppliedAt = f.began
+	assert.True(t, f.originsTurn(0, 0, f.began), "named now")
+}
+
 func TestFirstInTurn(t *testing.T) {
 	assert.Equal(t, -1, firstInTurn(nil, 0))
 	f := testFetcher([]byte("a"))
--- a/internal/staging/limits.go
+++ b/internal/staging/limits.go
@@ -6,7 +6,9 @@
 const (
 	// maxDownloads is how many pieces are fetched from peers at once beside an engine
 	// that serves: its requests wait behind them on the link, on which one piece of
-	// 24 KB takes 27 ms at 7.3 Mbit/s.
+	// 24 KB takes 27 ms at 7.3 Mbit/s. Pieces wait for each other on two links, so that
+	// 3 filled the link to 62%; with 4 a version was complete after 3.98 s in place of
+	// 4.26 s, with 7 after 3.56 s but with less worth (0.821 in place of 0.835, a calm day).
 	maxDownloads = 4
 	// maxDownloadsIdle is the same beside an engine that holds nothing. Peers send one
 	// piece at a time, so that requests queue there: with 3 a link was filled to 60%
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// uploadWait is how long a peer may wait for an upload slot: nine pieces of 24 KB on a
+// uploadWait is how long a peer may wait for an upload slot: sixteen pieces of 24 KB on a
 // link of 7.3 Mbit/s. One that is refused does not come back for badPause.
 const uploadWait = 450 * time.Millisecond
 
--- a/internal/staging/sources.go
+++ b/internal/staging/sources.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	waited := now.Sub(f.began)
-	if f.g.age() > freshVersion {
+	if f.g.named.Number == 0 || f.g.age() > freshVersion {
 		waited -= peerHead
 	}
 	if holders > 0 {
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -89,7 +89,8 @@
 	// each other.
 	goingFor atomic.Uint64
 	// originFailedAt and originSentAt are when the origin last failed and last answered,
-	// in nanoseconds of the Unix time; 0 never.
+	// in nanoseconds since start, which the time of day does not change; 0 never.
+	start                        time.Time
 	originFailedAt, originSentAt atomic.Int64
 
 	// Below: owned by the goroutine of step.
@@ -106,6 +107,7 @@
 	return &Stager{
 		cfg: cfg, log: cfg.Logger, pool: rpcconn.NewPool(), sets: newSets(),
 		slots: make(chan struct{}, maxUploads), now: time.Now,
+		start: time.Now(),
 		epoch: uint64(time.Now().UnixNano()), told: &rpc.AgentReport{},
 	}
 }
--- a/internal/waiting/deadlines.go
+++ b/internal/waiting/deadlines.go
@@ -46,6 +46,17 @@
 // NewDeadlines returns one that has learned nothing.
 func NewDeadlines() *Deadlines { return &Deadlines{routes: map[string]*sample{}} }
 
+// Keep forgets all routes but these.
+func (d *Deadlines) Keep(routes []string) {
+	kept := make(map[string]*sample, len(routes))
+	for _, route := range routes {
+		if s := d.routes[route]; s != nil {
+			kept[route] = s
+		}
+	}
+	d.routes = kept
+}
+
 // Refused notes that a caller was refused and told to come back after this time.
 func (d *Deadlines) Refused(now time.Time, after time.Duration) {
 	if until := now.Add(after + afterReturn); until.After(d.quietUntil) {
--- a/internal/waiting/deadlines_test.go
+++ b/internal/waiting/deadlines_test.go
@@ -63,6 +63,19 @@
 	assert.False(t, d.ComesBack(start, route, timeout, 2*timeout))
 }
 
+func TestRoutesThatAreGoneAreForgotten(t *testing.T) {
+	d := NewDeadlines()
+	for _, name := range []string{"kept", "gone"} {
+		for range leastSample {
+			d.ComesBack(start, name, timeout/2, timeout)
+		}
+	}
+	d.Keep([]string{"kept"})
+	d.Refused(start, time.Second)
+	assert.False(t, d.ComesBack(start, "kept", timeout/2, timeout))
+	assert.True(t, d.ComesBack(start, "gone", timeout/2, timeout), "by the route's timeout")
+}
+
 func TestNothingIsLearnedWhileCallersComeBack(t *testing.T) {
 	d := NewDeadlines()
 	d.Refused(start, time.Second)
