A server called off before it answers counts for moves; a free slot is wanted again

A server that is asked to go on with a stream and is called off before it has answered may have begun; only what had answered was counted, and a third one was asked because the first was to load.

Change: such servers count where a load is the only reason to ask another; for silence and failures they don't, since the stream would be lost else.

Test: TestServersCalledOffBeforeTheyAnswerCountForMoves, failed before (two asked, one allowed). Tests of gateway and balance pass.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -19,6 +19,8 @@
 	// a slot and for the prompts before this one.
 	Read   time.Duration
 	Budget time.Duration
+	// Free wants a slot that is free now, by what is known of the server's load.
+	Free bool
 }
 
 // Choice is the server chosen for one send.
@@ -113,6 +115,9 @@
 		if s.engine == nil && queue >= wholeQueue*float64(slots) || s.engine != nil && wait > w.Budget {
 			continue
 		}
+		if w.Free && queue+1 > float64(slots) {
+			continue
+		}
 		score := b.score(now, s, queue, wait)
 		if score < bestScore {
 			bestScore = score
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -129,6 +129,9 @@
 	}
 	if !errors.Is(err, dispatch.ErrNotSent) && !errors.Is(err, errRefused) {
 		c.mayHaveRun = true // whatever we have heard of it
+		if !h.began {
+			c.unheard++
+		}
 	}
 	h.next.cancel()
 	c.g.balancer.Done(&h.choice, time.Now(), ending)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,6 +48,9 @@
 
 	// sends counts those that left, runs those that may have run.
 	sends, runs int
+	// unheard counts servers that were asked to go on and called off before they had
+	// answered: they may have begun. No other is asked for no better reason than a load.
+	unheard int
 	// refusals counts those that a server refused.
 	refusals int
 	// mayHaveRun tells that a send may have run, or has.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -64,7 +64,7 @@
 func (c *call) beginHandover(w *watchdog, why moveReason) *handover {
 	c.passing.Lock()
 	defer c.passing.Unlock()
-	if w.ended || c.handover != nil || !c.mayAsk(w) {
+	if w.ended || c.handover != nil || !c.mayAsk(w, why) {
 		return nil
 	}
 	now := time.Now()
@@ -87,8 +87,11 @@
 
 // mayAsk tells whether another server may be asked beside the one that w watches. What
 // that one was sent is counted only once it has answered.
-func (c *call) mayAsk(w *watchdog) bool {
+func (c *call) mayAsk(w *watchdog, why moveReason) bool {
 	most := max(c.route.MaxAttempts, 1)
+	if why == moveLoading && c.runs+c.unheard >= most {
+		return false
+	}
 	if w.begun.Load() {
 		return c.runs < most && c.sends < most+maxAsks
 	}
@@ -101,6 +104,7 @@
 	want := c.want(resendShare)
 	if why == moveLoading {
 		want = c.want(moveShare)
+		want.Free = true
 	}
 	if c.events > 0 {
 		want.Version = c.versionNumber()
--- a/internal/gateway/runs_counted_test.go
+++ b/internal/gateway/runs_counted_test.go
@@ -32,3 +32,26 @@
 	e.ask(t, http.MethodPost, "/stream/x", func(r *http.Request) { r.Header.Set(headers.DeadlineMs, "5000") })
 	assert.Len(t, append(others["b-2"].requests(), others["b-3"].requests()...), 1, "the route allows two servers")
 }
+
+// TestServersCalledOffBeforeTheyAnswerCountForMoves: a server that was sent the rest of a
+// stream and is called off before it answers may have begun all the same. Its server's load
+// is no reason to ask a third one.
+func TestServersCalledOffBeforeTheyAnswerCountForMoves(t *testing.T) {
+	const count, pause = 19, 100 * time.Millisecond
+	loads := newBackend(t, "b-loads", slowEvents(count, pause))
+	var e *entry
+	others := map[string]*backend{}
+	for _, id := range []string{"b-2", "b-3"} {
+		others[id] = newBackend(t, id, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			e.report(t, others[id], true, 7) // the next one is another
+			<-r.Context().Done()
+		})
+	}
+	e = newEntry(t, loads, others["b-2"], others["b-3"])
+	e.onlyEngines()
+	time.AfterFunc(pause, func() { e.report(t, loads, true, 7) })
+	a := e.ask(t, http.MethodPost, "/stream/x", func(r *http.Request) { r.Header.Set(headers.DeadlineMs, "5000") })
+	assert.Equal(t, slowStream(count), a.body)
+	assert.Len(t, append(others["b-2"].requests(), others["b-3"].requests()...), 1, "the route allows two servers")
+}
