Starts under one id are told apart by when they were born; other writers name no server

Cause: a backend server that started again under its id was taken for its former self: announcements were dropped until seq had caught up, a state once draining or gone was never left for 60 s, reports, load and failures were kept.

Change: directory, balance, follow and agents' reports carry born; the later start is another server in all of them, requests at the former one are ended and go on elsewhere as after a crash. A service that isn't declared is ignored, unless its server was known with it: a server that leaves after its service still gets its acknowledgement.

TestAddressOfAnotherServiceIsLeft now declares the other service: a service that nobody declares names no server, which is what its scenario left open.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 )
@@ -115,8 +114,12 @@
 
 func (b *Balancer) setRecord(service string, record *fleet.BackendServer) {
 	s := b.servers[record.ID]
+	if s != nil && s.record.Born != 0 && record.Born > s.record.Born {
+		b.startedAgain(s, record.Born)
+		s = nil
+	}
 	if s == nil {
-		s = &Server{ID: record.ID, Addr: record.Addr, Pool: dispatch.NewPool(record.Addr)}
+		s = newServer(record)
 		b.servers[record.ID] = s
 	}
 	s.record = record
@@ -171,21 +174,39 @@
 	s.load = load{known: true, running: running, waiting: waiting, at: now, ownThen: s.inFlight}
 }
 
-// Reported takes the report of the agent beside the server at addr.
-func (b *Balancer) Reported(now time.Time, addr string, loading bool, models []fleet.Loaded, running, waiting int) {
+// Report is what the agent beside a backend server tells of it.
+type Report struct {
+	// Addr is the server's; Born is of the start that is told of, 0 if not known.
+	Addr string
+	Born int64
+	// Loading servers take no new requests.
+	Loading bool
+	Models  []fleet.Loaded
+	// Running and Waiting are the requests there.
+	Running, Waiting int
+}
+
+// Reported takes an agent's report.
+func (b *Balancer) Reported(now time.Time, r Report) {
 	defer b.freed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.servers {
-		if s.Addr != addr || s.retired || s.record.State == fleet.StateGone || s.replaced() {
+		if s.Addr != r.Addr || s.retired || s.record.State == fleet.StateGone || s.replaced() {
+			continue
+		}
+		if born := s.record.Born; born != 0 && r.Born != 0 && r.Born != born {
+			if r.Born > born {
+				b.startedAgain(s, r.Born)
+			}
 			continue
 		}
 		since := s.agent.loadingSince
-		if !loading || !s.agent.loading {
+		if !r.Loading || !s.agent.loading {
 			since = now
 		}
-		s.agent = agentReport{at: now, loading: loading, loadingSince: since, models: models}
-		s.load = load{known: true, running: running, waiting: waiting, at: now, ownThen: s.inFlight}
+		s.agent = agentReport{at: now, loading: r.Loading, loadingSince: since, models: r.Models}
+		s.load = load{known: true, running: r.Running, waiting: r.Waiting, at: now, ownThen: s.inFlight}
 	}
 }
 
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -94,7 +94,7 @@
 	leaving.State = fleet.StateDraining
 	b := balancer(view(leaving, record("2", "there", 1)))
 	assert.Equal(t, "2", pick(t, b, start, want()).Server.ID)
-	b.Reported(start, "127.0.0.1:2", true, []fleet.Loaded{{Model: model, Version: 1, To: 16}}, 1, 0)
+	b.Reported(start, Report{Addr: "127.0.0.1:2", Loading: true, Models: []fleet.Loaded{{Model: model, Version: 1, To: 16}}, Running: 1})
 	none, _ := b.Pick(start, want())
 	assert.Nil(t, none.Server)
 	_, _ = b.Pick(start, want())
@@ -199,11 +199,11 @@
 	b := balancer(view(record("1", "here", 1)))
 	c := pick(t, b, start, want())
 	later := start.Add(suspectAfter + 1)
-	b.Reported(later, "127.0.0.1:1", false, []fleet.Loaded{{Model: model, Version: 1, To: 16}}, 1, 0)
+	b.Reported(later, Report{Addr: "127.0.0.1:1", Models: []fleet.Loaded{{Model: model, Version: 1, To: 16}}, Running: 1})
 	assert.False(t, b.Silent(c.Server, later))
 	assert.True(t, b.Silent(c.Server, later.Add(suspectAfter+1)), "the agent is silent, too")
 	much := start.Add(suspectTold + 1)
-	b.Reported(much, "127.0.0.1:1", false, []fleet.Loaded{{Model: model, Version: 1, To: 16}}, 1, 0)
+	b.Reported(much, Report{Addr: "127.0.0.1:1", Models: []fleet.Loaded{{Model: model, Version: 1, To: 16}}, Running: 1})
 	assert.True(t, b.Silent(c.Server, much))
 }
 
--- a/internal/balance/flood_test.go
+++ b/internal/balance/flood_test.go
@@ -32,7 +32,7 @@
 			if r.Addr == loaded {
 				running = 0
 			}
-			b.Reported(start, r.Addr, false, []fleet.Loaded{{Model: model, Version: 1, To: 16}}, running, 0)
+			b.Reported(start, Report{Addr: r.Addr, Models: []fleet.Loaded{{Model: model, Version: 1, To: 16}}, Running: running})
 		}
 		for range offered {
 			w := want()
--- a/internal/balance/lives.go
+++ b/internal/balance/lives.go
@@ -16,6 +16,9 @@
 	byAddr := make(map[string][]*Server, len(b.servers))
 	for _, s := range b.servers {
 		s.rivals = nil
+		if !b.declared(s) {
+			continue // whoever wrote of it names no server
+		}
 		byAddr[s.Addr] = append(byAddr[s.Addr], s)
 	}
 	for _, servers := range byAddr {
@@ -28,6 +31,11 @@
 	}
 }
 
+// declared tells whether the operators declare a server's service.
+func (b *Balancer) declared(s *Server) bool {
+	return b.view.Table == nil || b.view.Table.Service(s.record.Service) != nil
+}
+
 // replaced tells whether another start has the server's address. One that has taken
 // its leave had it, too.
 func (s *Server) replaced() bool {
@@ -49,8 +57,25 @@
 	if s.retired {
 		return
 	}
-	s.retired = true
 	b.cfg.Logger.Warn().Str("server", s.ID).Str("addr", s.Addr).Msg("backend server's address has another owner")
+	b.takeOut(s)
+}
+
+// startedAgain takes a server out of which a later start under the same id is known. What
+// was sent to it is lost, as after a crash.
+func (b *Balancer) startedAgain(s *Server, born int64) {
+	s.Pool.Close()
+	if s.ctx.Err() != nil {
+		return
+	}
+	b.cfg.Logger.Warn().Str("server", s.ID).Str("addr", s.Addr).Int64("born", s.record.Born).Int64("later", born).
+		Int("requests", s.inFlight).Msg("backend server has started again")
+	s.end()
+	b.takeOut(s)
+}
+
+func (b *Balancer) takeOut(s *Server) {
+	s.retired = true
 	service := s.record.Service
 	b.services[service] = slices.DeleteFunc(b.services[service], func(o *Server) bool { return o == s })
 	b.shareOut(b.services[service])
--- a/internal/balance/lives_test.go
+++ b/internal/balance/lives_test.go
@@ -43,6 +43,9 @@
 	dead, alive := atOneAddress()
 	v := view(dead)
 	v.Servers["plain"] = []*fleet.BackendServer{alive}
+	config := *v.Table.Config
+	config.Services = append(config.Services, fleet.Service{Name: "plain"})
+	v.Table = fleet.NewTable(&config)
 	alive.Service = "plain"
 	b := balancer(v)
 	none, _ := b.Pick(start, want())
@@ -52,7 +55,7 @@
 func TestReportsAndSharesAreOfTheStartThatIsThere(t *testing.T) {
 	dead, alive := atOneAddress()
 	b := balancer(view(dead, alive))
-	b.Reported(start, alive.Addr, false, alive.Models, 3, 2)
+	b.Reported(start, Report{Addr: alive.Addr, Models: alive.Models, Running: 3, Waiting: 2})
 	assert.False(t, b.servers["1"].load.known)
 	assert.Equal(t, 3, b.servers["2"].load.running)
 	assert.Equal(t, map[string]time.Duration{service: 0}, b.DirectoryAge(start), "the dead one is not waited for")
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -19,6 +20,11 @@
 	Addr string
 	Pool *dispatch.Pool
 
+	// ctx ends when a later start under the same id is known: what was sent to this one
+	// is lost.
+	ctx context.Context
+	end context.CancelFunc
+
 	record *fleet.BackendServer
 	// seenAt is when its newest announcement was received.
 	seenAt time.Time
@@ -44,6 +50,15 @@
 	agent     agentReport
 }
 
+func newServer(record *fleet.BackendServer) *Server {
+	s := &Server{ID: record.ID, Addr: record.Addr, Pool: dispatch.NewPool(record.Addr), record: record}
+	s.ctx, s.end = context.WithCancel(context.Background())
+	return s
+}
+
+// Context ends when a later start under the server's id is known.
+func (s *Server) Context() context.Context { return s.ctx }
+
 // agentReport is what the agent beside the server told.
 type agentReport struct {
 	at      time.Time
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,7 +1,9 @@
 // Package directory keeps what is known of the backend servers: each announces
 // itself to some control server, late and out of order, and the control servers
 // spread it. State: the newest announcement by server. Merging is idempotent
-// and commutative, so that any order and repetition gives the same result.
+// and commutative, so that any order and repetition gives the same result. Starts under one
+// id are told apart by when they were born: the later one replaces the former, of which
+// nothing counts any more. A leave that does not tell its start is of the one known here.
 package directory
 
 import (
@@ -53,6 +55,13 @@
 		d.servers[b.ID] = &b
 		return Changed
 	}
+	if b.Born != 0 && b.Born < known.Born {
+		return Unchanged // of a start before the one that is known
+	}
+	if known.Born != 0 && b.Born > known.Born {
+		return d.replace(known, b)
+	}
+	b.Born = max(b.Born, known.Born)
 	known = d.noteStart(known, b.StartedAt)
 	b.StartedAt = known.StartedAt
 	if b.State < known.State {
@@ -76,6 +85,16 @@
 	return change
 }
 
+// replace takes a later start under the same id in: nothing is left of the former one,
+// but its address if the later one has said nothing but that it leaves.
+func (d *Directory) replace(former *fleet.BackendServer, b fleet.BackendServer) Change {
+	if b.State == fleet.StateGone && b.Addr == "" {
+		b.Service, b.Addr, b.Zone, b.Slots = former.Service, former.Addr, former.Zone, former.Slots
+	}
+	d.servers[b.ID] = &b
+	return Changed
+}
+
 // startedAt is when a server started that is heard with this sequence number, which
 // rises by one with each announcement: this late at the latest, if it was not
 // repeated more often than it was delayed.
@@ -102,14 +121,15 @@
 func leave(known *fleet.BackendServer, b fleet.BackendServer) fleet.BackendServer {
 	next := *known
 	next.State = fleet.StateGone
-	next.SeenAt = b.SeenAt
+	next.SeenAt, next.Born = b.SeenAt, b.Born
 	return next
 }
 
-// Renew notes that a server was heard with this sequence number.
-func (d *Directory) Renew(id string, seq uint64, at time.Time) Change {
+// Renew notes that a server was heard with this sequence number. born is of the start
+// that was heard, 0 if it is not known.
+func (d *Directory) Renew(id string, born int64, seq uint64, at time.Time) Change {
 	known, ok := d.servers[id]
-	if !ok || seq <= known.Seq {
+	if !ok || seq <= known.Seq || born != 0 && known.Born != 0 && born != known.Born {
 		return Unchanged
 	}
 	next := *d.noteStart(known, d.startedAt(seq, at))
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -66,9 +66,9 @@
 	// All that was heard of the dead start came late, so it seems to be the later one.
 	d := merged(announced("alive", 20, 120), announced("dead", 1, 120))
 	assert.True(t, d.Get("alive").Life().EndedBefore(d.Get("dead").Life()))
-	d.Renew("alive", 24, time.Unix(124, 0))
+	d.Renew("alive", 0, 24, time.Unix(124, 0))
 	assert.True(t, d.Get("alive").Life().EndedBefore(d.Get("dead").Life()), "one of them may be late")
-	d.Renew("alive", 26, time.Unix(126, 0))
+	d.Renew("alive", 0, 26, time.Unix(126, 0))
 	assert.False(t, d.Get("alive").Life().EndedBefore(d.Get("dead").Life()))
 	assert.False(t, d.Get("dead").Life().EndedBefore(d.Get("alive").Life()))
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -27,8 +27,12 @@
 
 // BackendServer is one start of a backend server as it announces itself.
 type BackendServer struct {
-	// ID is new with each start; Addr may have belonged to others before.
-	ID      string
+	// ID names the server; Addr may have belonged to others before.
+	ID string
+	// Born is when this start began, in Unix milliseconds by the server's own clock; 0 if
+	// it does not say. It tells starts under one ID apart: the later one is another server,
+	// and what an earlier one said counts for nothing.
+	Born    int64
 	Service string
 	Addr    string
 	Zone    string
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -42,6 +42,8 @@
 	ledger       *ledger.Ledger
 	controlAddrs func() []string
 	log          zerolog.Logger
+	services     *declaredServices
+	refused      *refusals
 
 	mu        sync.Mutex
 	servers   *directory.Directory
@@ -77,9 +79,10 @@
 	left   *sync.WaitGroup
 }
 
-func newHub(l *ledger.Ledger, controlAddrs func() []string, announceInterval time.Duration, log zerolog.Logger) *hub {
+func newHub(l *ledger.Ledger, controlAddrs func() []string, announceInterval time.Duration, decode func([]byte) (*fleet.Config, error), log zerolog.Logger) *hub {
 	return &hub{
 		ledger: l, controlAddrs: controlAddrs, log: log,
+		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
 		servers: directory.New(announceInterval), followers: map[*follower]bool{},
 		reports: map[string]*rpc.AgentReport{},
 	}
@@ -136,7 +139,7 @@
 	change := h.servers.Merge(b)
 	switch change {
 	case directory.Changed:
-		h.log.Info().Str("server", b.ID).Str("service", b.Service).Str("addr", b.Addr).Str("zone", b.Zone).
+		h.log.Info().Str("server", b.ID).Int64("born", b.Born).Str("service", b.Service).Str("addr", b.Addr).Str("zone", b.Zone).
 			Stringer("state", b.State).Uint64("seq", b.Seq).Str("source", source).Msg("backend server changed")
 		for f := range h.followers {
 			f.changed[b.ID] = true
@@ -194,7 +197,7 @@
 		h.merge(follow.ServerFromProto(s, now), source)
 	}
 	for _, s := range u.Seen {
-		if h.servers.Renew(s.Id, s.Seq, now) == directory.Renewed {
+		if h.servers.Renew(s.Id, s.Born, s.Seq, now) == directory.Renewed {
 			h.markRenewed(s.Id)
 		}
 	}
@@ -338,7 +341,7 @@
 	}
 	for id := range f.renewed {
 		if b := h.servers.Get(id); b != nil && !f.changed[id] {
-			u.Seen = append(u.Seen, &rpc.ServerSeen{Id: id, Seq: b.Seq})
+			u.Seen = append(u.Seen, &rpc.ServerSeen{Id: id, Born: b.Born, Seq: b.Seq})
 		}
 	}
 	for addr := range f.reports {
--- a/internal/fleetcontrol/hub_test.go
+++ b/internal/fleetcontrol/hub_test.go
@@ -14,7 +14,7 @@
 )
 
 func testHub() *hub {
-	return newHub(ledger.New(time.Now), func() []string { return []string{"127.0.0.1:1"} }, time.Second, zerolog.Nop())
+	return newHub(ledger.New(time.Now), func() []string { return []string{"127.0.0.1:1"} }, time.Second, nil, zerolog.Nop())
 }
 
 func putConfig(t *testing.T, h *hub, version uint64) {
--- a/internal/fleetcontrol/metrics.go
+++ b/internal/fleetcontrol/metrics.go
@@ -14,6 +14,7 @@
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
 	}
 	return []prometheus.Collector{
+		h.refused.count,
 		gauge("lynxgate_fleet_config_version", "Version of the newest committed configuration known here.", func() float64 {
 			return float64(h.ledger.State().ConfigVersion)
 		}),
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -55,7 +55,9 @@
 	// AnnounceInterval is the time between two announcements of a backend server, 0
 	// if it isn't known.
 	AnnounceInterval time.Duration
-	Logger           zerolog.Logger
+	// Decode reads the operators' document; without it servers of any service are known.
+	Decode func(document []byte) (*fleet.Config, error)
+	Logger zerolog.Logger
 }
 
 // Server is one control server.
@@ -75,7 +77,7 @@
 		return nil, fmt.Errorf("start replicated log: %w", err)
 	}
 	s := &Server{cfg: cfg, node: node, ledger: l}
-	s.hub = newHub(l, s.controlAddrs, cfg.AnnounceInterval, cfg.Logger)
+	s.hub = newHub(l, s.controlAddrs, cfg.AnnounceInterval, cfg.Decode, cfg.Logger)
 	s.peers = follow.New(follow.Config{
 		Name: cfg.Name, Role: RoleControl, Self: cfg.Addr, Seeds: s.peerAddrs,
 		Update: s.hub.peerUpdate, Lost: func(string) {}, Logger: cfg.Logger,
@@ -188,12 +190,22 @@
 
 // Announce takes an announcement of a backend server. A server that leaves is
 // acknowledged once all followers know it, or spreadTimeout has passed: those
-// that have not answered by then are out of reach.
+// that have not answered by then are out of reach. One of a service that isn't declared is
+// accepted, and changes nothing.
 func (s *Server) Announce(ctx context.Context, b fleet.BackendServer) error {
 	b.SeenAt = time.Now()
+	if err := s.hub.mayTell(&b); err != nil {
+		s.hub.refused.note(b.SeenAt, b.ID, whyUnknownService, err)
+		return nil
+	}
 	return s.hub.announce(ctx, b)
 }
 
+// Refused notes an announcement under an id that could not be read.
+func (s *Server) Refused(id string, why error) {
+	s.hub.refused.note(time.Now(), id, whyUnreadable, why)
+}
+
 // submit brings a command into the log, through the leader.
 func (s *Server) submit(ctx context.Context, c *rpc.FleetCommand) error {
 	data, err := proto.Marshal(c)
--- /dev/null
+++ b/internal/fleetcontrol/writers_test.go
@@ -0,0 +1,95 @@
+package fleetcontrol
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// declaring reads documents that are lists of services.
+func declaring(document []byte) (*fleet.Config, error) {
+	c := &fleet.Config{}
+	for _, name := range strings.Fields(string(document)) {
+		c.Services = append(c.Services, fleet.Service{Name: name})
+	}
+	return c, nil
+}
+
+// counted returns how many announcements were refused for a reason.
+func counted(t *testing.T, r *refusals, reason string) (n float64) {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(r.count)
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	for _, family := range families {
+		for _, m := range family.Metric {
+			if m.Label[0].GetValue() == reason {
+				n += m.Counter.GetValue()
+			}
+		}
+	}
+	return n
+}
+
+func declare(t *testing.T, h *hub, version uint64, services string) {
+	t.Helper()
+	data, err := proto.Marshal(&rpc.FleetCommand{ConfigVersion: version, Config: ledger.Deflate([]byte(services))})
+	require.NoError(t, err)
+	h.ledger.Apply(version, data)
+}
+
+func TestServersOfServicesThatAreNotDeclaredAreNotTakenIn(t *testing.T) {
+	var logs bytes.Buffer
+	h := newHub(ledger.New(time.Now), func() []string { return nil }, time.Second, declaring, zerolog.New(&logs))
+	s := &Server{hub: h}
+	announce := func(id, service string, seq uint64, state fleet.State) {
+		require.NoError(t, s.Announce(t.Context(), fleet.BackendServer{ID: id, Service: service, Addr: "10.0.0.1:1", Seq: seq, State: state}))
+	}
+	announce("early", "later", 1, fleet.StateReady)
+	require.NotNil(t, h.servers.Get("early"), "nothing is declared yet")
+	declare(t, h, 1, "drafts plain")
+	announce("a", "drafts", 1, fleet.StateReady)
+	announce("odd", "unknown", 1, fleet.StateReady)
+	assert.Nil(t, h.servers.Get("odd"))
+	announce("a", "unknown", 9, fleet.StateDraining)
+	assert.Equal(t, "drafts", h.servers.Get("a").Service, "nothing is changed of the server whose id it bears")
+	assert.Equal(t, fleet.StateReady, h.servers.Get("a").State)
+	assert.EqualValues(t, 2, counted(t, h.refused, whyUnknownService))
+
+	declare(t, h, 2, "plain")
+	announce("a", "drafts", 2, fleet.StateDraining)
+	assert.Equal(t, fleet.StateDraining, h.servers.Get("a").State, "a server leaves after its service")
+	require.NoError(t, s.Announce(t.Context(), fleet.BackendServer{ID: "a", State: fleet.StateGone}))
+	assert.Equal(t, fleet.StateGone, h.servers.Get("a").State)
+	declare(t, h, 3, "plain unknown")
+	announce("odd", "unknown", 2, fleet.StateReady)
+	assert.NotNil(t, h.servers.Get("odd"), "it is declared now")
+}
+
+func TestLinesAboutRefusedAnnouncementsAreBounded(t *testing.T) {
+	var logs bytes.Buffer
+	r := newRefusals(zerolog.New(&logs))
+	at := time.Unix(1000, 0)
+	for range 100 {
+		r.note(at, strings.Repeat("x", 5000), whyUnreadable, errors.New(strings.Repeat("y", 5000)))
+	}
+	r.note(at.Add(refusedInterval), "i", whyUnreadable, errors.New("odd"))
+	lines := strings.Split(strings.TrimSpace(logs.String()), "\n")
+	require.Len(t, lines, 2)
+	assert.Less(t, len(lines[0]), 1000)
+	assert.Contains(t, lines[1], `"untold":99`)
+	assert.EqualValues(t, 101, counted(t, r, whyUnreadable))
+}
--- a/internal/fleetdaemon/control.go
+++ b/internal/fleetdaemon/control.go
@@ -128,7 +128,7 @@
 	}
 	return fleetcontrol.Config{
 		Name: cfg.Name, Addr: cfg.RPCAddr, Replica: r, Seeds: cfg.Seeds,
-		AnnounceInterval: cfg.AnnounceInterval, Logger: cfg.Logger,
+		AnnounceInterval: cfg.AnnounceInterval, Decode: cfg.Decode, Logger: cfg.Logger,
 	}
 }
 
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -192,12 +192,12 @@
 		b := ServerFromProto(s, now)
 		if v.servers.Merge(b) == directory.Changed {
 			changed = true
-			v.log.Info().Str("server", b.ID).Str("service", b.Service).Str("addr", b.Addr).Stringer("state", b.State).
+			v.log.Info().Str("server", b.ID).Int64("born", b.Born).Str("service", b.Service).Str("addr", b.Addr).Stringer("state", b.State).
 				Uint64("seq", b.Seq).Interface("models", b.Models).Msg("backend server changed")
 		}
 	}
 	for _, s := range u.Seen {
-		if v.servers.Renew(s.Id, s.Seq, now) != directory.Unchanged && v.Renewed != nil {
+		if v.servers.Renew(s.Id, s.Born, s.Seq, now) != directory.Unchanged && v.Renewed != nil {
 			v.Renewed(s.Id, now)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,10 @@
 
 // Reported takes an agent's report.
 func (g *Gateway) Reported(r *rpc.AgentReport) {
-	g.balancer.Reported(time.Now(), r.Addr, r.Loading, follow.ModelsFromProto(r.Models), int(r.Running), int(r.Waiting))
+	g.balancer.Reported(time.Now(), balance.Report{
+		Addr: r.Addr, Born: r.Born, Loading: r.Loading, Models: follow.ModelsFromProto(r.Models),
+		Running: int(r.Running), Waiting: int(r.Waiting),
+	})
 }
 
 // Renewed notes that a backend server was heard.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -297,7 +297,7 @@
 	defer stop()
 	go func() { // the agent vouches for its server, which is not silent then
 		for ctx.Err() == nil {
-			e.balancer.Reported(time.Now(), servers[0].Addr, false, []fleet.Loaded{{Model: "m", Version: 7}}, 0, 0)
+			e.balancer.Reported(time.Now(), balance.Report{Addr: servers[0].Addr, Models: []fleet.Loaded{{Model: "m", Version: 7}}})
 			time.Sleep(50 * time.Millisecond)
 		}
 	}()
@@ -384,7 +384,7 @@
 	busy := newBackend(t, "b-1", good)
 	e := newEntry(t, busy)
 	for range 3 {
-		e.balancer.Reported(time.Now(), strings.TrimPrefix(busy.URL, "http://"), false, []fleet.Loaded{{Model: "m", Version: 7}}, 4, 50)
+		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(busy.URL, "http://"), Models: []fleet.Loaded{{Model: "m", Version: 7}}, Running: 4, Waiting: 50})
 	}
 	began := time.Now()
 	a := e.ask(t, "POST", "/stream/1")
@@ -402,7 +402,7 @@
 	empty := newBackend(t, "b-1", good)
 	e := newEntry(t, empty)
 	e.onlyEngines()
-	e.balancer.Reported(time.Now(), strings.TrimPrefix(empty.URL, "http://"), false, nil, 0, 0)
+	e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(empty.URL, "http://")})
 	a := e.ask(t, "POST", "/stream/1")
 	assert.Equal(t, http.StatusServiceUnavailable, a.status)
 	after, err := strconv.ParseFloat(a.head.Get("Retry-After"), 64)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -78,7 +78,7 @@
 	}
 	c.sends++
 	c.handover = &handover{
-		choice: choice, why: why, next: newWatchdog(w.parent), settled: make(chan struct{}),
+		choice: choice, why: why, next: newWatchdog(w.parent, choice.Server), settled: make(chan struct{}),
 		request: c.request(choice.Server),
 	}
 	c.logHandover("another server is asked to go on", w, c.handover, nil)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -70,7 +70,7 @@
 func (e *entry) report(t *testing.T, b *backend, loading bool, version uint64) {
 	t.Helper()
 	tell := func() {
-		e.balancer.Reported(time.Now(), strings.TrimPrefix(b.URL, "http://"), loading, []fleet.Loaded{{Model: "m", Version: version}}, 0, 0)
+		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(b.URL, "http://"), Loading: loading, Models: []fleet.Loaded{{Model: "m", Version: version}}})
 	}
 	tell()
 	ticker, done := time.NewTicker(50*time.Millisecond), make(chan struct{})
--- a/internal/gateway/later_version_test.go
+++ b/internal/gateway/later_version_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
@@ -17,7 +18,7 @@
 	e := newEntry(t, newBackend(t, "b-breaks", events(2)), loads)
 	e.onlyEngines()
 	addr := strings.TrimPrefix(loads.URL, "http://")
-	e.balancer.Reported(time.Now(), addr, true, []fleet.Loaded{{Model: "m", Version: 6}}, 0, 0)
+	e.balancer.Reported(time.Now(), balance.Report{Addr: addr, Loading: true, Models: []fleet.Loaded{{Model: "m", Version: 6}}})
 	time.AfterFunc(300*time.Millisecond, func() { e.report(t, loads, false, 7) })
 	a := e.ask(t, http.MethodPost, "/stream/x")
 	require.NoError(t, a.err)
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
@@ -28,7 +29,7 @@
 }
 
 func (e *entry) tell(b *backend, running, waiting int) {
-	e.balancer.Reported(time.Now(), strings.TrimPrefix(b.URL, "http://"), false, []fleet.Loaded{{Model: "m", Version: 7}}, running, waiting)
+	e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(b.URL, "http://"), Models: []fleet.Loaded{{Model: "m", Version: 7}}, Running: running, Waiting: waiting})
 }
 
 func TestRequestWaitsForRoomThatComesInTime(t *testing.T) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -70,6 +70,9 @@
 	case watch.parent.Err() != nil:
 		c.endedBy = "caller or deadline"
 		return balance.EndedElse
+	case watch.server.Context().Err() != nil:
+		c.endedBy = "server: started again"
+		return balance.EndedElse
 	}
 	c.endedBy = "server or link"
 	return balance.EndedFailed
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -43,21 +43,28 @@
 	ended bool
 }
 
-func newWatchdog(ctx context.Context) *watchdog {
-	w := &watchdog{parent: ctx}
-	w.ctx, w.cancel = context.WithCancel(ctx)
+// newWatchdog watches a send to a server, which ends with that start of the server.
+func newWatchdog(ctx context.Context, s *balance.Server) *watchdog {
+	w := &watchdog{parent: ctx, server: s}
+	var cancel context.CancelFunc
+	w.ctx, cancel = context.WithCancel(ctx)
+	unlink := context.AfterFunc(s.Context(), cancel)
+	w.cancel = func() {
+		unlink()
+		cancel()
+	}
 	return w
 }
 
 // watch starts a watchdog over one send.
 func (c *call) watch(ctx context.Context) *watchdog {
-	w := newWatchdog(ctx)
+	w := newWatchdog(ctx, c.choice.Server)
 	c.startWatch(w)
 	return w
 }
 
 func (c *call) startWatch(w *watchdog) {
-	w.server, w.weights, w.sentAt = c.choice.Server, c.choice.Version, time.Now()
+	w.weights, w.sentAt = c.choice.Version, time.Now()
 	if c.route.Kind != fleet.KindStream && !c.route.Idempotent() {
 		return // it can be neither moved nor, since it may have begun, taken back
 	}
--- a/internal/staging/engine.go
+++ b/internal/staging/engine.go
@@ -13,6 +13,9 @@
 
 // Report is what an engine says of itself.
 type Report struct {
+	// Born is when the engine started, in Unix milliseconds by its own clock; 0 if it
+	// does not say.
+	Born   int64
 	Models []fleet.Loaded
 	// Busy tells that an order is in progress.
 	Busy             bool
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -96,6 +96,8 @@
 	// Below: owned by the goroutine of step.
 	orderedAt time.Time
 	loading   bool
+	// born is the engine's start that reported last.
+	born int64
 	// laid is the version that was last laid at the engine.
 	laid  uint64
 	epoch uint64
@@ -115,7 +117,7 @@
 // tell sends the engine's state to the entries, by the control servers.
 func (s *Stager) tell(r Report) {
 	next := &rpc.AgentReport{
-		Addr: s.cfg.EngineAddr, Epoch: s.epoch, Seq: s.told.Seq + 1, Loading: s.loading,
+		Addr: s.cfg.EngineAddr, Born: r.Born, Epoch: s.epoch, Seq: s.told.Seq + 1, Loading: s.loading,
 		Models: follow.ModelsToProto(r.Models), Running: uint32(r.Running), Waiting: uint32(r.Waiting),
 	}
 	urgent := next.Loading != s.told.Loading || !follow.SameModels(next.Models, s.told.Models)
@@ -205,6 +207,7 @@
 		s.absent.Store(errors.Is(err, syscall.ECONNREFUSED))
 		return
 	}
+	s.noteStart(report.Born)
 	held := holds(report, g.model, g.engine.Layers)
 	s.holding.Store(held)
 	s.reported.Store(true)
@@ -230,6 +233,16 @@
 	s.load(ctx, g, set, report)
 }
 
+// noteStart notes which start of the engine reports: one that has started again holds
+// nothing of before, and has no order in progress.
+func (s *Stager) noteStart(born int64) {
+	if s.born != 0 && born > s.born {
+		s.log.Info().Int64("born", born).Int64("before", s.born).Msg("engine has started again")
+		s.laid, s.loading, s.orderedAt = 0, false, time.Time{}
+	}
+	s.born = max(s.born, born)
+}
+
 func holds(r Report, model string, layers int) uint64 {
 	b := fleet.BackendServer{Models: r.Models}
 	return b.Holds(model, layers)
--- a/internal/staging/turns.go
+++ b/internal/staging/turns.go
@@ -10,7 +10,23 @@
 
 // servers are the backend servers of the service that have not left, in order.
 func (s *Stager) servers() []*fleet.BackendServer {
-	return present(s.cfg.View().Servers, s.cfg.Service)
+	view := s.cfg.View()
+	return present(declared(view.Servers, view.Table), s.cfg.Service)
+}
+
+// declared leaves out servers of services that the operators don't declare: whoever wrote
+// of them takes nobody's address. t is nil while nothing is declared.
+func declared(servers map[string][]*fleet.BackendServer, t *fleet.Table) map[string][]*fleet.BackendServer {
+	if t == nil {
+		return servers
+	}
+	out := make(map[string][]*fleet.BackendServer, len(servers))
+	for service, records := range servers {
+		if t.Service(service) != nil {
+			out[service] = records
+		}
+	}
+	return out
 }
 
 // present are the servers of a service that have not left and whose address no later
--- a/internal/staging/turns_test.go
+++ b/internal/staging/turns_test.go
@@ -23,3 +23,13 @@
 	servers = map[string][]*fleet.BackendServer{service: {dead, other}, "plain": {alive}}
 	assert.Equal(t, []*fleet.BackendServer{other}, present(servers, service), "the address belongs to another service now")
 }
+
+func TestServersOfAnUnknownServiceTakeNoTurns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	real := &fleet.BackendServer{ID: "1", Service: "drafts", Addr: "10.0.0.1:1", StartedAt: now}
+	other := &fleet.BackendServer{ID: "2", Service: "unknown", Addr: "10.0.0.1:1", StartedAt: now.Add(time.Minute)}
+	servers := map[string][]*fleet.BackendServer{"drafts": {real}, "unknown": {other}}
+	table := fleet.NewTable(&fleet.Config{Services: []fleet.Service{{Name: "drafts"}}})
+	assert.Equal(t, []*fleet.BackendServer{real}, present(declared(servers, table), "drafts"))
+	assert.Empty(t, present(declared(servers, nil), "drafts"), "while it is not known which services there are")
+}
