--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
 var headers = Headers{
@@ -40,7 +41,7 @@
 	seen []*http.Request
 }
 
-func newBackend(t *testing.T, id string, serve func(w http.ResponseWriter, r *http.Request)) *backend {
+func newBackend(t testing.TB, id string, serve func(w http.ResponseWriter, r *http.Request)) *backend {
 	b := &backend{id: id}
 	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.mu.Lock()
@@ -101,7 +102,7 @@
 	logs *bytes.Buffer
 }
 
-func newEntry(t *testing.T, backends ...*backend) *entry {
+func newEntry(t testing.TB, backends ...*backend) *entry {
 	var logs bytes.Buffer
 	g := New(Config{
 		Headers: headers, Balance: balance.Config{Zone: "z", VersionBound: 8 * time.Second, Logger: zerolog.Nop()},
@@ -157,7 +158,7 @@
 	err    error
 }
 
-func (e *entry) ask(t *testing.T, method, path string, change ...func(*http.Request)) got {
+func (e *entry) ask(t testing.TB, method, path string, change ...func(*http.Request)) got {
 	t.Helper()
 	req, err := http.NewRequest(method, e.URL+path, strings.NewReader("body"))
 	require.NoError(t, err)
@@ -276,6 +277,10 @@
 }
 
 func TestRequestThatWaitsIsTakenBackBeforeItsWeightsAreOver(t *testing.T) {
+	standstill.Judge(t, testRequestThatWaitsIsTakenBackBeforeItsWeightsAreOver)
+}
+
+func testRequestThatWaitsIsTakenBackBeforeItsWeightsAreOver(t testing.TB) {
 	const bound = 8 * time.Second
 	// Version 8 was named so that 7 is over in 1.2 s: the request is still sent to the
 	// near server, which lets it wait.
@@ -333,6 +338,10 @@
 }
 
 func TestCallerThatLeavesStopsTheWork(t *testing.T) {
+	standstill.Judge(t, testCallerThatLeavesStopsTheWork)
+}
+
+func testCallerThatLeavesStopsTheWork(t testing.TB) {
 	left := make(chan struct{})
 	b := newBackend(t, "b-1", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.ReadAll(r.Body)
@@ -355,6 +364,10 @@
 }
 
 func TestTimeoutOfTheRouteEndsTheWait(t *testing.T) {
+	standstill.Judge(t, testTimeoutOfTheRouteEndsTheWait)
+}
+
+func testTimeoutOfTheRouteEndsTheWait(t testing.TB) {
 	e := newEntry(t, newBackend(t, "b-1", func(_ http.ResponseWriter, r *http.Request) {
 		select {
 		case <-r.Context().Done():
@@ -379,6 +392,10 @@
 }
 
 func TestCallersThatComeBackAreTold(t *testing.T) {
+	standstill.Judge(t, testCallersThatComeBackAreTold)
+}
+
+func testCallersThatComeBackAreTold(t testing.TB) {
 	// Four slots are taken and told: a first event within 0.6 of 200 ms is not to
 	// be had, so the caller is refused at once.
 	busy := newBackend(t, "b-1", good)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -18,6 +18,7 @@
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
 // What users saw: while entries were being stopped under load and engines rolled to
@@ -67,7 +68,7 @@
 
 // report tells the entry what a backend holds and whether it is about to load, until
 // the test ends.
-func (e *entry) report(t *testing.T, b *backend, loading bool, version uint64) {
+func (e *entry) report(t testing.TB, b *backend, loading bool, version uint64) {
 	t.Helper()
 	tell := func() {
 		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(b.URL, "http://"), Loading: loading, Models: []fleet.Loaded{{Model: "m", Version: version}}})
@@ -96,6 +97,10 @@
 }
 
 func TestRunningStreamIsKeptUntilAnotherServerGoesOnWithIt(t *testing.T) {
+	standstill.Judge(t, testRunningStreamIsKeptUntilAnotherServerGoesOnWithIt)
+}
+
+func testRunningStreamIsKeptUntilAnotherServerGoesOnWithIt(t testing.TB) {
 	const count, pause = 15, 100 * time.Millisecond
 	loads := newBackend(t, "b-loads", slowEvents(count, pause))
 	full := newBackend(t, "b-full", notRun)
@@ -123,6 +128,10 @@
 }
 
 func TestStreamGoesOnAtTheServerThatHasBegun(t *testing.T) {
+	standstill.Judge(t, testStreamGoesOnAtTheServerThatHasBegun)
+}
+
+func testStreamGoesOnAtTheServerThatHasBegun(t testing.TB) {
 	const count, pause = 15, 100 * time.Millisecond
 	var left atomic.Int64
 	loads := newBackend(t, "b-loads", cancelled(slowEvents(count, pause), &left))
@@ -147,7 +156,9 @@
 	e.assertNothingInFlight(t)
 }
 
-func TestSlowHandoverIsCalledOff(t *testing.T) {
+func TestSlowHandoverIsCalledOff(t *testing.T) { standstill.Judge(t, testSlowHandoverIsCalledOff) }
+
+func testSlowHandoverIsCalledOff(t testing.TB) {
 	const count, pause = 15, 100 * time.Millisecond
 	loads := newBackend(t, "b-loads", slowEvents(count, pause))
 	var left atomic.Int64
@@ -172,6 +183,10 @@
 }
 
 func TestStreamGoesOnWhereItsServerFailsDuringAHandover(t *testing.T) {
+	standstill.Judge(t, testStreamGoesOnWhereItsServerFailsDuringAHandover)
+}
+
+func testStreamGoesOnWhereItsServerFailsDuringAHandover(t testing.TB) {
 	const count, pause = 15, 100 * time.Millisecond
 	asked := make(chan struct{})
 	var once sync.Once
@@ -203,6 +218,10 @@
 }
 
 func TestRestOfAStreamWaitsForAServerThatWasFull(t *testing.T) {
+	standstill.Judge(t, testRestOfAStreamWaitsForAServerThatWasFull)
+}
+
+func testRestOfAStreamWaitsForAServerThatWasFull(t testing.TB) {
 	var arrivals atomic.Int64
 	full := newBackend(t, "b-full", func(w http.ResponseWriter, r *http.Request) {
 		if arrivals.Add(1) <= 5 {
@@ -222,6 +241,10 @@
 // A connection may go silent for good while its server goes on: the server is heard, by
 // other requests, and is not set aside.
 func TestStreamLeavesAConnectionThatWentSilent(t *testing.T) {
+	standstill.Judge(t, testStreamLeavesAConnectionThatWentSilent)
+}
+
+func testStreamLeavesAConnectionThatWentSilent(t testing.TB) {
 	silent := newBackend(t, "1", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // only then a closed connection is noticed
 		w.Header().Set(headers.Signature, "signed")
@@ -254,6 +277,10 @@
 }
 
 func TestStreamThatNoServerCanEverGoOnWithIsEndedAtOnce(t *testing.T) {
+	standstill.Judge(t, testStreamThatNoServerCanEverGoOnWithIsEndedAtOnce)
+}
+
+func testStreamThatNoServerCanEverGoOnWithIsEndedAtOnce(t testing.TB) {
 	rolled := newBackend(t, "b-rolled", events(0))
 	e := newEntry(t, newBackend(t, "b-breaks", events(2)), rolled)
 	e.onlyEngines()
@@ -266,7 +293,7 @@
 }
 
 // askEvents sends a request and returns the answer's body and when its parts came.
-func (e *entry) askEvents(t *testing.T, path string) (string, []time.Time) {
+func (e *entry) askEvents(t testing.TB, path string) (string, []time.Time) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, e.URL+path, strings.NewReader("body"))
 	require.NoError(t, err)
@@ -295,12 +322,16 @@
 }
 
 // assertNothingInFlight checks that each place that was taken at a server was given back.
-func (e *entry) assertNothingInFlight(t *testing.T) {
+func (e *entry) assertNothingInFlight(t testing.TB) {
 	t.Helper()
 	assert.Eventually(t, func() bool { return e.InFlight() == 0 && e.balancer.InFlight() == 0 }, time.Second, 10*time.Millisecond)
 }
 
 func TestSlowWholeAnswerIsKeptUntilAnotherServerHasAnswered(t *testing.T) {
+	standstill.Judge(t, testSlowWholeAnswerIsKeptUntilAnotherServerHasAnswered)
+}
+
+func testSlowWholeAnswerIsKeptUntilAnotherServerHasAnswered(t testing.TB) {
 	slow := func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(800 * time.Millisecond) // twice the objective is 400 ms
 		good(w, r)
@@ -329,6 +360,10 @@
 }
 
 func TestRequestAtASilentServerIsKeptUntilAnotherServerHasBegun(t *testing.T) {
+	standstill.Judge(t, testRequestAtASilentServerIsKeptUntilAnotherServerHasBegun)
+}
+
+func testRequestAtASilentServerIsKeptUntilAnotherServerHasBegun(t testing.TB) {
 	wakes := func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(1200 * time.Millisecond) // silent after 600 ms
 		events(0)(w, r)
@@ -375,6 +410,10 @@
 }
 
 func TestRequestThatAnotherServerMayHaveRunIsNotSaidToBeNotRun(t *testing.T) {
+	standstill.Judge(t, testRequestThatAnotherServerMayHaveRunIsNotSaidToBeNotRun)
+}
+
+func testRequestThatAnotherServerMayHaveRunIsNotSaidToBeNotRun(t testing.TB) {
 	refuses := newBackend(t, "b-refuses", late(500*time.Millisecond, notRun))
 	hangs := newBackend(t, "b-hangs", func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // only then a closed connection is noticed
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -11,11 +11,12 @@
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
 // fullEngine is an entry before an engine that tells to have no room: three requests wait
 // for its four slots and one takes 35 ms, so that 140 ms are predicted where 109 are allowed.
-func fullEngine(t *testing.T) (*entry, *backend) {
+func fullEngine(t testing.TB) (*entry, *backend) {
 	b := newBackend(t, "b-1", events(0))
 	e := newEntry(t, b)
 	e.onlyEngines()
@@ -33,6 +34,10 @@
 }
 
 func TestRequestWaitsForRoomThatComesInTime(t *testing.T) {
+	standstill.Judge(t, testRequestWaitsForRoomThatComesInTime)
+}
+
+func testRequestWaitsForRoomThatComesInTime(t testing.TB) {
 	e, b := fullEngine(t)
 	time.AfterFunc(15*time.Millisecond, func() { e.tell(b, 1, 0) })
 	began := time.Now()
--- a/internal/gateway/runs_counted_test.go
+++ b/internal/gateway/runs_counted_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
 func TestServersThatBeganAndAreCalledOffCountAsRuns(t *testing.T) {
@@ -37,6 +39,10 @@
 // stream and is called off before it answers may have begun all the same. Its server's load
 // is no reason to ask a third one.
 func TestServersCalledOffBeforeTheyAnswerCountForMoves(t *testing.T) {
+	standstill.Judge(t, testServersCalledOffBeforeTheyAnswerCountForMoves)
+}
+
+func testServersCalledOffBeforeTheyAnswerCountForMoves(t testing.TB) {
 	const count, pause = 19, 100 * time.Millisecond
 	loads := newBackend(t, "b-loads", slowEvents(count, pause))
 	var e *entry
--- a/internal/gateway/weights_over_test.go
+++ b/internal/gateway/weights_over_test.go
@@ -12,6 +12,7 @@
 
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
 // overIn makes version 7 of the weights be over in d.
@@ -25,6 +26,10 @@
 }
 
 func TestServerThatIsAskedToGoOnDoesNotBeginWhenItsWeightsAreOver(t *testing.T) {
+	standstill.Judge(t, testServerThatIsAskedToGoOnDoesNotBeginWhenItsWeightsAreOver)
+}
+
+func testServerThatIsAskedToGoOnDoesNotBeginWhenItsWeightsAreOver(t testing.TB) {
 	stops := newBackend(t, "b-stops", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headers.Signature, "signed")
 		w.Header().Set(headers.Version, "7")
@@ -51,6 +56,10 @@
 }
 
 func TestWaitingRequestIsTakenBackAWholeGuardBeforeItsWeightsAreOver(t *testing.T) {
+	standstill.Judge(t, testWaitingRequestIsTakenBackAWholeGuardBeforeItsWeightsAreOver)
+}
+
+func testWaitingRequestIsTakenBackAWholeGuardBeforeItsWeightsAreOver(t testing.TB) {
 	taken := make(chan time.Time, 1)
 	waits := newBackend(t, "b-waits", func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // only then a closed connection is noticed
@@ -69,6 +78,10 @@
 }
 
 func TestSafeRequestAtAnEngineIsTakenBackBeforeItsWeightsAreOver(t *testing.T) {
+	standstill.Judge(t, testSafeRequestAtAnEngineIsTakenBackBeforeItsWeightsAreOver)
+}
+
+func testSafeRequestAtAnEngineIsTakenBackBeforeItsWeightsAreOver(t testing.TB) {
 	taken := make(chan time.Time, 1)
 	waits := newBackend(t, "b-waits", func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
