Agents of a large swarm ask the origin for pieces in order

Agents that stood in after 0.7 s fetched again what was under way.

Change: originSchedule (pure) spreads them: a sixth of the connections at first, then one for each that the link carries, 1.15 times as fast; stand-ins wait for what is under way. After a failure the order begins anew. Swarms of up to 24 agents do as before.

--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -45,7 +45,11 @@
 	// directs are the pieces asked of the agents whose turn at the origin it is;
 	// asked holds all that were.
 	directs int
-	asked   map[int]bool
+	// schedule says when the origin is asked in a large swarm; nil until it is needed, and
+	// after the origin failed, which was at originFailed.
+	schedule     *originSchedule
+	originFailed time.Time
+	asked        map[int]bool
 	// link judges the VM's link.
 	link    linkState
 	results chan fetched
--- a/internal/staging/fetched.go
+++ b/internal/staging/fetched.go
@@ -57,7 +57,7 @@
 	switch {
 	case r.peer == atOrigin:
 		f.origins--
-		f.s.noteOrigin(r.err, time.Now())
+		f.noteOrigin(r.err, time.Now())
 	case r.direct:
 		source = "peer"
 		f.directs--
@@ -98,6 +98,15 @@
 // pieces of it try again every originPause.
 const originDownFor = 2 * time.Second
 
+// noteOrigin notes how a fetch from the origin ended. One that failed may have failed for
+// all: what is missing is asked for in order once more, from now on.
+func (f *fetcher) noteOrigin(err error, now time.Time) {
+	f.s.noteOrigin(err, now)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		f.schedule, f.originFailed = nil, now
+	}
+}
+
 // noteOrigin notes how a fetch from the origin ended.
 func (s *Stager) noteOrigin(err error, now time.Time) {
 	switch {
--- /dev/null
+++ b/internal/staging/schedule_test.go
@@ -0,0 +1,103 @@
+package staging
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/ledger"
+)
+
+// TestOriginsLinkIsSharedInOrder: 96 pieces, 45 ms each on the origin's link, that takes 48
+// connections. Asked for in order they never need more, the link is never idle, and half
+// of them are there after half of a copy's time; asked for at once they all come at the end.
+func TestOriginsLinkIsSharedInOrder(t *testing.T) {
+	const pieces, pieceBytes, mbps, conns = 96, 24_576, 4.38, 48
+	base := time.Unix(1000, 0)
+	var all []int
+	for piece := range pieces {
+		all = append(all, piece)
+	}
+	s := newOriginSchedule(base, 2, all, &fleet.Engine{Pieces: pieces, PieceBytes: pieceBytes}, &fleet.Origin{LinkMbps: mbps, MaxConns: conns})
+	ordered := shareLink(pieces, s.perPiece, func(piece int) time.Duration { return s.due(piece).Sub(base) })
+	atOnce := shareLink(pieces, s.perPiece, func(int) time.Duration { return 0 })
+	copyTime := pieces * s.perPiece
+	assert.LessOrEqual(t, ordered.most, conns)
+	assert.Greater(t, atOnce.most, conns)
+	assert.LessOrEqual(t, ordered.end, copyTime+copyTime/20, "the link is full")
+	assert.LessOrEqual(t, ordered.half, copyTime*7/10)
+	assert.Greater(t, atOnce.half, copyTime*9/10)
+	assert.GreaterOrEqual(t, s.standIn(3, 1).Sub(s.due(3)), conns/2*s.perPiece, "one under way is waited for")
+}
+
+// shared is how pieces came over a link that all that are under way share.
+type shared struct {
+	half, end time.Duration
+	most      int
+}
+
+func shareLink(pieces int, perPiece time.Duration, due func(piece int) time.Duration) (out shared) {
+	const step = time.Millisecond
+	left := make([]float64, pieces) // of each piece, in steps of the whole link
+	for piece := range left {
+		left[piece] = float64(perPiece) / float64(step)
+	}
+	done := 0
+	for at := time.Duration(0); done < pieces; at += step {
+		var under []int
+		for piece := range left {
+			if left[piece] > 0 && due(piece) <= at {
+				under = append(under, piece)
+			}
+		}
+		out.most = max(out.most, len(under))
+		for _, piece := range under {
+			if left[piece] -= 1 / float64(len(under)); left[piece] <= 1e-9 {
+				left[piece] = 0
+				if done++; done == pieces/2 {
+					out.half = at
+				}
+			}
+		}
+		out.end = at
+	}
+	return out
+}
+
+func TestOnlyLargeSwarmsKeepToTheSchedule(t *testing.T) {
+	pieces := make([][]byte, 96)
+	for i := range pieces {
+		pieces[i] = []byte(fmt.Sprint(i))
+	}
+	f := testFetcher(pieces...)
+	f.g.engine = &fleet.Engine{Pieces: 96, PieceBytes: 24_576}
+	f.g.origin = &fleet.Origin{LinkMbps: 4.38, MaxConns: 48}
+	now := time.Unix(1000, 0)
+	f.began = now
+	f.g.named = ledger.Version{Number: 2, AppliedAt: now}
+	allowed := func(turn int, at time.Time) (n int) {
+		for piece := range pieces {
+			if f.scheduled(piece, turn, at) {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, 96, allowed(0, now))
+	for len(f.servers) <= listenAll {
+		f.servers = append(f.servers, &fleet.BackendServer{Addr: fmt.Sprintf("127.0.0.2:%d", len(f.servers))})
+	}
+	assert.Equal(t, 9, allowed(0, now), "a sixth of the connections, and the one that is next")
+	assert.Zero(t, allowed(1, now))
+	assert.Greater(t, allowed(0, now.Add(time.Second)), 30)
+	assert.Equal(t, 96, allowed(0, now.Add(4500*time.Millisecond)))
+	assert.Equal(t, 96, allowed(1, now.Add(7*time.Second)))
+
+	f.note(heldBy{peer: "p", pieces: []uint32{0, 1, 2, 3, 4, 5, 6, 7}})
+	f.noteOrigin(fmt.Errorf("refused"), now.Add(7*time.Second))
+	assert.Equal(t, 9+8, allowed(0, now.Add(7*time.Second)), "in order once more, but what somebody holds")
+	assert.Zero(t, allowed(1, now.Add(7*time.Second)))
+}
--- a/internal/staging/sources.go
+++ b/internal/staging/sources.go
@@ -103,6 +103,9 @@
 		waited -= originPatience // peers that hold it are given a chance first
 	}
 	turn := f.turn(piece)
+	if !f.scheduled(piece, turn, now) {
+		return false
+	}
 	if turn == 0 {
 		return waited >= 0
 	}
