Agents take the origin to answer once anybody has news of it; its order begins when digests are known

And the order began at the naming, 6 s before digests could be had, so that all was asked for at once again.

Change: digests from a peer, or a piece that nobody had before, show that the origin answers. The order begins when the digests are known.

--- a/internal/staging/digests.go
+++ b/internal/staging/digests.go
@@ -70,6 +70,7 @@
 	turn := s.turn(servers, digestsTurn)
 	for began := time.Now(); !s.reported.Load() || time.Since(began) < time.Duration(turn)*digestPatience; {
 		if digests := s.digestsOfPeers(ctx, g, servers); digests != nil {
+			s.noteOriginHeard(time.Now())
 			return digests, nil
 		}
 		if !pause.For(ctx, digestInterval) {
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -46,10 +46,9 @@
 	// asked holds all that were.
 	directs int
 	// schedule says when the origin is asked in a large swarm; nil until it is needed, and
-	// after the origin failed, which was at originFailed.
-	schedule     *originSchedule
-	originFailed time.Time
-	asked        map[int]bool
+	// after the origin failed.
+	schedule *originSchedule
+	asked    map[int]bool
 	// link judges the VM's link.
 	link    linkState
 	results chan fetched
@@ -121,7 +120,9 @@
 		}
 		if f.heldSince[int(piece)].IsZero() {
 			f.heldSince[int(piece)] = time.Now()
-			f.set.noteElsewhere(int(piece))
+			if f.set.noteElsewhere(int(piece)) {
+				f.s.noteOriginHeard(time.Now())
+			}
 		}
 	}
 }
--- a/internal/staging/fetched.go
+++ b/internal/staging/fetched.go
@@ -103,7 +103,7 @@
 func (f *fetcher) noteOrigin(err error, now time.Time) {
 	f.s.noteOrigin(err, now)
 	if err != nil && !errors.Is(err, context.Canceled) {
-		f.schedule, f.originFailed = nil, now
+		f.schedule = nil
 	}
 }
 
@@ -117,7 +117,13 @@
 	}
 }
 
-// originFails tells whether the origin failed lately and has not answered since.
+// noteOriginHeard notes that a peer has told of something that it must have from the origin:
+// that one answers others.
+func (s *Stager) noteOriginHeard(now time.Time) { s.originSentAt.Store(int64(now.Sub(s.start))) }
+
+// originFails tells whether the origin failed lately and has not answered anybody since, as
+// far as is known here. Judged by an agent's own fetches alone, agents differed for 2 s: on
+// a played day the swarm went for two versions at once after the origin's return.
 func (s *Stager) originFails(now time.Time) bool {
 	failed := s.originFailedAt.Load()
 	return failed > s.originSentAt.Load() && now.Sub(s.start)-time.Duration(failed) < originDownFor
--- a/internal/staging/goal_test.go
+++ b/internal/staging/goal_test.go
@@ -57,6 +57,10 @@
 	assert.False(t, s.originFails(now.Add(originDownFor)), "not heard of since")
 	s.noteOrigin(nil, now.Add(time.Second))
 	assert.False(t, s.originFails(now.Add(time.Second)))
+	s.noteOrigin(errors.New("connection refused"), now.Add(1200*time.Millisecond))
+	assert.True(t, s.originFails(now.Add(1300*time.Millisecond)))
+	s.noteOriginHeard(now.Add(1400 * time.Millisecond))
+	assert.False(t, s.originFails(now.Add(1400*time.Millisecond)), "it answers others")
 	s.noteOrigin(context.Canceled, now.Add(1500*time.Millisecond))
 	assert.False(t, s.originFails(now.Add(1600*time.Millisecond)), "ended by us")
 }
--- a/internal/staging/schedule.go
+++ b/internal/staging/schedule.go
@@ -87,15 +87,14 @@
 	return !now.Before(f.schedule.standIn(piece, turn))
 }
 
-// scheduleBase is when the origin was first to be asked: at the naming of the version, or
-// when it failed last.
+// scheduleBase is from when on the origin could be asked for the version: its digests were
+// known, and the origin has not failed since.
 func (f *fetcher) scheduleBase() time.Time {
-	base := f.began
-	if f.g.named.Number > 0 {
-		base = f.g.named.AppliedAt
-	}
-	if f.originFailed.After(base) {
-		base = f.originFailed
+	base := f.set.opened
+	if failed := f.s.originFailedAt.Load(); failed > 0 {
+		if at := f.s.start.Add(time.Duration(failed)); at.After(base) {
+			base = at
+		}
 	}
 	return base
 }
--- a/internal/staging/schedule_test.go
+++ b/internal/staging/schedule_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/assert"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
-	"lynxgate.dev/lynxgate/internal/ledger"
 )
 
 // TestOriginsLinkIsSharedInOrder: 96 pieces, 45 ms each on the origin's link, that takes 48
@@ -76,8 +75,7 @@
 	f.g.engine = &fleet.Engine{Pieces: 96, PieceBytes: 24_576}
 	f.g.origin = &fleet.Origin{LinkMbps: 4.38, MaxConns: 48}
 	now := time.Unix(1000, 0)
-	f.began = now
-	f.g.named = ledger.Version{Number: 2, AppliedAt: now}
+	f.set.opened, f.s.start = now, now.Add(-time.Minute)
 	allowed := func(turn int, at time.Time) (n int) {
 		for piece := range pieces {
 			if f.scheduled(piece, turn, at) {
--- a/internal/staging/sets.go
+++ b/internal/staging/sets.go
@@ -58,6 +58,8 @@
 // pieceSet holds the verified pieces of one version.
 type pieceSet struct {
 	digests []Digest
+	// opened is when the digests were learned here.
+	opened time.Time
 
 	mu      sync.Mutex
 	pieces  [][]byte
@@ -72,14 +74,16 @@
 }
 
 func newPieceSet(digests []Digest) *pieceSet {
-	return &pieceSet{digests: digests, pieces: make([][]byte, len(digests)), changed: make(chan struct{}), elsewhere: map[int]bool{}}
+	return &pieceSet{digests: digests, opened: time.Now(), pieces: make([][]byte, len(digests)), changed: make(chan struct{}), elsewhere: map[int]bool{}}
 }
 
-// noteElsewhere notes that a peer holds a piece.
-func (p *pieceSet) noteElsewhere(piece int) {
+// noteElsewhere notes that a peer holds a piece, and tells whether that is news.
+func (p *pieceSet) noteElsewhere(piece int) (news bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	news = !p.elsewhere[piece]
 	p.elsewhere[piece] = true
+	return news
 }
 
 // atHand is how many pieces are held here or by a peer; 0 of a set that is not known.
