Agents get the services of a configuration, and only when they change

Change: control servers send agents the services, in a form of the product's own (fleet.EncodeServices), and nothing where they are the same as in the version that the agent holds; a version that was not read here counts as another one.

TestAgentsGetServicesAndOnlyWhenTheyChange.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -161,7 +161,7 @@
 		lacks = f.lackOfEntries(u, h.entries()) || lacks
 	}
 	if f.role != RoleControl {
-		lacks = f.lackOfLedger(u, state, now) || lacks
+		lacks = f.lackOfLedger(u, state, now, h.agents) || lacks
 	}
 	for id := range f.changed {
 		if b := h.servers.Get(id); b != nil {
@@ -199,11 +199,9 @@
 }
 
 // lackOfLedger adds what is committed and was not sent yet.
-func (f *follower) lackOfLedger(u *rpc.FleetUpdate, state *ledger.State, now time.Time) (lacks bool) {
+func (f *follower) lackOfLedger(u *rpc.FleetUpdate, state *ledger.State, now time.Time, agents *agentConfigs) (lacks bool) {
 	if state.ConfigVersion > f.configVersion && f.mayTakeConfig(now) {
-		u.ConfigVersion, u.Config = state.ConfigVersion, state.Config
-		f.configVersion, f.configAt = state.ConfigVersion, now
-		lacks = true
+		lacks = f.lackOfConfig(u, state, now, agents)
 	}
 	for model, newest := range state.Versions {
 		for _, v := range newest.History() {
@@ -220,6 +218,21 @@
 	return lacks
 }
 
+// lackOfConfig adds the committed document, or what an agent needs of it.
+func (f *follower) lackOfConfig(u *rpc.FleetUpdate, state *ledger.State, now time.Time, agents *agentConfigs) bool {
+	document := state.Config
+	if f.role == RoleAgent && agents.decode != nil {
+		var err error
+		document, err = agents.lacking(f.configVersion, state.ConfigVersion, state.Config)
+		if err != nil || document == nil {
+			return false // a document that can't be read was never accepted
+		}
+	}
+	u.ConfigVersion, u.Config = state.ConfigVersion, document
+	f.configVersion, f.configAt = state.ConfigVersion, now
+	return true
+}
+
 // lackOfEntries adds the entries if they are others than the follower knows.
 func (f *follower) lackOfEntries(u *rpc.FleetUpdate, entries []*rpc.Entry) bool {
 	same := func(a, b *rpc.Entry) bool { return a.Name == b.Name && a.Zone == b.Zone }
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -38,6 +38,7 @@
 	log          zerolog.Logger
 	services     *declaredServices
 	refused      *refusals
+	agents       *agentConfigs
 
 	mu        sync.Mutex
 	servers   *directory.Directory
@@ -50,6 +51,7 @@
 	return &hub{
 		ledger: l, controlAddrs: controlAddrs, log: log,
 		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
+		agents:  &agentConfigs{decode: decode},
 		servers: directory.New(announceInterval), followers: map[*follower]bool{},
 		reports: map[string]*rpc.AgentReport{},
 	}
--- a/internal/fleetcontrol/writers_test.go
+++ b/internal/fleetcontrol/writers_test.go
@@ -93,3 +93,34 @@
 	assert.Contains(t, lines[1], `"untold":99`)
 	assert.EqualValues(t, 101, counted(t, r, whyUnreadable))
 }
+
+func TestAgentsGetServicesAndOnlyWhenTheyChange(t *testing.T) {
+	h := newHub(ledger.New(time.Now), func() []string { return nil }, time.Second, declaring, zerolog.Nop())
+	agent, entry := h.join(&rpc.FollowerMessage{Name: "a", Role: RoleAgent}), h.join(&rpc.FollowerMessage{Name: "e", Role: RoleEntry})
+	declare(t, h, 3, "drafts plain")
+	u := h.next(agent)
+	assert.EqualValues(t, 3, u.ConfigVersion)
+	data, err := ledger.Inflate(u.Config)
+	require.NoError(t, err)
+	config, err := fleet.DecodeServices(data)
+	require.NoError(t, err)
+	assert.EqualValues(t, 3, config.Version)
+	assert.Len(t, config.Services, 2)
+	assert.EqualValues(t, 3, h.next(entry).ConfigVersion)
+
+	agent.configAt = agent.configAt.Add(-time.Minute)
+	declare(t, h, 5, "drafts  plain") // another document, the same services
+	assert.Nil(t, h.next(agent))
+	assert.EqualValues(t, 5, h.next(entry).ConfigVersion)
+	declare(t, h, 6, "drafts plain more")
+	assert.EqualValues(t, 6, h.next(agent).ConfigVersion)
+	late := h.join(&rpc.FollowerMessage{Name: "b", Role: RoleAgent})
+	assert.EqualValues(t, 6, h.next(late).ConfigVersion)
+
+	// Another control server told this agent of a version that was not read here.
+	declare(t, h, 9, "drafts plain more")
+	other := h.join(&rpc.FollowerMessage{Name: "c", Role: RoleAgent})
+	h.acknowledged(other, &rpc.FollowerMessage{ConfigVersion: 8})
+	other.configAt = other.configAt.Add(-time.Minute)
+	assert.EqualValues(t, 9, h.next(other).ConfigVersion, "its services may be others")
+}
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/staging"
@@ -24,7 +25,7 @@
 }
 
 func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
-	viewer := follow.NewViewer(cfg.Decode, nil, cfg.AnnounceInterval, cfg.Logger)
+	viewer := follow.NewViewer(fleet.DecodeServices, nil, cfg.AnnounceInterval, cfg.Logger)
 	a := cfg.Agent
 	client := newFollower(cfg, fleetcontrol.RoleAgent, viewer, agentFollows)
 	return &agentRole{
