--- a/internal/staging/schedule.go
+++ b/internal/staging/schedule.go
@@ -88,9 +88,13 @@
 }
 
 // scheduleBase is from when on the origin could be asked for the version: its digests were
-// known, and the origin has not failed since.
+// known, and the origin has not failed since. An agent that started after the naming takes
+// its turns as if it had been there: others have asked long ago.
 func (f *fetcher) scheduleBase() time.Time {
 	base := f.set.opened
+	if named := f.g.named.AppliedAt; f.s.start.After(named) {
+		base = named
+	}
 	if failed := f.s.originFailedAt.Load(); failed > 0 {
 		if at := f.s.start.Add(time.Duration(failed)); at.After(base) {
 			base = at
--- a/internal/staging/schedule_test.go
+++ b/internal/staging/schedule_test.go
@@ -1,6 +1,7 @@
 package staging
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/ledger"
 )
 
 // TestOriginsLinkIsSharedInOrder: 96 pieces, 45 ms each on the origin's link, that takes 48
@@ -76,6 +78,7 @@
 	f.g.origin = &fleet.Origin{LinkMbps: 4.38, MaxConns: 48}
 	now := time.Unix(1000, 0)
 	f.set.opened, f.s.start = now, now.Add(-time.Minute)
+	f.g.named = ledger.Version{Number: 2, AppliedAt: now.Add(-time.Second)}
 	allowed := func(turn int, at time.Time) (n int) {
 		for piece := range pieces {
 			if f.scheduled(piece, turn, at) {
@@ -99,3 +102,19 @@
 	assert.Equal(t, 9+8, allowed(0, now.Add(7*time.Second)), "in order once more, but what somebody holds")
 	assert.Zero(t, allowed(1, now.Add(7*time.Second)))
 }
+
+// TestAgentThatComesLaterAsksAtOnce: an agent that started long after the naming is first in
+// turn for some pieces, and the origin was down meanwhile; to begin the order anew would
+// keep all others waiting for them.
+func TestAgentThatComesLaterAsksAtOnce(t *testing.T) {
+	f := testFetcher([]byte("a"), []byte("b"))
+	f.g.engine, f.g.origin = &fleet.Engine{Pieces: 2, PieceBytes: 24_576}, &fleet.Origin{LinkMbps: 4.38, MaxConns: 48}
+	now := time.Unix(1000, 0)
+	f.g.named = ledger.Version{Number: 2, AppliedAt: now.Add(-8 * time.Second)}
+	f.s.start, f.set.opened = now.Add(-100*time.Millisecond), now
+	assert.Equal(t, f.g.named.AppliedAt, f.scheduleBase())
+	f.s.start = now.Add(-time.Minute)
+	assert.Equal(t, now, f.scheduleBase(), "its digests could not be had before")
+	f.s.noteOrigin(errors.New("connection refused"), now.Add(time.Second))
+	assert.Equal(t, now.Add(time.Second), f.scheduleBase())
+}
