Lines of requests that may have run bear a digest of their content

Change: sight only. A digest (blake3, 16 bytes) of organisation, method, host, path and body in the lines about requests that may have run, made when a line needs it; a counter of sends that were broken off. No decision changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/quarantine"
 )
 
 const (
@@ -40,6 +41,9 @@
 	org   *fleet.Organisation
 	model string
 	body  []byte
+	// content is the digest, made by digest.
+	content    quarantine.Digest
+	digestOnce sync.Once
 	// clientBy is when the caller gives up, by its own word; by is when we do.
 	clientBy, by time.Time
 	// cameBack: the caller was refused before.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -21,6 +21,9 @@
 	room *prometheus.HistogramVec
 	// interrupted counts streams whose server stopped to write them before their end.
 	interrupted *prometheus.CounterVec
+	// broken counts sends that broke off by the fault of a server or the way to it, by
+	// whether an answer had begun.
+	broken *prometheus.CounterVec
 	// Gauges that Run sets once a second.
 	budgetLeft    *prometheus.GaugeVec
 	directoryAge  *prometheus.GaugeVec
@@ -59,6 +62,9 @@
 		interrupted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_gateway_streams_interrupted_total", Help: "Streams interrupted after their first event, by who did it first and how they ended.",
 		}, []string{"by", "end"}),
+		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_sends_broken_total", Help: "Sends that a backend server, or the way to it, broke off, by whether an answer had begun.",
+		}, []string{"service", "answer_begun"}),
 		budgetLeft: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_retry_budget_left", Help: "Repeats that this entry may still make, by service.",
 		}, []string{"service"}),
@@ -72,7 +78,7 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.room, m.interrupted, m.budgetLeft, m.directoryAge, m.configVersion, m.Dialled)
+	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.room, m.interrupted, m.broken, m.budgetLeft, m.directoryAge, m.configVersion, m.Dialled)
 	return m
 }
 
@@ -147,6 +153,9 @@
 	if c.lastErr != nil {
 		event.AnErr("last", c.lastErr)
 	}
+	if c.mayHaveRun {
+		event.Stringer("content", c.digest())
+	}
 	c.describe(event).Str("kind", kind).Int("status", c.status).Str("reason", c.reason).
 		Bool("may_have_run", c.mayHaveRun).Int("events", c.events).Dur("first_ms", c.firstEvent).Dur("gap_ms", c.longestGap).
 		Dur("took_ms", time.Since(c.began)).Msg("request ended")
@@ -158,6 +167,9 @@
 	if c.endedBy != "" {
 		event.Str("ended_by", c.endedBy)
 	}
+	if c.mayHaveRun {
+		event.Stringer("content", c.digest())
+	}
 	c.describe(event).Str("server", c.choice.Server.ID).Str("addr", c.choice.Server.Addr).
 		Float64("queue", c.choice.Queue).Int("slots", c.choice.Slots).Dur("load_age_ms", c.choice.Told).
 		AnErr("cause", err).Int64("left_ms", time.Until(c.by).Milliseconds()).Msg(what)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -78,6 +78,13 @@
 	return balance.EndedFailed
 }
 
+// noteBroken counts a send that broke off.
+func (c *call) noteBroken(ending balance.Ending, begun bool) {
+	if ending == balance.EndedFailed {
+		c.g.cfg.Metrics.broken.WithLabelValues(c.service, strconv.FormatBool(begun)).Inc()
+	}
+}
+
 // sendFailed decides after a send without an answer.
 func (c *call) sendFailed(watch *watchdog, err error) sendResult {
 	c.lastErr = err
@@ -86,13 +93,15 @@
 		ending = balance.EndedBusy
 	}
 	c.g.balancer.Done(&c.choice, time.Now(), ending)
-	c.logSend("send failed", err)
 	if errors.Is(err, dispatch.ErrNotSent) {
+		c.logSend("send failed", err)
 		c.mayAskAgain(ending)
 		return sendAgain
 	}
 	c.noteSent()
 	c.mayHaveRun = true
+	c.noteBroken(ending, false)
+	c.logSend("send failed", err)
 	if watch.over.Load() && c.route.Idempotent() {
 		return sendAgain // it has most likely not begun
 	}
@@ -203,7 +212,9 @@
 // brokenAnswer handles an answer that can not be given to the caller.
 func (c *call) brokenAnswer(watch *watchdog, what string, err error) sendResult {
 	c.lastErr = err
-	c.g.balancer.Done(&c.choice, time.Now(), c.ending(watch))
+	ending := c.ending(watch)
+	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.noteBroken(ending, true)
 	c.noteInterrupted()
 	c.logSend(what, err)
 	if c.route.Idempotent() {
--- /dev/null
+++ b/internal/quarantine/digest.go
@@ -0,0 +1,36 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+
+	"lukechampine.com/blake3"
+)
+
+// DigestSize is the length of a Digest in bytes. A caller that looks for two requests of the
+// same digest needs 2^64 tries; one that looks for another organisation's needs 2^128.
+const DigestSize = 16
+
+// Digest names what makes two requests the same work: who asks, for what, with which body.
+// Ids and deadlines differ with each attempt and are left out.
+type Digest [DigestSize]byte
+
+// String returns the digest as logs show it.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// DigestOf returns the digest of a request. organisation is empty for routes that anyone
+// may call; target is path and query as they were sent.
+func DigestOf(organisation, method, host, target string, body []byte) Digest {
+	head := make([]byte, 0, 256)
+	for _, part := range []string{organisation, method, host, target} {
+		head = binary.AppendUvarint(head, uint64(len(part)))
+		head = append(head, part...)
+	}
+	h := blake3.New(DigestSize, nil)
+	// Writes to a hash never fail.
+	_, _ = h.Write(head)
+	_, _ = h.Write(body)
+	var d Digest
+	h.Sum(d[:0])
+	return d
+}
