Work under which three backend servers ended is not sent any more

The class: a fault of the work is taken for one of the server, and the work is given to the next one. Change: internal/quarantine, a set of facts 'this work was at this start of a server when it ended', cleared by an answer in full; three ends hold the work back for ten minutes. An end of many servers at once counts half for work that was at few of them. An entry asks the VM of a server that broke off whether it refuses connections: only then has it ended. Entries tell control servers, which tell all entries and each other; what is held goes into the log. Suspect work runs once at a time at an entry and isn't handed over; held work gets its final answer at once, without Retry-After. Ruled out: counting connections that break (resets, lost answers and cuts would count).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -210,6 +210,13 @@
 	}
 }
 
+// Leaving tells whether a server has said that it leaves: its end is its own doing.
+func (b *Balancer) Leaving(s *Server) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return s.record.State != fleet.StateReady
+}
+
 // Renewed notes that a server was heard.
 func (b *Balancer) Renewed(id string, at time.Time) {
 	b.mu.Lock()
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -18,7 +18,9 @@
 type Server struct {
 	ID   string
 	Addr string
-	Pool *dispatch.Pool
+	// Start names this start of the server, which may start again under its id.
+	Start string
+	Pool  *dispatch.Pool
 
 	// ctx ends when a later start under the same id is known: what was sent to this one
 	// is lost.
@@ -51,7 +53,7 @@
 }
 
 func newServer(record *fleet.BackendServer) *Server {
-	s := &Server{ID: record.ID, Addr: record.Addr, Pool: dispatch.NewPool(record.Addr), record: record}
+	s := &Server{ID: record.ID, Addr: record.Addr, Start: record.Start(), Pool: dispatch.NewPool(record.Addr), record: record}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -137,6 +137,17 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idleLimit: maxIdle}, nil
 }
 
+// Probe connects to the server and closes the connection again; the error is that of
+// connecting.
+func (p *Pool) Probe(ctx context.Context) error {
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.addr)
+	if err != nil {
+		return fmt.Errorf("probe %s: %w", p.addr, err)
+	}
+	p.Dialled.Add(1)
+	return nc.Close()
+}
+
 func (p *Pool) takeIdle() *conn {
 	now := time.Now()
 	p.mu.Lock()
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // State is what a backend server says of itself.
 type State uint8
@@ -49,6 +52,14 @@
 	StartedAt time.Time
 }
 
+// Start names this start of the server among all starts of all servers.
+func (b *BackendServer) Start() string {
+	if b.Born == 0 {
+		return b.ID
+	}
+	return b.ID + "@" + strconv.FormatInt(b.Born, 10)
+}
+
 // Holds returns the version of a model that the server holds whole; 0 if it
 // does not. Layers of 0 are not checked.
 func (b *BackendServer) Holds(model string, layers int) uint64 {
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -8,6 +8,7 @@
 
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -24,6 +25,8 @@
 	changed, renewed map[string]bool
 	// reports holds the addresses whose report is to be sent.
 	reports map[string]bool
+	// suspicions are the facts that are to be sent.
+	suspicions []quarantine.News
 	// configVersion is the newest configuration that it was sent or holds,
 	// configAt when that changed last.
 	configVersion uint64
@@ -68,6 +71,10 @@
 				h.report(m.Report)
 				continue
 			}
+			if len(m.Suspicions) > 0 {
+				h.suspected(follow.SuspicionsFromProto(m.Suspicions, time.Now()))
+				continue
+			}
 			h.acknowledged(f, m)
 		}
 	}()
@@ -108,6 +115,9 @@
 	for _, b := range h.servers.All() {
 		f.changed[b.ID] = true
 	}
+	if f.role != RoleAgent {
+		f.suspicions = h.suspects.All()
+	}
 	h.followers[f] = true
 	for other := range h.followers {
 		other.notify() // the entries may have changed
@@ -176,9 +186,11 @@
 	for addr := range f.reports {
 		u.Reports = append(u.Reports, h.reports[addr])
 	}
-	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 && len(u.Reports) == 0 {
+	u.Suspicions = follow.SuspicionsToProto(f.suspicions, now)
+	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 && len(u.Reports) == 0 && len(u.Suspicions) == 0 {
 		return nil
 	}
+	f.suspicions = nil
 	clear(f.changed)
 	clear(f.renewed)
 	clear(f.reports)
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -11,6 +11,7 @@
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -45,6 +46,10 @@
 	followers map[*follower]bool
 	// reports are the agents' newest reports by address of the backend server.
 	reports map[string]*rpc.AgentReport
+	// suspects is what entries know of work that was at servers that ended.
+	suspects *quarantine.Table
+	// recorded is work that the log holds.
+	recorded map[quarantine.Digest]bool
 }
 
 func newHub(l *ledger.Ledger, controlAddrs func() []string, announceInterval time.Duration, decode func([]byte) (*fleet.Config, error), log zerolog.Logger) *hub {
@@ -53,7 +58,7 @@
 		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
 		agents:  &agentConfigs{decode: decode},
 		servers: directory.New(announceInterval), followers: map[*follower]bool{},
-		reports: map[string]*rpc.AgentReport{},
+		reports: map[string]*rpc.AgentReport{}, suspects: quarantine.New(), recorded: map[quarantine.Digest]bool{},
 	}
 }
 
@@ -65,18 +70,22 @@
 	defer report.Stop()
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
+	h.holdCommitted()
 	for {
 		changed := h.ledger.Changed()
 		select {
 		case <-changed:
+			h.holdCommitted()
 			h.wakeAll()
 		case <-renew.C:
 			h.wakeFor(func(f *follower) bool { return len(f.renewed) > 0 })
 		case <-report.C:
+			h.settle()
 			h.wakeFor(func(f *follower) bool { return len(f.reports) > 0 })
 		case <-forget.C:
 			h.mu.Lock()
 			h.servers.Forget(time.Now())
+			h.suspects.Forget(time.Now())
 			h.mu.Unlock()
 		case <-ctx.Done():
 			return
@@ -152,6 +161,9 @@
 
 // peerUpdate takes over what another control server knows of backend servers.
 func (h *hub) peerUpdate(source string, u *rpc.FleetUpdate) {
+	if len(u.Suspicions) > 0 {
+		h.suspected(follow.SuspicionsFromProto(u.Suspicions, time.Now()))
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -103,6 +103,7 @@
 	defer cancel()
 	go func() { _ = s.peers.Run(ctx) }()
 	go s.hub.run(ctx)
+	go s.recordHeld(ctx)
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -27,7 +27,7 @@
 func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
 	viewer := follow.NewViewer(fleet.DecodeServices, nil, cfg.AnnounceInterval, cfg.Logger)
 	a := cfg.Agent
-	client := newFollower(cfg, fleetcontrol.RoleAgent, viewer, agentFollows)
+	client := newFollower(cfg, fleetcontrol.RoleAgent, viewer, agentFollows, nil)
 	return &agentRole{
 		client: client,
 		stager: staging.New(staging.Config{
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -16,6 +16,7 @@
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/gateway"
+	"lynxgate.dev/lynxgate/internal/quarantine"
 )
 
 const (
@@ -40,21 +41,24 @@
 
 func newEntryRole(cfg *Config, registry prometheus.Registerer) *entryRole {
 	e := cfg.Entry
+	var client *follow.Client
 	g := gateway.New(gateway.Config{
 		Headers:    e.Headers,
 		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, VersionBound: cfg.VersionBound, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
+		Tell:   func(news []quarantine.News) { client.TellSuspicions(news) },
 		Logger: cfg.Logger, Metrics: gateway.NewMetrics(registry),
 	})
 	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.AnnounceInterval, cfg.Logger)
-	viewer.Reported, viewer.Renewed = g.Reported, g.Renewed
+	viewer.Reported, viewer.Renewed, viewer.Suspected = g.Reported, g.Renewed, g.Suspected
+	client = newFollower(cfg, fleetcontrol.RoleEntry, viewer, 0, g.Suspicions)
 	ready := http.NewServeMux()
 	e.MountReady(ready, g.Ready)
 	quiet := log.New(io.Discard, "", 0) // broken connections of callers are counted, not told
 	return &entryRole{
 		gateway: g,
 		log:     cfg.Logger,
-		client:  newFollower(cfg, fleetcontrol.RoleEntry, viewer, 0),
+		client:  client,
 		callers: &http.Server{
 			Addr: e.CallersAddr, Handler: g, ErrorLog: quiet,
 			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headBytes,
@@ -63,10 +67,10 @@
 	}
 }
 
-func newFollower(cfg *Config, role string, viewer *follow.Viewer, most int) *follow.Client {
+func newFollower(cfg *Config, role string, viewer *follow.Viewer, most int, suspicions func() []quarantine.News) *follow.Client {
 	return follow.New(follow.Config{
 		Name: cfg.Name, Zone: cfg.Zone, Role: role, Most: most, Seeds: cfg.Seeds,
-		Held: viewer.HeldConfig, Update: viewer.Update, Lost: viewer.Lost, Logger: cfg.Logger,
+		Held: viewer.HeldConfig, Update: viewer.Update, Lost: viewer.Lost, Suspicions: suspicions, Logger: cfg.Logger,
 	})
 }
 
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rendezvous"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
@@ -56,6 +57,9 @@
 	// Held returns the version of the newest configuration that was taken over: other
 	// control servers need not send it. It may be nil.
 	Held func() uint64
+	// Suspicions returns all that is known here of work that was at servers that ended: a
+	// control server that has started again knows nothing of it. It may be nil.
+	Suspicions func() []quarantine.News
 	// Update takes over what a control server sent; calls for one source are in
 	// order, those for several are concurrent.
 	Update func(source string, u *rpc.FleetUpdate)
@@ -278,6 +282,13 @@
 	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
+	if c.cfg.Suspicions != nil {
+		if news := c.cfg.Suspicions(); len(news) > 0 {
+			if err := stream.Send(&rpc.FollowerMessage{Suspicions: SuspicionsToProto(news, time.Now())}); err != nil {
+				return 0, fmt.Errorf("follow %s: %w", addr, err)
+			}
+		}
+	}
 	c.setStream(addr, stream)
 	defer c.setStream(addr, nil)
 	var lists []string // what this control server listed last: it says so once
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -12,6 +12,7 @@
 	"lynxgate.dev/lynxgate/internal/directory"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/ledger"
+	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -40,6 +41,8 @@
 	// Changed is called after each new view.
 	changed func(*View)
 
+	// Suspected is called with news of work that was at servers that ended; it may be nil.
+	Suspected func(news []quarantine.News)
 	// Reported is called with each new report of an agent, Renewed when a server
 	// was heard without a change; both may be nil.
 	Reported func(r *rpc.AgentReport)
@@ -96,6 +99,9 @@
 		v.changed(&next)
 	}
 	v.takeReports(u)
+	if len(u.Suspicions) > 0 && v.Suspected != nil {
+		v.Suspected(SuspicionsFromProto(u.Suspicions, time.Now()))
+	}
 }
 
 // takeReports hands the reports on that are newer than the ones known.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -149,6 +149,8 @@
 	case c.committed:
 		c.status, c.reason = http.StatusBadGateway, reason
 		c.broken = true
+	case !c.mayHaveRun && c.neverBack:
+		c.fail(http.StatusServiceUnavailable, reason)
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, reason, c.retryAfter())
 	case !time.Now().Before(c.by.Add(-leastSend)):
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -114,6 +114,7 @@
 	}
 	if ending == balance.EndedFailed && !errors.Is(err, dispatch.ErrNotSent) {
 		h.began = true // it may have
+		go c.noteEnd(h.choice.Server, err)
 	}
 	c.dropHandover(w, h, ending, err)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -44,6 +44,12 @@
 	// content is the digest, made by digest.
 	content    quarantine.Digest
 	digestOnce sync.Once
+	// hasTurn: the call runs suspect work, no other one does here.
+	hasTurn bool
+	// endedServers are those that count against work that is held back.
+	endedServers []string
+	// neverBack: the caller is not told when to come again.
+	neverBack bool
 	// clientBy is when the caller gives up, by its own word; by is when we do.
 	clientBy, by time.Time
 	// cameBack: the caller was refused before.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -15,10 +15,13 @@
 			c.giveUp("all attempts are used")
 			return false
 		}
-		if !c.backOff(ctx) || !c.takeRetry(ctx) {
-			c.giveUp("retry budget is used up")
-			return false
-		}
+	}
+	if !c.admit(ctx) {
+		return false
+	}
+	if again && (!c.backOff(ctx) || !c.takeRetry(ctx)) {
+		c.giveUp("retry budget is used up")
+		return false
 	}
 	choice, room := c.pick(ctx, again)
 	if choice.Server == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/retry"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
@@ -65,8 +66,10 @@
 	RetryShare  float64
 	RetryFloor  int
 	RetryWindow time.Duration
-	Logger      zerolog.Logger
-	Metrics     *Metrics
+	// Tell spreads what is known of work that was at servers that ended; it may be nil.
+	Tell    func([]quarantine.News)
+	Logger  zerolog.Logger
+	Metrics *Metrics
 }
 
 // Gateway serves callers; it is an http.Handler.
@@ -76,6 +79,7 @@
 	view     atomic.Pointer[follow.View]
 	balancer *balance.Balancer
 	rooms    *roomQueues
+	suspects *suspicions
 	// start is the origin of the monotonic clock of the budgets: the time of
 	// day may jump.
 	start time.Time
@@ -97,7 +101,8 @@
 	b := balance.New(cfg.Balance)
 	g := &Gateway{
 		cfg: cfg, log: cfg.Logger, balancer: b, rooms: newRoomQueues(b),
-		start: time.Now(), budgets: map[string]*retry.Budget{},
+		suspects: newSuspicions(cfg.Logger, cfg.Tell),
+		start:    time.Now(), budgets: map[string]*retry.Budget{},
 	}
 	b.OnRoom(g.rooms.offer)
 	g.view.Store(&follow.View{})
@@ -124,6 +129,12 @@
 // Renewed notes that a backend server was heard.
 func (g *Gateway) Renewed(id string, at time.Time) { g.balancer.Renewed(id, at) }
 
+// Suspected takes what other entries know of work that was at servers that ended.
+func (g *Gateway) Suspected(news []quarantine.News) { g.suspects.take(time.Now(), news) }
+
+// Suspicions returns all that is known of such work here.
+func (g *Gateway) Suspicions() []quarantine.News { return g.suspects.all() }
+
 // Ready tells whether the entry should get new connections.
 func (g *Gateway) Ready() (reason string, ok bool) {
 	switch {
@@ -149,6 +160,7 @@
 		select {
 		case now := <-ticker.C:
 			g.balancer.CloseStale(now)
+			g.suspects.forget(now)
 			g.shareBudgets(now)
 			g.setGauges(now)
 		case <-ctx.Done():
@@ -160,6 +172,7 @@
 func (g *Gateway) setGauges(now time.Time) {
 	m := g.cfg.Metrics
 	m.Dialled.Set(float64(g.balancer.Dialled()))
+	m.suspect.Set(float64(g.suspects.count()))
 	if t := g.view.Load().Table; t != nil {
 		m.configVersion.Set(float64(t.Config.Version))
 	}
@@ -220,5 +233,6 @@
 	}
 	c := g.newCall(w, r)
 	c.serve()
+	c.giveTurnBack()
 	c.report()
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -88,6 +88,9 @@
 // mayAsk tells whether another server may be asked beside the one that w watches. What
 // that one was sent is counted only once it has answered.
 func (c *call) mayAsk(w *watchdog, why moveReason) bool {
+	if c.suspect() {
+		return false // one server at a time runs it
+	}
 	most := max(c.route.MaxAttempts, 1)
 	if why == moveLoading && c.runs+c.unheard >= most {
 		return false
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -24,10 +24,14 @@
 	// broken counts sends that broke off by the fault of a server or the way to it, by
 	// whether an answer had begun.
 	broken *prometheus.CounterVec
+	// heldBack counts requests that were not sent, or not again, for what is known of them.
+	heldBack *prometheus.CounterVec
 	// Gauges that Run sets once a second.
 	budgetLeft    *prometheus.GaugeVec
 	directoryAge  *prometheus.GaugeVec
 	configVersion prometheus.Gauge
+	// suspect is how many pieces of work were at servers that ended.
+	suspect prometheus.Gauge
 	// Dialled is the number of connections made to backend servers.
 	Dialled prometheus.Gauge
 }
@@ -65,6 +69,12 @@
 		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_gateway_sends_broken_total", Help: "Sends that a backend server, or the way to it, broke off, by whether an answer had begun.",
 		}, []string{"service", "answer_begun"}),
+		heldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_requests_held_back_total", Help: "Requests that ended without a further send, since servers had ended under the same work, by verdict.",
+		}, []string{"verdict"}),
+		suspect: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_gateway_suspect_work", Help: "Pieces of work known here that were at backend servers that ended.",
+		}),
 		budgetLeft: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_retry_budget_left", Help: "Repeats that this entry may still make, by service.",
 		}, []string{"service"}),
@@ -78,7 +88,7 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.room, m.interrupted, m.broken, m.budgetLeft, m.directoryAge, m.configVersion, m.Dialled)
+	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.room, m.interrupted, m.broken, m.heldBack, m.suspect, m.budgetLeft, m.directoryAge, m.configVersion, m.Dialled)
 	return m
 }
 
@@ -153,9 +163,12 @@
 	if c.lastErr != nil {
 		event.AnErr("last", c.lastErr)
 	}
-	if c.mayHaveRun {
+	if c.mayHaveRun || c.endedServers != nil {
 		event.Stringer("content", c.digest())
 	}
+	if c.endedServers != nil {
+		event.Strs("ended_servers", c.endedServers)
+	}
 	c.describe(event).Str("kind", kind).Int("status", c.status).Str("reason", c.reason).
 		Bool("may_have_run", c.mayHaveRun).Int("events", c.events).Dur("first_ms", c.firstEvent).Dur("gap_ms", c.longestGap).
 		Dur("took_ms", time.Since(c.began)).Msg("request ended")
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -78,11 +78,13 @@
 	return balance.EndedFailed
 }
 
-// noteBroken counts a send that broke off.
-func (c *call) noteBroken(ending balance.Ending, begun bool) {
-	if ending == balance.EndedFailed {
-		c.g.cfg.Metrics.broken.WithLabelValues(c.service, strconv.FormatBool(begun)).Inc()
+// noteBroken counts a send that broke off, and notes if its server has ended.
+func (c *call) noteBroken(ending balance.Ending, begun bool, err error) {
+	if ending != balance.EndedFailed {
+		return
 	}
+	c.g.cfg.Metrics.broken.WithLabelValues(c.service, strconv.FormatBool(begun)).Inc()
+	c.noteEnd(c.choice.Server, err)
 }
 
 // sendFailed decides after a send without an answer.
@@ -100,7 +102,7 @@
 	}
 	c.noteSent()
 	c.mayHaveRun = true
-	c.noteBroken(ending, false)
+	c.noteBroken(ending, false, err)
 	c.logSend("send failed", err)
 	if watch.over.Load() && c.route.Idempotent() {
 		return sendAgain // it has most likely not begun
@@ -214,7 +216,7 @@
 	c.lastErr = err
 	ending := c.ending(watch)
 	c.g.balancer.Done(&c.choice, time.Now(), ending)
-	c.noteBroken(ending, true)
+	c.noteBroken(ending, true, err)
 	c.noteInterrupted()
 	c.logSend(what, err)
 	if c.route.Idempotent() {
@@ -239,6 +241,7 @@
 // giveWhole gives the caller a whole answer.
 func (c *call) giveWhole(a *dispatch.Answer, body []byte) sendResult {
 	c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
+	c.clear()
 	c.copyHead(a)
 	c.status, c.reason = a.StatusCode, "served"
 	c.write(a.StatusCode, body)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,6 +36,7 @@
 	switch {
 	case err == nil:
 		c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
+		c.clear()
 		c.status, c.reason = a.StatusCode, "served"
 		return sendFinal
 	case errors.Is(err, errCallerGone):
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,6 +14,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -24,8 +25,14 @@
 	ConfigVersion uint64
 	Config        []byte
 	Versions      map[string]Version
+	// Held is work that is to be held back, the newest last.
+	Held []quarantine.Digest
 }
 
+// maxHeld bounds the work that the log remembers, 16 bytes each. The oldest is dropped
+// first.
+const maxHeld = 256
+
 // Version is a version of a model's weights, and when it was applied here.
 type Version struct {
 	Number    uint64
@@ -157,9 +164,22 @@
 		s.Versions = versions
 		changed = true
 	}
+	for _, raw := range c.Held {
+		changed = s.hold(raw) || changed
+	}
 	return changed
 }
 
+// hold adds work that is to be held back. What is no digest changes nothing.
+func (s *State) hold(raw []byte) bool {
+	if len(raw) != quarantine.DigestSize || slices.Contains(s.Held, quarantine.Digest(raw)) {
+		return false
+	}
+	held := append(slices.Clone(s.Held), quarantine.Digest(raw))
+	s.Held = held[max(0, len(held)-maxHeld):]
+	return true
+}
+
 // Snapshot implements replica.FSM.
 func (l *Ledger) Snapshot() ([]byte, error) {
 	s := l.State()
@@ -167,6 +187,9 @@
 	for model, v := range s.Versions {
 		out.Versions = append(out.Versions, &rpc.ModelVersion{Model: model, Version: v.Number})
 	}
+	for _, d := range s.Held {
+		out.Held = append(out.Held, d[:])
+	}
 	data, err := proto.Marshal(out)
 	if err != nil {
 		return nil, fmt.Errorf("encode ledger: %w", err)
@@ -184,6 +207,9 @@
 	for _, v := range in.Versions {
 		next.Versions[v.Model] = Version{Number: v.Version, AppliedAt: l.now()}
 	}
+	for _, raw := range in.Held {
+		next.hold(raw)
+	}
 	l.publish(next)
 	return nil
 }
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,283 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// endsToHold is under how many ends of servers work is held back: one may be an
+	// accident of the server, two may be a coincidence of kills, and each further try costs
+	// all answers in progress at one more server.
+	endsToHold = 3
+	// fullWeight is what one end counts, commonWeight one of an event that has ended several
+	// servers of which most did not run the work: a power loss, a roll. It counts still,
+	// since several requests that end servers may be about at the same time.
+	fullWeight, commonWeight = 2, 1
+	// commonEnds is from how many servers on that end within commonWindow the ends are taken
+	// for one event, if the work was at less than half of them. Kills of many servers at
+	// once reach the entries within some ms, or within a round trip of 100 ms.
+	commonEnds   = 4
+	commonWindow = 250 * time.Millisecond
+	// settleTime is for how long the news of an event may still come in: work is not
+	// judged before, only not sent.
+	settleTime = 300 * time.Millisecond
+	// forgetAfter is how long ends and verdicts count. What ends a server does so until the
+	// server or its weights are replaced. After it the work may run again, once at a time: one
+	// server in ten minutes, of a hundred that are each out for 5 s.
+	forgetAfter = 10 * time.Minute
+	// maxRecords bounds the work that is known, some 200 bytes each: that of all the slots of
+	// 300 servers that end at once. What was touched longest ago is dropped first, work that is
+	// held back last.
+	maxRecords = 4096
+)
+
+// Verdict is how work may be sent.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Free work ended no server, or was answered since.
+	Free Verdict = iota
+	// Suspect work was at a server that ended: one copy of it runs at a time.
+	Suspect
+	// Unsettled work was at so many that ended that it may be at fault: it waits until the
+	// news of other ends has come in.
+	Unsettled
+	// Held work is not sent to any server.
+	Held
+)
+
+// String returns the verdict's name in logs.
+func (v Verdict) String() string { return [...]string{"free", "suspect", "unsettled", "held"}[v] }
+
+// News is one fact. With a Server, the work was in flight there when that start of a server
+// ended, and Cleared tells that it was answered in full since. Without one, the work is held.
+type News struct {
+	Digest  Digest
+	Server  string
+	Cleared bool
+	// At is when the server ended, or the work began to be held, by the clock of the table.
+	At time.Time
+}
+
+type fact struct {
+	at      time.Time
+	cleared bool
+}
+
+type record struct {
+	// ends are facts by start of a server.
+	ends map[string]fact
+	// heldAt is when the verdict became final; zero if it is not.
+	heldAt    time.Time
+	touchedAt time.Time
+}
+
+// Table holds what is known of work and of servers that ended. It is not safe for
+// concurrent use.
+type Table struct {
+	records map[Digest]*record
+	// servers are the starts that ended, and when, whatever ran there.
+	servers map[string]time.Time
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{records: map[Digest]*record{}, servers: map[string]time.Time{}} }
+
+// Empty tells whether nothing is held against any work.
+func (t *Table) Empty() bool { return len(t.records) == 0 }
+
+// Len returns how many pieces of work are known.
+func (t *Table) Len() int { return len(t.records) }
+
+// Merge takes a fact in, and tells whether it was new.
+func (t *Table) Merge(now time.Time, n News) bool {
+	if now.Sub(n.At) > forgetAfter {
+		return false
+	}
+	r := t.records[n.Digest]
+	if r == nil {
+		if len(t.records) >= maxRecords {
+			t.dropOldest()
+		}
+		r = &record{ends: map[string]fact{}}
+		t.records[n.Digest] = r
+	}
+	r.touchedAt = now
+	if n.Server == "" {
+		isNew := r.heldAt.IsZero()
+		if isNew || n.At.Before(r.heldAt) {
+			r.heldAt = n.At
+		}
+		return isNew
+	}
+	if at, known := t.servers[n.Server]; !known || n.At.Before(at) {
+		t.servers[n.Server] = n.At
+	}
+	known, ok := r.ends[n.Server]
+	if ok && (known.cleared || !n.Cleared) {
+		return false
+	}
+	if ok {
+		n.At = known.at
+	}
+	r.ends[n.Server] = fact{at: n.At, cleared: n.Cleared}
+	return true
+}
+
+// Served notes that work was answered in full, and returns the facts that this clears.
+func (t *Table) Served(now time.Time, d Digest) []News {
+	r := t.records[d]
+	if r == nil {
+		return nil
+	}
+	var out []News
+	for server, f := range r.ends {
+		if !f.cleared {
+			n := News{Digest: d, Server: server, Cleared: true, At: f.at}
+			t.Merge(now, n)
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Verdict judges work as of now.
+func (t *Table) Verdict(now time.Time, d Digest) Verdict {
+	r := t.records[d]
+	if r == nil {
+		return Free
+	}
+	if !r.heldAt.IsZero() {
+		if now.Sub(r.heldAt) < forgetAfter {
+			return Held
+		}
+		return Suspect
+	}
+	weight, newest := t.weigh(r)
+	switch {
+	case weight == 0:
+		return Free
+	case weight < endsToHold*fullWeight:
+		return Suspect
+	case now.Sub(newest) < settleTime:
+		return Unsettled
+	}
+	return Held
+}
+
+// weigh sums the ends that count against work up, and returns when the newest was.
+func (t *Table) weigh(r *record) (weight int, newest time.Time) {
+	for _, f := range r.ends {
+		if f.cleared {
+			continue
+		}
+		if f.at.After(newest) {
+			newest = f.at
+		}
+		if t.common(r, f.at) {
+			weight += commonWeight
+		} else {
+			weight += fullWeight
+		}
+	}
+	return weight, newest
+}
+
+// common tells whether servers that ended at this time ended by an event that the work
+// does not explain.
+func (t *Table) common(r *record, at time.Time) bool {
+	ended, explained := 0, 0
+	for server, other := range t.servers {
+		if other.Sub(at).Abs() > commonWindow {
+			continue
+		}
+		ended++
+		if _, ok := r.ends[server]; ok {
+			explained++
+		}
+	}
+	return ended >= commonEnds && 2*explained < ended
+}
+
+// Evidence returns the starts of servers that count against work, in the order of names.
+func (t *Table) Evidence(d Digest) []string {
+	r := t.records[d]
+	if r == nil {
+		return nil
+	}
+	var out []string
+	for _, server := range slices.Sorted(maps.Keys(r.ends)) {
+		if !r.ends[server].cleared {
+			out = append(out, server)
+		}
+	}
+	return out
+}
+
+// Settle makes the verdict final for work that is to be held, and returns the news of it.
+func (t *Table) Settle(now time.Time) []News {
+	var out []News
+	for d, r := range t.records {
+		if r.heldAt.IsZero() && t.Verdict(now, d) == Held {
+			n := News{Digest: d, At: now}
+			t.Merge(now, n)
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// All returns all facts.
+func (t *Table) All() []News {
+	var out []News
+	for d, r := range t.records {
+		for server, f := range r.ends {
+			out = append(out, News{Digest: d, Server: server, Cleared: f.cleared, At: f.at})
+		}
+		if !r.heldAt.IsZero() {
+			out = append(out, News{Digest: d, At: r.heldAt})
+		}
+	}
+	return out
+}
+
+// Forget drops what no longer counts.
+func (t *Table) Forget(now time.Time) {
+	for server, at := range t.servers {
+		if now.Sub(at) > forgetAfter {
+			delete(t.servers, server)
+		}
+	}
+	for d, r := range t.records {
+		maps.DeleteFunc(r.ends, func(_ string, f fact) bool { return now.Sub(f.at) > forgetAfter })
+		if !r.heldAt.IsZero() && now.Sub(r.heldAt) > forgetAfter {
+			r.heldAt = time.Time{}
+		}
+		if len(r.ends) == 0 && r.heldAt.IsZero() {
+			delete(t.records, d)
+		}
+	}
+}
+
+// dropOldest makes room for one more record.
+func (t *Table) dropOldest() {
+	var oldest Digest
+	var least *record
+	for d, r := range t.records {
+		if least == nil || r.before(least) {
+			oldest, least = d, r
+		}
+	}
+	delete(t.records, oldest)
+}
+
+// before tells whether a record is dropped sooner than another.
+func (r *record) before(other *record) bool {
+	if r.heldAt.IsZero() != other.heldAt.IsZero() {
+		return r.heldAt.IsZero()
+	}
+	return r.touchedAt.Before(other.touchedAt)
+}
