Ages and deadlines count the time of a suspended VM

Cause: Go's steady clock is CLOCK_MONOTONIC, which stands still while a VM is suspended. After a resume an entry used weights that were over, servers that nobody had heard for a minute, and sent for callers who had given up: it was late by the suspension for as long as it ran. Change: internal/clock, time.Now plus the suspensions since the start; CLOCK_BOOTTIME is read only when the time of day and the steady clock have moved apart by 10 ms, and once a second. The fleet's path (gateway, follow, fleetcontrol, staging, ledger, dispatch, the log's contact) judges by it; timers and connections of the runtime get Deadline. Ruled out: the time of day (it steps); CLOCK_BOOTTIME at each Now (a system call).

--- /dev/null
+++ b/internal/clock/boottime_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package clock
+
+import (
+	"errors"
+	"time"
+)
+
+// bootTime is known on Linux only.
+func bootTime() (time.Duration, error) { return 0, errors.ErrUnsupported }
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/unacked"
 )
 
@@ -149,7 +150,7 @@
 }
 
 func (p *Pool) takeIdle() *conn {
-	now := time.Now()
+	now := clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
@@ -173,7 +174,7 @@
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
-	c.idleSince = time.Now()
+	c.idleSince = clock.Now()
 	p.idle = append(p.idle, c)
 }
 
@@ -233,7 +234,7 @@
 	closeOnce sync.Once
 }
 
-// Send sends a request and returns the head of its answer. headTimeout bounds
+// Send sends a request and returns the head of its answer. headBy, by package clock, bounds
 // the wait for it. Errors match ErrNotSent, ErrLost or ErrGarbled. A cancelled
 // ctx breaks the connection at any time until the answer is closed.
 func (p *Pool) Send(ctx context.Context, r *Request, headBy time.Time) (*Answer, error) {
@@ -261,7 +262,7 @@
 }
 
 func (c *conn) roundTrip(r *Request, headBy time.Time) (*http.Response, error) {
-	_ = c.SetDeadline(headBy)
+	_ = c.SetDeadline(clock.Deadline(headBy))
 	if _, err := c.Write(r.Bytes); err != nil {
 		return nil, fmt.Errorf("%w: write: %w", ErrLost, err)
 	}
@@ -314,8 +315,8 @@
 // Reused tells whether the request went over a connection that had carried others.
 func (a *Answer) Reused() bool { return a.conn.reused }
 
-// ReadBy bounds the next reads of the body.
-func (a *Answer) ReadBy(t time.Time) { _ = a.conn.SetReadDeadline(t) }
+// ReadBy bounds the next reads of the body, by package clock.
+func (a *Answer) ReadBy(t time.Time) { _ = a.conn.SetReadDeadline(clock.Deadline(t)) }
 
 // Buffered tells whether more of the answer can be read without waiting.
 func (a *Answer) Buffered() int { return a.conn.br.Buffered() }
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/ledger"
 	"lynxgate.dev/lynxgate/internal/quarantine"
@@ -72,7 +73,7 @@
 				continue
 			}
 			if len(m.Suspicions) > 0 {
-				h.suspected(follow.SuspicionsFromProto(m.Suspicions, time.Now()))
+				h.suspected(follow.SuspicionsFromProto(m.Suspicions, clock.Now()))
 				continue
 			}
 			h.acknowledged(f, m)
@@ -141,7 +142,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if m.ConfigVersion > f.configVersion {
-		f.configVersion, f.configAt = m.ConfigVersion, time.Now()
+		f.configVersion, f.configAt = m.ConfigVersion, clock.Now()
 	}
 	f.acked = max(f.acked, m.Acknowledged)
 	f.waiters = slices.DeleteFunc(f.waiters, func(w *waiter) bool {
@@ -159,7 +160,7 @@
 	addrs := h.controlAddrs()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	u := &rpc.FleetUpdate{}
 	lacks := f.number == 0 || !slices.Equal(addrs, f.controlAddrs)
 	if lacks {
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/directory"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
@@ -84,8 +85,8 @@
 			h.wakeFor(func(f *follower) bool { return len(f.reports) > 0 })
 		case <-forget.C:
 			h.mu.Lock()
-			h.servers.Forget(time.Now())
-			h.suspects.Forget(time.Now())
+			h.servers.Forget(clock.Now())
+			h.suspects.Forget(clock.Now())
 			h.mu.Unlock()
 		case <-ctx.Done():
 			return
@@ -162,11 +163,11 @@
 // peerUpdate takes over what another control server knows of backend servers.
 func (h *hub) peerUpdate(source string, u *rpc.FleetUpdate) {
 	if len(u.Suspicions) > 0 {
-		h.suspected(follow.SuspicionsFromProto(u.Suspicions, time.Now()))
+		h.suspected(follow.SuspicionsFromProto(u.Suspicions, clock.Now()))
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, s := range u.Servers {
 		h.merge(follow.ServerFromProto(s, now), source)
 	}
--- a/internal/fleetcontrol/metrics.go
+++ b/internal/fleetcontrol/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
@@ -24,7 +25,7 @@
 			return float64(len(h.followers))
 		}),
 		gauge("lynxgate_fleet_directory_age_seconds", "Time since the backend server heard longest ago was heard.", func() float64 {
-			return h.directoryAge(time.Now()).Seconds()
+			return h.directoryAge(clock.Now()).Seconds()
 		}),
 	}
 }
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/ledger"
@@ -71,7 +72,7 @@
 
 // New opens the replicated log and makes a server.
 func New(cfg Config) (*Server, error) {
-	l := ledger.New(time.Now)
+	l := ledger.New(clock.Now)
 	node, err := replica.Start(cfg.Replica, l)
 	if err != nil {
 		return nil, fmt.Errorf("start replicated log: %w", err)
@@ -194,7 +195,7 @@
 // that have not answered by then are out of reach. One of a service that isn't declared is
 // accepted, and changes nothing.
 func (s *Server) Announce(ctx context.Context, b fleet.BackendServer) error {
-	b.SeenAt = time.Now()
+	b.SeenAt = clock.Now()
 	if err := s.hub.mayTell(&b); err != nil {
 		s.hub.refused.note(b.SeenAt, b.ID, whyUnknownService, err)
 		return nil
@@ -204,7 +205,7 @@
 
 // Refused notes an announcement under an id that could not be read.
 func (s *Server) Refused(id string, why error) {
-	s.hub.refused.note(time.Now(), id, whyUnreadable, why)
+	s.hub.refused.note(clock.Now(), id, whyUnreadable, why)
 }
 
 // submit brings a command into the log, through the leader.
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/replica"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -25,7 +26,7 @@
 func (h *hub) suspected(news []quarantine.News) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.spread(time.Now(), news)
+	h.spread(clock.Now(), news)
 }
 
 // spread merges facts and marks the new ones for followers; the lock is held.
@@ -58,7 +59,7 @@
 	if h.suspects.Empty() {
 		return
 	}
-	held := h.suspects.Settle(time.Now())
+	held := h.suspects.Settle(clock.Now())
 	for _, n := range held {
 		h.log.Warn().Stringer("content", n.Digest).Strs("ended_servers", h.suspects.Evidence(n.Digest)).Msg("work is held back")
 	}
@@ -72,7 +73,7 @@
 	held := h.ledger.State().Held
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, d := range held {
 		if !h.recorded[d] {
 			h.recorded[d] = true
@@ -88,7 +89,7 @@
 	if h.suspects.Empty() {
 		return nil
 	}
-	now := time.Now()
+	now := clock.Now()
 	var out [][]byte
 	for _, n := range h.suspects.All() {
 		if n.Server == "" && !h.recorded[n.Digest] && h.suspects.Verdict(now, n.Digest) == quarantine.Held && len(out) < maxRecorded {
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/gateway"
@@ -135,6 +136,9 @@
 	for _, r := range roles {
 		group.Go(func() error { return r.run(ctx) })
 	}
+	go clock.Watch(ctx, func(d time.Duration) {
+		cfg.Logger.Warn().Dur("for_ms", d).Msg("the VM was suspended")
+	})
 	cfg.Logger.Info().Str("zone", cfg.Zone).Str("rpc", cfg.RPCAddr).Int("roles", len(roles)).Msg("running")
 	select {
 	case <-stop.Done():
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rendezvous"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -135,7 +136,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s := c.known[addr]; s != nil {
-		s.failedAt = time.Now()
+		s.failedAt = clock.Now()
 	}
 }
 
@@ -170,7 +171,7 @@
 func (c *Client) list(ctx context.Context, addrs []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, addr := range addrs {
 		if addr == c.cfg.Self || addr == "" || ctx.Err() != nil {
 			continue
@@ -193,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, s := range c.known {
-		if time.Since(s.listedAt) > keepUnlisted {
+		if clock.Since(s.listedAt) > keepUnlisted {
 			s.cancel()
 			delete(c.known, addr)
 		}
@@ -249,7 +250,7 @@
 	before := 0
 	own := c.weight(addr)
 	for other, s := range c.known {
-		usable := s.stream != nil || time.Since(s.failedAt) > lostPause
+		usable := s.stream != nil || clock.Since(s.failedAt) > lostPause
 		if other != addr && usable && c.weight(other) > own {
 			before++
 		}
@@ -284,7 +285,7 @@
 	}
 	if c.cfg.Suspicions != nil {
 		if news := c.cfg.Suspicions(); len(news) > 0 {
-			if err := stream.Send(&rpc.FollowerMessage{Suspicions: SuspicionsToProto(news, time.Now())}); err != nil {
+			if err := stream.Send(&rpc.FollowerMessage{Suspicions: SuspicionsToProto(news, clock.Now())}); err != nil {
 				return 0, fmt.Errorf("follow %s: %w", addr, err)
 			}
 		}
--- a/internal/follow/suspicions.go
+++ b/internal/follow/suspicions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
@@ -36,7 +37,7 @@
 
 // TellSuspicions sends facts to all control servers that are reached.
 func (c *Client) TellSuspicions(news []quarantine.News) {
-	told := SuspicionsToProto(news, time.Now())
+	told := SuspicionsToProto(news, clock.Now())
 	for _, stream := range c.streams() {
 		// A stream that fails is opened again by its own goroutine, and then told all.
 		_ = stream.Send(&rpc.FollowerMessage{Suspicions: told})
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/directory"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/ledger"
@@ -100,7 +101,7 @@
 	}
 	v.takeReports(u)
 	if len(u.Suspicions) > 0 && v.Suspected != nil {
-		v.Suspected(SuspicionsFromProto(u.Suspicions, time.Now()))
+		v.Suspected(SuspicionsFromProto(u.Suspicions, clock.Now()))
 	}
 }
 
@@ -183,7 +184,7 @@
 			versions[model] = known
 		}
 		age := time.Duration(m.AgeMs) * time.Millisecond
-		versions[m.Model] = next.Versions[m.Model].Next(m.Version, time.Now().Add(-age))
+		versions[m.Model] = next.Versions[m.Model].Next(m.Version, clock.Now().Add(-age))
 		next.Versions = versions
 		changed = true
 		v.log.Info().Str("model", m.Model).Uint64("version", m.Version).Dur("age", age).Msg("version of weights named")
@@ -193,7 +194,7 @@
 
 func (v *Viewer) takeServers(u *rpc.FleetUpdate) bool {
 	changed := false
-	now := time.Now()
+	now := clock.Now()
 	for _, s := range u.Servers {
 		b := ServerFromProto(s, now)
 		if v.servers.Merge(b) == directory.Changed {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 )
 
@@ -21,9 +22,9 @@
 	if !c.g.suspects.any.Load() {
 		return true
 	}
-	waitUntil := time.Now().Add(turnWait)
+	waitUntil := clock.Now().Add(turnWait)
 	for {
-		verdict, ended := c.g.suspects.verdict(time.Now(), c.digest())
+		verdict, ended := c.g.suspects.verdict(clock.Now(), c.digest())
 		var change <-chan struct{}
 		switch verdict {
 		case quarantine.Free:
@@ -39,7 +40,7 @@
 				return true
 			}
 		}
-		if !time.Now().Before(waitUntil) || !c.waitFor(ctx, change) {
+		if !clock.Now().Before(waitUntil) || !c.waitFor(ctx, change) {
 			c.holdBack(verdict, ended)
 			return false
 		}
@@ -49,7 +50,7 @@
 // waitFor waits for a change, or a while if there is none to wait for; false if the call
 // has no time left.
 func (c *call) waitFor(ctx context.Context, change <-chan struct{}) bool {
-	if time.Until(c.by) < leastSend+settlePause {
+	if clock.Until(c.by) < leastSend+settlePause {
 		return false
 	}
 	select {
@@ -78,7 +79,7 @@
 	if !c.g.suspects.any.Load() {
 		return false
 	}
-	verdict, _ := c.g.suspects.verdict(time.Now(), c.digest())
+	verdict, _ := c.g.suspects.verdict(clock.Now(), c.digest())
 	return verdict != quarantine.Free
 }
 
@@ -87,7 +88,7 @@
 	if !brokeOff(err) || c.g.balancer.Leaving(s) || !c.g.suspects.hasEnded(s) {
 		return
 	}
-	c.g.suspects.endedUnder(time.Now(), s.Start, c.digest())
+	c.g.suspects.endedUnder(clock.Now(), s.Start, c.digest())
 }
 
 // brokeOff tells whether a connection was closed by its peer, or by the peer's VM: bytes that
@@ -100,7 +101,7 @@
 // clear notes that the call's work was answered in full.
 func (c *call) clear() {
 	if c.g.suspects.any.Load() {
-		c.g.suspects.served(time.Now(), c.digest())
+		c.g.suspects.served(clock.Now(), c.digest())
 	}
 }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
 )
 
@@ -43,7 +44,7 @@
 	if len(c.body) > 0 || c.r.ContentLength >= 0 && c.r.Method != http.MethodGet && c.r.Method != http.MethodHead {
 		writeField(&b, "Content-Length", strconv.Itoa(len(c.body)))
 	}
-	writeField(&b, h.DeadlineMs, strconv.FormatInt(max(time.Until(c.by).Milliseconds(), 1), 10))
+	writeField(&b, h.DeadlineMs, strconv.FormatInt(max(clock.Until(c.by).Milliseconds(), 1), 10))
 	writeField(&b, h.ExpectServer, s.server)
 	if s.expectVersion != "" {
 		writeField(&b, h.ExpectVersion, s.expectVersion)
@@ -134,7 +135,7 @@
 
 // refuse answers a request that has not run and never will.
 func (c *call) refuse(status int, reason string, retryAfter time.Duration) {
-	c.g.rooms.refused(time.Now(), retryAfter)
+	c.g.rooms.refused(clock.Now(), retryAfter)
 	seconds := strconv.FormatFloat(retryAfter.Truncate(time.Millisecond).Seconds(), 'f', 3, 64)
 	c.w.Header().Set("Retry-After", seconds)
 	c.fail(status, reason)
@@ -153,7 +154,7 @@
 		c.fail(http.StatusServiceUnavailable, reason)
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, reason, c.retryAfter())
-	case !time.Now().Before(c.by.Add(-leastSend)):
+	case !clock.Now().Before(c.by.Add(-leastSend)):
 		c.fail(http.StatusGatewayTimeout, reason)
 	default:
 		c.fail(http.StatusBadGateway, reason)
@@ -168,7 +169,7 @@
 	if c.route == nil || c.route.Objective <= 0 {
 		return defaultRetryAfter
 	}
-	most := max(time.Until(c.clientBy)/retryAfterPart, 0)
+	most := max(clock.Until(c.clientBy)/retryAfterPart, 0)
 	if c.room.Fit == 0 {
 		return most - jitter(most/4)
 	}
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
@@ -27,7 +28,7 @@
 		c.askFailed(w, h, balance.EndedFailed, err)
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	c.g.balancer.Heard(h.choice.Server, now)
 	c.noteLoad(h.choice.Server, answer.Header, now)
 	read, ending, err := c.firstPart(h, answer)
@@ -55,7 +56,7 @@
 // askTime is how long the other server may take until it goes on: a request must not
 // begin there on weights that are over.
 func (c *call) askTime(h *handover) time.Duration {
-	left, bounded := c.g.balancer.VersionLeft(c.model, h.choice.Version, time.Now())
+	left, bounded := c.g.balancer.VersionLeft(c.model, h.choice.Version, clock.Now())
 	if !bounded {
 		return askLimit
 	}
@@ -135,6 +136,6 @@
 		}
 	}
 	h.next.cancel()
-	c.g.balancer.Done(&h.choice, time.Now(), ending)
+	c.g.balancer.Done(&h.choice, clock.Now(), ending)
 	c.logHandover("request stays at its server", w, h, err)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/quarantine"
@@ -102,7 +103,7 @@
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
 	return &call{
-		g: g, w: w, r: r, began: time.Now(), view: g.view.Load(),
+		g: g, w: w, r: r, began: clock.Now(), view: g.view.Load(),
 		id: r.Header.Get(g.cfg.Headers.RequestID), lastEvent: r.Header.Get(g.cfg.Headers.ResumeAfter),
 	}
 }
@@ -135,7 +136,7 @@
 		c.model = c.r.Header.Get(c.g.cfg.Headers.Model)
 	}
 	c.g.budget(c.service).Request(c.g.steady(c.began))
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.by)
+	ctx, cancel := context.WithTimeout(c.r.Context(), clock.Until(c.by))
 	defer cancel()
 	c.attempts(ctx)
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 )
 
 // choose picks the server of the next send; false if the call has ended.
@@ -58,7 +59,7 @@
 // takeRetry takes a repeat from the budget. The rest of a stream that has begun waits
 // for one.
 func (c *call) takeRetry(ctx context.Context) bool {
-	for !c.g.budget(c.service).TryRetry(c.g.steady(time.Now())) {
+	for !c.g.budget(c.service).TryRetry(c.g.steady(clock.Now())) {
 		if c.events == 0 || !c.resumeLater(ctx) {
 			return false
 		}
@@ -72,7 +73,7 @@
 
 // wait waits, and returns false if there is no time left for a send then.
 func (c *call) wait(ctx context.Context, d time.Duration) bool {
-	if time.Until(c.by) < leastSend+d {
+	if clock.Until(c.by) < leastSend+d {
 		return false
 	}
 	select {
@@ -87,7 +88,7 @@
 // for one as long as its caller does and any server may come to take it.
 func (c *call) pick(ctx context.Context, again bool) (balance.Choice, balance.Room) {
 	for {
-		now := time.Now()
+		now := clock.Now()
 		if c.by.Sub(now) < leastSend {
 			return balance.Choice{}, balance.Room{}
 		}
@@ -120,7 +121,7 @@
 func (c *call) noServer(room balance.Room) {
 	c.room = room
 	switch {
-	case time.Until(c.by) < leastSend:
+	case clock.Until(c.by) < leastSend:
 		c.giveUp("no time left")
 	case room.Known == 0:
 		c.giveUp("no backend server is known")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/retry"
@@ -102,7 +103,7 @@
 	g := &Gateway{
 		cfg: cfg, log: cfg.Logger, balancer: b, rooms: newRoomQueues(b),
 		suspects: newSuspicions(cfg.Logger, cfg.Tell),
-		start:    time.Now(), budgets: map[string]*retry.Budget{},
+		start:    clock.Now(), budgets: map[string]*retry.Budget{},
 	}
 	b.OnRoom(g.rooms.offer)
 	g.view.Store(&follow.View{})
@@ -115,12 +116,12 @@
 		g.rooms.keepRoutes(v.Table)
 	}
 	g.balancer.SetView(v)
-	g.shareBudgets(time.Now())
+	g.shareBudgets(clock.Now())
 }
 
 // Reported takes an agent's report.
 func (g *Gateway) Reported(r *rpc.AgentReport) {
-	g.balancer.Reported(time.Now(), balance.Report{
+	g.balancer.Reported(clock.Now(), balance.Report{
 		Addr: r.Addr, Born: r.Born, Loading: r.Loading, Models: follow.ModelsFromProto(r.Models),
 		Running: int(r.Running), Waiting: int(r.Waiting),
 	})
@@ -130,7 +131,7 @@
 func (g *Gateway) Renewed(id string, at time.Time) { g.balancer.Renewed(id, at) }
 
 // Suspected takes what other entries know of work that was at servers that ended.
-func (g *Gateway) Suspected(news []quarantine.News) { g.suspects.take(time.Now(), news) }
+func (g *Gateway) Suspected(news []quarantine.News) { g.suspects.take(clock.Now(), news) }
 
 // Suspicions returns all that is known of such work here.
 func (g *Gateway) Suspicions() []quarantine.News { return g.suspects.all() }
@@ -158,7 +159,8 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := clock.Now()
 			g.balancer.CloseStale(now)
 			g.suspects.forget(now)
 			g.shareBudgets(now)
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
@@ -67,7 +68,7 @@
 	if w.ended || c.handover != nil || !c.mayAsk(w, why) {
 		return nil
 	}
-	now := time.Now()
+	now := clock.Now()
 	choice, _ := c.g.balancer.Pick(now, c.wantOther(why))
 	if choice.Server == nil {
 		return nil
@@ -124,7 +125,7 @@
 		if h.answer != nil {
 			return errHandedOver
 		}
-		if time.Since(c.eventAt) < holdLimit {
+		if clock.Since(c.eventAt) < holdLimit {
 			c.held = append(c.held, events...)
 			return nil
 		}
@@ -229,7 +230,7 @@
 	c.next = nil
 	h.answer.Close()
 	h.next.stop()
-	c.g.balancer.Done(&h.choice, time.Now(), balance.EndedElse)
+	c.g.balancer.Done(&h.choice, clock.Now(), balance.EndedElse)
 }
 
 // logHandover writes one line for a step of a handover. call.passing is held.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -3,10 +3,11 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/clock"
 )
 
 // Metrics counts what happens to requests.
@@ -101,7 +102,7 @@
 	}
 	m := c.g.cfg.Metrics
 	m.requests.WithLabelValues(kind, strconv.Itoa(c.status), c.reason).Inc()
-	m.whole.WithLabelValues(kind).Observe(time.Since(c.began).Seconds())
+	m.whole.WithLabelValues(kind).Observe(clock.Since(c.began).Seconds())
 	if c.events > 0 {
 		m.first.WithLabelValues(service).Observe(c.firstEvent.Seconds())
 		m.gap.WithLabelValues(service).Observe(c.longestGap.Seconds())
@@ -171,7 +172,7 @@
 	}
 	c.describe(event).Str("kind", kind).Int("status", c.status).Str("reason", c.reason).
 		Bool("may_have_run", c.mayHaveRun).Int("events", c.events).Dur("first_ms", c.firstEvent).Dur("gap_ms", c.longestGap).
-		Dur("took_ms", time.Since(c.began)).Msg("request ended")
+		Dur("took_ms", clock.Since(c.began)).Msg("request ended")
 }
 
 // logSend writes one line for a send that did not give an answer to pass on.
@@ -185,7 +186,7 @@
 	}
 	c.describe(event).Str("server", c.choice.Server.ID).Str("addr", c.choice.Server.Addr).
 		Float64("queue", c.choice.Queue).Int("slots", c.choice.Slots).Dur("load_age_ms", c.choice.Told).
-		AnErr("cause", err).Int64("left_ms", time.Until(c.by).Milliseconds()).Msg(what)
+		AnErr("cause", err).Int64("left_ms", clock.Until(c.by).Milliseconds()).Msg(what)
 }
 
 func (c *call) describe(e *zerolog.Event) *zerolog.Event {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/waiting"
 )
@@ -85,7 +86,7 @@
 func (q *roomQueues) wait(ctx context.Context, r *waiting.Request, want balance.Want) (balance.Choice, bool) {
 	w := &waiter{want: want, given: make(chan balance.Choice, 1)}
 	q.add(r, w)
-	timer := time.NewTimer(time.Until(r.By))
+	timer := time.NewTimer(clock.Until(r.By))
 	defer timer.Stop()
 	select {
 	case choice := <-w.given:
@@ -132,7 +133,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, s := range q.services {
 		q.offerTo(s, now)
 	}
@@ -165,7 +166,7 @@
 	if c.sends > 0 || c.events > 0 || c.engine() == nil || room.Fit+room.Busy == 0 {
 		return balance.Choice{}, false
 	}
-	r := &waiting.Request{CameBack: c.cameBack, Since: time.Now()}
+	r := &waiting.Request{CameBack: c.cameBack, Since: clock.Now()}
 	r.By = waiting.Until(c.began, c.route.Objective, r.CameBack)
 	left := r.By.Sub(r.Since)
 	if left <= 0 || room.Fit > 0 && room.Soonest > want.Budget+left {
@@ -175,7 +176,7 @@
 		r.Organisation = c.org.Name
 	}
 	choice, ok := c.g.rooms.wait(ctx, r, want)
-	c.waited = time.Since(r.Since)
+	c.waited = clock.Since(r.Since)
 	c.g.cfg.Metrics.room.WithLabelValues(c.service, strconv.FormatBool(ok)).Observe(c.waited.Seconds())
 	return choice, ok
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
@@ -32,7 +33,7 @@
 	}
 	defer answer.Close()
 	c.noteSent()
-	now := time.Now()
+	now := clock.Now()
 	c.g.balancer.Heard(s, now)
 	c.noteLoad(s, answer.Header, now)
 	return c.answered(watch, answer)
@@ -94,7 +95,7 @@
 	if errors.Is(err, dispatch.ErrNoConnection) {
 		ending = balance.EndedBusy
 	}
-	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.g.balancer.Done(&c.choice, clock.Now(), ending)
 	if errors.Is(err, dispatch.ErrNotSent) {
 		c.logSend("send failed", err)
 		c.mayAskAgain(ending)
@@ -165,7 +166,7 @@
 	_, _ = io.Copy(io.Discard, a)
 	c.mayAskAgain(ending)
 	c.refusals++
-	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.g.balancer.Done(&c.choice, clock.Now(), ending)
 	c.logSend("backend server did not run it: "+strconv.Itoa(a.StatusCode), nil)
 	return sendAgain
 }
@@ -189,7 +190,7 @@
 	if a.StatusCode >= http.StatusInternalServerError {
 		ending = balance.EndedFailed
 	}
-	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.g.balancer.Done(&c.choice, clock.Now(), ending)
 	c.logSend("backend server failed: "+strconv.Itoa(a.StatusCode), nil)
 	if c.committed {
 		return sendAgain // a failure of the rest does not belong into a stream that has begun
@@ -208,14 +209,14 @@
 	if !c.route.Idempotent() || c.sends >= c.route.MaxAttempts {
 		return false
 	}
-	return time.Until(c.by) > leastSend
+	return clock.Until(c.by) > leastSend
 }
 
 // brokenAnswer handles an answer that can not be given to the caller.
 func (c *call) brokenAnswer(watch *watchdog, what string, err error) sendResult {
 	c.lastErr = err
 	ending := c.ending(watch)
-	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.g.balancer.Done(&c.choice, clock.Now(), ending)
 	c.noteBroken(ending, true, err)
 	c.noteInterrupted()
 	c.logSend(what, err)
@@ -240,7 +241,7 @@
 
 // giveWhole gives the caller a whole answer.
 func (c *call) giveWhole(a *dispatch.Answer, body []byte) sendResult {
-	c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
+	c.g.balancer.Done(&c.choice, clock.Now(), balance.EndedWell)
 	c.clear()
 	c.copyHead(a)
 	c.status, c.reason = a.StatusCode, "served"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,9 +6,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
 )
 
@@ -35,12 +35,12 @@
 	h, err := c.settleHandover(watch, a, c.passEvents(watch, a, read))
 	switch {
 	case err == nil:
-		c.g.balancer.Done(&c.choice, time.Now(), balance.EndedWell)
+		c.g.balancer.Done(&c.choice, clock.Now(), balance.EndedWell)
 		c.clear()
 		c.status, c.reason = a.StatusCode, "served"
 		return sendFinal
 	case errors.Is(err, errCallerGone):
-		c.g.balancer.Done(&c.choice, time.Now(), balance.EndedElse)
+		c.g.balancer.Done(&c.choice, clock.Now(), balance.EndedElse)
 		c.status, c.reason = statusClientGone, "caller left"
 		return sendFinal
 	case h != nil:
@@ -70,7 +70,7 @@
 	}
 	c.endedBy = "entry: " + string(h.why)
 	c.noteInterrupted()
-	c.g.balancer.Done(&c.choice, time.Now(), ending)
+	c.g.balancer.Done(&c.choice, clock.Now(), ending)
 	c.logSend("request goes on at another server", nil)
 	c.next = h
 }
@@ -136,7 +136,7 @@
 	if end == 0 {
 		return buf, nil
 	}
-	c.g.balancer.Heard(c.choice.Server, time.Now())
+	c.g.balancer.Heard(c.choice.Server, clock.Now())
 	if err := c.takeEvents(a, buf[:end]); err != nil {
 		return nil, err
 	}
@@ -158,7 +158,7 @@
 
 // passOn writes whole events to the caller.
 func (c *call) passOn(a *dispatch.Answer, events []byte) error {
-	now := time.Now()
+	now := clock.Now()
 	if c.events == 0 {
 		c.firstEvent = now.Sub(c.began)
 	} else {
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
@@ -64,7 +65,7 @@
 }
 
 func (c *call) startWatch(w *watchdog) {
-	w.weights, w.sentAt = c.choice.Version, time.Now()
+	w.weights, w.sentAt = c.choice.Version, clock.Now()
 	if c.route.Kind != fleet.KindStream && !c.route.Idempotent() {
 		return // it can be neither moved nor, since it may have begun, taken back
 	}
@@ -84,7 +85,7 @@
 
 // check looks at a send, again and again.
 func (c *call) check(w *watchdog) {
-	now := time.Now()
+	now := clock.Now()
 	next := silenceCheck
 	if !w.begun.Load() {
 		left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, now)
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -2,8 +2,8 @@
 
 import (
 	"slices"
-	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/consensus"
 )
 
@@ -27,7 +27,7 @@
 	}
 	if age, ok := n.core.QuorumAge(); ok && n.now-age != n.contactTick {
 		n.contactTick = n.now - age
-		n.contactAt = time.Now()
+		n.contactAt = clock.Now()
 	}
 	status.LastQuorumContact = n.contactAt
 	n.status.Store(status)
--- a/internal/staging/digests.go
+++ b/internal/staging/digests.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -68,9 +69,9 @@
 func (s *Stager) digests(ctx context.Context, g goal) ([]Digest, error) {
 	servers := s.servers()
 	turn := s.turn(servers, digestsTurn)
-	for began := time.Now(); !s.reported.Load() || time.Since(began) < time.Duration(turn)*digestPatience; {
+	for began := clock.Now(); !s.reported.Load() || clock.Since(began) < time.Duration(turn)*digestPatience; {
 		if digests := s.digestsOfPeers(ctx, g, servers); digests != nil {
-			s.noteOriginHeard(time.Now())
+			s.noteOriginHeard(clock.Now())
 			return digests, nil
 		}
 		if !pause.For(ctx, digestInterval) {
@@ -80,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
 	digests, err := s.cfg.Origin.Digests(ctx, g.origin.Addr, g.model, g.version)
-	s.noteOrigin(err, time.Now())
+	s.noteOrigin(err, clock.Now())
 	if err != nil {
 		return nil, fmt.Errorf("digests from the origin: %w", err)
 	}
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/pause"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -66,7 +67,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f := &fetcher{
-		s: s, g: g, set: set, began: time.Now(),
+		s: s, g: g, set: set, began: clock.Now(),
 		holders: map[string]map[int]bool{}, count: map[int]int{}, heldSince: map[int]time.Time{}, asked: map[int]bool{}, inFlight: map[int]bool{}, busy: map[string]bool{},
 		badUntil: map[string]time.Time{}, refused: map[string]time.Time{}, results: make(chan fetched), told: make(chan heldBy),
 	}
@@ -80,7 +81,7 @@
 	for {
 		missing := set.missing()
 		if len(missing) == 0 {
-			s.log.Info().Uint64("version", g.version).Dur("took_ms", time.Since(f.began)).
+			s.log.Info().Uint64("version", g.version).Dur("took_ms", clock.Since(f.began)).
 				Dur("since_named_ms", g.age()).Msg("weights are complete")
 			return nil
 		}
@@ -90,7 +91,7 @@
 		if s.overtaken(g) {
 			return errOvertaken
 		}
-		f.refresh(time.Now())
+		f.refresh(clock.Now())
 		if due {
 			f.start(ctx, missing)
 		}
@@ -119,9 +120,9 @@
 			f.count[int(piece)]++
 		}
 		if f.heldSince[int(piece)].IsZero() {
-			f.heldSince[int(piece)] = time.Now()
+			f.heldSince[int(piece)] = clock.Now()
 			if f.set.noteElsewhere(int(piece)) {
-				f.s.noteOriginHeard(time.Now())
+				f.s.noteOriginHeard(clock.Now())
 			}
 		}
 	}
@@ -129,7 +130,7 @@
 
 // start starts fetches of missing pieces, the rarest first.
 func (f *fetcher) start(ctx context.Context, missing []int) {
-	now := time.Now()
+	now := clock.Now()
 	count := f.count
 	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	slices.SortStableFunc(missing, func(a, b int) int { return count[a] - count[b] })
--- a/internal/staging/fetched.go
+++ b/internal/staging/fetched.go
@@ -5,6 +5,8 @@
 	"errors"
 	"syscall"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/clock"
 )
 
 // atOrigin stands for the origin where else a peer's address stands.
@@ -40,10 +42,10 @@
 func (f *fetcher) run(ctx context.Context, r fetched, get func(context.Context) ([]byte, time.Duration, error)) {
 	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	var waited time.Duration
 	r.data, waited, r.err = get(callCtx)
-	r.took = time.Since(began) - waited
+	r.took = clock.Since(began) - waited
 	select {
 	case f.results <- r:
 	case <-ctx.Done():
@@ -57,12 +59,12 @@
 	switch {
 	case r.peer == atOrigin:
 		f.origins--
-		f.noteOrigin(r.err, time.Now())
+		f.noteOrigin(r.err, clock.Now())
 	case r.direct:
 		source = "peer"
 		f.directs--
 		// It may still be to come; beyond that time others are asked.
-		f.asked[r.piece] = r.err == nil || time.Since(f.began) > f.g.originTime()
+		f.asked[r.piece] = r.err == nil || clock.Since(f.began) > f.g.originTime()
 	default:
 		source = "peer"
 		r.beside = max(r.beside, f.downs)
@@ -132,7 +134,7 @@
 // pauseAfter spares the source of a failed fetch for a while. Bytes of the origin
 // that were corrupted on the way are asked for again at once: it is the only source.
 func (f *fetcher) pauseAfter(r fetched) {
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case r.peer != atOrigin && errors.Is(r.err, syscall.ECONNREFUSED):
 		f.noteRefused(r.peer, now)
--- a/internal/staging/goal.go
+++ b/internal/staging/goal.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/ledger"
 )
@@ -77,7 +78,7 @@
 // times, so that they go for the same.
 func (s *Stager) nearest(g goal, newest ledger.Version) ledger.Version {
 	before := newest.Previous
-	if before == nil || before.Number == 0 || time.Since(before.AppliedAt) > s.cfg.VersionBound {
+	if before == nil || before.Number == 0 || clock.Since(before.AppliedAt) > s.cfg.VersionBound {
 		return newest
 	}
 	if s.holding.Load() >= before.Number {
@@ -86,8 +87,8 @@
 	older := s.sets.get(key{g.model, before.Number})
 	choice := versionChoice{
 		gap: newest.AppliedAt.Sub(before.AppliedAt), spread: s.spreadTime(g),
-		age: time.Since(before.AppliedAt), originTime: g.originTime(), pieces: g.engine.Pieces,
-		originFails: s.originFails(time.Now()), newerKnown: s.sets.get(key{g.model, newest.Number}) != nil,
+		age: clock.Since(before.AppliedAt), originTime: g.originTime(), pieces: g.engine.Pieces,
+		originFails: s.originFails(clock.Now()), newerKnown: s.sets.get(key{g.model, newest.Number}) != nil,
 		olderAtHand: older.atHand(), newerAtHand: s.sets.get(key{g.model, newest.Number}).atHand(),
 	}
 	chosen := newest
@@ -170,5 +171,5 @@
 	if g.named.Number == 0 {
 		return 0
 	}
-	return time.Since(g.named.AppliedAt)
+	return clock.Since(g.named.AppliedAt)
 }
--- a/internal/staging/load.go
+++ b/internal/staging/load.go
@@ -5,11 +5,13 @@
 	"crypto/sha256"
 	"errors"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/clock"
 )
 
 // load lays what was spoilt anew and orders the engine to load.
 func (s *Stager) load(ctx context.Context, g goal, set *pieceSet, report Report) {
-	if time.Since(s.orderedAt) < orderRetry {
+	if clock.Since(s.orderedAt) < orderRetry {
 		return
 	}
 	began, err := s.verified(ctx, g, set)
@@ -27,7 +29,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	s.orderedAt = time.Now()
+	s.orderedAt = clock.Now()
 	err = s.cfg.Engine.Load(callCtx, g.model, g.version)
 	s.loading = err == nil
 	s.cfg.Metrics.orders.Inc()
@@ -93,7 +95,7 @@
 	}
 	rank, n := s.rank()
 	share := float64(rank) / float64(max(n-1, 1))
-	return time.Since(named) >= loadTime(s.cfg.VersionBound, set.completedAt().Sub(named), share)
+	return clock.Since(named) >= loadTime(s.cfg.VersionBound, set.completedAt().Sub(named), share)
 }
 
 // loadTime returns how long after the naming of a version an engine is ordered to
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"storj.io/drpc"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -117,7 +118,7 @@
 
 // Piece returns one piece.
 func (s *server) Piece(ctx context.Context, req *rpc.PieceRequest) (*rpc.PieceResponse, error) {
-	began := time.Now()
+	began := clock.Now()
 	if req.Wait && !s.waitFor(ctx, key{req.Model, req.Version}, int(req.Piece)) {
 		return &rpc.PieceResponse{}, nil
 	}
@@ -135,7 +136,7 @@
 		return &rpc.PieceResponse{}, nil // not held, or not now: the peer asks elsewhere
 	}
 	s.stager.pace(len(data))
-	return &rpc.PieceResponse{Data: data, WaitedMs: uint32(time.Since(began).Milliseconds())}, nil
+	return &rpc.PieceResponse{Data: data, WaitedMs: uint32(clock.Since(began).Milliseconds())}, nil
 }
 
 // maxPieceWait bounds the wait for a piece that is still to come, and for an upload
@@ -202,7 +203,7 @@
 	}
 	took := timeOnLink(bytes, uploadShare*s.cfg.LinkMbps)
 	s.uploadMu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	wait := s.uploadFree.Sub(now)
 	if wait < 0 {
 		wait = 0
--- a/internal/staging/sets.go
+++ b/internal/staging/sets.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"sync"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/clock"
 )
 
 // key names a version of a model's weights.
@@ -74,7 +76,7 @@
 }
 
 func newPieceSet(digests []Digest) *pieceSet {
-	return &pieceSet{digests: digests, opened: time.Now(), pieces: make([][]byte, len(digests)), changed: make(chan struct{}), elsewhere: map[int]bool{}}
+	return &pieceSet{digests: digests, opened: clock.Now(), pieces: make([][]byte, len(digests)), changed: make(chan struct{}), elsewhere: map[int]bool{}}
 }
 
 // noteElsewhere notes that a peer holds a piece, and tells whether that is news.
@@ -112,7 +114,7 @@
 		p.pieces[piece] = data
 		p.order = append(p.order, uint32(piece))
 		if len(p.order) == len(p.pieces) {
-			p.complete = time.Now()
+			p.complete = clock.Now()
 		}
 		close(p.changed)
 		p.changed = make(chan struct{})
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -111,8 +112,8 @@
 func New(cfg Config) *Stager {
 	return &Stager{
 		cfg: cfg, log: cfg.Logger, pool: rpcconn.NewPool(), sets: newSets(),
-		slots: make(chan struct{}, maxUploads), now: time.Now,
-		start: time.Now(),
+		slots: make(chan struct{}, maxUploads), now: clock.Now,
+		start: clock.Now(),
 		epoch: uint64(time.Now().UnixNano()), told: &rpc.AgentReport{},
 	}
 }
@@ -255,7 +256,7 @@
 func (s *Stager) noteLoading(r Report, g goal, held uint64) {
 	if s.loading && !r.Busy {
 		s.loading = false
-		s.log.Info().Str("model", g.model).Uint64("version", held).Dur("took_ms", time.Since(s.orderedAt)).
+		s.log.Info().Str("model", g.model).Uint64("version", held).Dur("took_ms", clock.Since(s.orderedAt)).
 			Msg("engine has loaded")
 	}
 }
