Suspect work runs at one entry at a time; held work outlives a loss of all power

Cause: after the first end each entry ran one copy, so that a request that comes to all entries at once ended a server by entry; and what the log holds reached an entry after its first configuration. The log's held work is told with, or before, the first configuration. Names of the servers that ended in lynxctl explain.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -163,6 +163,15 @@
 	r.Cause = cause(l, r.Lines[r.Deciding])
 }
 
+// endedServers names those that ended under the same work.
+func (l Line) endedServers() string {
+	servers, _ := l.Fields["ended_servers"].([]any)
+	if len(servers) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (ended under the same work %v: %v)", l.Fields["content"], servers)
+}
+
 // cause puts the end of a request and the line that decided into words.
 func cause(end, deciding Line) string {
 	status, reason := int(end.number("status")), end.text("reason")
@@ -173,9 +182,9 @@
 		return fmt.Sprintf("late at %s: first event after %.0f ms (predicted wait %.0f ms, queue %.0f, told %.0f ms before), longest pause %.0f ms",
 			end.text("server"), end.number("first_ms"), end.number("wait_ms"), end.number("queue"), end.number("load_age_ms"), end.number("gap_ms"))
 	case end.number("sends") == 0 && deciding.Message == ended:
-		return fmt.Sprintf("refused with %d before any send: %s", status, reason) + end.servers()
+		return fmt.Sprintf("refused with %d before any send: %s", status, reason) + end.servers() + end.endedServers()
 	case deciding.Message != ended:
-		return fmt.Sprintf("ended with %d (%s) after %q at %s", status, reason, strings.TrimSpace(deciding.Message+" "+deciding.text("cause")), deciding.text("server"))
+		return fmt.Sprintf("ended with %d (%s) after %q at %s", status, reason, strings.TrimSpace(deciding.Message+" "+deciding.text("cause")), deciding.text("server")) + end.endedServers()
 	}
 	return fmt.Sprintf("ended with %d: %s", status, reason)
 }
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -28,6 +28,8 @@
 	reports map[string]bool
 	// suspicions are the facts that are to be sent.
 	suspicions []quarantine.News
+	// turns are the answers that are to be sent.
+	turns []*rpc.Turn
 	// configVersion is the newest configuration that it was sent or holds,
 	// configAt when that changed last.
 	configVersion uint64
@@ -72,6 +74,9 @@
 				h.report(m.Report)
 				continue
 			}
+			if h.turnMessage(f, m) {
+				continue
+			}
 			if len(m.Suspicions) > 0 {
 				h.suspected(follow.SuspicionsFromProto(m.Suspicions, clock.Now()))
 				continue
@@ -131,6 +136,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.followers, f)
+	h.turns.leave(f)
 	for _, w := range f.waiters {
 		w.left.Done()
 	}
@@ -162,6 +168,7 @@
 	defer h.mu.Unlock()
 	now := clock.Now()
 	u := &rpc.FleetUpdate{}
+	h.holdCommitted(state)
 	lacks := f.number == 0 || !slices.Equal(addrs, f.controlAddrs)
 	if lacks {
 		// They seldom change: in each update they were a tenth of all bytes that followers
@@ -188,10 +195,11 @@
 		u.Reports = append(u.Reports, h.reports[addr])
 	}
 	u.Suspicions = follow.SuspicionsToProto(f.suspicions, now)
-	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 && len(u.Reports) == 0 && len(u.Suspicions) == 0 {
+	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 && len(u.Reports) == 0 && len(u.Suspicions) == 0 && len(f.turns) == 0 {
 		return nil
 	}
-	f.suspicions = nil
+	u.Turns = f.turns
+	f.suspicions, f.turns = nil, nil
 	clear(f.changed)
 	clear(f.renewed)
 	clear(f.reports)
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -51,6 +51,8 @@
 	suspects *quarantine.Table
 	// recorded is work that the log holds.
 	recorded map[quarantine.Digest]bool
+	// turns are those of suspect work that this server has given.
+	turns turns
 }
 
 func newHub(l *ledger.Ledger, controlAddrs func() []string, announceInterval time.Duration, decode func([]byte) (*fleet.Config, error), log zerolog.Logger) *hub {
@@ -59,7 +61,7 @@
 		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
 		agents:  &agentConfigs{decode: decode},
 		servers: directory.New(announceInterval), followers: map[*follower]bool{},
-		reports: map[string]*rpc.AgentReport{}, suspects: quarantine.New(), recorded: map[quarantine.Digest]bool{},
+		reports: map[string]*rpc.AgentReport{}, suspects: quarantine.New(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
 	}
 }
 
@@ -71,12 +73,10 @@
 	defer report.Stop()
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
-	h.holdCommitted()
 	for {
 		changed := h.ledger.Changed()
 		select {
 		case <-changed:
-			h.holdCommitted()
 			h.wakeAll()
 		case <-renew.C:
 			h.wakeFor(func(f *follower) bool { return len(f.renewed) > 0 })
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/ledger"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/replica"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -68,13 +69,15 @@
 	}
 }
 
-// holdCommitted takes over the work that the log says is held.
-func (h *hub) holdCommitted() {
-	held := h.ledger.State().Held
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// holdCommitted takes over the work that the log says is held; the lock is held. It comes
+// before anything of the same state is sent: an entry that learns its first configuration after
+// a loss of power knows then what it must not send.
+func (h *hub) holdCommitted(state *ledger.State) {
+	if len(state.Held) == len(h.recorded) {
+		return
+	}
 	now := clock.Now()
-	for _, d := range held {
+	for _, d := range state.Held {
 		if !h.recorded[d] {
 			h.recorded[d] = true
 			h.spread(now, []quarantine.News{{Digest: d, At: now}})
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -42,11 +42,13 @@
 func newEntryRole(cfg *Config, registry prometheus.Registerer) *entryRole {
 	e := cfg.Entry
 	var client *follow.Client
+	turns := &lateTurns{client: &client}
 	g := gateway.New(gateway.Config{
 		Headers:    e.Headers,
 		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, VersionBound: cfg.VersionBound, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
 		Tell:   func(news []quarantine.News) { client.TellSuspicions(news) },
+		Turns:  turns,
 		Logger: cfg.Logger, Metrics: gateway.NewMetrics(registry),
 	})
 	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.AnnounceInterval, cfg.Logger)
@@ -67,6 +69,15 @@
 	}
 }
 
+// lateTurns asks a client that is made after the gateway that asks it.
+type lateTurns struct{ client **follow.Client }
+
+func (t *lateTurns) AskTurn(ctx context.Context, d quarantine.Digest) bool {
+	return (*t.client).AskTurn(ctx, d)
+}
+
+func (t *lateTurns) EndTurn(d quarantine.Digest) { (*t.client).EndTurn(d) }
+
 func newFollower(cfg *Config, role string, viewer *follow.Viewer, most int, suspicions func() []quarantine.News) *follow.Client {
 	return follow.New(follow.Config{
 		Name: cfg.Name, Zone: cfg.Zone, Role: role, Most: most, Seeds: cfg.Seeds,
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -76,6 +76,8 @@
 	mu     sync.Mutex
 	known  map[string]*source
 	closed sync.WaitGroup
+	// turnWaiters wait for a control server's answer, by digest of the work.
+	turnWaiters map[quarantine.Digest]chan bool
 }
 
 // source is one control server.
@@ -149,7 +151,9 @@
 }
 
 // New returns a client; Run starts it.
-func New(cfg Config) *Client { return &Client{cfg: cfg, known: map[string]*source{}} }
+func New(cfg Config) *Client {
+	return &Client{cfg: cfg, known: map[string]*source{}, turnWaiters: map[quarantine.Digest]chan bool{}}
+}
 
 // Run follows until ctx is done.
 func (c *Client) Run(ctx context.Context) error {
@@ -310,6 +314,7 @@
 			c.cfg.Logger.Info().Str("control", addr).Msg("control server reached")
 		}
 		received++
+		c.answerTurns(u.Turns)
 		c.cfg.Update(addr, u)
 		if u.ConfigVersion > 0 {
 			c.tellHeld(stream)
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -36,8 +36,8 @@
 			if c.hasTurn {
 				return true
 			}
-			if c.hasTurn, change = c.g.suspects.turn(c.digest()); c.hasTurn {
-				return true
+			if c.hasTurn, change = c.g.suspects.turn(ctx, c.digest()); c.hasTurn {
+				continue // what ended before this turn may be known by now
 			}
 		}
 		if !clock.Now().Before(waitUntil) || !c.waitFor(ctx, change) {
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -31,6 +31,8 @@
 type suspicions struct {
 	log  zerolog.Logger
 	tell func([]quarantine.News)
+	// fleet gives turns over all entries, turns those of this one.
+	fleet Turns
 	// any: the table is not empty. Nothing is locked, and no digest made, while it is.
 	any atomic.Bool
 
@@ -48,12 +50,28 @@
 	ended bool
 }
 
-func newSuspicions(log zerolog.Logger, tell func([]quarantine.News)) *suspicions {
+// Turns gives the turn of suspect work to one entry at a time.
+type Turns interface {
+	// AskTurn tells whether this entry may run the work now; it has to end the turn then.
+	AskTurn(ctx context.Context, d quarantine.Digest) bool
+	EndTurn(d quarantine.Digest)
+}
+
+// noTurns is for an entry that knows no others.
+type noTurns struct{}
+
+func (noTurns) AskTurn(context.Context, quarantine.Digest) bool { return true }
+func (noTurns) EndTurn(quarantine.Digest)                       {}
+
+func newSuspicions(log zerolog.Logger, tell func([]quarantine.News), fleet Turns) *suspicions {
+	if fleet == nil {
+		fleet = noTurns{}
+	}
 	if tell == nil {
 		tell = func([]quarantine.News) {}
 	}
 	return &suspicions{
-		log: log, tell: tell, table: quarantine.New(),
+		log: log, tell: tell, fleet: fleet, table: quarantine.New(),
 		turns: map[quarantine.Digest]chan struct{}{}, checks: map[*balance.Server]*endedCheck{},
 	}
 }
@@ -125,18 +143,29 @@
 	}
 }
 
-// turn takes the turn of suspect work, or returns what is closed once its holder ends.
-func (s *suspicions) turn(d quarantine.Digest) (taken bool, held <-chan struct{}) {
+// turn takes the turn of suspect work, or returns what is closed once its holder here ends,
+// nil if another entry has it.
+func (s *suspicions) turn(ctx context.Context, d quarantine.Digest) (taken bool, held <-chan struct{}) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if other, ok := s.turns[d]; ok {
+		s.mu.Unlock()
 		return false, other
 	}
 	s.turns[d] = make(chan struct{})
-	return true, nil
+	s.mu.Unlock()
+	if s.fleet.AskTurn(ctx, d) {
+		return true, nil
+	}
+	s.endTurnHere(d)
+	return false, nil
 }
 
 func (s *suspicions) giveTurnBack(d quarantine.Digest) {
+	s.fleet.EndTurn(d)
+	s.endTurnHere(d)
+}
+
+func (s *suspicions) endTurnHere(d quarantine.Digest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.turns[d])
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,9 @@
 	RetryFloor  int
 	RetryWindow time.Duration
 	// Tell spreads what is known of work that was at servers that ended; it may be nil.
-	Tell    func([]quarantine.News)
+	Tell func([]quarantine.News)
+	// Turns are those of suspect work over all entries; it may be nil.
+	Turns   Turns
 	Logger  zerolog.Logger
 	Metrics *Metrics
 }
@@ -102,7 +104,7 @@
 	b := balance.New(cfg.Balance)
 	g := &Gateway{
 		cfg: cfg, log: cfg.Logger, balancer: b, rooms: newRoomQueues(b),
-		suspects: newSuspicions(cfg.Logger, cfg.Tell),
+		suspects: newSuspicions(cfg.Logger, cfg.Tell, cfg.Turns),
 		start:    clock.Now(), budgets: map[string]*retry.Budget{},
 	}
 	b.OnRoom(g.rooms.offer)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -60,3 +62,25 @@
 	}
 	assert.LessOrEqual(t, len(v.History()), keptVersions+1)
 }
+
+func TestHeldWorkIsKeptAndBounded(t *testing.T) {
+	l := New(time.Now)
+	digest := func(n int) []byte {
+		d := quarantine.DigestOf("org", "POST", "h", fmt.Sprint(n), nil)
+		return d[:]
+	}
+	apply(t, l, &rpc.FleetCommand{Held: [][]byte{digest(1), digest(1), []byte("no digest")}})
+	assert.Len(t, l.State().Held, 1)
+	for i := range maxHeld {
+		apply(t, l, &rpc.FleetCommand{Held: [][]byte{digest(i + 1)}})
+	}
+	apply(t, l, &rpc.FleetCommand{Held: [][]byte{digest(-1)}})
+	held := l.State().Held
+	assert.Len(t, held, maxHeld)
+	assert.Equal(t, quarantine.Digest(digest(-1)), held[maxHeld-1], "the oldest is dropped")
+	data, err := l.Snapshot()
+	require.NoError(t, err)
+	other := New(time.Now)
+	require.NoError(t, other.Restore(data))
+	assert.Equal(t, held, other.State().Held)
+}
