Operators see work under which servers ended, and let it go

Cause: work that is held by mistake could only wait for ten minutes; and every end that an answer had cleared was kept, and told to newcomers, for as long. What was cleared is forgotten after 30 s, and newcomers are not told of it.

--- a/cmd/lynxctl/main.go
+++ b/cmd/lynxctl/main.go
@@ -58,6 +58,7 @@
 	commander.Register(&drainCommand{env: env, drained: true}, groupChange)
 	commander.Register(&drainCommand{env: env, drained: false}, groupChange)
 	commander.Register(&serversCommand{env: env}, groupChange)
+	commander.Register(&heldCommand{env: env}, groupChange)
 	commander.Register(&getCommand{env: env}, groupShow)
 	commander.Register(&statusCommand{env: env}, groupShow)
 	commander.Register(&auditCommand{env: env}, groupShow)
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -49,8 +49,10 @@
 	reports map[string]*rpc.AgentReport
 	// suspects is what entries know of work that was at servers that ended.
 	suspects *quarantine.Table
-	// recorded is work that the log holds.
-	recorded map[quarantine.Digest]bool
+	// committed is the work that the log holds, as it was taken over, recorded the same as a
+	// set.
+	committed []quarantine.Digest
+	recorded  map[quarantine.Digest]bool
 	// turns are those of suspect work that this server has given.
 	turns turns
 }
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/clock"
@@ -73,16 +74,19 @@
 // before anything of the same state is sent: an entry that learns its first configuration after
 // a loss of power knows then what it must not send.
 func (h *hub) holdCommitted(state *ledger.State) {
-	if len(state.Held) == len(h.recorded) {
+	if slices.Equal(state.Held, h.committed) {
 		return
 	}
+	h.committed = state.Held
 	now := clock.Now()
+	recorded := make(map[quarantine.Digest]bool, len(state.Held))
 	for _, d := range state.Held {
+		recorded[d] = true
 		if !h.recorded[d] {
-			h.recorded[d] = true
 			h.spread(now, []quarantine.News{{Digest: d, At: now}})
 		}
 	}
+	h.recorded = recorded
 }
 
 // unrecorded returns work that is held here and that the log does not know.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -29,9 +29,9 @@
 	Held []quarantine.Digest
 }
 
-// maxHeld bounds the work that the log remembers, 16 bytes each. The oldest is dropped
-// first.
-const maxHeld = 256
+// maxHeld bounds the work that the log remembers, 16 bytes each: as much as a control server
+// knows of. The oldest is dropped first.
+const maxHeld = 4096
 
 // Version is a version of a model's weights, and when it was applied here.
 type Version struct {
@@ -167,7 +167,16 @@
 	for _, raw := range c.Held {
 		changed = s.hold(raw) || changed
 	}
-	return changed
+	return s.lift(c.Lifted) || changed
+}
+
+// lift removes work that is no longer held.
+func (s *State) lift(raw []byte) bool {
+	if len(raw) != quarantine.DigestSize || !slices.Contains(s.Held, quarantine.Digest(raw)) {
+		return false
+	}
+	s.Held = slices.DeleteFunc(slices.Clone(s.Held), func(d quarantine.Digest) bool { return d == quarantine.Digest(raw) })
+	return true
 }
 
 // hold adds work that is to be held back. What is no digest changes nothing.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -83,4 +83,6 @@
 	other := New(time.Now)
 	require.NoError(t, other.Restore(data))
 	assert.Equal(t, held, other.State().Held)
+	apply(t, l, &rpc.FleetCommand{Lifted: digest(-1)})
+	assert.Equal(t, held[:maxHeld-1], l.State().Held, "an operator let it go")
 }
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 
 	"lukechampine.com/blake3"
 )
@@ -18,6 +19,18 @@
 // String returns the digest as logs show it.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
+// ParseDigest reads what String has written.
+func ParseDigest(text string) (Digest, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil {
+		return Digest{}, fmt.Errorf("digest %q: %w", text, err)
+	}
+	if len(raw) != DigestSize {
+		return Digest{}, fmt.Errorf("digest %q has %d bytes, want %d", text, len(raw), DigestSize)
+	}
+	return Digest(raw), nil
+}
+
 // DigestOf returns the digest of a request. organisation is empty for routes that anyone
 // may call; target is path and query as they were sent.
 func DigestOf(organisation, method, host, target string, body []byte) Digest {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -27,6 +28,9 @@
 	// server or its weights are replaced. After it the work may run again, once at a time: one
 	// server in ten minutes, of a hundred that are each out for 5 s.
 	forgetAfter = 10 * time.Minute
+	// forgetCleared is for how long it is remembered that an end was cleared: longer than news
+	// of it is under way. Most ends are cleared within seconds.
+	forgetCleared = 30 * time.Second
 	// maxRecords bounds the work that is known, some 200 bytes each: that of all the slots of
 	// 300 servers that end at once. What was touched longest ago is dropped first, work that is
 	// held back last.
@@ -53,15 +57,21 @@
 func (v Verdict) String() string { return [...]string{"free", "suspect", "unsettled", "held"}[v] }
 
 // News is one fact. With a Server, the work was in flight there when that start of a server
-// ended, and Cleared tells that it was answered in full since. Without one, the work is held.
+// ended, and Cleared tells that it was answered in full since. Without one, the work is held, or,
+// Cleared, was let go by an operator: what was known of it until then counts no more.
 type News struct {
 	Digest  Digest
 	Server  string
 	Cleared bool
-	// At is when the server ended, or the work began to be held, by the clock of the table.
+	// At is when the server ended, or the work began to be held or was let go, by the clock of
+	// the table.
 	At time.Time
 }
 
+// relaySlack is by how much later the same fact may seem to be when it comes over several
+// daemons, each of which tells its age: one that is let go twice within it is let go once.
+const relaySlack = time.Second
+
 type fact struct {
 	at      time.Time
 	cleared bool
@@ -70,11 +80,15 @@
 type record struct {
 	// ends are facts by start of a server.
 	ends map[string]fact
-	// heldAt is when the verdict became final; zero if it is not.
-	heldAt    time.Time
-	touchedAt time.Time
+	// heldAt is when the verdict became final, liftedAt when an operator let the work go;
+	// zero if that was not.
+	heldAt, liftedAt time.Time
+	touchedAt        time.Time
 }
 
+// held tells whether the verdict is final.
+func (r *record) held() bool { return r.heldAt.After(r.liftedAt) }
+
 // Table holds what is known of work and of servers that ended. It is not safe for
 // concurrent use.
 type Table struct {
@@ -107,11 +121,7 @@
 	}
 	r.touchedAt = now
 	if n.Server == "" {
-		isNew := r.heldAt.IsZero()
-		if isNew || n.At.Before(r.heldAt) {
-			r.heldAt = n.At
-		}
-		return isNew
+		return r.mergeVerdict(n)
 	}
 	if at, known := t.servers[n.Server]; !known || n.At.Before(at) {
 		t.servers[n.Server] = n.At
@@ -127,6 +137,22 @@
 	return true
 }
 
+// mergeVerdict takes in that work is held or was let go.
+func (r *record) mergeVerdict(n News) bool {
+	if n.Cleared {
+		if n.At.Sub(r.liftedAt) <= relaySlack {
+			return false
+		}
+		r.liftedAt = n.At
+		return true
+	}
+	wasHeld := r.held()
+	if n.At.After(r.heldAt) {
+		r.heldAt = n.At
+	}
+	return !wasHeld && r.held()
+}
+
 // Served notes that work was answered in full, and returns the facts that this clears.
 func (t *Table) Served(now time.Time, d Digest) []News {
 	r := t.records[d]
@@ -150,7 +176,7 @@
 	if r == nil {
 		return Free
 	}
-	if !r.heldAt.IsZero() {
+	if r.held() {
 		if now.Sub(r.heldAt) < forgetAfter {
 			return Held
 		}
@@ -171,7 +197,7 @@
 // weigh sums the ends that count against work up, and returns when the newest was.
 func (t *Table) weigh(r *record) (weight int, newest time.Time) {
 	for _, f := range r.ends {
-		if f.cleared {
+		if !r.counts(f) {
 			continue
 		}
 		if f.at.After(newest) {
@@ -186,6 +212,9 @@
 	return weight, newest
 }
 
+// counts tells whether a fact counts against the work.
+func (r *record) counts(f fact) bool { return !f.cleared && f.at.After(r.liftedAt) }
+
 // common tells whether servers that ended at this time ended by an event that the work
 // does not explain.
 func (t *Table) common(r *record, at time.Time) bool {
@@ -210,7 +239,7 @@
 	}
 	var out []string
 	for _, server := range slices.Sorted(maps.Keys(r.ends)) {
-		if !r.ends[server].cleared {
+		if r.counts(r.ends[server]) {
 			out = append(out, server)
 		}
 	}
@@ -221,7 +250,7 @@
 func (t *Table) Settle(now time.Time) []News {
 	var out []News
 	for d, r := range t.records {
-		if r.heldAt.IsZero() && t.Verdict(now, d) == Held {
+		if !r.held() && t.Verdict(now, d) == Held {
 			n := News{Digest: d, At: now}
 			t.Merge(now, n)
 			out = append(out, n)
@@ -230,20 +259,53 @@
 	return out
 }
 
-// All returns all facts.
+// All returns what counts, for a daemon that knows nothing: not what was cleared.
 func (t *Table) All() []News {
 	var out []News
 	for d, r := range t.records {
 		for server, f := range r.ends {
-			out = append(out, News{Digest: d, Server: server, Cleared: f.cleared, At: f.at})
+			if r.counts(f) {
+				out = append(out, News{Digest: d, Server: server, At: f.at})
+			}
 		}
-		if !r.heldAt.IsZero() {
+		if !r.liftedAt.IsZero() {
+			out = append(out, News{Digest: d, Cleared: true, At: r.liftedAt})
+		}
+		if r.held() {
 			out = append(out, News{Digest: d, At: r.heldAt})
 		}
 	}
 	return out
 }
 
+// Entry is what is held against one piece of work, for operators.
+type Entry struct {
+	Digest  Digest
+	Verdict Verdict
+	// Servers are the starts of servers that ended under it.
+	Servers []string
+	// Since is when the verdict became final, zero if it is not.
+	Since time.Time
+}
+
+// Entries returns all work that anything counts against, in the order of digests.
+func (t *Table) Entries(now time.Time) []Entry {
+	var out []Entry
+	for d, r := range t.records {
+		verdict := t.Verdict(now, d)
+		if verdict == Free {
+			continue
+		}
+		e := Entry{Digest: d, Verdict: verdict, Servers: t.Evidence(d)}
+		if r.held() {
+			e.Since = r.heldAt
+		}
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return bytes.Compare(a.Digest[:], b.Digest[:]) })
+	return out
+}
+
 // Forget drops what no longer counts.
 func (t *Table) Forget(now time.Time) {
 	for server, at := range t.servers {
@@ -252,11 +314,16 @@
 		}
 	}
 	for d, r := range t.records {
-		maps.DeleteFunc(r.ends, func(_ string, f fact) bool { return now.Sub(f.at) > forgetAfter })
-		if !r.heldAt.IsZero() && now.Sub(r.heldAt) > forgetAfter {
+		maps.DeleteFunc(r.ends, func(_ string, f fact) bool {
+			return now.Sub(f.at) > forgetAfter || f.cleared && now.Sub(r.touchedAt) > forgetCleared
+		})
+		if now.Sub(r.heldAt) > forgetAfter {
 			r.heldAt = time.Time{}
 		}
-		if len(r.ends) == 0 && r.heldAt.IsZero() {
+		if now.Sub(r.liftedAt) > forgetAfter {
+			r.liftedAt = time.Time{}
+		}
+		if len(r.ends) == 0 && r.heldAt.IsZero() && r.liftedAt.IsZero() {
 			delete(t.records, d)
 		}
 	}
@@ -276,8 +343,8 @@
 
 // before tells whether a record is dropped sooner than another.
 func (r *record) before(other *record) bool {
-	if r.heldAt.IsZero() != other.heldAt.IsZero() {
-		return r.heldAt.IsZero()
+	if r.held() != other.held() {
+		return !r.held()
 	}
 	return r.touchedAt.Before(other.touchedAt)
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -57,6 +57,16 @@
 	assert.Equal(t, Suspect, other.Verdict(at(2700), work(1)), "only what came after counts")
 }
 
+func TestClearedWorkIsForgottenSoon(t *testing.T) {
+	table := New()
+	table.end("s-1", 0, work(1), work(2))
+	table.Served(at(1000), work(1))
+	assert.Len(t, table.All(), 1, "a daemon that has just started needs no more")
+	table.Forget(at(1000).Add(forgetCleared + time.Second))
+	assert.Equal(t, 1, table.Len())
+	assert.Equal(t, Suspect, table.Verdict(at(2000), work(2)))
+}
+
 func TestVerdictEndsAfterAWhile(t *testing.T) {
 	table := New()
 	for i, server := range []string{"s-1", "s-2", "s-3"} {
@@ -90,6 +100,8 @@
 				// One server ends at one moment.
 				n.Server, n.At = fmt.Sprint("s-", server), at(700*server)
 				n.Cleared = rapid.Bool().Draw(t, "cleared")
+			} else if rapid.Bool().Draw(t, "lifted") {
+				n.Cleared, n.At = true, at(2000*rapid.IntRange(0, 2).Draw(t, "lift"))
 			}
 			news = append(news, n)
 		}
@@ -109,6 +121,37 @@
 	})
 }
 
+func TestOperatorLetsWorkGo(t *testing.T) {
+	table := New()
+	for i, server := range []string{"s-1", "s-2", "s-3"} {
+		table.end(server, 1000*i, work(1))
+	}
+	table.Settle(at(3000))
+	assert.Equal(t, []Entry{{Digest: work(1), Verdict: Held, Servers: []string{"s-1", "s-2", "s-3"}, Since: at(3000)}}, table.Entries(at(3000)))
+	lifted := News{Digest: work(1), Cleared: true, At: at(5000)}
+	assert.True(t, table.Merge(at(5000), lifted))
+	lifted.At = at(5020)
+	assert.False(t, table.Merge(at(5020), lifted), "the same, over another daemon")
+	assert.Equal(t, Free, table.Verdict(at(5000), work(1)))
+	assert.Empty(t, table.Entries(at(5000)))
+	table.Merge(at(5100), News{Digest: work(1), At: at(3000)}) // of an entry that has not heard of it
+	assert.Equal(t, Free, table.Verdict(at(5100), work(1)))
+	for i, server := range []string{"s-4", "s-5", "s-6"} {
+		table.end(server, 6000+1000*i, work(1))
+	}
+	assert.Equal(t, Held, table.Verdict(at(9000), work(1)), "it ends servers again")
+}
+
+func TestDigestIsReadBack(t *testing.T) {
+	d, err := ParseDigest(work(1).String())
+	assert.NoError(t, err)
+	assert.Equal(t, work(1), d)
+	for _, text := range []string{"", "12", "xyz", work(1).String() + "00"} {
+		_, err := ParseDigest(text)
+		assert.Error(t, err, text)
+	}
+}
+
 func TestTableIsBounded(t *testing.T) {
 	table := New()
 	for i, server := range []string{"s-1", "s-2", "s-3"} {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/consensus"
 )
 
@@ -100,7 +101,7 @@
 	}
 	n.tickReads()
 	if n.now%sweepTicks == 0 {
-		n.transport.sweep(time.Now())
+		n.transport.sweep(clock.Now())
 	}
 }
 
@@ -221,7 +222,7 @@
 	if len(messages) == 0 {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, m := range messages {
 		n.transport.send(m, now)
 	}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/consensus"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
@@ -57,7 +58,7 @@
 func newTransport(members []Member, staleAfter time.Duration, m *metrics) *transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &transport{
-		ctx: ctx, cancel: cancel, metrics: m, now: time.Now, staleAfter: staleAfter,
+		ctx: ctx, cancel: cancel, metrics: m, now: clock.Now, staleAfter: staleAfter,
 		peers: map[consensus.ServerID]*peer{},
 		names: map[string]string{},
 		ids:   map[consensus.ServerID]string{},
