Work that is held back is told once, and judged only after three ends

Cause: an entry wrote a line for each of the control servers that told of the same verdict, nine for three entries in one run of the failing test; each look at a suspect compared its ends with all other servers that ended, though fewer than three never hold it back. Change: a line for news only; a reason of its own for each verdict; ends are weighed from the third on.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -12,8 +12,12 @@
 	"lynxgate.dev/lynxgate/internal/quarantine"
 )
 
-// heldReason is what callers are told whose request has ended several backend servers.
-const heldReason = "backend servers ended under this request"
+// heldReasons are what callers are told whose work is not sent.
+var heldReasons = map[quarantine.Verdict]string{
+	quarantine.Held:      "backend servers ended under this request",
+	quarantine.Unsettled: "backend servers ended under this request, and others beside",
+	quarantine.Suspect:   "a backend server ended under this request, and a copy of it runs",
+}
 
 // admit tells whether the call's work may be sent to a server now. Work that was at a
 // server that ended is sent once at a time; work that several have ended under is not sent, and
@@ -66,12 +70,8 @@
 func (c *call) holdBack(verdict quarantine.Verdict, ended []string) {
 	c.g.cfg.Metrics.heldBack.WithLabelValues(verdict.String()).Inc()
 	c.endedServers = ended
-	if verdict != quarantine.Held {
-		c.giveUp("another copy of the request runs, under which a backend server ended")
-		return
-	}
-	c.neverBack = true
-	c.giveUp(heldReason)
+	c.neverBack = verdict == quarantine.Held
+	c.giveUp(heldReasons[verdict])
 }
 
 // suspect tells whether anything counts against the call's work.
--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -50,7 +50,7 @@
 	assert.Less(t, time.Since(began), 100*time.Millisecond)
 	assert.Equal(t, http.StatusServiceUnavailable, a.status, "it has not run")
 	assert.Empty(t, a.head.Get("Retry-After"), "it is not asked to come again")
-	assert.Contains(t, a.body, heldReason)
+	assert.Contains(t, a.body, heldReasons[quarantine.Held])
 	assert.Empty(t, b.requests())
 	assert.Contains(t, e.logs.String(), `"ended_servers":["s-1"]`)
 	assert.Equal(t, http.StatusOK, e.ask(t, http.MethodPost, "/unsafe/y").status, "other work is served")
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -81,9 +81,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, n := range news {
-		s.table.Merge(now, n)
-		if n.Server == "" {
-			s.log.Warn().Stringer("content", n.Digest).Strs("ended_servers", s.table.Evidence(n.Digest)).Msg("work is held back")
+		if s.table.Merge(now, n) && n.Server == "" {
+			s.log.Warn().Stringer("content", n.Digest).Strs("ended_servers", s.table.Evidence(n.Digest)).
+				Bool("let_go", n.Cleared).Msg("work is held back, or let go")
 		}
 	}
 	s.any.Store(!s.table.Empty())
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -182,10 +182,14 @@
 		}
 		return Suspect
 	}
+	switch counted := r.counted(); {
+	case counted == 0:
+		return Free
+	case counted < endsToHold:
+		return Suspect
+	}
 	weight, newest := t.weigh(r)
 	switch {
-	case weight == 0:
-		return Free
 	case weight < endsToHold*fullWeight:
 		return Suspect
 	case now.Sub(newest) < settleTime:
@@ -215,6 +219,16 @@
 // counts tells whether a fact counts against the work.
 func (r *record) counts(f fact) bool { return !f.cleared && f.at.After(r.liftedAt) }
 
+// counted is how many facts count against the work.
+func (r *record) counted() (n int) {
+	for _, f := range r.ends {
+		if r.counts(f) {
+			n++
+		}
+	}
+	return n
+}
+
 // common tells whether servers that ended at this time ended by an event that the work
 // does not explain.
 func (t *Table) common(r *record, at time.Time) bool {
