Verdicts, lists and the pool of connections stand in files of their own; moved only

Change: verdict.go, entries.go, pool.go; nothing but the place changes. Measured: tests of both packages ok.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -16,12 +16,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/clock"
-	"lynxgate.dev/lynxgate/internal/unacked"
 )
 
 const (
@@ -69,130 +67,6 @@
 	reused    bool
 }
 
-// Pool holds the idle connections to one start of one backend server.
-type Pool struct {
-	addr string
-	// max is how many connections may be open, 0 for no limit.
-	max  atomic.Int64
-	open atomic.Int64
-	// Dialled counts the connections made.
-	Dialled atomic.Int64
-
-	mu     sync.Mutex
-	idle   []*conn
-	closed bool
-}
-
-// NewPool returns an empty pool for a server at addr ("ip:port").
-func NewPool(addr string) *Pool { return &Pool{addr: addr} }
-
-// SetMax bounds the connections that may be open.
-func (p *Pool) SetMax(n int) { p.max.Store(int64(n)) }
-
-// CloseIdle closes idle connections: one to the server has gone silent for good, and
-// others that were open at the same time may have, too.
-func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dropIdle()
-}
-
-// Close closes idle connections; those in use are closed when they come back.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	p.dropIdle()
-}
-
-func (p *Pool) dropIdle() {
-	for _, c := range p.idle {
-		p.drop(c)
-	}
-	p.idle = nil
-}
-
-func (p *Pool) drop(c *conn) {
-	p.open.Add(-1)
-	_ = c.Close()
-}
-
-// get returns a sound idle connection, or a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	if c := p.takeIdle(); c != nil {
-		return c, nil
-	}
-	if limit := p.max.Load(); limit > 0 && p.open.Load() >= limit {
-		return nil, fmt.Errorf("%w: %d to %s are open", ErrNoConnection, limit, p.addr)
-	}
-	p.open.Add(1)
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", p.addr)
-	if err != nil {
-		p.open.Add(-1)
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	p.Dialled.Add(1)
-	// Where the system does not know the option, the deadline of each send is left.
-	_ = unacked.Bound(nc, unackedTimeout)
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idleLimit: maxIdle}, nil
-}
-
-// Probe connects to the server and closes the connection again; the error is that of
-// connecting.
-func (p *Pool) Probe(ctx context.Context) error {
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.addr)
-	if err != nil {
-		return fmt.Errorf("probe %s: %w", p.addr, err)
-	}
-	p.Dialled.Add(1)
-	return nc.Close()
-}
-
-func (p *Pool) takeIdle() *conn {
-	now := clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.idleSince) < c.idleLimit && c.quiet() {
-			c.reused = true
-			return c
-		}
-		p.drop(c)
-	}
-	return nil
-}
-
-// put takes a connection back whose answer was read whole.
-func (p *Pool) put(c *conn, keep bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !keep || p.closed || c.br.Buffered() > 0 {
-		p.drop(c)
-		return
-	}
-	_ = c.SetDeadline(time.Time{})
-	c.idleSince = clock.Now()
-	p.idle = append(p.idle, c)
-}
-
-// CloseStale closes connections that were idle for too long.
-func (p *Pool) CloseStale(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if now.Sub(c.idleSince) < c.idleLimit {
-			kept = append(kept, c)
-			continue
-		}
-		p.drop(c)
-	}
-	p.idle = kept
-}
-
 // quiet tells whether the peer has neither closed an idle connection nor sent
 // anything on it: such bytes belong to no request.
 func (c *conn) quiet() bool {
