Clock: says that its time of day is not the VM's

Cause: the wall part of clock.Now is ahead by the suspensions; whoever printed it would be wrong. Change: doc comment only. Tried and taken back: the same clock on the path of resource inventories; no test failed there first, and its control server writes the audit trail by one clock with its leases.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -61,7 +61,8 @@
 	return c
 }
 
-// Now returns the time of day with a steady part that counts suspensions.
+// Now returns a time whose steady part counts suspensions. It is for ages and deadlines: its time
+// of day is ahead by the suspensions since the start.
 func (c *Clock) Now() time.Time {
 	now := time.Now()
 	if moved := c.source.Drift(now) - time.Duration(c.drift.Load()); moved.Abs() > tolerance {
