Tests of what followers tell and ask control servers

Change: tests with a fake control server: turns given and refused, no answer, none reached; what is told at the start of a stream; facts that can't be read. They were written after the code; none was seen to fail.

--- /dev/null
+++ b/internal/follow/turns_test.go
@@ -0,0 +1,142 @@
+package follow
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+
+	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/quarantine"
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
+)
+
+// fakeControl is a control server that hands on what followers say, and answers turns by
+// its script.
+type fakeControl struct {
+	rpc.DRPCFleetUnimplementedServer
+	said chan *rpc.FollowerMessage
+	turn func(*rpc.FollowerMessage) *rpc.FleetUpdate
+}
+
+func (f *fakeControl) Follow(stream rpc.DRPCFleet_FollowStream) error {
+	if err := stream.Send(&rpc.FleetUpdate{Number: 1}); err != nil {
+		return err
+	}
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		f.said <- m
+		if len(m.TurnWanted) == 0 || f.turn == nil {
+			continue
+		}
+		if u := f.turn(m); u != nil {
+			if err := stream.Send(u); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// next returns the next message that this accepts.
+func (f *fakeControl) next(t *testing.T, accepts func(*rpc.FollowerMessage) bool) *rpc.FollowerMessage {
+	t.Helper()
+	for limit := time.After(10 * time.Second); ; {
+		select {
+		case m := <-f.said:
+			if accepts(m) {
+				return m
+			}
+		case <-limit:
+			require.Fail(t, "nothing was said in time")
+		}
+	}
+}
+
+// follower starts a client of one control server and waits until it is reached.
+func (f *fakeControl) follower(t *testing.T, known []quarantine.News) *Client {
+	t.Helper()
+	f.said = make(chan *rpc.FollowerMessage, 100)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := drpcmux.New()
+	require.NoError(t, rpc.DRPCRegisterFleet(mux, f))
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() { _ = rpcconn.Serve(ctx, lis, mux) }() // ends with the test
+	reached := make(chan struct{}, 1)
+	c := New(Config{
+		Name: "entry", Role: "entry", Seeds: func() []string { return []string{lis.Addr().String()} },
+		Suspicions: func() []quarantine.News { return known },
+		Update: func(string, *rpc.FleetUpdate) {
+			select {
+			case reached <- struct{}{}:
+			default:
+			}
+		},
+		Lost: func(string) {}, Logger: zerolog.Nop(),
+	})
+	go func() { _ = c.Run(ctx) }()
+	<-reached
+	return c
+}
+
+var someWork = quarantine.DigestOf("org", "POST", "h", "/x", nil)
+
+func answerTurn(given bool) func(*rpc.FollowerMessage) *rpc.FleetUpdate {
+	return func(m *rpc.FollowerMessage) *rpc.FleetUpdate {
+		return &rpc.FleetUpdate{Number: 2, Turns: []*rpc.Turn{{Digest: []byte("no digest")}, {Digest: m.TurnWanted, Given: given}}}
+	}
+}
+
+func TestTurnIsGivenByTheControlServer(t *testing.T) {
+	for _, given := range []bool{true, false} {
+		f := &fakeControl{turn: answerTurn(given)}
+		c := f.follower(t, nil)
+		assert.Equal(t, given, c.AskTurn(t.Context(), someWork))
+		c.EndTurn(someWork)
+		m := f.next(t, func(m *rpc.FollowerMessage) bool { return len(m.TurnEnded) > 0 })
+		assert.Equal(t, someWork[:], m.TurnEnded)
+	}
+}
+
+// TestEntryWithoutAnAnswerGoesOn: a control server that is frozen, or none that is reached,
+// stops no request.
+func TestEntryWithoutAnAnswerGoesOn(t *testing.T) {
+	c := (&fakeControl{}).follower(t, nil)
+	assert.True(t, c.AskTurn(t.Context(), someWork))
+	assert.True(t, New(Config{}).AskTurn(t.Context(), someWork))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.False(t, c.AskTurn(ctx, someWork), "its caller is gone")
+}
+
+// TestControlServerIsToldWhatTheEntryKnows: it may have started again and forgotten all.
+func TestControlServerIsToldWhatTheEntryKnows(t *testing.T) {
+	f := &fakeControl{}
+	known := []quarantine.News{{Digest: someWork, Server: "s-1", At: clock.Now().Add(-3 * time.Second)}}
+	c := f.follower(t, known)
+	has := func(m *rpc.FollowerMessage) bool { return len(m.Suspicions) > 0 }
+	m := f.next(t, has)
+	assert.Equal(t, "s-1", m.Suspicions[0].Server)
+	assert.InDelta(t, 3000, m.Suspicions[0].AgeMs, 1000)
+	c.TellSuspicions([]quarantine.News{{Digest: someWork, Server: "s-2", At: clock.Now()}})
+	assert.Equal(t, "s-2", f.next(t, has).Suspicions[0].Server)
+}
+
+func TestFactsThatCannotBeReadAreLeftOut(t *testing.T) {
+	now := time.Now()
+	news := SuspicionsFromProto([]*rpc.Suspicion{
+		{Digest: []byte("short"), Server: "s-1"}, {Digest: someWork[:], Server: "s-2", AgeMs: -5},
+		{Digest: someWork[:], Server: "s-3", Cleared: true, AgeMs: 500},
+	}, now)
+	assert.Equal(t, []quarantine.News{{Digest: someWork, Server: "s-3", Cleared: true, At: now.Add(-500 * time.Millisecond)}}, news)
+}
