--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -69,7 +69,8 @@
 	}
 }
 
-// lateTurns asks a client that is made after the gateway that asks it.
+// lateTurns asks a client that is made after the gateway: the client tells the gateway's viewer
+// of updates, and the gateway asks the client for turns.
 type lateTurns struct{ client **follow.Client }
 
 func (t *lateTurns) AskTurn(ctx context.Context, d quarantine.Digest) bool {
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -27,7 +27,8 @@
 )
 
 // suspicions is what an entry knows of work that was at servers that ended, its own sends and
-// what other entries tell. Work that is suspect runs once at a time here.
+// what other entries tell. Suspect work runs once at a time: here by turns, over all entries by
+// fleet.
 type suspicions struct {
 	log  zerolog.Logger
 	tell func([]quarantine.News)
@@ -118,7 +119,7 @@
 	return s.table.Verdict(now, d), s.table.Evidence(d)
 }
 
-// ended notes that a server has ended while work was there.
+// endedUnder notes that a start of a server has ended while work was there.
 func (s *suspicions) endedUnder(now time.Time, server string, d quarantine.Digest) {
 	news := quarantine.News{Digest: d, Server: server, At: now}
 	s.mu.Lock()
