--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -125,4 +125,5 @@
 	}
 }
 
+// leads tells whether this server is the leader of the log, as far as it knows.
 func (s *Server) leads() bool { return s.node.Status().Role == replica.RoleLeader }
