--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -14,8 +14,8 @@
 	// forgetCleared is for how long it is remembered that an end was cleared: longer than news
 	// of it is under way. Most ends are cleared within seconds.
 	forgetCleared = 30 * time.Second
-	// maxRecords bounds the work that is known, some 200 bytes each: that of all the slots of
-	// 300 servers that end at once. What was touched longest ago is dropped first, work that is
+	// maxRecords bounds the work that is known, 670 bytes each with three ends (BenchmarkRecordSize):
+	// that of all the slots of 300 servers that end at once. What was touched longest ago is dropped first, work that is
 	// held back last.
 	maxRecords = 4096
 )
