Requests that many callers send are not held back after kills of many servers

Cause: work that is sent again and again is in flight at half or more of the servers of any event, so that one loss of power counted as three ends of its own; held work is not sent, so that no answer could clear it. Ten minutes of refusals by one event.

Ruled out: a shorter hold (each try of work that does end servers costs one); remembering which work was answered (a digest of each request, 31 us for 4 KiB, while nothing is wrong).

Change: ends within 250 ms are one event, of which two count. A third observation has to come from a copy that was sent alone, after the work was suspect (Suspicion.alone); each of these counts in full. Events that ended four or more servers, most of them without the work, count the square of their number.

Work that does end servers: three servers as before (TestRequestThatEndsThreeServersIsHeld, TestCopiesAfterTheFirstEndRunOneByOne), seven in place of six where six copies are under way at once (TestSixCopiesAtOnceCostOneServerMore).

--- a/internal/follow/suspicions.go
+++ b/internal/follow/suspicions.go
@@ -13,7 +13,7 @@
 	out := make([]*rpc.Suspicion, 0, len(news))
 	for _, n := range news {
 		out = append(out, &rpc.Suspicion{
-			Digest: n.Digest[:], Server: n.Server, Cleared: n.Cleared, AgeMs: max(now.Sub(n.At), 0).Milliseconds(),
+			Digest: n.Digest[:], Server: n.Server, Cleared: n.Cleared, Alone: n.Alone, AgeMs: max(now.Sub(n.At), 0).Milliseconds(),
 		})
 	}
 	return out
@@ -28,7 +28,7 @@
 			continue
 		}
 		out = append(out, quarantine.News{
-			Digest: quarantine.Digest(s.Digest), Server: s.Server, Cleared: s.Cleared,
+			Digest: quarantine.Digest(s.Digest), Server: s.Server, Cleared: s.Cleared, Alone: s.Alone,
 			At: now.Add(-time.Duration(s.AgeMs) * time.Millisecond),
 		})
 	}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -88,7 +88,7 @@
 	if !brokeOff(err) || c.g.balancer.Leaving(s) || !c.g.suspects.hasEnded(s) {
 		return
 	}
-	c.g.suspects.endedUnder(clock.Now(), s.Start, c.digest())
+	c.g.suspects.endedUnder(clock.Now(), s.Start, c.digest(), c.hasTurn)
 }
 
 // brokeOff tells whether a connection was closed by its peer, or by the peer's VM: bytes that
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -119,16 +119,17 @@
 	return s.table.Verdict(now, d), s.table.Evidence(d)
 }
 
-// endedUnder notes that a start of a server has ended while work was there.
-func (s *suspicions) endedUnder(now time.Time, server string, d quarantine.Digest) {
-	news := quarantine.News{Digest: d, Server: server, At: now}
+// endedUnder notes that a start of a server has ended while work was there, alone if no other
+// copy of it was under way.
+func (s *suspicions) endedUnder(now time.Time, server string, d quarantine.Digest, alone bool) {
+	news := quarantine.News{Digest: d, Server: server, Alone: alone, At: now}
 	s.mu.Lock()
 	isNew := s.table.Merge(now, news)
 	verdict := s.table.Verdict(now, d)
 	s.any.Store(true)
 	s.mu.Unlock()
 	if isNew {
-		s.log.Info().Stringer("content", d).Str("server", server).Stringer("verdict", verdict).Msg("backend server ended under work")
+		s.log.Info().Stringer("content", d).Str("server", server).Stringer("verdict", verdict).Bool("alone", alone).Msg("backend server ended under work")
 		s.tell([]quarantine.News{news})
 	}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -27,6 +27,9 @@
 	Digest  Digest
 	Server  string
 	Cleared bool
+	// Alone: the work was sent there after another server had ended under it, as the only
+	// copy.
+	Alone bool
 	// At is when the server ended, or the work began to be held or was let go, by the clock of
 	// the table.
 	At time.Time
@@ -37,8 +40,8 @@
 const relaySlack = time.Second
 
 type fact struct {
-	at      time.Time
-	cleared bool
+	at             time.Time
+	cleared, alone bool
 }
 
 type record struct {
@@ -91,14 +94,12 @@
 		t.servers[n.Server] = n.At
 	}
 	known, ok := r.ends[n.Server]
-	if ok && (known.cleared || !n.Cleared) {
-		return false
-	}
-	if ok {
-		n.At = known.at
+	if !ok {
+		known.at = n.At
 	}
-	r.ends[n.Server] = fact{at: n.At, cleared: n.Cleared}
-	return true
+	joined := fact{at: known.at, cleared: known.cleared || n.Cleared, alone: known.alone || n.Alone}
+	r.ends[n.Server] = joined
+	return !ok || joined != known
 }
 
 // mergeVerdict takes in that work is held or was let go.
@@ -168,7 +169,7 @@
 	for d, r := range t.records {
 		for server, f := range r.ends {
 			if r.counts(f) {
-				out = append(out, News{Digest: d, Server: server, At: f.at})
+				out = append(out, News{Digest: d, Server: server, Alone: f.alone, At: f.at})
 			}
 		}
 		if !r.liftedAt.IsZero() {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -99,7 +99,7 @@
 			if server := rapid.IntRange(0, 6).Draw(t, "server"); server > 0 {
 				// One server ends at one moment.
 				n.Server, n.At = fmt.Sprint("s-", server), at(700*server)
-				n.Cleared = rapid.Bool().Draw(t, "cleared")
+				n.Cleared, n.Alone = rapid.Bool().Draw(t, "cleared"), rapid.Bool().Draw(t, "alone")
 			} else if rapid.Bool().Draw(t, "lifted") {
 				n.Cleared, n.At = true, at(2000*rapid.IntRange(0, 2).Draw(t, "lift"))
 			}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -1,21 +1,31 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"sort"
+	"time"
+)
 
 const (
 	// endsToHold is under how many ends of servers work is held back: one may be an
 	// accident of the server, two may be a coincidence of kills, and each further try costs
 	// all answers in progress at one more server.
 	endsToHold = 3
-	// fullWeight is what one end counts, commonWeight one of an event that has ended several
-	// servers of which most did not run the work: a power loss, a roll. It counts still,
-	// since several requests that end servers may be about at the same time.
-	fullWeight, commonWeight = 2, 1
-	// commonEnds is from how many servers on that end within commonWindow the ends are taken
-	// for one event, if the work was at less than half of them. Kills of many servers at
-	// once reach the entries within some ms, or within a round trip of 100 ms.
-	commonEnds   = 4
-	commonWindow = 250 * time.Millisecond
+	// fullWeight is what one end counts; eventEnds is how many of the ends of one event count
+	// at most. Work that callers ask for again and again is at most servers at any moment, so
+	// that a loss of power of a rack ends servers under several copies of it: that is one
+	// observation, which a further copy, sent alone, has to confirm. Work that does end
+	// servers costs one server more for it where several copies were under way.
+	fullWeight, eventEnds = 12, 2
+	// eventWindow is within what time of the first of them ends are one event: kills at the
+	// same moment reach the entries within some ms, or within a round trip of 100 ms.
+	eventWindow = 250 * time.Millisecond
+	// commonEnds is from how many servers on that end within eventWindow an event is common,
+	// if the work was at less than half of them: a power loss, a roll. Common events count
+	// the square of their number: one copy at a time meets one or two of them by chance,
+	// and counts less than one end for three; at the sixth it is held, since several
+	// requests that end servers may be about at the same time.
+	commonEnds = 4
 	// settleTime is for how long the news of an event may still come in: work is not
 	// judged before, only not sent.
 	settleTime = 300 * time.Millisecond
@@ -68,22 +78,46 @@
 	return Held
 }
 
-// weigh sums the ends that count against work up, and returns when the newest was.
+// weigh sums the ends that count against work up by event, and returns when the newest was.
 func (t *Table) weigh(r *record) (weight int, newest time.Time) {
-	for _, f := range r.ends {
-		if !r.counts(f) {
-			continue
+	ends := r.countedEnds()
+	common := 0
+	for len(ends) > 0 {
+		first := ends[0].at
+		n := sort.Search(len(ends), func(i int) bool { return ends[i].at.Sub(first) > eventWindow })
+		if t.common(r, first) {
+			common++
+		} else {
+			weight += observations(ends[:n]) * fullWeight
 		}
-		if f.at.After(newest) {
-			newest = f.at
+		newest = ends[n-1].at
+		ends = ends[n:]
+	}
+	return weight + common*common, newest
+}
+
+// observations is how many ends of one event count: each under a copy that was sent alone, and
+// eventEnds at most of those under copies that were under way at the same time.
+func observations(ends []fact) int {
+	alone := 0
+	for _, f := range ends {
+		if f.alone {
+			alone++
 		}
-		if t.common(r, f.at) {
-			weight += commonWeight
-		} else {
-			weight += fullWeight
+	}
+	return alone + min(len(ends)-alone, eventEnds)
+}
+
+// countedEnds returns the ends that count against the work, the first one first.
+func (r *record) countedEnds() []fact {
+	var ends []fact
+	for _, f := range r.ends {
+		if r.counts(f) {
+			ends = append(ends, f)
 		}
 	}
-	return weight, newest
+	slices.SortFunc(ends, func(a, b fact) int { return a.at.Compare(b.at) })
+	return ends
 }
 
 // counts tells whether a fact counts against the work.
@@ -104,7 +138,7 @@
 func (t *Table) common(r *record, at time.Time) bool {
 	ended, explained := 0, 0
 	for server, other := range t.servers {
-		if other.Sub(at).Abs() > commonWindow {
+		if other.Sub(at).Abs() > eventWindow {
 			continue
 		}
 		ended++
