Entries learn what they don't see at servers of others, and leave so much room there

Cause: under a load that the engines just bear each entry places what its own engines have no room for at those of others, by reports that all entries act on at once.

Change: an entry takes some requests more to be at servers of other entries, as many as keep the first events there that miss their objective at one in ten (balance/unseen.go). Not while a tenth of the service's servers load, or 4 s after: that overload passes, and callers are better served late than refused twice (balance/passing.go).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -74,13 +74,16 @@
 	// services holds the servers by service that have not left.
 	services map[string][]*Server
 	view     *follow.View
+	// unseen is, by service, what is at servers of other entries beside what is known.
+	unseen  map[string]*unseen
+	outages map[string]*outage
 	// freed is called, without the lock, when a server may have got room.
 	freed func()
 }
 
 // New returns a balancer that knows no servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, freed: func() {}}
+	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, unseen: map[string]*unseen{}, outages: map[string]*outage{}, freed: func() {}}
 }
 
 // OnRoom sets what is called when a server may have got room. Call it before any other
@@ -271,6 +274,7 @@
 			b.cfg.Logger.Info().Str("server", s.ID).Msg("backend server is back")
 		}
 	case EndedBusy:
+		b.learnUnseen(c, now, true)
 		s.busyUntil = now.Add(busyPause)
 	case EndedFailed, EndedSilent:
 		if ending == EndedSilent && s.engine != nil {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -19,6 +19,8 @@
 	// a slot and for the prompts before this one.
 	Read   time.Duration
 	Budget time.Duration
+	// Due is when the first event is due; zero if it is late already.
+	Due time.Time
 	// Free wants a slot that is free now, by what is known of the server's load.
 	Free bool
 }
@@ -36,11 +38,17 @@
 	// pickedAt is when the server was chosen; begun tells that an event has come.
 	pickedAt time.Time
 	begun    bool
+	// due is when the first event is due, zero if it is late already; foreign tells that
+	// another entry owned the server.
+	due     time.Time
+	foreign bool
 	// Told is how old the server's report of its load is, -1 if there is none.
 	Told time.Duration
 	// Own tells that this entry owns the server; InFlight are its own requests there.
 	Own      bool
 	InFlight int
+	// Unseen is how many requests of others were taken to be there beside those that are known.
+	Unseen float64
 }
 
 // Room tells why servers of a service did not take a request.
@@ -105,7 +113,8 @@
 		room.Fit++
 		queue := s.queueLength(now, b.view.EntryCount())
 		slots := s.slots()
-		wait := s.predictWait(now, queue, b.othersAt(s))
+		unseen := b.unseenAt(s, now)
+		wait := s.predictWait(now, queue+unseen, b.othersAt(s))
 		if room.Fit == 1 || wait < room.Soonest {
 			room.Soonest = wait
 		}
@@ -121,7 +130,7 @@
 		score := b.score(now, s, queue, wait)
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1, pickedAt: now, Own: s.own, InFlight: s.inFlight}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1, pickedAt: now, Own: s.own, InFlight: s.inFlight, Unseen: unseen, due: w.Due, foreign: s.foreign}
 			if s.load.known {
 				best.Told = now.Sub(s.load.at)
 			}
@@ -196,6 +205,7 @@
 	c.begun = true
 	if s := c.Server; s.engine != nil {
 		s.excess.observe(now, now.Sub(c.pickedAt)-c.Wait-c.Read-s.engine.Pass())
+		b.learnUnseen(c, now, now.After(c.due))
 	}
 	c.Server.pendingRead -= c.Read
 	c.Read = 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,6 +184,9 @@
 	for service, age := range g.balancer.DirectoryAge(now) {
 		m.directoryAge.WithLabelValues(service).Set(age.Seconds())
 	}
+	for service, unseen := range g.balancer.Unseen(now) {
+		m.unseen.WithLabelValues(service).Set(unseen)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for service, b := range g.budgets {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -58,6 +58,9 @@
 		w.Read = e.ReadTime(c.promptTokens(e))
 		w.Budget = time.Duration(share*float64(c.route.Objective)) - w.Read - e.Pass()
 		w.Budget = max(w.Budget, leastBudget)
+		if !c.cameBack {
+			w.Due = c.began.Add(c.route.Objective)
+		}
 	}
 	return w
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -30,6 +30,7 @@
 	// Gauges that Run sets once a second.
 	budgetLeft    *prometheus.GaugeVec
 	directoryAge  *prometheus.GaugeVec
+	unseen        *prometheus.GaugeVec
 	configVersion prometheus.Gauge
 	// suspect is how many pieces of work were at servers that ended.
 	suspect prometheus.Gauge
@@ -82,6 +83,9 @@
 		directoryAge: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_directory_age_seconds", Help: "Time since the backend server heard longest ago was heard, by service.",
 		}, []string{"service"}),
+		unseen: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "lynxgate_gateway_unseen_requests", Help: "Requests that are taken to be at each backend server of another entry beside those that are known, by service.",
+		}, []string{"service"}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_config_version", Help: "Version of the configuration in force here.",
 		}),
@@ -89,7 +93,7 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.room, m.interrupted, m.broken, m.heldBack, m.suspect, m.budgetLeft, m.directoryAge, m.configVersion, m.Dialled)
+	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.room, m.interrupted, m.broken, m.heldBack, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.configVersion, m.Dialled)
 	return m
 }
 
@@ -150,7 +154,8 @@
 	}
 	if c.choice.Server != nil {
 		event.Str("server", c.choice.Server.ID).Float64("queue", c.choice.Queue).
-			Dur("wait_ms", c.choice.Wait).Dur("load_age_ms", c.choice.Told).Bool("own", c.choice.Own).Int("own_requests", c.choice.InFlight)
+			Dur("wait_ms", c.choice.Wait).Dur("load_age_ms", c.choice.Told).Bool("own", c.choice.Own).Int("own_requests", c.choice.InFlight).
+			Float64("unseen", c.choice.Unseen)
 	}
 	if c.room.Known > 0 {
 		event.Interface("servers", c.room)
