Tests: work that ends servers is held beside kills of others; facts keep how a copy was sent

Cause: the mend of work that is held back counts ends that fall into an event of many servers for little; nothing showed that a request that ends servers is still held while others are killed. No logic changes.

--- a/internal/follow/turns_test.go
+++ b/internal/follow/turns_test.go
@@ -140,3 +140,14 @@
 	}, now)
 	assert.Equal(t, []quarantine.News{{Digest: someWork, Server: "s-3", Cleared: true, At: now.Add(-500 * time.Millisecond)}}, news)
 }
+
+// TestFactsKeepWhatTheyTell: how a copy was sent decides by how much its end counts.
+func TestFactsKeepWhatTheyTell(t *testing.T) {
+	now := time.Now()
+	news := []quarantine.News{
+		{Digest: someWork, Server: "s-1", Alone: true, At: now.Add(-2 * time.Second)},
+		{Digest: someWork, Server: "s-2", Cleared: true, At: now.Add(-time.Second)},
+		{Digest: someWork, At: now},
+	}
+	assert.Equal(t, news, SuspicionsFromProto(SuspicionsToProto(news, now), now))
+}
--- a/internal/quarantine/frequent_test.go
+++ b/internal/quarantine/frequent_test.go
@@ -125,3 +125,37 @@
 	assert.Equal(t, Unsettled, table.Verdict(at(20), work(1)))
 	assert.Equal(t, Held, table.Verdict(at(20).Add(settleTime), work(1)))
 }
+
+// TestWorkIsHeldBesideKills: four to thirty servers are killed each second, while a request ends
+// the server of each copy, which is sent alone as soon as the one before has ended. Of its ends
+// some fall into a kill's time and count little; it is held after a few more, within the time in
+// which each entry must know of the third.
+func TestWorkIsHeldBesideKills(t *testing.T) {
+	const spreadMS = 3000
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		killed, firstKill := 4+r.IntN(27), r.IntN(1000)
+		table := New()
+		next, ends, third, ms := 0, 0, 0, 0
+		for ; table.Verdict(at(ms), work(0)) != Held; ms += 10 {
+			if ms%1000 == firstKill/10*10 {
+				for s := range killed {
+					table.end(fmt.Sprintf("k-%d-%d", ms, s), ms+r.IntN(100), work(1000+s))
+				}
+			}
+			if ms >= next && table.Verdict(at(ms), work(0)) != Unsettled {
+				ends++
+				table.Merge(at(ms), News{Digest: work(0), Server: fmt.Sprint("c-", ends), Alone: ends > 1, At: at(ms)})
+				next = ms + 100 + r.IntN(400)
+				if ends == 3 {
+					third = ms
+				}
+			}
+			if ms > 20000 {
+				t.Fatalf("seed %d: not held after %d ends", seed, ends)
+			}
+		}
+		assert.LessOrEqual(t, ms-third, spreadMS, "seed %d: %d servers killed each second", seed, killed)
+		t.Logf("seed %d: held %d ms after the third of %d ends, %d servers killed each second", seed, ms-third, ends, killed)
+	}
+}
