--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -75,7 +75,8 @@
 	services map[string][]*Server
 	view     *follow.View
 	// unseen is, by service, what is at servers of other entries beside what is known.
-	unseen  map[string]*unseen
+	unseen map[string]*unseen
+	// outages are, by service, what was seen of servers that load.
 	outages map[string]*outage
 	// freed is called, without the lock, when a server may have got room.
 	freed func()
--- a/internal/balance/passing.go
+++ b/internal/balance/passing.go
@@ -9,7 +9,8 @@
 
 const (
 	// loadingPart of a service's servers that load is an overload that ends by itself;
-	// loadingTail is for how long its callers are still about after it.
+	// loadingTail is for how long its callers are still about after it: those that were
+	// refused come back within 2 s, and a request takes as long.
 	loadingPart = 0.1
 	loadingTail = 4 * time.Second
 	// loadingCheck is how often the servers are counted: a roll of all takes seconds.
