--- /dev/null
+++ b/internal/balance/fits.go
@@ -0,0 +1,76 @@
+package balance
+
+import "time"
+
+// Room tells why servers of a service did not take a request.
+type Room struct {
+	// Known servers of the service, and those that fit but are too full.
+	Known, Fit int
+	// Tried were sent this request before; Aside failed lately, are silent in the
+	// directory or have another's address; Busy refused a moment ago; Loading take
+	// nothing new; Empty hold no weights, Old hold a version that is over, Other one that
+	// the request can't use.
+	Tried, Aside, Busy, Loading, Empty, Old, Other int
+	// Later are those that may take it in a while: set aside or busy ones that else fit,
+	// and those that have the version of a begun request still to load. They are counted
+	// above, too, and not logged.
+	Later int `json:"-"`
+	// Soonest is the least predicted wait at those that fit.
+	Soonest time.Duration `json:"-"`
+}
+
+// fits tells whether a server may take the request now, and its version; if not,
+// it counts why.
+func (b *Balancer) fits(now time.Time, s *Server, w Want, room *Room) (uint64, bool) {
+	for _, tried := range w.Exclude {
+		if tried == s {
+			room.Tried++
+			return 0, false
+		}
+	}
+	version, why := b.usableVersion(now, s, w, room)
+	switch {
+	case s.retired || s.replaced() || now.Sub(s.seenAt) > lostAfter:
+		room.Aside++
+	case now.Before(s.health.asideUntil), s.health.probing && s.inFlight > 0:
+		room.Aside++
+		room.laterIf(why == nil)
+	case now.Before(s.busyUntil):
+		room.Busy++
+		room.laterIf(why == nil)
+	case why != nil:
+		*why++
+		room.laterIf(w.Version != 0 && s.holds(now, w.Model) < w.Version)
+	default:
+		return version, true
+	}
+	return 0, false
+}
+
+func (r *Room) laterIf(usable bool) {
+	if usable {
+		r.Later++
+	}
+}
+
+// usableVersion returns the version of weights that a server may begin the request on,
+// 0 for plain services, or the counter of the reason why it may not.
+func (b *Balancer) usableVersion(now time.Time, s *Server, w Want, room *Room) (version uint64, why *int) {
+	if w.Model == "" || s.engine == nil {
+		return 0, nil
+	}
+	if s.loading(now) {
+		return 0, &room.Loading
+	}
+	version = s.holds(now, w.Model)
+	margin := versionMargin + 2*s.excess.now(now)
+	switch {
+	case version == 0:
+		return 0, &room.Empty
+	case w.Version != 0 && version != w.Version:
+		return 0, &room.Other
+	case version < b.view.Versions[w.Model].Floor(now, b.cfg.VersionBound-margin):
+		return 0, &room.Old
+	}
+	return version, nil
+}
--- /dev/null
+++ b/internal/balance/predict.go
@@ -0,0 +1,68 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// othersAt is how many other entries are taken to send to a server at the same moment as
+// this one: all of those that look at it, unless this one owns it.
+func (b *Balancer) othersAt(s *Server) float64 {
+	if s.own {
+		return 0
+	}
+	servers := len(b.services[s.record.Service])
+	looked := float64(b.sample(servers)) / float64(max(servers, 1))
+	return min(looked, 1) * float64(b.view.EntryCount()-1)
+}
+
+// predictWait predicts the wait of one more request for a slot, for the prompts that are
+// to be read before its own, and by what came late before. Prompts that others send are
+// not known here before the next report: they are taken to be as many as this entry's and
+// one more each. Without that an engine that had just loaded, empty by its last report, got a dozen
+// prompts at once from several entries, each of which is read for 32 ms: 17 requests in
+// 0.1 s, whose first events came after 0.5 s.
+func (s *Server) predictWait(now time.Time, queue, others float64) time.Duration {
+	if s.engine == nil {
+		return 0
+	}
+	over := max(0, queue-float64(s.slots())+1)
+	usual := s.engine.ReadTime(s.engine.UsualPrompt)
+	reading := s.pendingRead + time.Duration(others*float64(s.pendingRead+usual))
+	return reading + time.Duration(over*float64(s.engine.PerRequest())) + s.excess.now(now)
+}
+
+// Began notes that an event of a request has come: its prompt is read.
+func (b *Balancer) Began(c *Choice, now time.Time) {
+	if c.begun {
+		return
+	}
+	defer b.freed()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.begun = true
+	if s := c.Server; s.engine != nil {
+		s.excess.observe(now, now.Sub(c.pickedAt)-c.Wait-c.Read-s.engine.Pass())
+		b.learnUnseen(c, now, now.After(c.due))
+	}
+	c.Server.pendingRead -= c.Read
+	c.Read = 0
+}
+
+// score orders servers, lowest first.
+func (b *Balancer) score(now time.Time, s *Server, queue float64, wait time.Duration) time.Duration {
+	score := wait + time.Duration(queue*float64(perQueued)) + rand.N(tieBreak)
+	if !s.near {
+		score += farPenalty
+	}
+	if s.foreign {
+		score += foreignPenalty
+	}
+	if now.Sub(s.seenAt) > staleAfter {
+		score += stalePenalty
+	}
+	if s.silent(now) {
+		score += silentPenalty
+	}
+	return score + time.Duration(s.health.failures*float64(perFailure))
+}
