--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -11,7 +11,7 @@
 	// accident of the server, two may be a coincidence of kills, and each further try costs
 	// all answers in progress at one more server.
 	endsToHold = 3
-	// fullWeight is what one end counts; eventEnds is how many of the ends of one event count
+	// fullWeight is what one end counts, where a common event counts 1; eventEnds is how many of the ends of one event count
 	// at most. Work that callers ask for again and again is at most servers at any moment, so
 	// that a loss of power of a rack ends servers under several copies of it: that is one
 	// observation, which a further copy, sent alone, has to confirm. Work that does end
