A copy that is sent alone into a kill of many servers is no observation of its own

A request is sent on, alone, within milliseconds of its server's end, to one that was killed at the same moment, and each such end counted in full.

--- a/internal/quarantine/frequent_test.go
+++ b/internal/quarantine/frequent_test.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// TestCopySentAloneIntoAKillHoldsNobody: a request is sent again, alone, as soon as its server has
+// ended, to one that was killed with the first one and ends some ms later, and so on.
+func TestCopySentAloneIntoAKillHoldsNobody(t *testing.T) {
+	table := New()
+	for server := range 8 {
+		ended := at(20 * server)
+		table.Merge(ended, News{Digest: work(1), Server: fmt.Sprint("s-", server), Alone: server > 0, At: ended})
+	}
+	assert.Equal(t, Suspect, table.Verdict(at(2000), work(1)))
+}
+
 // frequentLoad is a fleet whose servers are killed again and again, while callers send the
 // same few requests all the time.
 type frequentLoad struct {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -89,9 +89,15 @@
 	common := 0
 	var own []fact
 	for _, moment := range within(commonWindow, ends) {
-		if t.common(r, moment[0].at) {
+		ended, explained := t.endedAt(r, moment[0].at)
+		switch {
+		case ended >= commonEnds && 2*explained < ended:
 			common++
-		} else {
+		case ended >= commonEnds:
+			// Also a copy that was sent alone may have met one of the servers that were about
+			// to end with the others.
+			own = append(own, besideOthers(moment)...)
+		default:
 			own = append(own, moment...)
 		}
 	}
@@ -148,10 +154,17 @@
 	return n
 }
 
-// common tells whether servers that ended at this time ended by an event that the work
-// does not explain.
-func (t *Table) common(r *record, at time.Time) bool {
-	ended, explained := 0, 0
+// besideOthers returns ends as those of copies that were under way at the same time.
+func besideOthers(ends []fact) []fact {
+	out := slices.Clone(ends)
+	for i := range out {
+		out[i].alone = false
+	}
+	return out
+}
+
+// endedAt returns how many servers ended at about this time, and at how many of them the work was.
+func (t *Table) endedAt(r *record, at time.Time) (ended, explained int) {
 	for server, other := range t.servers {
 		if other.Sub(at).Abs() > commonWindow {
 			continue
@@ -161,5 +174,5 @@
 			explained++
 		}
 	}
-	return ended >= commonEnds && 2*explained < ended
+	return ended, explained
 }
