Sight: what requests of each size get, in metrics and lines

Nothing that an entry wrote named the size of a request, so that large ones left unserved could not be seen. Lines of requests to engines name prompt, most answer, the longest wait that was allowed, the least that was predicted and the time left; a counter splits what callers got by the prompt as a multiple of the usual one. No decision changed. Cost not measured: one counter a request. Tests: size_test.go, and the metric's name in the test of each role's metrics.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -42,6 +42,10 @@
 	org   *fleet.Organisation
 	model string
 	body  []byte
+	// size is what the caller states of it, allowed the longest predicted wait with which it
+	// may be sent, as of its last choice.
+	size    size
+	allowed time.Duration
 	// content is the digest, made by digest.
 	content    quarantine.Digest
 	digestOnce sync.Once
@@ -104,7 +108,7 @@
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
 	return &call{
 		g: g, w: w, r: r, began: clock.Now(), view: g.view.Load(),
-		id: r.Header.Get(g.cfg.Headers.RequestID), lastEvent: r.Header.Get(g.cfg.Headers.ResumeAfter),
+		id: r.Header.Get(g.cfg.Headers.RequestID), size: statedSize(r.Header.Get(g.cfg.Headers.Tokens)), lastEvent: r.Header.Get(g.cfg.Headers.ResumeAfter),
 	}
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,8 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -58,6 +56,7 @@
 		w.Read = e.ReadTime(c.promptTokens(e))
 		w.Budget = time.Duration(share*float64(c.route.Objective)) - w.Read - e.Pass()
 		w.Budget = max(w.Budget, leastBudget)
+		c.allowed = w.Budget
 		if !c.cameBack {
 			w.Due = c.began.Add(c.route.Objective)
 		}
@@ -71,12 +70,3 @@
 	}
 	return nil
 }
-
-// promptTokens is the size of the prompt by the caller's word, or the usual one.
-func (c *call) promptTokens(e *fleet.Engine) int {
-	prompt, _, _ := strings.Cut(c.r.Header.Get(c.g.cfg.Headers.Tokens), ",")
-	if n, err := strconv.Atoi(strings.TrimSpace(prompt)); err == nil && n > 0 {
-		return n
-	}
-	return e.UsualPrompt
-}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -18,6 +18,8 @@
 	whole    *prometheus.HistogramVec
 	wait     *prometheus.HistogramVec
 	gap      *prometheus.HistogramVec
+	// sizes counts what requests to engines got, by their prompt.
+	sizes *prometheus.CounterVec
 	// room is how long requests waited for room, by whether they got it.
 	room *prometheus.HistogramVec
 	// interrupted counts streams whose server stopped to write them before their end.
@@ -62,6 +64,9 @@
 		gap: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lynxgate_gateway_longest_gap_seconds", Help: "Longest pause between two events of a stream.", Buckets: latencyBuckets,
 		}, []string{"service"}),
+		sizes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_sized_requests_total", Help: "Requests to engines by service, by their prompt as a multiple of the usual one, and by what the caller got.",
+		}, []string{"service", "prompt", "got"}),
 		room: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lynxgate_gateway_room_wait_seconds", Help: "Wait for room at a backend server, by whether it came in time.", Buckets: latencyBuckets,
 		}, []string{"service", "given"}),
@@ -93,7 +98,7 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.room, m.interrupted, m.broken, m.heldBack, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.configVersion, m.Dialled)
+	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.sizes, m.room, m.interrupted, m.broken, m.heldBack, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.configVersion, m.Dialled)
 	return m
 }
 
@@ -120,6 +125,9 @@
 	for i := range c.sends {
 		m.sends.WithLabelValues(service, strconv.FormatBool(i > 0)).Inc()
 	}
+	if c.service != "" {
+		c.countSize()
+	}
 	c.logEnd(kind)
 	if c.broken {
 		panic(http.ErrAbortHandler)
@@ -140,7 +148,7 @@
 // logEnd writes one line for a call that did not go as it should; good ones are
 // counted only.
 func (c *call) logEnd(kind string) {
-	late := c.route != nil && c.route.Objective > 0 && c.firstEvent > c.route.Objective
+	late := c.route != nil && c.late()
 	late = late || c.route != nil && c.route.GapObjective > 0 && c.longestGap > c.route.GapObjective
 	if c.reason == "served" && c.sends <= 1 && !late {
 		return
@@ -163,6 +171,7 @@
 	if c.cameBack {
 		event.Bool("came_back", true)
 	}
+	c.describeSize(event)
 	if c.waited > 0 {
 		event.Dur("waited_ms", c.waited)
 	}
