The wait that is allowed is the same for all requests to a service

Callers saw large requests refused, and refused again, for as long as more was asked than engines bear, while small ones of the same kind were answered. Cause: a request was sent only where the predicted wait was within what its own prompt left of its own objective. Waits then stand at the threshold of those that may wait longest, and whoever may wait less never fits. The class: starvation by a threshold that is each one's own; kinds with a short objective starved by it, too.

Change: waiting.Allowance, one threshold for a service, from the means of objective and prompt of the first attempts that come. It holds since nobody can be allowed longer than another, whatever the mix; it follows work that changes, and one huge prompt moves it little. Moves of streams off an engine that is to load keep their own: they have a place and keep it. First events of prompts that alone take the objective no longer teach that servers of others are full.

--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -167,12 +167,17 @@
 		}
 		p.offer(b, rate)
 	}
-	for end := start.Add(loadPlayed); len(p.events) > 0 && p.now.Before(end); {
+	p.run(loadPlayed)
+	return p.got
+}
+
+// run plays all that happens within this time.
+func (p *loadPlay) run(d time.Duration) {
+	for end := start.Add(d); len(p.events) > 0 && p.now.Before(end); {
 		e := heap.Pop(&p.events).(loadEvent)
 		p.now = e.at
 		e.do()
 	}
-	return p.got
 }
 
 func (p *loadPlay) offer(b *Balancer, rate float64) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -139,6 +139,7 @@
 	if s := t.Service(c.service); s != nil && s.Engine != nil {
 		c.model = c.r.Header.Get(c.g.cfg.Headers.Model)
 	}
+	c.noteAsked()
 	c.g.budget(c.service).Request(c.g.steady(c.began))
 	ctx, cancel := context.WithTimeout(c.r.Context(), clock.Until(c.by))
 	defer cancel()
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -107,7 +107,7 @@
 func (c *call) wantOther(why moveReason) balance.Want {
 	want := c.want(resendShare)
 	if why == moveLoading {
-		want = c.want(moveShare)
+		want.Budget = c.unnoticed(want.Read)
 		want.Free = true
 	}
 	if c.events > 0 {
@@ -116,6 +116,16 @@
 	return want
 }
 
+// unnoticed is the longest wait at another server whose caller notices nothing. It counts the request's own
+// prompt, unlike what decides who gets room: the request has its place, and keeps it if no other fits.
+func (c *call) unnoticed(read time.Duration) time.Duration {
+	e := c.engine()
+	if e == nil {
+		return 0
+	}
+	return max(time.Duration(moveShare*float64(c.route.Objective))-read-e.Pass(), leastBudget)
+}
+
 // takeEvents passes events of a stream's server on, or holds them back while another
 // server is asked to go on.
 func (c *call) takeEvents(a *dispatch.Answer, events []byte) error {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -14,15 +14,12 @@
 	retryAfterPart = 3
 	// defaultRetryAfter is told where no objective is known.
 	defaultRetryAfter = time.Second
-	// leastBudget is the wait that is allowed to requests whose prompt alone takes
-	// the objective: they are served late, or as soon as an engine is free.
+	// leastBudget is the wait that is allowed where usual prompts alone take the
+	// objective: requests are served late, or as soon as an engine is free.
 	leastBudget = 20 * time.Millisecond
-	// firstShare is the part of the objective within which the first event must be
-	// predicted for a request to be sent; the rest is for what the prediction does
-	// not know. Under lasting overload of 1.35 times, 0.6 earned 0.70 of the credit, 0.85
-	// earned 0.65, 1.0 earned 0.62; with room to spare they do the same (one played day
-	// each, with a lower share for callers that came back, which since they come after
-	// others measures nothing).
+	// firstShare is the part of the objective within which the first event of a usual
+	// request must be predicted for one to be sent; the rest is for what the prediction does
+	// not know, and for prompts that are larger than usual.
 	firstShare = 0.6
 	// resendShare is the same for our own repeats: their caller has waited already,
 	// and the time is gone whatever happens.
@@ -49,15 +46,15 @@
 }
 
 // want says what a send needs whose first event must be predicted within this share
-// of the objective.
+// of the objective, for a usual request to the service.
 func (c *call) want(share float64) balance.Want {
 	w := balance.Want{Service: c.service, Model: c.model, Exclude: c.tried}
 	if e := c.engine(); e != nil {
 		w.Read = e.ReadTime(c.promptTokens(e))
-		w.Budget = time.Duration(share*float64(c.route.Objective)) - w.Read - e.Pass()
-		w.Budget = max(w.Budget, leastBudget)
+		w.Budget = c.g.rooms.allowance(c.service, share, e.Pass())
 		c.allowed = w.Budget
-		if !c.cameBack {
+		// One whose prompt alone takes the objective is late whatever its server does.
+		if !c.cameBack && w.Read+e.Pass() < c.route.Objective {
 			w.Due = c.began.Add(c.route.Objective)
 		}
 	}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,8 @@
 	mu        sync.Mutex
 	services  map[string]*roomQueue
 	deadlines *waiting.Deadlines
+	// allowances are by service.
+	allowances map[string]*waiting.Allowance
 }
 
 type roomQueue struct {
@@ -42,7 +45,7 @@
 }
 
 func newRoomQueues(b *balance.Balancer) *roomQueues {
-	return &roomQueues{balancer: b, services: map[string]*roomQueue{}, deadlines: waiting.NewDeadlines()}
+	return &roomQueues{balancer: b, services: map[string]*roomQueue{}, deadlines: waiting.NewDeadlines(), allowances: map[string]*waiting.Allowance{}}
 }
 
 // comesBack tells whether a caller was refused before, by its deadline.
@@ -52,7 +55,7 @@
 	return q.deadlines.ComesBack(now, route.Name, deadline, route.Timeout)
 }
 
-// keepRoutes forgets what was learned of routes that a configuration no longer has.
+// keepRoutes forgets what was learned of routes and services that a configuration no longer has.
 func (q *roomQueues) keepRoutes(t *fleet.Table) {
 	names := make([]string, len(t.Config.Routes))
 	for i, route := range t.Config.Routes {
@@ -61,6 +64,33 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.deadlines.Keep(names)
+	maps.DeleteFunc(q.allowances, func(service string, _ *waiting.Allowance) bool { return t.Service(service) == nil })
+}
+
+// asked notes a request with this objective to an engine that reads its prompt for this long, and
+// the usual one for usualRead.
+func (q *roomQueues) asked(service string, objective, read, usualRead time.Duration, cameBack bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := q.allowances[service]
+	if a == nil {
+		a = waiting.NewAllowance(objective, usualRead)
+		q.allowances[service] = a
+	}
+	if !cameBack {
+		a.Asked(objective, read)
+	}
+}
+
+// allowance is the longest predicted wait with which requests to a service are sent now.
+func (q *roomQueues) allowance(service string, share float64, pass time.Duration) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := q.allowances[service]
+	if a == nil {
+		return leastBudget
+	}
+	return a.Longest(share, pass, leastBudget)
 }
 
 // refused notes that a caller was told to come back.
@@ -159,6 +189,16 @@
 	}
 }
 
+// noteAsked notes a request to an engine. One without an objective tells nothing of the waits that
+// callers bear.
+func (c *call) noteAsked() {
+	e := c.engine()
+	if e == nil || c.route.Objective <= 0 {
+		return
+	}
+	c.g.rooms.asked(c.service, c.route.Objective, e.ReadTime(c.promptTokens(e)), e.ReadTime(e.UsualPrompt), c.cameBack)
+}
+
 // waitForRoom makes a request that has not been sent wait in the queue of its service,
 // where servers fit but are full, or refused a moment ago; false if room will not come in
 // time, or has not.
