Of those that wait for room the newest goes first, not the one with most time left

Callers of a kind with a short objective were refused more often than those of another kind at the same service, while more was asked than servers bear. Cause: of those that wait for room the one with most time left came first, and that is always one that may wait longer, however late it came. Change: after first attempts and organisations, the one that came last goes first. Among requests with one objective the order is as it was.

--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -95,7 +95,8 @@
 // InOrder returns the requests that wait at this time, the one that is to get the next
 // room first: first attempts before callers that are late already; then the organisation
 // that got room longest ago, so that one with many requests doesn't push others out; then
-// the one with most time left, which is the likeliest to be in time.
+// the one that came last, which is the likeliest to be in time. Ordered by the time that is left,
+// those with a short objective would always stand behind the others.
 func (q *Queue) InOrder(now time.Time) []*Request {
 	order := make([]*Request, 0, len(q.waiting))
 	for _, r := range q.waiting {
@@ -107,7 +108,7 @@
 		return cmp.Or(
 			compareBool(a.CameBack, b.CameBack),
 			cmp.Compare(q.granted[a.Organisation], q.granted[b.Organisation]),
-			b.By.Compare(a.By),
+			b.Since.Compare(a.Since),
 		)
 	})
 	return order
