Callers with short deadlines have queues of their own beside patient ones

Callers of one organisation who stated a short deadline were refused nearly all while those with a long one, or none, were served, for as long as more was asked than the slots bear. Cause: who may join the queue was decided by what each one's own deadline leaves; the queue then stands as long as those with most time may wait. Change: a flow for each band of the time left, the same wait for all of a band, and the organisation's weight shared among its flows by the root of what each is asked for. It holds whatever the deadlines, since start-time fair queueing bounds how far flows may drift apart. Ruled out: the shortest deadline first (the long ones starve then); equal parts and parts by number (docs/design/requests.md).

--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -128,7 +128,7 @@
 	require.NotNil(t, ticket)
 	_, why := c.Acquire(context.Background(), Request{Organisation: "a", Service: "s"})
 	require.Equal(t, outcome.ConcurrencyLimited, why.Reason)
-	require.Equal(t, 4.0, c.machine.services["s"].classes[0].flows["a"].weight)
+	require.Equal(t, 4.0, c.machine.services["s"].classes[0].flows[flowKey{"a", endless}].weight)
 }
 
 func TestBusyServiceKeepsItsQueue(t *testing.T) {
--- a/internal/admission/deadlines_sim_test.go
+++ b/internal/admission/deadlines_sim_test.go
@@ -33,5 +33,24 @@
 	}
 }
 
+// TestDeadlinesOfManyLengthsAreServedAlike: most of an organisation's callers state 3 s, the others all
+// kinds of deadlines, at four times the load: neither the few nor the many get all that there is.
+func TestDeadlinesOfManyLengthsAreServedAlike(t *testing.T) {
+	for _, most := range []float64{0.8, 0.9, 0.97} {
+		s := base(4)
+		s.sources = []source{{"a", most * 160, 1, 3 * time.Second}}
+		for _, d := range []time.Duration{1500, 1800, 2200, 4000, 5000, 7000, 9000, 12000} {
+			s.sources = append(s.sources, source{"a", (1 - most) / 8 * 160, 1, d * time.Millisecond})
+		}
+		ts := s.run()
+		all := total(ts)
+		share := func(t tally) float64 { return float64(t.good+t.late) / float64(t.arrived) }
+		for i, one := range ts {
+			t.Logf("of %d with %v: served %.3f, of all %.3f", one.arrived, s.sources[i].deadline, share(one), share(all))
+			require.Greater(t, share(one), leastOfAll*share(all), "with %v", s.sources[i].deadline)
+		}
+	}
+}
+
 // leastOfAll is how often, against all, the requests of each kind are served at least.
 const leastOfAll = 0.5
--- a/internal/admission/fairqueue.go
+++ b/internal/admission/fairqueue.go
@@ -1,14 +1,18 @@
 package admission
 
 import (
+	"cmp"
 	"container/heap"
+	"math"
 	"time"
 )
 
-// flow is the queue of one organisation in one class of one service.
+// flow is the queue of one organisation's requests of one patience in one class of one service.
 type flow struct {
-	organisation string
-	weight       float64
+	flowKey
+	// weight is the organisation's; those of its flows that are not empty share it by asked, how
+	// many requests came to each lately.
+	weight, asked float64
 	// tag is the start tag of the next request in normalised slot seconds:
 	// what the flow has used, divided by its weight.
 	tag        float64
@@ -47,28 +51,71 @@
 	return time.Duration(place+1)*f.gap - now.Sub(f.since)
 }
 
+// flowKey names a flow within its class.
+type flowKey struct {
+	organisation string
+	patience     patience
+}
+
 // class is one priority class: start-time fair queueing over flows. The
 // virtual time is the start tag of the request started last.
 type class struct {
-	flows   map[string]*flow
+	flows map[flowKey]*flow
+	// of are the flows of each organisation.
+	of      map[string][]*flow
 	backlog flowHeap
 	virtual float64
 	length  int
 	passed  int // starts of higher classes since this class waits or started
 }
 
-func (c *class) flow(organisation string) *flow {
-	f, ok := c.flows[organisation]
+func (c *class) flow(key flowKey) *flow {
+	f, ok := c.flows[key]
 	if !ok {
-		f = &flow{organisation: organisation, weight: 1, index: -1}
+		f = &flow{flowKey: key, weight: 1, asked: 1, index: -1}
 		if c.flows == nil {
-			c.flows = make(map[string]*flow)
+			c.flows = make(map[flowKey]*flow)
+			c.of = make(map[string][]*flow)
 		}
-		c.flows[organisation] = f
+		c.flows[key] = f
+		c.of[key.organisation] = append(c.of[key.organisation], f)
 	}
 	return f
 }
 
+// forget drops the flows of an organisation that has no requests.
+func (c *class) forget(organisation string) {
+	for _, f := range c.of[organisation] {
+		delete(c.flows, f.flowKey)
+	}
+	delete(c.of, organisation)
+}
+
+// askedGain is the weight of the newest request of an organisation in what its flows are asked for.
+const askedGain = 1.0 / 256
+
+// came counts a request of a flow, against the others of its organisation.
+func (c *class) came(f *flow) {
+	for _, other := range c.of[f.organisation] {
+		other.asked *= 1 - askedGain
+	}
+	f.asked++
+}
+
+// share is the weight of a flow. An organisation has no more for asking with several
+// deadlines. Each has more the more it is asked for, by the root: equal parts would serve all of
+// those who are few before any of those who are many, parts by number would let a request of
+// the few wait longer for its turn than its deadline allows.
+func (c *class) share(f *flow) float64 {
+	sum := 0.0
+	for _, other := range c.of[f.organisation] {
+		if other == f || other.length > 0 {
+			sum += math.Sqrt(other.asked)
+		}
+	}
+	return f.weight * math.Sqrt(f.asked) / sum
+}
+
 // push queues a request behind the others of its flow. A flow that was empty
 // starts at the virtual time: it cannot save up what it did not use.
 func (c *class) push(r *request, now time.Time) {
@@ -126,7 +173,7 @@
 
 // charge adds used slot seconds to a flow; a negative cost is given back.
 func (c *class) charge(f *flow, cost float64) {
-	f.tag += cost / f.weight
+	f.tag += cost / c.share(f)
 	if f.index >= 0 {
 		heap.Fix(&c.backlog, f.index)
 	}
@@ -137,16 +184,16 @@
 // and from each other flow as many as its weight allows meanwhile.
 func (c *class) ahead(f *flow, place int) float64 {
 	n := float64(place)
-	turns := float64(place+1) / f.weight
+	turns := float64(place+1) / c.share(f)
 	for _, other := range c.backlog {
 		if other != f {
-			n += min(float64(other.length), turns*other.weight)
+			n += min(float64(other.length), turns*c.share(other))
 		}
 	}
 	return n
 }
 
-// flowHeap orders the backlogged flows by start tag, then by name.
+// flowHeap orders the backlogged flows by start tag, then by name and patience.
 type flowHeap []*flow
 
 func (h flowHeap) Len() int { return len(h) }
@@ -155,7 +202,7 @@
 	if h[i].tag != h[j].tag {
 		return h[i].tag < h[j].tag
 	}
-	return h[i].organisation < h[j].organisation
+	return cmp.Or(cmp.Compare(h[i].organisation, h[j].organisation), cmp.Compare(h[i].patience, h[j].patience)) < 0
 }
 
 func (h flowHeap) Swap(i, j int) {
--- a/internal/admission/machine.go
+++ b/internal/admission/machine.go
@@ -101,8 +101,9 @@
 	s := m.service(e.Service)
 	o := m.organisation(now, e.Organisation)
 	c := min(max(e.Priority, 0), Classes-1)
-	f := s.classes[c].flow(e.Organisation)
+	f := s.classes[c].flow(flowKey{e.Organisation, patienceUntil(now, e.Deadline)})
 	f.weight = o.limits.weight()
+	s.classes[c].came(f)
 	return &request{id: e.ID, org: o, service: s, class: c, flow: f,
 		deadline: e.Deadline, reserved: e.Tokens, index: -1}
 }
@@ -183,7 +184,7 @@
 	delete(m.organisations, name)
 	for _, s := range m.order {
 		for i := range s.classes {
-			delete(s.classes[i].flows, name)
+			s.classes[i].forget(name)
 		}
 	}
 }
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -226,7 +226,7 @@
 		costs := rapid.SliceOfN(rapid.Float64Range(1, 5), 50, 50).Draw(t, "costs")
 		c := &class{}
 		for i, w := range weights {
-			f := c.flow(fmt.Sprint(i))
+			f := c.flow(flowKey{organisation: fmt.Sprint(i)})
 			f.weight = w
 			for range len(costs) {
 				c.push(&request{flow: f, index: -1}, t0)
@@ -251,7 +251,7 @@
 
 func TestIdleFlowSavesNothingUp(t *testing.T) {
 	c := &class{}
-	busy, idle := c.flow("busy"), c.flow("idle")
+	busy, idle := c.flow(flowKey{organisation: "busy"}), c.flow(flowKey{organisation: "idle"})
 	for range 20 {
 		c.push(&request{flow: busy, index: -1}, t0)
 	}
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -47,8 +47,8 @@
 	return Action{}, true
 }
 
-// admitQueued lets a request into the queue if it can be expected to finish
-// in time.
+// admitQueued lets a request into the queue if it, and every one of its patience, can be
+// expected to finish in time.
 func (m *Machine) admitQueued(now time.Time, r *request) (Action, bool) {
 	s := r.service
 	wait := s.wait(r.class, r.flow, r.flow.length, now)
@@ -58,7 +58,7 @@
 		if left < s.took.mean {
 			return m.refusal(r, outcome.DeadlineExceeded, 0), false
 		}
-		spare := float64(left - s.took.likely())
+		spare := float64(r.flow.patience.least() - s.took.likely())
 		allowed = min(allowed, time.Duration(m.cfg.WaitShare*spare))
 	}
 	if wait > allowed || s.queued >= m.cfg.MaxQueued {
