--- a/internal/gateway/allowance_test.go
+++ b/internal/gateway/allowance_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -18,3 +19,15 @@
 	assert.Equal(t, http.StatusOK, asks("900,10"), "its own prompt would leave 29 ms")
 	assert.Equal(t, http.StatusOK, asks("5000,10"), "its own prompt takes more than the objective")
 }
+
+// TestPromptThatTakesTheObjectiveTeachesNothingOfOthers: its first event is late at an idle server, too.
+func TestPromptThatTakesTheObjectiveTeachesNothingOfOthers(t *testing.T) {
+	e, _ := fullEngine(t)
+	due := func(prompt int) bool {
+		c := &call{g: e.Gateway, view: e.view.Load(), service: "engine", size: size{prompt: prompt}, began: time.Now()}
+		c.route = c.view.Table.Route("h", "/stream/1")
+		return !c.want(firstShare).Due.IsZero()
+	}
+	assert.True(t, due(100))
+	assert.False(t, due(5000))
+}
