--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -33,8 +33,7 @@
 	// memoryShare of the memory that the process may use is the limit above which
 	// garbage is collected at any cost.
 	memoryShare = 0.7
-	// gcPercent trades memory for processor time: with 200 a played day took 28.0 GB x s
-	// and 16.3 s, with 60 18.8 GB x s and 17.1 s (26 processes, one run each).
+	// gcPercent trades processor time for memory, of which VMs have little.
 	gcPercent = 60
 )
 
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -18,9 +18,8 @@
 	// preferred: bytes between zones are paid for.
 	farPenalty = 25 * time.Millisecond
 	// foreignPenalty is by how much a server that another entry owns has to be
-	// better: what that entry has just sent there is not known here yet. With 60 ms,
-	// three requests, 0.92 to 0.94 of the credit was earned in calm seconds of a day of
-	// 15 entries and 72 engines, with 200 ms 0.99 (one played day each).
+	// better: what that entry has just sent there is not known here yet, some ten requests
+	// by their cost of perQueued.
 	foreignPenalty = 200 * time.Millisecond
 	// perFailure is what a share of failures of 1 counts.
 	perFailure = 300 * time.Millisecond
@@ -49,8 +48,8 @@
 	minConns = 4
 	// versionMargin is how long before the bound on old weights entries stop to
 	// send to servers that have not told that they hold the new ones: what is sent
-	// waits on its link and for its turn. On a link of 0.91 Mbit/s that was 0.72 s
-	// before anything was known of the link.
+	// waits on its link and for its turn, for most of a second on a narrow link of which nothing is
+	// known yet.
 	versionMargin = 1 * time.Second
 )
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -141,8 +141,7 @@
 }
 
 // sample is how many servers of n beside the own ones are looked at, if one of them
-// fits. Two of them and six did the same as a quarter of all (0.442, 0.447 and 0.444
-// of worth on one overloaded day of 72 engines, one played day each).
+// fits.
 func (b *Balancer) sample(n int) int {
 	if b.view.EntryCount() <= freeEntries {
 		return n
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -19,9 +19,8 @@
 // predictWait predicts the wait of one more request for a slot, for the prompts that are
 // to be read before its own, and by what came late before. Prompts that others send are
 // not known here before the next report: they are taken to be as many as this entry's and
-// one more each. Without that an engine that had just loaded, empty by its last report, got a dozen
-// prompts at once from several entries, each of which is read for 32 ms: 17 requests in
-// 0.1 s, whose first events came after 0.5 s.
+// one more each. Else an engine that has just loaded, empty by its last report, gets a dozen
+// prompts at once from several entries, which are read one after the other.
 func (s *Server) predictWait(now time.Time, queue, others float64) time.Duration {
 	if s.engine == nil {
 		return 0
--- a/internal/balance/unseen.go
+++ b/internal/balance/unseen.go
@@ -17,11 +17,10 @@
 	// missedStep is how many requests are taken to be unseen in addition when a first event
 	// came after its objective, or a server of another entry refused: an entry that sends
 	// ten a second to others has learned an overload within one. missesAllowed is the part
-	// of first events at which the number stays as it is; one in twenty did no better.
+	// of first events at which the number stays as it is.
 	missedStep    = 0.5
 	missesAllowed = 0.1
-	// mostUnseenPart of a server's slots is the most that is taken to be unseen: with three
-	// quarters a day of lasting overload earned the same.
+	// mostUnseenPart of a server's slots is the most that is taken to be unseen.
 	mostUnseenPart = 0.5
 	// unseenHalfLife is how fast the number fades while nothing is sent to servers of others:
 	// it is their state of some reports ago.
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -14,8 +14,7 @@
 )
 
 // agentConfigInterval is the least time between two configurations sent to an
-// agent. Without it, 24 changes in 8 s took a third of a link of 0.91 Mbit/s
-// (a played day); the bound on versions of weights is 8 s.
+// agent: changes in quick succession would fill a narrow link, on which weights have their time bound, too.
 const agentConfigInterval = 2 * time.Second
 
 // follower is one stream. Its fields are guarded by the hub's lock.
@@ -171,8 +170,7 @@
 	h.holdCommitted(state)
 	lacks := f.number == 0 || !slices.Equal(addrs, f.controlAddrs)
 	if lacks {
-		// They seldom change: in each update they were a tenth of all bytes that followers
-		// were sent (a played day of 58 daemons).
+		// They seldom change, and in each update they would be a tenth of its bytes.
 		u.ControlAddrs, f.controlAddrs = addrs, addrs
 	}
 	if f.role == RoleEntry {
--- a/internal/fleetcontrol/services.go
+++ b/internal/fleetcontrol/services.go
@@ -7,8 +7,8 @@
 	"lynxgate.dev/lynxgate/internal/ledger"
 )
 
-// agentConfigs makes what agents get of a configuration: its services. On a played day of 58
-// daemons whole documents to agents were a fifth of all that control servers sent.
+// agentConfigs makes what agents get of a configuration: its services. Whole documents to all agents
+// would be a fifth of what control servers send.
 type agentConfigs struct {
 	decode func(document []byte) (*fleet.Config, error)
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -13,9 +13,7 @@
 const (
 	// holdLimit is how long a caller's last event may be past before a handover is called
 	// off: events of the first server are held back until the other one writes. Callers
-	// leave after 2 s. With 600 ms a calm day with a roll of weights earned 0.803 of the
-	// credit, with 240 ms 0.777, without handovers 0.770 (mean of one played day on each of
-	// two fleets; 0.03 is noise).
+	// leave after 2 s.
 	holdLimit = 600 * time.Millisecond
 	// maxAsks is how many servers beyond the route's attempts may be asked.
 	maxAsks = 2
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -9,8 +9,7 @@
 const (
 	// moveAfter is how long a server that is to load may go on with its streams
 	// before another one is asked for them: the server is out until the last of them has
-	// ended. With 200 ms engines were out for 0.9 s where streams could go elsewhere, with
-	// 700 ms for 1.2 s and more; 50 ms earned less (0.824 in place of 0.838 on a calm day).
+	// ended, and most that have almost ended by then end by themselves.
 	moveAfter = 200 * time.Millisecond
 	// moveShare of the objective is the longest predicted time until the other
 	// server goes on: a pause must not be noticed.
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -1,10 +1,6 @@
 // Package logsink writes log lines without ever blocking those who log: lines
 // wait in a bounded buffer, one goroutine writes them in batches, and what does
 // not fit or exceeds the rate is dropped, counted and told. State: the buffer.
-//
-// Cost: over a played day of 4,800 requests at four entries with 0.3 of a core each, an
-// entry used 0.0225 and 0.0230 of a core with logs and 0.0227 and 0.0226 without, in two
-// runs each: not to be told apart.
 package logsink
 
 import (
--- a/internal/staging/goal.go
+++ b/internal/staging/goal.go
@@ -11,8 +11,7 @@
 // wanted returns the versions to have at hand, in the order in which to fetch them:
 // the next one to load, then the newest. Pieces are fetched while the engine is still
 // starting, from peers only: whether it holds them already is not known. A VM that is
-// added serves 0.9 s earlier by that (a played day; its engine starts that much later
-// than its agent).
+// added serves earlier by that, since its engine starts later than its agent.
 func (s *Stager) wanted() []goal {
 	next, ok := s.goal()
 	if !ok || !s.reported.Load() && !s.absent.Load() {
@@ -129,8 +128,7 @@
 // is in use before the newer one could be: where it had the time to come to all agents
 // before the newer one was named, or where the newer one can't come since the origin does
 // not answer. Else each engine would load twice, the second time as the bound of the older
-// one passes: with 2 s between two versions, of which a copy takes 1.7 s on the origin's
-// link and 4 s to all, always going for the newer one earned 0.698 in place of 0.655.
+// one passes.
 func olderFirst(c versionChoice) bool {
 	switch {
 	case c.gap >= c.spread:
--- a/internal/staging/limits.go
+++ b/internal/staging/limits.go
@@ -7,13 +7,10 @@
 	// maxDownloads is how many pieces are fetched from peers at once beside an engine
 	// that serves: its requests wait behind them on the link, on which one piece of
 	// 24 KB takes 27 ms at 7.3 Mbit/s. Pieces wait for each other on two links, so that
-	// 3 filled the link to 62%; with 4 a version was complete after 3.98 s in place of
-	// 4.26 s, with 7 after 3.56 s but with less worth (0.821 in place of 0.835, a calm day).
+	// fewer leave much of the link unused; with more, requests are late.
 	maxDownloads = 4
 	// maxDownloadsIdle is the same beside an engine that holds nothing. Peers send one
-	// piece at a time, so that requests queue there: with 3 a link was filled to 60%
-	// only, and 28 VMs that were added had their weights 4.2 s after their agents'
-	// start on average (a played day).
+	// piece at a time, so that requests queue there, and no caller waits on the link.
 	maxDownloadsIdle = 8
 	// maxFromOrigin is how many pieces one agent fetches from the origin at once.
 	maxFromOrigin = 1
--- a/internal/staging/link.go
+++ b/internal/staging/link.go
@@ -30,9 +30,8 @@
 
 // linkState judges the VM's own link by how much longer pieces take than it should
 // need for them. Behind a narrow one pieces are fetched one at a time, since requests
-// wait behind them: four pieces on a link of 0.91 Mbit/s held requests and the ends of
-// connections up for 0.9 s, so that engines went on with work whose callers had left
-// (a played day).
+// wait behind them, and so do the ends of connections: engines would go on with work whose callers
+// have left.
 type linkState struct {
 	// slowness is the moving ratio of the time that pieces took to the time that they
 	// should take.
--- a/internal/staging/schedule.go
+++ b/internal/staging/schedule.go
@@ -30,14 +30,13 @@
 
 const (
 	// windowPart of the connections that the origin takes is how many pieces are asked for
-	// at first. Since later ones come a little faster than the link carries them, 38 of 48
-	// connections are taken at most; with a quarter of them 45, with half 77.
+	// at first: later ones come a little faster than the link carries them, and must find
+	// connections, too.
 	windowPart = 1.0 / 6
 	// leastWindow keeps the link full where the origin takes few connections.
 	leastWindow = 4
 	// scheduleRate is by how much faster pieces are asked for than the link carries them, so
-	// that it is full though some agents are late or dead: with 15 in 100 dead ones a copy
-	// takes 4.35 s of 4.31 s, with a rate of 1.0 it takes 4.84 s.
+	// that it is full though some agents are late or dead.
 	scheduleRate = 1.15
 	// underWayPart of the connections is how many pieces share the link on average.
 	underWayPart = 0.5
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -5,9 +5,7 @@
 // in a burst, while engines load new weights, or after a loss of servers. Without it a
 // request is sent or refused at the moment at which it comes: room that becomes free a
 // moment later goes to whoever comes next, and that is often a caller who comes back late
-// after a refusal. Under a load of 1.3 times what is borne, played in
-// TestUnderOverloadRoomGoesToCallersThatAreStillInTime, 0.66 to 0.69 of the callers are
-// in time with it and 0.51 to 0.55 without, while as many are served (five seeds).
+// after a refusal. TestUnderOverloadRoomGoesToCallersThatAreStillInTime compares both.
 //
 // State: the requests that wait. Messages: none; time is an argument, and a Queue belongs
 // to its caller.
