--- a/internal/rpcconn/rpcconn.go
+++ b/internal/rpcconn/rpcconn.go
@@ -44,8 +44,8 @@
 
 // RedialTimeout returns how long the next try to reach a peer may take after so many
 // that failed in a row: 250 ms, doubled up to 1 s. A peer that has no power yet answers
-// nothing, and TCP repeats a lost opening packet after 1 s only: after a loss of all
-// power, daemons that waited 0.8 s were back 0.6 s later than needed (a played day).
+// nothing, and TCP repeats a lost opening packet after 1 s only, so that a longer first try
+// finds a peer that is back too late.
 // Links on which packets queue for longer than the first try get the longer ones.
 func RedialTimeout(failed int) time.Duration {
 	if failed > 2 {
--- a/internal/staging/fetched.go
+++ b/internal/staging/fetched.go
@@ -124,8 +124,8 @@
 func (s *Stager) noteOriginHeard(now time.Time) { s.originSentAt.Store(int64(now.Sub(s.start))) }
 
 // originFails tells whether the origin failed lately and has not answered anybody since, as
-// far as is known here. Judged by an agent's own fetches alone, agents differed for 2 s: on
-// a played day the swarm went for two versions at once after the origin's return.
+// far as is known here. Judged by an agent's own fetches alone, agents would differ, and the swarm
+// go for two versions at once after the origin's return.
 func (s *Stager) originFails(now time.Time) bool {
 	failed := s.originFailedAt.Load()
 	return failed > s.originSentAt.Load() && now.Sub(s.start)-time.Duration(failed) < originDownFor
--- a/internal/staging/limits.go
+++ b/internal/staging/limits.go
@@ -87,9 +87,8 @@
 const (
 	// badPause is for how long a peer that failed or was busy is not asked.
 	badPause = 250 * time.Millisecond
-	// originPause is for how long the origin is not asked after a try failed. One
-	// that refuses connections was dialled 28,580 times in 6 s by twelve agents
-	// without it (a played day, counted in their logs).
+	// originPause is for how long the origin is not asked after a try failed: one
+	// that refuses connections does so at once, and would be dialled without an end.
 	originPause = 300 * time.Millisecond
 	// refusedPause is for how long an agent that refused a connection, as one whose VM
 	// is gone does, takes no turns and is not asked; one that was killed is back within
--- a/internal/staging/verified.go
+++ b/internal/staging/verified.go
@@ -6,8 +6,8 @@
 )
 
 // reliedOn is for how long a verification of what lies at the engine takes the place of
-// another one, from its begin: the order to load comes within verifiedFor of it then. To read 96
-// pieces took 0.2 s after the loss of all power (one agent's lines of a played day).
+// another one, from its begin: the order to load comes within verifiedFor of it then, and needn't wait
+// until all is read once more.
 const reliedOn = 1 * time.Second
 
 // verification is when what lies at the engine was last seen to be one version, whole.
