Load tests of the balancer share one engine

The play with prompts of all sizes wrote the engine's slots and reading again; both use one now. Checks and bounds as they were; go test of the package passes.

--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -36,6 +36,15 @@
 
 func (g loadGot) share(n int) float64 { return float64(n) / float64(g.inTime+g.late+g.refused) }
 
+// note counts a request whose first event has come.
+func (g *loadGot) note(inTime bool) {
+	if inTime {
+		g.inTime++
+	} else {
+		g.late++
+	}
+}
+
 func (g *loadGot) add(other loadGot) {
 	g.inTime += other.inTime
 	g.late += other.late
@@ -207,21 +216,21 @@
 
 func (p *loadPlay) send(b *Balancer, c *Choice, asked time.Time) {
 	e := p.engines[c.Server.Addr]
+	p.take(e, loadRead, func() {
+		p.got.note(p.now.Sub(asked) <= loadObjective)
+		p.write(e, b, c)
+	})
+}
+
+// take puts a request into a slot of an engine, once one is free, and tells of its first event.
+func (p *loadPlay) take(e *loadEngine, read time.Duration, first func()) {
 	run := func() {
 		e.running++
 		if e.readBy.Before(p.now) {
 			e.readBy = p.now
 		}
-		e.readBy = e.readBy.Add(loadRead)
-		p.after(e.readBy.Sub(p.now)+loadPass, func() {
-			if p.now.Sub(asked) <= loadObjective {
-				p.got.inTime++
-			} else {
-				p.got.late++
-			}
-			b.Began(c, p.now)
-			p.after(time.Duration((0.5+p.draw.Float64())*float64(loadTakes-loadRead-loadPass)), func() { p.end(e, b, c) })
-		})
+		e.readBy = e.readBy.Add(read)
+		p.after(e.readBy.Sub(p.now)+loadPass, first)
 	}
 	if e.running < loadSlots {
 		run()
@@ -230,6 +239,12 @@
 	e.waiting = append(e.waiting, run)
 }
 
+// write writes the events of a request, the first one now.
+func (p *loadPlay) write(e *loadEngine, b *Balancer, c *Choice) {
+	b.Began(c, p.now)
+	p.after(time.Duration((0.5+p.draw.Float64())*float64(loadTakes-loadRead-loadPass)), func() { p.end(e, b, c) })
+}
+
 func (p *loadPlay) end(e *loadEngine, b *Balancer, c *Choice) {
 	e.running--
 	b.Done(c, p.now, EndedWell)
--- a/internal/balance/sizes_load_test.go
+++ b/internal/balance/sizes_load_test.go
@@ -229,28 +229,11 @@
 
 func (p *sizedPlay) send(entry int, c *Choice, r *sizedRequest) {
 	p.allow[entry].ended(r, true)
-	e, b := p.engines[c.Server.Addr], p.entries[entry]
-	run := func() {
-		e.running++
-		if e.readBy.Before(p.now) {
-			e.readBy = p.now
-		}
-		e.readBy = e.readBy.Add(r.read)
-		p.after(e.readBy.Sub(p.now)+loadPass, func() {
-			if p.now.Sub(r.asked) <= r.objective() {
-				p.gotOf(r).inTime++
-			} else {
-				p.gotOf(r).late++
-			}
-			b.Began(c, p.now)
-			p.after(time.Duration((0.5+p.draw.Float64())*float64(loadTakes-loadRead-loadPass)), func() { p.end(e, b, c) })
-		})
-	}
-	if e.running < loadSlots {
-		run()
-		return
-	}
-	e.waiting = append(e.waiting, run)
+	e := p.engines[c.Server.Addr]
+	p.take(e, r.read, func() {
+		p.gotOf(r).note(p.now.Sub(r.asked) <= r.objective())
+		p.write(e, p.entries[entry], c)
+	})
 }
 
 // sum adds up what kinds and bands got; -1 stands for all.
