lynxctl explain tells what waits were predicted and allowed for a request that found no room

An on-call engineer saw that all servers were full, and not whether it was the request's size or the load.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -172,6 +172,15 @@
 	return fmt.Sprintf(" (ended under the same work %v: %v)", l.Fields["content"], servers)
 }
 
+// room tells of a request to an engine that found none how long it might have waited there, and would have.
+func (l Line) room() string {
+	if _, told := l.Fields["soonest_ms"]; !told {
+		return ""
+	}
+	return fmt.Sprintf(" (prompt of %.0f tokens, waited %.0f ms for room; least wait predicted at a server %.0f ms, longest allowed %.0f ms)",
+		l.number("prompt"), l.number("waited_ms"), l.number("soonest_ms"), l.number("allowed_ms"))
+}
+
 // cause puts the end of a request and the line that decided into words.
 func cause(end, deciding Line) string {
 	status, reason := int(end.number("status")), end.text("reason")
@@ -182,7 +191,7 @@
 		return fmt.Sprintf("late at %s: first event after %.0f ms (predicted wait %.0f ms, queue %.0f, told %.0f ms before), longest pause %.0f ms",
 			end.text("server"), end.number("first_ms"), end.number("wait_ms"), end.number("queue"), end.number("load_age_ms"), end.number("gap_ms"))
 	case end.number("sends") == 0 && deciding.Message == ended:
-		return fmt.Sprintf("refused with %d before any send: %s", status, reason) + end.servers() + end.endedServers()
+		return fmt.Sprintf("refused with %d before any send: %s", status, reason) + end.servers() + end.room() + end.endedServers()
 	case deciding.Message != ended:
 		return fmt.Sprintf("ended with %d (%s) after %q at %s", status, reason, strings.TrimSpace(deciding.Message+" "+deciding.text("cause")), deciding.text("server")) + end.endedServers()
 	}
