--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -114,16 +114,6 @@
 	return want
 }
 
-// unnoticed is the longest wait at another server whose caller notices nothing. It counts the request's own
-// prompt, unlike what decides who gets room: the request has its place, and keeps it if no other fits.
-func (c *call) unnoticed(read time.Duration) time.Duration {
-	e := c.engine()
-	if e == nil {
-		return 0
-	}
-	return max(time.Duration(moveShare*float64(c.route.Objective))-read-e.Pass(), leastBudget)
-}
-
 // takeEvents passes events of a stream's server on, or holds them back while another
 // server is asked to go on.
 func (c *call) takeEvents(a *dispatch.Answer, events []byte) error {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -67,32 +67,6 @@
 	maps.DeleteFunc(q.allowances, func(service string, _ *waiting.Allowance) bool { return t.Service(service) == nil })
 }
 
-// asked notes a request with this objective to an engine that reads its prompt for this long, and
-// the usual one for usualRead.
-func (q *roomQueues) asked(service string, objective, read, usualRead time.Duration, cameBack bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	a := q.allowances[service]
-	if a == nil {
-		a = waiting.NewAllowance(objective, usualRead)
-		q.allowances[service] = a
-	}
-	if !cameBack {
-		a.Asked(objective, read)
-	}
-}
-
-// allowance is the longest predicted wait with which requests to a service are sent now.
-func (q *roomQueues) allowance(service string, share float64, pass time.Duration) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	a := q.allowances[service]
-	if a == nil {
-		return leastBudget
-	}
-	return a.Longest(share, pass, leastBudget)
-}
-
 // refused notes that a caller was told to come back.
 func (q *roomQueues) refused(now time.Time, after time.Duration) {
 	q.mu.Lock()
@@ -189,16 +163,6 @@
 	}
 }
 
-// noteAsked notes a request to an engine. One without an objective tells nothing of the waits that
-// callers bear.
-func (c *call) noteAsked() {
-	e := c.engine()
-	if e == nil || c.route.Objective <= 0 {
-		return
-	}
-	c.g.rooms.asked(c.service, c.route.Objective, e.ReadTime(c.promptTokens(e)), e.ReadTime(e.UsualPrompt), c.cameBack)
-}
-
 // waitForRoom makes a request that has not been sent wait in the queue of its service,
 // where servers fit but are full, or refused a moment ago; false if room will not come in
 // time, or has not.
--- a/internal/gateway/size.go
+++ b/internal/gateway/size.go
@@ -58,13 +58,13 @@
 // countSize counts what a request to an engine got, by its prompt.
 func (c *call) countSize() {
 	if e := c.engine(); e != nil {
-		c.g.cfg.Metrics.sizes.WithLabelValues(c.service, promptBand(c.promptTokens(e), e), c.gotten()).Inc()
+		c.g.cfg.Metrics.sizes.WithLabelValues(c.service, promptBand(c.promptTokens(e), e), c.received()).Inc()
 	}
 }
 
-// gotten tells what a caller got: an answer whose first event was in time or late, a refusal, a
+// received tells what the caller got: an answer whose first event was in time or late, a refusal, a
 // failure, or nothing since it left.
-func (c *call) gotten() string {
+func (c *call) received() string {
 	switch {
 	case c.status == statusClientGone:
 		return "left"
