--- a/internal/admission/patience.go
+++ b/internal/admission/patience.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// patience is a band of the time that callers have left when they ask. Each band has a flow of its
-// own, and all of a band may wait for the same time. In one queue, with each one's own deadline to decide who may join, the
-// queue would stand as long as those with most time may wait while more is asked than the slots
-// bear, and the others would never fit.
+// patience is a band of the time that callers have left when they ask. Each band has a flow of
+// its own, and all of a band may wait for the same time. In one queue, with each one's own
+// deadline to decide who may join, the queue would stand as long as those with most time may
+// wait while more is asked than the slots bear, and the others would never fit.
 type patience int
 
 const (
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -16,8 +16,8 @@
 	c.g.rooms.asked(c.service, c.route.Objective, e.ReadTime(c.promptTokens(e)), e.ReadTime(e.UsualPrompt), c.cameBack)
 }
 
-// asked notes a request with this objective to an engine that reads its prompt for this long, and
-// the usual one for usualRead.
+// asked notes a request with this objective to an engine that reads its prompt for read, and a
+// usual one for usualRead.
 func (q *roomQueues) asked(service string, objective, read, usualRead time.Duration, cameBack bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -42,8 +42,9 @@
 	return a.Longest(share, pass, leastBudget)
 }
 
-// unnoticed is the longest wait at another server whose caller notices nothing. It counts the request's own
-// prompt, unlike what decides who gets room: the request has its place, and keeps it if no other fits.
+// unnoticed is the longest wait at another server whose caller notices nothing. It counts the
+// request's own prompt, unlike what decides who gets room: the request has its place, and keeps
+// it if no other fits.
 func (c *call) unnoticed(read time.Duration) time.Duration {
 	e := c.engine()
 	if e == nil {
