Sight: limits that backend servers name, in lines and metrics

Nothing that an entry wrote told whether it knew of a server's limit. It reads the field now, keeps what was named last (answers overtake each other, so that a limit is lifted only by the answer to a request that was sent after it was last named), writes a line for each change, and counts sends to servers that it knows to be limited. Nothing is decided by it yet.

--- /dev/null
+++ b/internal/backpressure/limit.go
@@ -0,0 +1,69 @@
+// Package backpressure keeps what backend servers ask of their callers in the heads of
+// their answers: a limit of requests a second over all entries.
+//
+// State: one record by start of a backend server. Messages: none; time is an argument.
+package backpressure
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Statement is what the head of one answer says of a limit.
+type Statement struct {
+	// Named: the answer names a limit; Rate is in requests a second, of all entries.
+	Named bool
+	Rate  float64
+	// Unreadable: there is a field, and no limit in it. It neither names nor lifts one.
+	Unreadable bool
+}
+
+// ReadLimit reads the values of an answer's field: finite decimal numbers, 0 or more. Of
+// several limits the lowest counts.
+func ReadLimit(values []string) Statement {
+	var s Statement
+	for _, value := range values {
+		rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+			s.Unreadable = !s.Named
+			continue
+		}
+		if !s.Named || rate < s.Rate {
+			s = Statement{Named: true, Rate: rate}
+		}
+	}
+	return s
+}
+
+// Limit is what is known of the limit of one start of a backend server.
+type Limit struct {
+	// InForce: the server has named a limit and not lifted it; Rate is in requests a second.
+	InForce bool
+	Rate    float64
+	// HeardAt is when it was last named.
+	HeardAt time.Time
+}
+
+// Hear takes a statement from the answer to a request that was sent at sentAt, and tells
+// whether it changes anything. Answers overtake each other: a limit is lifted, or raised, only
+// by the answer to a request that was sent after it was last named.
+func (l *Limit) Hear(now, sentAt time.Time, s Statement) bool {
+	overtaken := l.InForce && !sentAt.After(l.HeardAt)
+	switch {
+	case s.Unreadable:
+		return false
+	case !s.Named && (!l.InForce || overtaken):
+		return false
+	case !s.Named:
+		*l = Limit{}
+		return true
+	}
+	before := *l
+	l.HeardAt = now
+	if !before.InForce || !overtaken || s.Rate < before.Rate {
+		l.InForce, l.Rate = true, s.Rate
+	}
+	return !before.InForce || before.Rate != l.Rate
+}
--- /dev/null
+++ b/internal/backpressure/limit_test.go
@@ -0,0 +1,51 @@
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func TestLimitIsRead(t *testing.T) {
+	named := func(rate float64) Statement { return Statement{Named: true, Rate: rate} }
+	for _, c := range []struct {
+		values []string
+		want   Statement
+	}{
+		{nil, Statement{}},
+		{[]string{"2.3"}, named(2.3)},
+		{[]string{" 0 "}, named(0)},
+		{[]string{"0.1"}, named(0.1)},
+		{[]string{"1e9"}, named(1e9)},
+		{[]string{"4", "2"}, named(2)},
+		{[]string{"4", "x"}, named(4)},
+		{[]string{"x", "4"}, named(4)},
+		{[]string{""}, Statement{Unreadable: true}},
+		{[]string{"NaN"}, Statement{Unreadable: true}},
+		{[]string{"Inf"}, Statement{Unreadable: true}},
+		{[]string{"-1"}, Statement{Unreadable: true}},
+		{[]string{"2,3"}, Statement{Unreadable: true}},
+	} {
+		assert.Equal(t, c.want, ReadLimit(c.values), "%q", c.values)
+	}
+}
+
+func TestLateAnswerWithoutALimitLiftsNone(t *testing.T) {
+	var l Limit
+	assert.True(t, l.Hear(at(2), at(1), Statement{Named: true, Rate: 2}))
+	assert.False(t, l.Hear(at(3), at(1.5), Statement{}), "it was sent before the limit was known")
+	assert.False(t, l.Hear(at(3), at(1.5), Statement{Named: true, Rate: 9}))
+	assert.Equal(t, 2.0, l.Rate)
+	assert.True(t, l.Hear(at(3), at(1.5), Statement{Named: true, Rate: 1}), "less counts at once")
+	assert.False(t, l.Hear(at(5), at(4), Statement{Unreadable: true}))
+	assert.True(t, l.Hear(at(5), at(4), Statement{Named: true, Rate: 9}))
+	assert.True(t, l.Hear(at(7), at(6), Statement{}))
+	assert.False(t, l.InForce)
+}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/backpressure"
 	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
@@ -50,6 +51,8 @@
 	// busyUntil is until when a server that refused for want of room is spared.
 	busyUntil time.Time
 	agent     agentReport
+	// limit is what the server has named in its answers.
+	limit backpressure.Limit
 }
 
 func newServer(record *fleet.BackendServer) *Server {
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -28,9 +28,7 @@
 		c.askFailed(w, h, balance.EndedFailed, err)
 		return
 	}
-	now := clock.Now()
-	c.g.balancer.Heard(h.choice.Server, now)
-	c.noteLoad(h.choice.Server, answer.Header, now)
+	c.noteHead(&h.choice, answer)
 	read, ending, err := c.firstPart(h, answer)
 	if err != nil {
 		answer.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,9 @@
 	// and waiting requests and its slots, separated by commas.
 	ServerID string
 	Load     string
+	// Limit is how many requests a second, of all entries together, the backend server
+	// that answers takes.
+	Limit string
 	// Model and its version that wrote the answer.
 	Model   string
 	Version string
@@ -187,6 +190,10 @@
 	for service, unseen := range g.balancer.Unseen(now) {
 		m.unseen.WithLabelValues(service).Set(unseen)
 	}
+	m.limited.Reset()
+	for service, limited := range g.balancer.Limited() {
+		m.limited.WithLabelValues(service).Set(float64(limited))
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for service, b := range g.budgets {
--- /dev/null
+++ b/internal/gateway/head.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/backpressure"
+	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/dispatch"
+)
+
+// noteHead takes what the head of an answer tells of its server.
+func (c *call) noteHead(choice *balance.Choice, a *dispatch.Answer) {
+	now := clock.Now()
+	c.g.balancer.Heard(choice.Server, now)
+	c.noteLoad(choice.Server, a.Header, now)
+	c.noteLimit(choice, a, now)
+}
+
+// noteLoad takes the load that an answer's head tells: running, waiting, slots.
+func (c *call) noteLoad(s *balance.Server, h http.Header, now time.Time) {
+	running, rest, ok := strings.Cut(h.Get(c.g.cfg.Headers.Load), ",")
+	if !ok {
+		return
+	}
+	waiting, _, _ := strings.Cut(rest, ",")
+	r, errRunning := strconv.Atoi(strings.TrimSpace(running))
+	q, errWaiting := strconv.Atoi(strings.TrimSpace(waiting))
+	if errRunning != nil || errWaiting != nil {
+		return // a report that can't be read tells nothing
+	}
+	c.g.balancer.Told(s, now, r, q)
+}
+
+// noteLimit takes the limit that an answer's head names. Only an answer that the server has
+// worked on lifts one by naming none.
+func (c *call) noteLimit(choice *balance.Choice, a *dispatch.Answer, now time.Time) {
+	stated := backpressure.ReadLimit(a.Header.Values(c.g.cfg.Headers.Limit))
+	if !stated.Named && (c.isNotRun(a) || !c.signed(a)) {
+		return
+	}
+	c.g.balancer.Stated(choice, now, stated)
+}
+
+// countLimited counts a send to a server that is known to be limited.
+func (c *call) countLimited(choice *balance.Choice) {
+	if choice.Limited {
+		c.g.cfg.Metrics.limitedSends.WithLabelValues(c.service).Inc()
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -33,9 +32,7 @@
 	}
 	defer answer.Close()
 	c.noteSent()
-	now := clock.Now()
-	c.g.balancer.Heard(s, now)
-	c.noteLoad(s, answer.Header, now)
+	c.noteHead(&c.choice, answer)
 	return c.answered(watch, answer)
 }
 
@@ -256,18 +253,3 @@
 	a.ReadBy(by)
 	return io.ReadAll(io.LimitReader(a, maxAnswer))
 }
-
-// noteLoad takes the load that an answer's head tells: running, waiting, slots.
-func (c *call) noteLoad(s *balance.Server, h http.Header, now time.Time) {
-	running, rest, ok := strings.Cut(h.Get(c.g.cfg.Headers.Load), ",")
-	if !ok {
-		return
-	}
-	waiting, _, _ := strings.Cut(rest, ",")
-	r, errRunning := strconv.Atoi(strings.TrimSpace(running))
-	q, errWaiting := strconv.Atoi(strings.TrimSpace(waiting))
-	if errRunning != nil || errWaiting != nil {
-		return // a report that can't be read tells nothing
-	}
-	c.g.balancer.Told(s, now, r, q)
-}
