Agents keep to the limit that their backend server names

All requests to a backend server come through one agent, so that it holds the whole limit: what is over it is not run, with the time until the next one, and the entry goes elsewhere. The stand-ins of engine and plain service can name a limit.

TestAgentSendsNoMoreThanTheBackendServerTakes: without the check of the limit all six requests reach the server, with it one does.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,6 +94,7 @@
 	engine      *engine.Client
 	backend     *backend
 	gate        *gate
+	limiter     *limiter
 	watchers    *watchers
 	metrics     *metrics
 	log         zerolog.Logger
@@ -139,6 +140,7 @@
 		Seed:       a.incarnation,
 	})
 	a.gate = newGate(a.watchers.wake)
+	a.limiter = &limiter{log: cfg.Logger}
 	a.metrics = newMetrics(cfg.Registerer, a)
 	a.replicas.Store(&[]*rpc.ReplicaReport{})
 	a.report.Store(&report{load: loadUnknown})
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -43,6 +43,9 @@
 		return a.notRun(w, reason, 0)
 	}
 	defer a.gate.leave()
+	if wait, ok := a.limiter.admit(time.Now()); !ok {
+		return a.notRun(w, outcome.Overloaded, wait)
+	}
 	a.spendLive(0, len(in.Body))
 	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(in.DeadlineMs)*time.Millisecond)
 	defer cancel()
@@ -86,6 +89,7 @@
 		return a.unknown(w, unknownReason(ctx))
 	}
 	defer resp.Body.Close()
+	a.limiter.hear(time.Now(), started, resp)
 	if a.refusedByEngine(resp) {
 		return a.notRun(w, outcome.BackendRefused, retryAfter(resp.Header))
 	}
--- /dev/null
+++ b/internal/agent/limiter_test.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/inventory"
+	"lynxgate.dev/lynxgate/internal/outcome"
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/standin/plain"
+)
+
+func TestAgentSendsNoMoreThanTheBackendServerTakes(t *testing.T) {
+	service := plain.New(plain.Config{Faults: plain.Faults{Limit: "0.5"}})
+	server := httptest.NewServer(service)
+	t.Cleanup(server.Close)
+	b := newBed(t, inventory.KindPlain, strings.TrimPrefix(server.URL, "http://"))
+	b.agent.gate.serve(v1)
+	require.Equal(t, rpc.FrameKind_FRAME_END, last(b.run(request(v1))).Kind)
+	for range 5 {
+		got := last(b.run(request(v1)))
+		require.Equal(t, rpc.FrameKind_FRAME_NOT_RUN, got.Kind)
+		require.Equal(t, string(outcome.Overloaded), got.Reason)
+		assert.InDelta(t, 2000, got.RetryAfterMs, 500)
+	}
+	assert.EqualValues(t, 1, service.Runs().Total)
+}
+
+func TestRefusalLiftsNoLimit(t *testing.T) {
+	var l limiter
+	now := time.Unix(1000, 0)
+	answer := func(status int, limit ...string) *http.Response {
+		return &http.Response{StatusCode: status, Header: http.Header{headerLimit: limit}}
+	}
+	l.hear(now, now.Add(-time.Second), answer(http.StatusOK, "1"))
+	l.hear(now.Add(2*time.Second), now.Add(time.Second), answer(http.StatusServiceUnavailable))
+	assert.True(t, l.limit.InForce)
+	l.hear(now.Add(2*time.Second), now.Add(time.Second), answer(http.StatusOK))
+	assert.False(t, l.limit.InForce)
+}
--- a/internal/backpressure/part.go
+++ b/internal/backpressure/part.go
@@ -39,6 +39,9 @@
 	Probe time.Duration
 }
 
+// WholeOf returns the part of one that holds all of a limit in requests a second.
+func WholeOf(rate float64) Part { return Part{Rate: max(rate, leastRate)} }
+
 // PartOf returns the part that the entry self holds of a limit in requests a second. Entries in
 // the server's zone come first. entries must name self, and each entry once.
 func PartOf(rate float64, addr, zone, self string, entries []Entry) Part {
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"lynxgate.dev/lynxgate/internal/standin/faults"
 	"lynxgate.dev/lynxgate/internal/standin/tokens"
 )
 
@@ -107,6 +108,7 @@
 		return
 	}
 	a.req, a.dies = req, e.faults.Get().DieAfterTokens
+	faults.NameLimit(w.Header(), e.faults.Get().Limit)
 	if !e.enter(w, a) {
 		return
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -67,6 +67,9 @@
 	DieAfterTokens int `json:"die_after_tokens,omitempty"`
 	// Slow multiplies the duration of a step when it is above 1.
 	Slow float64 `json:"slow,omitempty"`
+	// Limit is named in all answers to completion requests as the requests a second that
+	// it takes.
+	Limit string `json:"limit,omitempty"`
 	// Refuse answers 503 to completion requests.
 	Refuse bool `json:"refuse,omitempty"`
 	// HangLoad keeps load orders from ending until it is cleared.
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -78,3 +78,10 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(b.Get())
 }
+
+// NameLimit names the requests a second that a fake takes, if it is to.
+func NameLimit(h http.Header, limit string) {
+	if limit != "" {
+		h.Set("Server-Limit", limit)
+	}
+}
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -41,6 +41,8 @@
 	Refuse bool `json:"refuse,omitempty"`
 	// Slow multiplies the latency when it is above 1.
 	Slow float64 `json:"slow,omitempty"`
+	// Limit is named in all answers as the requests a second that it takes.
+	Limit string `json:"limit,omitempty"`
 }
 
 // Answer is the body of every answer.
@@ -109,6 +111,7 @@
 // when the caller leaves.
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	f := s.faults.Get()
+	faults.NameLimit(w.Header(), f.Limit)
 	if f.Refuse {
 		http.Error(w, "refused by fault setting", http.StatusServiceUnavailable)
 		return
