Entries tell each other of limits that backend servers name and lift

The same cause elsewhere: an entry that seldom or never asks a server knew neither that it had named a limit nor that it had lifted it. Each entry of a large fleet first asked a server in need once; an entry without a part of the limit would go on to spare a server that had recovered for a minute or more.

Change: what a start of a server has said goes over the control servers to all entries, as facts about held work do: only when it changes, at most twice a second for a server, told again to a control server that has started again. Of two statements the later one counts, and one that says nothing new is not passed on. The server's answer to a request sent after it was last heard still decides.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -42,7 +42,7 @@
 	// InForce: the server has named a limit and not lifted it; Rate is in requests a second.
 	InForce bool
 	Rate    float64
-	// HeardAt is when it was last named.
+	// HeardAt is when it was last named or lifted.
 	HeardAt time.Time
 }
 
@@ -57,7 +57,7 @@
 	case !s.Named && (!l.InForce || overtaken):
 		return false
 	case !s.Named:
-		*l = Limit{}
+		*l = Limit{HeardAt: now}
 		return true
 	}
 	before := *l
--- a/internal/backpressure/limit_test.go
+++ b/internal/backpressure/limit_test.go
@@ -49,3 +49,29 @@
 	assert.True(t, l.Hear(at(7), at(6), Statement{}))
 	assert.False(t, l.InForce)
 }
+
+func TestNewsIsPassedOnOnce(t *testing.T) {
+	table := NewTable()
+	named := News{Start: "s", Limited: true, Rate: 2, At: at(1)}
+	assert.True(t, table.Merge(named))
+	again := named
+	again.At = at(1.1)
+	assert.False(t, table.Merge(again), "back from another control server")
+	lifted := News{Start: "s", At: at(2)}
+	assert.True(t, table.Merge(lifted))
+	assert.False(t, table.Merge(again), "it is older")
+	assert.Equal(t, []News{lifted}, table.All())
+	table.Forget(at(2).Add(2 * newsRetention))
+	assert.Empty(t, table.All())
+}
+
+func TestLaterWordOfOtherEntriesCounts(t *testing.T) {
+	var l Limit
+	assert.True(t, l.Learn(News{Limited: true, Rate: 2, At: at(1)}))
+	assert.False(t, l.Learn(News{Limited: true, Rate: 2, At: at(2)}))
+	assert.False(t, l.Learn(News{At: at(1.5)}))
+	assert.True(t, l.InForce)
+	assert.True(t, l.Learn(News{At: at(3)}))
+	assert.False(t, l.Hear(at(4), at(2.5), Statement{}))
+	assert.False(t, l.InForce)
+}
--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -12,52 +12,122 @@
 // server lists it: one that is listed again is the same start.
 const statedRetention = 10 * time.Minute
 
+// tellInterval is the least time between two pieces of news of one server.
+const tellInterval = 500 * time.Millisecond
+
 // stated is what one start of a backend server says of itself in its answers, and what this
 // entry has sent there.
 type stated struct {
-	limit backpressure.Limit
-	pacer backpressure.Pacer
+	// id of the server, empty while only others have told of it, and start of it.
+	id, start string
+	limit     backpressure.Limit
+	pacer     backpressure.Pacer
 	// part of the limit that this entry holds, of this rate and these entries.
 	part     backpressure.Part
 	partRate float64
 	partOf   int
 	// listedAt is when the start was listed last.
 	listedAt time.Time
+	// untold: other entries are to be told of a change; toldAt is when they were told last.
+	untold bool
+	toldAt time.Time
 }
 
-// statedBy returns what a listed start has said.
-func (b *Balancer) statedBy(record *fleet.BackendServer) *stated {
-	said := b.stated[record.Start()]
+// statedBy returns what a start has said that was heard of at this time.
+func (b *Balancer) statedBy(start string, at time.Time) *stated {
+	said := b.stated[start]
 	if said == nil {
-		said = &stated{listedAt: record.SeenAt}
-		b.stated[record.Start()] = said
+		said = &stated{start: start, listedAt: at}
+		b.stated[start] = said
 	}
 	return said
 }
 
+// OnStated sets what is called with news of what servers have said, for other entries; nil if
+// nobody is told. Call it before any other goroutine uses the balancer.
+func (b *Balancer) OnStated(tell func([]backpressure.News)) {
+	if tell != nil {
+		b.tellStated = tell
+	}
+}
+
 // Stated takes what the head of an answer to a chosen send says of the server's limit.
 func (b *Balancer) Stated(c *Choice, now time.Time, told backpressure.Statement) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	s := c.Server
 	before := s.stated.limit
 	if !s.stated.limit.Hear(now, c.pickedAt, told) {
+		b.mu.Unlock()
 		return
 	}
-	limit := s.stated.limit
+	b.limitChanged(now, s.stated, before, "answer")
+	s.stated.untold = true
+	news := b.untold(now)
+	b.mu.Unlock()
+	if len(news) > 0 {
+		b.tellStated(news)
+	}
+}
+
+// Learn takes what other entries have heard from servers.
+func (b *Balancer) Learn(now time.Time, news []backpressure.News) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range news {
+		said := b.statedBy(n.Start, n.At)
+		before := said.limit
+		if said.limit.Learn(n) {
+			said.untold = false
+			b.limitChanged(now, said, before, "entry")
+		}
+	}
+}
+
+// limitChanged takes a changed limit into force; the source of it is an answer or another entry.
+func (b *Balancer) limitChanged(now time.Time, said *stated, before backpressure.Limit, source string) {
+	limit := said.limit
 	if limit.InForce && !before.InForce {
-		s.stated.pacer.Begin(now)
+		said.pacer.Begin(now)
 	}
-	event := b.cfg.Logger.Info().Str("server", s.ID).Str("addr", s.Addr).Bool("limited", limit.InForce).Float64("rate", limit.Rate).
-		Bool("was_limited", before.InForce).Float64("rate_before", before.Rate).Int("own_requests", s.inFlight)
-	if limit.InForce {
+	event := b.cfg.Logger.Info().Str("server", said.id).Str("start", said.start).Str("source", source).Dur("age_ms", now.Sub(limit.HeardAt)).
+		Bool("limited", limit.InForce).Float64("rate", limit.Rate).Bool("was_limited", before.InForce).Float64("rate_before", before.Rate)
+	if s := b.servers[said.id]; s != nil && s.stated == said && limit.InForce {
 		b.peers.note(now, b.self(), b.view.Entries)
 		part := b.partOf(s)
-		event.Int("entries", len(b.peers.entries)).Float64("own_rate", part.Rate).Dur("probe_ms", part.Probe)
+		event.Int("own_requests", s.inFlight).Int("entries", len(b.peers.entries)).Float64("own_rate", part.Rate).Dur("probe_ms", part.Probe)
 	}
 	event.Msg("backend server's limit changed")
 }
 
+// untold returns what is to be told to other entries now. A server that changes its word all the time is
+// told of once in tellInterval.
+func (b *Balancer) untold(now time.Time) (news []backpressure.News) {
+	for _, said := range b.stated {
+		if said.untold && now.Sub(said.toldAt) >= tellInterval {
+			said.untold, said.toldAt = false, now
+			news = append(news, said.news())
+		}
+	}
+	return news
+}
+
+// Statements returns all that servers have said that were heard lately, for control servers that
+// may have forgotten it.
+func (b *Balancer) Statements() (news []backpressure.News) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, said := range b.stated {
+		if !said.limit.HeardAt.IsZero() {
+			news = append(news, said.news())
+		}
+	}
+	return news
+}
+
+func (s *stated) news() backpressure.News {
+	return backpressure.News{Start: s.start, Limited: s.limit.InForce, Rate: s.limit.Rate, At: s.limit.HeardAt}
+}
+
 func (b *Balancer) self() backpressure.Entry {
 	return backpressure.Entry{Name: b.cfg.Name, Zone: b.cfg.Zone}
 }
@@ -81,8 +151,9 @@
 	return s.stated.pacer.Opens(now, b.partOf(s))
 }
 
-// refreshStated takes the entries that are known now, and forgets starts that are gone.
-func (b *Balancer) refreshStated(now time.Time) {
+// refreshStated takes the entries that are known now, forgets starts that are gone, and returns
+// what is to be told.
+func (b *Balancer) refreshStated(now time.Time) []backpressure.News {
 	b.peers.note(now, b.self(), b.view.Entries)
 	for _, s := range b.servers {
 		if s.record.State != fleet.StateGone {
@@ -90,6 +161,7 @@
 		}
 	}
 	maps.DeleteFunc(b.stated, func(_ string, said *stated) bool { return now.Sub(said.listedAt) > statedRetention })
+	return b.untold(now)
 }
 
 // Limited returns, by service, how many servers have a limit in force.
--- a/internal/balance/backpressure_test.go
+++ b/internal/balance/backpressure_test.go
@@ -60,3 +60,32 @@
 	assert.Equal(t, 0.5, part(start.Add(time.Second)))
 	require.Equal(t, 1.0, part(start.Add(time.Minute)))
 }
+
+func TestOtherEntriesAreToldOfALimitAndOfItsEnd(t *testing.T) {
+	b, other := balancer(view(record("1", "here", 1))), named("other", view(record("1", "here", 1)))
+	b.OnStated(func(news []backpressure.News) { other.Learn(start, news) })
+	b.Stated(pick(t, b, start, want()), start, oneASecond)
+	none, room := other.Pick(start, want())
+	assert.Nil(t, none.Server)
+	assert.Equal(t, 1, room.Limited)
+	later := start.Add(2 * time.Second)
+	b.Stated(pick(t, b, later, want()), later.Add(time.Millisecond), backpressure.Statement{})
+	pick(t, other, later, want())
+	pick(t, other, later, want())
+	assert.Len(t, b.Statements(), 1)
+}
+
+func TestServerThatChangesItsLimitAllTheTimeIsToldOfSeldom(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	told := 0
+	b.OnStated(func(news []backpressure.News) { told += len(news) })
+	c := pick(t, b, start, want())
+	for i := range 100 {
+		now := start.Add(time.Duration(i+1) * 10 * time.Millisecond)
+		c.pickedAt = now
+		b.Stated(c, now.Add(time.Millisecond), backpressure.Statement{Named: true, Rate: float64(100 - i)})
+	}
+	assert.Equal(t, 2, told)
+	b.Refresh(start.Add(3 * time.Second))
+	assert.Equal(t, 3, told, "the last word is told")
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lynxgate.dev/lynxgate/internal/backpressure"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 )
@@ -80,13 +81,15 @@
 	// stated is by start of a server, peers are the entries that limits are shared with.
 	stated map[string]*stated
 	peers  peers
+	// tellStated is called, without the lock, with what other entries are to be told.
+	tellStated func([]backpressure.News)
 	// freed is called, without the lock, when a server may have got room.
 	freed func()
 }
 
 // New returns a balancer that knows no servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, unseen: map[string]*unseen{}, outages: map[string]*outage{}, stated: map[string]*stated{}, freed: func() {}}
+	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, unseen: map[string]*unseen{}, outages: map[string]*outage{}, stated: map[string]*stated{}, tellStated: func([]backpressure.News) {}, freed: func() {}}
 }
 
 // OnRoom sets what is called when a server may have got room. Call it before any other
@@ -125,7 +128,9 @@
 		s = nil
 	}
 	if s == nil {
-		s = newServer(record, b.statedBy(record))
+		said := b.statedBy(record.Start(), record.SeenAt)
+		said.id = record.ID
+		s = newServer(record, said)
 		b.servers[record.ID] = s
 	}
 	s.record = record
@@ -312,11 +317,14 @@
 // Refresh closes connections that were idle for too long, and forgets what no longer counts.
 func (b *Balancer) Refresh(now time.Time) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	for _, s := range b.servers {
 		s.Pool.CloseStale(now)
 	}
-	b.refreshStated(now)
+	news := b.refreshStated(now)
+	b.mu.Unlock()
+	if len(news) > 0 {
+		b.tellStated(news)
+	}
 }
 
 // InFlight returns how many sends have not ended.
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/backpressure"
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/ledger"
@@ -27,6 +28,8 @@
 	reports map[string]bool
 	// suspicions are the facts that are to be sent.
 	suspicions []quarantine.News
+	// statements are what backend servers have said that is to be sent.
+	statements []backpressure.News
 	// turns are the answers that are to be sent.
 	turns []*rpc.Turn
 	// configVersion is the newest configuration that it was sent or holds,
@@ -80,6 +83,10 @@
 				h.suspected(follow.SuspicionsFromProto(m.Suspicions, clock.Now()))
 				continue
 			}
+			if len(m.Statements) > 0 {
+				h.stated(follow.StatementsFromProto(m.Statements, clock.Now()))
+				continue
+			}
 			h.acknowledged(f, m)
 		}
 	}()
@@ -122,6 +129,7 @@
 	}
 	if f.role != RoleAgent {
 		f.suspicions = h.suspects.All()
+		f.statements = h.statements.All()
 	}
 	h.followers[f] = true
 	for other := range h.followers {
@@ -193,11 +201,12 @@
 		u.Reports = append(u.Reports, h.reports[addr])
 	}
 	u.Suspicions = follow.SuspicionsToProto(f.suspicions, now)
-	if !lacks && len(u.Servers) == 0 && len(u.Seen) == 0 && len(u.Reports) == 0 && len(u.Suspicions) == 0 && len(f.turns) == 0 {
+	u.Statements = follow.StatementsToProto(f.statements, now)
+	u.Turns = f.turns
+	if !lacks && len(u.Servers)+len(u.Seen)+len(u.Reports)+len(u.Suspicions)+len(u.Statements)+len(u.Turns) == 0 {
 		return nil
 	}
-	u.Turns = f.turns
-	f.suspicions, f.turns = nil, nil
+	f.suspicions, f.statements, f.turns = nil, nil, nil
 	clear(f.changed)
 	clear(f.renewed)
 	clear(f.reports)
--- /dev/null
+++ b/internal/fleetcontrol/statements.go
@@ -0,0 +1,25 @@
+package fleetcontrol
+
+import "lynxgate.dev/lynxgate/internal/backpressure"
+
+// stated merges what backend servers have said to entries, and passes on to entries and control
+// servers what is new.
+func (h *hub) stated(news []backpressure.News) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var fresh []backpressure.News
+	for _, n := range news {
+		if h.statements.Merge(n) {
+			fresh = append(fresh, n)
+		}
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	for f := range h.followers {
+		if f.role != RoleAgent {
+			f.statements = append(f.statements, fresh...)
+			f.notify()
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleetcontrol/statements_test.go
@@ -0,0 +1,36 @@
+package fleetcontrol
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/backpressure"
+	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+func TestStatementsReachEntriesAndControlServersOnce(t *testing.T) {
+	h := testHub()
+	entry := h.join(&rpc.FollowerMessage{Name: "e", Role: RoleEntry})
+	peer := h.join(&rpc.FollowerMessage{Name: "c", Role: RoleControl})
+	agent := h.join(&rpc.FollowerMessage{Name: "a", Role: RoleAgent})
+	for _, f := range []*follower{entry, peer, agent} {
+		h.next(f)
+	}
+	said := backpressure.News{Start: "s-1", Limited: true, Rate: 2.3, At: clock.Now()}
+	h.stated([]backpressure.News{said})
+	said.At = clock.Now()
+	h.stated([]backpressure.News{said}) // from another entry, or back from a peer
+	for _, f := range []*follower{entry, peer} {
+		u := h.next(f)
+		require.NotNil(t, u)
+		require.Len(t, u.Statements, 1)
+		assert.Equal(t, 2.3, u.Statements[0].Rate)
+		assert.Nil(t, h.next(f))
+	}
+	assert.Nil(t, h.next(agent), "agents send no requests")
+	late := h.join(&rpc.FollowerMessage{Name: "late", Role: RoleEntry})
+	assert.Len(t, h.next(late).Statements, 1, "an entry that has just started is told all")
+}
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -27,7 +27,9 @@
 func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
 	viewer := follow.NewViewer(fleet.DecodeServices, nil, cfg.AnnounceInterval, cfg.Logger)
 	a := cfg.Agent
-	client := newFollower(cfg, fleetcontrol.RoleAgent, viewer, agentFollows, nil)
+	following := followerConfig(cfg, fleetcontrol.RoleAgent, viewer)
+	following.Most = agentFollows
+	client := follow.New(following)
 	return &agentRole{
 		client: client,
 		stager: staging.New(staging.Config{
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"lynxgate.dev/lynxgate/internal/backpressure"
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/follow"
@@ -47,13 +48,16 @@
 		Headers:    e.Headers,
 		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, VersionBound: cfg.VersionBound, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
-		Tell:   func(news []quarantine.News) { client.TellSuspicions(news) },
-		Turns:  turns,
-		Logger: cfg.Logger, Metrics: gateway.NewMetrics(registry),
+		Tell:       func(news []quarantine.News) { client.TellSuspicions(news) },
+		TellStated: func(news []backpressure.News) { client.TellStatements(news) },
+		Turns:      turns,
+		Logger:     cfg.Logger, Metrics: gateway.NewMetrics(registry),
 	})
 	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.AnnounceInterval, cfg.Logger)
-	viewer.Reported, viewer.Renewed, viewer.Suspected = g.Reported, g.Renewed, g.Suspected
-	client = newFollower(cfg, fleetcontrol.RoleEntry, viewer, 0, g.Suspicions)
+	viewer.Reported, viewer.Renewed, viewer.Suspected, viewer.Stated = g.Reported, g.Renewed, g.Suspected, g.Stated
+	following := followerConfig(cfg, fleetcontrol.RoleEntry, viewer)
+	following.Suspicions, following.Statements = g.Suspicions, g.Statements
+	client = follow.New(following)
 	ready := http.NewServeMux()
 	e.MountReady(ready, g.Ready)
 	quiet := log.New(io.Discard, "", 0) // broken connections of callers are counted, not told
@@ -79,11 +83,12 @@
 
 func (t *lateTurns) EndTurn(d quarantine.Digest) { (*t.client).EndTurn(d) }
 
-func newFollower(cfg *Config, role string, viewer *follow.Viewer, most int, suspicions func() []quarantine.News) *follow.Client {
-	return follow.New(follow.Config{
-		Name: cfg.Name, Zone: cfg.Zone, Role: role, Most: most, Seeds: cfg.Seeds,
-		Held: viewer.HeldConfig, Update: viewer.Update, Lost: viewer.Lost, Suspicions: suspicions, Logger: cfg.Logger,
-	})
+// followerConfig is of a daemon that follows the control servers for a viewer.
+func followerConfig(cfg *Config, role string, viewer *follow.Viewer) follow.Config {
+	return follow.Config{
+		Name: cfg.Name, Zone: cfg.Zone, Role: role, Seeds: cfg.Seeds,
+		Held: viewer.HeldConfig, Update: viewer.Update, Lost: viewer.Lost, Logger: cfg.Logger,
+	}
 }
 
 func (r *entryRole) register(*drpcmux.Mux) error { return nil }
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
+	"lynxgate.dev/lynxgate/internal/backpressure"
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rendezvous"
@@ -61,6 +62,9 @@
 	// Suspicions returns all that is known here of work that was at servers that ended: a
 	// control server that has started again knows nothing of it. It may be nil.
 	Suspicions func() []quarantine.News
+	// Statements returns all that is known here of what backend servers said of themselves, for
+	// the same reason. It may be nil.
+	Statements func() []backpressure.News
 	// Update takes over what a control server sent; calls for one source are in
 	// order, those for several are concurrent.
 	Update func(source string, u *rpc.FleetUpdate)
@@ -287,12 +291,8 @@
 	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
-	if c.cfg.Suspicions != nil {
-		if news := c.cfg.Suspicions(); len(news) > 0 {
-			if err := stream.Send(&rpc.FollowerMessage{Suspicions: SuspicionsToProto(news, clock.Now())}); err != nil {
-				return 0, fmt.Errorf("follow %s: %w", addr, err)
-			}
-		}
+	if err := c.tellKnown(stream); err != nil {
+		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
 	c.setStream(addr, stream)
 	defer c.setStream(addr, nil)
@@ -325,6 +325,28 @@
 	}
 }
 
+// tellKnown tells a control server what it does not know if it has just started.
+func (c *Client) tellKnown(stream rpc.DRPCFleet_FollowClient) error {
+	now := clock.Now()
+	m := &rpc.FollowerMessage{}
+	if c.cfg.Suspicions != nil {
+		m.Suspicions = SuspicionsToProto(c.cfg.Suspicions(), now)
+	}
+	if len(m.Suspicions) > 0 {
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+	}
+	m = &rpc.FollowerMessage{}
+	if c.cfg.Statements != nil {
+		m.Statements = StatementsToProto(c.cfg.Statements(), now)
+	}
+	if len(m.Statements) > 0 {
+		return stream.Send(m)
+	}
+	return nil
+}
+
 func streamError(addr string, err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, drpc.ClosedError.New("")) {
 		return fmt.Errorf("stream of %s ended", addr)
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lynxgate.dev/lynxgate/internal/backpressure"
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/directory"
 	"lynxgate.dev/lynxgate/internal/fleet"
@@ -44,6 +45,8 @@
 
 	// Suspected is called with news of work that was at servers that ended; it may be nil.
 	Suspected func(news []quarantine.News)
+	// Stated is called with news of what backend servers said of themselves; it may be nil.
+	Stated func(news []backpressure.News)
 	// Reported is called with each new report of an agent, Renewed when a server
 	// was heard without a change; both may be nil.
 	Reported func(r *rpc.AgentReport)
@@ -103,6 +106,9 @@
 	if len(u.Suspicions) > 0 && v.Suspected != nil {
 		v.Suspected(SuspicionsFromProto(u.Suspicions, clock.Now()))
 	}
+	if len(u.Statements) > 0 && v.Stated != nil {
+		v.Stated(StatementsFromProto(u.Statements, clock.Now()))
+	}
 }
 
 // takeReports hands the reports on that are newer than the ones known.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lynxgate.dev/lynxgate/internal/backpressure"
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/follow"
@@ -72,6 +73,8 @@
 	RetryWindow time.Duration
 	// Tell spreads what is known of work that was at servers that ended; it may be nil.
 	Tell func([]quarantine.News)
+	// TellStated spreads what backend servers said of themselves; it may be nil.
+	TellStated func([]backpressure.News)
 	// Turns are those of suspect work over all entries; it may be nil.
 	Turns   Turns
 	Logger  zerolog.Logger
@@ -111,6 +114,7 @@
 		start:    clock.Now(), budgets: map[string]*retry.Budget{},
 	}
 	b.OnRoom(g.rooms.offer)
+	b.OnStated(cfg.TellStated)
 	g.view.Store(&follow.View{})
 	return g
 }
@@ -141,6 +145,12 @@
 // Suspicions returns all that is known of such work here.
 func (g *Gateway) Suspicions() []quarantine.News { return g.suspects.all() }
 
+// Stated takes what backend servers said of themselves to other entries.
+func (g *Gateway) Stated(news []backpressure.News) { g.balancer.Learn(clock.Now(), news) }
+
+// Statements returns all that backend servers said of themselves, as far as it is known here.
+func (g *Gateway) Statements() []backpressure.News { return g.balancer.Statements() }
+
 // Ready tells whether the entry should get new connections.
 func (g *Gateway) Ready() (reason string, ok bool) {
 	switch {
