Sight: rest that backend servers ask for, and their word that they leave, in lines and metrics

Nothing that an entry wrote told what a refusal had said. It reads Retry-After beside 503 and 429 (seconds with fractions, or a date) and the field of servers that leave, writes a line when one begins, counts such servers by service and word, and the sends to them. Nothing is decided by it yet.

--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -26,6 +26,9 @@
 	part     backpressure.Part
 	partRate float64
 	partOf   int
+	// rest is what the server asks of this entry; leaving since leavingAt, by its own word.
+	rest      backpressure.Rest
+	leavingAt time.Time
 	// listedAt is when the start was listed last.
 	listedAt time.Time
 	// untold: other entries are to be told of a change; toldAt is when they were told last.
@@ -33,6 +36,19 @@
 	toldAt time.Time
 }
 
+// word names what the server says that weighs most, for metrics.
+func (s *stated) word(now time.Time) string {
+	switch {
+	case !s.leavingAt.IsZero():
+		return "leaving"
+	case !s.rest.Over(now):
+		return "rest"
+	case s.limit.InForce:
+		return "limit"
+	}
+	return ""
+}
+
 // statedBy returns what a start has said that was heard of at this time.
 func (b *Balancer) statedBy(start string, at time.Time) *stated {
 	said := b.stated[start]
@@ -164,18 +180,56 @@
 	return b.untold(now)
 }
 
-// Limited returns, by service, how many servers have a limit in force.
-func (b *Balancer) Limited() map[string]int {
+// AskedToRest takes a server's wish to get nothing from this entry for a time.
+func (b *Balancer) AskedToRest(c *Choice, now time.Time, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := c.Server
+	if s.stated.rest.Ask(now, d) {
+		b.cfg.Logger.Info().Str("server", s.ID).Str("addr", s.Addr).Dur("for_ms", d).Int("own_requests", s.inFlight).
+			Msg("backend server asks for rest")
+	}
+}
+
+// SaidToLeave takes a server's word that it leaves.
+func (b *Balancer) SaidToLeave(c *Choice, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := c.Server
+	if !s.stated.leavingAt.IsZero() {
+		return
+	}
+	s.stated.leavingAt = now
+	b.cfg.Logger.Info().Str("server", s.ID).Str("addr", s.Addr).Stringer("announced", s.record.State).Int("own_requests", s.inFlight).
+		Msg("backend server says that it leaves")
+}
+
+// Words counts what servers say of themselves.
+type Words struct {
+	// Limited servers have a limit in force, Resting ones want nothing from this entry for a
+	// time, Leaving ones have said so in an answer.
+	Limited, Resting, Leaving int
+}
+
+// Words returns, by service, how many servers say what.
+func (b *Balancer) Words(now time.Time) map[string]Words {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[string]int, len(b.services))
+	out := make(map[string]Words, len(b.services))
 	for service, servers := range b.services {
-		out[service] = 0
+		var words Words
 		for _, s := range servers {
 			if s.stated.limit.InForce {
-				out[service]++
+				words.Limited++
+			}
+			if !s.stated.rest.Over(now) {
+				words.Resting++
+			}
+			if !s.stated.leavingAt.IsZero() {
+				words.Leaving++
 			}
 		}
+		out[service] = words
 	}
 	return out
 }
--- a/internal/balance/backpressure_test.go
+++ b/internal/balance/backpressure_test.go
@@ -26,7 +26,7 @@
 	none, room := b.Pick(start, want())
 	assert.Nil(t, none.Server)
 	assert.Equal(t, Room{Known: 1, Limited: 1, Later: 1, Opens: start.Add(2 * time.Second)}, room, "two entries share the limit")
-	assert.True(t, pick(t, b, start.Add(2*time.Second), want()).Limited)
+	assert.Equal(t, "limit", pick(t, b, start.Add(2*time.Second), want()).Word)
 }
 
 func TestLimitOutlivesAGapInTheDirectory(t *testing.T) {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -49,8 +49,9 @@
 	InFlight int
 	// Unseen is how many requests of others were taken to be there beside those that are known.
 	Unseen float64
-	// Limited tells that the server had a limit in force.
-	Limited bool
+	// Word is what the server had said of itself, as far as it was known: "limit", "rest",
+	// "leaving", or nothing.
+	Word string
 }
 
 // Pick chooses the server with the lowest predicted wait, load and cost, and counts
@@ -116,7 +117,7 @@
 		score := b.score(now, s, queue, wait)
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1, pickedAt: now, Own: s.own, InFlight: s.inFlight, Unseen: unseen, due: w.Due, foreign: s.foreign, Limited: s.stated.limit.InForce}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1, pickedAt: now, Own: s.own, InFlight: s.inFlight, Unseen: unseen, due: w.Due, foreign: s.foreign, Word: s.stated.word(now)}
 			if s.load.known {
 				best.Told = now.Sub(s.load.at)
 			}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,7 +30,7 @@
 		return false
 	}
 	c.choice = choice
-	c.countLimited(&choice)
+	c.countWord(&choice)
 	c.tried = append(c.tried, choice.Server)
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,8 @@
 	// Limit is how many requests a second, of all entries together, the backend server
 	// that answers takes.
 	Limit string
+	// Leaving is set by a backend server that takes no new requests for good.
+	Leaving string
 	// Model and its version that wrote the answer.
 	Model   string
 	Version string
@@ -200,9 +202,11 @@
 	for service, unseen := range g.balancer.Unseen(now) {
 		m.unseen.WithLabelValues(service).Set(unseen)
 	}
-	m.limited.Reset()
-	for service, limited := range g.balancer.Limited() {
-		m.limited.WithLabelValues(service).Set(float64(limited))
+	m.words.Reset()
+	for service, words := range g.balancer.Words(now) {
+		m.words.WithLabelValues(service, "limit").Set(float64(words.Limited))
+		m.words.WithLabelValues(service, "rest").Set(float64(words.Resting))
+		m.words.WithLabelValues(service, "leaving").Set(float64(words.Leaving))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/head.go
+++ b/internal/gateway/head.go
@@ -18,6 +18,12 @@
 	c.g.balancer.Heard(choice.Server, now)
 	c.noteLoad(choice.Server, a.Header, now)
 	c.noteLimit(choice, a, now)
+	if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
+		c.g.balancer.AskedToRest(choice, now, backpressure.ReadRest(a.Header, time.Now()))
+	}
+	if leaves, err := strconv.ParseBool(a.Header.Get(c.g.cfg.Headers.Leaving)); err == nil && leaves {
+		c.g.balancer.SaidToLeave(choice, now)
+	}
 }
 
 // noteLoad takes the load that an answer's head tells: running, waiting, slots.
@@ -45,9 +51,9 @@
 	c.g.balancer.Stated(choice, now, stated)
 }
 
-// countLimited counts a send to a server that is known to be limited.
-func (c *call) countLimited(choice *balance.Choice) {
-	if choice.Limited {
-		c.g.cfg.Metrics.limitedSends.WithLabelValues(c.service).Inc()
+// countWord counts a send to a server that has said something of itself.
+func (c *call) countWord(choice *balance.Choice) {
+	if choice.Word != "" {
+		c.g.cfg.Metrics.wordSends.WithLabelValues(c.service, choice.Word).Inc()
 	}
 }
