A backend server that asks for rest gets nothing from that entry until it is over

Cause: a refusal spared its server for 0.15 s whatever it said. Ruled out: sends that cross the answer (of 93 refusals after another at the same entry and server 71 came later than 0.15 s), and that other servers were full (16 of 19 took work).

Its server is not chosen on any path: first sends, repeats, handovers, the rest of a stream. Once it is over the server gets one request at a time until it has taken one. If all servers rest, callers wait where one is back in time, or are refused at once and told when. It is of one entry, as the server says; others hear nothing of it.

--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -26,8 +26,11 @@
 	part     backpressure.Part
 	partRate float64
 	partOf   int
-	// rest is what the server asks of this entry; leaving since leavingAt, by its own word.
-	rest      backpressure.Rest
+	// rest is what the server asks of this entry. After one it gets one request at a time until it
+	// has taken one: untried is set until then, trying while one is on its way.
+	rest            backpressure.Rest
+	untried, trying bool
+	// leavingAt is when it said that it leaves, zero if it has not.
 	leavingAt time.Time
 	// listedAt is when the start was listed last.
 	listedAt time.Time
@@ -185,12 +188,55 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.Server
+	if d > 0 {
+		s.stated.untried = true
+	}
 	if s.stated.rest.Ask(now, d) {
 		b.cfg.Logger.Info().Str("server", s.ID).Str("addr", s.Addr).Dur("for_ms", d).Int("own_requests", s.inFlight).
 			Msg("backend server asks for rest")
 	}
 }
 
+// TookWork notes that a server has begun with a request: one that was sent after its last rest
+// was asked for ends the time in which it is tried.
+func (b *Balancer) TookWork(c *Choice) {
+	if !b.tookWork(c) {
+		return
+	}
+	b.cfg.Logger.Info().Str("server", c.Server.ID).Msg("backend server takes work again after a rest")
+	b.freed()
+}
+
+func (b *Balancer) tookWork(c *Choice) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tried(c)
+	said := c.Server.stated
+	if !said.untried || !c.pickedAt.After(said.rest.AskedAt) {
+		return false
+	}
+	said.untried = false
+	return true
+}
+
+// tried ends the time in which a choice is the only one at a server after a rest.
+func (b *Balancer) tried(c *Choice) {
+	if c.tries {
+		c.tries = false
+		c.Server.stated.trying = false
+	}
+}
+
+// takes tells whether the server's rest is over, and no request is on its way to try it.
+func (s *stated) takes(now time.Time) bool { return s.rest.Over(now) && !s.trying }
+
+// sent notes a request that was chosen for the server, and tells whether it tries it.
+func (s *stated) sent(now time.Time) (tries bool) {
+	s.pacer.Sent(now)
+	s.trying = s.untried
+	return s.trying
+}
+
 // SaidToLeave takes a server's word that it leaves.
 func (b *Balancer) SaidToLeave(c *Choice, now time.Time) {
 	b.mu.Lock()
--- a/internal/balance/backpressure_test.go
+++ b/internal/balance/backpressure_test.go
@@ -89,3 +89,32 @@
 	b.Refresh(start.Add(3 * time.Second))
 	assert.Equal(t, 3, told, "the last word is told")
 }
+
+func TestServerThatAsksForRestIsNotChosen(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	first := pick(t, b, start, want())
+	b.AskedToRest(first, start, 3*time.Second)
+	b.Done(first, start, EndedBusy)
+	none, room := b.Pick(start.Add(2900*time.Millisecond), want())
+	assert.Nil(t, none.Server)
+	assert.Equal(t, Room{Known: 1, Resting: 1, Later: 1, Opens: start.Add(3 * time.Second)}, room)
+}
+
+func TestServerGetsOneRequestAtATimeAfterItsRest(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	before := pick(t, b, start, want())
+	refused := pick(t, b, start, want())
+	b.AskedToRest(refused, start.Add(time.Millisecond), time.Second)
+	b.Done(refused, start.Add(time.Millisecond), EndedBusy)
+	b.TookWork(before) // it was sent before the rest
+	after := start.Add(2 * time.Second)
+	trial := pick(t, b, after, want())
+	none, room := b.Pick(after, want())
+	require.Nil(t, none.Server)
+	assert.Equal(t, Room{Known: 1, Resting: 1, Later: 1}, room)
+	b.Done(trial, after, EndedElse)
+	trial = pick(t, b, after, want())
+	b.TookWork(trial)
+	pick(t, b, after, want())
+	pick(t, b, after, want())
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -276,6 +276,7 @@
 	s.inFlight--
 	s.pendingRead -= c.Read
 	c.Read = 0
+	b.tried(c)
 	switch ending {
 	case EndedWell:
 		if s.health.succeeded() {
--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -12,10 +12,11 @@
 	// the request can't use.
 	Tried, Aside, Busy, Loading, Empty, Old, Other int
 	// Limited servers fit and have room, and this entry has used its part of the limit that they
-	// named; Opens is when it may send to the first of them, zero if there is none.
-	Limited int
-	Opens   time.Time `json:"-"`
-	// Later are those that may take it in a while: set aside, busy or limited ones that else fit,
+	// named; Resting ones want nothing from this entry for a time. Opens is when it may send to the
+	// first of them that else fits, zero if there is none.
+	Limited, Resting int
+	Opens            time.Time `json:"-"`
+	// Later are those that may take it in a while: set aside, busy, limited or resting ones that else fit,
 	// and those that have the version of a begun request still to load. They are counted
 	// above, too, and not logged.
 	Later int `json:"-"`
@@ -39,6 +40,12 @@
 	case now.Before(s.health.asideUntil), s.health.probing && s.inFlight > 0:
 		room.Aside++
 		room.laterIf(why == nil)
+	case !s.stated.takes(now):
+		room.Resting++
+		room.laterIf(why == nil)
+		if why == nil && !s.stated.rest.Over(now) {
+			room.opensAt(s.stated.rest.Until)
+		}
 	case now.Before(s.busyUntil):
 		room.Busy++
 		room.laterIf(why == nil)
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -42,6 +42,8 @@
 	// another entry owned the server.
 	due     time.Time
 	foreign bool
+	// tries: it is the only request there until the server has taken it, after a rest.
+	tries bool
 	// Told is how old the server's report of its load is, -1 if there is none.
 	Told time.Duration
 	// Own tells that this entry owns the server; InFlight are its own requests there.
@@ -67,7 +69,7 @@
 		}
 		s.inFlight++
 		s.pendingRead += best.Read
-		s.stated.pacer.Sent(now)
+		best.tries = s.stated.sent(now)
 	}
 	return best, room
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -128,6 +128,8 @@
 		c.giveUp("no backend server is known")
 	case room.Fit == 0 && room.Limited > 0:
 		c.giveUp("backend servers are at the limits that they name")
+	case room.Fit == 0 && room.Resting > 0:
+		c.giveUp("backend servers ask for rest")
 	case room.Fit == 0:
 		c.giveUp("no backend server can take it")
 	default:
--- a/internal/gateway/head.go
+++ b/internal/gateway/head.go
@@ -18,6 +18,9 @@
 	c.g.balancer.Heard(choice.Server, now)
 	c.noteLoad(choice.Server, a.Header, now)
 	c.noteLimit(choice, a, now)
+	if !c.isNotRun(a) {
+		c.g.balancer.TookWork(choice)
+	}
 	if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
 		c.g.balancer.AskedToRest(choice, now, backpressure.ReadRest(a.Header, time.Now()))
 	}
