A send that its server refused with a wish for rest uses up no attempt of its caller

Cause: each refusal counted as one of the route's two attempts. A server that asks for rest gets nothing more from anybody at this entry, so that such a refusal tells of the server and is seen once in a rest. Ruled out: no room (the fourth server was idle), the budget of repeats (none was refused for it in the test).

Change: such sends don't count; the budget of repeats and one send to each server bound them.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -35,7 +35,9 @@
 	return true
 }
 
-// attemptsUsed tells whether no other server may get the request. The rest of a stream
+// attemptsUsed tells whether no other server may get the request. One that asked for rest gets
+// nothing more for that time from anybody here, so that it does not count: else a few servers
+// at rest would use up the attempts of callers that others have room for. The rest of a stream
 // that has begun is sent on after servers that refused it, since its caller can't
 // start again; the retry budget bounds that.
 func (c *call) attemptsUsed() bool {
@@ -43,7 +45,7 @@
 	if c.events > 0 {
 		return c.runs >= most
 	}
-	return c.sends >= most
+	return c.sends-c.rests >= most
 }
 
 // backOff waits before the rest of a stream that has begun is asked of further servers,
--- a/internal/gateway/head.go
+++ b/internal/gateway/head.go
@@ -21,14 +21,20 @@
 	if !c.isNotRun(a) {
 		c.g.balancer.TookWork(choice)
 	}
-	if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
-		c.g.balancer.AskedToRest(choice, now, backpressure.ReadRest(a.Header, time.Now()))
-	}
+	c.g.balancer.AskedToRest(choice, now, restAsked(a))
 	if leaves, err := strconv.ParseBool(a.Header.Get(c.g.cfg.Headers.Leaving)); err == nil && leaves {
 		c.g.balancer.SaidToLeave(choice, now)
 	}
 }
 
+// restAsked is for how long an answer asks the entry to send nothing more, 0 if it does not.
+func restAsked(a *dispatch.Answer) time.Duration {
+	if a.StatusCode != http.StatusServiceUnavailable && a.StatusCode != http.StatusTooManyRequests {
+		return 0
+	}
+	return backpressure.ReadRest(a.Header, time.Now())
+}
+
 // noteLoad takes the load that an answer's head tells: running, waiting, slots.
 func (c *call) noteLoad(s *balance.Server, h http.Header, now time.Time) {
 	running, rest, ok := strings.Cut(h.Get(c.g.cfg.Headers.Load), ",")
