A backend server that says that it leaves gets nothing more, whatever it announces

Callers' view: a server that said in its answers that it leaves, and went on to announce that it is ready, got 111 and 115 requests more than 2 s after its entries had passed that on.

Cause: the same class as of limits and rest: the word in an answer's head was passed on and not taken in. Only announcements took a server out, which come late, or not at all from one that is cut off from control servers.

Change: the start of the server is out as one that has announced it, for its rest: through announcements that still say ready, and through a gap in the directory; a new start under the id is free. Other entries are told over control servers. Its end is its own doing and counts against no work.

--- a/internal/backpressure/news.go
+++ b/internal/backpressure/news.go
@@ -14,12 +14,16 @@
 	// Limited: a limit is in force; Rate is in requests a second.
 	Limited bool
 	Rate    float64
+	// Leaving: it takes no new requests for good. It is never taken back.
+	Leaving bool
 	// At is when an entry heard it.
 	At time.Time
 }
 
 // says tells whether two pieces of news say the same.
-func (n News) says(other News) bool { return n.Limited == other.Limited && n.Rate == other.Rate }
+func (n News) says(other News) bool {
+	return n.Limited == other.Limited && n.Rate == other.Rate && n.Leaving == other.Leaving
+}
 
 // newsRetention is for how long news is kept that nobody tells again.
 const newsRetention = 10 * time.Minute
@@ -30,15 +34,17 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{latest: map[string]News{}} }
 
-// Merge takes news, and tells whether it says something new: only such news is passed on, so
-// that it does not go round in a circle.
-func (t *Table) Merge(n News) bool {
+// Merge takes news, and returns all that is known of the start then and whether that is new: only
+// then it is passed on, so that it does not go round in a circle.
+func (t *Table) Merge(n News) (News, bool) {
 	known, ok := t.latest[n.Start]
+	merged := n
 	if ok && !n.At.After(known.At) {
-		return false
+		merged = known
 	}
-	t.latest[n.Start] = n
-	return !ok || !n.says(known)
+	merged.Leaving = n.Leaving || known.Leaving
+	t.latest[n.Start] = merged
+	return merged, !ok || !merged.says(known)
 }
 
 // All returns all news.
--- a/internal/balance/backpressure.go
+++ b/internal/balance/backpressure.go
@@ -99,6 +99,9 @@
 			said.untold = false
 			b.limitChanged(now, said, before, "entry")
 		}
+		if n.Leaving && said.leavingAt.IsZero() {
+			b.leave(now, said, "entry")
+		}
 	}
 }
 
@@ -136,7 +139,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, said := range b.stated {
-		if !said.limit.HeardAt.IsZero() {
+		if !said.limit.HeardAt.IsZero() || !said.leavingAt.IsZero() {
 			news = append(news, said.news())
 		}
 	}
@@ -144,7 +147,11 @@
 }
 
 func (s *stated) news() backpressure.News {
-	return backpressure.News{Start: s.start, Limited: s.limit.InForce, Rate: s.limit.Rate, At: s.limit.HeardAt}
+	at := s.limit.HeardAt
+	if s.leavingAt.After(at) {
+		at = s.leavingAt
+	}
+	return backpressure.News{Start: s.start, Limited: s.limit.InForce, Rate: s.limit.Rate, Leaving: !s.leavingAt.IsZero(), At: at}
 }
 
 func (b *Balancer) self() backpressure.Entry {
@@ -237,17 +244,34 @@
 	return s.trying
 }
 
-// SaidToLeave takes a server's word that it leaves.
+// SaidToLeave takes a server's word that it leaves: this start gets nothing more, whatever it
+// announces.
 func (b *Balancer) SaidToLeave(c *Choice, now time.Time) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := c.Server
-	if !s.stated.leavingAt.IsZero() {
+	if !c.Server.stated.leavingAt.IsZero() {
+		b.mu.Unlock()
 		return
 	}
-	s.stated.leavingAt = now
-	b.cfg.Logger.Info().Str("server", s.ID).Str("addr", s.Addr).Stringer("announced", s.record.State).Int("own_requests", s.inFlight).
-		Msg("backend server says that it leaves")
+	b.leave(now, c.Server.stated, "answer")
+	c.Server.stated.untold = true
+	news := b.untold(now)
+	b.mu.Unlock()
+	if len(news) > 0 {
+		b.tellStated(news)
+	}
+}
+
+// leave takes a server out that has said that it leaves; the source of that is an answer or
+// another entry.
+func (b *Balancer) leave(now time.Time, said *stated, source string) {
+	said.leavingAt = now
+	event := b.cfg.Logger.Info().Str("server", said.id).Str("start", said.start).Str("source", source)
+	if s := b.servers[said.id]; s != nil && s.stated == said {
+		event.Str("addr", s.Addr).Stringer("announced", s.record.State).Int("own_requests", s.inFlight)
+		s.Pool.Close()
+		b.removeFromService(s)
+	}
+	event.Msg("backend server says that it leaves")
 }
 
 // Words counts what servers say of themselves.
@@ -262,20 +286,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]Words, len(b.services))
-	for service, servers := range b.services {
-		var words Words
-		for _, s := range servers {
-			if s.stated.limit.InForce {
-				words.Limited++
-			}
-			if !s.stated.rest.Over(now) {
-				words.Resting++
-			}
-			if !s.stated.leavingAt.IsZero() {
-				words.Leaving++
-			}
+	for _, s := range b.servers {
+		words := out[s.record.Service]
+		if s.stated.limit.InForce {
+			words.Limited++
+		}
+		if !s.stated.rest.Over(now) {
+			words.Resting++
+		}
+		if !s.stated.leavingAt.IsZero() {
+			words.Leaving++
 		}
-		out[service] = words
+		out[s.record.Service] = words
 	}
 	return out
 }
--- a/internal/balance/backpressure_test.go
+++ b/internal/balance/backpressure_test.go
@@ -118,3 +118,26 @@
 	pick(t, b, after, want())
 	pick(t, b, after, want())
 }
+
+func TestServerThatSaysItLeavesIsOutForTheRestOfItsStart(t *testing.T) {
+	first := record("1", "here", 1)
+	first.Born = 1
+	b, other := balancer(view(first)), named("other", view(first))
+	b.OnStated(func(news []backpressure.News) { other.Learn(start, news) })
+	b.SaidToLeave(pick(t, b, start, want()), start)
+	later := *first
+	later.Seq, later.SeenAt = 9, start.Add(time.Second)
+	for name, x := range map[string]*Balancer{"that heard it": b, "that was told": other} {
+		x.SetView(view(&later)) // an announcement that still says ready
+		none, _ := x.Pick(start, want())
+		assert.Nil(t, none.Server, name)
+		x.SetView(view())
+		x.SetView(view(&later))
+		none, _ = x.Pick(start, want())
+		assert.Nil(t, none.Server, "%s, after a gap in the directory", name)
+		again := later
+		again.Born = 2
+		x.SetView(view(&again))
+		pick(t, x, start, want())
+	}
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -144,7 +144,7 @@
 			s.Pool.SetMax(max(minConns, int(connShare*float64(declared.MaxConns))/b.view.EntryCount()))
 		}
 	}
-	if record.State != fleet.StateReady || s.retired {
+	if record.State != fleet.StateReady || s.retired || !s.stated.leavingAt.IsZero() {
 		s.Pool.Close()
 		return
 	}
@@ -225,7 +225,7 @@
 func (b *Balancer) Leaving(s *Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return s.record.State != fleet.StateReady
+	return s.record.State != fleet.StateReady || !s.stated.leavingAt.IsZero()
 }
 
 // Renewed notes that a server was heard.
--- a/internal/balance/lives.go
+++ b/internal/balance/lives.go
@@ -76,6 +76,11 @@
 
 func (b *Balancer) takeOut(s *Server) {
 	s.retired = true
+	b.removeFromService(s)
+}
+
+// removeFromService takes a server out of those that are chosen from.
+func (b *Balancer) removeFromService(s *Server) {
 	service := s.record.Service
 	b.services[service] = slices.DeleteFunc(b.services[service], func(o *Server) bool { return o == s })
 	b.shareOut(b.services[service])
--- a/internal/fleetcontrol/statements.go
+++ b/internal/fleetcontrol/statements.go
@@ -9,8 +9,8 @@
 	defer h.mu.Unlock()
 	var fresh []backpressure.News
 	for _, n := range news {
-		if h.statements.Merge(n) {
-			fresh = append(fresh, n)
+		if merged, isNew := h.statements.Merge(n); isNew {
+			fresh = append(fresh, merged)
 		}
 	}
 	if len(fresh) == 0 {
--- a/internal/follow/statements.go
+++ b/internal/follow/statements.go
@@ -13,7 +13,7 @@
 func StatementsToProto(news []backpressure.News, now time.Time) []*rpc.ServerStatement {
 	out := make([]*rpc.ServerStatement, 0, len(news))
 	for _, n := range news {
-		out = append(out, &rpc.ServerStatement{Start: n.Start, Limited: n.Limited, Rate: n.Rate, AgeMs: max(now.Sub(n.At), 0).Milliseconds()})
+		out = append(out, &rpc.ServerStatement{Start: n.Start, Limited: n.Limited, Rate: n.Rate, Leaving: n.Leaving, AgeMs: max(now.Sub(n.At), 0).Milliseconds()})
 	}
 	return out
 }
@@ -25,7 +25,7 @@
 		if s.AgeMs < 0 || s.Limited && (!(s.Rate >= 0) || math.IsInf(s.Rate, 0)) {
 			continue
 		}
-		out = append(out, backpressure.News{Start: s.Start, Limited: s.Limited, Rate: s.Rate, At: now.Add(-time.Duration(s.AgeMs) * time.Millisecond)})
+		out = append(out, backpressure.News{Start: s.Start, Limited: s.Limited, Rate: s.Rate, Leaving: s.Leaving, At: now.Add(-time.Duration(s.AgeMs) * time.Millisecond)})
 	}
 	return out
 }
