Agents leave a backend server alone that asks for rest

All requests to the server come through its agent, which keeps to the rest now: what comes meanwhile is not run, with the time that is left. Seconds with fractions and dates are read by the same code as at entries.

TestAgentLeavesAnEngineThatAsksForRestAlone: on the code before it, 0 ms were told and four requests reached the engine; passes.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -109,15 +109,6 @@
 func (e *notSentError) Error() string { return "not sent: " + e.err.Error() }
 func (e *notSentError) Unwrap() error { return e.err }
 
-// retryAfter reads a Retry-After header in seconds; 0 if there is none.
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 // withheldHeaders of a backend server's answer are not passed on.
 var withheldHeaders = map[string]bool{
 	// The entry's own answer has a date.
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -89,9 +89,11 @@
 		return a.unknown(w, unknownReason(ctx))
 	}
 	defer resp.Body.Close()
-	a.limiter.hear(time.Now(), started, resp)
+	now := time.Now()
+	a.limiter.hear(now, started, resp)
+	rest := a.limiter.hearRest(now, resp)
 	if a.refusedByEngine(resp) {
-		return a.notRun(w, outcome.BackendRefused, retryAfter(resp.Header))
+		return a.notRun(w, outcome.BackendRefused, rest)
 	}
 	if !a.fromServedWeights(in, resp) {
 		a.metrics.foreignWeights.Inc()
--- a/internal/agent/limiter_test.go
+++ b/internal/agent/limiter_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,3 +45,21 @@
 	l.hear(now.Add(2*time.Second), now.Add(time.Second), answer(http.StatusOK))
 	assert.False(t, l.limit.InForce)
 }
+
+func TestAgentLeavesAnEngineThatAsksForRestAlone(t *testing.T) {
+	var asked atomic.Int64
+	addr := backendServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.Header().Set("Retry-After", "2.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	b := newBed(t, inventory.KindModel, addr)
+	b.agent.gate.serve(v1)
+	for i := range 4 {
+		got := last(b.run(request(v1)))
+		require.Equal(t, rpc.FrameKind_FRAME_NOT_RUN, got.Kind)
+		require.Equal(t, string([]outcome.Reason{outcome.BackendRefused, outcome.Overloaded}[min(i, 1)]), got.Reason)
+		assert.InDelta(t, 2500, got.RetryAfterMs, 400)
+	}
+	assert.EqualValues(t, 1, asked.Load())
+}
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -170,7 +171,7 @@
 	if status == http.StatusOK {
 		return true
 	}
-	w.Header().Set("Retry-After", "1")
+	w.Header().Set("Retry-After", cmp.Or(e.faults.Get().Rest, "1"))
 	writeError(w, status, problem)
 	return false
 }
