Agents send nothing to a backend server that says that it leaves

The agent refuses new requests now and tells entries on their watches; it stays itself, and takes requests again once the backend server was seen to end, or after a minute, since one that starts again at once is not seen to end.

TestAgentSendsNothingToABackendServerThatLeaves (written with the change).

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -84,6 +84,7 @@
 	var notSent *notSentError
 	switch {
 	case errors.As(err, &notSent):
+		a.backendEnded()
 		return a.notRun(w, outcome.BackendRefused, 0)
 	case err != nil:
 		return a.unknown(w, unknownReason(ctx))
@@ -92,6 +93,7 @@
 	now := time.Now()
 	a.limiter.hear(now, started, resp)
 	rest := a.limiter.hearRest(now, resp)
+	a.hearLeaving(resp)
 	if a.refusedByEngine(resp) {
 		return a.notRun(w, outcome.BackendRefused, rest)
 	}
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -11,11 +11,13 @@
 // that a request is pinned to, and counts those in progress. It is shared by
 // the control loop, which opens and closes it, and the traffic goroutines.
 type gate struct {
-	mu       sync.Mutex
-	open     bool
-	leaving  bool
-	ref      orders.Ref
-	inFlight int
+	mu      sync.Mutex
+	open    bool
+	leaving bool
+	// backendLeaves: the backend server has said that it takes no new requests.
+	backendLeaves bool
+	ref           orders.Ref
+	inFlight      int
 	// idle is closed and replaced whenever inFlight falls to zero.
 	idle chan struct{}
 	// changed receives a signal when what the gate admits has changed.
@@ -34,7 +36,7 @@
 func (g *gate) enter(ref orders.Ref) outcome.Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.leaving {
+	if g.leaving || g.backendLeaves {
 		return outcome.Leaving
 	}
 	if !g.open || g.ref != ref {
@@ -82,6 +84,19 @@
 	g.changed()
 }
 
+// setBackendLeaves refuses new requests, or takes them again, and tells whether that is a
+// change.
+func (g *gate) setBackendLeaves(leaves bool) bool {
+	g.mu.Lock()
+	was := g.backendLeaves
+	g.backendLeaves = leaves
+	g.mu.Unlock()
+	if was != leaves {
+		g.changed()
+	}
+	return was != leaves
+}
+
 // drained returns a channel that is closed once no request is in progress.
 func (g *gate) drained() <-chan struct{} {
 	g.mu.Lock()
@@ -96,14 +111,15 @@
 
 // gateState is a copy of what the gate admits.
 type gateState struct {
-	open     bool
-	leaving  bool
-	ref      orders.Ref
-	inFlight int
+	open          bool
+	leaving       bool
+	backendLeaves bool
+	ref           orders.Ref
+	inFlight      int
 }
 
 func (g *gate) state() gateState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return gateState{open: g.open, leaving: g.leaving, ref: g.ref, inFlight: g.inFlight}
+	return gateState{open: g.open, leaving: g.leaving, backendLeaves: g.backendLeaves, ref: g.ref, inFlight: g.inFlight}
 }
--- a/internal/agent/limiter_test.go
+++ b/internal/agent/limiter_test.go
@@ -63,3 +63,19 @@
 	}
 	assert.EqualValues(t, 1, asked.Load())
 }
+
+func TestAgentSendsNothingToABackendServerThatLeaves(t *testing.T) {
+	service := plain.New(plain.Config{Faults: plain.Faults{Leaving: true}})
+	server := httptest.NewServer(service)
+	b := newBed(t, inventory.KindPlain, strings.TrimPrefix(server.URL, "http://"))
+	b.agent.gate.serve(v1)
+	require.Equal(t, rpc.FrameKind_FRAME_END, last(b.run(request(v1))).Kind)
+	for range 3 {
+		require.Equal(t, string(outcome.Leaving), last(b.run(request(v1))).Reason)
+	}
+	assert.EqualValues(t, 1, service.Runs().Total)
+	assert.False(t, b.agent.gate.state().leaving, "the agent stays")
+	server.Close()
+	b.agent.setPlainUp(false)
+	assert.False(t, b.agent.gate.state().backendLeaves, "the next start is another one")
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
+	"syscall"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/inventory"
@@ -74,6 +76,8 @@
 func (l *loop) step(ctx context.Context, event orders.Event) {
 	if e, ok := event.(orders.EngineReported); ok && e.Err == nil {
 		l.keepReport(ctx, e.State)
+	} else if ok && errors.Is(e.Err, syscall.ECONNREFUSED) {
+		l.backendEnded()
 	}
 	for _, action := range l.machine.Step(time.Now(), event) {
 		l.carryOut(ctx, action)
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -101,5 +101,6 @@
 		return
 	}
 	a.log.Warn().Msg("backend server does not accept connections")
+	a.backendEnded()
 	a.gate.stop()
 }
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -71,7 +71,7 @@
 		Incarnation:  a.incarnation,
 		Seq:          a.stateSeq.Add(1),
 		Service:      a.cfg.Service,
-		Leaving:      gate.leaving,
+		Leaving:      gate.leaving || gate.backendLeaves,
 		InFlight:     uint32(gate.inFlight),
 		ReportedLoad: report.load,
 		Concurrency:  uint32(report.concurrency),
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -110,6 +110,7 @@
 	}
 	a.req, a.dies = req, e.faults.Get().DieAfterTokens
 	faults.NameLimit(w.Header(), e.faults.Get().Limit)
+	faults.SayLeaving(w.Header(), e.faults.Get().Leaving)
 	if !e.enter(w, a) {
 		return
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -70,6 +70,8 @@
 	// Limit is named in all answers to completion requests as the requests a second that
 	// it takes.
 	Limit string `json:"limit,omitempty"`
+	// Leaving is said in all answers to completion requests.
+	Leaving bool `json:"leaving,omitempty"`
 	// Refuse answers 503 to completion requests.
 	Refuse bool `json:"refuse,omitempty"`
 	// Rest is for how many seconds all refusals ask for rest; empty means 1.
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -79,6 +79,13 @@
 	_ = json.NewEncoder(w).Encode(b.Get())
 }
 
+// SayLeaving says that a fake leaves, if it is to.
+func SayLeaving(h http.Header, leaving bool) {
+	if leaving {
+		h.Set("Server-Leaving", "1")
+	}
+}
+
 // NameLimit names the requests a second that a fake takes, if it is to.
 func NameLimit(h http.Header, limit string) {
 	if limit != "" {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -44,6 +44,8 @@
 	Slow float64 `json:"slow,omitempty"`
 	// Limit is named in all answers as the requests a second that it takes.
 	Limit string `json:"limit,omitempty"`
+	// Leaving is said in all answers.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Answer is the body of every answer.
@@ -113,6 +115,7 @@
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	f := s.faults.Get()
 	faults.NameLimit(w.Header(), f.Limit)
+	faults.SayLeaving(w.Header(), f.Leaving)
 	if f.Refuse {
 		if f.Rest != "" {
 			w.Header().Set("Retry-After", f.Rest)
