--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -16,6 +16,8 @@
 	// first of them that else fits, zero if there is none.
 	Limited, Resting int
 	Opens            time.Time `json:"-"`
+	// Spared names some of the limited and resting ones, and by which word.
+	Spared []Spared `json:"-"`
 	// Later are those that may take it in a while: set aside, busy, limited or resting ones that else fit,
 	// and those that have the version of a begun request still to load. They are counted
 	// above, too, and not logged.
@@ -46,6 +48,7 @@
 		if why == nil && !s.stated.rest.Over(now) {
 			room.opensAt(s.stated.rest.Until)
 		}
+		room.spare(s, "rest", now.Sub(s.stated.rest.AskedAt), s.stated.rest.Until.Sub(now))
 	case now.Before(s.busyUntil):
 		room.Busy++
 		room.laterIf(why == nil)
@@ -60,10 +63,30 @@
 		room.Limited++
 		room.Later++
 		room.opensAt(opens)
+		room.spare(s, "limit", now.Sub(s.stated.limit.HeardAt), opens.Sub(now))
 	}
 	return 0, false
 }
 
+// Spared is a server that was not chosen by its own word.
+type Spared struct {
+	Server string `json:"server"`
+	Word   string `json:"word"`
+	// AgeMs is how old the word is, OpensMs after how long the server may be sent to; negative if it
+	// may, and another request is on its way to try it.
+	AgeMs   int64 `json:"age_ms"`
+	OpensMs int64 `json:"opens_ms"`
+}
+
+// maxSpared bounds those that a line names.
+const maxSpared = 3
+
+func (r *Room) spare(s *Server, word string, age, opens time.Duration) {
+	if len(r.Spared) < maxSpared {
+		r.Spared = append(r.Spared, Spared{Server: s.ID, Word: word, AgeMs: age.Milliseconds(), OpensMs: opens.Milliseconds()})
+	}
+}
+
 // opensAt notes when a server takes a request again.
 func (r *Room) opensAt(at time.Time) {
 	if r.Opens.IsZero() || at.Before(r.Opens) {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -177,6 +177,9 @@
 	if c.room.Known > 0 {
 		event.Interface("servers", c.room)
 	}
+	if len(c.room.Spared) > 0 {
+		event.Interface("spared", c.room.Spared)
+	}
 	if c.cameBack {
 		event.Bool("came_back", true)
 	}
