--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -92,10 +92,10 @@
 	defer resp.Body.Close()
 	now := time.Now()
 	a.limiter.hear(now, started, resp)
-	rest := a.limiter.hearRest(now, resp)
+	backoff := a.limiter.hearBackoff(now, resp)
 	a.hearLeaving(resp)
 	if a.refusedByEngine(resp) {
-		return a.notRun(w, outcome.BackendRefused, rest)
+		return a.notRun(w, outcome.BackendRefused, backoff)
 	}
 	if !a.fromServedWeights(in, resp) {
 		a.metrics.foreignWeights.Inc()
--- a/internal/agent/leaving.go
+++ b/internal/agent/leaving.go
@@ -20,7 +20,7 @@
 	if err != nil || !leaves || !a.gate.setBackendLeaves(true) {
 		return
 	}
-	a.log.Info().Msg("backend server says that it leaves")
+	a.log.Info().Msg("backend server signals that it leaves")
 	time.AfterFunc(leavingHold, a.backendEnded)
 }
 
--- a/internal/agent/limiter.go
+++ b/internal/agent/limiter.go
@@ -13,23 +13,23 @@
 // headerLimit names how many requests a second the backend server takes.
 const headerLimit = "Server-Limit"
 
-// limiter keeps to the limit that the backend server names, and to the rest that it asks for. All
+// limiter keeps to the limit that the backend server names, and to the backoff that it requests. All
 // requests come through this agent, so that it holds the whole of the limit.
 type limiter struct {
 	log zerolog.Logger
 
-	mu    sync.Mutex
-	limit backpressure.Limit
-	pacer backpressure.Pacer
-	rest  backpressure.Rest
+	mu      sync.Mutex
+	limit   backpressure.Limit
+	pacer   backpressure.Pacer
+	backoff backpressure.Backoff
 }
 
 // admit lets a request pass now, or returns after how long one may.
 func (l *limiter) admit(now time.Time) (wait time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.rest.Over(now) {
-		return l.rest.Until.Sub(now), false
+	if !l.backoff.Over(now) {
+		return l.backoff.Until.Sub(now), false
 	}
 	if l.limit.InForce {
 		if opens := l.pacer.Opens(now, backpressure.WholeOf(l.limit.Rate)); opens.After(now) {
@@ -40,16 +40,16 @@
 	return 0, true
 }
 
-// hearRest takes the wish for rest in the head of a refusal, and returns for how long.
-func (l *limiter) hearRest(now time.Time, resp *http.Response) time.Duration {
+// hearBackoff takes the backoff requested in the head of a refusal, and returns for how long.
+func (l *limiter) hearBackoff(now time.Time, resp *http.Response) time.Duration {
 	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
 		return 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	asked := backpressure.ReadRest(resp.Header, time.Now())
-	if l.rest.Ask(now, asked) {
-		l.log.Info().Dur("for_ms", asked).Msg("backend server asks for rest")
+	asked := backpressure.ReadRetryAfter(resp.Header, time.Now())
+	if l.backoff.Ask(now, asked) {
+		l.log.Info().Dur("for_ms", asked).Msg("backend server requests backoff")
 	}
 	return asked
 }
--- a/internal/backpressure/rest.go
+++ b/internal/backpressure/backoff.go
@@ -8,13 +8,13 @@
 	"time"
 )
 
-// longestRest bounds what one answer can ask for.
-const longestRest = 24 * time.Hour
+// maxBackoff bounds what one answer can ask for.
+const maxBackoff = 24 * time.Hour
 
-// ReadRest reads for how long an answer asks the sender to send nothing: the seconds of
+// ReadRetryAfter reads for how long an answer asks the sender to send nothing: the seconds of
 // Retry-After, fractions allowed, or its date by the answer's own clock; without a date of the
 // answer, by wall, the time of day here. 0 if it doesn't ask, or can't be read.
-func ReadRest(h http.Header, wall time.Time) time.Duration {
+func ReadRetryAfter(h http.Header, wall time.Time) time.Duration {
 	value := strings.TrimSpace(h.Get("Retry-After"))
 	if value == "" {
 		return 0
@@ -23,7 +23,7 @@
 		if !(s > 0) || math.IsInf(s, 0) {
 			return 0
 		}
-		return time.Duration(min(s, longestRest.Seconds()) * float64(time.Second))
+		return time.Duration(min(s, maxBackoff.Seconds()) * float64(time.Second))
 	}
 	until, err := http.ParseTime(value)
 	if err != nil {
@@ -32,18 +32,18 @@
 	if date, err := http.ParseTime(h.Get("Date")); err == nil {
 		wall = date
 	}
-	return min(max(until.Sub(wall), 0), longestRest)
+	return min(max(until.Sub(wall), 0), maxBackoff)
 }
 
-// Rest is when a start of a backend server wants nothing from this entry.
-type Rest struct {
-	// Until is when the rest ends; AskedAt when it was asked for last.
+// Backoff is until when a start of a backend server wants nothing from this entry.
+type Backoff struct {
+	// Until is when it ends; AskedAt when it was requested last.
 	Until, AskedAt time.Time
 }
 
-// Ask takes a server's wish; a shorter one does not end a longer one. It returns whether the
-// server was not at rest before.
-func (r *Rest) Ask(now time.Time, d time.Duration) bool {
+// Ask takes a request for backoff; a shorter one does not end a longer one. It returns whether the
+// server was not backing off before.
+func (r *Backoff) Ask(now time.Time, d time.Duration) bool {
 	if d <= 0 {
 		return false
 	}
@@ -56,4 +56,4 @@
 }
 
 // Over tells whether the server may be asked.
-func (r *Rest) Over(now time.Time) bool { return !now.Before(r.Until) }
+func (r *Backoff) Over(now time.Time) bool { return !now.Before(r.Until) }
--- a/internal/backpressure/rest_test.go
+++ b/internal/backpressure/backoff_test.go
@@ -23,19 +23,19 @@
 		{"NaN", "", 0},
 		{"soon", "", 0},
 		{"3600", "", time.Hour},
-		{"1e300", "", longestRest},
+		{"1e300", "", maxBackoff},
 		{"Inf", "", 0},
 		{"Sun, 01 Mar 2026 12:00:07 GMT", "", 7 * time.Second},
 		{"Sun, 01 Mar 2026 12:00:07 GMT", "Sun, 01 Mar 2026 12:00:02 GMT", 5 * time.Second},
 		{"Sun, 01 Mar 2026 11:00:00 GMT", "", 0},
 	} {
 		h := http.Header{"Retry-After": {c.value}, "Date": {c.date}}
-		assert.Equal(t, c.want, ReadRest(h, wall), "%q, %q", c.value, c.date)
+		assert.Equal(t, c.want, ReadRetryAfter(h, wall), "%q, %q", c.value, c.date)
 	}
 }
 
 func TestShorterRestEndsNoLongerOne(t *testing.T) {
-	var r Rest
+	var r Backoff
 	assert.True(t, r.Ask(at(0), 3*time.Second))
 	assert.False(t, r.Ask(at(1), time.Second))
 	assert.False(t, r.Ask(at(1), 0))
--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -1,5 +1,5 @@
 // Package backpressure keeps what backend servers ask of their callers in the heads of
-// their answers: a limit of requests a second over all entries, and a rest of one entry's
+// their answers: a limit of requests a second over all entries, and a backoff of one entry's
 // requests.
 //
 // State: one record by start of a backend server. Messages: none; time is an argument.
--- a/internal/balance/rest_load_test.go
+++ b/internal/balance/backoff_load_test.go
@@ -138,8 +138,8 @@
 		}
 		s.restUntil[b] = p.now.Add(restLength)
 		if p.policy.heeded {
-			b.AskedToRest(&c, p.now, restLength)
-			c.Server.stated.untried = p.policy.oneAtATime
+			b.BackoffRequested(&c, p.now, restLength)
+			c.Server.signals.onTrial = p.policy.oneAtATime
 		}
 		b.Done(&c, p.now, EndedBusy)
 		next := sends + 1
@@ -152,7 +152,7 @@
 
 func (p *restPlay) take(b *Balancer, c *Choice, s *restServer) {
 	p.got.served++
-	b.TookWork(c)
+	b.AcceptedWork(c)
 	ahead := s.running
 	s.running++
 	takes := restTakes * time.Duration(1+ahead/restSlots)
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -79,17 +79,17 @@
 	// outages are, by service, what was seen of servers that load.
 	outages map[string]*outage
 	// stated is by start of a server, peers are the entries that limits are shared with.
-	stated map[string]*stated
-	peers  peers
-	// tellStated is called, without the lock, with what other entries are to be told.
-	tellStated func([]backpressure.News)
+	signals map[string]*signals
+	peers   peers
+	// tellSignals is called, without the lock, with what other entries are to be told.
+	tellSignals func([]backpressure.News)
 	// freed is called, without the lock, when a server may have got room.
 	freed func()
 }
 
 // New returns a balancer that knows no servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, unseen: map[string]*unseen{}, outages: map[string]*outage{}, stated: map[string]*stated{}, tellStated: func([]backpressure.News) {}, freed: func() {}}
+	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, unseen: map[string]*unseen{}, outages: map[string]*outage{}, signals: map[string]*signals{}, tellSignals: func([]backpressure.News) {}, freed: func() {}}
 }
 
 // OnRoom sets what is called when a server may have got room. Call it before any other
@@ -128,7 +128,7 @@
 		s = nil
 	}
 	if s == nil {
-		said := b.statedBy(record.Start(), record.SeenAt)
+		said := b.signalsOf(record.Start(), record.SeenAt)
 		said.id = record.ID
 		s = newServer(record, said)
 		b.servers[record.ID] = s
@@ -144,7 +144,7 @@
 			s.Pool.SetMax(max(minConns, int(connShare*float64(declared.MaxConns))/b.view.EntryCount()))
 		}
 	}
-	if record.State != fleet.StateReady || s.retired || !s.stated.leavingAt.IsZero() {
+	if record.State != fleet.StateReady || s.retired || !s.signals.leavingAt.IsZero() {
 		s.Pool.Close()
 		return
 	}
@@ -225,7 +225,7 @@
 func (b *Balancer) Leaving(s *Server) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return s.record.State != fleet.StateReady || !s.stated.leavingAt.IsZero()
+	return s.record.State != fleet.StateReady || !s.signals.leavingAt.IsZero()
 }
 
 // Renewed notes that a server was heard.
@@ -276,7 +276,7 @@
 	s.inFlight--
 	s.pendingRead -= c.Read
 	c.Read = 0
-	b.tried(c)
+	b.endTrial(c)
 	switch ending {
 	case EndedWell:
 		if s.health.succeeded() {
@@ -321,10 +321,10 @@
 	for _, s := range b.servers {
 		s.Pool.CloseStale(now)
 	}
-	news := b.refreshStated(now)
+	news := b.refreshSignals(now)
 	b.mu.Unlock()
 	if len(news) > 0 {
-		b.tellStated(news)
+		b.tellSignals(news)
 	}
 }
 
--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -12,10 +12,10 @@
 	// the request can't use.
 	Tried, Aside, Busy, Loading, Empty, Old, Other int
 	// Limited servers fit and have room, and this entry has used its part of the limit that they
-	// named; Resting ones want nothing from this entry for a time. Opens is when it may send to the
+	// named; BackingOff ones want nothing from this entry for a time. Opens is when it may send to the
 	// first of them that else fits, zero if there is none.
-	Limited, Resting int
-	Opens            time.Time `json:"-"`
+	Limited, BackingOff int
+	Opens               time.Time `json:"-"`
 	// Spared names some of the limited and resting ones, and by which word.
 	Spared []Spared `json:"-"`
 	// Later are those that may take it in a while: set aside, busy, limited or resting ones that else fit,
@@ -42,13 +42,13 @@
 	case now.Before(s.health.asideUntil), s.health.probing && s.inFlight > 0:
 		room.Aside++
 		room.laterIf(why == nil)
-	case !s.stated.takes(now):
-		room.Resting++
+	case !s.signals.takes(now):
+		room.BackingOff++
 		room.laterIf(why == nil)
-		if why == nil && !s.stated.rest.Over(now) {
-			room.opensAt(s.stated.rest.Until)
+		if why == nil && !s.signals.backoff.Over(now) {
+			room.opensAt(s.signals.backoff.Until)
 		}
-		room.spare(s, "rest", now.Sub(s.stated.rest.AskedAt), s.stated.rest.Until.Sub(now))
+		room.spare(s, "backoff", now.Sub(s.signals.backoff.AskedAt), s.signals.backoff.Until.Sub(now))
 	case now.Before(s.busyUntil):
 		room.Busy++
 		room.laterIf(why == nil)
@@ -63,7 +63,7 @@
 		room.Limited++
 		room.Later++
 		room.opensAt(opens)
-		room.spare(s, "limit", now.Sub(s.stated.limit.HeardAt), opens.Sub(now))
+		room.spare(s, "limit", now.Sub(s.signals.limit.HeardAt), opens.Sub(now))
 	}
 	return 0, false
 }
@@ -71,7 +71,7 @@
 // Spared is a server that was not chosen by its own word.
 type Spared struct {
 	Server string `json:"server"`
-	Word   string `json:"word"`
+	Signal string `json:"signal"`
 	// AgeMs is how old the word is, OpensMs after how long the server may be sent to; negative if it
 	// may, and another request is on its way to try it.
 	AgeMs   int64 `json:"age_ms"`
@@ -83,7 +83,7 @@
 
 func (r *Room) spare(s *Server, word string, age, opens time.Duration) {
 	if len(r.Spared) < maxSpared {
-		r.Spared = append(r.Spared, Spared{Server: s.ID, Word: word, AgeMs: age.Milliseconds(), OpensMs: opens.Milliseconds()})
+		r.Spared = append(r.Spared, Spared{Server: s.ID, Signal: word, AgeMs: age.Milliseconds(), OpensMs: opens.Milliseconds()})
 	}
 }
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -42,8 +42,8 @@
 	// another entry owned the server.
 	due     time.Time
 	foreign bool
-	// tries: it is the only request there until the server has taken it, after a rest.
-	tries bool
+	// trial: it is the only request there until the server has accepted it, after a backoff.
+	trial bool
 	// Told is how old the server's report of its load is, -1 if there is none.
 	Told time.Duration
 	// Own tells that this entry owns the server; InFlight are its own requests there.
@@ -51,9 +51,9 @@
 	InFlight int
 	// Unseen is how many requests of others were taken to be there beside those that are known.
 	Unseen float64
-	// Word is what the server had said of itself, as far as it was known: "limit", "rest",
+	// Signal is what the server had said of itself, as far as it was known: "limit", "backoff",
 	// "leaving", or nothing.
-	Word string
+	Signal string
 }
 
 // Pick chooses the server with the lowest predicted wait, load and cost, and counts
@@ -69,7 +69,7 @@
 		}
 		s.inFlight++
 		s.pendingRead += best.Read
-		best.tries = s.stated.sent(now)
+		best.trial = s.signals.sent(now)
 	}
 	return best, room
 }
@@ -119,7 +119,7 @@
 		score := b.score(now, s, queue, wait)
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1, pickedAt: now, Own: s.own, InFlight: s.inFlight, Unseen: unseen, due: w.Due, foreign: s.foreign, Word: s.stated.word(now)}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, Told: -1, pickedAt: now, Own: s.own, InFlight: s.inFlight, Unseen: unseen, due: w.Due, foreign: s.foreign, Signal: s.signals.strongest(now)}
 			if s.load.known {
 				best.Told = now.Sub(s.load.at)
 			}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -51,11 +51,11 @@
 	busyUntil time.Time
 	agent     agentReport
 	// stated is what this start has said of itself in its answers.
-	stated *stated
+	signals *signals
 }
 
-func newServer(record *fleet.BackendServer, said *stated) *Server {
-	s := &Server{ID: record.ID, Addr: record.Addr, Start: record.Start(), Pool: dispatch.NewPool(record.Addr), record: record, stated: said}
+func newServer(record *fleet.BackendServer, said *signals) *Server {
+	s := &Server{ID: record.ID, Addr: record.Addr, Start: record.Start(), Pool: dispatch.NewPool(record.Addr), record: record, signals: said}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/balance/backpressure_test.go
+++ b/internal/balance/signals_test.go
@@ -17,7 +17,7 @@
 func limitedServer(t *testing.T) *Balancer {
 	b := balancer(view(record("1", "here", 1)))
 	first := pick(t, b, start, want())
-	b.Stated(first, start, oneASecond)
+	b.LimitSignalled(first, start, oneASecond)
 	return b
 }
 
@@ -26,7 +26,7 @@
 	none, room := b.Pick(start, want())
 	assert.Nil(t, none.Server)
 	assert.Equal(t, Room{Known: 1, Limited: 1, Later: 1, Opens: start.Add(2 * time.Second), Spared: []Spared{{"1", "limit", 0, 2000}}}, room, "two entries share the limit")
-	assert.Equal(t, "limit", pick(t, b, start.Add(2*time.Second), want()).Word)
+	assert.Equal(t, "limit", pick(t, b, start.Add(2*time.Second), want()).Signal)
 }
 
 func TestLimitOutlivesAGapInTheDirectory(t *testing.T) {
@@ -42,7 +42,7 @@
 	first, again := record("1", "here", 1), record("1", "here", 1)
 	first.Born, again.Born = 1, 2
 	b := balancer(view(first))
-	b.Stated(pick(t, b, start, want()), start, oneASecond)
+	b.LimitSignalled(pick(t, b, start, want()), start, oneASecond)
 	b.SetView(view(again))
 	pick(t, b, start, want())
 	pick(t, b, start, want())
@@ -63,27 +63,27 @@
 
 func TestOtherEntriesAreToldOfALimitAndOfItsEnd(t *testing.T) {
 	b, other := balancer(view(record("1", "here", 1))), named("other", view(record("1", "here", 1)))
-	b.OnStated(func(news []backpressure.News) { other.Learn(start, news) })
-	b.Stated(pick(t, b, start, want()), start, oneASecond)
+	b.OnSignals(func(news []backpressure.News) { other.Learn(start, news) })
+	b.LimitSignalled(pick(t, b, start, want()), start, oneASecond)
 	none, room := other.Pick(start, want())
 	assert.Nil(t, none.Server)
 	assert.Equal(t, 1, room.Limited)
 	later := start.Add(2 * time.Second)
-	b.Stated(pick(t, b, later, want()), later.Add(time.Millisecond), backpressure.Statement{})
+	b.LimitSignalled(pick(t, b, later, want()), later.Add(time.Millisecond), backpressure.Statement{})
 	pick(t, other, later, want())
 	pick(t, other, later, want())
-	assert.Len(t, b.Statements(), 1)
+	assert.Len(t, b.Signals(), 1)
 }
 
 func TestServerThatChangesItsLimitAllTheTimeIsToldOfSeldom(t *testing.T) {
 	b := balancer(view(record("1", "here", 1)))
 	told := 0
-	b.OnStated(func(news []backpressure.News) { told += len(news) })
+	b.OnSignals(func(news []backpressure.News) { told += len(news) })
 	c := pick(t, b, start, want())
 	for i := range 100 {
 		now := start.Add(time.Duration(i+1) * 10 * time.Millisecond)
 		c.pickedAt = now
-		b.Stated(c, now.Add(time.Millisecond), backpressure.Statement{Named: true, Rate: float64(100 - i)})
+		b.LimitSignalled(c, now.Add(time.Millisecond), backpressure.Statement{Named: true, Rate: float64(100 - i)})
 	}
 	assert.Equal(t, 2, told)
 	b.Refresh(start.Add(3 * time.Second))
@@ -93,28 +93,28 @@
 func TestServerThatAsksForRestIsNotChosen(t *testing.T) {
 	b := balancer(view(record("1", "here", 1)))
 	first := pick(t, b, start, want())
-	b.AskedToRest(first, start, 3*time.Second)
+	b.BackoffRequested(first, start, 3*time.Second)
 	b.Done(first, start, EndedBusy)
 	none, room := b.Pick(start.Add(2900*time.Millisecond), want())
 	assert.Nil(t, none.Server)
-	assert.Equal(t, Room{Known: 1, Resting: 1, Later: 1, Opens: start.Add(3 * time.Second), Spared: []Spared{{"1", "rest", 2900, 100}}}, room)
+	assert.Equal(t, Room{Known: 1, BackingOff: 1, Later: 1, Opens: start.Add(3 * time.Second), Spared: []Spared{{"1", "backoff", 2900, 100}}}, room)
 }
 
 func TestServerGetsOneRequestAtATimeAfterItsRest(t *testing.T) {
 	b := balancer(view(record("1", "here", 1)))
 	before := pick(t, b, start, want())
 	refused := pick(t, b, start, want())
-	b.AskedToRest(refused, start.Add(time.Millisecond), time.Second)
+	b.BackoffRequested(refused, start.Add(time.Millisecond), time.Second)
 	b.Done(refused, start.Add(time.Millisecond), EndedBusy)
-	b.TookWork(before) // it was sent before the rest
+	b.AcceptedWork(before) // it was sent before the rest
 	after := start.Add(2 * time.Second)
 	trial := pick(t, b, after, want())
 	none, room := b.Pick(after, want())
 	require.Nil(t, none.Server)
-	assert.Equal(t, Room{Known: 1, Resting: 1, Later: 1, Spared: []Spared{{"1", "rest", 1999, -999}}}, room)
+	assert.Equal(t, Room{Known: 1, BackingOff: 1, Later: 1, Spared: []Spared{{"1", "backoff", 1999, -999}}}, room)
 	b.Done(trial, after, EndedElse)
 	trial = pick(t, b, after, want())
-	b.TookWork(trial)
+	b.AcceptedWork(trial)
 	pick(t, b, after, want())
 	pick(t, b, after, want())
 }
@@ -123,8 +123,8 @@
 	first := record("1", "here", 1)
 	first.Born = 1
 	b, other := balancer(view(first)), named("other", view(first))
-	b.OnStated(func(news []backpressure.News) { other.Learn(start, news) })
-	b.SaidToLeave(pick(t, b, start, want()), start)
+	b.OnSignals(func(news []backpressure.News) { other.Learn(start, news) })
+	b.LeavingSignalled(pick(t, b, start, want()), start)
 	later := *first
 	later.Seq, later.SeenAt = 9, start.Add(time.Second)
 	for name, x := range map[string]*Balancer{"that heard it": b, "that was told": other} {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -137,7 +137,7 @@
 	return " (servers: " + strings.Join(parts, ", ") + ")"
 }
 
-// spared names servers that were not chosen by their own word.
+// spared names servers that were not chosen by their own signal.
 func (l Line) spared() string {
 	list, _ := l.Fields["spared"].([]any)
 	var parts []string
@@ -145,7 +145,7 @@
 		if s, ok := item.(map[string]any); ok {
 			age, _ := s["age_ms"].(float64)
 			opens, _ := s["opens_ms"].(float64)
-			parts = append(parts, fmt.Sprintf("%v by its %v, said %.0f ms before, free after %.0f ms", s["server"], s["word"], age, opens))
+			parts = append(parts, fmt.Sprintf("%v by its %v, signalled %.0f ms before, free after %.0f ms", s["server"], s["signal"], age, opens))
 		}
 	}
 	if len(parts) == 0 {
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -28,8 +28,8 @@
 	reports map[string]bool
 	// suspicions are the facts that are to be sent.
 	suspicions []quarantine.News
-	// statements are what backend servers have said that is to be sent.
-	statements []backpressure.News
+	// signals are what backend servers have said that is to be sent.
+	signals []backpressure.News
 	// turns are the answers that are to be sent.
 	turns []*rpc.Turn
 	// configVersion is the newest configuration that it was sent or holds,
@@ -83,8 +83,8 @@
 				h.suspected(follow.SuspicionsFromProto(m.Suspicions, clock.Now()))
 				continue
 			}
-			if len(m.Statements) > 0 {
-				h.stated(follow.StatementsFromProto(m.Statements, clock.Now()))
+			if len(m.Signals) > 0 {
+				h.signalled(follow.SignalsFromProto(m.Signals, clock.Now()))
 				continue
 			}
 			h.acknowledged(f, m)
@@ -129,7 +129,7 @@
 	}
 	if f.role != RoleAgent {
 		f.suspicions = h.suspects.All()
-		f.statements = h.statements.All()
+		f.signals = h.signals.All()
 	}
 	h.followers[f] = true
 	for other := range h.followers {
@@ -201,12 +201,12 @@
 		u.Reports = append(u.Reports, h.reports[addr])
 	}
 	u.Suspicions = follow.SuspicionsToProto(f.suspicions, now)
-	u.Statements = follow.StatementsToProto(f.statements, now)
+	u.Signals = follow.SignalsToProto(f.signals, now)
 	u.Turns = f.turns
-	if !lacks && len(u.Servers)+len(u.Seen)+len(u.Reports)+len(u.Suspicions)+len(u.Statements)+len(u.Turns) == 0 {
+	if !lacks && len(u.Servers)+len(u.Seen)+len(u.Reports)+len(u.Suspicions)+len(u.Signals)+len(u.Turns) == 0 {
 		return nil
 	}
-	f.suspicions, f.statements, f.turns = nil, nil, nil
+	f.suspicions, f.signals, f.turns = nil, nil, nil
 	clear(f.changed)
 	clear(f.renewed)
 	clear(f.reports)
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -50,8 +50,8 @@
 	reports map[string]*rpc.AgentReport
 	// suspects is what entries know of work that was at servers that ended.
 	suspects *quarantine.Table
-	// statements are what backend servers have said of themselves to entries.
-	statements *backpressure.Table
+	// signals are what backend servers have said of themselves to entries.
+	signals *backpressure.Table
 	// committed is the work that the log holds, as it was taken over, recorded the same as a
 	// set.
 	committed []quarantine.Digest
@@ -66,7 +66,7 @@
 		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
 		agents:  &agentConfigs{decode: decode},
 		servers: directory.New(announceInterval), followers: map[*follower]bool{},
-		reports: map[string]*rpc.AgentReport{}, suspects: quarantine.New(), statements: backpressure.NewTable(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
+		reports: map[string]*rpc.AgentReport{}, suspects: quarantine.New(), signals: backpressure.NewTable(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
 	}
 }
 
@@ -92,7 +92,7 @@
 			h.mu.Lock()
 			h.servers.Forget(clock.Now())
 			h.suspects.Forget(clock.Now())
-			h.statements.Forget(clock.Now())
+			h.signals.Forget(clock.Now())
 			h.mu.Unlock()
 		case <-ctx.Done():
 			return
@@ -171,8 +171,8 @@
 	if len(u.Suspicions) > 0 {
 		h.suspected(follow.SuspicionsFromProto(u.Suspicions, clock.Now()))
 	}
-	if len(u.Statements) > 0 {
-		h.stated(follow.StatementsFromProto(u.Statements, clock.Now()))
+	if len(u.Signals) > 0 {
+		h.signalled(follow.SignalsFromProto(u.Signals, clock.Now()))
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/fleetcontrol/statements.go
+++ b/internal/fleetcontrol/signals.go
@@ -2,14 +2,14 @@
 
 import "lynxgate.dev/lynxgate/internal/backpressure"
 
-// stated merges what backend servers have said to entries, and passes on to entries and control
+// signalled merges what backend servers have said to entries, and passes on to entries and control
 // servers what is new.
-func (h *hub) stated(news []backpressure.News) {
+func (h *hub) signalled(news []backpressure.News) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var fresh []backpressure.News
 	for _, n := range news {
-		if merged, isNew := h.statements.Merge(n); isNew {
+		if merged, isNew := h.signals.Merge(n); isNew {
 			fresh = append(fresh, merged)
 		}
 	}
@@ -18,7 +18,7 @@
 	}
 	for f := range h.followers {
 		if f.role != RoleAgent {
-			f.statements = append(f.statements, fresh...)
+			f.signals = append(f.signals, fresh...)
 			f.notify()
 		}
 	}
--- a/internal/fleetcontrol/statements_test.go
+++ b/internal/fleetcontrol/signals_test.go
@@ -20,17 +20,17 @@
 		h.next(f)
 	}
 	said := backpressure.News{Start: "s-1", Limited: true, Rate: 2.3, At: clock.Now()}
-	h.stated([]backpressure.News{said})
+	h.signalled([]backpressure.News{said})
 	said.At = clock.Now()
-	h.stated([]backpressure.News{said}) // from another entry, or back from a peer
+	h.signalled([]backpressure.News{said}) // from another entry, or back from a peer
 	for _, f := range []*follower{entry, peer} {
 		u := h.next(f)
 		require.NotNil(t, u)
-		require.Len(t, u.Statements, 1)
-		assert.Equal(t, 2.3, u.Statements[0].Rate)
+		require.Len(t, u.Signals, 1)
+		assert.Equal(t, 2.3, u.Signals[0].Rate)
 		assert.Nil(t, h.next(f))
 	}
 	assert.Nil(t, h.next(agent), "agents send no requests")
 	late := h.join(&rpc.FollowerMessage{Name: "late", Role: RoleEntry})
-	assert.Len(t, h.next(late).Statements, 1, "an entry that has just started is told all")
+	assert.Len(t, h.next(late).Signals, 1, "an entry that has just started is told all")
 }
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -48,15 +48,15 @@
 		Headers:    e.Headers,
 		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, VersionBound: cfg.VersionBound, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
-		Tell:       func(news []quarantine.News) { client.TellSuspicions(news) },
-		TellStated: func(news []backpressure.News) { client.TellStatements(news) },
-		Turns:      turns,
-		Logger:     cfg.Logger, Metrics: gateway.NewMetrics(registry),
+		Tell:        func(news []quarantine.News) { client.TellSuspicions(news) },
+		TellSignals: func(news []backpressure.News) { client.TellSignals(news) },
+		Turns:       turns,
+		Logger:      cfg.Logger, Metrics: gateway.NewMetrics(registry),
 	})
 	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.AnnounceInterval, cfg.Logger)
-	viewer.Reported, viewer.Renewed, viewer.Suspected, viewer.Stated = g.Reported, g.Renewed, g.Suspected, g.Stated
+	viewer.Reported, viewer.Renewed, viewer.Suspected, viewer.Signalled = g.Reported, g.Renewed, g.Suspected, g.LearnSignals
 	following := followerConfig(cfg, fleetcontrol.RoleEntry, viewer)
-	following.Suspicions, following.Statements = g.Suspicions, g.Statements
+	following.Suspicions, following.Signals = g.Suspicions, g.Signals
 	client = follow.New(following)
 	ready := http.NewServeMux()
 	e.MountReady(ready, g.Ready)
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -62,9 +62,9 @@
 	// Suspicions returns all that is known here of work that was at servers that ended: a
 	// control server that has started again knows nothing of it. It may be nil.
 	Suspicions func() []quarantine.News
-	// Statements returns all that is known here of what backend servers said of themselves, for
+	// Signals returns all that is known here of what backend servers said of themselves, for
 	// the same reason. It may be nil.
-	Statements func() []backpressure.News
+	Signals func() []backpressure.News
 	// Update takes over what a control server sent; calls for one source are in
 	// order, those for several are concurrent.
 	Update func(source string, u *rpc.FleetUpdate)
@@ -338,10 +338,10 @@
 		}
 	}
 	m = &rpc.FollowerMessage{}
-	if c.cfg.Statements != nil {
-		m.Statements = StatementsToProto(c.cfg.Statements(), now)
+	if c.cfg.Signals != nil {
+		m.Signals = SignalsToProto(c.cfg.Signals(), now)
 	}
-	if len(m.Statements) > 0 {
+	if len(m.Signals) > 0 {
 		return stream.Send(m)
 	}
 	return nil
--- /dev/null
+++ b/internal/follow/signals.go
@@ -0,0 +1,40 @@
+package follow
+
+import (
+	"math"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/backpressure"
+	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// SignalsToProto returns the wire form of news as of now.
+func SignalsToProto(news []backpressure.News, now time.Time) []*rpc.ServerSignal {
+	out := make([]*rpc.ServerSignal, 0, len(news))
+	for _, n := range news {
+		out = append(out, &rpc.ServerSignal{Start: n.Start, Limited: n.Limited, Rate: n.Rate, Leaving: n.Leaving, AgeMs: max(now.Sub(n.At), 0).Milliseconds()})
+	}
+	return out
+}
+
+// SignalsFromProto is the inverse of SignalsToProto; what can't be read is left out.
+func SignalsFromProto(told []*rpc.ServerSignal, now time.Time) []backpressure.News {
+	out := make([]backpressure.News, 0, len(told))
+	for _, s := range told {
+		if s.AgeMs < 0 || s.Limited && (!(s.Rate >= 0) || math.IsInf(s.Rate, 0)) {
+			continue
+		}
+		out = append(out, backpressure.News{Start: s.Start, Limited: s.Limited, Rate: s.Rate, Leaving: s.Leaving, At: now.Add(-time.Duration(s.AgeMs) * time.Millisecond)})
+	}
+	return out
+}
+
+// TellSignals sends news to all control servers that are reached.
+func (c *Client) TellSignals(news []backpressure.News) {
+	told := SignalsToProto(news, clock.Now())
+	for _, stream := range c.streams() {
+		// A stream that fails is opened again by its own goroutine, and then told all.
+		_ = stream.Send(&rpc.FollowerMessage{Signals: told})
+	}
+}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -45,8 +45,8 @@
 
 	// Suspected is called with news of work that was at servers that ended; it may be nil.
 	Suspected func(news []quarantine.News)
-	// Stated is called with news of what backend servers said of themselves; it may be nil.
-	Stated func(news []backpressure.News)
+	// Signalled is called with news of what backend servers signal of themselves; it may be nil.
+	Signalled func(news []backpressure.News)
 	// Reported is called with each new report of an agent, Renewed when a server
 	// was heard without a change; both may be nil.
 	Reported func(r *rpc.AgentReport)
@@ -106,8 +106,8 @@
 	if len(u.Suspicions) > 0 && v.Suspected != nil {
 		v.Suspected(SuspicionsFromProto(u.Suspicions, clock.Now()))
 	}
-	if len(u.Statements) > 0 && v.Stated != nil {
-		v.Stated(StatementsFromProto(u.Statements, clock.Now()))
+	if len(u.Signals) > 0 && v.Signalled != nil {
+		v.Signalled(SignalsFromProto(u.Signals, clock.Now()))
 	}
 }
 
--- a/internal/gateway/rest_test.go
+++ b/internal/gateway/backoff_test.go
@@ -32,8 +32,8 @@
 		assert.InDelta(t, 1.5, after, 0.3)
 	}
 	assert.Len(t, b.requests(), 1)
-	assert.Contains(t, e.logs.String(), `"reason":"backend servers ask for rest"`)
-	assert.Contains(t, e.logs.String(), `"Resting":1`)
+	assert.Contains(t, e.logs.String(), `"reason":"backend servers have requested backoff"`)
+	assert.Contains(t, e.logs.String(), `"BackingOff":1`)
 }
 
 // scripted answers each request with the next of its scripts, and the last one from then on.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -66,8 +66,8 @@
 	// unheard counts servers that were asked to go on and called off before they had
 	// answered: they may have begun. No other is asked for no better reason than a load.
 	unheard int
-	// refusals counts those that a server refused, rests those of them that asked for rest.
-	refusals, rests int
+	// refusals counts those that a server refused, backoffs those of them that requested one.
+	refusals, backoffs int
 	// mayHaveRun tells that a send may have run, or has.
 	mayHaveRun bool
 	tried      []*balance.Server
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,14 +30,14 @@
 		return false
 	}
 	c.choice = choice
-	c.countWord(&choice)
+	c.countSignal(&choice)
 	c.tried = append(c.tried, choice.Server)
 	return true
 }
 
-// attemptsUsed tells whether no other server may get the request. One that asked for rest gets
+// attemptsUsed tells whether no other server may get the request. One that requested backoff gets
 // nothing more for that time from anybody here, so that it does not count: else a few servers
-// at rest would use up the attempts of callers that others have room for. The rest of a stream
+// that back off would use up the attempts of callers that others have room for. The rest of a stream
 // that has begun is sent on after servers that refused it, since its caller can't
 // start again; the retry budget bounds that.
 func (c *call) attemptsUsed() bool {
@@ -45,7 +45,7 @@
 	if c.events > 0 {
 		return c.runs >= most
 	}
-	return c.sends-c.rests >= most
+	return c.sends-c.backoffs >= most
 }
 
 // backOff waits before the rest of a stream that has begun is asked of further servers,
@@ -130,8 +130,8 @@
 		c.giveUp("no backend server is known")
 	case room.Fit == 0 && room.Limited > 0:
 		c.giveUp("backend servers are at the limits that they name")
-	case room.Fit == 0 && room.Resting > 0:
-		c.giveUp("backend servers ask for rest")
+	case room.Fit == 0 && room.BackingOff > 0:
+		c.giveUp("backend servers have requested backoff")
 	case room.Fit == 0:
 		c.giveUp("no backend server can take it")
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,8 +75,8 @@
 	RetryWindow time.Duration
 	// Tell spreads what is known of work that was at servers that ended; it may be nil.
 	Tell func([]quarantine.News)
-	// TellStated spreads what backend servers said of themselves; it may be nil.
-	TellStated func([]backpressure.News)
+	// TellSignals spreads what backend servers said of themselves; it may be nil.
+	TellSignals func([]backpressure.News)
 	// Turns are those of suspect work over all entries; it may be nil.
 	Turns   Turns
 	Logger  zerolog.Logger
@@ -116,7 +116,7 @@
 		start:    clock.Now(), budgets: map[string]*retry.Budget{},
 	}
 	b.OnRoom(g.rooms.offer)
-	b.OnStated(cfg.TellStated)
+	b.OnSignals(cfg.TellSignals)
 	g.view.Store(&follow.View{})
 	return g
 }
@@ -147,11 +147,11 @@
 // Suspicions returns all that is known of such work here.
 func (g *Gateway) Suspicions() []quarantine.News { return g.suspects.all() }
 
-// Stated takes what backend servers said of themselves to other entries.
-func (g *Gateway) Stated(news []backpressure.News) { g.balancer.Learn(clock.Now(), news) }
+// LearnSignals takes what backend servers said of themselves to other entries.
+func (g *Gateway) LearnSignals(news []backpressure.News) { g.balancer.Learn(clock.Now(), news) }
 
-// Statements returns all that backend servers said of themselves, as far as it is known here.
-func (g *Gateway) Statements() []backpressure.News { return g.balancer.Statements() }
+// Signals returns all that backend servers said of themselves, as far as it is known here.
+func (g *Gateway) Signals() []backpressure.News { return g.balancer.Signals() }
 
 // Ready tells whether the entry should get new connections.
 func (g *Gateway) Ready() (reason string, ok bool) {
@@ -202,11 +202,11 @@
 	for service, unseen := range g.balancer.Unseen(now) {
 		m.unseen.WithLabelValues(service).Set(unseen)
 	}
-	m.words.Reset()
-	for service, words := range g.balancer.Words(now) {
-		m.words.WithLabelValues(service, "limit").Set(float64(words.Limited))
-		m.words.WithLabelValues(service, "rest").Set(float64(words.Resting))
-		m.words.WithLabelValues(service, "leaving").Set(float64(words.Leaving))
+	m.signals.Reset()
+	for service, counts := range g.balancer.SignalCounts(now) {
+		m.signals.WithLabelValues(service, "limit").Set(float64(counts.Limited))
+		m.signals.WithLabelValues(service, "backoff").Set(float64(counts.BackingOff))
+		m.signals.WithLabelValues(service, "leaving").Set(float64(counts.Leaving))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	c.sends++
-	c.countWord(&choice)
+	c.countSignal(&choice)
 	c.handover = &handover{
 		choice: choice, why: why, next: newWatchdog(w.parent, choice.Server), settled: make(chan struct{}),
 		request: c.request(choice.Server),
--- a/internal/gateway/head.go
+++ b/internal/gateway/head.go
@@ -19,20 +19,20 @@
 	c.noteLoad(choice.Server, a.Header, now)
 	c.noteLimit(choice, a, now)
 	if !c.isNotRun(a) {
-		c.g.balancer.TookWork(choice)
+		c.g.balancer.AcceptedWork(choice)
 	}
-	c.g.balancer.AskedToRest(choice, now, restAsked(a))
+	c.g.balancer.BackoffRequested(choice, now, requestedBackoff(a))
 	if leaves, err := strconv.ParseBool(a.Header.Get(c.g.cfg.Headers.Leaving)); err == nil && leaves {
-		c.g.balancer.SaidToLeave(choice, now)
+		c.g.balancer.LeavingSignalled(choice, now)
 	}
 }
 
-// restAsked is for how long an answer asks the entry to send nothing more, 0 if it does not.
-func restAsked(a *dispatch.Answer) time.Duration {
+// requestedBackoff is for how long an answer asks the entry to send nothing more, 0 if it does not.
+func requestedBackoff(a *dispatch.Answer) time.Duration {
 	if a.StatusCode != http.StatusServiceUnavailable && a.StatusCode != http.StatusTooManyRequests {
 		return 0
 	}
-	return backpressure.ReadRest(a.Header, time.Now())
+	return backpressure.ReadRetryAfter(a.Header, time.Now())
 }
 
 // noteLoad takes the load that an answer's head tells: running, waiting, slots.
@@ -57,12 +57,12 @@
 	if !stated.Named && (c.isNotRun(a) || !c.signed(a)) {
 		return
 	}
-	c.g.balancer.Stated(choice, now, stated)
+	c.g.balancer.LimitSignalled(choice, now, stated)
 }
 
-// countWord counts a send to a server that has said something of itself.
-func (c *call) countWord(choice *balance.Choice) {
-	if choice.Word != "" {
-		c.g.cfg.Metrics.wordSends.WithLabelValues(c.service, choice.Word).Inc()
+// countSignal counts a send to a server that has said something of itself.
+func (c *call) countSignal(choice *balance.Choice) {
+	if choice.Signal != "" {
+		c.g.cfg.Metrics.signalSends.WithLabelValues(c.service, choice.Signal).Inc()
 	}
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -27,15 +27,15 @@
 	// broken counts sends that broke off by the fault of a server or the way to it, by
 	// whether an answer had begun.
 	broken *prometheus.CounterVec
-	// wordSends counts sends to servers that were known to have said something of themselves.
-	wordSends *prometheus.CounterVec
+	// signalSends counts sends to servers that were known to have said something of themselves.
+	signalSends *prometheus.CounterVec
 	// heldBack counts requests that were not sent, or not again, for what is known of them.
 	heldBack *prometheus.CounterVec
 	// Gauges that Run sets once a second.
 	budgetLeft    *prometheus.GaugeVec
 	directoryAge  *prometheus.GaugeVec
 	unseen        *prometheus.GaugeVec
-	words         *prometheus.GaugeVec
+	signals       *prometheus.GaugeVec
 	configVersion prometheus.Gauge
 	// suspect is how many pieces of work were at servers that ended.
 	suspect prometheus.Gauge
@@ -94,12 +94,12 @@
 		unseen: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_unseen_requests", Help: "Requests that are taken to be at each backend server of another entry beside those that are known, by service.",
 		}, []string{"service"}),
-		words: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "lynxgate_gateway_spared_servers", Help: "Backend servers that have named a limit, ask for rest, or have said that they leave, by service and word.",
-		}, []string{"service", "word"}),
-		wordSends: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lynxgate_gateway_spared_sends_total", Help: "Sends to backend servers that were known to have a limit, to ask for rest or to leave, by service and word.",
-		}, []string{"service", "word"}),
+		signals: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "lynxgate_gateway_spared_servers", Help: "Backend servers that have named a limit, ask for rest, or have said that they leave, by service and signal.",
+		}, []string{"service", "signal"}),
+		signalSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_spared_sends_total", Help: "Sends to backend servers that were known to have a limit, to ask for rest or to leave, by service and signal.",
+		}, []string{"service", "signal"}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_config_version", Help: "Version of the configuration in force here.",
 		}),
@@ -107,7 +107,7 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.sizes, m.room, m.interrupted, m.broken, m.heldBack, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.words, m.wordSends, m.configVersion, m.Dialled)
+	r.MustRegister(m.requests, m.sends, m.first, m.whole, m.wait, m.gap, m.sizes, m.room, m.interrupted, m.broken, m.heldBack, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.signalSends, m.configVersion, m.Dialled)
 	return m
 }
 
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -186,7 +186,7 @@
 // where servers fit but are full, refused a moment ago, or may be sent to again soon; false if
 // room will not come in time, or has not.
 func (c *call) waitForRoom(ctx context.Context, want balance.Want, room balance.Room) (balance.Choice, bool) {
-	if c.sends > 0 || c.events > 0 || c.engine() == nil || room.Fit+room.Busy+room.Limited+room.Resting == 0 {
+	if c.sends > 0 || c.events > 0 || c.engine() == nil || room.Fit+room.Busy+room.Limited+room.BackingOff == 0 {
 		return balance.Choice{}, false
 	}
 	r := &waiting.Request{CameBack: c.cameBack, Since: clock.Now()}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -163,8 +163,8 @@
 	_, _ = io.Copy(io.Discard, a)
 	c.mayAskAgain(ending)
 	c.refusals++
-	if restAsked(a) > 0 {
-		c.rests++
+	if requestedBackoff(a) > 0 {
+		c.backoffs++
 	}
 	c.g.balancer.Done(&c.choice, clock.Now(), ending)
 	c.logSend("backend server did not run it: "+strconv.Itoa(a.StatusCode), nil)
@@ -206,7 +206,7 @@
 
 // mayRepeat tells whether another send is allowed and likely to be possible.
 func (c *call) mayRepeat() bool {
-	if !c.route.Idempotent() || c.sends-c.rests >= c.route.MaxAttempts {
+	if !c.route.Idempotent() || c.sends-c.backoffs >= c.route.MaxAttempts {
 		return false
 	}
 	return clock.Until(c.by) > leastSend
