--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -6,12 +6,13 @@
 
 // BackoffRequested takes a server's wish to get nothing from this entry for d.
 func (b *Balancer) BackoffRequested(c *Choice, now time.Time, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := c.Server
-	if d > 0 {
-		s.signals.onTrial = true
-	}
+	s.signals.onTrial = true
 	if s.signals.backoff.Ask(now, d) {
 		b.cfg.Logger.Info().Str("server", s.ID).Str("addr", s.Addr).Dur("for_ms", d).Int("own_requests", s.inFlight).
 			Msg("backend server requests backoff")
