--- a/internal/agent/leaving.go
+++ b/internal/agent/leaving.go
@@ -13,7 +13,7 @@
 // end is seen before: one that starts again within the time between two checks is not seen to end.
 const leavingHold = time.Minute
 
-// hearLeaving takes a backend server's word that it leaves. Entries hear of it on their watches;
+// hearLeaving takes a backend server's signal that it leaves. Entries hear of it on their watches;
 // the agent itself stays.
 func (a *Agent) hearLeaving(resp *http.Response) {
 	leaves, err := strconv.ParseBool(resp.Header.Get(headerLeaving))
--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -4,7 +4,7 @@
 	"time"
 )
 
-// BackoffRequested takes a server's wish to get nothing from this entry for d.
+// BackoffRequested takes a server's request that this entry sends nothing for d.
 func (b *Balancer) BackoffRequested(c *Choice, now time.Time, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -16,8 +16,8 @@
 	// first of them that else fits, zero if there is none.
 	Limited, BackingOff int
 	Opens               time.Time `json:"-"`
-	// Spared names some of the limited and resting ones, and by which word.
-	Spared []Spared `json:"-"`
+	// Throttled names some of the limited and backing-off ones, and by which signal.
+	Throttled []Throttled `json:"-"`
 	// Later are those that may take it in a while: set aside, busy, limited or resting ones that else fit,
 	// and those that have the version of a begun request still to load. They are counted
 	// above, too, and not logged.
@@ -48,7 +48,7 @@
 		if why == nil && !s.signals.backoff.Over(now) {
 			room.opensAt(s.signals.backoff.Until)
 		}
-		room.spare(s, "backoff", now.Sub(s.signals.backoff.AskedAt), s.signals.backoff.Until.Sub(now))
+		room.throttle(s, "backoff", now.Sub(s.signals.backoff.AskedAt), s.signals.backoff.Until.Sub(now))
 	case now.Before(s.busyUntil):
 		room.Busy++
 		room.laterIf(why == nil)
@@ -63,27 +63,27 @@
 		room.Limited++
 		room.Later++
 		room.opensAt(opens)
-		room.spare(s, "limit", now.Sub(s.signals.limit.HeardAt), opens.Sub(now))
+		room.throttle(s, "limit", now.Sub(s.signals.limit.HeardAt), opens.Sub(now))
 	}
 	return 0, false
 }
 
-// Spared is a server that was not chosen by its own word.
-type Spared struct {
+// Throttled is a server that was not chosen because of its own signal.
+type Throttled struct {
 	Server string `json:"server"`
 	Signal string `json:"signal"`
-	// AgeMs is how old the word is, OpensMs after how long the server may be sent to; negative if it
+	// AgeMs is how old the signal is, OpensMs after how long the server may be sent to; negative if it
 	// may, and another request is on its way to try it.
 	AgeMs   int64 `json:"age_ms"`
 	OpensMs int64 `json:"opens_ms"`
 }
 
-// maxSpared bounds those that a line names.
-const maxSpared = 3
+// maxThrottled bounds those that a line names.
+const maxThrottled = 3
 
-func (r *Room) spare(s *Server, word string, age, opens time.Duration) {
-	if len(r.Spared) < maxSpared {
-		r.Spared = append(r.Spared, Spared{Server: s.ID, Signal: word, AgeMs: age.Milliseconds(), OpensMs: opens.Milliseconds()})
+func (r *Room) throttle(s *Server, signal string, age, opens time.Duration) {
+	if len(r.Throttled) < maxThrottled {
+		r.Throttled = append(r.Throttled, Throttled{Server: s.ID, Signal: signal, AgeMs: age.Milliseconds(), OpensMs: opens.Milliseconds()})
 	}
 }
 
--- a/internal/balance/signals_test.go
+++ b/internal/balance/signals_test.go
@@ -25,7 +25,7 @@
 	b := limitedServer(t)
 	none, room := b.Pick(start, want())
 	assert.Nil(t, none.Server)
-	assert.Equal(t, Room{Known: 1, Limited: 1, Later: 1, Opens: start.Add(2 * time.Second), Spared: []Spared{{"1", "limit", 0, 2000}}}, room, "two entries share the limit")
+	assert.Equal(t, Room{Known: 1, Limited: 1, Later: 1, Opens: start.Add(2 * time.Second), Throttled: []Throttled{{"1", "limit", 0, 2000}}}, room, "two entries share the limit")
 	assert.Equal(t, "limit", pick(t, b, start.Add(2*time.Second), want()).Signal)
 }
 
@@ -97,7 +97,7 @@
 	b.Done(first, start, EndedBusy)
 	none, room := b.Pick(start.Add(2900*time.Millisecond), want())
 	assert.Nil(t, none.Server)
-	assert.Equal(t, Room{Known: 1, BackingOff: 1, Later: 1, Opens: start.Add(3 * time.Second), Spared: []Spared{{"1", "backoff", 2900, 100}}}, room)
+	assert.Equal(t, Room{Known: 1, BackingOff: 1, Later: 1, Opens: start.Add(3 * time.Second), Throttled: []Throttled{{"1", "backoff", 2900, 100}}}, room)
 }
 
 func TestServerGetsOneRequestAtATimeAfterItsRest(t *testing.T) {
@@ -111,7 +111,7 @@
 	trial := pick(t, b, after, want())
 	none, room := b.Pick(after, want())
 	require.Nil(t, none.Server)
-	assert.Equal(t, Room{Known: 1, BackingOff: 1, Later: 1, Spared: []Spared{{"1", "backoff", 1999, -999}}}, room)
+	assert.Equal(t, Room{Known: 1, BackingOff: 1, Later: 1, Throttled: []Throttled{{"1", "backoff", 1999, -999}}}, room)
 	b.Done(trial, after, EndedElse)
 	trial = pick(t, b, after, want())
 	b.AcceptedWork(trial)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -137,9 +137,9 @@
 	return " (servers: " + strings.Join(parts, ", ") + ")"
 }
 
-// spared names servers that were not chosen by their own signal.
-func (l Line) spared() string {
-	list, _ := l.Fields["spared"].([]any)
+// throttled names servers that were not chosen because of their own signals.
+func (l Line) throttled() string {
+	list, _ := l.Fields["throttled"].([]any)
 	var parts []string
 	for _, item := range list {
 		if s, ok := item.(map[string]any); ok {
@@ -151,7 +151,7 @@
 	if len(parts) == 0 {
 		return ""
 	}
-	return " (spared: " + strings.Join(parts, "; ") + ")"
+	return " (throttled: " + strings.Join(parts, "; ") + ")"
 }
 
 // decide names the line that decided: the last one about a send that failed, or
@@ -208,7 +208,7 @@
 		return fmt.Sprintf("late at %s: first event after %.0f ms (predicted wait %.0f ms, queue %.0f, told %.0f ms before), longest pause %.0f ms",
 			end.text("server"), end.number("first_ms"), end.number("wait_ms"), end.number("queue"), end.number("load_age_ms"), end.number("gap_ms"))
 	case end.number("sends") == 0 && deciding.Message == ended:
-		return fmt.Sprintf("refused with %d before any send: %s", status, reason) + end.servers() + end.spared() + end.room() + end.endedServers()
+		return fmt.Sprintf("refused with %d before any send: %s", status, reason) + end.servers() + end.throttled() + end.room() + end.endedServers()
 	case deciding.Message != ended:
 		return fmt.Sprintf("ended with %d (%s) after %q at %s", status, reason, strings.TrimSpace(deciding.Message+" "+deciding.text("cause")), deciding.text("server")) + end.endedServers()
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -13,7 +13,7 @@
 {"daemon":"entry-1","request":"r-1","server":"s-2","sends":0,"cause":"connection reset","time":"2026-01-01T00:00:04.000Z","message":"send failed"}
 {"daemon":"entry-1","request":"r-1","server":"s-2","sends":1,"status":502,"reason":"connection to the backend server failed","time":"2026-01-01T00:00:04.001Z","message":"request ended"}
 {"daemon":"entry-1","request":"r-2","sends":0,"status":503,"reason":"all backend servers are full","servers":{"Known":3,"Fit":2,"Aside":1,"Old":0},"time":"2026-01-01T00:00:05.000Z","message":"request ended"}
-{"daemon":"entry-1","request":"r-5","sends":0,"status":503,"reason":"backend servers are at the limits that they name","servers":{"Known":1,"Limited":1},"spared":[{"server":"s-9","signal":"limit","age_ms":40,"opens_ms":900}],"time":"2026-01-01T00:00:05.600Z","message":"request ended"}
+{"daemon":"entry-1","request":"r-5","sends":0,"status":503,"reason":"backend servers are at the limits that they name","servers":{"Known":1,"Limited":1},"throttled":[{"server":"s-9","signal":"limit","age_ms":40,"opens_ms":900}],"time":"2026-01-01T00:00:05.600Z","message":"request ended"}
 {"daemon":"entry-1","request":"r-4","sends":0,"status":503,"reason":"all backend servers are full","servers":{"Known":3,"Fit":3},"prompt":3880,"allowed_ms":149.2,"soonest_ms":215.6,"waited_ms":80.1,"time":"2026-01-01T00:00:05.500Z","message":"request ended"}
 {"daemon":"entry-1","request":"r-3","server":"s-1","sends":1,"status":200,"reason":"served","first_ms":900,"wait_ms":20,"queue":3,"load_age_ms":80,"gap_ms":50,"time":"2026-01-01T00:00:06.000Z","message":"request ended"}
 not JSON
@@ -41,7 +41,7 @@
 }
 
 func TestRefusalForWantOfRoomTellsTheWaits(t *testing.T) {
-	assert.Equal(t, "refused with 503 before any send: backend servers are at the limits that they name (servers: known 1, limited 1) (spared: s-9 by its limit, signalled 40 ms before, free after 900 ms)", read(t, "r-5").Cause)
+	assert.Equal(t, "refused with 503 before any send: backend servers are at the limits that they name (servers: known 1, limited 1) (throttled: s-9 by its limit, signalled 40 ms before, free after 900 ms)", read(t, "r-5").Cause)
 	assert.Equal(t, "refused with 503 before any send: all backend servers are full (servers: fit 3, known 3) (prompt of 3880 tokens, waited 80 ms for room; least wait predicted at a server 216 ms, longest allowed 149 ms)", read(t, "r-4").Cause)
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -95,10 +95,10 @@
 			Name: "lynxgate_gateway_unseen_requests", Help: "Requests that are taken to be at each backend server of another entry beside those that are known, by service.",
 		}, []string{"service"}),
 		signals: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "lynxgate_gateway_spared_servers", Help: "Backend servers that have named a limit, ask for rest, or have said that they leave, by service and signal.",
+			Name: "lynxgate_gateway_throttled_servers", Help: "Backend servers that have named a limit, have requested backoff, or leave, by service and signal.",
 		}, []string{"service", "signal"}),
 		signalSends: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lynxgate_gateway_spared_sends_total", Help: "Sends to backend servers that were known to have a limit, to ask for rest or to leave, by service and signal.",
+			Name: "lynxgate_gateway_throttled_sends_total", Help: "Sends to backend servers that were known to have a limit, to have requested backoff, or to leave, by service and signal.",
 		}, []string{"service", "signal"}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_config_version", Help: "Version of the configuration in force here.",
@@ -177,8 +177,8 @@
 	if c.room.Known > 0 {
 		event.Interface("servers", c.room)
 	}
-	if len(c.room.Spared) > 0 {
-		event.Interface("spared", c.room.Spared)
+	if len(c.room.Throttled) > 0 {
+		event.Interface("throttled", c.room.Throttled)
 	}
 	if c.cameBack {
 		event.Bool("came_back", true)
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -172,7 +172,7 @@
 	if status == http.StatusOK {
 		return true
 	}
-	w.Header().Set("Retry-After", cmp.Or(e.faults.Get().Rest, "1"))
+	w.Header().Set("Retry-After", cmp.Or(e.faults.Get().RetryAfter, "1"))
 	writeError(w, status, problem)
 	return false
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -74,8 +74,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Refuse answers 503 to completion requests.
 	Refuse bool `json:"refuse,omitempty"`
-	// Rest is for how many seconds all refusals ask for rest; empty means 1.
-	Rest string `json:"rest,omitempty"`
+	// RetryAfter stands in all refusals, in seconds; empty means 1.
+	RetryAfter string `json:"retry_after,omitempty"`
 	// HangLoad keeps load orders from ending until it is cleared.
 	HangLoad bool `json:"hang_load,omitempty"`
 	// LoadError fails load orders with this text; the engine is then empty.
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -37,9 +37,9 @@
 	DieAfterRun int `json:"die_after_run,omitempty"`
 	// Stall runs the request, but answers only when the setting is cleared.
 	Stall bool `json:"stall,omitempty"`
-	// Refuse answers 503 without a run, and asks for Rest seconds of rest if that is set.
-	Refuse bool   `json:"refuse,omitempty"`
-	Rest   string `json:"rest,omitempty"`
+	// Refuse answers 503 without a run, with RetryAfter if that is set.
+	Refuse     bool   `json:"refuse,omitempty"`
+	RetryAfter string `json:"retry_after,omitempty"`
 	// Slow multiplies the latency when it is above 1.
 	Slow float64 `json:"slow,omitempty"`
 	// Limit is named in all answers as the requests a second that it takes.
@@ -117,8 +117,8 @@
 	faults.NameLimit(w.Header(), f.Limit)
 	faults.SayLeaving(w.Header(), f.Leaving)
 	if f.Refuse {
-		if f.Rest != "" {
-			w.Header().Set("Retry-After", f.Rest)
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
 		}
 		http.Error(w, "refused by fault setting", http.StatusServiceUnavailable)
 		return
