Test of a limited server's wait: no verdict by a stall of its own process

Cause: the request may wait for 0.2 of its objective, 40 ms, and the limit opens after 25 ms, so a stall of more than 15 ms between the two answers refuses it rightly. Change: the route's objective is 1 s here, which leaves 175 ms, and the scenario runs under standstill.Run; that the request has waited is now asserted, too.

--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
 // limited answers with serve and states a limit in requests a second.
@@ -65,12 +67,23 @@
 	assert.Len(t, b2.requests(), 1)
 }
 
+// The request may wait for a fifth of the objective of its route, so that a stall of the test
+// process that standstill.Run does not count is no reason to refuse it.
 func TestRequestWaitsForALimitedServerThatIsAvailableInTime(t *testing.T) {
+	standstill.Run(t, testRequestWaitsForALimitedServerThatIsAvailableInTime)
+}
+
+func testRequestWaitsForALimitedServerThatIsAvailableInTime(t testing.TB) {
 	b := newBackend(t, "b-1", limited("40", events(0)))
 	e := newEntry(t, b)
 	e.onlyEngines()
+	for i := range e.view.Load().Table.Config.Routes {
+		e.view.Load().Table.Config.Routes[i].Objective = time.Second
+	}
 	require.Equal(t, http.StatusOK, e.ask(t, "POST", "/stream/1").status)
+	began := time.Now()
 	assert.Equal(t, http.StatusOK, e.ask(t, "POST", "/stream/2").status)
+	assert.Greater(t, time.Since(began), 10*time.Millisecond, "it has waited")
 	assert.Len(t, b.requests(), 2)
 	assert.Zero(t, e.queues.count.Load())
 }
