Quarantine in the log is ordered by the log, not by the clock of who applies it

Cause: a control server stamped a quarantine that it applied from the log with its own time. One that had just started applied the quarantine of entry 10 some ms after the release of entry 20 had gone out, so the quarantine looked later than its release and was in force again at all entries, and was put into the log again. One that was cut off and comes back does the same seconds later. Ruled out: holding the log back until the server has caught up (a lagging server shows the same state later, without a start); times in the log (clocks step). Change: facts of the log carry the log entry as of which a content is or is not quarantined; of these the later entry counts, whatever the time of arrival. Verdicts from crashes and releases by operators keep their times. Only verdicts from crashes are put into the log. Not mended: a release of a content whose first record is on its way into the log at that moment is followed by that record (seen in reading, not in a run).

--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -54,7 +54,7 @@
 	signals *backpressure.Table
 	// committed are the quarantined contents of the committed state when it was last merged,
 	// recorded the same as a set.
-	committed []quarantine.Digest
+	committed []ledger.Quarantined
 	recorded  map[quarantine.Digest]bool
 	// turns are those that this server has granted.
 	turns turns
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -82,13 +82,20 @@
 	h.committed = state.Quarantined
 	now := clock.Now()
 	recorded := make(map[quarantine.Digest]bool, len(state.Quarantined))
-	for _, d := range state.Quarantined {
-		recorded[d] = true
-		if !h.recorded[d] {
-			h.mergeSuspicionsLocked(now, []quarantine.Update{{Digest: d, At: now}})
+	var updates []quarantine.Update
+	for _, q := range state.Quarantined {
+		recorded[q.Digest] = true
+		if !h.recorded[q.Digest] {
+			updates = append(updates, quarantine.Update{Digest: q.Digest, Index: q.Index, At: now})
+		}
+	}
+	for d := range h.recorded {
+		if !recorded[d] {
+			updates = append(updates, quarantine.Update{Digest: d, Cleared: true, Index: state.QuarantineIndex, At: now})
 		}
 	}
 	h.recorded = recorded
+	h.mergeSuspicionsLocked(now, updates)
 }
 
 // unrecorded returns the digests of quarantined contents that are not in the log yet.
@@ -101,7 +108,8 @@
 	now := clock.Now()
 	var out [][]byte
 	for _, n := range h.suspects.All() {
-		if n.Server == "" && !h.recorded[n.Digest] && h.suspects.Verdict(now, n.Digest) == quarantine.Quarantined && len(out) < maxRecorded {
+		ofCrashes := n.Server == "" && !n.Cleared && n.Index == 0
+		if ofCrashes && !h.recorded[n.Digest] && h.suspects.Verdict(now, n.Digest) == quarantine.Quarantined && len(out) < maxRecorded {
 			out = append(out, n.Digest[:])
 		}
 	}
--- a/internal/fleetcontrol/suspects_test.go
+++ b/internal/fleetcontrol/suspects_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
@@ -81,6 +82,63 @@
 	assert.Empty(t, u.Suspicions[0].Server)
 }
 
+// A control server that has just started applies the quarantine of a content from its log after the
+// content was released.
+func TestReplayedQuarantineDoesNotOutlastItsRelease(t *testing.T) {
+	before := testHub()
+	entry := before.join(&rpc.FollowerMessage{Name: "e", Role: RoleEntry})
+	before.mergeSuspicions(crashes("s-1", "s-2", "s-3"))
+	before.settle()
+	commit(t, before, 10, before.unrecorded())
+	known := quarantine.New() // of the entry
+	receive := func(h *hub, f *follower) (released, quarantined bool) {
+		h.mergeQuarantined(h.ledger.State())
+		if u := h.next(f); u != nil {
+			for _, n := range follow.SuspicionsFromProto(u.Suspicions, clock.Now()) {
+				known.Merge(clock.Now(), n)
+			}
+		}
+		verdict := known.Verdict(clock.Now(), crashing)
+		return verdict == quarantine.Free, verdict == quarantine.Quarantined
+	}
+	_, quarantined := receive(before, entry)
+	require.True(t, quarantined)
+	release(t, before, 20)
+	released, _ := receive(before, entry)
+	require.True(t, released)
+
+	started := testHub()
+	started.mergeSuspicions(known.All()) // the entry tells what it knows when it joins
+	follower := started.join(&rpc.FollowerMessage{Name: "e", Role: RoleEntry})
+	commit(t, started, 10, [][]byte{crashing[:]})
+	released, _ = receive(started, follower)
+	assert.True(t, released)
+	assert.Empty(t, started.unrecorded(), "it is not put into the log again")
+
+	// It did not know of the release when it applied the quarantine.
+	late := testHub()
+	follower = late.join(&rpc.FollowerMessage{Name: "e", Role: RoleEntry})
+	commit(t, late, 10, [][]byte{crashing[:]})
+	released, _ = receive(late, follower)
+	assert.True(t, released)
+	late.mergeSuspicions(known.All())
+	assert.Empty(t, late.unrecorded())
+	release(t, late, 20)
+	receive(late, follower)
+	commit(t, late, 30, [][]byte{crashing[:]})
+	_, quarantined = receive(late, follower)
+	assert.True(t, quarantined, "quarantined anew")
+}
+
+// release commits a release and spreads it as Server.Release does.
+func release(t *testing.T, h *hub, index uint64) {
+	t.Helper()
+	data, err := proto.Marshal(&rpc.FleetCommand{Lifted: crashing[:]})
+	require.NoError(t, err)
+	h.ledger.Apply(index, data)
+	h.mergeSuspicions([]quarantine.Update{{Digest: crashing, Cleared: true, At: clock.Now()}})
+}
+
 func TestOneEntryAtATimeHasTurn(t *testing.T) {
 	h := testHub()
 	a := h.join(&rpc.FollowerMessage{Name: "a", Role: RoleEntry})
--- a/internal/follow/suspicions.go
+++ b/internal/follow/suspicions.go
@@ -13,7 +13,7 @@
 	out := make([]*rpc.Suspicion, 0, len(updates))
 	for _, n := range updates {
 		out = append(out, &rpc.Suspicion{
-			Digest: n.Digest[:], Server: n.Server, Cleared: n.Cleared, Alone: n.SoleAttempt, AgeMs: max(now.Sub(n.At), 0).Milliseconds(),
+			Digest: n.Digest[:], Server: n.Server, Cleared: n.Cleared, Alone: n.SoleAttempt, LogIndex: n.Index, AgeMs: max(now.Sub(n.At), 0).Milliseconds(),
 		})
 	}
 	return out
@@ -27,7 +27,7 @@
 			continue
 		}
 		out = append(out, quarantine.Update{
-			Digest: quarantine.Digest(s.Digest), Server: s.Server, Cleared: s.Cleared, SoleAttempt: s.Alone,
+			Digest: quarantine.Digest(s.Digest), Server: s.Server, Cleared: s.Cleared, SoleAttempt: s.Alone, Index: s.LogIndex,
 			At: now.Add(-time.Duration(s.AgeMs) * time.Millisecond),
 		})
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,8 +27,16 @@
 	Config        []byte
 	// Versions holds the newest version of the weights by model.
 	Versions map[string]Version
-	// Quarantined lists the quarantined request contents, the newest last.
-	Quarantined []quarantine.Digest
+	// Quarantined lists the quarantined request contents, the newest last. QuarantineIndex is the
+	// newest log entry that has quarantined or released one, 0 if none has.
+	Quarantined     []Quarantined
+	QuarantineIndex uint64
+}
+
+// Quarantined is a quarantined request content with the log entry that has quarantined it.
+type Quarantined struct {
+	Digest quarantine.Digest
+	Index  uint64
 }
 
 // maxQuarantined bounds the quarantined contents in the state, 16 bytes each; it is also the number
@@ -145,14 +153,14 @@
 		panic(fmt.Sprintf("ledger: decode command of entry %d: %v", index, err))
 	}
 	next := *l.State()
-	if !next.apply(&c, l.now()) {
+	if !next.apply(index, &c, l.now()) {
 		return nil
 	}
 	l.publish(&next)
 	return nil
 }
 
-func (s *State) apply(c *rpc.FleetCommand, now time.Time) (changed bool) {
+func (s *State) apply(index uint64, c *rpc.FleetCommand, now time.Time) (changed bool) {
 	if c.ConfigVersion > s.ConfigVersion {
 		s.ConfigVersion, s.Config = c.ConfigVersion, c.Config
 		changed = true
@@ -167,26 +175,32 @@
 		changed = true
 	}
 	for _, raw := range c.Held {
-		changed = s.addQuarantined(raw) || changed
+		changed = s.addQuarantined(index, raw) || changed
 	}
-	return s.release(c.Lifted) || changed
+	return s.release(index, c.Lifted) || changed
 }
 
 // release lifts the quarantine of a content, given by its digest.
-func (s *State) release(raw []byte) bool {
-	if len(raw) != quarantine.DigestSize || !slices.Contains(s.Quarantined, quarantine.Digest(raw)) {
+func (s *State) release(index uint64, raw []byte) bool {
+	if len(raw) != quarantine.DigestSize {
 		return false
 	}
-	s.Quarantined = slices.DeleteFunc(slices.Clone(s.Quarantined), func(d quarantine.Digest) bool { return d == quarantine.Digest(raw) })
+	s.QuarantineIndex = index
+	s.Quarantined = slices.DeleteFunc(slices.Clone(s.Quarantined), isQuarantined(raw))
 	return true
 }
 
+func isQuarantined(raw []byte) func(Quarantined) bool {
+	return func(q Quarantined) bool { return q.Digest == quarantine.Digest(raw) }
+}
+
 // addQuarantined adds the digest of a quarantined content. It ignores data that is not a digest.
-func (s *State) addQuarantined(raw []byte) bool {
-	if len(raw) != quarantine.DigestSize || slices.Contains(s.Quarantined, quarantine.Digest(raw)) {
+func (s *State) addQuarantined(index uint64, raw []byte) bool {
+	if len(raw) != quarantine.DigestSize || slices.ContainsFunc(s.Quarantined, isQuarantined(raw)) {
 		return false
 	}
-	quarantined := append(slices.Clone(s.Quarantined), quarantine.Digest(raw))
+	s.QuarantineIndex = index
+	quarantined := append(slices.Clone(s.Quarantined), Quarantined{Digest: quarantine.Digest(raw), Index: index})
 	s.Quarantined = quarantined[max(0, len(quarantined)-maxQuarantined):]
 	return true
 }
@@ -194,12 +208,13 @@
 // Snapshot implements replica.FSM.
 func (l *Ledger) Snapshot() ([]byte, error) {
 	s := l.State()
-	out := &rpc.FleetState{ConfigVersion: s.ConfigVersion, Config: s.Config}
+	out := &rpc.FleetState{ConfigVersion: s.ConfigVersion, Config: s.Config, QuarantineIndex: s.QuarantineIndex}
 	for model, v := range s.Versions {
 		out.Versions = append(out.Versions, &rpc.ModelVersion{Model: model, Version: v.Number})
 	}
-	for _, d := range s.Quarantined {
-		out.Held = append(out.Held, d[:])
+	for _, q := range s.Quarantined {
+		out.Held = append(out.Held, q.Digest[:])
+		out.HeldIndex = append(out.HeldIndex, q.Index)
 	}
 	data, err := proto.Marshal(out)
 	if err != nil {
@@ -218,9 +233,21 @@
 	for _, v := range in.Versions {
 		next.Versions[v.Model] = Version{Number: v.Version, AppliedAt: l.now()}
 	}
-	for _, raw := range in.Held {
-		next.addQuarantined(raw)
-	}
+	next.restoreQuarantined(&in)
 	l.publish(next)
 	return nil
 }
+
+// firstIndex is that of a quarantined content in a snapshot of an earlier version, which has none.
+const firstIndex = 1
+
+func (s *State) restoreQuarantined(in *rpc.FleetState) {
+	for i, raw := range in.Held {
+		index := uint64(firstIndex)
+		if i < len(in.HeldIndex) {
+			index = in.HeldIndex[i]
+		}
+		s.addQuarantined(index, raw)
+	}
+	s.QuarantineIndex = max(s.QuarantineIndex, in.QuarantineIndex)
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -77,7 +77,7 @@
 	apply(t, l, &rpc.FleetCommand{Held: [][]byte{digest(-1)}})
 	quarantined := l.State().Quarantined
 	assert.Len(t, quarantined, maxQuarantined)
-	assert.Equal(t, quarantine.Digest(digest(-1)), quarantined[maxQuarantined-1], "the oldest is dropped")
+	assert.Equal(t, quarantine.Digest(digest(-1)), quarantined[maxQuarantined-1].Digest, "the oldest is dropped")
 	data, err := l.Snapshot()
 	require.NoError(t, err)
 	other := New(time.Now)
--- a/internal/quarantine/entries.go
+++ b/internal/quarantine/entries.go
@@ -26,7 +26,7 @@
 		}
 		e := ContentStatus{Digest: d, Verdict: verdict, Servers: t.Evidence(d)}
 		if r.quarantined() {
-			e.Since = r.quarantinedAt
+			e.Since = r.quarantinedSince()
 		}
 		out = append(out, e)
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -23,10 +23,13 @@
 // Update is an update with one fact. With a Server, the content was in flight at that incarnation of a
 // server when it crashed, and Cleared means that it was answered completely since. Without a Server,
 // the content is quarantined or, if Cleared, was released by an operator: earlier facts count no more.
+// With an Index, the replicated log says so as of that entry: the content is in the log as quarantined
+// or, if Cleared, is not. Of these facts the one of the later entry counts, whenever it arrives.
 type Update struct {
 	Digest  Digest
 	Server  string
 	Cleared bool
+	Index   uint64
 	// SoleAttempt: the attempt was dispatched after another server had crashed with the content, as the
 	// only one in flight.
 	SoleAttempt bool
@@ -47,14 +50,49 @@
 type record struct {
 	// crashes is keyed by the incarnation of the server.
 	crashes map[string]crash
-	// quarantinedAt is when the content was quarantined, releasedAt when an operator released it;
-	// zero if that has not happened.
+	// quarantinedAt is when the content was quarantined because of its crashes, releasedAt when an
+	// operator released it; zero if that has not happened.
 	quarantinedAt, releasedAt time.Time
+	logged                    logged
 	touchedAt                 time.Time
 }
 
+// logged is what the replicated log says about a content. A control server that has just started
+// applies old entries long after they were committed, so only their order counts, not the time.
+type logged struct {
+	// quarantined is the latest entry as of which the content is in the log as quarantined, released
+	// the latest one as of which it is not; 0 if there is none.
+	quarantined, released uint64
+	// at is when the latest of them arrived.
+	at time.Time
+}
+
+func (l *logged) inForce() bool { return l.quarantined > l.released }
+
+// merge adds a fact of the log and reports whether others may not know it.
+func (l *logged) merge(n Update) bool {
+	before := *l
+	if n.Cleared {
+		l.released = max(l.released, n.Index)
+	} else {
+		l.quarantined = max(l.quarantined, n.Index)
+	}
+	if l.quarantined != before.quarantined || l.released != before.released {
+		l.at = n.At
+	}
+	return l.inForce() != before.inForce() || before.released == 0 && l.released > 0
+}
+
 // quarantined reports whether the content is quarantined and has not been released since.
-func (r *record) quarantined() bool { return r.quarantinedAt.After(r.releasedAt) }
+func (r *record) quarantined() bool { return r.quarantinedAt.After(r.releasedAt) || r.logged.inForce() }
+
+// quarantinedSince returns when the content was quarantined last, as far as it is.
+func (r *record) quarantinedSince() time.Time {
+	if r.logged.inForce() && r.logged.at.After(r.quarantinedAt) {
+		return r.logged.at
+	}
+	return r.quarantinedAt
+}
 
 // Table holds the known crashes of servers and the content that was in flight. It is not safe for
 // concurrent use.
@@ -87,6 +125,9 @@
 		t.records[n.Digest] = r
 	}
 	r.touchedAt = now
+	if n.Index > 0 {
+		return r.logged.merge(n)
+	}
 	if n.Server == "" {
 		return r.mergeVerdict(n)
 	}
@@ -175,9 +216,22 @@
 		if !r.releasedAt.IsZero() {
 			out = append(out, Update{Digest: d, Cleared: true, At: r.releasedAt})
 		}
-		if r.quarantined() {
+		if r.quarantinedAt.After(r.releasedAt) {
 			out = append(out, Update{Digest: d, At: r.quarantinedAt})
 		}
+		out = append(out, r.logged.updates(d)...)
+	}
+	return out
+}
+
+// updates returns the facts of the log about a content.
+func (l *logged) updates(d Digest) []Update {
+	var out []Update
+	if l.released > 0 {
+		out = append(out, Update{Digest: d, Cleared: true, Index: l.released, At: l.at})
+	}
+	if l.inForce() {
+		out = append(out, Update{Digest: d, Index: l.quarantined, At: l.at})
 	}
 	return out
 }
@@ -199,7 +253,10 @@
 		if now.Sub(r.releasedAt) > retention {
 			r.releasedAt = time.Time{}
 		}
-		if len(r.crashes) == 0 && r.quarantinedAt.IsZero() && r.releasedAt.IsZero() {
+		if now.Sub(r.logged.at) > retention {
+			r.logged = logged{}
+		}
+		if len(r.crashes) == 0 && r.quarantinedAt.IsZero() && r.releasedAt.IsZero() && r.logged == (logged{}) {
 			delete(t.records, d)
 		}
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -60,7 +60,7 @@
 		return Free
 	}
 	if r.quarantined() {
-		if now.Sub(r.quarantinedAt) < retention {
+		if now.Sub(r.quarantinedSince()) < retention {
 			return Quarantined
 		}
 		return Suspect
