Residency: requests go only to servers in the regions of their route and organisation

Change: Route.Regions and Organisation.Regions, both apply; decoded and checked with the rest of the document. The filter stands where servers are listed for a choice, so it holds for first attempts, retries, handovers, the rest of a stream and requests that wait; samples are taken of the allowed servers. Zones get their region from the settings; a server in an unknown region takes no restricted request. Requests that wait for a full region no longer use up the tries of those that wait for another. Ruled out: a queue for each set of regions (first attempts and client retries of one service would no longer be ordered among each other).

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -82,6 +82,9 @@
 	}
 }
 
+// regionOf returns the region of a zone, empty if the settings do not name it.
+func (l *liveSettings) regionOf(zone string) string { return l.current.Load().Regions[zone] }
+
 // seeds returns the RPC addresses of the control servers listed in the settings.
 func (l *liveSettings) seeds() []string {
 	s := l.current.Load()
@@ -164,7 +167,7 @@
 func platformConfig(live *liveSettings, log zerolog.Logger) fleetdaemon.Config {
 	s := live.current.Load()
 	cfg := fleetdaemon.Config{
-		Name: s.Name, Zone: s.Zone, RPCAddr: s.RPCAddr(s.IP), ListenAddr: s.InternalAddr(), MetricsAddr: s.MetricsAddr(),
+		Name: s.Name, Zone: s.Zone, RegionOf: live.regionOf, RPCAddr: s.RPCAddr(s.IP), ListenAddr: s.InternalAddr(), MetricsAddr: s.MetricsAddr(),
 		Seeds: live.seeds, Grace: seconds(s.Bounds.GraceS), Decode: platform.DecodeConfig,
 		VersionBound: seconds(s.Bounds.VersionMs / 1000), AnnounceInterval: seconds(s.AnnounceMs / 1000), Logger: log,
 	}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -58,6 +58,8 @@
 	// Name and Zone of this entry.
 	Name string
 	Zone string
+	// RegionOf returns the region of a zone, empty if it is not known. If it is nil, no region is.
+	RegionOf func(zone string) string
 	// VersionBound is the time after the naming of a version from which on requests may no
 	// longer begin on an older one.
 	VersionBound time.Duration
@@ -137,6 +139,7 @@
 		s.seenAt = record.SeenAt
 	}
 	s.sameZone = record.Zone == b.cfg.Zone
+	s.region = b.regionOf(record.Zone)
 	if t := b.view.Table; t != nil {
 		if declared := t.Service(service); declared != nil {
 			s.engine = declared.Engine
@@ -150,6 +153,13 @@
 	b.services[service] = append(b.services[service], s)
 }
 
+func (b *Balancer) regionOf(zone string) string {
+	if b.cfg.RegionOf == nil {
+		return ""
+	}
+	return b.cfg.RegionOf(zone)
+}
+
 // VersionLeft returns how long requests may still begin on a version of a model's
 // weights; false if no newer one was named.
 func (b *Balancer) VersionLeft(model string, version uint64, now time.Time) (time.Duration, bool) {
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -287,3 +287,34 @@
 		assert.False(t, s.owned || s.otherOwner)
 	}
 }
+
+// With more entries than fullScanEntries only some servers are evaluated: those are of the allowed regions.
+func TestRestrictedRequestUsesOnlyServersOfItsRegions(t *testing.T) {
+	var records []*fleet.BackendServer
+	for i := range 30 {
+		zone := "there"
+		if i%10 == 0 {
+			zone = "far"
+		}
+		records = append(records, record(fmt.Sprint(i+1), zone, 1))
+	}
+	v := view(records...)
+	for i := range 2 * fullScanEntries {
+		v.Entries = append(v.Entries, follow.Entry{Name: fmt.Sprint("e-", i), Zone: "there"})
+	}
+	b := New(Config{Name: "entry", Zone: "there", RegionOf: func(zone string) string { return zone }, VersionBound: 8 * time.Second, Logger: zerolog.Nop()})
+	b.SetView(v)
+	restricted := want()
+	restricted.Residency = fleet.ResidencyOf(&fleet.Route{Regions: []string{"far", "unknown"}}, nil)
+	used := map[string]bool{}
+	for range 9 {
+		c := pick(t, b, start, restricted)
+		assert.Equal(t, "far", c.Server.record.Zone)
+		used[c.Server.ID] = true
+	}
+	assert.Len(t, used, 3, "all servers there share the requests")
+	restricted.Residency = fleet.ResidencyOf(&fleet.Route{Regions: []string{"unknown"}}, nil)
+	none, availability := b.Pick(start, restricted)
+	assert.Nil(t, none.Server)
+	assert.Equal(t, Availability{Known: 30, Abroad: 30}, availability)
+}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
 // Requirements is what an attempt requires of its server.
@@ -11,6 +13,8 @@
 	Service string
 	// Model and its layers, empty for plain services.
 	Model string
+	// Residency limits the regions of the server.
+	Residency fleet.Residency
 	// Exclude are servers that have had an attempt of this request.
 	Exclude []*Server
 	// Version is the version of weights that the request has begun on, 0 if none.
@@ -88,9 +92,12 @@
 	bestScore := time.Duration(math.MaxInt64)
 	availability := Availability{}
 	others := 0
-	for _, s := range b.candidates(w.Service) {
+	candidates := b.candidates(w.Service, w.Residency)
+	availability.Abroad = len(b.services[w.Service]) - len(candidates)
+	availability.Known = availability.Abroad
+	for _, s := range candidates {
 		if !s.owned {
-			if others++; others > b.sampleSize(len(b.services[w.Service])) && best.Server != nil {
+			if others++; others > b.sampleSize(len(candidates)) && best.Server != nil {
 				break
 			}
 		}
@@ -128,18 +135,18 @@
 	return best, availability
 }
 
-// candidates returns the servers of a service: those that this entry owns first, then the
-// others in random order.
-func (b *Balancer) candidates(service string) []*Server {
+// candidates returns the servers of a service in the regions that a request may use: those that
+// this entry owns first, then the others in random order.
+func (b *Balancer) candidates(service string, residency fleet.Residency) []*Server {
 	servers := b.services[service]
 	order := make([]*Server, 0, len(servers))
 	for _, s := range servers {
-		if s.owned {
+		if s.owned && residency.Allows(s.region) {
 			order = append(order, s)
 		}
 	}
 	for _, at := range rand.Perm(len(servers)) {
-		if !servers[at].owned {
+		if !servers[at].owned && residency.Allows(servers[at].region) {
 			order = append(order, servers[at])
 		}
 	}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -32,6 +32,7 @@
 	seenAt   time.Time
 	engine   *fleet.Engine
 	sameZone bool
+	region   string
 	// owned: this entry owns the server; otherOwner: it does not, because another entry or none
 	// owns it. Both are false where servers are not divided among entries.
 	owned, otherOwner bool
--- a/internal/balance/sizes_load_test.go
+++ b/internal/balance/sizes_load_test.go
@@ -174,7 +174,7 @@
 	p.allow[entry].asked(r)
 	w := p.want(entry, r, 0)
 	pick := p.entries[entry].Pick
-	if r.retry && p.queues[entry].HasFirstAttempts() {
+	if r.retry && p.queues[entry].HasFirstAttempts("") {
 		pick = p.entries[entry].Evaluate
 	}
 	c, availability := pick(p.now, w)
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -57,6 +57,8 @@
 	Anonymous bool
 	// Resumable streams may be continued at another backend server.
 	Resumable bool
+	// Regions are those in which its requests may be served; all if it is empty.
+	Regions []string
 }
 
 // Idempotent reports whether a request of this route may run more than once.
@@ -145,6 +147,8 @@
 	Keys []string
 	// Priority takes precedence over the route's; -1 if it is not set.
 	Priority int
+	// Regions are those in which its requests may be served; all if it is empty.
+	Regions []string
 }
 
 // Limits bounds what a client may send; zero is no limit.
@@ -177,7 +181,7 @@
 		}
 		places[place] = r.Name
 	}
-	return c.validateKeys()
+	return c.validateOrganisations()
 }
 
 func (r *Route) validate(services map[string]bool) error {
@@ -197,12 +201,15 @@
 	if sum <= 0 {
 		return fmt.Errorf("%w: route %q: weights add up to 0", ErrInvalid, r.Name)
 	}
-	return nil
+	return validateRegions("route", r.Name, r.Regions)
 }
 
-func (c *Config) validateKeys() error {
+func (c *Config) validateOrganisations() error {
 	holders := map[string]string{}
 	for _, o := range c.Organisations {
+		if err := validateRegions("organisation", o.Name, o.Regions); err != nil {
+			return err
+		}
 		for _, key := range o.Keys {
 			if holder, taken := holders[key]; taken && holder != o.Name {
 				return fmt.Errorf("%w: organisations %q and %q share a key", ErrInvalid, holder, o.Name)
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -34,6 +34,8 @@
 type Config struct {
 	Name string
 	Zone string
+	// RegionOf returns the region of a zone, empty if it is not known.
+	RegionOf func(zone string) string
 	// RPCAddr is the advertised address for calls between daemons, ListenAddr the one
 	// on which the process listens for them, MetricsAddr the one for metrics.
 	RPCAddr     string
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,8 +40,10 @@
 	id    string
 	route *fleet.Route
 	org   *fleet.Organisation
-	model string
-	body  []byte
+	// residency limits the regions to which the request may be sent.
+	residency fleet.Residency
+	model     string
+	body      []byte
 	// size is the size that the caller states. allowed is the longest predicted wait that was
 	// accepted at the last choice of a server.
 	size    size
@@ -134,6 +136,7 @@
 			return
 		}
 	}
+	c.residency = fleet.ResidencyOf(c.route, c.org)
 	if !c.setDeadline() || !c.readBody(t.Config.Limits) {
 		return
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -115,12 +115,15 @@
 // pickNow asks the balancer for a server with a free slot. A client retry, which is late already,
 // gets none while first attempts wait.
 func (c *call) pickNow(now time.Time, want balance.Requirements) (balance.Choice, balance.Availability) {
-	if c.attempts == 0 && c.clientRetry && c.g.queues.hasFirstAttempts(c.service) {
+	if c.attempts == 0 && c.clientRetry && c.g.queues.hasFirstAttempts(c.service, c.residency) {
 		return c.g.balancer.Evaluate(now, want)
 	}
 	return c.g.balancer.Pick(now, want)
 }
 
+// reasonAbroad is the reason of refusals because of the residency of a request.
+const reasonAbroad = "no backend server in the regions that the request may use"
+
 // failNoServer ends a call that no server can take.
 func (c *call) failNoServer(capacity balance.Availability) {
 	c.capacity = capacity
@@ -129,6 +132,8 @@
 		c.giveUp("no time left")
 	case capacity.Known == 0:
 		c.giveUp("no backend server is known")
+	case capacity.Known == capacity.Abroad:
+		c.giveUp(reasonAbroad)
 	case capacity.Fit == 0 && capacity.Limited > 0:
 		c.giveUp("backend servers are at the limits that they name")
 	case capacity.Fit == 0 && capacity.BackingOff > 0:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -102,10 +102,13 @@
 	logs *bytes.Buffer
 }
 
+// regionOf is the region of a zone: the first backend of an entry is at home, the others are abroad.
+func regionOf(zone string) string { return map[string]string{"z": "home", "": "abroad"}[zone] }
+
 func newEntry(t testing.TB, backends ...*backend) *entry {
 	var logs bytes.Buffer
 	g := New(Config{
-		Headers: headers, Balance: balance.Config{Zone: "z", VersionBound: 8 * time.Second, Logger: zerolog.Nop()},
+		Headers: headers, Balance: balance.Config{Zone: "z", RegionOf: regionOf, VersionBound: 8 * time.Second, Logger: zerolog.Nop()},
 		RetryShare: 0.2, RetryFloor: 100, RetryWindow: 10 * time.Second,
 		Logger: zerolog.New(zerolog.SyncWriter(&logs)), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -183,6 +183,9 @@
 	if c.clientRetry {
 		event.Bool("came_back", true)
 	}
+	if c.residency.Restricted() {
+		event.Stringer("regions", c.residency)
+	}
 	c.describeSize(event)
 	if c.waited > 0 {
 		event.Dur("waited_ms", c.waited)
--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -14,7 +14,7 @@
 	"lynxgate.dev/lynxgate/internal/waiting"
 )
 
-// maxMisses is how many requests in a wait queue are tried in vain per freed slot. Requests differ
+// maxMisses is how many requests in a wait queue with the same regions are tried in vain per freed slot. Requests differ
 // in their prompts and in the time that they have left, so that a later one may fit where an
 // earlier one does not.
 const maxMisses = 3
@@ -78,15 +78,16 @@
 	q.deadlines.Refused(now, after)
 }
 
-// hasFirstAttempts reports whether requests other than client retries wait for a service.
-func (q *waitQueues) hasFirstAttempts(service string) bool {
+// hasFirstAttempts reports whether requests other than client retries wait for a service that may
+// use the same servers as one of this residency.
+func (q *waitQueues) hasFirstAttempts(service string, residency fleet.Residency) bool {
 	if q.count.Load() == 0 {
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.services[service]
-	return s != nil && s.queue.HasFirstAttempts()
+	return s != nil && s.queue.HasFirstAttempts(residency.String())
 }
 
 // wait waits until the request gets a slot, its time to wait is over, or ctx ends; it returns false
@@ -163,17 +164,18 @@
 	if !now.Before(s.availableAt) {
 		s.availableAt = time.Time{}
 	}
-	misses := 0
+	misses := map[string]int{} // by the regions that a request may use
 	for _, r := range s.queue.Ordered(now) {
+		if misses[r.Regions] >= maxMisses {
+			continue
+		}
 		w := s.waiters[r]
 		want := w.want
 		want.Budget = max(want.Budget-now.Sub(r.Since), minWaitBudget)
 		choice, capacity := q.balancer.Pick(now, want)
 		if choice.Server == nil {
 			q.grantAt(s, capacity.Opens)
-			if misses++; misses >= maxMisses {
-				return
-			}
+			misses[r.Regions]++
 			continue
 		}
 		s.queue.Granted(r)
@@ -190,7 +192,7 @@
 	if c.attempts > 0 || c.events > 0 || c.engine() == nil || capacity.Fit+capacity.Busy+capacity.Limited+capacity.BackingOff == 0 {
 		return balance.Choice{}, false
 	}
-	r := &waiting.Request{ClientRetry: c.clientRetry, Since: clock.Now()}
+	r := &waiting.Request{ClientRetry: c.clientRetry, Regions: c.residency.String(), Since: clock.Now()}
 	r.WaitDeadline = waiting.WaitDeadline(c.began, c.route.Objective, r.ClientRetry)
 	if !slotExpected(r, want, capacity) {
 		return balance.Choice{}, false
--- a/internal/waiting/load_test.go
+++ b/internal/waiting/load_test.go
@@ -94,7 +94,7 @@
 func (p *simulation) arrive(now time.Time, kind int, clientRetry bool) {
 	r := &Request{ClientRetry: clientRetry, Since: now, WaitDeadline: WaitDeadline(now, p.objectives[kind], clientRetry)}
 	p.kinds[r] = kind
-	mayTake := p.queue == nil || !clientRetry || !p.queue.HasFirstAttempts()
+	mayTake := p.queue == nil || !clientRetry || !p.queue.HasFirstAttempts("")
 	switch {
 	case p.free > 0 && mayTake:
 		p.begin(now, r)
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -33,6 +33,9 @@
 	Organisation string
 	// ClientRetry: it is a client retry, and late in any case.
 	ClientRetry bool
+	// Regions are those that it may use, in any notation that is the same for the same ones; empty
+	// for all.
+	Regions string
 	// Since is when it began to wait, WaitDeadline when it is refused.
 	Since, WaitDeadline time.Time
 }
@@ -83,9 +86,12 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiting) }
 
-// HasFirstAttempts reports whether any first attempt is waiting.
-func (q *Queue) HasFirstAttempts() bool {
-	return slices.ContainsFunc(q.waiting, func(r *Request) bool { return !r.ClientRetry })
+// HasFirstAttempts reports whether any first attempt is waiting that may use the same servers as a
+// request with these regions. Two different restrictions are taken to have no server in common.
+func (q *Queue) HasFirstAttempts(regions string) bool {
+	return slices.ContainsFunc(q.waiting, func(r *Request) bool {
+		return !r.ClientRetry && (regions == "" || r.Regions == "" || r.Regions == regions)
+	})
 }
 
 // Ordered returns the requests that may still wait at this time, the one to get the next
--- a/internal/waiting/waiting_test.go
+++ b/internal/waiting/waiting_test.go
@@ -17,9 +17,9 @@
 	q := New()
 	late, first := request("a", time.Second, true), request("b", time.Millisecond, false)
 	q.Add(late)
-	assert.False(t, q.HasFirstAttempts())
+	assert.False(t, q.HasFirstAttempts(""))
 	q.Add(first)
-	assert.True(t, q.HasFirstAttempts())
+	assert.True(t, q.HasFirstAttempts(""))
 	assert.Equal(t, []*Request{first, late}, q.Ordered(start))
 }
 
