Evacuation of a zone: an order in the replicated log, in force at every entry

Change: the last order about each zone is committed state. An order is given on top of the last one, as a linearizable read shows it, and has no effect if another came in between: a command that was delayed on its way, or a copy that a stalled control server finds in its socket after its caller has left, does not undo a later order. Resends are acknowledged. Entries get the orders with the configuration, the highest about a zone counts. Servers of the zone are no candidates; what runs there finishes. Entries of the zone join another zone's owners, so that its traffic does not choose by reports that all share. All servers evacuated: 503 at once, with a reason of its own. Operators: /v1/evacuations and lynxctl evacuate; the decision is logged with caller and order. Unknown zones: 400. Ruled out: a version from the caller (the call has none); the first order of a process after a read of its own state (a cut-off control server would acknowledge without a quorum, seen in the test).

--- a/cmd/lynxctl/held.go
+++ b/cmd/lynxctl/held.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -16,14 +15,8 @@
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 )
 
-// heldTimeout bounds one call: a change is decided within a second.
-const heldTimeout = 5 * time.Second
-
 // heldCommand lists work under which backend servers ended, or lets a piece of it go.
-type heldCommand struct {
-	env  *environment
-	addr string
-}
+type heldCommand struct{ fleetControl }
 
 func (*heldCommand) Name() string     { return "held" }
 func (*heldCommand) Synopsis() string { return "list or let go work under which backend servers ended" }
@@ -35,14 +28,14 @@
 }
 
 func (c *heldCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.addr, "control", "", "operators' address of a control server, `ip:port`")
+	c.setFlags(f)
 }
 
 func (c *heldCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if c.addr == "" || f.NArg() > 1 {
 		return c.env.badUsage("held takes -control and at most one content")
 	}
-	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fleetCallTimeout)
 	defer cancel()
 	if f.NArg() == 1 {
 		return c.letGo(ctx, f.Arg(0))
@@ -50,23 +43,8 @@
 	return c.list(ctx)
 }
 
-// call returns the status and the body of an answer of the control server.
-func (c *heldCommand) call(ctx context.Context, method, path string) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr+fleetcontrol.QuarantinePath+path, nil)
-	if err != nil {
-		return 0, nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, nil, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, body, err
-}
-
 func (c *heldCommand) list(ctx context.Context) subcommands.ExitStatus {
-	status, body, err := c.call(ctx, http.MethodGet, "")
+	status, body, err := c.call(ctx, http.MethodGet, fleetcontrol.QuarantinePath)
 	if err != nil || status != http.StatusOK {
 		return c.failed(status, body, err)
 	}
@@ -85,7 +63,7 @@
 }
 
 func (c *heldCommand) letGo(ctx context.Context, content string) subcommands.ExitStatus {
-	status, body, err := c.call(ctx, http.MethodDelete, "/"+url.PathEscape(content))
+	status, body, err := c.call(ctx, http.MethodDelete, fleetcontrol.QuarantinePath+"/"+url.PathEscape(content))
 	switch {
 	case err == nil && status == http.StatusNoContent:
 		fmt.Fprintln(c.env.stdout, content, "is let go")
@@ -95,12 +73,3 @@
 	}
 	return c.failed(status, body, err)
 }
-
-func (c *heldCommand) failed(status int, body []byte, err error) subcommands.ExitStatus {
-	if err != nil {
-		fmt.Fprintln(c.env.stderr, "lynxctl:", err)
-		return exitUnreachable
-	}
-	fmt.Fprintf(c.env.stderr, "lynxctl: %s answers %d: %s\n", c.addr, status, body)
-	return exitFailed
-}
--- a/cmd/lynxctl/held_test.go
+++ b/cmd/lynxctl/held_test.go
@@ -12,6 +12,11 @@
 
 // runHeld runs lynxctl held against an answer, and returns what was asked and printed.
 func runHeld(t *testing.T, status int, answer string, args ...string) (asked, stdout, stderr string, exit int) {
+	return runFleetCommand(t, "held", status, answer, args...)
+}
+
+// runFleetCommand is runHeld for any command that calls a control server of a fleet.
+func runFleetCommand(t *testing.T, command string, status int, answer string, args ...string) (asked, stdout, stderr string, exit int) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked = r.Method + " " + r.URL.Path
 		w.WriteHeader(status)
@@ -21,7 +26,7 @@
 	var out, errs bytes.Buffer
 	env := &environment{stdout: &out, stderr: &errs, getenv: func(string) string { return "" }}
 	control := strings.TrimPrefix(server.URL, "http://")
-	code := run(t.Context(), env, append([]string{"held", "-control", control}, args...))
+	code := run(t.Context(), env, append([]string{command, "-control", control}, args...))
 	return asked, out.String(), errs.String(), int(code)
 }
 
--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -5,8 +5,8 @@
 // Availability counts why servers of a service were not chosen for a request.
 type Availability struct {
 	// Known servers of the service, and those that could serve the request but may be full. Abroad
-	// are those in regions that the request must not use.
-	Known, Fit, Abroad int
+	// are those in regions that the request must not use, Evacuated those in evacuated zones.
+	Known, Fit, Abroad, Evacuated int
 	// Tried have had an attempt of this request; Aside are ejected, no longer announced, or have lost
 	// their address to another server; Busy refused a moment ago; Loading accept no new requests;
 	// Empty hold no weights, Old hold a version past its bound, Other one that the request can't use.
--- a/internal/balance/ownership.go
+++ b/internal/balance/ownership.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"lynxgate.dev/lynxgate/internal/backpressure"
 	"lynxgate.dev/lynxgate/internal/rendezvous"
 )
 
@@ -12,19 +13,22 @@
 // which are some hundred ms old; entries that all chose by the same reports would choose
 // the same server until the next one. What exceeds the free slots of an entry's own servers
 // goes to those of others. The only entry of a zone owns all of its servers: entries of other
-// zones use them only when they are much better, and the other way round.
+// zones use them only when they are much better, and the other way round. While a zone is evacuated,
+// each of its entries joins those of another zone that has servers, by a hash of its name.
 
 // assignOwners marks the servers of one service that this entry owns, and those that
 // others own.
 func (b *Balancer) assignOwners(servers []*Server) {
+	zones := b.zonesOf(servers)
+	zone := b.joinedZone(b.self(), zones)
 	var local []*Server
 	for _, s := range servers {
 		s.owned, s.otherOwner = false, false
-		if s.sameZone && s.engine != nil && !s.replaced() {
+		if s.record.Zone == zone && s.engine != nil && !s.replaced() {
 			local = append(local, s)
 		}
 	}
-	entries := b.zoneEntries()
+	entries := b.zoneEntries(zone, zones)
 	if b.view.EntryCount() < 2 || len(local) < len(entries) {
 		return
 	}
@@ -35,11 +39,35 @@
 	}
 }
 
-// zoneEntries returns the names of the entries of this entry's zone, including its own.
-func (b *Balancer) zoneEntries() []string {
+// zonesOf returns the zones of the engines of a service that are not evacuated, sorted.
+func (b *Balancer) zonesOf(servers []*Server) []string {
+	var zones []string
+	for _, s := range servers {
+		if s.engine != nil && !s.replaced() && !b.evacuated(s.record.Zone) {
+			zones = append(zones, s.record.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// joinedZone returns the zone whose servers an entry shares with others: its own unless that is
+// evacuated.
+func (b *Balancer) joinedZone(e backpressure.Entry, zones []string) string {
+	if !b.evacuated(e.Zone) || len(zones) == 0 {
+		return e.Zone
+	}
+	return slices.MaxFunc(zones, func(a, b string) int {
+		return cmp.Compare(rendezvous.Weight(rendezvous.Hash(e.Name), rendezvous.Hash(a)), rendezvous.Weight(rendezvous.Hash(e.Name), rendezvous.Hash(b)))
+	})
+}
+
+// zoneEntries returns the names of the entries that share the servers of this entry's zone,
+// including its own.
+func (b *Balancer) zoneEntries(zone string, zones []string) []string {
 	var names []string
 	for _, e := range b.view.Entries {
-		if e.Zone == b.cfg.Zone {
+		if b.joinedZone(backpressure.Entry(e), zones) == zone {
 			names = append(names, e.Name)
 		}
 	}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -92,9 +92,7 @@
 	bestScore := time.Duration(math.MaxInt64)
 	availability := Availability{}
 	others := 0
-	candidates := b.candidates(w.Service, w.Residency)
-	availability.Abroad = len(b.services[w.Service]) - len(candidates)
-	availability.Known = availability.Abroad
+	candidates := b.candidates(w, &availability)
 	for _, s := range candidates {
 		if !s.owned {
 			if others++; others > b.sampleSize(len(candidates)) && best.Server != nil {
@@ -135,24 +133,32 @@
 	return best, availability
 }
 
-// candidates returns the servers of a service in the regions that a request may use: those that
-// this entry owns first, then the others in random order.
-func (b *Balancer) candidates(service string, residency fleet.Residency) []*Server {
-	servers := b.services[service]
+// candidates returns the servers of a service in the zones that a request may use, and counts the
+// others: those that this entry owns first, then the others in random order.
+func (b *Balancer) candidates(w Requirements, availability *Availability) []*Server {
+	servers := b.services[w.Service]
 	order := make([]*Server, 0, len(servers))
+	var others []*Server
 	for _, s := range servers {
-		if s.owned && residency.Allows(s.region) {
+		switch {
+		case !w.Residency.Allows(s.region):
+			availability.Abroad++
+		case b.evacuated(s.record.Zone):
+			availability.Evacuated++
+		case s.owned:
 			order = append(order, s)
+		default:
+			others = append(others, s)
 		}
 	}
-	for _, at := range rand.Perm(len(servers)) {
-		if !servers[at].owned && residency.Allows(servers[at].region) {
-			order = append(order, servers[at])
-		}
-	}
-	return order
+	availability.Known = availability.Abroad + availability.Evacuated
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(order, others...)
 }
 
+// evacuated reports whether the servers of a zone get no requests, by an operator's order.
+func (b *Balancer) evacuated(zone string) bool { return b.view.Evacuations[zone].InForce }
+
 // sampleSize returns how many of n servers are evaluated besides the owned ones, if one of
 // them fits.
 func (b *Balancer) sampleSize(n int) int {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -162,6 +162,10 @@
 // ErrInvalid is the error for a configuration that cannot be put in force.
 var ErrInvalid = errors.New("invalid configuration")
 
+// ErrUnknownZone is the error for an order about a zone that neither the settings nor any backend
+// server names.
+var ErrUnknownZone = errors.New("unknown zone")
+
 // Validate checks a whole configuration. Its errors match ErrInvalid and name
 // the field.
 func (c *Config) Validate() error {
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -39,6 +39,8 @@
 	configVersion uint64
 	configAt      time.Time
 	versions      map[string]uint64
+	// evacuations are the last orders about zones that the follower was sent.
+	evacuations   map[string]ledger.Evacuation
 	controlAddrs  []string
 	entries       []*rpc.Entry
 	number, acked uint64
@@ -186,6 +188,7 @@
 	}
 	if f.role == RoleEntry {
 		outdated = f.addEntries(u, h.entries()) || outdated
+		outdated = f.addEvacuations(u, state.Evacuations) || outdated
 	}
 	if f.role != RoleControl {
 		outdated = f.addCommitted(u, state, now, h.agents) || outdated
@@ -250,6 +253,13 @@
 	return added
 }
 
+// addEvacuations adds the orders about zones that were not sent yet.
+func (f *follower) addEvacuations(u *rpc.FleetUpdate, committed map[string]ledger.Evacuation) bool {
+	u.Evacuations = ledger.EvacuationsToProto(committed, f.evacuations)
+	f.evacuations = committed
+	return len(u.Evacuations) > 0
+}
+
 // addConfig adds the committed document, or for an agent its services if they have changed.
 func (f *follower) addConfig(u *rpc.FleetUpdate, state *ledger.State, now time.Time, agents *agentConfigs) bool {
 	document := state.Config
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -59,7 +59,9 @@
 	// Decode decodes the operators' document; if it is nil, servers of any service are
 	// accepted.
 	Decode func(document []byte) (*fleet.Config, error)
-	Logger zerolog.Logger
+	// RegionOf returns the region of a zone, empty if the settings do not name the zone; it may be nil.
+	RegionOf func(zone string) string
+	Logger   zerolog.Logger
 }
 
 // Server is one control server.
@@ -176,6 +178,15 @@
 // ReadConfig returns the newest accepted document; nil if there is none. It is
 // linearizable, or fails with ErrUnavailable.
 func (s *Server) ReadConfig(ctx context.Context) ([]byte, error) {
+	state, err := s.readState(ctx)
+	if err != nil || state.ConfigVersion == 0 {
+		return nil, err
+	}
+	return ledger.Inflate(state.Config)
+}
+
+// readState returns the committed state. It is linearizable, or fails with ErrUnavailable.
+func (s *Server) readState(ctx context.Context) (*ledger.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	index, err := s.node.ReadIndex(ctx)
@@ -185,11 +196,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: read: %w", ErrUnavailable, err)
 	}
-	state := s.ledger.State()
-	if state.ConfigVersion == 0 {
-		return nil, nil
-	}
-	return ledger.Inflate(state.Config)
+	return s.ledger.State(), nil
 }
 
 // Announce processes an announcement of a backend server. If the server leaves, it returns
--- a/internal/fleetdaemon/control.go
+++ b/internal/fleetdaemon/control.go
@@ -53,6 +53,7 @@
 	e := echo.New()
 	cfg.Control.Mount(e, server)
 	server.MountQuarantine(e)
+	server.MountEvacuations(e)
 	return &controlRole{server: server, http: &http.Server{
 		Addr: cfg.Control.OperatorsAddr, Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}}, nil
@@ -129,7 +130,7 @@
 	}
 	return fleetcontrol.Config{
 		Name: cfg.Name, Addr: cfg.RPCAddr, Replica: r, Seeds: cfg.Seeds,
-		AnnounceInterval: cfg.AnnounceInterval, Decode: cfg.Decode, Logger: cfg.Logger,
+		AnnounceInterval: cfg.AnnounceInterval, Decode: cfg.Decode, RegionOf: cfg.RegionOf, Logger: cfg.Logger,
 	}
 }
 
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -23,6 +23,8 @@
 	// Table is nil while no configuration is known.
 	Table    *fleet.Table
 	Versions map[string]ledger.Version
+	// Evacuations holds the last order about each zone that has had one.
+	Evacuations map[string]ledger.Evacuation
 	// Servers holds the backend servers by service, including those that have left.
 	Servers map[string][]*fleet.BackendServer
 	// Entries are those connected to any of the control servers, in the order of names.
@@ -92,6 +94,7 @@
 	next := *v.view.Load()
 	changed := v.mergeConfig(&next, source, u)
 	changed = v.mergeVersions(&next, u) || changed
+	changed = v.mergeEvacuations(&next, source, u) || changed
 	if v.mergeServers(u) {
 		next.Servers = v.byService()
 		changed = true
@@ -181,6 +184,16 @@
 	return true
 }
 
+func (v *Viewer) mergeEvacuations(next *View, source string, u *rpc.FleetUpdate) bool {
+	merged, changed := ledger.MergeEvacuations(next.Evacuations, u.Evacuations)
+	for _, zone := range changed {
+		e := merged[zone]
+		v.log.Info().Str("control", source).Str("zone", zone).Bool("evacuated", e.InForce).Uint64("order", e.Order).Msg("evacuation of a zone changed")
+	}
+	next.Evacuations = merged
+	return len(changed) > 0
+}
+
 func (v *Viewer) mergeVersions(next *View, u *rpc.FleetUpdate) bool {
 	changed := false
 	for _, m := range u.Versions {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -124,6 +124,10 @@
 // reasonAbroad is the reason of refusals because of the residency of a request.
 const reasonAbroad = "no backend server in the regions that the request may use"
 
+// reasonEvacuated is the reason of refusals because all backend servers that a request may use are
+// in evacuated zones.
+const reasonEvacuated = "the zones of the backend servers are evacuated"
+
 // failNoServer ends a call that no server can take.
 func (c *call) failNoServer(capacity balance.Availability) {
 	c.capacity = capacity
@@ -134,6 +138,8 @@
 		c.giveUp("no backend server is known")
 	case capacity.Known == capacity.Abroad:
 		c.giveUp(reasonAbroad)
+	case capacity.Known == capacity.Abroad+capacity.Evacuated:
+		c.giveUp(reasonEvacuated)
 	case capacity.Fit == 0 && capacity.Limited > 0:
 		c.giveUp("backend servers are at the limits that they name")
 	case capacity.Fit == 0 && capacity.BackingOff > 0:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,9 +1,9 @@
 // Package ledger is the replicated state of a fleet: the operators' newest
-// configuration document, the newest version of each model's weights and the
-// quarantined request contents. State: one immutable State, replaced with each
-// change. Messages: FleetCommand from the log. Of documents and versions the
-// highest version wins; a lower or equal one changes nothing, so these commands
-// are idempotent and may be applied in any order.
+// configuration document, the newest version of each model's weights, the
+// evacuated zones and the quarantined request contents. State: one immutable
+// State, replaced with each change. Messages: FleetCommand from the log. Of
+// documents and versions the highest version wins; a lower or equal one changes
+// nothing, so these commands are idempotent and may be applied in any order.
 package ledger
 
 import (
@@ -27,6 +27,8 @@
 	Config        []byte
 	// Versions holds the newest version of the weights by model.
 	Versions map[string]Version
+	// Evacuations holds the last order about each zone that has had one.
+	Evacuations map[string]Evacuation
 	// Quarantined lists the quarantined request contents, the newest last. QuarantineIndex is the
 	// newest log entry that has quarantined or released one, 0 if none has.
 	Quarantined     []Quarantined
@@ -177,6 +179,7 @@
 	for _, raw := range c.Held {
 		changed = s.addQuarantined(index, raw) || changed
 	}
+	changed = s.order(index, c.Evacuation) || changed
 	return s.release(index, c.Lifted) || changed
 }
 
@@ -212,6 +215,7 @@
 	for model, v := range s.Versions {
 		out.Versions = append(out.Versions, &rpc.ModelVersion{Model: model, Version: v.Number})
 	}
+	out.Evacuations = EvacuationsToProto(s.Evacuations, nil)
 	for _, q := range s.Quarantined {
 		out.Held = append(out.Held, q.Digest[:])
 		out.HeldIndex = append(out.HeldIndex, q.Index)
@@ -233,6 +237,7 @@
 	for _, v := range in.Versions {
 		next.Versions[v.Model] = Version{Number: v.Version, AppliedAt: l.now()}
 	}
+	next.Evacuations, _ = MergeEvacuations(nil, in.Evacuations)
 	next.restoreQuarantined(&in)
 	l.publish(next)
 	return nil
