Cold servers get a bounded rate of requests, over all entries

Cause: cold_ms was only a mark of a record; nothing bounded what a cold server gets. Servers that come back cold are empty, so all entries prefer them. Change: while a server is cold it has a limit that is divided among the entries by the same parts and paced by the same pacer as the limits that servers name. The rate follows from the bound of the settings (cold_overage, cold_slack) and the service's cold rate so that it holds in any second with all bursts at one moment. Cold is a server as announced; for the time of a cold start after its zone's evacuation was withdrawn; and, after its VM refused connections, until its next announcement, as it may have restarted under its id. An entry in its first 2 s sends it nothing, since it may not know all others. The end of a cold start is kept over renewals, and a prolonged one is a change. Ruled out: the cold rate for all servers at all times (an owner would be held to its part of 26 a second over 12 to 40 entries); parts for owners (two entries that both think that they own it).

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -176,6 +176,7 @@
 			CallersAddr: s.Listen.Callers, ReadyAddr: s.Listen.Ready, MountReady: mountReady,
 			Headers: platform.Headers(), RetryShare: s.Bounds.RetryShare,
 			RetryFloor: int(s.Bounds.RetryFloor), RetryWindow: seconds(s.Bounds.RetryWindowS),
+			ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
 		}
 	}
 	if s.ServesControl() {
--- a/internal/backpressure/limit_test.go
+++ b/internal/backpressure/limit_test.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,3 +84,24 @@
 	assert.False(t, l.ApplyAnswer(at(4), at(2.5), LimitSignal{}))
 	assert.False(t, l.InForce)
 }
+
+// The parts of a rate allow no more than the bound from which it was derived, also if all entries send
+// their bursts at one moment.
+func TestRateWithinABoundCountsBursts(t *testing.T) {
+	for _, most := range []float64{4.2, 8, 20, 56, 59, 500} {
+		rate := RateWithin(most)
+		for _, n := range []int{1, 2, 3, 12, 40, 380} {
+			var entries []Entry
+			for i := range n {
+				entries = append(entries, Entry{Name: fmt.Sprint("entry-", i)})
+			}
+			atOnce := 0.0
+			for _, e := range entries {
+				if part := PartOf(rate, "10.0.0.1:80", "zone-0", e.Name, entries); part.Rate > 0 {
+					atOnce += part.Rate + max(minBurst, part.Rate*burstSpan.Seconds())
+				}
+			}
+			assert.LessOrEqual(t, atOnce, most+1e-9, "%d entries, bound %g", n, most)
+		}
+	}
+}
--- a/internal/backpressure/part.go
+++ b/internal/backpressure/part.go
@@ -42,6 +42,13 @@
 // WholePart returns the part of an entry that holds the whole limit, in requests per second.
 func WholePart(rate float64) Part { return Part{Rate: max(rate, minRate)} }
 
+// RateWithin returns the rate whose parts together never send more than most requests in any
+// second: all holders may send their bursts at one moment, and their rates within the second after it.
+func RateWithin(most float64) float64 {
+	const perRate = 1 + minBurst/perHolder // of each request per second: itself, and the bursts of further holders
+	return max((most-minHolders*minBurst)/perRate, minRate)
+}
+
 // PartOf returns the part of a limit in requests per second that the entry self holds. Entries in
 // the server's zone come first. entries must contain self, and each entry once.
 func PartOf(rate float64, addr, zone, self string, entries []Entry) Part {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -63,7 +63,10 @@
 	// VersionBound is the time after the naming of a version from which on requests may no
 	// longer begin on an older one.
 	VersionBound time.Duration
-	Logger       zerolog.Logger
+	// A cold server gets at most ColdOverage times its cold rate plus ColdSlack requests in any second
+	// from all entries together. A ColdOverage of 0 stands for 1.
+	ColdOverage, ColdSlack float64
+	Logger                 zerolog.Logger
 }
 
 // Balancer chooses backend servers. It is safe for concurrent use.
@@ -82,6 +85,10 @@
 	// signals is keyed by incarnation; peers are the entries that share limits.
 	signals map[string]*signals
 	peers   peers
+	// peersView is the view as of which peers are known.
+	peersView *follow.View
+	// firstChoice is when this entry chose its first server.
+	firstChoice time.Time
 	// publishSignals is called, without the lock, with updates for other entries.
 	publishSignals func([]backpressure.Update)
 	// slotFreed is called, without the lock, when a server may have a free slot.
@@ -143,6 +150,7 @@
 	if t := b.view.Table; t != nil {
 		if declared := t.Service(service); declared != nil {
 			s.engine = declared.Engine
+			s.coldStart, s.coldRate = declared.ColdStart, b.coldRate(declared.ColdRate)
 			s.Pool.SetMaxOpen(max(minConns, int(connShare*float64(declared.MaxConns))/b.view.EntryCount()))
 		}
 	}
--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -12,7 +12,7 @@
 	// Empty hold no weights, Old hold a version past its bound, Other one that the request can't use.
 	Tried, Aside, Busy, Loading, Empty, Old, Other int
 	// Limited servers fit and have free slots, but this entry has used its part of the limit that they
-	// named; BackingOff ones accept no requests of this entry for a time. Opens is when it may send to the
+	// named, or of the one for cold servers; BackingOff ones accept no requests of this entry for a time. Opens is when it may send to the
 	// first of those that fit otherwise, zero if there is none.
 	Limited, BackingOff int
 	Opens               time.Time `json:"-"`
@@ -63,7 +63,7 @@
 		availability.Limited++
 		availability.Later++
 		availability.opensAt(opens)
-		availability.throttle(s, "limit", now.Sub(s.signals.limit.ReceivedAt), opens.Sub(now))
+		availability.throttle(s, s.signals.strongest(now), now.Sub(s.signals.limit.ReceivedAt), opens.Sub(now))
 	}
 	return 0, false
 }
--- a/internal/balance/limit.go
+++ b/internal/balance/limit.go
@@ -34,27 +34,36 @@
 		Bool("limited", limit.InForce).Float64("rate", limit.Rate).Bool("was_limited", before.InForce).Float64("rate_before", before.Rate)
 	if s := b.servers[sig.id]; s != nil && s.signals == sig && limit.InForce {
 		b.peers.update(now, b.self(), b.view.Entries)
-		part := b.partOf(s)
+		part := b.partOf(s, limit.Rate)
 		event.Int("own_requests", s.inFlight).Int("entries", len(b.peers.entries)).Float64("own_rate", part.Rate).Dur("probe_ms", part.Probe)
 	}
 	event.Msg("backend server's limit changed")
 }
 
-// partOf returns the part of a server's limit that this entry holds.
-func (b *Balancer) partOf(s *Server) backpressure.Part {
+// partOf returns the part of a rate limit of a server that this entry holds.
+func (b *Balancer) partOf(s *Server, rate float64) backpressure.Part {
 	sig := s.signals
-	if sig.partRate != sig.limit.Rate || sig.partPeers != b.peers.changes {
-		sig.part = backpressure.PartOf(sig.limit.Rate, s.Addr, s.record.Zone, b.cfg.Name, b.peers.entries)
-		sig.partRate, sig.partPeers = sig.limit.Rate, b.peers.changes
+	if sig.partRate != rate || sig.partPeers != b.peers.changes {
+		sig.part = backpressure.PartOf(rate, s.Addr, s.record.Zone, b.cfg.Name, b.peers.entries)
+		sig.partRate, sig.partPeers = rate, b.peers.changes
 	}
 	return sig.part
 }
 
-// opens returns when this entry may next send to a server according to its limit; now, if it may
-// at once.
+// opens returns when this entry may next send to a server according to the limit that it has named
+// and the one that applies while it is cold; now, if it may at once.
 func (b *Balancer) opens(now time.Time, s *Server) time.Time {
-	if !s.signals.limit.InForce {
-		return now
+	coldUntil := b.noteCold(now, s)
+	limit := s.signals.limit
+	switch {
+	case now.Before(coldUntil):
+		rate := s.coldRate
+		if limit.InForce {
+			rate = min(rate, limit.Rate)
+		}
+		return b.opensCold(now, s, rate, coldUntil)
+	case limit.InForce:
+		return s.signals.pacer.NextAt(now, b.partOf(s, limit.Rate))
 	}
-	return s.signals.pacer.NextAt(now, b.partOf(s))
+	return now
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -92,6 +92,9 @@
 	bestScore := time.Duration(math.MaxInt64)
 	availability := Availability{}
 	others := 0
+	if b.firstChoice.IsZero() {
+		b.firstChoice = now
+	}
 	candidates := b.candidates(w, &availability)
 	for _, s := range candidates {
 		if !s.owned {
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -37,6 +37,13 @@
 	// owns it. Both are false where servers are not divided among entries.
 	owned, otherOwner bool
 
+	// coldStart is for how long it is cold after a start, coldRate the requests per second of all entries
+	// that it gets meanwhile, 0 if there is no limit.
+	coldStart time.Duration
+	coldRate  float64
+	// refusedAt is when its VM last refused a connection, so that the server was down.
+	refusedAt time.Time
+
 	// inFlight counts the requests of this entry; pendingRead is how long the engine
 	// reads the prompts of those that have no event yet.
 	inFlight    int
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -29,6 +29,8 @@
 	probing, probeInFlight bool
 	// leavingAt is when the server signalled that it leaves, zero if it has not.
 	leavingAt time.Time
+	// cold: the server was cold when it was last considered.
+	cold bool
 	// listedAt is when the incarnation was last listed.
 	listedAt time.Time
 	// unpublished: a change is to be sent to other entries; publishedAt is when that was done last.
@@ -45,6 +47,8 @@
 		return "backoff"
 	case s.limit.InForce:
 		return "limit"
+	case s.cold:
+		return "cold"
 	}
 	return ""
 }
@@ -79,8 +83,8 @@
 // SignalCounts counts servers by their signals.
 type SignalCounts struct {
 	// Limited servers have a limit in force, BackingOff ones accept no requests of this entry for a
-	// time, Leaving ones have signalled it in an answer.
-	Limited, BackingOff, Leaving int
+	// time, Leaving ones have signalled it in an answer, Cold ones are slow after their start.
+	Limited, BackingOff, Leaving, Cold int
 }
 
 // SignalCounts returns the counts by service.
@@ -99,6 +103,9 @@
 		if !s.signals.leavingAt.IsZero() {
 			counts.Leaving++
 		}
+		if s.coldRate > 0 && now.Before(b.coldUntil(now, s)) {
+			counts.Cold++
+		}
 		out[s.record.Service] = counts
 	}
 	return out
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -138,6 +138,7 @@
 	}
 	next := *d.lowerStart(known, d.estimateStart(seq, at))
 	next.Seq = seq
+	next.Cold = max(next.ColdUntil().Sub(at), 0)
 	next.SeenAt = at
 	d.servers[id] = &next
 	return Renewed
@@ -145,7 +146,21 @@
 
 func sameRecord(a, b *fleet.BackendServer) bool {
 	return a.Service == b.Service && a.Addr == b.Addr && a.Zone == b.Zone && a.Slots == b.Slots &&
-		a.State == b.State && (a.Cold > 0) == (b.Cold > 0) && slices.Equal(a.Models, b.Models)
+		a.State == b.State && sameColdness(a, b) && slices.Equal(a.Models, b.Models)
+}
+
+// coldTolerance is by how much the end of a cold start may differ between announcements that differ
+// in their delay.
+const coldTolerance = 500 * time.Millisecond
+
+// sameColdness reports whether a server is cold until about the same time by both announcements,
+// or no longer.
+func sameColdness(known, b *fleet.BackendServer) bool {
+	end, newEnd := known.ColdUntil(), b.ColdUntil()
+	if !end.After(b.SeenAt) && !newEnd.After(b.SeenAt) {
+		return true
+	}
+	return end.Sub(newEnd).Abs() <= coldTolerance
 }
 
 // Forget drops servers that have sent no announcement for forgetAfter.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -129,3 +129,21 @@
 	d.Forget(time.Unix(100, 0))
 	assert.Nil(t, d.Get("a"))
 }
+
+// A server may become cold again at any moment, also while it still is.
+func TestColdStartIsAChangeUnlessItEndsAtTheSameTime(t *testing.T) {
+	d := New(0)
+	at := time.Unix(100, 0)
+	announce := func(after, cold time.Duration, seq uint64) Change {
+		return d.Merge(fleet.BackendServer{ID: "a", Addr: "x", Seq: seq, SeenAt: at.Add(after), Cold: cold})
+	}
+	announce(0, 0, 1)
+	assert.Equal(t, Renewed, announce(time.Second, 0, 2))
+	assert.Equal(t, Changed, announce(2*time.Second, 3*time.Second, 3))
+	assert.Equal(t, Renewed, announce(3*time.Second, 2*time.Second, 4))
+	assert.Equal(t, Renewed, d.Renew("a", 0, 5, at.Add(3500*time.Millisecond)))
+	assert.Equal(t, at.Add(5*time.Second), d.Get("a").ColdUntil(), "a renewal does not prolong it")
+	assert.Equal(t, Changed, announce(4*time.Second, 3*time.Second, 6))
+	assert.Equal(t, Changed, announce(5*time.Second, 0, 7), "it ended earlier")
+	assert.Equal(t, Renewed, announce(9*time.Second, 0, 8))
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -79,6 +80,10 @@
 	HealthPath string
 	// MaxConns is how many connections a backend server accepts from all callers.
 	MaxConns int
+	// ColdStart is for how long a backend server is slow after its start. ColdRate is how many requests
+	// a second it tolerates meanwhile from all entries together; 0 is no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is set on services of model engines, Origin on origins of weights.
 	Engine *Engine
 	Origin *Origin
@@ -172,6 +177,9 @@
 	services := map[string]bool{}
 	for _, s := range c.Services {
 		services[s.Name] = true
+		if s.ColdStart < 0 || !(s.ColdRate >= 0) || math.IsInf(s.ColdRate, 0) {
+			return fmt.Errorf("%w: service %q: negative cold start or rate", ErrInvalid, s.Name)
+		}
 	}
 	places := map[[2]string]string{}
 	for i := range c.Routes {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -43,7 +43,7 @@
 	State       State
 	// Seq increases with each announcement.
 	Seq uint64
-	// Cold is for how much longer the server is slow after its start.
+	// Cold is for how much longer, from SeenAt on, the server is slow after its start.
 	Cold   time.Duration
 	Models []Loaded
 	// SeenAt is when this process received the newest announcement.
@@ -60,6 +60,9 @@
 	return b.ID + "@" + strconv.FormatInt(b.StartUnixMs, 10)
 }
 
+// ColdUntil returns until when the server is slow after its start.
+func (b *BackendServer) ColdUntil() time.Time { return b.SeenAt.Add(b.Cold) }
+
 // Holds returns the version of a model that the server has loaded with all its layers,
 // 0 if there is none. With layers of 0 the range of layers is not checked.
 func (b *BackendServer) Holds(model string, layers int) uint64 {
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -188,7 +188,7 @@
 	}
 	if f.role == RoleEntry {
 		outdated = f.addEntries(u, h.entries()) || outdated
-		outdated = f.addEvacuations(u, state.Evacuations) || outdated
+		outdated = f.addEvacuations(u, state.Evacuations, now) || outdated
 	}
 	if f.role != RoleControl {
 		outdated = f.addCommitted(u, state, now, h.agents) || outdated
@@ -254,8 +254,8 @@
 }
 
 // addEvacuations adds the orders about zones that were not sent yet.
-func (f *follower) addEvacuations(u *rpc.FleetUpdate, committed map[string]ledger.Evacuation) bool {
-	u.Evacuations = ledger.EvacuationsToProto(committed, f.evacuations)
+func (f *follower) addEvacuations(u *rpc.FleetUpdate, committed map[string]ledger.Evacuation, now time.Time) bool {
+	u.Evacuations = ledger.EvacuationsToProto(committed, f.evacuations, now)
 	f.evacuations = committed
 	return len(u.Evacuations) > 0
 }
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -71,6 +71,10 @@
 	RetryShare  float64
 	RetryFloor  int
 	RetryWindow time.Duration
+	// A cold backend server gets at most ColdOverage times its cold rate plus ColdSlack requests in any
+	// second from all entries together. 0 stands for the rate itself.
+	ColdOverage float64
+	ColdSlack   float64
 }
 
 // ControlConfig is the configuration of a control server.
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -47,7 +47,7 @@
 	turns := &clientTurns{client: &client}
 	g := gateway.New(gateway.Config{
 		Headers:    e.Headers,
-		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, RegionOf: cfg.RegionOf, VersionBound: cfg.VersionBound, Logger: cfg.Logger},
+		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, RegionOf: cfg.RegionOf, VersionBound: cfg.VersionBound, ColdOverage: e.ColdOverage, ColdSlack: e.ColdSlack, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
 		PublishSuspicions: func(updates []quarantine.Update) { client.SendSuspicions(updates) },
 		PublishSignals:    func(updates []backpressure.Update) { client.SendSignals(updates) },
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -185,7 +185,7 @@
 }
 
 func (v *Viewer) mergeEvacuations(next *View, source string, u *rpc.FleetUpdate) bool {
-	merged, changed := ledger.MergeEvacuations(next.Evacuations, u.Evacuations)
+	merged, changed := ledger.MergeEvacuations(next.Evacuations, u.Evacuations, clock.Now())
 	for _, zone := range changed {
 		e := merged[zone]
 		v.log.Info().Str("control", source).Str("zone", zone).Bool("evacuated", e.InForce).Uint64("order", e.Order).Msg("evacuation of a zone changed")
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -90,6 +90,7 @@
 	if !connectionLost(err) || c.g.balancer.Leaving(s) || !c.g.suspects.hasCrashed(s) {
 		return
 	}
+	c.g.balancer.ConnectionRefused(s, clock.Now())
 	c.g.suspects.recordCrash(clock.Now(), s.Incarnation, c.digest(), c.hasTurn)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -94,6 +95,9 @@
 		result = balance.ResultBusy
 	}
 	c.g.balancer.Done(&c.choice, clock.Now(), result)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.g.balancer.ConnectionRefused(c.choice.Server, clock.Now())
+	}
 	if errors.Is(err, dispatch.ErrNotSent) {
 		c.logAttempt("send failed", err)
 		c.allowLastServer(result)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,6 +213,7 @@
 		m.signals.WithLabelValues(service, "limit").Set(float64(counts.Limited))
 		m.signals.WithLabelValues(service, "backoff").Set(float64(counts.BackingOff))
 		m.signals.WithLabelValues(service, "leaving").Set(float64(counts.Leaving))
+		m.signals.WithLabelValues(service, "cold").Set(float64(counts.Cold))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/ledger/evacuation.go
+++ b/internal/ledger/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
@@ -12,11 +13,13 @@
 	// Order is the log entry of the order. The highest one about a zone counts.
 	Order   uint64
 	InForce bool
+	// AppliedAt is when it was applied here, or at the control server from which it is known.
+	AppliedAt time.Time
 }
 
 // order applies an order about a zone. It has no effect unless it was given on top of the zone's
 // last order: a command that was delayed on its way must not undo a later one.
-func (s *State) order(index uint64, e *rpc.Evacuation) bool {
+func (s *State) order(index uint64, e *rpc.Evacuation, now time.Time) bool {
 	if e == nil || s.Evacuations[e.Zone].Order != e.Order {
 		return false
 	}
@@ -24,17 +27,18 @@
 	if evacuations == nil {
 		evacuations = map[string]Evacuation{}
 	}
-	evacuations[e.Zone] = Evacuation{Order: index, InForce: e.InForce}
+	evacuations[e.Zone] = Evacuation{Order: index, InForce: e.InForce, AppliedAt: now}
 	s.Evacuations = evacuations
 	return true
 }
 
-// EvacuationsToProto returns the wire form of the evacuations that are not among the known ones.
-func EvacuationsToProto(all, known map[string]Evacuation) []*rpc.Evacuation {
+// EvacuationsToProto returns the wire form of the evacuations that are not among the known ones;
+// their ages are as of now.
+func EvacuationsToProto(all, known map[string]Evacuation, now time.Time) []*rpc.Evacuation {
 	var out []*rpc.Evacuation
 	for zone, e := range all {
-		if known[zone] != e {
-			out = append(out, &rpc.Evacuation{Zone: zone, InForce: e.InForce, Order: e.Order})
+		if known[zone].Order != e.Order {
+			out = append(out, &rpc.Evacuation{Zone: zone, InForce: e.InForce, Order: e.Order, AgeMs: max(now.Sub(e.AppliedAt), 0).Milliseconds()})
 		}
 	}
 	return out
@@ -42,7 +46,7 @@
 
 // MergeEvacuations returns the known evacuations with those of an update, and the zones that it
 // has changed. Of several orders about a zone the highest one counts.
-func MergeEvacuations(known map[string]Evacuation, update []*rpc.Evacuation) (merged map[string]Evacuation, changed []string) {
+func MergeEvacuations(known map[string]Evacuation, update []*rpc.Evacuation, now time.Time) (merged map[string]Evacuation, changed []string) {
 	merged = known
 	for _, e := range update {
 		if e.Order <= merged[e.Zone].Order {
@@ -54,7 +58,8 @@
 				merged = map[string]Evacuation{}
 			}
 		}
-		merged[e.Zone] = Evacuation{Order: e.Order, InForce: e.InForce}
+		age := time.Duration(max(e.AgeMs, 0)) * time.Millisecond
+		merged[e.Zone] = Evacuation{Order: e.Order, InForce: e.InForce, AppliedAt: now.Add(-age)}
 		changed = append(changed, e.Zone)
 	}
 	return merged, changed
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -179,7 +179,7 @@
 	for _, raw := range c.Held {
 		changed = s.addQuarantined(index, raw) || changed
 	}
-	changed = s.order(index, c.Evacuation) || changed
+	changed = s.order(index, c.Evacuation, now) || changed
 	return s.release(index, c.Lifted) || changed
 }
 
@@ -215,7 +215,7 @@
 	for model, v := range s.Versions {
 		out.Versions = append(out.Versions, &rpc.ModelVersion{Model: model, Version: v.Number})
 	}
-	out.Evacuations = EvacuationsToProto(s.Evacuations, nil)
+	out.Evacuations = EvacuationsToProto(s.Evacuations, nil, l.now())
 	for _, q := range s.Quarantined {
 		out.Held = append(out.Held, q.Digest[:])
 		out.HeldIndex = append(out.HeldIndex, q.Index)
@@ -237,7 +237,7 @@
 	for _, v := range in.Versions {
 		next.Versions[v.Model] = Version{Number: v.Version, AppliedAt: l.now()}
 	}
-	next.Evacuations, _ = MergeEvacuations(nil, in.Evacuations)
+	next.Evacuations, _ = MergeEvacuations(nil, in.Evacuations, l.now())
 	next.restoreQuarantined(&in)
 	l.publish(next)
 	return nil
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -88,25 +88,26 @@
 }
 
 func TestDelayedOrderAboutAZoneDoesNotUndoALaterOne(t *testing.T) {
-	l := New(time.Now)
+	at := time.Unix(100, 0)
+	l := New(func() time.Time { return at })
 	order := func(index, last uint64, inForce bool) Evacuation {
 		data, err := proto.Marshal(&rpc.FleetCommand{Evacuation: &rpc.Evacuation{Zone: "z", InForce: inForce, Order: last}})
 		require.NoError(t, err)
 		l.Apply(index, data)
 		return l.State().Evacuations["z"]
 	}
-	assert.Equal(t, Evacuation{Order: 5, InForce: true}, order(5, 0, true))
-	assert.Equal(t, Evacuation{Order: 5, InForce: true}, order(6, 0, true), "sent again")
-	assert.Equal(t, Evacuation{Order: 7}, order(7, 5, false))
-	assert.Equal(t, Evacuation{Order: 7}, order(8, 0, true), "given before both")
-	assert.Equal(t, Evacuation{Order: 9, InForce: true}, order(9, 7, true))
+	assert.Equal(t, Evacuation{Order: 5, InForce: true, AppliedAt: at}, order(5, 0, true))
+	assert.Equal(t, Evacuation{Order: 5, InForce: true, AppliedAt: at}, order(6, 0, true), "sent again")
+	assert.Equal(t, Evacuation{Order: 7, AppliedAt: at}, order(7, 5, false))
+	assert.Equal(t, Evacuation{Order: 7, AppliedAt: at}, order(8, 0, true), "given before both")
+	assert.Equal(t, Evacuation{Order: 9, InForce: true, AppliedAt: at}, order(9, 7, true))
 	data, err := l.Snapshot()
 	require.NoError(t, err)
-	other := New(time.Now)
+	other := New(l.now)
 	require.NoError(t, other.Restore(data))
 	assert.Equal(t, l.State().Evacuations, other.State().Evacuations)
-	merged, changed := MergeEvacuations(other.State().Evacuations, []*rpc.Evacuation{{Zone: "z", Order: 7}, {Zone: "y", Order: 3, InForce: true}})
-	assert.Equal(t, map[string]Evacuation{"z": {Order: 9, InForce: true}, "y": {Order: 3, InForce: true}}, merged)
+	merged, changed := MergeEvacuations(other.State().Evacuations, []*rpc.Evacuation{{Zone: "z", Order: 7}, {Zone: "y", Order: 3, InForce: true, AgeMs: 1000}}, at)
+	assert.Equal(t, map[string]Evacuation{"z": {Order: 9, InForce: true, AppliedAt: at}, "y": {Order: 3, InForce: true, AppliedAt: at.Add(-time.Second)}}, merged)
 	assert.Equal(t, []string{"y"}, changed, "a control server that is behind changes nothing")
 	assert.Len(t, other.State().Evacuations, 1, "the state is not changed in place")
 }
