Slow callers and servers: bounded memory, backpressure, bytes held at a server count

Cause: a non-streaming answer was held whole, up to 64 MiB (and cut there without a sign); a body had no time limit and bodies none in all; a caller that does not read held its call for ever. Change: bodies of requests and held answers share a fifth of the memory limit; a request that finds no memory gets 503 with Retry-After. A body that does not come until the deadline ends with 408. Of an answer 1 MiB is held, so that it can be requested again; the rest of a larger one is forwarded as it arrives, so its server waits while the caller reads slowly, and if it breaks off the connection does. Writes to a caller end after 10 s without a byte read. Events held during a handover are bounded. The bytes of bodies that this entry has in flight at a server count in its choice: a server that holds too much crashes. Not used: the fourth figure of the load header (how long work takes now): it changes many times per second, an answer's value is of the past; lateness of first events is learned as before.

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -33,6 +33,9 @@
 	// memoryShare is the fraction of the memory available to the process that is set as
 	// the memory limit of the Go runtime. Above it the garbage collector runs at any cost.
 	memoryShare = 0.7
+	// heldShare is the fraction that bodies of requests and answers may use; what is read of a
+	// body takes twice its size for a moment.
+	heldShare = 0.2
 	// gcPercent is below the default of 100 since VMs have little memory: it trades
 	// processor time for memory.
 	gcPercent = 60
@@ -176,6 +179,7 @@
 			CallersAddr: s.Listen.Callers, ReadyAddr: s.Listen.Ready, MountReady: mountReady,
 			Headers: platform.Headers(), RetryShare: s.Bounds.RetryShare,
 			RetryFloor: int(s.Bounds.RetryFloor), RetryWindow: seconds(s.Bounds.RetryWindowS),
+			HeldBytes:   int64(heldShare * s.Limits.MemoryMB * (1 << 20)),
 			ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
 		}
 	}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -22,6 +22,9 @@
 	// be preferred. The requests that its owner has just sent there are not known here yet: the
 	// penalty stands for some ten of them, at queuedPenalty each.
 	otherOwnerPenalty = 200 * time.Millisecond
+	// heldPenalty is the cost of each MiB of bodies that this entry has sent to a server whose answers
+	// have not ended: a server crashes when it holds more than its memory.
+	heldPenalty = 20 * time.Millisecond
 	// failurePenalty is the cost of a failure share of 1.
 	failurePenalty = 300 * time.Millisecond
 	// silentPenalty and stalePenalty rank servers last.
@@ -294,6 +297,8 @@
 	s.inFlight--
 	s.pendingRead -= c.Read
 	c.Read = 0
+	s.heldBytes -= c.bytes
+	c.bytes = 0
 	b.endProbe(c)
 	switch result {
 	case ResultSucceeded:
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -25,6 +25,8 @@
 	Budget time.Duration
 	// Due is when the first event is due; zero if it is late already.
 	Due time.Time
+	// Bytes is the size of the body, which the server holds until its answer ends.
+	Bytes int
 	// Free requires a slot that is free now, by what is known of the server's load.
 	Free bool
 }
@@ -39,6 +41,8 @@
 	Slots int
 	// Wait is the predicted wait there, Read the time to read the prompt.
 	Wait, Read time.Duration
+	// bytes is the size of the body.
+	bytes int
 	// pickedAt is when the server was chosen; begun: an event was received.
 	pickedAt time.Time
 	begun    bool
@@ -73,6 +77,7 @@
 		}
 		s.inFlight++
 		s.pendingRead += best.Read
+		s.heldBytes += best.bytes
 		best.probe = s.signals.dispatched(now)
 	}
 	return best, availability
@@ -127,7 +132,7 @@
 		score := b.score(now, s, queue, wait)
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, ReportAge: -1, pickedAt: now, Owned: s.owned, InFlight: s.inFlight, Unseen: unseen, due: w.Due, otherOwner: s.otherOwner, Signal: s.signals.strongest(now)}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, bytes: w.Bytes, ReportAge: -1, pickedAt: now, Owned: s.owned, InFlight: s.inFlight, Unseen: unseen, due: w.Due, otherOwner: s.otherOwner, Signal: s.signals.strongest(now)}
 			if s.load.known {
 				best.ReportAge = now.Sub(s.load.at)
 			}
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -51,6 +51,7 @@
 // score orders servers, lowest first.
 func (b *Balancer) score(now time.Time, s *Server, queue float64, wait time.Duration) time.Duration {
 	score := wait + time.Duration(queue*float64(queuedPenalty)) + rand.N(maxTieBreak)
+	score += time.Duration(float64(s.heldBytes) / (1 << 20) * float64(heldPenalty))
 	if !s.sameZone {
 		score += otherZonePenalty
 	}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -45,9 +45,10 @@
 	refusedAt time.Time
 
 	// inFlight counts the requests of this entry; pendingRead is how long the engine
-	// reads the prompts of those that have no event yet.
+	// reads the prompts of those that have no event yet, heldBytes the size of their bodies.
 	inFlight    int
 	pendingRead time.Duration
+	heldBytes   int
 	load        load
 	health      health
 	excess      excess
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -71,6 +71,8 @@
 	RetryShare  float64
 	RetryFloor  int
 	RetryWindow time.Duration
+	// HeldBytes bounds the bodies of requests and answers that are held at one time; 0 is no bound.
+	HeldBytes int64
 	// A cold backend server gets at most ColdOverage times its cold rate plus ColdSlack requests in any
 	// second from all entries together. 0 stands for the rate itself.
 	ColdOverage float64
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -49,6 +49,7 @@
 		Headers:    e.Headers,
 		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, RegionOf: cfg.RegionOf, VersionBound: cfg.VersionBound, ColdOverage: e.ColdOverage, ColdSlack: e.ColdSlack, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
+		HeldBytes:         e.HeldBytes,
 		PublishSuspicions: func(updates []quarantine.Update) { client.SendSuspicions(updates) },
 		PublishSignals:    func(updates []backpressure.Update) { client.SendSignals(updates) },
 		Turns:             turns,
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -122,7 +122,7 @@
 	c.w.WriteHeader(status)
 	if c.r.Method != http.MethodHead {
 		// An error means that the caller left; the log shows that by the request's context.
-		_, _ = c.w.Write(body)
+		_ = c.writePieces(body)
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"syscall"
-	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
@@ -187,7 +186,7 @@
 // failedAnswer handles an answer with an error status. Server errors of idempotent requests are
 // retried if another attempt is allowed; other answers are forwarded to the caller.
 func (c *call) failedAnswer(watch *watchdog, a *dispatch.Answer) attemptResult {
-	body, err := readWhole(a, c.deadline)
+	body, err := c.readWhole(a)
 	if err != nil {
 		return c.brokenAnswer(watch, "answer broke off", err)
 	}
@@ -232,13 +231,20 @@
 	return attemptFinal
 }
 
-// forwardWhole forwards a non-streaming answer once it has been read completely.
+// forwardWhole forwards a non-streaming answer once it has been read completely, or begins to
+// forward it when more has been read than is held.
 func (c *call) forwardWhole(watch *watchdog, a *dispatch.Answer) attemptResult {
-	body, err := readWhole(a, c.deadline)
-	if c.takenOver(watch, err) {
-		return attemptAgain
+	body, err := c.readWhole(a)
+	large := errors.Is(err, errLargeAnswer)
+	if large {
+		err = nil
 	}
-	if err != nil {
+	switch {
+	case c.takenOver(watch, err):
+		return attemptAgain
+	case large:
+		return c.passOn(watch, a, body)
+	case err != nil:
 		return c.brokenAnswer(watch, "answer broke off", err)
 	}
 	return c.writeWhole(a, body)
@@ -253,11 +259,3 @@
 	c.write(a.StatusCode, body)
 	return attemptFinal
 }
-
-// maxWholeAnswer is the limit of a non-streaming answer, in bytes.
-const maxWholeAnswer = 64 << 20
-
-func readWhole(a *dispatch.Answer, deadline time.Time) ([]byte, error) {
-	a.SetReadDeadline(deadline)
-	return io.ReadAll(io.LimitReader(a, maxWholeAnswer))
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -44,6 +42,8 @@
 	residency fleet.Residency
 	model     string
 	body      []byte
+	// holds is how many bytes of bodies the call has reserved; they are released at its end.
+	holds atomic.Int64
 	// size is the size that the caller states. allowed is the longest predicted wait that was
 	// accepted at the last choice of a server.
 	size    size
@@ -184,56 +184,6 @@
 	return true
 }
 
-// readBody reads the whole body, so that retries can send it again.
-func (c *call) readBody(limits fleet.Limits) bool {
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = maxDefaultBody
-	}
-	if c.r.ContentLength > limit {
-		c.drain()
-		c.fail(http.StatusRequestEntityTooLarge, "body too large")
-		return false
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		c.drain()
-		c.fail(http.StatusRequestEntityTooLarge, "body too large")
-		return false
-	case isTimeout(err):
-		c.w.Header().Set("Connection", "close")
-		c.fail(http.StatusRequestTimeout, "body came too slowly")
-		return false
-	case err != nil:
-		c.w.Header().Set("Connection", "close")
-		c.fail(http.StatusBadRequest, "unreadable body")
-		return false
-	}
-	c.body = body
-	return true
-}
-
-const (
-	// maxDrain, in bytes, and drainTime limit what is read of a refused body. A client that is
-	// still sending when the connection is closed may not see the answer.
-	maxDrain  = 1 << 20
-	drainTime = 500 * time.Millisecond
-)
-
-// drain reads and discards the rest of a refused body.
-func (c *call) drain() {
-	// A connection that does not support read deadlines is read without one, up to maxDrain.
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(drainTime))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.r.Body, maxDrain))
-}
-
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
-
 // runAttempts makes attempts until the caller has an answer or the call has ended otherwise.
 func (c *call) runAttempts(ctx context.Context) {
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,9 @@
 	RetryShare  float64
 	RetryFloor  int
 	RetryWindow time.Duration
+	// HeldBytes bounds the bodies of requests and answers that the entry holds at one time; 0 is no
+	// bound.
+	HeldBytes int64
 	// PublishSuspicions sends reports of suspect content to other entries; it may be nil.
 	PublishSuspicions func([]quarantine.Update)
 	// PublishSignals sends the signals of backend servers to other entries; it may be nil.
@@ -100,6 +103,7 @@
 	// time of day may jump.
 	start time.Time
 
+	held     heldBytes
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 
@@ -118,6 +122,7 @@
 	g := &Gateway{
 		cfg: cfg, log: cfg.Logger, balancer: b, queues: newWaitQueues(b),
 		suspects: newSuspicions(cfg.Logger, cfg.PublishSuspicions, cfg.Turns),
+		held:     heldBytes{most: cfg.HeldBytes},
 		start:    clock.Now(), budgets: map[string]*retry.Budget{},
 	}
 	b.OnSlotFreed(g.queues.grant)
@@ -198,6 +203,7 @@
 	m := g.cfg.Metrics
 	m.Dialled.Set(float64(g.balancer.Dialled()))
 	m.suspect.Set(float64(g.suspects.count()))
+	m.heldBytes.Set(float64(g.held.now.Load()))
 	if t := g.view.Load().Table; t != nil {
 		m.configVersion.Set(float64(t.Config.Version))
 	}
@@ -267,7 +273,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := g.newCall(w, r)
+	c.extendWriteDeadline()
 	c.serve()
+	c.g.held.release(c.holds.Load())
 	c.endTurn()
 	c.report()
 }
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -15,6 +15,8 @@
 	// of the first server are buffered until the other one writes, and a handover that takes
 	// longer is cancelled. Callers leave after 2 s without an event.
 	maxHandoverGap = 600 * time.Millisecond
+	// maxBuffered bounds these events, in bytes.
+	maxBuffered = 64 << 10
 	// maxExtraHandovers is how many attempts beyond the route's limit may be made by handovers
 	// of a stream that has begun.
 	maxExtraHandovers = 2
@@ -126,7 +128,7 @@
 		if h.answer != nil {
 			return errHandedOver
 		}
-		if clock.Since(c.eventAt) < maxHandoverGap {
+		if clock.Since(c.eventAt) < maxHandoverGap && len(c.buffered)+len(events) <= maxBuffered {
 			c.buffered = append(c.buffered, events...)
 			return nil
 		}
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -77,7 +77,10 @@
 	h.began = true
 	a.SetReadDeadline(c.deadline)
 	if c.route.Kind != fleet.KindStream {
-		body, err := readWhole(a, c.deadline)
+		body, err := c.readWhole(a)
+		if errors.Is(err, errLargeAnswer) {
+			return nil, balance.ResultUnknown, err // the first server's answer is as large
+		}
 		return body, balance.ResultFailed, err
 	}
 	buf := make([]byte, 0, streamBuffer)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -37,6 +37,7 @@
 	unseen        *prometheus.GaugeVec
 	signals       *prometheus.GaugeVec
 	configVersion prometheus.Gauge
+	heldBytes     prometheus.Gauge
 	// suspect is the number of digests of suspect content.
 	suspect prometheus.Gauge
 	// Dialled is the number of connections made to the backend servers that are known now.
@@ -103,11 +104,14 @@
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_config_version", Help: "Version of the configuration in force here.",
 		}),
+		heldBytes: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_gateway_held_bytes", Help: "Bodies of requests and answers that are held, in bytes.",
+		}),
 		Dialled: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.first, m.whole, m.wait, m.gap, m.sizes, m.slotWait, m.interrupted, m.failedAttempts, m.suspectRefusals, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.throttledAttempts, m.configVersion, m.Dialled)
+	r.MustRegister(m.requests, m.attempts, m.first, m.whole, m.wait, m.gap, m.sizes, m.slotWait, m.interrupted, m.failedAttempts, m.suspectRefusals, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.throttledAttempts, m.configVersion, m.heldBytes, m.Dialled)
 	return m
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -171,8 +171,8 @@
 		c.lastEvent = id
 	}
 	c.events++
-	if _, err := c.w.Write(events); err != nil {
-		return errCallerGone
+	if err := c.writePieces(events); err != nil {
+		return err
 	}
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return errCallerGone
