--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -99,18 +99,36 @@
 type entry struct {
 	*Gateway
 	*httptest.Server
-	logs *bytes.Buffer
+	logs *logBuffer
+}
+
+// logBuffer holds log lines; calls may still write some while a test reads.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
 }
 
 // regionOf is the region of a zone: the first backend of an entry is at home, the others are abroad.
 func regionOf(zone string) string { return map[string]string{"z": "home", "": "abroad"}[zone] }
 
 func newEntry(t testing.TB, backends ...*backend) *entry {
-	var logs bytes.Buffer
+	var logs logBuffer
 	g := New(Config{
 		Headers: headers, Balance: balance.Config{Zone: "z", RegionOf: regionOf, VersionBound: 8 * time.Second, Logger: zerolog.Nop()},
 		RetryShare: 0.2, RetryFloor: 100, RetryWindow: 10 * time.Second,
-		Logger: zerolog.New(zerolog.SyncWriter(&logs)), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Logger: zerolog.New(&logs), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	server := httptest.NewUnstartedServer(g)
 	server.Config.ErrorLog = nil
