A join wakes nobody; updates are batched by the number of followers; backoff grows

Cause: all daemons of a fleet join the three control servers that the settings name. Each join woke every follower there, and each wake built the whole list of entries under the hub's lock: the square of the fleet, 23,811 joins in 30 s at 994 machines with no leader. A follower that heard nothing for 1.5 s dialled again after 150 ms and was handed everything again. Each announcement was an update of its own to each follower. Change: the list of entries is sent once to each follower and then as changes, with the next renewals; an update that isn't urgent waits for others, as long as the followers share 5,000 updates a second (14 ms at 70 followers, 200 ms at 1,000); leaving servers, committed state, suspicions, signals and turns wait for nothing. The pause after a stream that a control server accepted and did not serve for 3 s doubles up to 5 s; a refused dial, which costs the other side nothing, keeps the pause of 150 ms.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -1,9 +1,10 @@
 package fleetcontrol
 
 import (
-	"cmp"
+	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/backpressure"
@@ -23,6 +24,8 @@
 type follower struct {
 	name, role, zone string
 	wake             chan struct{}
+	// urgent: the next update must not wait for others to be sent with it.
+	urgent atomic.Bool
 	// changed holds the ids whose record is to be sent, renewed those of which only
 	// the sequence number is to be sent.
 	changed, renewed map[string]bool
@@ -40,11 +43,13 @@
 	configAt      time.Time
 	versions      map[string]uint64
 	// evacuations are the last orders about zones that the follower was sent.
-	evacuations   map[string]ledger.Evacuation
-	controlAddrs  []string
-	entries       []*rpc.Entry
-	number, acked uint64
-	waiters       []*waiter
+	evacuations  map[string]ledger.Evacuation
+	controlAddrs []string
+	// entriesVersion is that of the list of entries that the follower was sent, if hasEntries is set.
+	entriesVersion uint64
+	hasEntries     bool
+	number, acked  uint64
+	waiters        []*waiter
 }
 
 // waiter is the wait for one follower to acknowledge that a server leaves.
@@ -63,6 +68,39 @@
 	}
 }
 
+// notifyUrgent has the next update sent without a pause.
+func (f *follower) notifyUrgent() {
+	f.urgent.Store(true)
+	f.notify()
+}
+
+// maxUpdateRate bounds the updates per second to all followers together, so that the time between
+// two updates to one follower grows with their number, and so does what one update carries: while
+// a fleet starts, each announcement would otherwise be an update to each follower.
+const maxUpdateRate = 5000
+
+// updateInterval returns the least time between two updates to a follower that are not urgent.
+func (h *hub) updateInterval() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Duration(len(h.followers)) * time.Second / maxUpdateRate
+}
+
+// pause waits for d, until something urgent is to be sent, or until ctx ends.
+func (f *follower) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for !f.urgent.Swap(false) {
+		select {
+		case <-f.wake:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // serve sends updates to one follower until its stream ends.
 func (h *hub) serve(stream rpc.DRPCFleet_FollowStream) error {
 	hello, err := stream.Recv()
@@ -104,8 +142,10 @@
 				return err
 			}
 		}
+		sentAt := time.Now()
 		select {
 		case <-f.wake:
+			f.pause(stream.Context(), h.updateInterval()-time.Since(sentAt))
 		case <-keepAlive.C:
 			if err := stream.Send(&rpc.FleetUpdate{}); err != nil {
 				return err
@@ -137,8 +177,8 @@
 		f.signals = h.signals.All()
 	}
 	h.followers[f] = true
-	for other := range h.followers {
-		other.notify() // the list of entries may have changed
+	if f.role == RoleEntry {
+		h.entries.join(f.name, f.zone) // the others get it with the next renewals
 	}
 	h.log.Info().Str("follower", f.name).Str("role", f.role).Msg("follower joined")
 	return f
@@ -148,6 +188,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.followers, f)
+	if f.role == RoleEntry {
+		h.entries.leave(f.name)
+	}
 	h.turns.releaseAll(f)
 	for _, w := range f.waiters {
 		w.pending.Done()
@@ -187,7 +230,7 @@
 		u.ControlAddrs, f.controlAddrs = addrs, addrs
 	}
 	if f.role == RoleEntry {
-		outdated = f.addEntries(u, h.entries()) || outdated
+		outdated = f.addEntries(u, h.entries) || outdated
 		outdated = f.addEvacuations(u, state.Evacuations, now) || outdated
 	}
 	if f.role != RoleControl {
@@ -274,27 +317,3 @@
 	f.configVersion, f.configAt = state.ConfigVersion, now
 	return true
 }
-
-// addEntries adds the list of entries if it differs from the one sent last.
-func (f *follower) addEntries(u *rpc.FleetUpdate, entries []*rpc.Entry) bool {
-	same := func(a, b *rpc.Entry) bool { return a.Name == b.Name && a.Zone == b.Zone }
-	if slices.EqualFunc(entries, f.entries, same) {
-		return false
-	}
-	f.entries = entries
-	u.Entries = &rpc.EntryList{Entries: entries}
-	return true
-}
-
-// entries returns the entries among the followers, in the order of names; the caller
-// holds the lock.
-func (h *hub) entries() []*rpc.Entry {
-	var out []*rpc.Entry
-	for f := range h.followers {
-		if f.role == RoleEntry {
-			out = append(out, &rpc.Entry{Name: f.name, Zone: f.zone})
-		}
-	}
-	slices.SortFunc(out, func(a, b *rpc.Entry) int { return cmp.Compare(a.Name, b.Name) })
-	return slices.CompactFunc(out, func(a, b *rpc.Entry) bool { return a.Name == b.Name })
-}
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -46,6 +46,7 @@
 	mu        sync.Mutex
 	servers   *directory.Directory
 	followers map[*follower]bool
+	entries   *entryList
 	// reports are the agents' newest reports by address of the backend server.
 	reports map[string]*rpc.AgentReport
 	// suspects holds the suspicions of all entries.
@@ -65,7 +66,7 @@
 		ledger: l, controlAddrs: controlAddrs, log: log,
 		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
 		agents:  &agentConfigs{decode: decode},
-		servers: directory.New(announceInterval), followers: map[*follower]bool{},
+		servers: directory.New(announceInterval), followers: map[*follower]bool{}, entries: newEntryList(),
 		reports: map[string]*rpc.AgentReport{}, suspects: quarantine.New(), signals: backpressure.NewTable(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
 	}
 }
@@ -83,9 +84,11 @@
 		changed := h.ledger.Changed()
 		select {
 		case <-changed:
-			h.wakeAll()
+			h.wakeForUrgent()
 		case <-renew.C:
-			h.wakeFor(func(f *follower) bool { return len(f.renewed) > 0 })
+			h.wakeFor(func(f *follower) bool {
+				return len(f.renewed) > 0 || f.role == RoleEntry && f.entriesVersion != h.entries.version
+			})
 		case <-report.C:
 			h.settle()
 			h.wakeFor(func(f *follower) bool { return len(f.reports) > 0 })
@@ -101,7 +104,14 @@
 	}
 }
 
-func (h *hub) wakeAll() { h.wakeFor(func(*follower) bool { return true }) }
+// wakeForUrgent wakes all followers for something that must reach them at once.
+func (h *hub) wakeForUrgent() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for f := range h.followers {
+		f.notifyUrgent()
+	}
+}
 
 func (h *hub) wakeFor(outdated func(*follower) bool) {
 	h.mu.Lock()
@@ -122,7 +132,11 @@
 			Stringer("state", b.State).Uint64("seq", b.Seq).Str("source", source).Msg("backend server changed")
 		for f := range h.followers {
 			f.changed[b.ID] = true
-			f.notify()
+			if b.State != fleet.StateReady {
+				f.notifyUrgent()
+			} else {
+				f.notify()
+			}
 		}
 	case directory.Renewed:
 		h.markRenewed(b.ID)
--- a/internal/fleetcontrol/signals.go
+++ b/internal/fleetcontrol/signals.go
@@ -19,7 +19,7 @@
 	for f := range h.followers {
 		if f.role != RoleAgent {
 			f.signals = append(f.signals, fresh...)
-			f.notify()
+			f.notifyUrgent()
 		}
 	}
 }
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -50,7 +50,7 @@
 	for f := range h.followers {
 		if f.role != RoleAgent {
 			f.suspicions = append(f.suspicions, updates...)
-			f.notify()
+			f.notifyUrgent()
 		}
 	}
 }
--- a/internal/fleetcontrol/turns.go
+++ b/internal/fleetcontrol/turns.go
@@ -68,7 +68,7 @@
 	case len(m.TurnWanted) == quarantine.DigestSize:
 		d := quarantine.Digest(m.TurnWanted)
 		f.turns = append(f.turns, &rpc.Turn{Digest: d[:], Given: h.turns.acquire(clock.Now(), d, f)})
-		f.notify()
+		f.notifyUrgent()
 	default:
 		return false
 	}
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -33,8 +33,12 @@
 	// keep-alives and the delay of a slow machine. TCP alone would take minutes to
 	// detect a network partition.
 	silenceTimeout = 1500 * time.Millisecond
-	// reconnectPause is the mean pause after a stream has ended.
-	reconnectPause = 150 * time.Millisecond
+	// reconnectPause is the mean pause after a stream has ended. It is doubled with each stream in a
+	// row that the control server accepted and did not serve for servedAfter, up to
+	// maxReconnectPause: then it has too many followers to join, and each new stream is more work.
+	reconnectPause    = 150 * time.Millisecond
+	maxReconnectPause = 5 * time.Second
+	servedAfter       = 3 * time.Second
 	// failurePause is for how long other control servers are preferred to one that
 	// failed.
 	failurePause = 3 * time.Second
@@ -216,7 +220,7 @@
 // context of Run.
 func (c *Client) follow(ctx, run context.Context, addr string) {
 	lost := false
-	failed := 0
+	failed, unserved := 0, 0
 	for ctx.Err() == nil {
 		if !c.mayFollow(addr) {
 			select {
@@ -226,10 +230,12 @@
 				return
 			}
 		}
+		began := clock.Now()
 		received, err := c.stream(ctx, run, addr, rpcconn.RedialTimeout(failed))
 		if ctx.Err() != nil {
 			return
 		}
+		unserved = countUnserved(unserved, err, clock.Since(began))
 		failed++
 		if received > 0 {
 			failed = 0
@@ -242,14 +248,39 @@
 			lost = true
 			c.cfg.Logger.Warn().Str("control", addr).Err(err).Int("updates", received).Msg("control server lost")
 		}
-		pause := reconnectPause/2 + rand.N(reconnectPause)
+		pause := pauseAfter(unserved)
 		select {
-		case <-time.After(pause):
+		case <-time.After(pause/2 + rand.N(pause)):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// countUnserved returns the number of streams in a row that a control server accepted and did not
+// serve for servedAfter, after one more that has lasted for d. A dial that fails says nothing: it
+// costs a control server that is up nothing.
+func countUnserved(before int, err error, d time.Duration) int {
+	switch {
+	case d >= servedAfter:
+		return 0
+	case errors.Is(err, errNotConnected):
+		return before
+	}
+	return before + 1
+}
+
+// pauseAfter returns the mean pause after this many unserved streams in a row.
+func pauseAfter(unserved int) time.Duration {
+	pause := reconnectPause
+	for ; unserved > 1 && pause < maxReconnectPause; unserved-- {
+		pause *= 2
+	}
+	return min(pause, maxReconnectPause)
+}
+
+// errNotConnected means that no connection to a control server was made.
+var errNotConnected = errors.New("not connected")
+
 // mayFollow reports whether a control server is among the MaxServers that rank first for
 // this daemon by rendezvous hashing, of those with an open stream and those that have
 // not failed within failurePause.
@@ -283,7 +314,7 @@
 	conn, err := rpcconn.Dial(dialCtx, addr)
 	cancelDial()
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("%w: %w", errNotConnected, err)
 	}
 	defer conn.Close()
 	// Closing the connection ends a stream whose peer no longer responds.
--- /dev/null
+++ b/internal/follow/client_test.go
@@ -0,0 +1,61 @@
+package follow
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+// A control server that is too busy to serve its followers gets fewer new streams, one that is
+// down is found at once when it is up again.
+func TestPauseGrowsOnlyWhileAControlServerDoesNotServe(t *testing.T) {
+	ended, refused := errors.New("ended"), fmt.Errorf("%w: refused", errNotConnected)
+	unserved := 0
+	for range 20 {
+		unserved = countUnserved(unserved, refused, time.Millisecond)
+	}
+	assert.Equal(t, reconnectPause, pauseAfter(unserved))
+	var pauses []time.Duration
+	for range 8 {
+		unserved = countUnserved(unserved, ended, silenceTimeout)
+		pauses = append(pauses, pauseAfter(unserved))
+	}
+	assert.Equal(t, []time.Duration{1, 2, 4, 8, 16, 32}, []time.Duration{
+		pauses[0] / reconnectPause, pauses[1] / reconnectPause, pauses[2] / reconnectPause, pauses[3] / reconnectPause,
+		pauses[4] / reconnectPause, pauses[5] / reconnectPause,
+	})
+	assert.Equal(t, maxReconnectPause, pauses[7])
+	assert.Equal(t, reconnectPause, pauseAfter(countUnserved(unserved, ended, servedAfter)))
+}
+
+func TestEntriesJoinAndLeaveByChanges(t *testing.T) {
+	v := NewViewer(nil, nil, 0, zerolog.Nop())
+	names := func() (out []string) {
+		for _, e := range v.View().Entries {
+			out = append(out, e.Name)
+		}
+		return out
+	}
+	entries := func(names ...string) (out []*rpc.Entry) {
+		for _, name := range names {
+			out = append(out, &rpc.Entry{Name: name})
+		}
+		return out
+	}
+	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Joined: entries("x")}})
+	assert.Empty(t, names(), "the list is not known yet")
+	v.Update("c-1", &rpc.FleetUpdate{Entries: &rpc.EntryList{Entries: entries("a", "b")}})
+	v.Update("c-2", &rpc.FleetUpdate{Entries: &rpc.EntryList{Entries: entries("b", "c")}})
+	assert.Equal(t, []string{"a", "b", "c"}, names())
+	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Joined: entries("d"), Left: []string{"a", "b"}}})
+	assert.Equal(t, []string{"b", "c", "d"}, names(), "b still follows the other control server")
+	v.Lost("c-2")
+	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Left: []string{"d"}}})
+	assert.Empty(t, names())
+}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -58,8 +59,8 @@
 
 	mu      sync.Mutex
 	servers *directory.Directory
-	// entries are those connected to each control server.
-	entries map[string][]Entry
+	// entries are those connected to each control server, by name.
+	entries map[string]map[string]Entry
 	// reports are the newest reports of agents, by address of the backend server.
 	reports    map[string]*rpc.AgentReport
 	nextForget time.Time
@@ -71,7 +72,7 @@
 // NewViewer returns a viewer of servers that announce themselves at this interval, 0
 // if it is not known. decode decodes the operators' document; changed may be nil.
 func NewViewer(decode func([]byte) (*fleet.Config, error), changed func(*View), interval time.Duration, log zerolog.Logger) *Viewer {
-	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(interval), entries: map[string][]Entry{}, reports: map[string]*rpc.AgentReport{}}
+	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(interval), entries: map[string]map[string]Entry{}, reports: map[string]*rpc.AgentReport{}}
 	v.view.Store(&View{})
 	return v
 }
@@ -138,14 +139,22 @@
 }
 
 func (v *Viewer) mergeEntries(next *View, source string, u *rpc.FleetUpdate) bool {
-	if u.Entries == nil {
+	if u.Entries == nil && u.EntryChanges == nil {
 		return false
 	}
-	listed := make([]Entry, 0, len(u.Entries.Entries))
-	for _, e := range u.Entries.Entries {
-		listed = append(listed, Entry{Name: e.Name, Zone: e.Zone})
+	if u.Entries != nil {
+		v.entries[source] = map[string]Entry{}
+	}
+	listed := v.entries[source]
+	if listed == nil {
+		return false // changes of a list that is not known
+	}
+	for _, e := range append(u.Entries.GetEntries(), u.EntryChanges.GetJoined()...) {
+		listed[e.Name] = Entry{Name: e.Name, Zone: e.Zone}
+	}
+	for _, name := range u.EntryChanges.GetLeft() {
+		delete(listed, name)
 	}
-	v.entries[source] = listed
 	all := v.allEntries()
 	if slices.Equal(all, next.Entries) {
 		return false
@@ -158,7 +167,7 @@
 func (v *Viewer) allEntries() []Entry {
 	var all []Entry
 	for _, listed := range v.entries {
-		all = append(all, listed...)
+		all = slices.AppendSeq(all, maps.Values(listed))
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 	return slices.CompactFunc(all, func(a, b Entry) bool { return a.Name == b.Name })
