--- a/internal/backpressure/pacer.go
+++ b/internal/backpressure/pacer.go
@@ -88,6 +88,9 @@
 	p.probeDue = time.Time{}
 }
 
+// Idle reports whether no request was sent in the last window.
+func (p *Pacer) Idle(now time.Time) bool { return p.sentInWindow(now) == 0 }
+
 // sentInWindow counts the requests of the last window, or of up to one step more.
 func (p *Pacer) sentInWindow(now time.Time) (n int) {
 	p.advance(now)
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -14,9 +14,10 @@
 const (
 	// coldMargin is added to the announced end of a cold start, for clocks of different speed.
 	coldMargin = 200 * time.Millisecond
-	// newcomerSpan is how long after its first choice an entry sends nothing to cold servers: it may
-	// not know all other entries yet, and would take too large a part.
-	newcomerSpan = 2 * time.Second
+	// newcomerSpan is how long after its first choice an entry sends one request to each cold server:
+	// it may not know all other entries yet, and would take too large a part. Entries that start
+	// together know each other after a batch of renewals.
+	newcomerSpan = time.Second
 )
 
 // coldRate returns the requests per second of all entries that a cold server of a service may get;
@@ -77,6 +78,9 @@
 // opensCold returns when this entry may next send to a cold server.
 func (b *Balancer) opensCold(now time.Time, s *Server, rate float64, until time.Time) time.Time {
 	if now.Sub(b.firstChoice) < newcomerSpan {
+		if s.signals.pacer.Idle(now) {
+			return now
+		}
 		return b.firstChoice.Add(newcomerSpan)
 	}
 	if b.peersView != b.view {
