One cached part for limits and cold rates; one way to list in lynxctl

The part of a cold server's rate was computed anew, with a sort of the zone's entries, for each cold server and choice; it is cached as that of a limit is, by rate, peers and whether the zone holds it. The two lists of lynxctl share their call.

--- a/cmd/lynxctl/evacuate.go
+++ b/cmd/lynxctl/evacuate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
@@ -63,13 +62,9 @@
 }
 
 func (c *evacuateCommand) list(ctx context.Context) subcommands.ExitStatus {
-	status, body, err := c.call(ctx, http.MethodGet, fleetcontrol.EvacuationsPath)
-	if err != nil || status != http.StatusOK {
-		return c.failed(status, body, err)
-	}
 	var zones []fleetcontrol.EvacuationStatus
-	if err := json.Unmarshal(body, &zones); err != nil {
-		return c.failed(status, body, err)
+	if status := c.get(ctx, fleetcontrol.EvacuationsPath, &zones); status != exitOK {
+		return status
 	}
 	for _, z := range zones {
 		state := "in use"
--- a/cmd/lynxctl/fleetcontrol.go
+++ b/cmd/lynxctl/fleetcontrol.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -39,6 +40,18 @@
 	return resp.StatusCode, body, err
 }
 
+// get decodes the answer to a GET into v; the status is not exitOK if that has failed.
+func (c *fleetControl) get(ctx context.Context, path string, v any) subcommands.ExitStatus {
+	status, body, err := c.call(ctx, http.MethodGet, path)
+	if err == nil && status == http.StatusOK {
+		err = json.Unmarshal(body, v)
+	}
+	if err != nil || status != http.StatusOK {
+		return c.failed(status, body, err)
+	}
+	return exitOK
+}
+
 // failed prints why a call failed.
 func (c *fleetControl) failed(status int, body []byte, err error) subcommands.ExitStatus {
 	if err != nil {
--- a/cmd/lynxctl/held.go
+++ b/cmd/lynxctl/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
@@ -44,13 +43,9 @@
 }
 
 func (c *heldCommand) list(ctx context.Context) subcommands.ExitStatus {
-	status, body, err := c.call(ctx, http.MethodGet, fleetcontrol.QuarantinePath)
-	if err != nil || status != http.StatusOK {
-		return c.failed(status, body, err)
-	}
 	var works []fleetcontrol.QuarantineStatus
-	if err := json.Unmarshal(body, &works); err != nil {
-		return c.failed(status, body, err)
+	if status := c.get(ctx, fleetcontrol.QuarantinePath, &works); status != exitOK {
+		return status
 	}
 	for _, w := range works {
 		held := ""
--- a/internal/balance/cold.go
+++ b/internal/balance/cold.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/backpressure"
@@ -87,27 +86,13 @@
 		b.peersView = b.view
 		b.peers.update(now, b.self(), b.view.Entries)
 	}
-	part := b.coldPartOf(s, rate)
+	part := b.partOf(s, rate, true)
 	if part.Rate <= 0 {
 		return until
 	}
 	return s.signals.pacer.NextAt(now, part)
 }
 
-// coldPartOf returns the part of the rate of a cold server that this entry holds. Only entries of the
-// server's zone hold parts, if there are any: they own its servers and send most of their requests.
-func (b *Balancer) coldPartOf(s *Server, rate float64) backpressure.Part {
-	zone := s.record.Zone
-	near := slices.DeleteFunc(slices.Clone(b.peers.entries), func(e backpressure.Entry) bool { return e.Zone != zone })
-	switch {
-	case len(near) == 0:
-		return b.partOf(s, rate)
-	case b.cfg.Zone != zone:
-		return backpressure.Part{}
-	}
-	return backpressure.PartOf(rate, s.Addr, zone, b.cfg.Name, near)
-}
-
 // ConnectionRefused records that a server's VM has refused a connection.
 func (b *Balancer) ConnectionRefused(s *Server, now time.Time) {
 	b.mu.Lock()
--- a/internal/balance/signals.go
+++ b/internal/balance/signals.go
@@ -19,10 +19,9 @@
 	id, start string
 	limit     backpressure.Limit
 	pacer     backpressure.Pacer
-	// part is the part of the limit that this entry holds, for partRate and the peers of partPeers.
-	part      backpressure.Part
-	partRate  float64
-	partPeers int
+	// part is the part of a limit that this entry holds, for partKey.
+	part    backpressure.Part
+	partKey partKey
 	// backoff is what the server requested of this entry. After it the server gets one request at a time
 	// until it has accepted one: probing is set until then, probeInFlight while one is in flight.
 	backoff                backpressure.Backoff
--- a/internal/balance/signals_test.go
+++ b/internal/balance/signals_test.go
@@ -55,7 +55,7 @@
 	b.SetView(alone)
 	part := func(now time.Time) float64 {
 		b.Refresh(now)
-		return b.partOf(b.servers["1"], b.servers["1"].signals.limit.Rate).Rate
+		return b.partOf(b.servers["1"], b.servers["1"].signals.limit.Rate, false).Rate
 	}
 	assert.Equal(t, 0.5, part(start.Add(time.Second)))
 	require.Equal(t, 1.0, part(start.Add(time.Minute)))
