Test of a refusal at once: it could not tell a wait from a refusal

Its server had records of two services; where the plain one came last, the request waited for a slot, 40 ms of an objective of 200, and the bound let that pass. Change: one service, an objective of 1 s, at which a wait lasts 200 ms, a bound of 150 ms, and no waited_ms in the log. It now fails when the request waits.

--- a/internal/gateway/retry_after_test.go
+++ b/internal/gateway/retry_after_test.go
@@ -20,17 +20,23 @@
 }
 
 func testRequestIsRefusedAtOnceWhenAllServersAreFull(t testing.TB) {
-	// All four slots are reported as taken, with 50 requests waiting: a first event within 0.6
-	// of the objective of 200 ms is not possible, so the caller is refused at once.
+	// All four slots are reported as taken, with 300 requests waiting: a first event within 0.6
+	// of the objective of 1 s is not possible, so the caller is refused at once. If it waited for a
+	// slot, it would be refused after 200 ms.
 	busy := newBackend(t, "b-1", good)
 	e := newEntry(t, busy)
+	e.onlyEngines()
+	for i := range e.view.Load().Table.Config.Routes {
+		e.view.Load().Table.Config.Routes[i].Objective = time.Second
+	}
 	for range 3 {
-		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(busy.URL, "http://"), Models: []fleet.Loaded{{Model: "m", Version: 7}}, Running: 4, Waiting: 50})
+		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(busy.URL, "http://"), Models: []fleet.Loaded{{Model: "m", Version: 7}}, Running: 4, Waiting: 300})
 	}
 	began := time.Now()
 	a := e.ask(t, "POST", "/stream/1")
 	assert.Equal(t, http.StatusServiceUnavailable, a.status)
-	assert.Less(t, time.Since(began), 50*time.Millisecond)
+	assert.Less(t, time.Since(began), 150*time.Millisecond)
+	assert.NotContains(t, e.logs.String(), "waited_ms")
 	after, err := strconv.ParseFloat(a.head.Get("Retry-After"), 64)
 	require.NoError(t, err)
 	assert.Positive(t, after)
