--- /dev/null
+++ b/internal/reservation/ledger.go
@@ -0,0 +1,306 @@
+package reservation
+
+import (
+	"math"
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/rendezvous"
+)
+
+const (
+	// lease is how long a reservation counts whose request does not arrive: entries send requests
+	// within some ms, and a killed entry must not keep slots.
+	lease = 300 * time.Millisecond
+	// arrivalTime is how long a request may take to its engine after it was granted: a
+	// round trip between regions of 4 ms, and the entry's and engine's processing. Until then the
+	// engine's report does not count it.
+	arrivalTime = 15 * time.Millisecond
+	// maxReportAge is the age from which on a report says nothing: an engine's requests last a
+	// second or two.
+	maxReportAge = 1 * time.Second
+	// minBudget is the least accepted wait. An engine that works slower than usual would otherwise
+	// get no requests even while it is idle.
+	minBudget = 20 * time.Millisecond
+	// gapShare is the share of the gap objective up to which running streams may be paused by
+	// prompts; the rest is for the way to the caller.
+	gapShare = 0.9
+	// gapMemory is for how long the gap objective of a granted request counts: streams last some seconds.
+	gapMemory = 10 * time.Second
+	// resumedShare is the share of its gap objective, or else its objective, that the rest of a stream may wait.
+	resumedShare = 0.6
+	// passesToFirstEvent is how many passes precede the first event besides the prompt: half of the one in
+	// progress, and its own.
+	passesToFirstEvent = 1.5
+	// readHalfLife is the half-life of the share of time spent on prompts, maxReadShare its bound: an engine
+	// decodes between prompts at least that much.
+	readHalfLife = 1 * time.Second
+	maxReadShare = 0.6
+	// expiryMargin is how long after its deadline a reservation is dropped that was never released.
+	expiryMargin = 1 * time.Second
+)
+
+// open is a reservation that was not released.
+type open struct {
+	at      time.Time
+	expires time.Time
+	read    time.Duration
+	// readsAt is when its prompt is predicted to be read completely.
+	readsAt time.Time
+}
+
+// Ledger keeps the reservations of one engine.
+type Ledger struct {
+	engine  *fleet.Engine
+	report  Report
+	at      time.Time
+	known   bool
+	loading bool
+	open    map[string]open
+	// foreign counts the engine's requests without a reservation, as of the last report.
+	foreign int
+	// readUntil is when the prompts of all granted requests are predicted to have been read.
+	readUntil time.Time
+	// reads is the decayed sum of the time for prompts, as of readsAt.
+	reads   time.Duration
+	readsAt time.Time
+	// gap is the smallest gap objective of the recent requests, gapAt when it was stated last.
+	gap   time.Duration
+	gapAt time.Time
+}
+
+// New returns the ledger of an engine without reservations.
+func New(e *fleet.Engine) *Ledger { return &Ledger{engine: e, open: map[string]open{}} }
+
+// SetEngine replaces the cost model of the engine.
+func (l *Ledger) SetEngine(e *fleet.Engine) { l.engine = e }
+
+// SetLoading records that the agent is about to order a load, or that the load is over.
+func (l *Ledger) SetLoading(loading bool) { l.loading = loading }
+
+// Open returns the number of reservations that were not released.
+func (l *Ledger) Open() int { return len(l.open) }
+
+// Observe applies a report of the engine, as of now. A later incarnation of the engine has none of the
+// earlier one's requests.
+func (l *Ledger) Observe(now time.Time, r Report) {
+	if l.report.StartUnixMs != 0 && r.StartUnixMs > l.report.StartUnixMs {
+		l.open = map[string]open{}
+		l.foreign, l.readUntil, l.reads = 0, time.Time{}, 0
+	}
+	before, known := l.at, l.known
+	l.report, l.at, l.known = r, now, true
+	l.expire(now)
+	arrived := 0
+	for _, o := range l.open {
+		if now.Sub(o.at) >= arrivalTime {
+			arrived++
+		}
+	}
+	foreign := max(r.Running+r.Waiting-arrived, 0)
+	if more := foreign - l.foreign; known && more > 0 { // they came since the report before
+		l.addRead(before, time.Duration(more)*l.scaled(l.engine.PrefillTime(l.engine.UsualPrompt)))
+	}
+	l.foreign = foreign
+}
+
+// expire drops reservations that were never released.
+func (l *Ledger) expire(now time.Time) {
+	for id, o := range l.open {
+		if now.After(o.expires) {
+			delete(l.open, id)
+		}
+	}
+}
+
+// addRead records that a prompt is to be read, once those before it have been read.
+func (l *Ledger) addRead(start time.Time, read time.Duration) time.Time {
+	if l.readUntil.Before(start) {
+		l.readUntil = start
+	}
+	l.readUntil = l.readUntil.Add(read)
+	return l.readUntil
+}
+
+// pace returns how many times as long as usual the engine's work takes.
+func (l *Ledger) pace() float64 {
+	if l.report.Pace <= 0 {
+		return 1
+	}
+	return l.report.Pace
+}
+
+func (l *Ledger) scaled(d time.Duration) time.Duration { return time.Duration(float64(d) * l.pace()) }
+
+// reserved returns how many granted requests the report does not count yet.
+func (l *Ledger) reserved(now time.Time) int {
+	young, leased := 0, 0
+	for _, o := range l.open {
+		age := now.Sub(o.at)
+		if age < arrivalTime || o.at.After(l.at.Add(-arrivalTime)) {
+			young++
+		}
+		if age < lease {
+			leased++
+		}
+	}
+	missing := min(leased, len(l.open)-l.report.Running-l.report.Waiting)
+	return max(young, missing)
+}
+
+// load returns the state of the engine.
+func (l *Ledger) load(now time.Time) Load {
+	return Load{
+		Running: l.report.Running, Waiting: l.report.Waiting, Reserved: l.reserved(now), Pace: l.pace(), Age: now.Sub(l.at),
+		Version: l.report.Version, Loading: l.loading || l.report.Busy, StartUnixMs: l.report.StartUnixMs,
+	}
+}
+
+// Release ends a reservation: it was not used, or the request has ended.
+func (l *Ledger) Release(now time.Time, id string) {
+	o, ok := l.open[id]
+	if !ok {
+		return
+	}
+	delete(l.open, id)
+	if o.readsAt.After(now) { // not read; the prompts after it are read earlier
+		l.readUntil = l.readUntil.Add(-min(o.read, o.readsAt.Sub(now)))
+	}
+}
+
+// Ask decides on a request.
+func (l *Ledger) Ask(now time.Time, r Request) Decision {
+	l.expire(now)
+	l.Release(now, r.ID)
+	d := Decision{Load: l.load(now)}
+	switch {
+	case !l.known || d.Load.Age > maxReportAge:
+		return d.refused(ReasonUnknown)
+	case d.Load.Loading:
+		return d.refused(ReasonLoading)
+	case d.Load.Version == 0 || r.Version != 0 && r.Version != d.Load.Version:
+		return d.refused(ReasonVersion)
+	}
+	p := l.predict(now, r, d.Load)
+	d.Wait, d.FirstEvent, d.End = p.wait, p.first, p.end
+	if reason := l.judge(now, r, p); reason != ReasonNone {
+		d = d.refused(reason)
+		if reason == ReasonFull {
+			d.Again = max(p.wait-l.budget(r), 0) + l.scaled(l.engine.RequestTime())/2
+		}
+		return d
+	}
+	l.grant(now, r, p)
+	d.Granted = true
+	d.Load.Reserved++
+	return d
+}
+
+func (d Decision) refused(reason Reason) Decision {
+	d.Reason = reason
+	return d
+}
+
+// prediction is what is predicted for a request. wait is that for a slot and for the prompts before its
+// own, slot the part for a slot.
+type prediction struct {
+	free             bool
+	wait, slot       time.Duration
+	read             time.Duration
+	first, end       time.Duration
+	unreadAtTheStart time.Duration
+}
+
+// predict predicts how a request would be served.
+func (l *Ledger) predict(now time.Time, r Request, load Load) prediction {
+	var p prediction
+	ahead := load.Running + load.Waiting + load.Reserved
+	p.free = ahead < l.engine.Slots
+	if !p.free {
+		p.slot = time.Duration(ahead-l.engine.Slots+1) * l.scaled(l.engine.RequestTime())
+	}
+	unread := max(l.readUntil.Sub(now), 0)
+	p.wait = max(p.slot, unread)
+	p.unreadAtTheStart = max(unread-p.slot, 0)
+	p.read = l.scaled(l.engine.PrefillTime(r.Prompt))
+	pass := l.scaled(l.engine.PassTime())
+	p.first = p.wait + p.read + time.Duration(passesToFirstEvent*float64(pass))
+	events := (r.Answer + l.engine.Stride - 1) / max(l.engine.Stride, 1)
+	p.end = p.first + time.Duration(float64(max(events-1, 0))*float64(pass)/(1-l.readShare(now)))
+	return p
+}
+
+// readShare returns the share of time that the engine has spent on prompts lately.
+func (l *Ledger) readShare(now time.Time) float64 {
+	meanLife := float64(readHalfLife) / math.Ln2
+	return min(float64(l.decayedReads(now))/meanLife, maxReadShare)
+}
+
+func (l *Ledger) decayedReads(now time.Time) time.Duration {
+	age := now.Sub(l.readsAt)
+	return time.Duration(float64(l.reads) * math.Exp2(-float64(age)/float64(readHalfLife)))
+}
+
+// budget returns the longest wait that is accepted for a request at this engine's pace. A slower engine
+// uses more of the objective for the prompt and the first pass.
+func (l *Ledger) budget(r Request) time.Duration {
+	if r.Resumed {
+		share := r.Gap
+		if share == 0 {
+			share = r.Due
+		}
+		return max(time.Duration(resumedShare*float64(share)), minBudget)
+	}
+	usual := l.engine.PrefillTime(l.engine.UsualPrompt) + l.engine.PassTime()
+	return max(r.Budget-time.Duration((l.pace()-1)*float64(usual)), minBudget)
+}
+
+// judge returns why a request is refused, ReasonNone if it is granted.
+func (l *Ledger) judge(now time.Time, r Request, p prediction) Reason {
+	switch {
+	case p.wait > l.budget(r):
+		return ReasonFull
+	case !p.free && r.Retry:
+		return ReasonFull
+	case !p.free && !r.Resumed && excluded(r):
+		return ReasonRank
+	case p.free && r.Anyway:
+		return ReasonNone
+	case r.Due > 0 && !r.Resumed && p.first > r.Due, l.pauses(now, p), r.Answer > 0 && p.end > r.Left:
+		if !p.free {
+			return ReasonFull
+		}
+		return ReasonSlow
+	}
+	return ReasonNone
+}
+
+// excluded reports whether the weight of its rank excludes a request from an engine's queue. It is the
+// same at all engines, so that a request is not admitted by asking others.
+func excluded(r Request) bool {
+	weight := r.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	return float64(rendezvous.Hash(r.ID))/math.MaxUint64 >= weight
+}
+
+// pauses reports whether reading the request's prompt would hold up running streams for too long.
+func (l *Ledger) pauses(now time.Time, p prediction) bool {
+	if l.report.Running == 0 || l.gap == 0 || now.Sub(l.gapAt) > gapMemory {
+		return false
+	}
+	pause := l.scaled(l.engine.PassTime()) + p.unreadAtTheStart + p.read
+	return pause > time.Duration(gapShare*float64(l.gap))
+}
+
+// grant records a reservation.
+func (l *Ledger) grant(now time.Time, r Request, p prediction) {
+	o := open{at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read}
+	o.readsAt = l.addRead(now.Add(p.slot), p.read)
+	l.open[r.ID] = o
+	l.reads, l.readsAt = l.decayedReads(now)+p.read, now
+	if r.Gap > 0 && (l.gap == 0 || r.Gap <= l.gap || now.Sub(l.gapAt) > gapMemory) {
+		l.gap, l.gapAt = r.Gap, now
+	}
+}
