--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -17,6 +17,7 @@
 
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/fleetdaemon"
+	"lynxgate.dev/lynxgate/internal/gateway"
 	"lynxgate.dev/lynxgate/internal/logsink"
 	"lynxgate.dev/lynxgate/platform"
 )
@@ -181,6 +182,7 @@
 			RetryFloor: int(s.Bounds.RetryFloor), RetryWindow: seconds(s.Bounds.RetryWindowS),
 			HeldBytes:   int64(heldShare * s.Limits.MemoryMB * (1 << 20)),
 			ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
+			ReservationMode: gateway.ReservationMode(s.Reservations.Mode), AgentAddr: s.RPCAddr,
 		}
 	}
 	if s.ServesControl() {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -290,6 +290,10 @@
 
 // Done ends an attempt.
 func (b *Balancer) Done(c *Choice, now time.Time, result Result) {
+	if c.OnDone != nil {
+		c.OnDone()
+		c.OnDone = nil
+	}
 	defer b.slotFreed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -29,6 +29,11 @@
 	Bytes int
 	// Free requires a slot that is free now, by what is known of the server's load.
 	Free bool
+	// Reserves reports whether a slot of the server at an address can be reserved with its agent; nil if
+	// none can. Such a server is chosen by its known load, but not left out because of it.
+	Reserves func(addr string) bool
+	// Only is the only server to be considered; nil for all.
+	Only *Server
 }
 
 // Choice is the server chosen for one attempt.
@@ -52,6 +57,12 @@
 	otherOwner bool
 	// probe: after a backoff it is the only request there until the server has accepted it.
 	probe bool
+	// Reserve: a slot of the server is to be reserved with its agent before the request is sent.
+	Reserve bool
+	// StartUnixMs is the server's start, 0 if not known.
+	StartUnixMs int64
+	// OnDone, if not nil, is called when the attempt ends.
+	OnDone func()
 	// ReportAge is the age of the server's load report, -1 if there is none.
 	ReportAge time.Duration
 	// Owned: this entry owns the server; InFlight counts its own requests there.
@@ -103,7 +114,7 @@
 	candidates := b.candidates(w, &availability)
 	for _, s := range candidates {
 		if !s.owned {
-			if others++; others > b.sampleSize(len(candidates)) && best.Server != nil {
+			if others++; others > b.samplesFor(w, len(candidates)) && best.Server != nil {
 				break
 			}
 		}
@@ -115,24 +126,22 @@
 		availability.Fit++
 		queue := s.queueLength(now, b.view.EntryCount())
 		slots := s.slots()
-		unseen := b.unseenAt(s, now)
+		reserves := w.reserves(s)
+		unseen := 0.0
+		if !reserves {
+			unseen = b.unseenAt(s, now)
+		}
 		wait := s.predictWait(now, queue+unseen, b.otherSenders(s))
 		if availability.Fit == 1 || wait < availability.Soonest {
 			availability.Soonest = wait
 		}
-		if s.pendingRead > 0 && b.otherSenders(s) >= 1 {
-			continue // others may be sending to it now: one unread prompt per entry at a time
-		}
-		if s.engine == nil && queue >= plainQueuePerSlot*float64(slots) || s.engine != nil && wait > w.Budget {
-			continue
-		}
-		if w.Free && queue+1 > float64(slots) {
+		if !reserves && !b.accepts(s, w, queue, wait) {
 			continue
 		}
-		score := b.score(now, s, queue, wait)
+		score := b.score(now, s, queue, wait, reserves)
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, bytes: w.Bytes, ReportAge: -1, pickedAt: now, Owned: s.owned, InFlight: s.inFlight, Unseen: unseen, due: w.Due, otherOwner: s.otherOwner, Signal: s.signals.strongest(now)}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, bytes: w.Bytes, ReportAge: -1, pickedAt: now, Owned: s.owned, InFlight: s.inFlight, Unseen: unseen, due: w.Due, otherOwner: s.otherOwner && !reserves, Reserve: reserves, StartUnixMs: s.record.StartUnixMs, Signal: s.signals.strongest(now)}
 			if s.load.known {
 				best.ReportAge = now.Sub(s.load.at)
 			}
@@ -141,6 +150,19 @@
 	return best, availability
 }
 
+// accepts reports whether a server is expected to take a request within its budget, by what is known of
+// the server's load.
+func (b *Balancer) accepts(s *Server, w Requirements, queue float64, wait time.Duration) bool {
+	slots := float64(s.slots())
+	switch {
+	case s.pendingRead > 0 && b.otherSenders(s) >= 1:
+		return false // others may be sending to it now: one unread prompt per entry at a time
+	case s.engine == nil && queue >= plainQueuePerSlot*slots, s.engine != nil && wait > w.Budget:
+		return false
+	}
+	return !w.Free || queue+1 <= slots
+}
+
 // candidates returns the servers of a service in the zones that a request may use, and counts the
 // others: those that this entry owns first, then the others in random order.
 func (b *Balancer) candidates(w Requirements, availability *Availability) []*Server {
@@ -149,6 +171,7 @@
 	var others []*Server
 	for _, s := range servers {
 		switch {
+		case w.Only != nil && s != w.Only:
 		case !w.Residency.Allows(s.region):
 			availability.Abroad++
 		case b.evacuated(s.record.Zone):
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -49,14 +49,18 @@
 }
 
 // score orders servers, lowest first.
-func (b *Balancer) score(now time.Time, s *Server, queue float64, wait time.Duration) time.Duration {
-	score := wait + time.Duration(queue*float64(queuedPenalty)) + rand.N(maxTieBreak)
+func (b *Balancer) score(now time.Time, s *Server, queue float64, wait time.Duration, reserves bool) time.Duration {
+	otherOwner, tieBreak := otherOwnerPenalty, maxTieBreak
+	if reserves {
+		otherOwner, tieBreak = reservedOwnerPenalty, reservedTieBreak
+	}
+	score := wait + time.Duration(queue*float64(queuedPenalty)) + rand.N(tieBreak)
 	score += time.Duration(float64(s.heldBytes) / (1 << 20) * float64(heldPenalty))
 	if !s.sameZone {
 		score += otherZonePenalty
 	}
 	if s.otherOwner {
-		score += otherOwnerPenalty
+		score += otherOwner
 	}
 	if now.Sub(s.seenAt) > staleAfter {
 		score += stalePenalty
--- /dev/null
+++ b/internal/balance/reserve.go
@@ -0,0 +1,57 @@
+package balance
+
+import (
+	"time"
+
+	"lynxgate.dev/lynxgate/internal/reservation"
+)
+
+// Where slots are reserved with the agents beside the servers, the choice only says whom to ask first:
+// an agent knows what all entries have been granted, so that a wrong guess costs a round trip instead of
+// a late answer.
+
+const (
+	// reservedOwnerPenalty is otherOwnerPenalty where a slot is reserved: one queued request, so that
+	// equal servers are asked by their owners.
+	reservedOwnerPenalty = queuedPenalty
+	// reservedTieBreak bounds the random cost. Load reports that all entries see are some
+	// hundred ms old, and servers that differ by one request are equal by then.
+	reservedTieBreak = queuedPenalty
+	// reservedSamples is how many servers of others are evaluated for one request to an agent. More than
+	// without reservations, since a refusal costs little; not all, since all entries would ask
+	// the same server first until its next report.
+	reservedSamples = 12
+)
+
+// reserves reports whether a slot of a server can be reserved.
+func (w Requirements) reserves(s *Server) bool {
+	return w.Reserves != nil && s.engine != nil && w.Reserves(s.Addr)
+}
+
+// samplesFor returns how many of n servers are evaluated besides the owned ones, if one of them fits.
+func (b *Balancer) samplesFor(w Requirements, n int) int {
+	if w.Reserves != nil {
+		return max(b.sampleSize(n), reservedSamples)
+	}
+	return b.sampleSize(n)
+}
+
+// Decided applies what the agent beside a server has stated with its decision on a reservation for a
+// choice that has not ended. A server that cannot take requests at all is not chosen for a moment.
+func (b *Balancer) Decided(c *Choice, now time.Time, d reservation.Decision) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := c.Server
+	switch d.Reason {
+	case reservation.ReasonLoading, reservation.ReasonVersion, reservation.ReasonUnknown:
+		s.busyUntil = now.Add(busyBackoff)
+		return
+	}
+	own := s.inFlight
+	if d.Granted {
+		c.Wait = d.Wait
+	} else {
+		own-- // the stated load is without the refused request
+	}
+	s.load = load{known: true, running: d.Load.Running + d.Load.Reserved, waiting: d.Load.Waiting, at: now, ownInFlight: own}
+}
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
@@ -10,6 +11,7 @@
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/follow"
+	reservations "lynxgate.dev/lynxgate/internal/reservation/server"
 	"lynxgate.dev/lynxgate/internal/staging"
 )
 
@@ -19,10 +21,11 @@
 // would be most of the streams.
 const agentFollows = 2
 
-// agentRole stages weights on the engine of its VM.
+// agentRole stages weights on the engine of its VM, and grants entries its slots.
 type agentRole struct {
-	stager *staging.Stager
-	client *follow.Client
+	stager       *staging.Stager
+	reservations *reservations.Server
+	client       *follow.Client
 }
 
 func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
@@ -31,17 +34,23 @@
 	following := followerConfig(cfg, fleetcontrol.RoleAgent, viewer)
 	following.MaxServers = agentFollows
 	client := follow.New(following)
+	slots := reservations.New(reservations.Config{
+		Service: a.Service, EngineAddr: a.EngineAddr, Report: a.Engine.Report, View: viewer.View,
+		Logger: cfg.Logger, Metrics: reservations.NewMetrics(registry),
+	})
 	return &agentRole{
-		client: client,
+		client: client, reservations: slots,
 		stager: staging.New(staging.Config{
 			Service: a.Service, EngineAddr: a.EngineAddr, PeerAddr: a.PeerAddr,
 			Engine: a.Engine, Origin: a.Origin, View: viewer.View, Tell: client.SendReport, Zone: cfg.Zone, LinkMbps: a.LinkMbps,
-			VersionBound: cfg.VersionBound, Logger: cfg.Logger, Metrics: staging.NewMetrics(registry),
+			VersionBound: cfg.VersionBound, OnLoading: slots.SetLoading, Logger: cfg.Logger, Metrics: staging.NewMetrics(registry),
 		}),
 	}
 }
 
-func (r *agentRole) register(mux *drpcmux.Mux) error { return r.stager.Register(mux) }
+func (r *agentRole) register(mux *drpcmux.Mux) error {
+	return errors.Join(r.stager.Register(mux), r.reservations.Register(mux))
+}
 
 func (r *agentRole) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -77,6 +77,11 @@
 	// second from all entries together. 0 stands for the rate itself.
 	ColdOverage float64
 	ColdSlack   float64
+	// ReservationMode says for which services slots of engines are reserved; empty is
+	// gateway.ReservationsAuto.
+	ReservationMode gateway.ReservationMode
+	// AgentAddr returns the rpc address of the agent on the VM of a backend server.
+	AgentAddr func(serverAddr string) string
 }
 
 // ControlConfig is the configuration of a control server.
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -18,6 +18,7 @@
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/gateway"
 	"lynxgate.dev/lynxgate/internal/quarantine"
+	reservations "lynxgate.dev/lynxgate/internal/reservation/client"
 )
 
 const (
@@ -49,7 +50,11 @@
 		Headers:    e.Headers,
 		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, RegionOf: cfg.RegionOf, VersionBound: cfg.VersionBound, ColdOverage: e.ColdOverage, ColdSlack: e.ColdSlack, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
-		HeldBytes:         e.HeldBytes,
+		HeldBytes:       e.HeldBytes,
+		ReservationMode: e.ReservationMode,
+		Reservations: reservations.New(reservations.Config{
+			Entry: cfg.Name, AgentAddr: e.AgentAddr, Logger: cfg.Logger, Metrics: reservations.NewMetrics(registry),
+		}),
 		PublishSuspicions: func(updates []quarantine.Update) { client.SendSuspicions(updates) },
 		PublishSignals:    func(updates []backpressure.Update) { client.SendSignals(updates) },
 		Turns:             turns,
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -55,6 +55,9 @@
 	if c.lastEvent != "" {
 		writeField(&b, h.ResumeAfter, c.lastEvent)
 	}
+	if priority := c.enginePriority(); priority > 0 && h.Priority != "" {
+		writeField(&b, h.Priority, strconv.Itoa(priority))
+	}
 	b.WriteString("\r\n")
 	b.Write(c.body)
 	return b.Bytes()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/quarantine"
+	"lynxgate.dev/lynxgate/internal/urgency"
 )
 
 const (
@@ -63,6 +64,9 @@
 	// clientRetry: the caller was refused before, judged by its deadline.
 	clientRetry bool
 	service     string
+	// rank is the rank among the requests to the service; asked are the requests to agents for a slot.
+	rank  urgency.Rank
+	asked asked
 
 	// attempts counts the attempts that were sent to a server, runs those that may have run.
 	attempts, runs int
@@ -112,7 +116,7 @@
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
 	return &call{
 		g: g, w: w, r: r, began: clock.Now(), view: g.view.Load(),
-		id: r.Header.Get(g.cfg.Headers.RequestID), size: parseSize(r.Header.Get(g.cfg.Headers.Tokens)), lastEvent: r.Header.Get(g.cfg.Headers.ResumeAfter),
+		id: r.Header.Get(g.cfg.Headers.RequestID), size: parseSize(r.Header.Get(g.cfg.Headers.Tokens), r.Header.Get(g.cfg.Headers.LengthHint)), lastEvent: r.Header.Get(g.cfg.Headers.ResumeAfter),
 	}
 }
 
@@ -144,6 +148,7 @@
 	if s := t.Service(c.service); s != nil && s.Engine != nil {
 		c.model = c.r.Header.Get(c.g.cfg.Headers.Model)
 	}
+	c.rank = c.g.ranks.Load().Of(c.service, c.route, c.org)
 	c.recordArrival()
 	c.g.budget(c.service).Request(c.g.monotonic(c.began))
 	ctx, cancel := context.WithTimeout(c.r.Context(), clock.Until(c.deadline))
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,6 +6,7 @@
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/reservation"
 )
 
 // choose picks the server of the next attempt. It returns false if the call has ended.
@@ -100,8 +101,11 @@
 		if c.events > 0 {
 			want.Version = c.versionNumber()
 		}
-		choice, capacity := c.pickNow(now, want)
-		if choice.Server == nil {
+		choice, capacity, decided := c.reserve(ctx, want)
+		if !decided {
+			choice, capacity = c.pickNow(now, want)
+		}
+		if choice.Server == nil && !decided {
 			if given, ok := c.waitForSlot(ctx, want, capacity); ok {
 				return given, capacity
 			}
@@ -132,6 +136,8 @@
 func (c *call) failNoServer(capacity balance.Availability) {
 	c.capacity = capacity
 	switch {
+	case c.asked.reason != reservation.ReasonNone:
+		c.giveUp(refusalReason(c.asked.reason))
 	case clock.Until(c.deadline) < minAttemptTime:
 		c.giveUp("no time left")
 	case capacity.Known == 0:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/retry"
 	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/urgency"
 )
 
 // Headers configures the names of the header fields that callers and backend servers
@@ -62,6 +63,8 @@
 	// Tokens is the size of the prompt and the maximum size of the answer, in tokens,
 	// separated by a comma.
 	Tokens string
+	// LengthHint is the caller's estimate of the size of the answer, in tokens.
+	LengthHint string
 	// ResumeAfter is the id of the last event that the caller received.
 	ResumeAfter string
 	// Priority is the priority in the backend server's queue. Only the system may set it;
@@ -85,6 +88,9 @@
 	PublishSuspicions func([]quarantine.Update)
 	// PublishSignals sends the signals of backend servers to other entries; it may be nil.
 	PublishSignals func([]backpressure.Update)
+	// Reservations asks agents for slots of engines, for the services that ReservationMode says; it may be nil.
+	Reservations    Reservations
+	ReservationMode ReservationMode
 	// Turns grants the turns of suspect content across entries; it may be nil.
 	Turns   Turns
 	Logger  zerolog.Logger
@@ -96,6 +102,7 @@
 	cfg      Config
 	log      zerolog.Logger
 	view     atomic.Pointer[follow.View]
+	ranks    atomic.Pointer[urgency.Ranks]
 	balancer *balance.Balancer
 	queues   *waitQueues
 	suspects *suspicions
@@ -133,6 +140,9 @@
 
 // SetView replaces the view of the fleet.
 func (g *Gateway) SetView(v *follow.View) {
+	if v.Table != nil && v.Table != g.view.Load().Table {
+		g.ranks.Store(urgency.New(v.Table))
+	}
 	if before := g.view.Swap(v).Table; v.Table != nil && v.Table != before {
 		g.queues.keepRoutes(v.Table)
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -20,6 +20,8 @@
 	gap      *prometheus.HistogramVec
 	// sizes counts the results of requests to engines, by size of the prompt.
 	sizes *prometheus.CounterVec
+	// ranked counts the results of requests to services with ranks, by rank.
+	ranked *prometheus.CounterVec
 	// slotWait is the time in the wait queue, by whether the request got a slot.
 	slotWait *prometheus.HistogramVec
 	// interrupted counts streams whose server stopped writing before their end.
@@ -71,6 +73,9 @@
 		sizes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_gateway_sized_requests_total", Help: "Requests to engines by service, by their prompt as a multiple of the usual one, and by what the caller got.",
 		}, []string{"service", "prompt", "got"}),
+		ranked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_ranked_requests_total", Help: "Requests to engines by service, by their rank (0 is the most urgent), and by what the caller got.",
+		}, []string{"service", "rank", "got"}),
 		slotWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lynxgate_gateway_room_wait_seconds", Help: "Wait for room at a backend server, by whether it came in time.", Buckets: latencyBuckets,
 		}, []string{"service", "given"}),
@@ -111,7 +116,7 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.first, m.whole, m.wait, m.gap, m.sizes, m.slotWait, m.interrupted, m.failedAttempts, m.suspectRefusals, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.throttledAttempts, m.configVersion, m.heldBytes, m.Dialled)
+	r.MustRegister(m.requests, m.attempts, m.first, m.whole, m.wait, m.gap, m.sizes, m.ranked, m.slotWait, m.interrupted, m.failedAttempts, m.suspectRefusals, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.throttledAttempts, m.configVersion, m.heldBytes, m.Dialled)
 	return m
 }
 
@@ -191,6 +196,7 @@
 		event.Stringer("regions", c.residency)
 	}
 	c.describeSize(event)
+	c.describeReservation(event)
 	if c.waited > 0 {
 		event.Dur("waited_ms", c.waited)
 	}
--- /dev/null
+++ b/internal/gateway/reserve.go
@@ -0,0 +1,312 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/reservation"
+	reservations "lynxgate.dev/lynxgate/internal/reservation/client"
+	"lynxgate.dev/lynxgate/internal/urgency"
+)
+
+// ReservationMode says for which services slots of engines are reserved with their agents.
+type ReservationMode string
+
+// The modes.
+const (
+	// ReservationsAuto: where requests to a service have ranks, or its servers share their VMs with other work.
+	ReservationsAuto   ReservationMode = "auto"
+	ReservationsAlways ReservationMode = "always"
+	ReservationsNever  ReservationMode = "never"
+)
+
+// Valid reports whether m is a mode; empty is ReservationsAuto.
+func (m ReservationMode) Valid() bool {
+	return slices.Contains([]ReservationMode{"", ReservationsAuto, ReservationsAlways, ReservationsNever}, m)
+}
+
+// Reservations asks agents for slots of engines. reservations.Client implements it.
+type Reservations interface {
+	// Available reports whether the agent beside the server at an address may be asked.
+	Available(server string, now time.Time) bool
+	// Ask asks for a slot. An error means that there is no decision within the timeout.
+	Ask(ctx context.Context, server string, born int64, timeout time.Duration, r reservation.Request) (reservation.Decision, error)
+	// Release ends a reservation.
+	Release(server string, born int64, id string)
+}
+
+const (
+	// maxAsks is how many agents are asked for one choice of a server. The first strictAsks are asked for a
+	// slot with little wait, so that a request finds an idle engine while another one has a queue; then those
+	// that refused are asked for what they have, the one with the least wait first.
+	maxAsks    = 5
+	strictAsks = 3
+	// strictShare is the part of the accepted wait that strict asks allow.
+	strictShare = 0.4
+	// askShare is the part of the objective that all calls for one choice of a server may take: a caller
+	// who is refused must learn so early. maxAskTime applies without an objective.
+	askShare   = 1.0 / 8
+	maxAskTime = 100 * time.Millisecond
+)
+
+// asked is what the agents have decided on a request.
+type asked struct {
+	// n counts the agents asked, for all attempts; took is the time that this took.
+	n    int
+	took time.Duration
+	// reason is that of the last refusal for the present choice, ReasonNone if there is none; again the
+	// least time after which a refusing agent predicts to grant it, 0 if not known.
+	reason reservation.Reason
+	again  time.Duration
+	// last is the last decision, server the server that it is about.
+	last   reservation.Decision
+	server string
+	// granted: the last choice has a reservation.
+	granted bool
+}
+
+// reserves reports whether slots of the service's servers are reserved.
+func (g *Gateway) reserves(service string) bool {
+	if g.cfg.Reservations == nil {
+		return false
+	}
+	switch g.cfg.ReservationMode {
+	case ReservationsNever:
+		return false
+	case ReservationsAlways:
+		return true
+	}
+	return g.ranks.Load().Enabled(service) || g.balancer.SharedHosts(service)
+}
+
+// reserve chooses a server whose agent grants a slot. decided is false if the balancer must decide by the
+// servers' reports: slots are not reserved, or no agent has decided.
+func (c *call) reserve(ctx context.Context, want balance.Requirements) (choice balance.Choice, capacity balance.Availability, decided bool) {
+	c.asked.reason, c.asked.again, c.asked.granted = reservation.ReasonNone, 0, false
+	if c.engine() == nil || !c.g.reserves(c.service) {
+		return balance.Choice{}, balance.Availability{}, false
+	}
+	r := &reserving{call: c, want: want, began: clock.Now()}
+	defer func() { c.asked.took += clock.Since(r.began) }()
+	r.want.Exclude = slices.Clone(want.Exclude)
+	r.want.Reserves = func(server string) bool { return c.g.cfg.Reservations.Available(server, clock.Now()) }
+	if choice = r.strict(ctx); choice.Server == nil {
+		choice = r.relaxed(ctx)
+	}
+	return choice, r.capacity, choice.Server != nil || r.refused && !r.silent
+}
+
+// reserving is one choice of a server whose slots are reserved.
+type reserving struct {
+	call  *call
+	want  balance.Requirements
+	began time.Time
+	asks  int
+	// capacity is what the balancer knew at first.
+	capacity balance.Availability
+	// full and slow are the servers that refused for these reasons, with the wait and the time to the first
+	// event that they predict.
+	full, slow []predicted
+	// refused: an agent has refused; silent: one has not answered.
+	refused, silent bool
+}
+
+// predicted is a server that refused, and how long a request would take there.
+type predicted struct {
+	server *balance.Server
+	time   time.Duration
+}
+
+// strict asks for a slot with little wait, at the servers that are best by their known load.
+func (r *reserving) strict(ctx context.Context) balance.Choice {
+	budget := r.want.Budget
+	defer func() { r.want.Budget = budget }()
+	r.want.Budget = time.Duration(strictShare * float64(budget))
+	for r.asks < strictAsks && r.hasTime() {
+		choice, seen := r.call.g.balancer.Pick(clock.Now(), r.want)
+		if r.asks == 0 {
+			r.capacity = seen
+		}
+		if choice.Server == nil || !choice.Reserve {
+			return choice // a server whose agent does not answer, and that has room by its reports
+		}
+		if r.ask(ctx, &choice, false) {
+			return choice
+		}
+		r.want.Exclude = append(r.want.Exclude, choice.Server)
+	}
+	return balance.Choice{}
+}
+
+// relaxed asks the servers that refused once more: those with a queue for the whole accepted wait, and then
+// those where the request will be late, which for its caller is better than a refusal.
+func (r *reserving) relaxed(ctx context.Context) balance.Choice {
+	byTime := func(a, b predicted) int { return cmp.Compare(a.time, b.time) }
+	slices.SortFunc(r.full, byTime)
+	slices.SortFunc(r.slow, byTime)
+	full, slow := r.full, r.slow
+	for _, p := range full {
+		if choice, ok := r.askAgain(ctx, p.server, false); ok {
+			return choice
+		}
+	}
+	for _, p := range slow {
+		if choice, ok := r.askAgain(ctx, p.server, true); ok {
+			return choice
+		}
+	}
+	return balance.Choice{}
+}
+
+// askAgain asks one server once more, if there is time.
+func (r *reserving) askAgain(ctx context.Context, server *balance.Server, anyway bool) (balance.Choice, bool) {
+	if r.asks >= maxAsks || !r.hasTime() {
+		return balance.Choice{}, false
+	}
+	want := r.want
+	want.Only = server
+	want.Exclude = slices.DeleteFunc(slices.Clone(want.Exclude), func(s *balance.Server) bool { return s == server })
+	choice, _ := r.call.g.balancer.Pick(clock.Now(), want)
+	switch {
+	case choice.Server == nil:
+		return balance.Choice{}, false
+	case !choice.Reserve:
+		r.call.g.balancer.Done(&choice, clock.Now(), balance.ResultUnknown)
+		return balance.Choice{}, false
+	}
+	return choice, r.ask(ctx, &choice, anyway)
+}
+
+func (r *reserving) hasTime() bool { return clock.Since(r.began) < r.call.askTime() }
+
+// ask asks the agent beside a chosen server for a slot. Without a grant the choice ends.
+func (r *reserving) ask(ctx context.Context, choice *balance.Choice, anyway bool) bool {
+	r.asks++
+	decision, err := r.call.ask(ctx, choice, r.want, anyway)
+	switch {
+	case err != nil:
+		r.silent = true
+	case decision.Granted:
+		return true
+	case decision.Reason == reservation.ReasonFull:
+		r.full = append(r.full, predicted{choice.Server, decision.Wait})
+	case decision.Reason == reservation.ReasonSlow:
+		r.slow = append(r.slow, predicted{choice.Server, decision.FirstEvent})
+	}
+	r.refused = r.refused || err == nil
+	return false
+}
+
+// askTime returns how long all calls for one choice of a server may take.
+func (c *call) askTime() time.Duration {
+	if c.route.Objective <= 0 {
+		return maxAskTime
+	}
+	return time.Duration(askShare * float64(c.route.Objective))
+}
+
+// ask asks the agent beside a chosen server for a slot. Without a grant the choice ends.
+func (c *call) ask(ctx context.Context, choice *balance.Choice, want balance.Requirements, anyway bool) (reservation.Decision, error) {
+	server, born, id := choice.Server.Addr, choice.StartUnixMs, c.id
+	decision, err := c.g.cfg.Reservations.Ask(ctx, server, born, reservations.Timeout(c.route.Objective), c.reservationRequest(want, anyway))
+	now := clock.Now()
+	c.asked.n++
+	if err != nil {
+		c.g.balancer.Done(choice, now, balance.ResultUnknown)
+		return decision, err
+	}
+	c.asked.last, c.asked.server = decision, choice.Server.ID
+	c.g.balancer.Decided(choice, now, decision)
+	if decision.Granted {
+		c.asked.granted, c.asked.reason = true, reservation.ReasonNone
+		choice.OnDone = func() { c.g.cfg.Reservations.Release(server, born, id) }
+		return decision, nil
+	}
+	c.asked.reason = decision.Reason
+	if decision.Again > 0 && (c.asked.again == 0 || decision.Again < c.asked.again) {
+		c.asked.again = decision.Again
+	}
+	c.g.balancer.Done(choice, now, balance.ResultUnknown)
+	return decision, nil
+}
+
+// reservationRequest returns what an agent is asked for.
+func (c *call) reservationRequest(want balance.Requirements, anyway bool) reservation.Request {
+	now := clock.Now()
+	r := reservation.Request{
+		ID: c.id, Rank: c.rank.Index, Weight: c.rank.Weight, Retry: c.clientRetry, Resumed: c.events > 0,
+		Prompt: c.promptTokens(c.engine()), Answer: c.expectedAnswer(), Budget: want.Budget, Gap: c.route.GapObjective,
+		Left: c.deadline.Sub(now), Version: want.Version, Anyway: anyway,
+	}
+	if !want.Due.IsZero() {
+		r.Due = max(want.Due.Sub(now), 0)
+	}
+	return r
+}
+
+// expectedAnswer returns how long the answer, or its rest, is expected to be at most, in tokens; 0 if that is
+// not known.
+func (c *call) expectedAnswer() int {
+	answer := c.size.hint * 2
+	if answer == 0 || c.size.answer > 0 && c.size.answer < answer {
+		answer = c.size.answer
+	}
+	return max(answer-c.events*max(c.engine().Stride, 1), 0)
+}
+
+// enginePriority returns the request's priority in an engine's queue, 0 if the service has no ranks.
+func (c *call) enginePriority() int {
+	switch {
+	case c.rank.Priority == 0:
+		return 0
+	case c.events > 0:
+		return urgency.PriorityResumed
+	case c.clientRetry:
+		return urgency.PriorityRetry
+	}
+	return c.rank.Priority
+}
+
+// refusalReasons are the reasons given to callers whose request got no slot.
+var refusalReasons = map[reservation.Reason]string{
+	reservation.ReasonFull:    "all backend servers are full",
+	reservation.ReasonSlow:    "all backend servers are full",
+	reservation.ReasonRank:    "all backend servers are full, and others come first",
+	reservation.ReasonLoading: "backend servers load weights",
+	reservation.ReasonVersion: "no backend server can take it",
+	reservation.ReasonUnknown: "no backend server can take it",
+}
+
+func refusalReason(r reservation.Reason) string { return refusalReasons[r] }
+
+// describeReservation adds the request's rank, the agents that were asked for a slot, and what the last one has
+// decided.
+func (c *call) describeReservation(event *zerolog.Event) {
+	if c.rank.Priority > 0 {
+		event.Int("rank", c.rank.Index).Float64("weight", c.rank.Weight)
+	}
+	if c.asked.n == 0 {
+		return
+	}
+	d := c.asked.last
+	event.Int("asks", c.asked.n).Dur("asked_ms", c.asked.took).Bool("reserved", c.asked.granted).Str("agent_of", c.asked.server).
+		Str("decision", decisionName(d)).Dur("predicted_wait_ms", d.Wait).Dur("predicted_first_ms", d.FirstEvent).Dur("predicted_end_ms", d.End).
+		Float64("pace", d.Load.Pace).Dur("pace_age_ms", d.Load.Age).Int("running", d.Load.Running).Int("waiting", d.Load.Waiting).Int("reservations", d.Load.Reserved)
+	if c.asked.again > 0 {
+		event.Dur("again_ms", c.asked.again)
+	}
+}
+
+// decisionName returns the name of a decision in logs.
+func decisionName(d reservation.Decision) string {
+	if d.Granted {
+		return "granted"
+	}
+	return d.Reason.String()
+}
--- a/internal/gateway/size.go
+++ b/internal/gateway/size.go
@@ -11,14 +11,14 @@
 	"lynxgate.dev/lynxgate/internal/fleet"
 )
 
-// size is the size of a request to an engine as stated by the caller, in tokens: the prompt, and
-// the maximum of the answer. 0 means not stated.
-type size struct{ prompt, answer int }
+// size is the size of a request to an engine as stated by the caller, in tokens: the prompt, the
+// maximum of the answer, and an estimate of the answer. 0 means not stated.
+type size struct{ prompt, answer, hint int }
 
 // parseSize parses the Tokens header. A malformed part counts as not stated.
-func parseSize(text string) size {
+func parseSize(text, hint string) size {
 	prompt, answer, _ := strings.Cut(text, ",")
-	return size{prompt: tokens(prompt), answer: tokens(answer)}
+	return size{prompt: tokens(prompt), answer: tokens(answer), hint: tokens(hint)}
 }
 
 func tokens(text string) int {
@@ -59,6 +59,9 @@
 func (c *call) countSize() {
 	if e := c.engine(); e != nil {
 		c.g.cfg.Metrics.sizes.WithLabelValues(c.service, promptBand(c.promptTokens(e), e), c.result()).Inc()
+		if c.g.ranks.Load().Enabled(c.service) {
+			c.g.cfg.Metrics.ranked.WithLabelValues(c.service, strconv.Itoa(c.rank.Index), c.result()).Inc()
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/reservation/client/client.go
@@ -0,0 +1,223 @@
+// Package client is the entry's side of reservations: it asks the agents beside engines for slots.
+//
+// State: a circuit breaker for each agent, behind one lock; pooled connections. Messages:
+// rpc.Reservations to agents.
+package client
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"storj.io/drpc/drpcerr"
+
+	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/reservation"
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
+)
+
+const (
+	// minTimeout and maxTimeout bound the time for one decision, timeoutShare is the share of the objective
+	// that it may take. Between regions a round trip takes up to 4 ms.
+	minTimeout   = 15 * time.Millisecond
+	maxTimeout   = 25 * time.Millisecond
+	timeoutShare = 1.0 / 24
+	// minBreak and maxBreak bound how long an agent is not asked after it did not answer.
+	minBreak = 500 * time.Millisecond
+	maxBreak = 4 * time.Second
+	// releaseTimeout bounds a release; without it the lease or the deadline ends the reservation.
+	releaseTimeout = 500 * time.Millisecond
+)
+
+// Config configures a Client.
+type Config struct {
+	// Entry is the name of this entry.
+	Entry string
+	// AgentAddr returns the rpc address of the agent beside the backend server at serverAddr (ip:port).
+	AgentAddr func(serverAddr string) string
+	Logger    zerolog.Logger
+	Metrics   *Metrics
+}
+
+// Client asks agents for reservations. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	pool *rpcconn.Pool
+
+	mu sync.Mutex
+	// breakers are keyed by the address of the backend server.
+	breakers map[string]*breaker
+}
+
+// breaker is the state of an agent that did not answer.
+type breaker struct {
+	openUntil time.Time
+	duration  time.Duration
+}
+
+// New returns a client without connections.
+func New(cfg Config) *Client {
+	return &Client{cfg: cfg, pool: rpcconn.NewPool(), breakers: map[string]*breaker{}}
+}
+
+// Timeout returns the time for one decision on a request with this objective, 0 if it has none.
+func Timeout(objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return maxTimeout
+	}
+	return min(max(time.Duration(timeoutShare*float64(objective)), minTimeout), maxTimeout)
+}
+
+// Available reports whether the agent beside a backend server may be asked.
+func (c *Client) Available(server string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.breakers[server]
+	return b == nil || !now.Before(b.openUntil)
+}
+
+// Ask asks the agent beside a backend server, whose incarnation started at born (Unix ms, 0 if not known). An error
+// means that there is no decision in time; a decision that comes later is not used.
+func (c *Client) Ask(ctx context.Context, server string, born int64, timeout time.Duration, r reservation.Request) (reservation.Decision, error) {
+	began := clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn := c.pool.Get(callCtx, c.cfg.AgentAddr(server))
+	defer conn.Close()
+	response, err := rpc.NewDRPCReservationsClient(conn).Reserve(callCtx, c.request(server, born, r))
+	took := clock.Since(began)
+	if err != nil {
+		if ctx.Err() != nil { // the caller has left
+			return reservation.Decision{}, ctx.Err()
+		}
+		c.failed(server, err)
+		c.cfg.Metrics.observe("no answer", took)
+		return reservation.Decision{}, fmt.Errorf("reservation at %s: %w", server, err)
+	}
+	c.answered(server)
+	d := decisionFromProto(response)
+	result := "granted"
+	if !d.Granted {
+		result = d.Reason.String()
+	}
+	c.cfg.Metrics.observe(result, took)
+	return d, nil
+}
+
+// Release ends a reservation, without waiting for the agent.
+func (c *Client) Release(server string, born int64, id string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		conn := c.pool.Get(ctx, c.cfg.AgentAddr(server))
+		defer conn.Close()
+		_, err := rpc.NewDRPCReservationsClient(conn).Release(ctx, &rpc.ReleaseRequest{Id: id, Addr: server, Born: born})
+		if err != nil {
+			c.cfg.Logger.Debug().Err(err).Str("server", server).Msg("release of a reservation failed")
+		}
+	}()
+}
+
+// failed opens the breaker of an agent, for longer with each failure in a row.
+func (c *Client) failed(server string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.breakers[server]
+	if b == nil {
+		b = &breaker{}
+		c.breakers[server] = b
+	}
+	b.duration = min(max(2*b.duration, minBreak), maxBreak)
+	if drpcerr.Code(err) == drpcerr.Unimplemented {
+		b.duration = maxBreak // an agent of an earlier version
+	}
+	now := clock.Now()
+	if now.After(b.openUntil) { // not for each of several concurrent calls
+		c.cfg.Logger.Info().AnErr("cause", err).Str("addr", server).Dur("for_ms", b.duration).
+			Msg("agent did not answer; its backend server is judged by reports")
+	}
+	b.openUntil = now.Add(b.duration)
+	c.cfg.Metrics.unavailable.Set(float64(len(c.breakers)))
+}
+
+// answered closes the breaker of an agent.
+func (c *Client) answered(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.breakers[server] == nil {
+		return
+	}
+	delete(c.breakers, server)
+	c.cfg.Logger.Info().Str("addr", server).Msg("agent answers again")
+	c.cfg.Metrics.unavailable.Set(float64(len(c.breakers)))
+}
+
+// Keep forgets the agents of all other backend servers.
+func (c *Client) Keep(known func(server string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for server := range c.breakers {
+		if !known(server) {
+			delete(c.breakers, server)
+		}
+	}
+	c.cfg.Metrics.unavailable.Set(float64(len(c.breakers)))
+}
+
+func (c *Client) request(server string, born int64, r reservation.Request) *rpc.ReserveRequest {
+	return &rpc.ReserveRequest{
+		Id: r.ID, Entry: c.cfg.Entry, Addr: server, Born: born, Rank: uint32(r.Rank), Weight: r.Weight, Retry: r.Retry, Resumed: r.Resumed,
+		Prompt: uint32(r.Prompt), Answer: uint32(r.Answer), DueUs: r.Due.Microseconds(), BudgetUs: r.Budget.Microseconds(),
+		GapUs: r.Gap.Microseconds(), LeftUs: r.Left.Microseconds(), Version: r.Version, Anyway: r.Anyway,
+	}
+}
+
+func decisionFromProto(r *rpc.ReserveResponse) reservation.Decision {
+	d := reservation.Decision{
+		Granted: r.Granted, Wait: micros(r.WaitUs), FirstEvent: micros(r.FirstUs), End: micros(r.EndUs), Again: micros(r.AgainUs),
+		Load: reservation.Load{
+			Running: int(r.Running), Waiting: int(r.Waiting), Reserved: int(r.Reserved), Pace: r.Pace, Age: micros(r.ReportAgeUs),
+			Version: r.Version, Loading: r.Loading, StartUnixMs: r.Born,
+		},
+	}
+	if !r.Granted {
+		d.Reason = reservation.ParseReason(r.Reason)
+	}
+	return d
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+// Metrics are the metrics of a Client.
+type Metrics struct {
+	asked       *prometheus.CounterVec
+	took        prometheus.Histogram
+	unavailable prometheus.Gauge
+}
+
+// NewMetrics returns metrics registered with r.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_reservations_total", Help: "Requests to agents for a slot, by result: granted, the reason of the refusal, or no answer.",
+		}, []string{"result"}),
+		took: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "lynxgate_gateway_reservation_seconds", Help: "Time until an agent has decided, or until the entry has stopped waiting.",
+			Buckets: []float64{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.04},
+		}),
+		unavailable: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_gateway_agents_unavailable", Help: "Agents that did not answer when they were asked last.",
+		}),
+	}
+	r.MustRegister(m.asked, m.took, m.unavailable)
+	return m
+}
+
+func (m *Metrics) observe(result string, took time.Duration) {
+	m.asked.WithLabelValues(result).Inc()
+	m.took.Observe(took.Seconds())
+}
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -29,9 +29,11 @@
 	gapMemory = 10 * time.Second
 	// resumedShare is the share of its gap objective, or else its objective, that the rest of a stream may wait.
 	resumedShare = 0.6
-	// passesToFirstEvent is how many passes precede the first event besides the prompt: half of the one in
-	// progress, and its own.
-	passesToFirstEvent = 1.5
+	// passesToFirstEvent is how many passes precede the first event on the mean, besides the prompt: the rest
+	// of the one in progress, and its own. latestPasses is the number for a request that arrives as a
+	// pass begins in which another prompt is read.
+	passesToFirstEvent = 1.75
+	latestPasses       = 2.5
 	// readHalfLife is the half-life of the share of time spent on prompts, maxReadShare its bound: an engine
 	// decodes between prompts at least that much.
 	readHalfLife = 1 * time.Second
@@ -185,8 +187,11 @@
 	d.Wait, d.FirstEvent, d.End = p.wait, p.first, p.end
 	if reason := l.judge(now, r, p); reason != ReasonNone {
 		d = d.refused(reason)
-		if reason == ReasonFull {
+		switch reason {
+		case ReasonFull:
 			d.Again = max(p.wait-l.budget(r), 0) + l.scaled(l.engine.RequestTime())/2
+		case ReasonRank:
+			d.Again = p.slot
 		}
 		return d
 	}
@@ -207,7 +212,8 @@
 	free             bool
 	wait, slot       time.Duration
 	read             time.Duration
-	first, end       time.Duration
+	first, latest    time.Duration
+	end              time.Duration
 	unreadAtTheStart time.Duration
 }
 
@@ -225,6 +231,7 @@
 	p.read = l.scaled(l.engine.PrefillTime(r.Prompt))
 	pass := l.scaled(l.engine.PassTime())
 	p.first = p.wait + p.read + time.Duration(passesToFirstEvent*float64(pass))
+	p.latest = p.wait + p.read + time.Duration(latestPasses*float64(pass))
 	events := (r.Answer + l.engine.Stride - 1) / max(l.engine.Stride, 1)
 	p.end = p.first + time.Duration(float64(max(events-1, 0))*float64(pass)/(1-l.readShare(now)))
 	return p
@@ -258,15 +265,13 @@
 // judge returns why a request is refused, ReasonNone if it is granted.
 func (l *Ledger) judge(now time.Time, r Request, p prediction) Reason {
 	switch {
+	case !p.free && !r.Resumed && (r.Retry || excluded(r)):
+		return ReasonRank
 	case p.wait > l.budget(r):
 		return ReasonFull
-	case !p.free && r.Retry:
-		return ReasonFull
-	case !p.free && !r.Resumed && excluded(r):
-		return ReasonRank
 	case p.free && r.Anyway:
 		return ReasonNone
-	case r.Due > 0 && !r.Resumed && p.first > r.Due, l.pauses(now, p), r.Answer > 0 && p.end > r.Left:
+	case r.Due > 0 && !r.Resumed && p.latest > r.Due, l.pauses(now, p), r.Answer > 0 && p.end > r.Left:
 		if !p.free {
 			return ReasonFull
 		}
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -57,7 +57,7 @@
 	ReasonLoading
 	// ReasonSlow: a slot is free, but the request would be late here, or would hold up others.
 	ReasonSlow
-	// ReasonRank: all slots are taken, and more urgent requests have the next ones.
+	// ReasonRank: all slots are taken, and more urgent requests, or first attempts, have the next ones.
 	ReasonRank
 	// ReasonVersion: the engine holds another version of the weights.
 	ReasonVersion
--- /dev/null
+++ b/internal/reservation/server/server.go
@@ -0,0 +1,175 @@
+// Package server is the agent's side of reservations: it decides on the requests of entries for a slot
+// of the engine beside it.
+//
+// State: the reservation.Ledger of the engine, behind one lock. Messages: rpc.Reservations from
+// entries; the engine's report.
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
+	"storj.io/drpc"
+
+	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/reservation"
+	"lynxgate.dev/lynxgate/internal/rpc"
+	"lynxgate.dev/lynxgate/internal/staging"
+)
+
+const (
+	// reportReuse is the age up to which a report serves further decisions: an engine finishes a
+	// request each 100 ms.
+	reportReuse = 5 * time.Millisecond
+	// reportWait is how long a decision waits for a report. Entries wait 15 to 40 ms for the decision.
+	reportWait = 10 * time.Millisecond
+	// reportTimeout bounds one request to the engine for its report.
+	reportTimeout = 1 * time.Second
+)
+
+// Config configures a Server.
+type Config struct {
+	// Service and EngineAddr are the service of the engine and its ip:port.
+	Service    string
+	EngineAddr string
+	// Report requests the engine's report.
+	Report  func(ctx context.Context) (staging.Report, error)
+	View    func() *follow.View
+	Logger  zerolog.Logger
+	Metrics *Metrics
+}
+
+// Server implements rpc.DRPCReservationsServer. Create it with New.
+type Server struct {
+	cfg     Config
+	reports singleflight.Group
+
+	mu sync.Mutex
+	// ledger is nil until the configuration declares the engine.
+	ledger *reservation.Ledger
+	engine *fleet.Engine
+	// observedAt is when the newest report was requested.
+	observedAt time.Time
+	born       int64
+	decisions  decisions
+}
+
+// New returns a server without reservations.
+func New(cfg Config) *Server { return &Server{cfg: cfg} }
+
+// Register registers the rpc.Reservations service for entries.
+func (s *Server) Register(mux drpc.Mux) error { return rpc.DRPCRegisterReservations(mux, s) }
+
+// SetLoading records that the engine is about to be ordered to load weights, or that the load is over. No
+// request is granted meanwhile.
+func (s *Server) SetLoading(loading bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.updateEngine() {
+		s.ledger.SetLoading(loading)
+	}
+}
+
+// Reserve decides on a request for a slot.
+func (s *Server) Reserve(ctx context.Context, req *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+	if req.Addr == s.cfg.EngineAddr {
+		s.refresh(ctx)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := reservation.Decision{Reason: reservation.ReasonUnknown}
+	now := clock.Now()
+	if s.meant(req.Addr, req.Born) && s.updateEngine() {
+		d = s.ledger.Ask(now, requestFromProto(req))
+		s.cfg.Metrics.open.Set(float64(s.ledger.Open()))
+	}
+	s.cfg.Metrics.observe(d)
+	s.decisions.note(now, d, s.cfg.Logger)
+	return decisionToProto(d), nil
+}
+
+// Release ends a reservation.
+func (s *Server) Release(_ context.Context, req *rpc.ReleaseRequest) (*rpc.ReleaseResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ledger != nil && s.meant(req.Addr, req.Born) {
+		s.ledger.Release(clock.Now(), req.Id)
+		s.cfg.Metrics.open.Set(float64(s.ledger.Open()))
+	}
+	return &rpc.ReleaseResponse{}, nil
+}
+
+// meant reports whether a call is about this engine, in its present incarnation as far as both are known.
+func (s *Server) meant(addr string, born int64) bool {
+	return addr == s.cfg.EngineAddr && (born == 0 || s.born == 0 || born == s.born)
+}
+
+// updateEngine takes the engine's cost model from the configuration; false if there is none.
+func (s *Server) updateEngine() bool {
+	view := s.cfg.View()
+	if view.Table == nil {
+		return s.ledger != nil
+	}
+	service := view.Table.Service(s.cfg.Service)
+	if service == nil || service.Engine == nil {
+		return s.ledger != nil
+	}
+	switch {
+	case s.ledger == nil:
+		s.ledger = reservation.New(service.Engine)
+	case s.engine != service.Engine:
+		s.ledger.SetEngine(service.Engine)
+	}
+	s.engine = service.Engine
+	return true
+}
+
+// refresh has the ledger observe the engine's report unless one is at hand that is young enough. Concurrent
+// calls share one request to the engine.
+func (s *Server) refresh(ctx context.Context) {
+	s.mu.Lock()
+	fresh := clock.Since(s.observedAt) < reportReuse
+	s.mu.Unlock()
+	if fresh {
+		return
+	}
+	done := s.reports.DoChan("", func() (any, error) { return nil, s.observe() })
+	timer := time.NewTimer(reportWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C: // decided by the last report
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) observe() error {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	asked := clock.Now()
+	report, err := s.cfg.Report(ctx)
+	if err != nil {
+		s.cfg.Logger.Debug().Err(err).Msg("engine report failed")
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.updateEngine() {
+		return nil
+	}
+	s.observedAt, s.born = asked, report.Born
+	held := fleet.BackendServer{Models: report.Models}
+	r := reservation.Report{
+		StartUnixMs: report.Born, Running: report.Running, Waiting: report.Waiting, Pace: report.Pace, Busy: report.Busy,
+	}
+	for _, model := range s.engine.Models {
+		r.Version = max(r.Version, held.Holds(model, s.engine.Layers))
+	}
+	s.ledger.Observe(clock.Now(), r)
+	return nil
+}
--- a/internal/staging/load.go
+++ b/internal/staging/load.go
@@ -19,10 +19,10 @@
 		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("verifying the staged weights failed")
 		return
 	}
-	s.loading = true
+	s.setLoading(true)
 	s.sendReport(report) // entries must stop sending requests before the engine stops accepting them
 	if age := s.now().Sub(began); age > verificationMaxAge {
-		s.loading = false // sent with the next report
+		s.setLoading(false) // sent with the next report
 		s.log.Warn().Dur("age_ms", age).Str("model", g.model).Uint64("version", g.version).
 			Msg("staged weights were verified too long ago; verifying again")
 		return
@@ -31,7 +31,7 @@
 	defer cancel()
 	s.orderedAt = clock.Now()
 	err = s.cfg.Engine.Load(callCtx, g.model, g.version)
-	s.loading = err == nil
+	s.setLoading(err == nil)
 	s.cfg.Metrics.orders.Inc()
 	s.log.Info().Err(err).Str("model", g.model).Uint64("version", g.version).
 		Dur("since_named_ms", g.age()).Msg("engine ordered to load")
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -36,6 +36,8 @@
 	View     func() *follow.View
 	// Tell sends a report to the control servers, to all of them or to one.
 	Tell func(r *rpc.AgentReport, all bool)
+	// OnLoading is told when the engine is about to be ordered to load, and when the load is over; it may be nil.
+	OnLoading func(loading bool)
 	// LinkMbps is the bandwidth of the VM's link, which is shared with live requests;
 	// 0 if unknown.
 	LinkMbps float64
@@ -243,12 +245,21 @@
 func (s *Stager) checkRestart(born int64) {
 	if s.engineBorn != 0 && born > s.engineBorn {
 		s.log.Info().Int64("born", born).Int64("before", s.engineBorn).Msg("engine has started again")
-		s.stagedVersion, s.loading, s.orderedAt = 0, false, time.Time{}
+		s.setLoading(false)
+		s.stagedVersion, s.orderedAt = 0, time.Time{}
 		s.verification.reset()
 	}
 	s.engineBorn = max(s.engineBorn, born)
 }
 
+// setLoading records whether the engine loads or is about to.
+func (s *Stager) setLoading(loading bool) {
+	if s.loading != loading && s.cfg.OnLoading != nil {
+		s.cfg.OnLoading(loading)
+	}
+	s.loading = loading
+}
+
 func holds(r Report, model string, layers int) uint64 {
 	b := fleet.BackendServer{Models: r.Models}
 	return b.Holds(model, layers)
@@ -256,7 +267,7 @@
 
 func (s *Stager) checkLoaded(r Report, g goal, loaded uint64) {
 	if s.loading && !r.Busy {
-		s.loading = false
+		s.setLoading(false)
 		s.log.Info().Str("model", g.model).Uint64("version", loaded).Dur("took_ms", clock.Since(s.orderedAt)).
 			Msg("engine has loaded")
 	}
