Reservations: predict first events by passes that read prompts together

An engine reads all prompts that are unread when a pass begins, and writes first events at its end. The ledger had them read one after the other from the moment of the grant: a prompt granted later made earlier ones of its pass late, and one that came during a long pass was predicted too early.

--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -45,8 +45,8 @@
 	at      time.Time
 	expires time.Time
 	read    time.Duration
-	// readsAt is when its prompt is predicted to be read completely.
-	readsAt time.Time
+	// batch is the start of the pass in which its prompt is predicted to be read.
+	batch time.Time
 }
 
 // Ledger keeps the reservations of one engine.
@@ -59,8 +59,8 @@
 	open    map[string]open
 	// foreign counts the engine's requests without a reservation, as of the last report.
 	foreign int
-	// readUntil is when the prompts of all granted requests are predicted to have been read.
-	readUntil time.Time
+	// batch is the last pass that is predicted to read prompts.
+	batch batch
 	// reads is the decayed sum of the time for prompts, as of readsAt.
 	reads   time.Duration
 	readsAt time.Time
@@ -86,7 +86,7 @@
 func (l *Ledger) Observe(now time.Time, r Report) {
 	if l.report.StartUnixMs != 0 && r.StartUnixMs > l.report.StartUnixMs {
 		l.open = map[string]open{}
-		l.foreign, l.readUntil, l.reads = 0, time.Time{}, 0
+		l.foreign, l.batch, l.reads = 0, batch{}, 0
 	}
 	before, known := l.at, l.known
 	l.report, l.at, l.known = r, now, true
@@ -94,7 +94,8 @@
 	least, most := l.foreignBounds(now)
 	foreign := min(max(l.foreign, least), most)
 	if more := foreign - l.foreign; known && more > 0 { // they came since the report before
-		l.addRead(before, time.Duration(more)*l.scaled(l.engine.PrefillTime(l.engine.UsualPrompt)))
+		l.batch = l.batchFor(before)
+		l.batch.read += time.Duration(more) * l.scaled(l.engine.PrefillTime(l.engine.UsualPrompt))
 	}
 	l.foreign = foreign
 }
@@ -122,13 +123,26 @@
 	}
 }
 
-// addRead records that a prompt is to be read, once those before it have been read.
-func (l *Ledger) addRead(start time.Time, read time.Duration) time.Time {
-	if l.readUntil.Before(start) {
-		l.readUntil = start
+// batch is a pass in which the engine reads prompts. It reads all that are unread when the pass begins, and
+// their requests have their first events at its end: each prompt delays the others of its batch.
+type batch struct {
+	start time.Time
+	read  time.Duration
+	// due is when the earliest first event of the batch is due, zero if none is.
+	due time.Time
+}
+
+// batchFor returns the batch in which a prompt will be read that arrives at this time: the last one if it has not
+// begun yet, otherwise one after the pass in progress, which takes half a pass more on average if it reads nothing.
+func (l *Ledger) batchFor(at time.Time) batch {
+	if !at.After(l.batch.start) {
+		return l.batch
+	}
+	pass := l.scaled(l.engine.PassTime())
+	if end := l.batch.start.Add(l.batch.read + pass); end.After(at) {
+		return batch{start: end}
 	}
-	l.readUntil = l.readUntil.Add(read)
-	return l.readUntil
+	return batch{start: at.Add(pass / 2)}
 }
 
 // pace returns how many times as long as usual the engine's work takes.
@@ -172,8 +186,8 @@
 		return
 	}
 	delete(l.open, id)
-	if o.readsAt.After(now) { // not read; the prompts after it are read earlier
-		l.readUntil = l.readUntil.Add(-min(o.read, o.readsAt.Sub(now)))
+	if o.batch.After(now) && o.batch.Equal(l.batch.start) { // not read
+		l.batch.read -= o.read
 	}
 }
 
@@ -213,11 +227,11 @@
 // prediction is what is predicted for a request. wait is that for a slot and for the prompts before its
 // own, slot the part for a slot.
 type prediction struct {
-	free             bool
-	wait, slot       time.Duration
-	read             time.Duration
-	first, end       time.Duration
-	unreadAtTheStart time.Duration
+	free       bool
+	wait, slot time.Duration
+	read       time.Duration
+	first, end time.Duration
+	batch      batch // without its own prompt
 }
 
 // predict predicts how a request would be served.
@@ -228,11 +242,10 @@
 	if !p.free {
 		p.slot = time.Duration(ahead-l.engine.Slots+1) * l.scaled(l.engine.RequestTime())
 	}
-	unread := max(l.readUntil.Sub(now), 0)
-	p.wait = max(p.slot, unread)
-	p.unreadAtTheStart = max(unread-p.slot, 0)
-	p.read = l.scaled(l.engine.PrefillTime(r.Prompt))
+	p.batch = l.batchFor(now.Add(p.slot))
 	pass := l.scaled(l.engine.PassTime())
+	p.wait = max(p.slot, p.batch.start.Sub(now)-pass/2+p.batch.read)
+	p.read = l.scaled(l.engine.PrefillTime(r.Prompt))
 	p.first = p.wait + p.read + time.Duration(passesToFirstEvent*float64(pass))
 	events := (r.Answer + l.engine.Stride - 1) / max(l.engine.Stride, 1)
 	p.end = p.first + time.Duration(float64(max(events-1, 0))*float64(pass)/(1-l.readShare(now)))
@@ -267,7 +280,7 @@
 // judge returns why a request is refused, ReasonNone if it is granted.
 func (l *Ledger) judge(now time.Time, r Request, p prediction) Reason {
 	switch {
-	case p.wait > l.budget(r):
+	case p.wait > l.budget(r), !p.batch.due.IsZero() && now.Add(p.first).After(p.batch.due):
 		return ReasonFull
 	case !p.free && r.Retry:
 		return ReasonFull
@@ -299,15 +312,18 @@
 	if l.report.Running == 0 || l.gap == 0 || now.Sub(l.gapAt) > gapMemory {
 		return false
 	}
-	pause := l.scaled(l.engine.PassTime()) + p.unreadAtTheStart + p.read
+	pause := l.scaled(l.engine.PassTime()) + p.batch.read + p.read
 	return pause > time.Duration(gapShare*float64(l.gap))
 }
 
 // grant records a reservation.
 func (l *Ledger) grant(now time.Time, r Request, p prediction) {
-	o := open{at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read}
-	o.readsAt = l.addRead(now.Add(p.slot), p.read)
-	l.open[r.ID] = o
+	l.open[r.ID] = open{at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read, batch: p.batch.start}
+	l.batch = p.batch
+	l.batch.read += p.read
+	if due := now.Add(r.Due); r.Due > 0 && (l.batch.due.IsZero() || due.Before(l.batch.due)) {
+		l.batch.due = due
+	}
 	l.reads, l.readsAt = l.decayedReads(now)+p.read, now
 	if r.Gap > 0 && (l.gap == 0 || r.Gap <= l.gap || now.Sub(l.gapAt) > gapMemory) {
 		l.gap, l.gapAt = r.Gap, now
--- a/internal/reservation/ledger_test.go
+++ b/internal/reservation/ledger_test.go
@@ -73,6 +73,19 @@
 	assert.LessOrEqual(t, d.Wait, 50*ms, "one prompt is before it")
 }
 
+// An engine reads all prompts that are unread when a pass begins, and writes first events at its end: a large prompt that joins
+// a pass must not make the others of the pass late, and one that arrives during the pass waits for its end.
+func TestPromptsOfOnePassDelayEachOther(t *testing.T) {
+	l := ledger(Report{})
+	urgent := ask("urgent")
+	urgent.Due = 150 * ms
+	assert.True(t, l.Ask(start, urgent).Granted)
+	assert.Equal(t, ReasonFull, l.Ask(start, ask("b")).Reason)
+	during := l.Ask(start.Add(40*ms), ask("c"))
+	assert.True(t, during.Granted, "it is read in the next pass")
+	assert.InDelta(t, 185, float64(during.FirstEvent/ms), 10, "85 ms until the pass ends, 50 ms for its prompt, a pass")
+}
+
 func TestReleasedReservationFreesItsSlotAndItsPrompt(t *testing.T) {
 	l := ledger(Report{Running: 11})
 	l.Ask(start, ask("a"))
