--- a/internal/reservation/load_sim_test.go
+++ b/internal/reservation/load_sim_test.go
@@ -19,14 +19,14 @@
 	loadTimeout   = 6 * time.Second
 	loadDelay     = 1 * ms // one way, between any two parts
 	loadMostAsks  = 4
-	loadSample    = 12 // engines among which an entry chooses
+	loadSample    = 12 // engines among which an entry chooses, unless the plan says otherwise
 	loadReport    = 150 * ms
 	loadReportLag = 200 * ms
 	// loadStepRead is how many prompt tokens an engine reads in a step at most.
 	loadStepRead = 2048
-	// Callers that arrive between loadFrom and loadTo are counted; arrivals go on until loadEnd, so that
-	// client retries of the last of them meet the same load.
-	loadFrom, loadTo, loadEnd = 2 * time.Second, 10 * time.Second, 12 * time.Second
+	// Callers that arrive between loadFrom and loadTo are counted: queues that grow without reservations have
+	// their length by then. Arrivals go on until loadEnd, so that client retries of the last of them meet the same load.
+	loadFrom, loadTo, loadEnd = 4 * time.Second, 12 * time.Second, 14 * time.Second
 	// The medians give the capped log-normal sizes means of 983 and 94 tokens.
 	loadPromptMedian, loadPromptSigma, loadPromptCap = 647.8, 1.0, 4 * 983
 	loadAnswerMedian, loadAnswerSigma, loadAnswerCap = 73.76, 0.8, 255
@@ -61,6 +61,7 @@
 	way              loadWay
 	entries, engines int
 	load             float64
+	sample           int
 	ranks            []loadRank
 	// zones, if not 0, divides entries and engines; entries prefer engines of their zone to others by one
 	// request. Without zones, each prefers its own.
@@ -177,6 +178,9 @@
 		plan: plan, model: loadModel(),
 		demand: rand.New(rand.NewPCG(plan.seed, 1)), choice: rand.New(rand.NewPCG(plan.seed, 2)),
 	}
+	if plan.sample == 0 {
+		p.plan.sample = loadSample
+	}
 	if len(plan.ranks) == 0 {
 		p.plan.ranks = []loadRank{{1, 1, loadUnranked}}
 	}
@@ -300,7 +304,7 @@
 		if best == nil || score < least {
 			best, least = e, score
 		}
-		if drawn++; drawn == loadSample {
+		if drawn++; drawn == p.plan.sample {
 			break
 		}
 	}
@@ -519,7 +523,7 @@
 
 func (c *loadCaller) inTime() bool { return c.first > 0 && c.first <= loadObjective }
 func (c *loadCaller) late() bool   { return !c.refused && !c.inTime() }
-func (c *loadCaller) served() bool { return !c.refused }
+func (c *loadCaller) served() bool { return !c.refused && !c.cut }
 
 func (g loadCallers) inTime() float64  { return g.share((*loadCaller).inTime) }
 func (g loadCallers) late() float64    { return g.share((*loadCaller).late) }
--- a/internal/reservation/load_test.go
+++ b/internal/reservation/load_test.go
@@ -33,6 +33,8 @@
 					got[way] = playSeeds(loadPlan{way: way, entries: f.entries, engines: f.engines, load: load}, 3)
 					t.Logf("%12s: %v", way, got[way])
 				}
+				few := playSeeds(loadPlan{way: inTurn, entries: f.entries, engines: f.engines, load: load, sample: 2}, 3)
+				t.Logf("%12s, of two candidates each time: %v", inTurn, few)
 				a := got[inTurn]
 				assert.GreaterOrEqual(t, a.inTime(), 0.9/max(load, 1), "in time, of those that the engines can bear")
 				assert.GreaterOrEqual(t, a.quickRefusals(), 0.9)
