--- a/internal/balance/reserve.go
+++ b/internal/balance/reserve.go
@@ -17,10 +17,10 @@
 	// reservedTieBreak bounds the random cost. Load reports that all entries see are some
 	// hundred ms old, and servers that differ by one request are equal by then.
 	reservedTieBreak = queuedPenalty
-	// reservedSamples is how many servers of others are evaluated for one request to an agent. More than
-	// without reservations, since a refusal costs little; not all, since all entries would ask
-	// the same server first until its next report.
-	reservedSamples = 12
+	// reservedSamples is how many servers of others are evaluated for one request to an agent. With twelve,
+	// entries that see the same reports ask the same servers first, which refuse while
+	// others have free slots.
+	reservedSamples = 2
 )
 
 // reserves reports whether a slot of a server can be reserved.
@@ -31,7 +31,7 @@
 // samplesFor returns how many of n servers are evaluated besides the owned ones, if one of them fits.
 func (b *Balancer) samplesFor(w Requirements, n int) int {
 	if w.Reserves != nil {
-		return max(b.sampleSize(n), reservedSamples)
+		return reservedSamples
 	}
 	return b.sampleSize(n)
 }
--- a/internal/reservation/ledger_test.go
+++ b/internal/reservation/ledger_test.go
@@ -60,6 +60,32 @@
 	assert.True(t, l.Ask(start.Add(200*ms), ask("later")).Reason == ReasonNone, "they have been read")
 }
 
+// A request that has arrived soon after it was granted was taken for one without a reservation: it counted twice in the
+// slots, and its prompt twice in the wait.
+func TestArrivedReservationIsCountedOnce(t *testing.T) {
+	l := ledger(Report{Running: 10})
+	assert.True(t, l.Ask(start, ask("a")).Granted)
+	later := start.Add(5 * ms)
+	l.Observe(later, Report{Running: 11, Version: 1})
+	d := l.Ask(later, ask("b"))
+	assert.True(t, d.Granted)
+	assert.Equal(t, 1, d.Load.Reserved, "its own")
+	assert.LessOrEqual(t, d.Wait, 50*ms, "one prompt is before it")
+}
+
+// An engine reads all prompts that are unread when a pass begins, and writes first events at its end: a large prompt that joins
+// a pass must not make the others of the pass late, and one that arrives during the pass waits for its end.
+func TestPromptsOfOnePassDelayEachOther(t *testing.T) {
+	l := ledger(Report{})
+	urgent := ask("urgent")
+	urgent.Due = 150 * ms
+	assert.True(t, l.Ask(start, urgent).Granted)
+	assert.Equal(t, ReasonFull, l.Ask(start, ask("b")).Reason)
+	during := l.Ask(start.Add(40*ms), ask("c"))
+	assert.True(t, during.Granted, "it is read in the next pass")
+	assert.InDelta(t, 185, float64(during.FirstEvent/ms), 10, "85 ms until the pass ends, 50 ms for its prompt, a pass")
+}
+
 func TestReleasedReservationFreesItsSlotAndItsPrompt(t *testing.T) {
 	l := ledger(Report{Running: 11})
 	l.Ask(start, ask("a"))
@@ -165,7 +191,8 @@
 	assert.True(t, ledger(Report{Running: 11}).Ask(start, last).Granted)
 	retry := ask("retry")
 	retry.Retry = true
-	assert.True(t, ledger(Report{Running: 11}).Ask(start, retry).Granted)
+	assert.True(t, ledger(Report{Running: 10}).Ask(start, retry).Granted)
+	assert.Equal(t, ReasonRank, ledger(Report{Running: 11}).Ask(start, retry).Reason, "the last slot is left to a first attempt")
 	assert.Equal(t, ReasonRank, ledger(Report{Running: 12}).Ask(start, retry).Reason, "first attempts go before it")
 }
 
