Refused callers are told when to return by how others fared; answers' lengths are learned

Cause: Retry-After was a random time of two to five objectives, whatever became of those who returned; an answer's length was not predicted.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,6 +9,7 @@
 
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
+	"lynxgate.dev/lynxgate/internal/reservation"
 )
 
 // hopByHopFields concern one connection only and are not forwarded (RFC 9110, 7.6.1).
@@ -173,6 +174,9 @@
 	if c.route == nil || c.route.Objective <= 0 {
 		return defaultRetryAfter
 	}
+	if c.asked.reason != reservation.ReasonNone {
+		return c.g.learned.retryAfter(clock.Now(), c.service, clock.Until(c.clientDeadline), c.route.Objective, c.asked.again)
+	}
 	most := max(clock.Until(c.clientDeadline)/retryAfterDivisor, 0)
 	if c.capacity.Fit == 0 && !c.capacity.Opens.IsZero() {
 		return max(clock.Until(c.capacity.Opens), 0) + jitter(c.route.Objective)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -97,8 +97,11 @@
 	// longestGap is the longest pause between events, eventAt the time of the last one.
 	longestGap time.Duration
 	eventAt    time.Time
-	// lastEvent is the id of the last event that the caller has, from this call or an earlier one.
-	lastEvent string
+	// lastEvent is the id of the last event that the caller has, from this call or an earlier one; lastEventOf is that of an
+	// earlier one. received counts the events of this call.
+	lastEvent   string
+	lastEventOf string
+	received    int
 	// version is that of the weights that wrote the first events.
 	version string
 	// mu guards what is forwarded to the caller while a handover is in progress: handover,
@@ -117,6 +120,7 @@
 	return &call{
 		g: g, w: w, r: r, began: clock.Now(), view: g.view.Load(),
 		id: r.Header.Get(g.cfg.Headers.RequestID), size: parseSize(r.Header.Get(g.cfg.Headers.Tokens), r.Header.Get(g.cfg.Headers.LengthHint)), lastEvent: r.Header.Get(g.cfg.Headers.ResumeAfter),
+		lastEventOf: r.Header.Get(g.cfg.Headers.ResumeAfter),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,7 @@
 	ranks    atomic.Pointer[urgency.Ranks]
 	balancer *balance.Balancer
 	queues   *waitQueues
+	learned  *learned
 	suspects *suspicions
 	// start is the origin of the monotonic clock of the retry budgets, since the
 	// time of day may jump.
@@ -127,7 +128,7 @@
 func New(cfg Config) *Gateway {
 	b := balance.New(cfg.Balance)
 	g := &Gateway{
-		cfg: cfg, log: cfg.Logger, balancer: b, queues: newWaitQueues(b),
+		cfg: cfg, log: cfg.Logger, balancer: b, queues: newWaitQueues(b), learned: newLearned(),
 		suspects: newSuspicions(cfg.Logger, cfg.PublishSuspicions, cfg.Turns),
 		held:     heldBytes{most: cfg.HeldBytes},
 		start:    clock.Now(), budgets: map[string]*retry.Budget{},
@@ -145,6 +146,7 @@
 	}
 	if before := g.view.Swap(v).Table; v.Table != nil && v.Table != before {
 		g.queues.keepRoutes(v.Table)
+		g.learned.keepRoutes(v.Table)
 	}
 	g.balancer.SetView(v)
 	g.updateRetryFloors(clock.Now())
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -145,6 +145,7 @@
 	}
 	if c.service != "" {
 		c.countSize()
+		c.learn()
 	}
 	c.logEnd(kind)
 	if c.broken {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -250,14 +250,11 @@
 	return r
 }
 
-// expectedAnswer returns how long the answer, or its rest, is expected to be at most, in tokens; 0 if that is
-// not known.
+// expectedAnswer returns the length that the answer, or its rest, will hardly exceed, in tokens.
 func (c *call) expectedAnswer() int {
-	answer := c.size.hint * 2
-	if answer == 0 || c.size.answer > 0 && c.size.answer < answer {
-		answer = c.size.answer
-	}
-	return max(answer-c.events*max(c.engine().Stride, 1), 0)
+	e := c.engine()
+	answer := c.g.learned.answerLength(c.service, e, c.route.Name, c.size)
+	return max(answer-c.received*max(e.Stride, 1), 0)
 }
 
 // enginePriority returns the request's priority in an engine's queue, 0 if the service has no ranks.
@@ -285,6 +282,21 @@
 
 func refusalReason(r reservation.Reason) string { return refusalReasons[r] }
 
+// learn records how long a complete answer was, and whether a caller that returned after a refusal was served.
+func (c *call) learn() {
+	e := c.engine()
+	if e == nil || !c.g.reserves(c.service) {
+		return
+	}
+	served := c.status/100 == 2 && !c.broken
+	if served && c.received > 0 && c.lastEventOf == "" {
+		c.g.learned.answered(c.service, e, c.route.Name, c.size, c.received*max(e.Stride, 1))
+	}
+	if c.clientRetry && c.status != statusClientGone {
+		c.g.learned.returned(clock.Now(), c.service, served)
+	}
+}
+
 // describeReservation adds the request's rank, the agents that were asked for a slot, and what the last one has
 // decided.
 func (c *call) describeReservation(event *zerolog.Event) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -171,6 +171,7 @@
 		c.lastEvent = id
 	}
 	c.events++
+	c.received += max(bytes.Count(events, eventEnd), bytes.Count(events, eventEndCR))
 	if err := c.writePieces(events); err != nil {
 		return err
 	}
--- a/internal/retryafter/retryafter.go
+++ b/internal/retryafter/retryafter.go
@@ -29,9 +29,10 @@
 	// halfLife is that of observations: callers with a deadline of 6 s return within 2 s, so that
 	// older results tell of an earlier load.
 	halfLife = 2 * time.Second
-	// assumedServed is the number of served callers assumed besides those observed. Without observations
-	// the advice is early, and one refusal alone does not make it entirely late.
-	assumedServed = 1
+	// assumedRefused is the number of refused callers assumed besides those observed. Without observations the
+	// advice is late: the first callers of an overload would otherwise return before anything is
+	// known of its length, and one served caller alone does not make it entirely early.
+	assumedRefused = 1
 	// step is the golden ratio less 1. Any number of successive multiples of it modulo 1 is spread evenly;
 	// independent random numbers form clusters.
 	step = 1 / math.Phi
@@ -85,7 +86,9 @@
 }
 
 // refusedShare returns the share of returning callers that were refused lately.
-func (a *Advisor) refusedShare() float64 { return a.refused / (a.refused + a.served + assumedServed) }
+func (a *Advisor) refusedShare() float64 {
+	return (a.refused + assumedRefused) / (a.refused + a.served + assumedRefused)
+}
 
 // decay reduces the weight of earlier observations. A time before the last one counts as the last one.
 func (a *Advisor) decay(now time.Time) {
