Agents report the pace of their engine

Cause: an engine's report has pace (1 is usual; 2.5 means that all work takes 2.5 times as long), and nothing read it (docs/design/overload.md).

A change by more than a fifth is sent to all control servers, as a change of the loaded models is; a pace that is not reported counts as 1 there. Control servers and viewers already forward whole reports; two tests guard that. The hub still forwards reports that change only the pace every 100 ms.

--- a/internal/fleetcontrol/hub_test.go
+++ b/internal/fleetcontrol/hub_test.go
@@ -134,3 +134,27 @@
 	h.controlAddrs = func() []string { return []string{"127.0.0.1:1", "127.0.0.2:1"} }
 	assert.Len(t, h.next(f).ControlAddrs, 2)
 }
+
+// Guards against a control server that forwards only some fields of a report.
+func TestReportsOfAgentsAreForwardedUnchanged(t *testing.T) {
+	h := testHub()
+	f := h.join(&rpc.FollowerMessage{Name: "e", Role: RoleEntry})
+	report := func(seq uint64) *rpc.AgentReport {
+		return &rpc.AgentReport{
+			Addr: "127.0.0.1:2", Epoch: 1, Seq: seq, Loading: true, Models: []*rpc.LoadedModel{{Model: "m", Version: 7, ToLayer: 16}},
+			Running: 3, Waiting: 4, Born: 5, Pace: 2.5,
+		}
+	}
+	h.mergeReport(report(1))
+	u := h.next(f)
+	require.NotNil(t, u)
+	require.Len(t, u.Reports, 1)
+	assert.True(t, proto.Equal(report(1), u.Reports[0]), "%v", u.Reports[0])
+	changed := report(2)
+	changed.Pace = 1
+	h.mergeReport(changed)
+	u = h.next(f)
+	require.NotNil(t, u)
+	require.Len(t, u.Reports, 1)
+	assert.Equal(t, 1.0, u.Reports[0].Pace)
+}
--- a/internal/follow/client_test.go
+++ b/internal/follow/client_test.go
@@ -59,3 +59,14 @@
 	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Left: []string{"d"}}})
 	assert.Empty(t, names())
 }
+
+// Guards against a change of pace alone that does not reach the entry.
+func TestReportsOfAgentsKeepTheirPace(t *testing.T) {
+	v := NewViewer(nil, nil, 0, zerolog.Nop())
+	var paces []float64
+	v.OnReport = func(r *rpc.AgentReport) { paces = append(paces, r.Pace) }
+	for seq, pace := range []float64{0, 2.5, 1} {
+		v.Update("c-1", &rpc.FleetUpdate{Reports: []*rpc.AgentReport{{Addr: "127.0.0.1:1", Epoch: 1, Seq: uint64(seq + 1), Pace: pace}}})
+	}
+	assert.Equal(t, []float64{0, 2.5, 1}, paces)
+}
--- a/internal/staging/engine.go
+++ b/internal/staging/engine.go
@@ -20,6 +20,8 @@
 	// Busy is true while an order is in progress.
 	Busy             bool
 	Running, Waiting int
+	// Pace is how many times as long as usual the engine's work takes; 0 if not reported.
+	Pace float64
 }
 
 // Errors returned by an Engine.
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -123,13 +124,30 @@
 func (s *Stager) sendReport(r Report) {
 	next := &rpc.AgentReport{
 		Addr: s.cfg.EngineAddr, Born: r.Born, Epoch: s.epoch, Seq: s.lastReport.Seq + 1, Loading: s.loading,
-		Models: follow.ModelsToProto(r.Models), Running: uint32(r.Running), Waiting: uint32(r.Waiting),
+		Models: follow.ModelsToProto(r.Models), Running: uint32(r.Running), Waiting: uint32(r.Waiting), Pace: r.Pace,
 	}
-	urgent := next.Loading != s.lastReport.Loading || !follow.SameModels(next.Models, s.lastReport.Models)
+	urgent := next.Loading != s.lastReport.Loading || !follow.SameModels(next.Models, s.lastReport.Models) ||
+		paceChanged(s.lastReport.Pace, next.Pace)
 	s.lastReport = next
 	s.cfg.Tell(next, urgent)
 }
 
+// maxPaceChange is the relative change of the engine's pace up to which its reports are not urgent.
+const maxPaceChange = 0.2
+
+// paceChanged reports whether the pace has changed so much that entries should know it at once. A pace
+// that is not reported counts as the usual one.
+func paceChanged(before, after float64) bool {
+	usual := func(pace float64) float64 {
+		if pace <= 0 {
+			return 1
+		}
+		return pace
+	}
+	before, after = usual(before), usual(after)
+	return math.Abs(after-before) > maxPaceChange*before
+}
+
 // Run runs the stager until ctx is done. One goroutine fetches pieces, one fetches the
 // digests of the newest version, and one gives orders to the engine.
 func (s *Stager) Run(ctx context.Context) error {
