Balancer: predictions at the pace of the engine

Cause: engines that report a pace of 2.5 were predicted with the times of usual ones, so they got as many requests as others, with late first events (docs/design/overload.md).

Change: waits, times to read prompts and the pass to the first event are scaled with the pace of the last report while that is younger than maxReportAge. The score counts by how much reading and the pass take longer than usual. The budget at another pace is less (pace - 1) x (usual prompt + pass), at least 20 ms. An engine slower than usual whose first event would be after Due is a last resort, and the search goes on past the sampled servers while only such ones fit. A faster engine is not judged by Due: like one of usual pace it would rank behind later ones. Paces are bounded at 100, so that predictions do not overflow. The line "request ended" has pace where it is not 1. At pace 1 all predictions are the same numbers as before.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -215,6 +215,8 @@
 	Models  []fleet.Loaded
 	// Running and Waiting count the requests at the server.
 	Running, Waiting int
+	// Pace is how many times as long as usual the server's work takes, 0 if not reported.
+	Pace float64
 }
 
 // Reported applies an agent's report.
@@ -236,7 +238,7 @@
 		if !r.Loading || !s.agent.loading {
 			since = now
 		}
-		s.agent = agentReport{at: now, loading: r.Loading, loadingSince: since, models: r.Models}
+		s.agent = agentReport{at: now, loading: r.Loading, loadingSince: since, models: r.Models, pace: r.Pace}
 		s.load = load{known: true, running: r.Running, waiting: r.Waiting, at: now, ownInFlight: s.inFlight}
 	}
 }
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -79,6 +79,9 @@
 	running int
 	waiting []func()
 	readBy  time.Time
+	// pace is how many times as long as usual its work takes; it is in its reports if reportsPace is set.
+	pace        float64
+	reportsPace bool
 	// loading engines accept no requests until those in flight have ended, and then load.
 	loading bool
 }
@@ -94,7 +97,9 @@
 	order    []*loadEngine
 	entries  []*Balancer
 	learning bool
-	got      loadResult
+	// reportInterval is the time between two reports of an engine, reportLag that until entries receive one.
+	reportInterval, reportLag time.Duration
+	got                       loadResult
 }
 
 func (p *loadSimulation) after(d time.Duration, do func()) {
@@ -102,13 +107,13 @@
 }
 
 func newLoadSimulation(seed uint64, entries int, learning bool) *loadSimulation {
-	p := &loadSimulation{draw: rand.New(rand.NewPCG(seed, 3)), now: start, engines: map[string]*loadEngine{}, learning: learning}
+	p := &loadSimulation{draw: rand.New(rand.NewPCG(seed, 3)), now: start, engines: map[string]*loadEngine{}, learning: learning, reportInterval: loadReport, reportLag: loadReportLag}
 	var records []*fleet.BackendServer
 	for i := range entries * loadPerEntry {
 		r := record(fmt.Sprint(i+1), "here", 1)
 		r.Slots, r.SeenAt = loadSlots, start.Add(time.Hour)
 		records = append(records, r)
-		e := &loadEngine{addr: r.Addr}
+		e := &loadEngine{addr: r.Addr, pace: 1}
 		p.engines[r.Addr], p.order = e, append(p.order, e)
 	}
 	v := view(records...)
@@ -130,12 +135,15 @@
 
 func (p *loadSimulation) report(e *loadEngine) {
 	p.sendReport(e)
-	p.after(loadReport, func() { p.report(e) })
+	p.after(p.reportInterval, func() { p.report(e) })
 }
 
 func (p *loadSimulation) sendReport(e *loadEngine) {
 	r := Report{Addr: e.addr, Models: []fleet.Loaded{{Model: model, Version: 1, To: 16}}, Running: e.running, Waiting: len(e.waiting), Loading: e.loading}
-	p.after(loadReportLag, func() {
+	if e.reportsPace {
+		r.Pace = e.pace
+	}
+	p.after(p.reportLag, func() {
 		for _, b := range p.entries {
 			b.Reported(p.now, r)
 		}
@@ -229,8 +237,8 @@
 		if e.readBy.Before(p.now) {
 			e.readBy = p.now
 		}
-		e.readBy = e.readBy.Add(read)
-		p.after(e.readBy.Sub(p.now)+loadPass, first)
+		e.readBy = e.readBy.Add(scale(read, e.pace))
+		p.after(e.readBy.Sub(p.now)+scale(loadPass, e.pace), first)
 	}
 	if e.running < loadSlots {
 		run()
@@ -242,7 +250,7 @@
 // write simulates the events of a request, the first one now.
 func (p *loadSimulation) write(e *loadEngine, b *Balancer, c *Choice) {
 	b.FirstEvent(c, p.now)
-	p.after(time.Duration((0.5+p.draw.Float64())*float64(loadServiceTime-loadRead-loadPass)), func() { p.end(e, b, c) })
+	p.after(scale(loadServiceTime-loadRead-loadPass, (0.5+p.draw.Float64())*e.pace), func() { p.end(e, b, c) })
 }
 
 func (p *loadSimulation) end(e *loadEngine, b *Balancer, c *Choice) {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -39,8 +39,11 @@
 	// Queue is the estimated number of requests there, Slots its number of slots.
 	Queue float64
 	Slots int
-	// Wait is the predicted wait there, Read the time to read the prompt.
-	Wait, Read time.Duration
+	// Wait is the predicted wait there, Read the time to read the prompt, FirstEvent the predicted time
+	// until the first event.
+	Wait, Read, FirstEvent time.Duration
+	// Pace is how many times as long as usual the server's work takes, as known at the choice.
+	Pace float64
 	// bytes is the size of the body.
 	bytes int
 	// pickedAt is when the server was chosen; begun: an event was received.
@@ -103,7 +106,7 @@
 	candidates := b.candidates(w, &availability)
 	for _, s := range candidates {
 		if !s.owned {
-			if others++; others > b.sampleSize(len(candidates)) && best.Server != nil {
+			if others++; others > b.sampleSize(len(candidates)) && bestScore < lastResortPenalty {
 				break
 			}
 		}
@@ -116,23 +119,26 @@
 		queue := s.queueLength(now, b.view.EntryCount())
 		slots := s.slots()
 		unseen := b.unseenAt(s, now)
-		wait := s.predictWait(now, queue+unseen, b.otherSenders(s))
-		if availability.Fit == 1 || wait < availability.Soonest {
-			availability.Soonest = wait
+		p := s.predict(now, queue+unseen, b.otherSenders(s), w.Read)
+		if availability.Fit == 1 || p.wait < availability.Soonest {
+			availability.Soonest = p.wait
 		}
 		if s.pendingRead > 0 && b.otherSenders(s) >= 1 {
 			continue // others may be sending to it now: one unread prompt per entry at a time
 		}
-		if s.engine == nil && queue >= plainQueuePerSlot*float64(slots) || s.engine != nil && wait > w.Budget {
+		if s.engine == nil && queue >= plainQueuePerSlot*float64(slots) || s.engine != nil && p.wait > s.budget(w.Budget, p.pace) {
 			continue
 		}
 		if w.Free && queue+1 > float64(slots) {
 			continue
 		}
-		score := b.score(now, s, queue, wait)
+		score := b.score(now, s, queue, p)
+		if p.isLastResort(now, w.Due) {
+			score += lastResortPenalty
+		}
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, bytes: w.Bytes, ReportAge: -1, pickedAt: now, Owned: s.owned, InFlight: s.inFlight, Unseen: unseen, due: w.Due, otherOwner: s.otherOwner, Signal: s.signals.strongest(now)}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: p.wait, Read: p.read, FirstEvent: p.firstEvent, Pace: p.pace, bytes: w.Bytes, ReportAge: -1, pickedAt: now, Owned: s.owned, InFlight: s.inFlight, Unseen: unseen, due: w.Due, otherOwner: s.otherOwner, Signal: s.signals.strongest(now)}
 			if s.load.known {
 				best.ReportAge = now.Sub(s.load.at)
 			}
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -26,9 +26,10 @@
 		return 0
 	}
 	over := max(0, queue-float64(s.slots())+1)
-	usual := s.engine.PrefillTime(s.engine.UsualPrompt)
+	pace := s.pace(now)
+	usual := scale(s.engine.PrefillTime(s.engine.UsualPrompt), pace)
 	reading := s.pendingRead + time.Duration(others*float64(s.pendingRead+usual))
-	return reading + time.Duration(over*float64(s.engine.RequestTime())) + s.excess.now(now)
+	return reading + scale(s.engine.RequestTime(), over*pace) + s.excess.now(now)
 }
 
 // FirstEvent records that an event of a request was received: its prompt has been read.
@@ -41,7 +42,7 @@
 	defer b.mu.Unlock()
 	c.begun = true
 	if s := c.Server; s.engine != nil {
-		s.excess.observe(now, now.Sub(c.pickedAt)-c.Wait-c.Read-s.engine.PassTime())
+		s.excess.observe(now, now.Sub(c.pickedAt)-c.FirstEvent)
 		b.learnUnseen(c, now, now.After(c.due))
 	}
 	c.Server.pendingRead -= c.Read
@@ -49,8 +50,8 @@
 }
 
 // score orders servers, lowest first.
-func (b *Balancer) score(now time.Time, s *Server, queue float64, wait time.Duration) time.Duration {
-	score := wait + time.Duration(queue*float64(queuedPenalty)) + rand.N(maxTieBreak)
+func (b *Balancer) score(now time.Time, s *Server, queue float64, p prediction) time.Duration {
+	score := p.wait + p.extra + time.Duration(queue*float64(queuedPenalty)) + rand.N(maxTieBreak)
 	score += time.Duration(float64(s.heldBytes) / (1 << 20) * float64(heldPenalty))
 	if !s.sameZone {
 		score += otherZonePenalty
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -80,6 +80,8 @@
 	// loadingSince is when it was first reported as loading, this time.
 	loadingSince time.Time
 	models       []fleet.Loaded
+	// pace is 0 if not reported.
+	pace float64
 }
 
 // maxReportAge is the age after which an agent's report is not used any more: it
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,7 @@
 func (g *Gateway) AddReport(r *rpc.AgentReport) {
 	g.balancer.Reported(clock.Now(), balance.Report{
 		Addr: r.Addr, StartUnixMs: r.Born, Loading: r.Loading, Models: follow.ModelsFromProto(r.Models),
-		Running: int(r.Running), Waiting: int(r.Waiting),
+		Running: int(r.Running), Waiting: int(r.Waiting), Pace: r.Pace,
 	})
 }
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -177,6 +177,9 @@
 		event.Str("server", c.choice.Server.ID).Float64("queue", c.choice.Queue).
 			Dur("wait_ms", c.choice.Wait).Dur("load_age_ms", c.choice.ReportAge).Bool("own", c.choice.Owned).Int("own_requests", c.choice.InFlight).
 			Float64("unseen", c.choice.Unseen)
+		if c.choice.Pace != 1 {
+			event.Float64("pace", c.choice.Pace)
+		}
 	}
 	if c.capacity.Known > 0 {
 		event.Interface("servers", c.capacity)
