Balancer: load percentage of plain services

Cause: the fourth figure of the load header says how long requests take at a plain service (14 ms at 100, 31 ms at 250, docs/design/overload.md), and nothing read it.

Change: the cost of the requests at a plain server, with the one to be sent, is scaled with its last percentage for 1.5 s. A header with three figures leaves the last percentage in force for that time. Malformed or non-positive figures count as absent and leave the other figures in force; figures are bounded at 10,000. At engines the percentage is not used, but Balancer.SharedHosts remembers for plain services and engines that a server has sent one, until the service is not declared any more. At 100 and without the figure the score is the same as before.

Tests: calls of LoadReported in older tests have the new argument 0, nothing else is changed in them.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -85,6 +85,8 @@
 	unseen map[string]*unseen
 	// loadingPhases are, by service, the last observations of loading servers.
 	loadingPhases map[string]*loadingPhase
+	// sharedHosts are the services of which a server has sent a load percentage.
+	sharedHosts map[string]bool
 	// signals is keyed by incarnation; peers are the entries that share limits.
 	signals map[string]*signals
 	peers   peers
@@ -100,7 +102,7 @@
 
 // New returns a balancer without servers.
 func New(cfg Config) *Balancer {
-	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, unseen: map[string]*unseen{}, loadingPhases: map[string]*loadingPhase{}, signals: map[string]*signals{}, publishSignals: func([]backpressure.Update) {}, slotFreed: func() {}}
+	return &Balancer{cfg: cfg, servers: map[string]*Server{}, services: map[string][]*Server{}, view: &follow.View{}, unseen: map[string]*unseen{}, loadingPhases: map[string]*loadingPhase{}, sharedHosts: map[string]bool{}, signals: map[string]*signals{}, publishSignals: func([]backpressure.Update) {}, slotFreed: func() {}}
 }
 
 // OnSlotFreed sets the callback for servers that may have a free slot. Call it before any other
@@ -112,6 +114,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.view = v
+	b.keepDeclaredHosts()
 	b.services = map[string][]*Server{}
 	listed := map[string]bool{}
 	for service, records := range v.Servers {
@@ -197,12 +200,13 @@
 	return s.silent(now)
 }
 
-// LoadReported applies a server's report of its load.
-func (b *Balancer) LoadReported(s *Server, now time.Time, running, waiting int) {
+// LoadReported applies a server's report of its load; percent is 0 if the report has no load percentage.
+func (b *Balancer) LoadReported(s *Server, now time.Time, running, waiting, percent int) {
 	defer b.slotFreed()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.load = load{known: true, running: running, waiting: waiting, at: now, ownInFlight: s.inFlight}
+	b.notePercent(s, now, percent)
 }
 
 // Report is a report of the agent beside a backend server.
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -57,7 +57,7 @@
 	b := balancer(view(record("1", "here", 1), record("2", "there", 1)))
 	first := pick(t, b, start, want())
 	assert.Equal(t, "1", first.Server.ID)
-	b.LoadReported(first.Server, start, 4, 4)
+	b.LoadReported(first.Server, start, 4, 4, 0)
 	assert.Equal(t, "2", pick(t, b, start, want()).Server.ID)
 }
 
@@ -80,7 +80,7 @@
 func TestBudgetIncludesWaitForSlot(t *testing.T) {
 	b := balancer(view(record("1", "here", 1)))
 	c := pick(t, b, start, want())
-	b.LoadReported(c.Server, start, 4, 2)
+	b.LoadReported(c.Server, start, 4, 2, 0)
 	w := want()
 	w.Budget = 900 * time.Millisecond // 3 requests before it, 350 ms each
 	none, _ := b.Pick(start, w)
@@ -277,7 +277,7 @@
 	b := named("entry-0", v)
 	own := pick(t, b, start, want())
 	require.True(t, own.Server.owned)
-	b.LoadReported(own.Server, start, 4, 4)
+	b.LoadReported(own.Server, start, 4, 4, 0)
 	other := pick(t, b, start, want())
 	assert.True(t, other.Server.otherOwner)
 }
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -52,6 +52,7 @@
 // score orders servers, lowest first.
 func (b *Balancer) score(now time.Time, s *Server, queue float64, p prediction) time.Duration {
 	score := p.wait + p.extra + time.Duration(queue*float64(queuedPenalty)) + rand.N(maxTieBreak)
+	score += time.Duration((queue + 1) * (s.hostLoad(now) - 1) * float64(queuedPenalty))
 	score += time.Duration(float64(s.heldBytes) / (1 << 20) * float64(heldPenalty))
 	if !s.sameZone {
 		score += otherZonePenalty
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -50,6 +50,7 @@
 	pendingRead time.Duration
 	heldBytes   int
 	load        load
+	percent     percentage
 	health      health
 	excess      excess
 	// retired: the server is removed for good. Another server has confirmed that it has the address,
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -35,19 +35,38 @@
 	return backpressure.ReadRetryAfter(a.Header, time.Now())
 }
 
-// noteLoad records the load stated in an answer's header: running, waiting, slots.
+// noteLoad records the load stated in an answer's header: running, waiting, slots, and at some servers the
+// load percentage.
 func (c *call) noteLoad(s *balance.Server, h http.Header, now time.Time) {
-	running, rest, ok := strings.Cut(h.Get(c.g.cfg.Headers.Load), ",")
+	load, ok := parseLoad(h.Get(c.g.cfg.Headers.Load))
 	if !ok {
 		return
 	}
-	waiting, _, _ := strings.Cut(rest, ",")
-	r, errRunning := strconv.Atoi(strings.TrimSpace(running))
-	q, errWaiting := strconv.Atoi(strings.TrimSpace(waiting))
+	c.g.balancer.LoadReported(s, now, load.running, load.waiting, load.percent)
+}
+
+// serverLoad is the load stated in a load header. percent is 0 if it is not stated.
+type serverLoad struct{ running, waiting, percent int }
+
+// parseLoad parses a load header, and reports whether it states the requests at the server. A malformed
+// load percentage counts as not stated.
+func parseLoad(text string) (serverLoad, bool) {
+	figures := strings.Split(text, ",")
+	if len(figures) < 2 {
+		return serverLoad{}, false
+	}
+	running, errRunning := strconv.Atoi(strings.TrimSpace(figures[0]))
+	waiting, errWaiting := strconv.Atoi(strings.TrimSpace(figures[1]))
 	if errRunning != nil || errWaiting != nil {
-		return // a malformed value is ignored
+		return serverLoad{}, false
+	}
+	load := serverLoad{running: running, waiting: waiting}
+	if len(figures) > 3 {
+		if percent, err := strconv.Atoi(strings.TrimSpace(figures[3])); err == nil {
+			load.percent = max(percent, 0)
+		}
 	}
-	c.g.balancer.LoadReported(s, now, r, q)
+	return load, true
 }
 
 // noteLimit records the limit stated in an answer's header. An answer without one lifts an earlier
