Merge the pace of engines and the load of shared hosts into the choice of servers

Cause: engines that report a pace of 2.5 got as many requests as the others; plain services on a busy host, too. The pace is part of predicted waits, reads and first events; a slow engine where the first event would be late is the last resort. The fourth figure of the load header is part of the score of plain services, and tells that a service's servers share hosts.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -44,8 +44,11 @@
 	// Queue is the estimated number of requests there, Slots its number of slots.
 	Queue float64
 	Slots int
-	// Wait is the predicted wait there, Read the time to read the prompt.
-	Wait, Read time.Duration
+	// Wait is the predicted wait there, Read the time to read the prompt, FirstEvent the predicted time
+	// until the first event.
+	Wait, Read, FirstEvent time.Duration
+	// Pace is how many times as long as usual the server's work takes, as known at the choice.
+	Pace float64
 	// bytes is the size of the body.
 	bytes int
 	// pickedAt is when the server was chosen; begun: an event was received.
@@ -114,7 +117,7 @@
 	candidates := b.candidates(w, &availability)
 	for _, s := range candidates {
 		if !s.owned {
-			if others++; others > b.samplesFor(w, len(candidates)) && best.Server != nil {
+			if others++; others > b.samplesFor(w, len(candidates)) && bestScore < lastResortPenalty {
 				break
 			}
 		}
@@ -131,17 +134,20 @@
 		if !reserves {
 			unseen = b.unseenAt(s, now)
 		}
-		wait := s.predictWait(now, queue+unseen, b.otherSenders(s))
-		if availability.Fit == 1 || wait < availability.Soonest {
-			availability.Soonest = wait
+		p := s.predict(now, queue+unseen, b.otherSenders(s), w.Read)
+		if availability.Fit == 1 || p.wait < availability.Soonest {
+			availability.Soonest = p.wait
 		}
-		if !reserves && !b.accepts(s, w, queue, wait) {
+		if !reserves && !b.accepts(s, w, queue, p) {
 			continue
 		}
-		score := b.score(now, s, queue, wait, reserves)
+		score := b.score(now, s, queue, p, w)
+		if p.isLastResort(now, w.Due) {
+			score += lastResortPenalty
+		}
 		if score < bestScore {
 			bestScore = score
-			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: wait, Read: w.Read, bytes: w.Bytes, ReportAge: -1, pickedAt: now, Owned: s.owned, InFlight: s.inFlight, Unseen: unseen, due: w.Due, otherOwner: s.otherOwner && !reserves, Reserve: reserves, StartUnixMs: s.record.StartUnixMs, Signal: s.signals.strongest(now)}
+			best = Choice{Server: s, Version: version, Queue: queue, Slots: slots, Wait: p.wait, Read: p.read, FirstEvent: p.firstEvent, Pace: p.pace, bytes: w.Bytes, ReportAge: -1, pickedAt: now, Owned: s.owned, InFlight: s.inFlight, Unseen: unseen, due: w.Due, otherOwner: s.otherOwner && !reserves, Reserve: reserves, StartUnixMs: s.record.StartUnixMs, Signal: s.signals.strongest(now)}
 			if s.load.known {
 				best.ReportAge = now.Sub(s.load.at)
 			}
@@ -152,12 +158,12 @@
 
 // accepts reports whether a server is expected to take a request within its budget, by what is known of
 // the server's load.
-func (b *Balancer) accepts(s *Server, w Requirements, queue float64, wait time.Duration) bool {
+func (b *Balancer) accepts(s *Server, w Requirements, queue float64, p prediction) bool {
 	slots := float64(s.slots())
 	switch {
 	case s.pendingRead > 0 && b.otherSenders(s) >= 1:
 		return false // others may be sending to it now: one unread prompt per entry at a time
-	case s.engine == nil && queue >= plainQueuePerSlot*slots, s.engine != nil && wait > w.Budget:
+	case s.engine == nil && queue >= plainQueuePerSlot*slots, s.engine != nil && p.wait > s.budget(w.Budget, p.pace):
 		return false
 	}
 	return !w.Free || queue+1 <= slots
--- a/internal/balance/reserve.go
+++ b/internal/balance/reserve.go
@@ -49,7 +49,7 @@
 	}
 	own := s.inFlight
 	if d.Granted {
-		c.Wait = d.Wait
+		c.Wait, c.FirstEvent = d.Wait, d.FirstEvent
 	} else {
 		own-- // the stated load is without the refused request
 	}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -50,6 +50,7 @@
 	pendingRead time.Duration
 	heldBytes   int
 	load        load
+	percent     percentage
 	health      health
 	excess      excess
 	// retired: the server is removed for good. Another server has confirmed that it has the address,
@@ -80,6 +81,8 @@
 	// loadingSince is when it was first reported as loading, this time.
 	loadingSince time.Time
 	models       []fleet.Loaded
+	// pace is 0 if not reported.
+	pace float64
 }
 
 // maxReportAge is the age after which an agent's report is not used any more: it
--- a/internal/gateway/size_test.go
+++ b/internal/gateway/size_test.go
@@ -14,7 +14,7 @@
 
 func TestStatedSizes(t *testing.T) {
 	for text, want := range map[string]size{
-		"": {}, "120,30": {120, 30}, " 120 , 30 ": {120, 30}, "120": {prompt: 120}, "many,30": {answer: 30}, "-3,30": {answer: 30},
+		"": {}, "120,30": {prompt: 120, answer: 30}, " 120 , 30 ": {prompt: 120, answer: 30}, "120": {prompt: 120}, "many,30": {answer: 30}, "-3,30": {answer: 30},
 	} {
 		assert.Equal(t, want, parseSize(text, ""), text)
 	}
