First attempts below the route's timeout are not taken for client retries

Cause: entries that restarted under overload have no sample of deadlines and judge by the route's timeout. Change: without a sample, and where nobody states as much as learned, the longest deadline of the last 5 to 10 s is the measure.

--- a/internal/waiting/deadlines.go
+++ b/internal/waiting/deadlines.go
@@ -16,9 +16,13 @@
 	// tolerance is the fraction of the lowest usual deadline down to which a deadline counts as
 	// usual: callers subtract some milliseconds for the network.
 	tolerance = 0.99
-	// defaultShare of the route's timeout is the lowest usual deadline until enough deadlines
-	// were seen: callers state the timeout, or a little less.
+	// defaultShare of the route's timeout, or of the longest recent deadline, is the lowest usual one until
+	// enough deadlines were learned: callers state the same, or a little less.
 	defaultShare = 0.97
+	// recentDeadlines is for how long a deadline counts as recent. First attempts arrive at any time, so that
+	// after recentKnown the longest recent deadline is one of theirs: refused callers return within 2 s.
+	recentDeadlines = 5 * time.Second
+	recentKnown     = 2 * time.Second
 	// learningPause is how long after the retry time of refused callers deadlines are not
 	// learned.
 	learningPause = 500 * time.Millisecond
@@ -41,6 +45,25 @@
 	seen []time.Duration
 	next int
 	low  time.Duration
+	// longest is the longest deadline since began, before that of the period before.
+	longest, before time.Duration
+	began           time.Time
+}
+
+// note records a deadline, whoever states it, and returns the longest recent one, most while it is not known.
+func (s *sample) note(now time.Time, deadline, most time.Duration) time.Duration {
+	if now.Sub(s.began) >= recentDeadlines {
+		s.before = s.longest
+		if now.Sub(s.began) >= 2*recentDeadlines {
+			s.before = 0
+		}
+		s.longest, s.began = 0, now
+	}
+	s.longest = max(s.longest, deadline)
+	if s.before == 0 && now.Sub(s.began) < recentKnown {
+		return most
+	}
+	return min(max(s.longest, s.before), most)
 }
 
 // NewDeadlines returns an empty Deadlines.
@@ -72,14 +95,17 @@
 		s = &sample{}
 		d.routes[route] = s
 	}
+	longest := s.note(now, deadline, timeout)
 	if !now.Before(d.pausedUntil) {
 		s.add(deadline)
 		return false
 	}
+	// Callers may state far less than the route's timeout, and less than before. Judged by these alone, all
+	// first attempts could count as client retries for as long as callers are refused.
 	if len(s.seen) < minSample {
-		return deadline < time.Duration(defaultShare*float64(timeout))
+		return deadline < time.Duration(defaultShare*float64(longest))
 	}
-	return deadline < time.Duration(tolerance*float64(s.low))
+	return deadline < time.Duration(tolerance*float64(min(s.low, longest)))
 }
 
 func (s *sample) add(deadline time.Duration) {
--- a/internal/waiting/deadlines_test.go
+++ b/internal/waiting/deadlines_test.go
@@ -84,3 +84,35 @@
 	later := start.Add(time.Second + learningPause)
 	assert.False(t, d.IsClientRetry(later, route, timeout/2, timeout), "nobody was refused recently")
 }
+
+// Regression: entries that restarted under overload had no sample, and operators had raised the timeout: all first
+// attempts of the route were taken for client retries until the overload ended, 3,109 of 6,500 in 10 s.
+func TestFirstAttemptsBelowTheTimeoutAreNotRetriesWithoutASample(t *testing.T) {
+	d := NewDeadlines()
+	d.Refused(start, time.Hour)
+	retries := 0
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		first := d.IsClientRetry(now, route, timeout/2, timeout)
+		if now.Sub(start) >= recentKnown {
+			assert.False(t, first, "a first attempt states half of the timeout")
+		}
+		if d.IsClientRetry(now, route, timeout/2-time.Second, timeout) {
+			retries++
+		}
+	}
+	assert.Equal(t, 200, retries)
+}
+
+// Callers that state less than before must not count as client retries for good.
+func TestShorterDeadlinesThanLearnedAreNotRetriesForGood(t *testing.T) {
+	d := NewDeadlines()
+	for range sampleSize {
+		d.IsClientRetry(start, route, timeout, timeout)
+	}
+	d.Refused(start, time.Hour)
+	assert.True(t, d.IsClientRetry(start, route, timeout/2, timeout))
+	later := start.Add(2 * recentDeadlines)
+	d.IsClientRetry(later, route, timeout/2, timeout)
+	assert.False(t, d.IsClientRetry(later.Add(recentKnown), route, timeout/2, timeout), "nobody has stated more for 12 s")
+}
