Handovers ask for a slot, too

Cause: streams were moved by reports of 0.1 to 0.3 s ago, to slots that other entries had been granted. Change: the other server of a handover grants a slot; it is asked without the lock of the call.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -58,25 +58,49 @@
 
 // handOver tries to hand the request that w watches over to another server.
 func (c *call) handOver(w *watchdog, why handoverReason) {
-	if h := c.beginHandover(w, why); h != nil {
+	choice := c.chooseForHandover(w, why)
+	if choice.Server == nil {
+		return
+	}
+	if h := c.beginHandover(w, why, choice); h != nil {
 		c.runHandover(w, h)
 	}
 }
 
-// beginHandover chooses the other server. It returns nil if there is none, or if no handover is
-// allowed.
-func (c *call) beginHandover(w *watchdog, why handoverReason) *handover {
+// chooseForHandover chooses the other server; none if there is none, or if no handover is allowed. An agent may be
+// asked for a slot, so that call.mu is not locked meanwhile.
+func (c *call) chooseForHandover(w *watchdog, why handoverReason) balance.Choice {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if w.ended || c.handover != nil || !c.mayHandOver(w, why) {
-		return nil
+	allowed := c.handoverAllowed(w, why)
+	want := c.handoverWant(why)
+	var r *reserving
+	if c.engine() != nil && c.g.reserves(c.service) {
+		r = c.newReserving(want, &asked{})
 	}
-	now := clock.Now()
-	choice, _ := c.g.balancer.Pick(now, c.handoverWant(why))
-	if choice.Server == nil {
-		return nil
+	c.mu.Unlock()
+	switch {
+	case !allowed:
+		return balance.Choice{}
+	case r == nil:
+		choice, _ := c.g.balancer.Pick(clock.Now(), want)
+		return choice
 	}
-	if !c.g.budget(c.service).TryRetry(c.g.monotonic(now)) {
+	if choice := r.strict(w.parent); choice.Server != nil {
+		return choice
+	}
+	return r.relaxed(w.parent)
+}
+
+func (c *call) handoverAllowed(w *watchdog, why handoverReason) bool {
+	return !w.ended && c.handover == nil && c.mayHandOver(w, why)
+}
+
+// beginHandover begins the handover to a chosen server. It returns nil if none is allowed any more.
+func (c *call) beginHandover(w *watchdog, why handoverReason, choice balance.Choice) *handover {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := clock.Now()
+	if !c.handoverAllowed(w, why) || !c.g.budget(c.service).TryRetry(c.g.monotonic(now)) {
 		c.g.balancer.Done(&choice, now, balance.ResultUnknown)
 		return nil
 	}
@@ -113,6 +137,10 @@
 	if why == handoverLoading {
 		want.Budget = c.unnoticedWait(want.Read)
 		want.Free = true
+		want.Due = time.Time{}
+		if c.events > 0 && c.route.GapObjective > 0 {
+			want.Due = clock.Now().Add(c.route.GapObjective)
+		}
 	}
 	if c.events > 0 {
 		want.Version = c.versionNumber()
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -71,6 +71,15 @@
 	granted bool
 }
 
+// note records a decision.
+func (a *asked) note(server string, d reservation.Decision) {
+	a.last, a.server = d, server
+	a.granted, a.reason = d.Granted, d.Reason
+	if d.Again > 0 && (a.again == 0 || d.Again < a.again) {
+		a.again = d.Again
+	}
+}
+
 // reserves reports whether slots of the service's servers are reserved.
 func (g *Gateway) reserves(service string) bool {
 	if g.cfg.Reservations == nil {
@@ -92,22 +101,37 @@
 	if c.engine() == nil || !c.g.reserves(c.service) {
 		return balance.Choice{}, balance.Availability{}, false
 	}
-	r := &reserving{call: c, want: want, began: clock.Now()}
-	defer func() { c.asked.took += clock.Since(r.began) }()
-	r.want.Exclude = slices.Clone(want.Exclude)
-	r.want.Reserves = func(server string) bool { return c.g.cfg.Reservations.Available(server, clock.Now()) }
+	r := c.newReserving(want, &c.asked)
 	if choice = r.strict(ctx); choice.Server == nil {
-		choice = r.relaxed(ctx)
+		if choice = r.relaxed(ctx); choice.Server == nil {
+			choice = r.anyway(ctx)
+		}
 	}
+	c.asked.took += clock.Since(r.began)
 	return choice, r.capacity, choice.Server != nil || r.refused && !r.silent
 }
 
+// newReserving returns a choice of a server for a request as it is now.
+func (c *call) newReserving(want balance.Requirements, a *asked) *reserving {
+	r := &reserving{call: c, want: want, asked: a, began: clock.Now()}
+	r.want.Exclude = slices.Clone(want.Exclude)
+	r.want.Reserves = func(server string) bool { return c.g.cfg.Reservations.Available(server, clock.Now()) }
+	r.request = reservation.Request{
+		ID: c.id, Rank: c.rank.Index, Weight: c.rank.Weight, Retry: c.clientRetry, Resumed: c.events > 0,
+		Prompt: c.promptTokens(c.engine()), Answer: c.expectedAnswer(), Gap: c.route.GapObjective, Version: want.Version,
+	}
+	return r
+}
+
 // reserving is one choice of a server whose slots are reserved.
 type reserving struct {
-	call  *call
-	want  balance.Requirements
-	began time.Time
-	asks  int
+	call *call
+	want balance.Requirements
+	// request is what agents are asked for, but for times, and for the accepted wait, which want has.
+	request reservation.Request
+	asked   *asked
+	began   time.Time
+	asks    int
 	// capacity is what the balancer knew at first.
 	capacity balance.Availability
 	// full and slow are the servers that refused for these reasons, with the wait and the time to the first
@@ -144,20 +168,21 @@
 	return balance.Choice{}
 }
 
-// relaxed asks the servers that refused once more: those with a queue for the whole accepted wait, and then
-// those where the request will be late, which for its caller is better than a refusal.
+// relaxed asks the servers that are full for the whole accepted wait.
 func (r *reserving) relaxed(ctx context.Context) balance.Choice {
-	byTime := func(a, b predicted) int { return cmp.Compare(a.time, b.time) }
-	slices.SortFunc(r.full, byTime)
-	slices.SortFunc(r.slow, byTime)
-	full, slow := r.full, r.slow
-	for _, p := range full {
-		if choice, ok := r.askAgain(ctx, p.server, false); ok {
-			return choice
-		}
-	}
-	for _, p := range slow {
-		if choice, ok := r.askAgain(ctx, p.server, true); ok {
+	return r.askInOrder(ctx, r.full, false)
+}
+
+// anyway asks the servers where the request will be late, which for its caller is better than a refusal.
+func (r *reserving) anyway(ctx context.Context) balance.Choice {
+	return r.askInOrder(ctx, r.slow, true)
+}
+
+// askInOrder asks servers that refused once more, the one with the shortest predicted time first.
+func (r *reserving) askInOrder(ctx context.Context, refused []predicted, anyway bool) balance.Choice {
+	order := slices.SortedFunc(slices.Values(refused), func(a, b predicted) int { return cmp.Compare(a.time, b.time) })
+	for _, p := range order {
+		if choice, ok := r.askAgain(ctx, p.server, anyway); ok {
 			return choice
 		}
 	}
@@ -187,22 +212,43 @@
 
 // ask asks the agent beside a chosen server for a slot. Without a grant the choice ends.
 func (r *reserving) ask(ctx context.Context, choice *balance.Choice, anyway bool) bool {
+	c, server, born, id := r.call, choice.Server.Addr, choice.StartUnixMs, r.request.ID
+	decision, err := c.g.cfg.Reservations.Ask(ctx, server, born, reservations.Timeout(c.route.Objective), r.requestAt(clock.Now(), anyway))
+	now := clock.Now()
 	r.asks++
-	decision, err := r.call.ask(ctx, choice, r.want, anyway)
-	switch {
-	case err != nil:
+	r.asked.n++
+	if err != nil {
 		r.silent = true
-	case decision.Granted:
+		c.g.balancer.Done(choice, now, balance.ResultUnknown)
+		return false
+	}
+	c.g.balancer.Decided(choice, now, decision)
+	r.asked.note(choice.Server.ID, decision)
+	if decision.Granted {
+		choice.OnDone = func() { c.g.cfg.Reservations.Release(server, born, id) }
 		return true
-	case decision.Reason == reservation.ReasonFull:
+	}
+	r.refused = true
+	switch decision.Reason {
+	case reservation.ReasonFull:
 		r.full = append(r.full, predicted{choice.Server, decision.Wait})
-	case decision.Reason == reservation.ReasonSlow:
+	case reservation.ReasonSlow:
 		r.slow = append(r.slow, predicted{choice.Server, decision.FirstEvent})
 	}
-	r.refused = r.refused || err == nil
+	c.g.balancer.Done(choice, now, balance.ResultUnknown)
 	return false
 }
 
+// requestAt returns what an agent is asked for at this time.
+func (r *reserving) requestAt(now time.Time, anyway bool) reservation.Request {
+	request := r.request
+	request.Budget, request.Left, request.Anyway = r.want.Budget, r.call.deadline.Sub(now), anyway
+	if !r.want.Due.IsZero() {
+		request.Due = max(r.want.Due.Sub(now), 0)
+	}
+	return request
+}
+
 // askTime returns how long all calls for one choice of a server may take.
 func (c *call) askTime() time.Duration {
 	if c.route.Objective <= 0 {
@@ -211,45 +257,6 @@
 	return time.Duration(askShare * float64(c.route.Objective))
 }
 
-// ask asks the agent beside a chosen server for a slot. Without a grant the choice ends.
-func (c *call) ask(ctx context.Context, choice *balance.Choice, want balance.Requirements, anyway bool) (reservation.Decision, error) {
-	server, born, id := choice.Server.Addr, choice.StartUnixMs, c.id
-	decision, err := c.g.cfg.Reservations.Ask(ctx, server, born, reservations.Timeout(c.route.Objective), c.reservationRequest(want, anyway))
-	now := clock.Now()
-	c.asked.n++
-	if err != nil {
-		c.g.balancer.Done(choice, now, balance.ResultUnknown)
-		return decision, err
-	}
-	c.asked.last, c.asked.server = decision, choice.Server.ID
-	c.g.balancer.Decided(choice, now, decision)
-	if decision.Granted {
-		c.asked.granted, c.asked.reason = true, reservation.ReasonNone
-		choice.OnDone = func() { c.g.cfg.Reservations.Release(server, born, id) }
-		return decision, nil
-	}
-	c.asked.reason = decision.Reason
-	if decision.Again > 0 && (c.asked.again == 0 || decision.Again < c.asked.again) {
-		c.asked.again = decision.Again
-	}
-	c.g.balancer.Done(choice, now, balance.ResultUnknown)
-	return decision, nil
-}
-
-// reservationRequest returns what an agent is asked for.
-func (c *call) reservationRequest(want balance.Requirements, anyway bool) reservation.Request {
-	now := clock.Now()
-	r := reservation.Request{
-		ID: c.id, Rank: c.rank.Index, Weight: c.rank.Weight, Retry: c.clientRetry, Resumed: c.events > 0,
-		Prompt: c.promptTokens(c.engine()), Answer: c.expectedAnswer(), Budget: want.Budget, Gap: c.route.GapObjective,
-		Left: c.deadline.Sub(now), Version: want.Version, Anyway: anyway,
-	}
-	if !want.Due.IsZero() {
-		r.Due = max(want.Due.Sub(now), 0)
-	}
-	return r
-}
-
 // expectedAnswer returns the length that the answer, or its rest, will hardly exceed, in tokens.
 func (c *call) expectedAnswer() int {
 	e := c.engine()
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -298,7 +298,7 @@
 		return ReasonFull
 	case p.free && r.Anyway:
 		return ReasonNone
-	case r.Due > 0 && !r.Resumed && p.latest > r.Due, l.pauses(now, p), r.Answer > 0 && p.end > r.Left:
+	case r.Due > 0 && p.latest > r.Due, l.pauses(now, p), r.Answer > 0 && p.end > r.Left:
 		if !p.free {
 			return ReasonFull
 		}
