--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -243,7 +243,9 @@
 			since = now
 		}
 		s.agent = agentReport{at: now, loading: r.Loading, loadingSince: since, models: r.Models, pace: r.Pace}
-		s.load = load{known: true, running: r.Running, waiting: r.Waiting, at: now, ownInFlight: s.inFlight}
+		if now.Sub(s.load.decidedAt) >= reportDelay {
+			s.load = load{known: true, running: r.Running, waiting: r.Waiting, at: now, ownInFlight: s.inFlight}
+		}
 	}
 }
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -141,7 +141,7 @@
 		if !reserves && !b.accepts(s, w, queue, p) {
 			continue
 		}
-		score := b.score(now, s, queue, p, w)
+		score := b.score(now, s, queue, p, costsOf(s, w, reserves))
 		if p.isLastResort(now, w.Due) {
 			score += lastResortPenalty
 		}
--- a/internal/balance/predict.go
+++ b/internal/balance/predict.go
@@ -50,20 +50,13 @@
 }
 
 // score orders servers, lowest first.
-func (b *Balancer) score(now time.Time, s *Server, queue float64, p prediction, w Requirements) time.Duration {
-	otherOwner, tieBreak := otherOwnerPenalty, maxTieBreak
-	if w.reserves(s) {
-		otherOwner, tieBreak = reservedOwnerPenalty, reservedTieBreak
-	}
-	score := p.wait + p.extra + time.Duration(queue*float64(queuedPenalty)) + rand.N(tieBreak)
+func (b *Balancer) score(now time.Time, s *Server, queue float64, p prediction, c costs) time.Duration {
+	score := p.wait + p.extra + time.Duration(queue*float64(queuedPenalty)) + c.owner + rand.N(c.tieBreak)
 	score += time.Duration((queue + 1) * (s.hostLoad(now) - 1) * float64(queuedPenalty))
 	score += time.Duration(float64(s.heldBytes) / (1 << 20) * float64(heldPenalty))
 	if !s.sameZone {
 		score += otherZonePenalty
 	}
-	if s.otherOwner || s.engine != nil && w.Reserves != nil && !w.reserves(s) {
-		score += otherOwner // where slots are reserved, a server whose agent does not answer is the worse known one
-	}
 	if now.Sub(s.seenAt) > staleAfter {
 		score += stalePenalty
 	}
--- a/internal/balance/reserve.go
+++ b/internal/balance/reserve.go
@@ -28,6 +28,24 @@
 	return w.Reserves != nil && s.engine != nil && w.Reserves(s.Addr)
 }
 
+// costs are those that depend on who knows a server's load best.
+type costs struct{ owner, tieBreak time.Duration }
+
+// costsOf returns the costs of a server for a request; reserves says whether a slot of it can be reserved. Where slots
+// are reserved, a server whose agent does not answer counts as one of another entry: others may know it better.
+func costsOf(s *Server, w Requirements, reserves bool) costs {
+	c := costs{tieBreak: maxTieBreak}
+	switch {
+	case reserves && s.otherOwner:
+		c = costs{reservedOwnerPenalty, reservedTieBreak}
+	case reserves:
+		c.tieBreak = reservedTieBreak
+	case s.otherOwner, s.engine != nil && w.Reserves != nil:
+		c.owner = otherOwnerPenalty
+	}
+	return c
+}
+
 // samplesFor returns how many of n servers are evaluated besides the owned ones, if one of them fits.
 func (b *Balancer) samplesFor(w Requirements, n int) int {
 	if w.Reserves != nil {
@@ -53,5 +71,5 @@
 	} else {
 		own-- // the stated load is without the refused request
 	}
-	s.load = load{known: true, running: d.Load.Running + d.Load.Reserved, waiting: d.Load.Waiting, at: now, ownInFlight: own}
+	s.load = load{known: true, running: d.Load.Running + d.Load.Reserved, waiting: d.Load.Waiting, at: now, ownInFlight: own, decidedAt: now}
 }
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -111,8 +111,14 @@
 	at               time.Time
 	// ownInFlight counts this entry's requests in flight at the time of the report.
 	ownInFlight int
+	// decidedAt is when the load was stated with a decision on a reservation, zero if it was not.
+	decidedAt time.Time
 }
 
+// reportDelay is how old an agent's report is at least when it is received, by way of a control server. The load
+// stated with a decision is current, and is not replaced by a report that was made before.
+const reportDelay = 100 * time.Millisecond
+
 // maxLoadAge is the age after which a load report is not used any more: an engine's
 // requests last a second or two.
 const maxLoadAge = 1500 * time.Millisecond
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -174,8 +174,8 @@
 	if c.route == nil || c.route.Objective <= 0 {
 		return defaultRetryAfter
 	}
-	if c.asked.reason != reservation.ReasonNone {
-		return c.g.learned.retryAfter(clock.Now(), c.service, clock.Until(c.clientDeadline), c.route.Objective, c.asked.again)
+	if c.agents.reason != reservation.ReasonNone {
+		return c.g.learned.retryAfter(clock.Now(), c.service, clock.Until(c.clientDeadline), c.route.Objective, c.agents.again)
 	}
 	most := max(clock.Until(c.clientDeadline)/retryAfterDivisor, 0)
 	if c.capacity.Fit == 0 && !c.capacity.Opens.IsZero() {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -64,9 +64,14 @@
 	// clientRetry: the caller was refused before, judged by its deadline.
 	clientRetry bool
 	service     string
-	// rank is the rank among the requests to the service; asked are the requests to agents for a slot.
-	rank  urgency.Rank
-	asked asked
+	// rank is the rank among the requests to the service; agents is what agents have decided on requests for a slot.
+	rank   urgency.Rank
+	agents agentDecisions
+	// reservationKey is part of the ids of reservations, 0 before the first; searches counts the searches for a slot.
+	reservationKey uint64
+	searches       int
+	// vainSearches counts searches for the rest of a stream that found no slot.
+	vainSearches int
 
 	// attempts counts the attempts that were sent to a server, runs those that may have run.
 	attempts, runs int
@@ -97,11 +102,11 @@
 	// longestGap is the longest pause between events, eventAt the time of the last one.
 	longestGap time.Duration
 	eventAt    time.Time
-	// lastEvent is the id of the last event that the caller has, from this call or an earlier one; lastEventOf is that of an
+	// lastEvent is the id of the last event that the caller has, from this call or an earlier one; resumedAfter is that of an
 	// earlier one. received counts the events of this call.
-	lastEvent   string
-	lastEventOf string
-	received    int
+	lastEvent    string
+	resumedAfter string
+	received     int
 	// version is that of the weights that wrote the first events.
 	version string
 	// mu guards what is forwarded to the caller while a handover is in progress: handover,
@@ -120,7 +125,7 @@
 	return &call{
 		g: g, w: w, r: r, began: clock.Now(), view: g.view.Load(),
 		id: r.Header.Get(g.cfg.Headers.RequestID), size: parseSize(r.Header.Get(g.cfg.Headers.Tokens), r.Header.Get(g.cfg.Headers.LengthHint)), lastEvent: r.Header.Get(g.cfg.Headers.ResumeAfter),
-		lastEventOf: r.Header.Get(g.cfg.Headers.ResumeAfter),
+		resumedAfter: r.Header.Get(g.cfg.Headers.ResumeAfter),
 	}
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -72,8 +72,16 @@
 }
 
 // waitToResume waits before the next search for a server for the rest of a stream. It returns
-// false if there is no time left.
-func (c *call) waitToResume(ctx context.Context) bool { return c.waitFor(ctx, resumeInterval) }
+// false if there is no time left. Where agents are asked, the pause grows, so that a stream that finds no
+// server makes no more than some ten searches.
+func (c *call) waitToResume(ctx context.Context) bool {
+	pause := resumeInterval
+	if c.agents.reason != reservation.ReasonNone {
+		c.vainSearches++
+		pause = min(resumeInterval<<min(max(c.vainSearches-undelayedSearches, 0), maxDoublings), maxResumeInterval)
+	}
+	return c.waitFor(ctx, pause)
+}
 
 // waitFor waits for d. It returns false if there would be no time left for an attempt after that.
 func (c *call) waitFor(ctx context.Context, d time.Duration) bool {
@@ -103,7 +111,7 @@
 		}
 		choice, capacity, decided := c.reserve(ctx, want)
 		if !decided {
-			choice, capacity = c.pickNow(now, want)
+			choice, capacity = c.pickNow(clock.Now(), want)
 		}
 		if choice.Server == nil && !decided {
 			if given, ok := c.waitForSlot(ctx, want, capacity); ok {
@@ -136,8 +144,8 @@
 func (c *call) failNoServer(capacity balance.Availability) {
 	c.capacity = capacity
 	switch {
-	case c.asked.reason != reservation.ReasonNone:
-		c.giveUp(refusalReason(c.asked.reason))
+	case c.agents.reason != reservation.ReasonNone:
+		c.giveUp(refusalReasons[c.agents.reason])
 	case clock.Until(c.deadline) < minAttemptTime:
 		c.giveUp("no time left")
 	case capacity.Known == 0:
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -73,22 +73,19 @@
 	c.mu.Lock()
 	allowed := c.handoverAllowed(w, why)
 	want := c.handoverWant(why)
-	var r *reserving
-	if c.engine() != nil && c.g.reserves(c.service) {
-		r = c.newReserving(want, &asked{})
+	var search *slotSearch
+	if allowed && c.engine() != nil && c.g.reserves(c.service) {
+		search = c.newSlotSearch(want, &agentDecisions{})
 	}
 	c.mu.Unlock()
 	switch {
 	case !allowed:
 		return balance.Choice{}
-	case r == nil:
-		choice, _ := c.g.balancer.Pick(clock.Now(), want)
-		return choice
+	case search != nil:
+		return search.run(w.parent, false)
 	}
-	if choice := r.strict(w.parent); choice.Server != nil {
-		return choice
-	}
-	return r.relaxed(w.parent)
+	choice, _ := c.g.balancer.Pick(clock.Now(), want)
+	return choice
 }
 
 func (c *call) handoverAllowed(w *watchdog, why handoverReason) bool {
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -31,12 +32,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for service, lengths := range l.lengths {
-		if t.Service(service) == nil {
-			delete(l.lengths, service)
-			delete(l.returns, service)
-			continue
-		}
+	maps.DeleteFunc(l.returns, func(service string, _ *retryafter.Advisor) bool { return t.Service(service) == nil })
+	maps.DeleteFunc(l.lengths, func(service string, _ *answerlength.Lengths) bool { return t.Service(service) == nil })
+	for _, lengths := range l.lengths {
 		lengths.Keep(names)
 	}
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -31,6 +31,8 @@
 	// makes about eight attempts.
 	undelayedRefusals = 2
 	maxResumeInterval = 640 * time.Millisecond
+	// undelayedSearches is the number of searches for a slot in vain after which the pause begins to double.
+	undelayedSearches = 4
 	maxDoublings      = 4
 )
 
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
+	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,26 +45,28 @@
 }
 
 const (
-	// maxAsks is how many agents are asked for one choice of a server. The first strictAsks are asked for a
+	// maxAsks is how many agents are asked in one search for a slot. The first strictAsks are asked for a
 	// slot with little wait, so that a request finds an idle engine while another one has a queue; then those
-	// that refused are asked for what they have, the one with the least wait first.
+	// that refused as full are asked for the whole accepted wait, the one with the least wait first.
+	// The last ask is kept for a server where the request will be late, if there is one.
 	maxAsks    = 5
 	strictAsks = 3
 	// strictShare is the part of the accepted wait that strict asks allow.
 	strictShare = 0.4
-	// askShare is the part of the objective that all calls for one choice of a server may take: a caller
+	// askShare is the part of the objective that all calls of one search may take: a caller
 	// who is refused must learn so early. maxAskTime applies without an objective.
 	askShare   = 1.0 / 8
 	maxAskTime = 100 * time.Millisecond
 )
 
-// asked is what the agents have decided on a request.
-type asked struct {
-	// n counts the agents asked, for all attempts; took is the time that this took.
-	n    int
-	took time.Duration
-	// reason is that of the last refusal for the present choice, ReasonNone if there is none; again the
-	// least time after which a refusing agent predicts to grant it, 0 if not known.
+// agentDecisions is what agents have decided on a request.
+type agentDecisions struct {
+	// asked counts the agents that were asked, for all attempts, silent those of them that did not answer; took
+	// is the time of all searches.
+	asked, silent int
+	took          time.Duration
+	// reason is why the last search found no slot, ReasonNone if it found one; again is the
+	// least time after which an agent predicts to grant one, 0 if not known.
 	reason reservation.Reason
 	again  time.Duration
 	// last is the last decision, server the server that it is about.
@@ -72,14 +77,28 @@
 }
 
 // note records a decision.
-func (a *asked) note(server string, d reservation.Decision) {
-	a.last, a.server = d, server
-	a.granted, a.reason = d.Granted, d.Reason
+func (a *agentDecisions) note(server string, d reservation.Decision) {
+	a.last, a.server, a.granted = d, server, d.Granted
+	switch {
+	case d.Granted:
+		a.reason = reservation.ReasonNone
+	case a.reason == reservation.ReasonNone || lackOfSlots(d.Reason):
+		a.reason = d.Reason
+	}
 	if d.Again > 0 && (a.again == 0 || d.Again < a.again) {
 		a.again = d.Again
 	}
 }
 
+// lackOfSlots reports whether a refusal says that the engine serves, but has no slot for the request.
+func lackOfSlots(r reservation.Reason) bool {
+	switch r {
+	case reservation.ReasonFull, reservation.ReasonSlow, reservation.ReasonRank, reservation.ReasonRetry:
+		return true
+	}
+	return false
+}
+
 // reserves reports whether slots of the service's servers are reserved.
 func (g *Gateway) reserves(service string) bool {
 	if g.cfg.Reservations == nil {
@@ -95,50 +114,33 @@
 }
 
 // reserve chooses a server whose agent grants a slot. decided is false if the balancer must decide by the
-// servers' reports: slots are not reserved, or no agent has decided.
+// servers' reports: slots are not reserved, or no agent can be asked.
 func (c *call) reserve(ctx context.Context, want balance.Requirements) (choice balance.Choice, capacity balance.Availability, decided bool) {
-	c.asked.reason, c.asked.again, c.asked.granted = reservation.ReasonNone, 0, false
+	c.agents.reason, c.agents.again, c.agents.granted = reservation.ReasonNone, 0, false
 	if c.engine() == nil || !c.g.reserves(c.service) {
 		return balance.Choice{}, balance.Availability{}, false
 	}
-	r := c.newReserving(want, &c.asked)
-	if choice = r.strict(ctx); choice.Server == nil {
-		if choice = r.relaxed(ctx); choice.Server == nil {
-			choice = r.anyway(ctx)
-		}
-	}
-	c.asked.took += clock.Since(r.began)
-	return choice, r.capacity, choice.Server != nil || r.refused && !r.silent
-}
-
-// newReserving returns a choice of a server for a request as it is now.
-func (c *call) newReserving(want balance.Requirements, a *asked) *reserving {
-	r := &reserving{call: c, want: want, asked: a, began: clock.Now()}
-	r.want.Exclude = slices.Clone(want.Exclude)
-	r.want.Reserves = func(server string) bool { return c.g.cfg.Reservations.Available(server, clock.Now()) }
-	r.request = reservation.Request{
-		ID: c.id, Rank: c.rank.Index, Weight: c.rank.Weight, Retry: c.clientRetry, Resumed: c.events > 0,
-		Prompt: c.promptTokens(c.engine()), Answer: c.expectedAnswer(), Gap: c.route.GapObjective, Version: want.Version,
-	}
-	return r
+	s := c.newSlotSearch(want, &c.agents)
+	choice = s.run(ctx, true)
+	c.agents.took += clock.Since(s.began)
+	return choice, s.capacity, choice.Server != nil || s.asks > 0
 }
 
-// reserving is one choice of a server whose slots are reserved.
-type reserving struct {
+// slotSearch is a search for a server whose agent grants a slot.
+type slotSearch struct {
 	call *call
 	want balance.Requirements
 	// request is what agents are asked for, but for times, and for the accepted wait, which want has.
-	request reservation.Request
-	asked   *asked
-	began   time.Time
-	asks    int
+	request   reservation.Request
+	decisions *agentDecisions
+	began     time.Time
+	asks      int
 	// capacity is what the balancer knew at first.
 	capacity balance.Availability
 	// full and slow are the servers that refused for these reasons, with the wait and the time to the first
-	// event that they predict.
+	// event that they predict; silent are those whose agents did not answer.
 	full, slow []predicted
-	// refused: an agent has refused; silent: one has not answered.
-	refused, silent bool
+	silent     []*balance.Server
 }
 
 // predicted is a server that refused, and how long a request would take there.
@@ -147,121 +149,165 @@
 	time   time.Duration
 }
 
-// strict asks for a slot with little wait, at the servers that are best by their known load.
-func (r *reserving) strict(ctx context.Context) balance.Choice {
-	budget := r.want.Budget
-	defer func() { r.want.Budget = budget }()
-	r.want.Budget = time.Duration(strictShare * float64(budget))
-	for r.asks < strictAsks && r.hasTime() {
-		choice, seen := r.call.g.balancer.Pick(clock.Now(), r.want)
-		if r.asks == 0 {
-			r.capacity = seen
+// newSlotSearch returns a search for a request as it is now.
+func (c *call) newSlotSearch(want balance.Requirements, decisions *agentDecisions) *slotSearch {
+	s := &slotSearch{call: c, want: want, decisions: decisions, began: clock.Now()}
+	s.want.Exclude = slices.Clone(want.Exclude)
+	s.want.Reserves = func(server string) bool { return c.g.cfg.Reservations.Available(server, clock.Now()) }
+	s.request = reservation.Request{
+		ID: c.nextReservationID(), Rank: c.rank.Index, Weight: c.rank.Weight, Retry: c.clientRetry, Resumed: c.events > 0,
+		Prompt: c.promptTokens(c.engine()), Answer: c.expectedAnswer(), Gap: c.route.GapObjective, Version: want.Version,
+	}
+	return s
+}
+
+// nextReservationID returns an id for a search. It is not the caller's, which may be empty or used twice, and
+// whose hash would decide on the request's admission. Each search has its own, so that the release of an earlier
+// reservation never ends a later one.
+func (c *call) nextReservationID() string {
+	if c.reservationKey == 0 {
+		c.reservationKey = rand.Uint64()
+	}
+	c.searches++
+	return strconv.FormatUint(c.reservationKey, 16) + "-" + strconv.Itoa(c.searches)
+}
+
+// run returns the server that granted a slot. acceptLate allows one where the request will be late.
+func (s *slotSearch) run(ctx context.Context, acceptLate bool) balance.Choice {
+	choice := s.askBest(ctx)
+	if choice.Server == nil {
+		limit := maxAsks
+		if acceptLate && len(s.slow) > 0 {
+			limit--
+		}
+		choice = s.askAgain(ctx, s.full, limit, false)
+	}
+	if choice.Server == nil && acceptLate { // late is better for the caller than refused
+		choice = s.askAgain(ctx, s.slow, maxAsks, true)
+	}
+	if choice.Server == nil {
+		choice = s.pickSilent()
+	}
+	return choice
+}
+
+// askBest asks for a slot with little wait at the servers that are best by their known load.
+func (s *slotSearch) askBest(ctx context.Context) balance.Choice {
+	budget := s.want.Budget
+	defer func() { s.want.Budget = budget }()
+	s.want.Budget = time.Duration(strictShare * float64(budget))
+	for s.asks < strictAsks && s.timeLeft() > 0 {
+		choice, seen := s.call.g.balancer.Pick(clock.Now(), s.want)
+		if s.asks == 0 {
+			s.capacity = seen
 		}
 		if choice.Server == nil || !choice.Reserve {
 			return choice // a server whose agent does not answer, and that has room by its reports
 		}
-		if r.ask(ctx, &choice, false) {
+		if s.ask(ctx, &choice, false) {
 			return choice
 		}
-		r.want.Exclude = append(r.want.Exclude, choice.Server)
+		s.want.Exclude = append(s.want.Exclude, choice.Server)
 	}
 	return balance.Choice{}
 }
 
-// relaxed asks the servers that are full for the whole accepted wait.
-func (r *reserving) relaxed(ctx context.Context) balance.Choice {
-	return r.askInOrder(ctx, r.full, false)
-}
-
-// anyway asks the servers where the request will be late, which for its caller is better than a refusal.
-func (r *reserving) anyway(ctx context.Context) balance.Choice {
-	return r.askInOrder(ctx, r.slow, true)
-}
-
-// askInOrder asks servers that refused once more, the one with the shortest predicted time first.
-func (r *reserving) askInOrder(ctx context.Context, refused []predicted, anyway bool) balance.Choice {
+// askAgain asks servers that refused once more, the one with the shortest predicted time first.
+func (s *slotSearch) askAgain(ctx context.Context, refused []predicted, limit int, acceptLate bool) balance.Choice {
 	order := slices.SortedFunc(slices.Values(refused), func(a, b predicted) int { return cmp.Compare(a.time, b.time) })
 	for _, p := range order {
-		if choice, ok := r.askAgain(ctx, p.server, anyway); ok {
+		if s.asks >= limit || s.timeLeft() <= 0 {
+			break
+		}
+		choice := s.pickOnly(p.server)
+		switch {
+		case choice.Server == nil:
+		case !choice.Reserve:
+			s.call.g.balancer.Done(&choice, clock.Now(), balance.ResultUnknown)
+		case s.ask(ctx, &choice, acceptLate):
 			return choice
 		}
 	}
 	return balance.Choice{}
 }
 
-// askAgain asks one server once more, if there is time.
-func (r *reserving) askAgain(ctx context.Context, server *balance.Server, anyway bool) (balance.Choice, bool) {
-	if r.asks >= maxAsks || !r.hasTime() {
-		return balance.Choice{}, false
+// pickSilent returns a server whose agent did not answer and that has room by its reports.
+func (s *slotSearch) pickSilent() balance.Choice {
+	for _, server := range s.silent {
+		if choice := s.pickOnly(server); choice.Server != nil {
+			return choice
+		}
 	}
-	want := r.want
+	return balance.Choice{}
+}
+
+// pickOnly chooses this server, if it fits.
+func (s *slotSearch) pickOnly(server *balance.Server) balance.Choice {
+	want := s.want
 	want.Only = server
-	want.Exclude = slices.DeleteFunc(slices.Clone(want.Exclude), func(s *balance.Server) bool { return s == server })
-	choice, _ := r.call.g.balancer.Pick(clock.Now(), want)
-	switch {
-	case choice.Server == nil:
-		return balance.Choice{}, false
-	case !choice.Reserve:
-		r.call.g.balancer.Done(&choice, clock.Now(), balance.ResultUnknown)
-		return balance.Choice{}, false
-	}
-	return choice, r.ask(ctx, &choice, anyway)
+	want.Exclude = slices.DeleteFunc(slices.Clone(want.Exclude), func(other *balance.Server) bool { return other == server })
+	choice, _ := s.call.g.balancer.Pick(clock.Now(), want)
+	return choice
 }
 
-func (r *reserving) hasTime() bool { return clock.Since(r.began) < r.call.askTime() }
+// timeLeft returns how long further calls may take.
+func (s *slotSearch) timeLeft() time.Duration {
+	most := maxAskTime
+	if objective := s.call.route.Objective; objective > 0 {
+		most = time.Duration(askShare * float64(objective))
+	}
+	return most - clock.Since(s.began)
+}
 
 // ask asks the agent beside a chosen server for a slot. Without a grant the choice ends.
-func (r *reserving) ask(ctx context.Context, choice *balance.Choice, anyway bool) bool {
-	c, server, born, id := r.call, choice.Server.Addr, choice.StartUnixMs, r.request.ID
-	decision, err := c.g.cfg.Reservations.Ask(ctx, server, born, reservations.Timeout(c.route.Objective), r.requestAt(clock.Now(), anyway))
+func (s *slotSearch) ask(ctx context.Context, choice *balance.Choice, acceptLate bool) bool {
+	c, server, born, id := s.call, choice.Server.Addr, choice.StartUnixMs, s.request.ID
+	timeout := min(reservations.Timeout(c.route.Objective), s.timeLeft())
+	decision, err := c.g.cfg.Reservations.Ask(ctx, server, born, timeout, s.requestAt(clock.Now(), acceptLate))
 	now := clock.Now()
-	r.asks++
-	r.asked.n++
+	s.asks++
+	s.decisions.asked++
 	if err != nil {
-		r.silent = true
+		s.decisions.silent++
+		s.silent = append(s.silent, choice.Server)
 		c.g.balancer.Done(choice, now, balance.ResultUnknown)
 		return false
 	}
 	c.g.balancer.Decided(choice, now, decision)
-	r.asked.note(choice.Server.ID, decision)
+	s.decisions.note(choice.Server.ID, decision)
 	if decision.Granted {
 		choice.OnDone = func() { c.g.cfg.Reservations.Release(server, born, id) }
 		return true
 	}
-	r.refused = true
 	switch decision.Reason {
 	case reservation.ReasonFull:
-		r.full = append(r.full, predicted{choice.Server, decision.Wait})
+		s.full = append(s.full, predicted{choice.Server, decision.Wait})
 	case reservation.ReasonSlow:
-		r.slow = append(r.slow, predicted{choice.Server, decision.FirstEvent})
+		s.slow = append(s.slow, predicted{choice.Server, decision.FirstEvent})
 	}
 	c.g.balancer.Done(choice, now, balance.ResultUnknown)
 	return false
 }
 
 // requestAt returns what an agent is asked for at this time.
-func (r *reserving) requestAt(now time.Time, anyway bool) reservation.Request {
-	request := r.request
-	request.Budget, request.Left, request.Anyway = r.want.Budget, r.call.deadline.Sub(now), anyway
-	if !r.want.Due.IsZero() {
-		request.Due = max(r.want.Due.Sub(now), 0)
+func (s *slotSearch) requestAt(now time.Time, acceptLate bool) reservation.Request {
+	request := s.request
+	request.Budget, request.Left, request.AcceptLate = s.want.Budget, s.call.deadline.Sub(now), acceptLate
+	if !s.want.Due.IsZero() {
+		request.Due = max(s.want.Due.Sub(now), 0)
 	}
 	return request
 }
 
-// askTime returns how long all calls for one choice of a server may take.
-func (c *call) askTime() time.Duration {
-	if c.route.Objective <= 0 {
-		return maxAskTime
-	}
-	return time.Duration(askShare * float64(c.route.Objective))
-}
-
 // expectedAnswer returns the length that the answer, or its rest, will hardly exceed, in tokens.
 func (c *call) expectedAnswer() int {
 	e := c.engine()
+	received := c.received
+	if before, err := strconv.Atoi(c.resumedAfter); err == nil && before > 0 {
+		received += before // ids count events
+	}
 	answer := c.g.learned.answerLength(c.service, e, c.route.Name, c.size)
-	return max(answer-c.received*max(e.Stride, 1), 0)
+	return max(answer-received*max(e.Stride, 1), 0)
 }
 
 // enginePriority returns the request's priority in an engine's queue, 0 if the service has no ranks.
@@ -281,14 +327,13 @@
 var refusalReasons = map[reservation.Reason]string{
 	reservation.ReasonFull:    "all backend servers are full",
 	reservation.ReasonSlow:    "all backend servers are full",
-	reservation.ReasonRank:    "all backend servers are full, and others come first",
+	reservation.ReasonRank:    "all backend servers are full, and more urgent requests come first",
+	reservation.ReasonRetry:   "all backend servers are full, and first attempts come first",
 	reservation.ReasonLoading: "backend servers load weights",
 	reservation.ReasonVersion: "no backend server can take it",
 	reservation.ReasonUnknown: "no backend server can take it",
 }
 
-func refusalReason(r reservation.Reason) string { return refusalReasons[r] }
-
 // learn records how long a complete answer was, and whether a caller that returned after a refusal was served.
 func (c *call) learn() {
 	e := c.engine()
@@ -296,10 +341,11 @@
 		return
 	}
 	served := c.status/100 == 2 && !c.broken
-	if served && c.received > 0 && c.lastEventOf == "" {
+	refused := c.status == http.StatusServiceUnavailable && !c.mayHaveRun
+	if served && c.received > 0 && c.resumedAfter == "" {
 		c.g.learned.answered(c.service, e, c.route.Name, c.size, c.received*max(e.Stride, 1))
 	}
-	if c.clientRetry && c.status != statusClientGone {
+	if c.clientRetry && (served || refused) {
 		c.g.learned.returned(clock.Now(), c.service, served)
 	}
 }
@@ -310,22 +356,20 @@
 	if c.rank.Priority > 0 {
 		event.Int("rank", c.rank.Index).Float64("weight", c.rank.Weight)
 	}
-	if c.asked.n == 0 {
+	a := &c.agents
+	if a.asked == 0 {
 		return
 	}
-	d := c.asked.last
-	event.Int("asks", c.asked.n).Dur("asked_ms", c.asked.took).Bool("reserved", c.asked.granted).Str("agent_of", c.asked.server).
-		Str("decision", decisionName(d)).Dur("predicted_wait_ms", d.Wait).Dur("predicted_first_ms", d.FirstEvent).Dur("predicted_end_ms", d.End).
-		Float64("pace", d.Load.Pace).Dur("pace_age_ms", d.Load.Age).Int("running", d.Load.Running).Int("waiting", d.Load.Waiting).Int("reservations", d.Load.Reserved)
-	if c.asked.again > 0 {
-		event.Dur("again_ms", c.asked.again)
+	event.Int("asks", a.asked).Int("silent_agents", a.silent).Dur("asked_ms", a.took).Bool("reserved", a.granted)
+	if a.again > 0 {
+		event.Dur("again_ms", a.again)
 	}
-}
-
-// decisionName returns the name of a decision in logs.
-func decisionName(d reservation.Decision) string {
-	if d.Granted {
-		return "granted"
+	if a.asked == a.silent {
+		return
 	}
-	return d.Reason.String()
+	d := &a.last
+	event.Str("agent_of", a.server).Str("decision", d.Result()).
+		Dur("predicted_wait_ms", d.Wait).Dur("predicted_first_ms", d.FirstEvent).Dur("predicted_end_ms", d.End).
+		Float64("engine_pace", d.Load.Pace).Dur("pace_age_ms", d.Load.Age).
+		Int("running", d.Load.Running).Int("waiting", d.Load.Waiting).Int("reservations", d.Load.Reserved)
 }
--- a/internal/gateway/size.go
+++ b/internal/gateway/size.go
@@ -15,6 +15,9 @@
 // maximum of the answer, and an estimate of the answer. 0 means not stated.
 type size struct{ prompt, answer, hint int }
 
+// maxTokens bounds stated sizes, which are not checked otherwise.
+const maxTokens = 1 << 24
+
 // parseSize parses the Tokens header. A malformed part counts as not stated.
 func parseSize(text, hint string) size {
 	prompt, answer, _ := strings.Cut(text, ",")
@@ -26,7 +29,7 @@
 	if err != nil || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, maxTokens)
 }
 
 // promptTokens returns the size of the prompt as stated by the caller, or else the usual one.
--- a/internal/reservation/client/client.go
+++ b/internal/reservation/client/client.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -16,6 +18,7 @@
 
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/reservation"
+	"lynxgate.dev/lynxgate/internal/reservation/wire"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
@@ -29,6 +32,8 @@
 	// minBreak and maxBreak bound how long an agent is not asked after it did not answer.
 	minBreak = 500 * time.Millisecond
 	maxBreak = 4 * time.Second
+	// forgetAfter is how long after its breaker has closed an agent is remembered that was not asked since.
+	forgetAfter = 10 * time.Second
 	// releaseTimeout bounds a release; without it the lease or the deadline ends the reservation.
 	releaseTimeout = 500 * time.Millisecond
 )
@@ -64,7 +69,7 @@
 	return &Client{cfg: cfg, pool: rpcconn.NewPool(), breakers: map[string]*breaker{}}
 }
 
-// Timeout returns the time for one decision on a request with this objective, 0 if it has none.
+// Timeout returns the time for one decision on a request with this objective; an objective of 0 is none.
 func Timeout(objective time.Duration) time.Duration {
 	if objective <= 0 {
 		return maxTimeout
@@ -88,23 +93,23 @@
 	defer cancel()
 	conn := c.pool.Get(callCtx, c.cfg.AgentAddr(server))
 	defer conn.Close()
-	response, err := rpc.NewDRPCReservationsClient(conn).Reserve(callCtx, c.request(server, born, r))
+	response, err := rpc.NewDRPCReservationsClient(conn).Reserve(callCtx, wire.RequestToProto(c.cfg.Entry, server, born, r))
 	took := clock.Since(began)
 	if err != nil {
 		if ctx.Err() != nil { // the caller has left
+			c.Release(server, born, r.ID)
 			return reservation.Decision{}, ctx.Err()
 		}
 		c.failed(server, err)
 		c.cfg.Metrics.observe("no answer", took)
+		if !errors.As(err, new(*rpcconn.DialError)) { // it may be granted later
+			c.Release(server, born, r.ID)
+		}
 		return reservation.Decision{}, fmt.Errorf("reservation at %s: %w", server, err)
 	}
 	c.answered(server)
-	d := decisionFromProto(response)
-	result := "granted"
-	if !d.Granted {
-		result = d.Reason.String()
-	}
-	c.cfg.Metrics.observe(result, took)
+	d := wire.DecisionFromProto(response)
+	c.cfg.Metrics.observe(d.Result(), took)
 	return d, nil
 }
 
@@ -126,22 +131,24 @@
 func (c *Client) failed(server string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := clock.Now()
+	c.prune(now)
 	b := c.breakers[server]
 	if b == nil {
 		b = &breaker{}
 		c.breakers[server] = b
 	}
+	if now.Before(b.openUntil) {
+		return // one of several concurrent calls
+	}
 	b.duration = min(max(2*b.duration, minBreak), maxBreak)
 	if drpcerr.Code(err) == drpcerr.Unimplemented {
 		b.duration = maxBreak // an agent of an earlier version
 	}
-	now := clock.Now()
-	if now.After(b.openUntil) { // not for each of several concurrent calls
-		c.cfg.Logger.Info().AnErr("cause", err).Str("addr", server).Dur("for_ms", b.duration).
-			Msg("agent did not answer; its backend server is judged by reports")
-	}
 	b.openUntil = now.Add(b.duration)
 	c.cfg.Metrics.unavailable.Set(float64(len(c.breakers)))
+	c.cfg.Logger.Info().AnErr("cause", err).Str("addr", server).Dur("for_ms", b.duration).
+		Msg("agent did not answer; its backend server is judged by reports")
 }
 
 // answered closes the breaker of an agent.
@@ -152,46 +159,16 @@
 		return
 	}
 	delete(c.breakers, server)
-	c.cfg.Logger.Info().Str("addr", server).Msg("agent answers again")
+	c.prune(clock.Now())
 	c.cfg.Metrics.unavailable.Set(float64(len(c.breakers)))
+	c.cfg.Logger.Info().Str("addr", server).Msg("agent answers again")
 }
 
-// Keep forgets the agents of all other backend servers.
-func (c *Client) Keep(known func(server string) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for server := range c.breakers {
-		if !known(server) {
-			delete(c.breakers, server)
-		}
-	}
-	c.cfg.Metrics.unavailable.Set(float64(len(c.breakers)))
-}
-
-func (c *Client) request(server string, born int64, r reservation.Request) *rpc.ReserveRequest {
-	return &rpc.ReserveRequest{
-		Id: r.ID, Entry: c.cfg.Entry, Addr: server, Born: born, Rank: uint32(r.Rank), Weight: r.Weight, Retry: r.Retry, Resumed: r.Resumed,
-		Prompt: uint32(r.Prompt), Answer: uint32(r.Answer), DueUs: r.Due.Microseconds(), BudgetUs: r.Budget.Microseconds(),
-		GapUs: r.Gap.Microseconds(), LeftUs: r.Left.Microseconds(), Version: r.Version, Anyway: r.Anyway,
-	}
-}
-
-func decisionFromProto(r *rpc.ReserveResponse) reservation.Decision {
-	d := reservation.Decision{
-		Granted: r.Granted, Wait: micros(r.WaitUs), FirstEvent: micros(r.FirstUs), End: micros(r.EndUs), Again: micros(r.AgainUs),
-		Load: reservation.Load{
-			Running: int(r.Running), Waiting: int(r.Waiting), Reserved: int(r.Reserved), Pace: r.Pace, Age: micros(r.ReportAgeUs),
-			Version: r.Version, Loading: r.Loading, StartUnixMs: r.Born,
-		},
-	}
-	if !r.Granted {
-		d.Reason = reservation.ParseReason(r.Reason)
-	}
-	return d
+// prune forgets agents that were not asked since their breaker closed, mostly since they are gone.
+func (c *Client) prune(now time.Time) {
+	maps.DeleteFunc(c.breakers, func(_ string, b *breaker) bool { return now.Sub(b.openUntil) > forgetAfter })
 }
 
-func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
-
 // Metrics are the metrics of a Client.
 type Metrics struct {
 	asked       *prometheus.CounterVec
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
@@ -14,19 +15,19 @@
 	lease = 300 * time.Millisecond
 	// arrivalTime is how long a request may take to its engine after it was granted: a
 	// round trip between regions of 4 ms, and the entry's and engine's processing. Until then the
-	// engine's report does not count it.
+	// engine's report may not count it.
 	arrivalTime = 15 * time.Millisecond
 	// maxReportAge is the age from which on a report says nothing: an engine's requests last a
 	// second or two.
 	maxReportAge = 1 * time.Second
+	// maxPace bounds a reported pace, so that no prediction overflows.
+	maxPace = 100
 	// minBudget is the least accepted wait. An engine that works slower than usual would otherwise
 	// get no requests even while it is idle.
 	minBudget = 20 * time.Millisecond
 	// gapShare is the share of the gap objective up to which running streams may be paused by
 	// prompts; the rest is for the way to the caller.
 	gapShare = 0.9
-	// gapMemory is for how long the gap objective of a granted request counts: streams last some seconds.
-	gapMemory = 10 * time.Second
 	// resumedShare is the share of its gap objective, or else its objective, that the rest of a stream may wait.
 	resumedShare = 0.6
 	// passesToFirstEvent is how many passes precede the first event on the mean, besides the prompts: half of the one in
@@ -45,13 +46,17 @@
 	expiryMargin = 1 * time.Second
 )
 
-// open is a reservation that was not released.
-type open struct {
+// held is a reservation that was not released.
+type held struct {
 	at      time.Time
 	expires time.Time
+	// read is the time for its prompt, readsAt the start of the pass in which it is predicted to be read.
 	read    time.Duration
-	// batch is the start of the pass in which its prompt is predicted to be read.
-	batch time.Time
+	readsAt time.Time
+	// due is when its first event is due, zero if it is not; gap is the longest pause that its caller
+	// tolerates, 0 if none is stated.
+	due time.Time
+	gap time.Duration
 }
 
 // Ledger keeps the reservations of one engine.
@@ -61,21 +66,20 @@
 	at      time.Time
 	known   bool
 	loading bool
-	open    map[string]open
+	held    map[string]held
 	// foreign counts the engine's requests without a reservation, as of the last report.
 	foreign int
-	// batch is the last pass that is predicted to read prompts.
-	batch batch
+	// batch is the last pass that is predicted to read prompts of requests with a slot. queued are the prompts of those
+	// without one, by the time at which they are predicted to get it.
+	batch  batch
+	queued []batch
 	// reads is the decayed sum of the time for prompts, as of readsAt.
 	reads   time.Duration
 	readsAt time.Time
-	// gap is the smallest gap objective of the recent requests, gapAt when it was stated last.
-	gap   time.Duration
-	gapAt time.Time
 }
 
 // New returns the ledger of an engine without reservations.
-func New(e *fleet.Engine) *Ledger { return &Ledger{engine: e, open: map[string]open{}} }
+func New(e *fleet.Engine) *Ledger { return &Ledger{engine: e, held: map[string]held{}} }
 
 // SetEngine replaces the cost model of the engine.
 func (l *Ledger) SetEngine(e *fleet.Engine) { l.engine = e }
@@ -83,19 +87,23 @@
 // SetLoading records that the agent is about to order a load, or that the load is over.
 func (l *Ledger) SetLoading(loading bool) { l.loading = loading }
 
-// Open returns the number of reservations that were not released.
-func (l *Ledger) Open() int { return len(l.open) }
+// Held returns the number of reservations that were not released.
+func (l *Ledger) Held(now time.Time) int {
+	l.expire(now)
+	return len(l.held)
+}
 
 // Observe applies a report of the engine, as of now. A later incarnation of the engine has none of the
 // earlier one's requests.
 func (l *Ledger) Observe(now time.Time, r Report) {
 	if l.report.StartUnixMs != 0 && r.StartUnixMs > l.report.StartUnixMs {
-		l.open = map[string]open{}
-		l.foreign, l.batch, l.reads = 0, batch{}, 0
+		l.held = map[string]held{}
+		l.foreign, l.batch, l.queued, l.reads = 0, batch{}, nil, 0
 	}
 	before, known := l.at, l.known
 	l.report, l.at, l.known = r, now, true
 	l.expire(now)
+	l.dropMissing(now)
 	least, most := l.foreignBounds(now)
 	foreign := min(max(l.foreign, least), most)
 	if more := foreign - l.foreign; known && more > 0 { // they came since the report before
@@ -110,22 +118,42 @@
 // without, since its prompt would be counted twice.
 func (l *Ledger) foreignBounds(now time.Time) (least, most int) {
 	arrived := 0
-	for _, o := range l.open {
-		if now.Sub(o.at) >= arrivalTime {
+	for _, h := range l.held {
+		if now.Sub(h.at) >= arrivalTime {
 			arrived++
 		}
 	}
 	reported := l.report.Running + l.report.Waiting
-	return max(reported-len(l.open), 0), max(reported-arrived, 0)
+	return max(reported-len(l.held), 0), max(reported-arrived, 0)
 }
 
 // expire drops reservations that were never released.
 func (l *Ledger) expire(now time.Time) {
-	for id, o := range l.open {
-		if now.After(o.expires) {
-			delete(l.open, id)
+	for id, h := range l.held {
+		if now.After(h.expires) {
+			delete(l.held, id)
+		}
+	}
+}
+
+// dropMissing drops the oldest of the reservations past their lease that are more than the requests that the engine
+// reports: their requests never came, or have ended. They would otherwise hide requests without a reservation, and
+// count as not arrived.
+func (l *Ledger) dropMissing(now time.Time) {
+	var old []string
+	for id, h := range l.held {
+		if now.Sub(h.at) >= lease {
+			old = append(old, id)
 		}
 	}
+	missing := len(old) - l.report.Running - l.report.Waiting
+	if missing <= 0 {
+		return
+	}
+	slices.SortFunc(old, func(a, b string) int { return l.held[a].at.Compare(l.held[b].at) })
+	for _, id := range old[:missing] {
+		delete(l.held, id)
+	}
 }
 
 // batch is a pass in which the engine reads prompts. It reads all that are unread when the pass begins, and
@@ -137,7 +165,15 @@
 	due time.Time
 }
 
-// batchFor returns the batch in which a prompt will be read that arrives at this time: the last one if it has not
+// add adds a prompt to a batch.
+func (b *batch) add(read time.Duration, due time.Time) {
+	b.read += read
+	if !due.IsZero() && (b.due.IsZero() || due.Before(b.due)) {
+		b.due = due
+	}
+}
+
+// batchFor returns the batch in which a prompt will be read that gets its slot at this time: the last one if it has not
 // begun yet, otherwise one after the pass in progress, which takes half a pass more on average if it reads nothing.
 func (l *Ledger) batchFor(at time.Time) batch {
 	if !at.After(l.batch.start) {
@@ -150,12 +186,22 @@
 	return batch{start: at.Add(pass / 2)}
 }
 
+// startQueued moves the prompts of queued requests that are predicted to have a slot by now to the batches that read them.
+func (l *Ledger) startQueued(now time.Time) {
+	for len(l.queued) > 0 && !l.queued[0].start.After(now) {
+		q := l.queued[0]
+		l.queued = l.queued[1:]
+		l.batch = l.batchFor(q.start)
+		l.batch.add(q.read, q.due)
+	}
+}
+
 // pace returns how many times as long as usual the engine's work takes.
 func (l *Ledger) pace() float64 {
-	if l.report.Pace <= 0 {
+	if !(l.report.Pace > 0) { // also for NaN
 		return 1
 	}
-	return l.report.Pace
+	return min(l.report.Pace, maxPace)
 }
 
 func (l *Ledger) scaled(d time.Duration) time.Duration { return time.Duration(float64(d) * l.pace()) }
@@ -164,15 +210,15 @@
 // and those younger than their lease that are missing in it.
 func (l *Ledger) reserved(now time.Time) int {
 	since, leased := 0, 0
-	for _, o := range l.open {
-		if !o.at.Before(l.at) {
+	for _, h := range l.held {
+		if !h.at.Before(l.at) {
 			since++
 		}
-		if now.Sub(o.at) < lease {
+		if now.Sub(h.at) < lease {
 			leased++
 		}
 	}
-	missing := len(l.open) + l.foreign - l.report.Running - l.report.Waiting
+	missing := len(l.held) + l.foreign - l.report.Running - l.report.Waiting
 	return max(since, min(leased, missing))
 }
 
@@ -186,19 +232,36 @@
 
 // Release ends a reservation: it was not used, or the request has ended.
 func (l *Ledger) Release(now time.Time, id string) {
-	o, ok := l.open[id]
+	h, ok := l.held[id]
 	if !ok {
 		return
 	}
-	delete(l.open, id)
-	if o.batch.After(now) && o.batch.Equal(l.batch.start) { // not read
-		l.batch.read -= o.read
+	delete(l.held, id)
+	if !h.readsAt.After(now) {
+		return // read, or about to be
+	}
+	if h.readsAt.Equal(l.batch.start) {
+		l.batch.read -= h.read
+		l.batch.due = l.earliestDue(l.batch.start)
+	}
+	l.queued = slices.DeleteFunc(l.queued, func(q batch) bool { return q.start.Equal(h.readsAt) })
+}
+
+// earliestDue returns when the earliest first event of a batch is due, zero if none is.
+func (l *Ledger) earliestDue(start time.Time) time.Time {
+	b := batch{}
+	for _, h := range l.held {
+		if h.readsAt.Equal(start) {
+			b.add(0, h.due)
+		}
 	}
+	return b.due
 }
 
 // Ask decides on a request.
 func (l *Ledger) Ask(now time.Time, r Request) Decision {
 	l.expire(now)
+	l.startQueued(now)
 	l.Release(now, r.ID)
 	d := Decision{Load: l.load(now)}
 	switch {
@@ -206,20 +269,14 @@
 		return d.refused(ReasonUnknown)
 	case d.Load.Loading:
 		return d.refused(ReasonLoading)
-	case d.Load.Version == 0 || r.Version != 0 && r.Version != d.Load.Version:
+	case d.Load.Version == 0, r.Version != 0 && r.Version != d.Load.Version: // 0: it holds no weights
 		return d.refused(ReasonVersion)
 	}
 	p := l.predict(now, r, d.Load)
 	d.Wait, d.FirstEvent, d.End = p.wait, p.first, p.end
 	if reason := l.judge(now, r, p); reason != ReasonNone {
-		d = d.refused(reason)
-		switch reason {
-		case ReasonFull:
-			d.Again = max(p.wait-l.budget(r), 0) + l.scaled(l.engine.RequestTime())/2
-		case ReasonRank:
-			d.Again = p.slot
-		}
-		return d
+		d.Again = l.again(r, p, reason)
+		return d.refused(reason)
 	}
 	l.grant(now, r, p)
 	d.Granted = true
@@ -241,7 +298,7 @@
 	read          time.Duration
 	first, latest time.Duration
 	end           time.Duration
-	batch         batch // without its own prompt
+	batch         batch // without its own prompt; only start for a request without a slot
 }
 
 // predict predicts how a request would be served.
@@ -250,12 +307,15 @@
 	ahead := load.Running + load.Waiting + load.Reserved
 	p.spare = l.engine.Slots - ahead
 	p.free = p.spare > 0
+	pass := l.scaled(l.engine.PassTime())
+	p.batch = l.batchFor(now)
+	p.wait = max(p.batch.start.Sub(now)-pass/2+p.batch.read, 0)
 	if !p.free {
-		p.slot = time.Duration(ahead-l.engine.Slots+1) * l.scaled(l.engine.RequestTime())
+		// Slots become free one after the other, so that its prompt is read with no other.
+		p.slot = time.Duration(1-p.spare) * l.scaled(l.engine.RequestTime())
+		p.batch = batch{start: now.Add(p.slot)}
+		p.wait = max(p.wait, p.slot)
 	}
-	p.batch = l.batchFor(now.Add(p.slot))
-	pass := l.scaled(l.engine.PassTime())
-	p.wait = max(p.slot, p.batch.start.Sub(now)-pass/2+p.batch.read)
 	p.read = l.scaled(l.engine.PrefillTime(r.Prompt))
 	p.first = p.wait + p.read + time.Duration(passesToFirstEvent*float64(pass))
 	p.latest = p.wait + p.read + time.Duration(latestPasses*float64(pass))
@@ -292,13 +352,15 @@
 // judge returns why a request is refused, ReasonNone if it is granted.
 func (l *Ledger) judge(now time.Time, r Request, p prediction) Reason {
 	switch {
-	case !r.Resumed && (!p.free && excluded(r) || r.Retry && p.spare < retrySpare):
+	case r.Retry && !r.Resumed && p.spare < retrySpare:
+		return ReasonRetry
+	case !p.free && !r.Resumed && excluded(r):
 		return ReasonRank
 	case p.wait > l.budget(r), !p.batch.due.IsZero() && now.Add(p.first).After(p.batch.due):
 		return ReasonFull
-	case p.free && r.Anyway:
+	case p.free && r.AcceptLate:
 		return ReasonNone
-	case r.Due > 0 && p.latest > r.Due, l.pauses(now, p), r.Answer > 0 && p.end > r.Left:
+	case r.Due > 0 && p.latest > r.Due, l.pausesStreams(p), r.Answer > 0 && p.end > r.Left:
 		if !p.free {
 			return ReasonFull
 		}
@@ -307,6 +369,19 @@
 	return ReasonNone
 }
 
+// again returns when a request like one that is refused is predicted to be granted, 0 if that is not known.
+func (l *Ledger) again(r Request, p prediction, reason Reason) time.Duration {
+	switch reason {
+	case ReasonFull:
+		return max(p.wait-l.budget(r), 0) + l.scaled(l.engine.RequestTime())/2
+	case ReasonRank:
+		return p.slot
+	case ReasonRetry:
+		return time.Duration(retrySpare-p.spare) * l.scaled(l.engine.RequestTime())
+	}
+	return 0
+}
+
 // excluded reports whether the weight of its rank excludes a request from an engine's queue. It is the
 // same at all engines, so that a request is not admitted by asking others.
 func excluded(r Request) bool {
@@ -317,25 +392,33 @@
 	return float64(rendezvous.Hash(r.ID))/math.MaxUint64 >= weight
 }
 
-// pauses reports whether reading the request's prompt would hold up running streams for too long.
-func (l *Ledger) pauses(now time.Time, p prediction) bool {
-	if l.report.Running == 0 || l.gap == 0 || now.Sub(l.gapAt) > gapMemory {
+// pausesStreams reports whether reading the request's prompt would pause running streams for too long.
+func (l *Ledger) pausesStreams(p prediction) bool {
+	least := time.Duration(0)
+	for _, h := range l.held {
+		if h.gap > 0 && (least == 0 || h.gap < least) {
+			least = h.gap
+		}
+	}
+	if l.report.Running == 0 || least == 0 {
 		return false
 	}
-	pause := l.scaled(l.engine.PassTime()) + p.batch.read + p.read
-	return pause > time.Duration(gapShare*float64(l.gap))
+	return l.scaled(l.engine.PassTime())+p.batch.read+p.read > time.Duration(gapShare*float64(least))
 }
 
 // grant records a reservation.
 func (l *Ledger) grant(now time.Time, r Request, p prediction) {
-	l.open[r.ID] = open{at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read, batch: p.batch.start}
-	l.batch = p.batch
-	l.batch.read += p.read
-	if due := now.Add(r.Due); r.Due > 0 && (l.batch.due.IsZero() || due.Before(l.batch.due)) {
-		l.batch.due = due
+	h := held{at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read, readsAt: p.batch.start, gap: r.Gap}
+	if r.Due > 0 {
+		h.due = now.Add(r.Due)
 	}
-	l.reads, l.readsAt = l.decayedReads(now)+p.read, now
-	if r.Gap > 0 && (l.gap == 0 || r.Gap <= l.gap || now.Sub(l.gapAt) > gapMemory) {
-		l.gap, l.gapAt = r.Gap, now
+	l.held[r.ID] = h
+	if p.free {
+		l.batch = p.batch
+		l.batch.add(h.read, h.due)
+	} else {
+		l.queued = append(l.queued, batch{start: h.readsAt, read: h.read, due: h.due})
+		slices.SortStableFunc(l.queued, func(a, b batch) int { return a.start.Compare(b.start) })
 	}
+	l.reads, l.readsAt = l.decayedReads(now)+p.read, now
 }
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -17,7 +17,7 @@
 // Request is a request for which an entry asks for a slot. Durations count from the moment at which it
 // is asked.
 type Request struct {
-	// ID is the request's; asking again with the same id replaces the reservation.
+	// ID identifies the attempt; asking again with the same id replaces the reservation.
 	ID string
 	// Rank and Weight are those of package urgency; a Weight of 0 counts as 1.
 	Rank   int
@@ -40,8 +40,8 @@
 	Left time.Duration
 	// Version is the required version of the weights; 0 is any.
 	Version uint64
-	// Anyway accepts a free slot even if the request will be late.
-	Anyway bool
+	// AcceptLate accepts a free slot even if the request will be late there.
+	AcceptLate bool
 }
 
 // Reason is why a request was refused.
@@ -57,15 +57,17 @@
 	ReasonLoading
 	// ReasonSlow: a slot is free, but the request would be late here, or would hold up others.
 	ReasonSlow
-	// ReasonRank: all slots are taken, and more urgent requests, or first attempts, have the next ones.
+	// ReasonRank: all slots are taken, and more urgent requests have the next ones.
 	ReasonRank
+	// ReasonRetry: so few slots are free that first attempts have them.
+	ReasonRetry
 	// ReasonVersion: the engine holds another version of the weights.
 	ReasonVersion
 	// ReasonUnknown: the engine's state is not known, or another engine was meant.
 	ReasonUnknown
 )
 
-var reasonNames = [...]string{"", "full", "loading", "slow", "rank", "version", "unknown"}
+var reasonNames = [...]string{"", "full", "loading", "slow", "rank", "retry", "version", "unknown"}
 
 // String returns the reason's name on the wire and in logs.
 func (r Reason) String() string { return reasonNames[r] }
@@ -92,12 +94,20 @@
 	Load  Load
 }
 
+// Result returns the name of a decision in metrics and logs: granted, or the reason of the refusal.
+func (d Decision) Result() string {
+	if d.Granted {
+		return "granted"
+	}
+	return d.Reason.String()
+}
+
 // Load is the state of an engine at the time of a decision.
 type Load struct {
 	Running, Waiting int
 	// Reserved requests have not arrived yet, including the one that was just granted.
 	Reserved int
-	// Pace is how many times as long as usual work takes; at least some hundredth.
+	// Pace is how many times as long as usual work takes, 1 if the engine does not report it.
 	Pace float64
 	// Age is that of the engine's report.
 	Age time.Duration
--- a/internal/reservation/server/metrics.go
+++ b/internal/reservation/server/metrics.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,37 +15,37 @@
 type Metrics struct {
 	decided *prometheus.CounterVec
 	wait    prometheus.Histogram
-	open    prometheus.Gauge
+	// held returns the number of reservations; nil before there is a server.
+	held atomic.Pointer[func() int]
 }
 
-// resultGranted is the label of granted requests; refused ones have their reason.
-const resultGranted = "granted"
-
 // NewMetrics returns metrics registered with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		decided: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lynxgate_reservations_decided_total", Help: "Requests of entries for a slot of the engine, by result: granted, or the reason of the refusal.",
-		}, []string{"result"}),
+			Name: "lynxgate_reservations_decided_total", Help: "Requests of entries for a slot of the engine, by rank (0 is the most urgent) and by result: granted, or the reason of the refusal.",
+		}, []string{"rank", "result"}),
 		wait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lynxgate_reservations_predicted_wait_seconds", Help: "Predicted wait of granted requests for a slot and for the prompts before theirs.",
 			Buckets: []float64{0.005, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1},
 		}),
-		open: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "lynxgate_reservations_open", Help: "Reservations that were not released.",
-		}),
 	}
-	r.MustRegister(m.decided, m.wait, m.open)
+	r.MustRegister(m.decided, m.wait, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lynxgate_reservations_open", Help: "Reservations that were not released.",
+	}, func() float64 {
+		if held := m.held.Load(); held != nil {
+			return float64((*held)())
+		}
+		return 0
+	}))
 	return m
 }
 
-func (m *Metrics) observe(d reservation.Decision) {
+func (m *Metrics) observe(rank int, d reservation.Decision) {
+	m.decided.WithLabelValues(strconv.Itoa(rank), d.Result()).Inc()
 	if d.Granted {
-		m.decided.WithLabelValues(resultGranted).Inc()
 		m.wait.Observe(d.Wait.Seconds())
-		return
 	}
-	m.decided.WithLabelValues(d.Reason.String()).Inc()
 }
 
 // decisionsInterval is the least time between two log lines about decisions.
@@ -55,20 +57,17 @@
 	counts map[string]int
 }
 
-// note counts a decision. Once an interval in which requests were refused it writes the counts.
+// note counts a decision. The first one after an interval in which requests were refused writes a line with the counts.
 func (d *decisions) note(now time.Time, decided reservation.Decision, log zerolog.Logger) {
 	if d.counts == nil {
 		d.counts, d.since = map[string]int{}, now
 	}
-	result := resultGranted
-	if !decided.Granted {
-		result = decided.Reason.String()
-	}
-	d.counts[result]++
+	d.counts[decided.Result()]++
 	if now.Sub(d.since) < decisionsInterval {
 		return
 	}
-	if d.counts[resultGranted] < d.total() {
+	granted := d.counts[reservation.Decision{Granted: true}.Result()]
+	if granted < d.total() {
 		event := log.Info().Int("running", decided.Load.Running).Int("waiting", decided.Load.Waiting).Float64("pace", decided.Load.Pace).
 			Dur("report_age_ms", decided.Load.Age)
 		for result, n := range d.counts {
--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -18,6 +18,7 @@
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/reservation"
+	"lynxgate.dev/lynxgate/internal/reservation/wire"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/staging"
 )
@@ -26,7 +27,7 @@
 	// reportReuse is the age up to which a report serves further decisions: an engine finishes a
 	// request each 100 ms.
 	reportReuse = 5 * time.Millisecond
-	// reportWait is how long a decision waits for a report. Entries wait 15 to 40 ms for the decision.
+	// reportWait is how long a decision waits for a report. Entries wait 15 to 25 ms for the decision.
 	reportWait = 10 * time.Millisecond
 	// reportTimeout bounds one request to the engine for its report.
 	reportTimeout = 1 * time.Second
@@ -56,11 +57,27 @@
 	// observedAt is when the newest report was requested.
 	observedAt time.Time
 	born       int64
+	loading    bool
 	decisions  decisions
 }
 
 // New returns a server without reservations.
-func New(cfg Config) *Server { return &Server{cfg: cfg} }
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	held := s.held
+	cfg.Metrics.held.Store(&held)
+	return s
+}
+
+// held returns the number of reservations that were not released.
+func (s *Server) held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ledger == nil {
+		return 0
+	}
+	return s.ledger.Held(clock.Now())
+}
 
 // Register registers the rpc.Reservations service for entries.
 func (s *Server) Register(mux drpc.Mux) error { return rpc.DRPCRegisterReservations(mux, s) }
@@ -70,6 +87,7 @@
 func (s *Server) SetLoading(loading bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.loading = loading
 	if s.updateEngine() {
 		s.ledger.SetLoading(loading)
 	}
@@ -85,12 +103,11 @@
 	d := reservation.Decision{Reason: reservation.ReasonUnknown}
 	now := clock.Now()
 	if s.meant(req.Addr, req.Born) && s.updateEngine() {
-		d = s.ledger.Ask(now, requestFromProto(req))
-		s.cfg.Metrics.open.Set(float64(s.ledger.Open()))
+		d = s.ledger.Ask(now, wire.RequestFromProto(req))
 	}
-	s.cfg.Metrics.observe(d)
+	s.cfg.Metrics.observe(int(req.Rank), d)
 	s.decisions.note(now, d, s.cfg.Logger)
-	return decisionToProto(d), nil
+	return wire.DecisionToProto(d), nil
 }
 
 // Release ends a reservation.
@@ -99,7 +116,6 @@
 	defer s.mu.Unlock()
 	if s.ledger != nil && s.meant(req.Addr, req.Born) {
 		s.ledger.Release(clock.Now(), req.Id)
-		s.cfg.Metrics.open.Set(float64(s.ledger.Open()))
 	}
 	return &rpc.ReleaseResponse{}, nil
 }
@@ -122,6 +138,7 @@
 	switch {
 	case s.ledger == nil:
 		s.ledger = reservation.New(service.Engine)
+		s.ledger.SetLoading(s.loading)
 	case s.engine != service.Engine:
 		s.ledger.SetEngine(service.Engine)
 	}
@@ -163,12 +180,12 @@
 		return nil
 	}
 	s.observedAt, s.born = asked, report.Born
-	held := fleet.BackendServer{Models: report.Models}
 	r := reservation.Report{
 		StartUnixMs: report.Born, Running: report.Running, Waiting: report.Waiting, Pace: report.Pace, Busy: report.Busy,
 	}
-	for _, model := range s.engine.Models {
-		r.Version = max(r.Version, held.Holds(model, s.engine.Layers))
+	if len(s.engine.Models) > 0 { // agents load the first one
+		loaded := fleet.BackendServer{Models: report.Models}
+		r.Version = loaded.Holds(s.engine.Models[0], s.engine.Layers)
 	}
 	s.ledger.Observe(clock.Now(), r)
 	return nil
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -75,6 +75,17 @@
 	return r
 }
 
+// noPriority is the priority of an organisation that has none.
+const noPriority = -1
+
+// place returns the position of a priority in the order, the last one if it is not there.
+func place(order []int, priority int) int {
+	if i := slices.Index(order, priority); i >= 0 {
+		return i
+	}
+	return max(len(order)-1, 0)
+}
+
 func distinct(values []int) []int {
 	slices.Sort(values)
 	return slices.Compact(values)
@@ -86,16 +97,16 @@
 func (r *Ranks) Enabled(service string) bool { return r != nil && len(r.routes[service]) > 1 }
 
 // Of returns the rank of requests of a route and an organisation, which may be nil, to a service. The
-// organisation's priority goes before the route's.
+// organisation's priority goes before the route's. A route or organisation without a place in the order, such as
+// one without a priority, comes last, so that an omission gains nothing.
 func (r *Ranks) Of(service string, route *fleet.Route, org *fleet.Organisation) Rank {
 	if !r.Enabled(service) {
 		return unranked
 	}
 	routes := r.routes[service]
-	byRoute := max(slices.Index(routes, route.Priority), 0)
-	byOrganisation := 0
-	if org != nil && org.Priority >= 0 {
-		byOrganisation = max(slices.Index(r.organisations, org.Priority), 0)
+	byRoute, byOrganisation := place(routes, route.Priority), place(r.organisations, noPriority)
+	if org != nil {
+		byOrganisation = place(r.organisations, org.Priority)
 	}
 	index := byOrganisation*len(routes) + byRoute
 	return Rank{
--- a/internal/urgency/urgency_test.go
+++ b/internal/urgency/urgency_test.go
@@ -46,6 +46,13 @@
 	assert.Equal(t, r.Of("model", &fleet.Route{Priority: 1}, nil), r.Of("model", &fleet.Route{Priority: 1}, &fleet.Organisation{Priority: -1}))
 }
 
+// A route without streams, or a caller without an organisation, must not become the most urgent by omission.
+func TestWithoutAPlaceInTheOrderComesLast(t *testing.T) {
+	r := New(table(0, 1, 2))
+	assert.Equal(t, 5, r.Of("model", &fleet.Route{Priority: 9}, nil).Index)
+	assert.Equal(t, 5, r.Of("model", &fleet.Route{Priority: 2}, &fleet.Organisation{Priority: -1}).Index)
+}
+
 // No rank may be starved, and none may be served less than a less urgent one.
 func TestWeightsAndPrioritiesFollowUrgency(t *testing.T) {
 	r := New(table(0, 1, 2))
