Crash check: a probe without a result is not an accepted connection

Cause: the check made one connection attempt of 150 ms and took a timeout for "not crashed", so that a crash was not counted when the entry got no processor time for the attempt. TestHeldWorkOutlivesALossOfAllPower then saw four servers crash where three are allowed; that its recorded failure had this cause is not shown. Change: up to three attempts, 50 ms apart; the first result decides. A VM that answers none still ends the check after 150 ms as not crashed. A timer that expires during a stall of the process ends one interval only. Ruled out: two attempts of 150 ms in turn (callers would wait 300 ms for a dead VM), attempts of 50 ms (a round trip to another region is 100 ms), recording after the request has gone on (an answer by then would have to clear it).

--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -11,13 +11,18 @@
 	"github.com/rs/zerolog"
 
 	"lynxgate.dev/lynxgate/internal/balance"
+	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 )
 
 const (
-	// crashCheckTimeout limits the check whether a server has crashed: its VM accepts or refuses a
-	// connection within a round trip.
-	crashCheckTimeout = 150 * time.Millisecond
+	// The check whether a server has crashed starts crashProbes connection attempts, one each
+	// crashProbeInterval, and ends one interval after the last: requests that wait for it have an
+	// objective of 100 to 500 ms. The first attempt covers a round trip of 100 ms to another region.
+	// A single attempt bounded by 150 ms stays without a result if this process gets no processor time
+	// for it, and the crash is not counted.
+	crashProbes        = 3
+	crashProbeInterval = 50 * time.Millisecond
 	// maxTurnWait is how long a request with suspect content waits for its turn. A request that
 	// crashes its server does so within about 0.1 s; one that does not is answered, or runs for
 	// longer than other callers with the same content can wait.
@@ -176,7 +181,7 @@
 }
 
 // hasCrashed reports whether a server that closed a connection has crashed: its VM refuses new ones.
-// A server that accepts one has closed only some, and one that doesn't answer is unreachable, or
+// A server that accepts one has closed only some, and one that answers no probe is unreachable, or
 // its VM has lost power; neither says anything about the request. Concurrent calls share one
 // check.
 func (s *suspicions) hasCrashed(server *balance.Server) bool {
@@ -193,11 +198,32 @@
 }
 
 func (s *suspicions) checkCrash(server *balance.Server, check *crashCheck) {
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	check.crashed = errors.Is(server.Pool.Probe(ctx), syscall.ECONNREFUSED)
+	check.crashed = refusesConnections(server.Pool)
 	s.mu.Lock()
 	delete(s.checks, server)
 	s.mu.Unlock()
 	close(check.done)
 }
+
+// refusesConnections probes until an attempt has a result. Attempts that have none yet go on beside
+// the later ones. They have no deadline of their own: a timer that expires while the process is
+// stalled ends one interval, whatever the length of the stall.
+func refusesConnections(pool *dispatch.Pool) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	results := make(chan error, crashProbes)
+	for range crashProbes {
+		go func() { results <- pool.Probe(ctx) }()
+		select {
+		case err := <-results:
+			return errors.Is(err, syscall.ECONNREFUSED)
+		case <-time.After(crashProbeInterval):
+		}
+	}
+	select {
+	case err := <-results: // it arrived together with the last timer
+		return errors.Is(err, syscall.ECONNREFUSED)
+	default:
+		return false
+	}
+}
