--- a/cmd/lynxctl/explain.go
+++ b/cmd/lynxctl/explain.go
@@ -20,7 +20,8 @@
 func (*explainCommand) Usage() string {
 	return `lynxctl explain REQUEST-ID FILE...
   Reads the logs of daemons and prints all lines that name the request, and those
-  about its backend servers, in order, with the line that decided how it ended.
+  about its backend servers, in order, with the line that decided how it ended,
+  its rank, and what the agents have decided that were asked for a slot.
 `
 }
 func (*explainCommand) SetFlags(*flag.FlagSet) {}
@@ -51,5 +52,8 @@
 		fmt.Fprintln(c.env.stdout, mark, l.Text)
 	}
 	fmt.Fprintln(c.env.stdout, "cause:", report.Cause)
+	for _, statement := range report.Reservation {
+		fmt.Fprintln(c.env.stdout, statement)
+	}
 	return exitOK
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -47,6 +47,8 @@
 	// Ended is true when the logs contain the last line of the request.
 	Ended bool
 	Cause string
+	// Reservation says how the request was ranked and what agents have decided on it, one statement each.
+	Reservation []string
 }
 
 // Read collects the log lines of a request and of its backend servers. It
@@ -180,6 +182,7 @@
 		r.Deciding = end
 	}
 	r.Cause = cause(l, r.Lines[r.Deciding])
+	r.Reservation = l.reservation()
 }
 
 // crashedServers formats the servers that crashed on the same request content.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -90,8 +90,10 @@
 	// committed: the head of the answer has been written to the caller.
 	committed bool
 	// status and reason are the result, for the log and the counters.
-	status     int
-	reason     string
+	status int
+	reason string
+	// advised is the Retry-After of a refusal.
+	advised    time.Duration
 	events     int
 	firstEvent time.Duration
 	// longestGap is the longest pause between events, eventAt the time of the last one.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -201,6 +201,9 @@
 	}
 	c.describeSize(event)
 	c.describeReservation(event)
+	if c.advised > 0 {
+		event.Dur("retry_after_ms", c.advised)
+	}
 	if c.waited > 0 {
 		event.Dur("waited_ms", c.waited)
 	}
--- a/internal/gateway/retry_after_test.go
+++ b/internal/gateway/retry_after_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -67,3 +68,19 @@
 		assert.LessOrEqual(t, c.retryAfter(), time.Second, "five objectives")
 	}
 }
+
+// Guards against log lines from which it cannot be told when a refused caller was told to return.
+func TestLogStatesWhatARefusedCallerWasTold(t *testing.T) {
+	empty := newBackend(t, "b-1", good)
+	e := newEntry(t, empty)
+	e.onlyEngines()
+	e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(empty.URL, "http://")})
+	a := e.ask(t, "POST", "/stream/1")
+	told, err := strconv.ParseFloat(a.head.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	found := regexp.MustCompile(`"retry_after_ms":([0-9.]+)`).FindStringSubmatch(e.logs.String())
+	require.NotNil(t, found, e.logs.String())
+	logged, err := strconv.ParseFloat(found[1], 64)
+	require.NoError(t, err)
+	assert.InDelta(t, 1000*told, logged, 1, "the header has whole milliseconds")
+}
