lynxctl capacity sums demand by rank, asks and decisions; agents have gauges of slots, running requests and pace

Cause: operators had to add the metrics of many daemons to see which rank or zone is refused. Metrics name no zone; the argument NAME= groups daemons.

Run: go test ./cmd/lynxctl ./internal/reservation/server, all pass.

--- a/cmd/lynxctl/main.go
+++ b/cmd/lynxctl/main.go
@@ -63,6 +63,7 @@
 	commander.Register(&getCommand{env: env}, groupShow)
 	commander.Register(&statusCommand{env: env}, groupShow)
 	commander.Register(&auditCommand{env: env}, groupShow)
+	commander.Register(&capacityCommand{env: env}, groupShow)
 	commander.Register(&checkCommand{env: env}, groupFiles)
 	commander.Register(&explainCommand{env: env}, groupFiles)
 	commander.Register(&manifestCommand{env: env}, groupFiles)
--- a/internal/reservation/server/metrics.go
+++ b/internal/reservation/server/metrics.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +15,8 @@
 	decided *prometheus.CounterVec
 	wait    prometheus.Histogram
 	open    prometheus.Gauge
+	// Gauges of the engine as of its last report.
+	slots, running, pace prometheus.Gauge
 }
 
 // resultGranted is the label of granted requests; refused ones have their reason.
@@ -32,11 +35,27 @@
 		open: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_reservations_open", Help: "Reservations that were not released.",
 		}),
+		slots: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_reservations_slots", Help: "Slots of the engine by the configuration in force.",
+		}),
+		running: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_reservations_running", Help: "Requests that run at the engine, as of the last request for a slot.",
+		}),
+		pace: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_reservations_pace", Help: "How many times as long as usual the engine's work takes, as of the last request for a slot.",
+		}),
 	}
-	r.MustRegister(m.decided, m.wait, m.open)
+	r.MustRegister(m.decided, m.wait, m.open, m.slots, m.running, m.pace)
 	return m
 }
 
+// reported sets the gauges of the engine.
+func (m *Metrics) reported(slots int, r reservation.Report) {
+	m.slots.Set(float64(slots))
+	m.running.Set(float64(r.Running))
+	m.pace.Set(cmp.Or(r.Pace, 1))
+}
+
 func (m *Metrics) observe(d reservation.Decision) {
 	if d.Granted {
 		m.decided.WithLabelValues(resultGranted).Inc()
--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -171,5 +171,6 @@
 		r.Version = max(r.Version, held.Holds(model, s.engine.Layers))
 	}
 	s.ledger.Observe(clock.Now(), r)
+	s.cfg.Metrics.reported(s.engine.Slots, r)
 	return nil
 }
