--- a/internal/reservation/server/metrics.go
+++ b/internal/reservation/server/metrics.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,8 @@
 	wait    prometheus.Histogram
 	// held returns the number of reservations; nil before there is a server.
 	held atomic.Pointer[func() int]
+	// Gauges of the engine as of its last report.
+	slots, running, pace prometheus.Gauge
 }
 
 // NewMetrics returns metrics registered with r.
@@ -29,8 +32,17 @@
 			Name: "lynxgate_reservations_predicted_wait_seconds", Help: "Predicted wait of granted requests for a slot and for the prompts before theirs.",
 			Buckets: []float64{0.005, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1},
 		}),
+		slots: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_reservations_slots", Help: "Slots of the engine by the configuration in force.",
+		}),
+		running: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_reservations_running", Help: "Requests that run at the engine, as of the last request for a slot.",
+		}),
+		pace: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_reservations_pace", Help: "How many times as long as usual the engine's work takes, as of the last request for a slot.",
+		}),
 	}
-	r.MustRegister(m.decided, m.wait, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	r.MustRegister(m.decided, m.wait, m.slots, m.running, m.pace, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "lynxgate_reservations_open", Help: "Reservations that were not released.",
 	}, func() float64 {
 		if held := m.held.Load(); held != nil {
@@ -41,6 +53,13 @@
 	return m
 }
 
+// reported sets the gauges of the engine.
+func (m *Metrics) reported(slots int, r reservation.Report) {
+	m.slots.Set(float64(slots))
+	m.running.Set(float64(r.Running))
+	m.pace.Set(cmp.Or(r.Pace, 1))
+}
+
 func (m *Metrics) observe(rank int, d reservation.Decision) {
 	m.decided.WithLabelValues(strconv.Itoa(rank), d.Result()).Inc()
 	if d.Granted {
--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -188,5 +188,6 @@
 		r.Version = loaded.Holds(s.engine.Models[0], s.engine.Layers)
 	}
 	s.ledger.Observe(clock.Now(), r)
+	s.cfg.Metrics.reported(s.engine.Slots, r)
 	return nil
 }
