First attempts with varying deadlines are told from client retries without a sample

Change: without a sample a client retry is one that states less than the longest recent deadline by the shortest time that refused callers were told to wait.

--- a/internal/waiting/deadlines.go
+++ b/internal/waiting/deadlines.go
@@ -16,9 +16,11 @@
 	// tolerance is the fraction of the lowest usual deadline down to which a deadline counts as
 	// usual: callers subtract some milliseconds for the network.
 	tolerance = 0.99
-	// defaultShare of the route's timeout, or of the longest recent deadline, is the lowest usual one until
-	// enough deadlines were learned: callers state the same, or a little less.
+	// defaultShare of the route's timeout, or of the longest recent deadline, is the highest that the lowest usual one
+	// can be until enough deadlines were learned: callers state the same, or less.
 	defaultShare = 0.97
+	// retryShareOfLeft: callers wait for at most a third of the time that they have left.
+	retryShareOfLeft = 3
 	// recentDeadlines is for how long a deadline counts as recent. First attempts arrive at any time, so that
 	// after recentKnown the longest recent deadline is one of theirs: refused callers return within 2 s.
 	recentDeadlines = 5 * time.Second
@@ -38,6 +40,10 @@
 type Deadlines struct {
 	routes      map[string]*sample
 	pausedUntil time.Time
+	// shortest is the shortest time until its retry that a refused caller was told lately, 0 if none was;
+	// shortestAt is when it was.
+	shortest   time.Duration
+	shortestAt time.Time
 }
 
 // sample holds the most recent deadlines, and the lowest that counts as usual.
@@ -85,6 +91,15 @@
 	if until := now.Add(after + learningPause); until.After(d.pausedUntil) {
 		d.pausedUntil = until
 	}
+	if d.shortest == 0 || after <= d.shortest || now.Sub(d.shortestAt) > 2*recentDeadlines {
+		d.shortest, d.shortestAt = after, now
+	}
+}
+
+// lowestUsual returns the lowest deadline that counts as usual where the longest one is this and none was learned: a
+// client retry states less by the time that it was told to wait.
+func (d *Deadlines) lowestUsual(longest time.Duration) time.Duration {
+	return min(time.Duration(defaultShare*float64(longest)), longest-min(d.shortest, longest/retryShareOfLeft))
 }
 
 // IsClientRetry reports whether a request with this deadline, on a route with this timeout, is a
@@ -103,7 +118,7 @@
 	// Callers may state far less than the route's timeout, and less than before. Judged by these alone, all
 	// first attempts could count as client retries for as long as callers are refused.
 	if len(s.seen) < minSample {
-		return deadline < time.Duration(defaultShare*float64(longest))
+		return deadline < d.lowestUsual(longest)
 	}
 	return deadline < time.Duration(tolerance*float64(min(s.low, longest)))
 }
