--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -139,7 +139,11 @@
 
 // refuse answers a request that has not run and will not run, and suggests when to retry it.
 func (c *call) refuse(status int, reason string, retryAfter time.Duration) {
-	c.g.queues.refused(clock.Now(), retryAfter)
+	first := "" // the route of a first attempt
+	if c.route != nil && !c.clientRetry {
+		first = c.route.Name
+	}
+	c.g.queues.refused(clock.Now(), first, retryAfter)
 	c.advised = retryAfter
 	seconds := strconv.FormatFloat(retryAfter.Truncate(time.Millisecond).Seconds(), 'f', 3, 64)
 	c.w.Header().Set("Retry-After", seconds)
--- a/internal/gateway/wait_queue.go
+++ b/internal/gateway/wait_queue.go
@@ -71,11 +71,15 @@
 	maps.DeleteFunc(q.allowances, func(service string, _ *waiting.Allowance) bool { return t.Service(service) == nil })
 }
 
-// refused records that a caller was refused with this retry delay.
-func (q *waitQueues) refused(now time.Time, after time.Duration) {
+// refused records that a caller was refused with this retry delay; route is empty for a client retry.
+func (q *waitQueues) refused(now time.Time, route string, after time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.deadlines.Refused(now, after)
+	if route == "" {
+		q.deadlines.Refused(now, after)
+		return
+	}
+	q.deadlines.RefusedFirst(now, route, after)
 }
 
 // hasFirstAttempts reports whether requests other than client retries wait for a service that may
--- a/internal/gateway/wait_queue_test.go
+++ b/internal/gateway/wait_queue_test.go
@@ -61,7 +61,7 @@
 
 func TestSlotGoesToAFirstAttemptBeforeAClientRetry(t *testing.T) {
 	e, b := fullEngine(t)
-	e.queues.refused(time.Now(), time.Second) // after a refusal, short deadlines mark client retries
+	e.queues.refused(time.Now(), "", time.Second) // after a refusal, short deadlines mark client retries
 	ended := make(chan int, 2)
 	ask := func(name, wait string) {
 		a := e.ask(t, "POST", "/stream/"+name, func(r *http.Request) { r.Header.Set(headers.DeadlineMs, wait) })
--- a/internal/waiting/deadlines.go
+++ b/internal/waiting/deadlines.go
@@ -40,10 +40,6 @@
 type Deadlines struct {
 	routes      map[string]*sample
 	pausedUntil time.Time
-	// shortest is the shortest time until its retry that a refused caller was told lately, 0 if none was;
-	// shortestAt is when it was.
-	shortest   time.Duration
-	shortestAt time.Time
 }
 
 // sample holds the most recent deadlines, and the lowest that counts as usual.
@@ -54,6 +50,10 @@
 	// longest is the longest deadline since began, before that of the period before.
 	longest, before time.Duration
 	began           time.Time
+	// shortest is the shortest time until its retry that a refused first attempt was told lately, 0 if none was;
+	// shortestAt is when it was.
+	shortest   time.Duration
+	shortestAt time.Time
 }
 
 // note records a deadline, whoever states it, and returns the longest recent one, most while it is not known.
@@ -91,25 +91,37 @@
 	if until := now.Add(after + learningPause); until.After(d.pausedUntil) {
 		d.pausedUntil = until
 	}
-	if d.shortest == 0 || after <= d.shortest || now.Sub(d.shortestAt) > 2*recentDeadlines {
-		d.shortest, d.shortestAt = after, now
+}
+
+// RefusedFirst records that a first attempt on a route was refused with this time until its retry, which will state
+// less than usual by as much.
+func (d *Deadlines) RefusedFirst(now time.Time, route string, after time.Duration) {
+	d.Refused(now, after)
+	s := d.sampleOf(route)
+	if s.shortest == 0 || after <= s.shortest || now.Sub(s.shortestAt) > 2*recentDeadlines {
+		s.shortest, s.shortestAt = after, now
+	}
+}
+
+func (d *Deadlines) sampleOf(route string) *sample {
+	s := d.routes[route]
+	if s == nil {
+		s = &sample{}
+		d.routes[route] = s
 	}
+	return s
 }
 
 // lowestUsual returns the lowest deadline that counts as usual where the longest one is this and none was learned: a
 // client retry states less by the time that it was told to wait.
-func (d *Deadlines) lowestUsual(longest time.Duration) time.Duration {
-	return min(time.Duration(defaultShare*float64(longest)), longest-min(d.shortest, longest/retryShareOfLeft))
+func (s *sample) lowestUsual(longest time.Duration) time.Duration {
+	return min(time.Duration(defaultShare*float64(longest)), longest-min(s.shortest, longest/retryShareOfLeft))
 }
 
 // IsClientRetry reports whether a request with this deadline, on a route with this timeout, is a
 // client retry, and learns the deadline if nobody was refused recently.
 func (d *Deadlines) IsClientRetry(now time.Time, route string, deadline, timeout time.Duration) bool {
-	s := d.routes[route]
-	if s == nil {
-		s = &sample{}
-		d.routes[route] = s
-	}
+	s := d.sampleOf(route)
 	longest := s.note(now, deadline, timeout)
 	if !now.Before(d.pausedUntil) {
 		s.add(deadline)
@@ -118,7 +130,7 @@
 	// Callers may state far less than the route's timeout, and less than before. Judged by these alone, all
 	// first attempts could count as client retries for as long as callers are refused.
 	if len(s.seen) < minSample {
-		return deadline < d.lowestUsual(longest)
+		return deadline < s.lowestUsual(longest)
 	}
 	return deadline < time.Duration(tolerance*float64(min(s.low, longest)))
 }
--- a/internal/waiting/deadlines_test.go
+++ b/internal/waiting/deadlines_test.go
@@ -92,7 +92,7 @@
 	retries := 0
 	for i := range 200 {
 		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
-		d.Refused(now, 800*time.Millisecond)
+		d.RefusedFirst(now, route, 800*time.Millisecond)
 		first := d.IsClientRetry(now, route, timeout/2, timeout)
 		if now.Sub(start) >= recentKnown {
 			assert.False(t, first, "a first attempt states half of the timeout")
@@ -125,7 +125,9 @@
 	misjudged, found := 0, 0
 	for i := range 1000 {
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
-		d.Refused(now, 1500*time.Millisecond)
+		d.RefusedFirst(now, route, 1500*time.Millisecond)
+		d.RefusedFirst(now, "other", 100*time.Millisecond)
+		d.Refused(now, 50*time.Millisecond)
 		first := time.Duration((0.85 + 0.15*draw.Float64()) * float64(timeout))
 		if d.IsClientRetry(now, route, first, timeout) {
 			misjudged++
