Streams that would miss their end at a slow engine are handed over in time

Cause: a stream at an engine 2.5 times as slow ends at its deadline, cut, also where others have free slots. Change: where slots are reserved, a stream whose rate so far puts its end after the deadline, and that would end in time elsewhere, asks another engine's agent, which predicts its end there.

--- /dev/null
+++ b/internal/gateway/end_missed_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/reservation"
+	"lynxgate.dev/lynxgate/internal/standstill"
+)
+
+// grantingAgents grant every request.
+type grantingAgents struct{}
+
+func (grantingAgents) Available(string, time.Time) bool { return true }
+func (grantingAgents) Ask(context.Context, string, int64, time.Duration, reservation.Request) (reservation.Decision, error) {
+	return reservation.Decision{Granted: true, Load: reservation.Load{Pace: 1, Version: 7}}, nil
+}
+func (grantingAgents) Release(string, int64, string) {}
+
+// Guards against streams that are cut at their deadline because their engine is slow, while another one is idle.
+func TestSlowStreamIsHandedOverBeforeItMissesItsEnd(t *testing.T) {
+	standstill.Run(t, testSlowStreamIsHandedOverBeforeItMissesItsEnd)
+}
+
+func testSlowStreamIsHandedOverBeforeItMissesItsEnd(t testing.TB) {
+	const count = 30 // 4.5 s at the first server, of 2 s
+	slow := newBackend(t, "b-slow", slowEvents(count, 150*time.Millisecond))
+	usual := newBackend(t, "b-usual", slowEvents(count, 5*time.Millisecond))
+	e := newEntry(t, slow, usual)
+	e.onlyEngines()
+	e.cfg.Reservations, e.cfg.ReservationMode = grantingAgents{}, ReservationsAlways
+	a := e.ask(t, http.MethodPost, "/stream/x")
+	require.NoError(t, a.err, e.logs.String())
+	assert.Equal(t, slowStream(count), a.body, e.logs.String())
+	assert.Len(t, slow.requests(), 1)
+	assert.Len(t, usual.requests(), 1, "it was handed over once")
+}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -118,7 +118,7 @@
 		return false // suspect content has one attempt at a time
 	}
 	most := max(c.route.MaxAttempts, 1)
-	if why == handoverLoading && c.runs+c.unanswered >= most {
+	if (why == handoverLoading || why == handoverEndMissed) && c.runs+c.unanswered >= most {
 		return false
 	}
 	if w.begun.Load() {
@@ -131,7 +131,7 @@
 // waits to load weights, the caller must not notice the handover.
 func (c *call) handoverWant(why handoverReason) balance.Requirements {
 	want := c.want(retryShare)
-	if why == handoverLoading {
+	if why == handoverLoading || why == handoverEndMissed {
 		want.Budget = c.unnoticedWait(want.Read)
 		want.Free = true
 		want.Due = time.Time{}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -14,6 +14,11 @@
 	// unnoticedShare is the part of the objective within which the other server must be
 	// predicted to continue, so that the caller does not notice the pause.
 	unnoticedShare = 0.6
+	// minEventsForRate is the number of events from which on the rate of a stream is known.
+	minEventsForRate = 6
+	// usualPassFactor is how many passes of an engine of usual pace an event takes: half of the time goes to
+	// the prompts of others.
+	usualPassFactor = 2
 	// streamSilenceTimeout is the time without an event after which a stream is handed over
 	// although its server still writes to others: its connection may be dead. Engines write to
 	// all their requests about every 60 ms, and callers leave after 2 s.
@@ -34,6 +39,8 @@
 	// handoverAnswered: the server answered or refused after all, but later than the other one,
 	// which does not count as silence.
 	handoverAnswered handoverReason = "another server was faster"
+	// handoverEndMissed: the stream is so slow that it will not end before its deadline; elsewhere it may.
+	handoverEndMissed handoverReason = "the stream would not end in time"
 	// handoverLate: a non-streaming answer takes too long.
 	handoverLate handoverReason = "no answer came from the server"
 )
@@ -55,10 +62,29 @@
 		return handoverConnectionSilent
 	case c.g.balancer.LoadingSince(w.server, now, loadingGrace):
 		return handoverLoading
+	case c.missesEnd(now):
+		return handoverEndMissed
 	}
 	return ""
 }
 
+// missesEnd reports whether a stream will not end before its deadline at the rate of its events so far, though it would at
+// an engine of usual pace. Only where slots are reserved: the agent of the other engine predicts its end there.
+func (c *call) missesEnd(now time.Time) bool {
+	e := c.engine()
+	if e == nil || !c.g.reserves(c.service) || !c.mu.TryLock() {
+		return false
+	}
+	defer c.mu.Unlock()
+	if c.received < minEventsForRate {
+		return false
+	}
+	interval := c.eventAt.Sub(c.began.Add(c.firstEvent)) / time.Duration(c.received-1)
+	missing := time.Duration((c.expectedAnswer() + e.Stride - 1) / max(e.Stride, 1))
+	elsewhere := e.PrefillTime(c.promptTokens(e)) + missing*usualPassFactor*e.PassTime()
+	return now.Add(missing*interval).After(c.deadline) && now.Add(elsewhere).Before(c.deadline)
+}
+
 // pausedFor returns the time since the last event; 0 while events are being written, since the
 // caller may read them slowly.
 func (c *call) pausedFor(now time.Time) time.Duration {
--- a/internal/reservation/ledger_test.go
+++ b/internal/reservation/ledger_test.go
@@ -277,3 +277,17 @@
 	}
 	assert.Positive(t, ledger(Report{Pace: math.Inf(1), Running: 12}).Ask(start, ask("a")).Wait)
 }
+
+func BenchmarkAsk(b *testing.B) {
+	l := ledger(Report{Running: 11})
+	r := ask("a")
+	for i := range b.N {
+		now := start.Add(time.Duration(i) * 25 * ms)
+		l.Observe(now, Report{Running: 11, Version: 1})
+		r.ID = ids[i%len(ids)]
+		l.Ask(now, r)
+		l.Release(now, r.ID)
+	}
+}
+
+var ids = []string{"a", "b", "c", "d"}
--- a/internal/reservation/wire/wire_test.go
+++ b/internal/reservation/wire/wire_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
 
 	"lynxgate.dev/lynxgate/internal/reservation"
 )
@@ -24,3 +25,18 @@
 	granted := reservation.Decision{Granted: true}
 	assert.Equal(t, granted, DecisionFromProto(DecisionToProto(granted)))
 }
+
+// Each call costs two messages, whose size must not grow with the fleet: bytes between zones are paid for.
+func TestMessagesAreSmall(t *testing.T) {
+	id := "0123456789abcdef-12"
+	r := reservation.Request{
+		ID: id, Rank: 5, Weight: 0.421875, Retry: true, Prompt: 3880, Answer: 255, Due: 390 * time.Millisecond, Budget: 160 * time.Millisecond,
+		Gap: 400 * time.Millisecond, Left: 6 * time.Second, Version: 12, AcceptLate: true,
+	}
+	assert.LessOrEqual(t, proto.Size(RequestToProto("front-some-zone-a-12", "10.128.100.100:8342", 1790979643269, r)), 150)
+	d := reservation.Decision{
+		Reason: reservation.ReasonLoading, Wait: time.Second, FirstEvent: 2 * time.Second, End: 6 * time.Second, Again: time.Second,
+		Load: reservation.Load{Running: 12, Waiting: 3, Reserved: 3, Pace: 2.5, Age: 5 * time.Millisecond, Version: 12, Loading: true, StartUnixMs: 1790979643269},
+	}
+	assert.LessOrEqual(t, proto.Size(DecisionToProto(d)), 80)
+}
