Agents: the gauge of open reservations also falls without calls

Cause: lynxgate_reservations_open was set only by Reserve and Release. Reservations that end without a call, as those of a killed entry, stayed in it until the next request for a slot; at an engine without requests, for ever.

Change: the gauge is computed when the metrics are read, and the ledger drops what is past its deadline before it counts.

--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -84,7 +84,10 @@
 func (l *Ledger) SetLoading(loading bool) { l.loading = loading }
 
 // Open returns the number of reservations that were not released.
-func (l *Ledger) Open() int { return len(l.open) }
+func (l *Ledger) Open(now time.Time) int {
+	l.expire(now)
+	return len(l.open)
+}
 
 // Observe applies a report of the engine, as of now. A later incarnation of the engine has none of the
 // earlier one's requests.
--- a/internal/reservation/ledger_test.go
+++ b/internal/reservation/ledger_test.go
@@ -106,14 +106,14 @@
 	assert.Zero(t, l.load(later).Reserved)
 	assert.Zero(t, l.Ask(later, ask("c")).Wait)
 	l.Observe(start.Add(10*time.Second), Report{Running: 1, Version: 1})
-	assert.Zero(t, l.Open(), "the rest is dropped after its deadline")
+	assert.Empty(t, l.open, "the rest is dropped after its deadline")
 }
 
 func TestAskingAgainReplacesTheReservation(t *testing.T) {
 	l := ledger(Report{Running: 11})
 	assert.True(t, l.Ask(start, ask("a")).Granted)
 	assert.True(t, l.Ask(start, ask("a")).Granted)
-	assert.Equal(t, 1, l.Open())
+	assert.Equal(t, 1, l.Open(start))
 }
 
 // A restarted agent knows no reservations; requests of entries that ask for none are not known either.
@@ -133,7 +133,7 @@
 		l.Ask(start, ask(fmt.Sprint(i)))
 	}
 	l.Observe(start, Report{StartUnixMs: 2, Version: 1})
-	assert.Zero(t, l.Open())
+	assert.Zero(t, l.Open(start))
 	assert.Zero(t, l.Ask(start, ask("a")).Wait)
 }
 
--- a/internal/reservation/server/metrics.go
+++ b/internal/reservation/server/metrics.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,7 +14,8 @@
 type Metrics struct {
 	decided *prometheus.CounterVec
 	wait    prometheus.Histogram
-	open    prometheus.Gauge
+	// open counts the reservations that were not released, when the metrics are read: they also end without a call.
+	open atomic.Pointer[func() int]
 }
 
 // resultGranted is the label of granted requests; refused ones have their reason.
@@ -29,11 +31,16 @@
 			Name: "lynxgate_reservations_predicted_wait_seconds", Help: "Predicted wait of granted requests for a slot and for the prompts before theirs.",
 			Buckets: []float64{0.005, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1},
 		}),
-		open: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "lynxgate_reservations_open", Help: "Reservations that were not released.",
-		}),
 	}
-	r.MustRegister(m.decided, m.wait, m.open)
+	open := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lynxgate_reservations_open", Help: "Reservations that were not released.",
+	}, func() float64 {
+		if count := m.open.Load(); count != nil {
+			return float64((*count)())
+		}
+		return 0
+	})
+	r.MustRegister(m.decided, m.wait, open)
 	return m
 }
 
--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -60,7 +60,22 @@
 }
 
 // New returns a server without reservations.
-func New(cfg Config) *Server { return &Server{cfg: cfg} }
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	count := s.openReservations
+	cfg.Metrics.open.Store(&count)
+	return s
+}
+
+// openReservations returns the number of reservations that were not released.
+func (s *Server) openReservations() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ledger == nil {
+		return 0
+	}
+	return s.ledger.Open(clock.Now())
+}
 
 // Register registers the rpc.Reservations service for entries.
 func (s *Server) Register(mux drpc.Mux) error { return rpc.DRPCRegisterReservations(mux, s) }
@@ -86,7 +101,6 @@
 	now := clock.Now()
 	if s.meant(req.Addr, req.Born) && s.updateEngine() {
 		d = s.ledger.Ask(now, requestFromProto(req))
-		s.cfg.Metrics.open.Set(float64(s.ledger.Open()))
 	}
 	s.cfg.Metrics.observe(d)
 	s.decisions.note(now, d, s.cfg.Logger)
@@ -99,7 +113,6 @@
 	defer s.mu.Unlock()
 	if s.ledger != nil && s.meant(req.Addr, req.Born) {
 		s.ledger.Release(clock.Now(), req.Id)
-		s.cfg.Metrics.open.Set(float64(s.ledger.Open()))
 	}
 	return &rpc.ReleaseResponse{}, nil
 }
