Reservations: agents of an earlier version are recognised

Cause: drpcmux answers a call of a service that is not registered with a protocol error without a code, while the client looked for the code Unimplemented.

Change: the text of that error is recognised, too. The text is what agents that are deployed already send, so nothing else can tell them apart.

--- a/internal/reservation/client/client.go
+++ b/internal/reservation/client/client.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -132,8 +133,8 @@
 		c.breakers[server] = b
 	}
 	b.duration = min(max(2*b.duration, minBreak), maxBreak)
-	if drpcerr.Code(err) == drpcerr.Unimplemented {
-		b.duration = maxBreak // an agent of an earlier version
+	if isUnknownCall(err) {
+		b.duration = maxBreak
 	}
 	now := clock.Now()
 	if now.After(b.openUntil) { // not for each of several concurrent calls
@@ -144,6 +145,14 @@
 	c.cfg.Metrics.unavailable.Set(float64(len(c.breakers)))
 }
 
+// unknownCall is in the error that drpcmux returns for a call of a service that is not registered; it has no code.
+const unknownCall = "unknown rpc: "
+
+// isUnknownCall reports whether the agent does not know the call: it is of an earlier version.
+func isUnknownCall(err error) bool {
+	return drpcerr.Code(err) == drpcerr.Unimplemented || strings.Contains(err.Error(), unknownCall)
+}
+
 // answered closes the breaker of an agent.
 func (c *Client) answered(server string) {
 	c.mu.Lock()
