Reservations: concurrent failures open the breaker of an agent once

Cause: each of the calls that waited for an agent when it froze doubled the duration of its breaker, so that a freeze of 20 ms with four calls in flight made the agent unavailable for 4 s instead of 0.5 s.

Change: a failure while the breaker is open, of a call made before, does not prolong it.

--- a/internal/reservation/client/client.go
+++ b/internal/reservation/client/client.go
@@ -123,7 +123,8 @@
 	}()
 }
 
-// failed opens the breaker of an agent, for longer with each failure in a row.
+// failed opens the breaker of an agent, for longer with each failure in a row. Calls that were made before it
+// opened do not prolong it.
 func (c *Client) failed(server string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,12 +133,16 @@
 		b = &breaker{}
 		c.breakers[server] = b
 	}
+	now := clock.Now()
+	open, unknown := now.Before(b.openUntil), isUnknownCall(err)
+	if open && !unknown {
+		return // one of several concurrent calls: a short freeze must not count as several failures in a row
+	}
 	b.duration = min(max(2*b.duration, minBreak), maxBreak)
-	if isUnknownCall(err) {
+	if unknown {
 		b.duration = maxBreak
 	}
-	now := clock.Now()
-	if now.After(b.openUntil) { // not for each of several concurrent calls
+	if !open {
 		c.cfg.Logger.Info().AnErr("cause", err).Str("addr", server).Dur("for_ms", b.duration).
 			Msg("agent did not answer; its backend server is judged by reports")
 	}
