Agents: reservations of a killed entry do not take slots until their deadline

Cause: the ledger takes the requests that the engine's report does not count for ones that have not arrived yet. Reservations of a killed entry, and grants that came too late, stayed among the open ones for the deadline of their request and 1 s more. For that time each request of another entry counted twice for 300 ms: as running, and as reserved.

Change: reservations past their lease that the reports of 200 ms do not count are dropped. Not at the first such report, since a release arrives some ms after its request has ended.

Both tests fail without their rule: never dropped (6 of 6 arrived requests counted as reserved), and dropped at the first report.

--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
@@ -12,6 +13,9 @@
 	// lease is how long a reservation counts whose request does not arrive: entries send requests
 	// within some ms, and a killed entry must not keep slots.
 	lease = 300 * time.Millisecond
+	// lostTime is for how long reports must not count reservations past their lease until these are dropped: the release
+	// of a request that has ended at the engine arrives some ms after that, from a busy entry some ten ms.
+	lostTime = 200 * time.Millisecond
 	// arrivalTime is how long a request may take to its engine after it was granted: a
 	// round trip between regions of 4 ms, and the entry's and engine's processing. Until then the
 	// engine's report does not count it.
@@ -69,6 +73,10 @@
 	// reads is the decayed sum of the time for prompts, as of readsAt.
 	reads   time.Duration
 	readsAt time.Time
+	// lost is the least number of reservations past their lease that reports since lostSince did not count;
+	// lostSince is zero if the last report counted them all.
+	lost      int
+	lostSince time.Time
 	// gap is the smallest gap objective of the recent requests, gapAt when it was stated last.
 	gap   time.Duration
 	gapAt time.Time
@@ -95,10 +103,12 @@
 	if l.report.StartUnixMs != 0 && r.StartUnixMs > l.report.StartUnixMs {
 		l.open = map[string]open{}
 		l.foreign, l.batch, l.reads = 0, batch{}, 0
+		l.lost, l.lostSince = 0, time.Time{}
 	}
 	before, known := l.at, l.known
 	l.report, l.at, l.known = r, now, true
 	l.expire(now)
+	l.dropLost(now)
 	least, most := l.foreignBounds(now)
 	foreign := min(max(l.foreign, least), most)
 	if more := foreign - l.foreign; known && more > 0 { // they came since the report before
@@ -122,6 +132,36 @@
 	return max(reported-len(l.open), 0), max(reported-arrived, 0)
 }
 
+// dropLost drops reservations past their lease that all reports of the last lostTime did not count: their entry was killed, or
+// has not received the grant. If they were kept until their deadline, requests that have arrived would be taken for
+// others that have not. Which ones they are is not known; only their number matters.
+func (l *Ledger) dropLost(now time.Time) {
+	var old []string
+	for id, o := range l.open {
+		if now.Sub(o.at) >= lease {
+			old = append(old, id)
+		}
+	}
+	missing := len(old) - l.report.Running - l.report.Waiting
+	switch {
+	case missing <= 0:
+		l.lost, l.lostSince = 0, time.Time{}
+		return
+	case l.lostSince.IsZero():
+		l.lost, l.lostSince = missing, now
+	default:
+		l.lost = min(l.lost, missing)
+	}
+	if now.Sub(l.lostSince) < lostTime {
+		return
+	}
+	slices.SortFunc(old, func(a, b string) int { return l.open[a].at.Compare(l.open[b].at) })
+	for _, id := range old[:l.lost] {
+		delete(l.open, id)
+	}
+	l.lost, l.lostSince = 0, time.Time{}
+}
+
 // expire drops reservations that were never released.
 func (l *Ledger) expire(now time.Time) {
 	for id, o := range l.open {
--- a/internal/reservation/ledger_test.go
+++ b/internal/reservation/ledger_test.go
@@ -109,6 +109,50 @@
 	assert.Empty(t, l.open, "the rest is dropped after its deadline")
 }
 
+// The requests of a killed entry have ended at the engine, but their reservations are never released: as long as they were
+// kept, each request of another entry counted twice for 300 ms, as running and as reserved.
+func TestReservationsOfAKilledEntryTakeNoSlots(t *testing.T) {
+	l := ledger(Report{})
+	small := func(id string) Request {
+		r := ask(id)
+		r.Prompt = 1
+		return r
+	}
+	for i := range 8 {
+		assert.True(t, l.Ask(start, small(fmt.Sprint("killed ", i))).Granted)
+	}
+	l.Observe(start.Add(500*ms), Report{Running: 8, Version: 1})
+	now := start.Add(time.Second)
+	l.Observe(now, Report{Version: 1})
+	assert.Zero(t, l.load(now).Reserved, "the leases have ended")
+	now = now.Add(lease)
+	l.Observe(now, Report{Version: 1})
+	for i := range 6 {
+		assert.True(t, l.Ask(now, small(fmt.Sprint("other ", i))).Granted)
+	}
+	now = now.Add(20 * ms)
+	l.Observe(now, Report{Running: 6, Version: 1})
+	assert.Zero(t, l.load(now).Reserved, "all have arrived")
+}
+
+// A request has ended at its engine some ms before its release arrives: if its reservation were taken for one of a killed
+// entry, that of a running request would be dropped, and its prompt be counted again.
+func TestReservationIsKeptWhileItsReleaseIsOnItsWay(t *testing.T) {
+	l := ledger(Report{})
+	for i := range 4 {
+		l.Ask(start, ask(fmt.Sprint(i)))
+	}
+	now := start
+	for i := range 3 {
+		now = now.Add(lease)
+		l.Observe(now, Report{Running: 3 - i, Version: 1})
+		assert.Equal(t, 4-i, l.Open(now))
+		l.Release(now, fmt.Sprint(i))
+		l.Observe(now.Add(5*ms), Report{Running: 3 - i, Version: 1})
+	}
+	assert.Zero(t, l.foreign)
+}
+
 func TestAskingAgainReplacesTheReservation(t *testing.T) {
 	l := ledger(Report{Running: 11})
 	assert.True(t, l.Ask(start, ask("a")).Granted)
