Tests of reservations in the gateway

Order and budgets of the asks, five asks, an eighth of the objective, one release for each grant, service by reports without agents, modes, priority in the engine's queue, refusals.

--- /dev/null
+++ b/internal/gateway/reserve_test.go
@@ -0,0 +1,466 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/reservation"
+	"lynxgate.dev/lynxgate/internal/standstill"
+)
+
+// agents are fake agents beside all backends of an entry.
+type agents struct {
+	// decide decides on ask n, counted from 1.
+	decide func(n int, a ask) (reservation.Decision, error)
+	// unavailable: the circuit breakers of all agents are open.
+	unavailable bool
+
+	mu                sync.Mutex
+	asks              []ask
+	granted, released []string
+}
+
+// ask is one request to an agent for a slot.
+type ask struct {
+	server  string
+	timeout time.Duration
+	reservation.Request
+}
+
+func (f *agents) Available(string, time.Time) bool { return !f.unavailable }
+
+func (f *agents) Ask(_ context.Context, server string, born int64, timeout time.Duration, r reservation.Request) (reservation.Decision, error) {
+	a := ask{server: server, timeout: timeout, Request: r}
+	f.mu.Lock()
+	f.asks = append(f.asks, a)
+	n := len(f.asks)
+	f.mu.Unlock()
+	d, err := f.decide(n, a)
+	if err == nil && d.Granted {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.granted = append(f.granted, slot(server, born, r.ID))
+	}
+	return d, err
+}
+
+func (f *agents) Release(server string, born int64, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released = append(f.released, slot(server, born, id))
+}
+
+func slot(server string, born int64, id string) string { return fmt.Sprint(server, " ", born, " ", id) }
+
+func (f *agents) asked() []ask {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.asks)
+}
+
+// slots returns the reservations that were granted and those that were released.
+func (f *agents) slots() (granted, released []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(slices.Values(f.granted)), slices.Sorted(slices.Values(f.released))
+}
+
+func granted() reservation.Decision { return reservation.Decision{Granted: true} }
+
+func refused(reason reservation.Reason) reservation.Decision {
+	return reservation.Decision{Reason: reason, Again: 300 * time.Millisecond}
+}
+
+// grantAll grants each request.
+func grantAll(int, ask) (reservation.Decision, error) { return granted(), nil }
+
+// script decides on asks in this order, and refuses the others as full.
+func script(decisions ...reservation.Decision) func(int, ask) (reservation.Decision, error) {
+	return func(n int, _ ask) (reservation.Decision, error) {
+		if n > len(decisions) {
+			return refused(reservation.ReasonFull), nil
+		}
+		return decisions[n-1], nil
+	}
+}
+
+// newReservingEntry returns an entry that reserves the slots of all engines. The objective is so long that stalls of the
+// test process end no asks.
+func newReservingEntry(t testing.TB, f *agents, backends ...*backend) *entry {
+	e := newEntry(t, backends...)
+	e.onlyEngines()
+	e.setRoutes(func(r *fleet.Route) { r.Objective = 8 * time.Second })
+	e.cfg.Reservations, e.cfg.ReservationMode = f, ReservationsAlways
+	return e
+}
+
+// setRoutes changes the routes of the configuration in force.
+func (e *entry) setRoutes(change func(*fleet.Route)) {
+	view := *e.view.Load()
+	config := *view.Table.Config
+	config.Routes = slices.Clone(config.Routes)
+	for i := range config.Routes {
+		change(&config.Routes[i])
+	}
+	view.Table = fleet.NewTable(&config)
+	e.SetView(&view)
+}
+
+func newBackends(t testing.TB, n int, serve func(http.ResponseWriter, *http.Request)) []*backend {
+	var out []*backend
+	for i := range n {
+		out = append(out, newBackend(t, fmt.Sprint("b-", i+1), serve))
+	}
+	return out
+}
+
+func served(backends []*backend) (n int) {
+	for _, b := range backends {
+		n += len(b.requests())
+	}
+	return n
+}
+
+// Guards against requests that wait in an engine's queue while another engine is idle, and against refusals as many agents later as
+// there are engines.
+func TestFullEnginesAreAskedOnceMoreByTheirWait(t *testing.T) {
+	backends := newBackends(t, 7, events(0))
+	first, second := refused(reservation.ReasonFull), refused(reservation.ReasonFull)
+	first.Wait, second.Wait = 80*time.Millisecond, 30*time.Millisecond
+	f := &agents{decide: script(first, second, refused(reservation.ReasonSlow))}
+	e := newReservingEntry(t, f, backends...)
+	assert.Equal(t, http.StatusServiceUnavailable, e.ask(t, http.MethodPost, "/stream/1").status)
+	asks := f.asked()
+	require.Len(t, asks, 5, "at most five asks, also if a server has refused as slow")
+	assert.Len(t, map[string]bool{asks[0].server: true, asks[1].server: true, asks[2].server: true}, 3, "three servers")
+	assert.Equal(t, asks[1].server, asks[3].server, "the one with the least wait first")
+	assert.Equal(t, asks[0].server, asks[4].server)
+	whole := asks[4].Budget
+	require.Positive(t, whole)
+	for i, share := range []float64{0.4, 0.4, 0.4, 1, 1} {
+		assert.InDelta(t, share*float64(whole), float64(asks[i].Budget), 1)
+		assert.False(t, asks[i].Anyway)
+		assert.Equal(t, "id-1", asks[i].ID)
+	}
+	assert.Zero(t, served(backends), "without a grant no request is sent")
+	e.assertNothingInFlight(t)
+}
+
+// Guards against a request that asks one agent again and again while it has not asked the others.
+func TestFirstAsksAreOfDifferentServers(t *testing.T) {
+	f := &agents{decide: func(int, ask) (reservation.Decision, error) { return refused(reservation.ReasonRank), nil }}
+	e := newReservingEntry(t, f, newBackends(t, 3, events(0))...)
+	for range 10 {
+		before := len(f.asked())
+		e.ask(t, http.MethodPost, "/stream/1")
+		servers := map[string]bool{}
+		for _, a := range f.asked()[before:] {
+			servers[a.server] = true
+		}
+		assert.Len(t, f.asked()[before:], 3, "one that refuses for its rank is not asked again")
+		assert.Len(t, servers, 3)
+	}
+}
+
+// Guards against requests that are refused while a slot is free, and against late requests while one is granted in time.
+func TestSlowEnginesAreTheLastResort(t *testing.T) {
+	backends := newBackends(t, 3, events(0))
+	full, slow, lessSlow := refused(reservation.ReasonFull), refused(reservation.ReasonSlow), refused(reservation.ReasonSlow)
+	slow.FirstEvent, lessSlow.FirstEvent = 500*time.Millisecond, 400*time.Millisecond
+	f := &agents{decide: script(full, slow, lessSlow, full, granted())}
+	e := newReservingEntry(t, f, backends...)
+	assert.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	asks := f.asked()
+	require.Len(t, asks, 5)
+	assert.Equal(t, asks[0].server, asks[3].server)
+	assert.False(t, asks[3].Anyway)
+	assert.Equal(t, asks[2].server, asks[4].server, "the earliest first event first")
+	assert.True(t, asks[4].Anyway)
+	assert.Equal(t, 1, served(backends))
+}
+
+// Guards against a request that is sent to another server than the one that granted it.
+func TestRequestIsSentToTheServerThatGrantedIt(t *testing.T) {
+	backends := newBackends(t, 5, events(0))
+	f := &agents{decide: script(refused(reservation.ReasonFull), refused(reservation.ReasonRank), granted())}
+	e := newReservingEntry(t, f, backends...)
+	assert.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	asks := f.asked()
+	require.Len(t, asks, 3)
+	for _, b := range backends {
+		assert.Equal(t, strings.TrimPrefix(b.URL, "http://") == asks[2].server, len(b.requests()) == 1, b.id)
+	}
+}
+
+// Guards against callers that learn of their refusal late because agents answer slowly.
+func TestAsksEndAfterAnEighthOfTheObjective(t *testing.T) {
+	backends := newBackends(t, 5, events(0))
+	f := &agents{decide: func(int, ask) (reservation.Decision, error) {
+		time.Sleep(30 * time.Millisecond)
+		return refused(reservation.ReasonFull), nil
+	}}
+	e := newReservingEntry(t, f, backends...)
+	e.setRoutes(func(r *fleet.Route) { r.Objective = 400 * time.Millisecond })
+	assert.Equal(t, http.StatusServiceUnavailable, e.ask(t, http.MethodPost, "/stream/1").status)
+	assert.LessOrEqual(t, len(f.asked()), 2, "the second one ends after 60 ms, and 50 ms are allowed")
+	assert.NotEmpty(t, f.asked())
+	assert.Zero(t, served(backends))
+	assert.Equal(t, 400*time.Millisecond/24, f.asked()[0].timeout)
+}
+
+// Guards against slots that stay reserved after their request has ended, and against a release that ends the reservation of
+// a later attempt.
+func TestReservationIsReleasedOnce(t *testing.T) {
+	wait := func(ms string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(headers.DeadlineMs, ms) }
+	}
+	for name, test := range map[string]struct {
+		serve  func(http.ResponseWriter, *http.Request)
+		path   string
+		change func(*http.Request)
+		slots  int
+	}{
+		"served":                        {events(0), "/stream/1", wait("2000"), 1},
+		"server refuses":                {notRun, "/stream/1", wait("2000"), 2},
+		"connection fails":              {cut, "/stream/1", wait("2000"), 2},
+		"connection fails, no retry":    {cut, "/once/1", wait("2000"), 1},
+		"stream breaks off":             {events(2), "/stream/1", wait("2000"), 2},
+		"stream breaks off, no resume":  {events(2), "/once/1", wait("2000"), 1},
+		"its own failure":               {failing, "/once/1", wait("2000"), 1},
+		"not signed":                    {unsigned, "/once/1", wait("2000"), 1},
+		"deadline passes without event": {silent, "/once/1", wait("150"), 1},
+		"caller leaves": {silent, "/once/1", func(r *http.Request) {
+			ctx, leave := context.WithCancel(r.Context())
+			time.AfterFunc(150*time.Millisecond, leave)
+			*r = *r.WithContext(ctx)
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &agents{decide: grantAll}
+			e := newReservingEntry(t, f, newBackends(t, 2, test.serve)...)
+			e.ask(t, http.MethodPost, test.path, test.change)
+			e.assertNothingInFlight(t)
+			granted, released := f.slots()
+			assert.Equal(t, granted, released)
+			assert.Len(t, granted, test.slots)
+		})
+	}
+}
+
+func failing(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(headers.Signature, "signed")
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
+func unsigned(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }
+
+// Guards against a release that names another incarnation, which the agent ignores.
+func TestReservationNamesTheIncarnation(t *testing.T) {
+	b := newBackend(t, "b-1", events(0))
+	f := &agents{decide: grantAll}
+	e := newReservingEntry(t, f, b)
+	e.setIncarnation(b, 1700000000000, []fleet.Loaded{{Model: "m", Version: 7}})
+	require.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	granted, released := f.slots()
+	assert.Equal(t, []string{slot(strings.TrimPrefix(b.URL, "http://"), 1700000000000, "id-1")}, granted)
+	assert.Equal(t, granted, released)
+}
+
+// Guards against the rest of a stream that is queued like a first attempt, or is sent to another version of the weights.
+func TestRestOfAStreamAsksAsSuch(t *testing.T) {
+	f := &agents{decide: grantAll}
+	e := newReservingEntry(t, f, newBackend(t, "b-1", events(2)), newBackend(t, "b-2", events(0)))
+	e.setRoutes(func(r *fleet.Route) { r.GapObjective = 300 * time.Millisecond })
+	require.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	asks := f.asked()
+	require.Len(t, asks, 2)
+	assert.False(t, asks[0].Resumed)
+	assert.True(t, asks[1].Resumed)
+	assert.Zero(t, asks[0].Version)
+	assert.Equal(t, uint64(7), asks[1].Version)
+	assert.Equal(t, 300*time.Millisecond, asks[1].Gap)
+	assert.Equal(t, asks[0].Answer-2, asks[1].Answer, "two tokens were received")
+}
+
+// Guards against a fleet that refuses requests because all agents are lost: it is served by reports, as before.
+func TestWithoutAgentsRequestsAreServedByReports(t *testing.T) {
+	for name, f := range map[string]*agents{
+		"all breakers are open": {unavailable: true, decide: grantAll},
+		"no agent answers":      {decide: func(int, ask) (reservation.Decision, error) { return reservation.Decision{}, errors.New("late") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backends := newBackends(t, 2, events(0))
+			e := newReservingEntry(t, f, backends...)
+			for range 5 {
+				assert.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+			}
+			assert.Equal(t, f.unavailable, len(f.asked()) == 0)
+			e.assertNothingInFlight(t)
+			granted, released := f.slots()
+			assert.Empty(t, slices.Concat(granted, released))
+			for _, b := range backends {
+				for range 3 {
+					e.reportLoad(b, 4, 3000)
+				}
+			}
+			before := served(backends)
+			a := e.ask(t, http.MethodPost, "/stream/1")
+			assert.Equal(t, http.StatusServiceUnavailable, a.status, "by the reports there is no room")
+			assert.NotEmpty(t, a.head.Get("Retry-After"))
+			assert.Equal(t, before, served(backends))
+		})
+	}
+}
+
+// Guards against an agent that does not answer and takes its idle engine out of use, while other agents refuse.
+func TestServerOfASilentAgentIsJudgedByReports(t *testing.T) {
+	full, idle := newBackend(t, "b-1", events(0)), newBackend(t, "b-2", events(0))
+	silentAgent := strings.TrimPrefix(idle.URL, "http://")
+	f := &agents{decide: func(_ int, a ask) (reservation.Decision, error) {
+		if a.server == silentAgent {
+			return reservation.Decision{}, errors.New("late")
+		}
+		d := refused(reservation.ReasonFull)
+		d.Load = reservation.Load{Running: 4, Waiting: 3000}
+		return d, nil
+	}}
+	e := newReservingEntry(t, f, full, idle)
+	assert.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	assert.Empty(t, full.requests())
+	assert.Len(t, idle.requests(), 1)
+}
+
+// Guards against agents that are asked although operators have switched reservations off.
+func TestModeNeverAsksNobody(t *testing.T) {
+	f := &agents{decide: grantAll}
+	e := newReservingEntry(t, f, newBackend(t, "b-1", events(0)))
+	e.cfg.ReservationMode = ReservationsNever
+	e.setRoutes(func(r *fleet.Route) { r.Priority = len(r.Name) })
+	assert.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	assert.Empty(t, f.asked())
+}
+
+// Guards against reservations in fleets that do not call for them, which must be served as before, and against fleets without them that do.
+func TestModeAutoFollowsPrioritiesAndLoadHeaders(t *testing.T) {
+	f := &agents{decide: grantAll}
+	load := "1,0,4"
+	b := newBackend(t, "b-1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headers.Load, load)
+		events(0)(w, r)
+	})
+	e := newReservingEntry(t, f, b)
+	for _, mode := range []ReservationMode{"", ReservationsAuto} {
+		e.cfg.ReservationMode = mode
+		e.setRoutes(func(r *fleet.Route) { r.Priority = 1 })
+		asksOne := func() bool {
+			before := len(f.asked())
+			assert.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+			return len(f.asked()) > before
+		}
+		assert.False(t, asksOne(), "equal priorities and three figures")
+		assert.False(t, asksOne(), "the first answer had three figures")
+		e.setRoutes(func(r *fleet.Route) { r.Priority = map[string]int{"stream": 1}[r.Name] })
+		assert.True(t, asksOne(), "different priorities")
+	}
+	e.setRoutes(func(r *fleet.Route) { r.Priority = 1 })
+	load = "1,0,4,250"
+	assert.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	before := len(f.asked())
+	assert.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	assert.Len(t, f.asked(), before+1, "a server has sent four figures")
+}
+
+// Guards against requests to services without engines that wait for agents which do not exist.
+func TestPlainServicesHaveNoReservations(t *testing.T) {
+	f := &agents{decide: grantAll}
+	b := newBackend(t, "b-1", good)
+	e := newEntry(t, b)
+	e.cfg.Reservations, e.cfg.ReservationMode = f, ReservationsAlways
+	assert.Equal(t, http.StatusOK, e.ask(t, http.MethodPost, "/unsafe/1").status)
+	assert.Empty(t, f.asked())
+}
+
+// Guards against an engine's queue that does not follow the ranks, and against callers that choose their own place in it.
+func TestEnginePriorityFollowsTheRank(t *testing.T) {
+	forged := func(r *http.Request) { r.Header.Set(headers.Priority, "0") }
+	of := func(b *backend, n int) string { return b.requests()[n].Header.Get(headers.Priority) }
+
+	b := newBackend(t, "b-1", events(0))
+	e := newEntry(t, b)
+	e.onlyEngines()
+	e.ask(t, http.MethodPost, "/stream/1", forged)
+	assert.Empty(t, b.requests()[0].Header.Values(headers.Priority), "without ranks")
+
+	e.setRoutes(func(r *fleet.Route) { r.Priority = map[string]int{"once": 1, "thrice": 2}[r.Name] })
+	for i, path := range []string{"/stream/1", "/once/1", "/thrice/1"} {
+		e.ask(t, http.MethodPost, path, forged)
+		assert.Equal(t, []string{strconv.Itoa(3 + i)}, b.requests()[i+1].Header.Values(headers.Priority), path)
+	}
+	e.queues.refused(time.Now(), time.Second)
+	e.ask(t, http.MethodPost, "/stream/1", forged, func(r *http.Request) { r.Header.Set(headers.DeadlineMs, "1000") })
+	assert.Equal(t, "8", of(b, 4), "a client retry states less than the usual deadline")
+
+	breaks, goesOn := newBackend(t, "b-1", events(2)), newBackend(t, "b-2", events(0))
+	e = newEntry(t, breaks, goesOn)
+	e.onlyEngines()
+	e.setRoutes(func(r *fleet.Route) { r.Priority = map[string]int{"once": 1, "thrice": 2}[r.Name] })
+	require.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/thrice/1", forged).body)
+	assert.Equal(t, "5", of(breaks, 0))
+	assert.Equal(t, "1", of(goesOn, 0), "the rest of a stream")
+}
+
+// Guards against agents that rank a request by what the caller states, or not at all.
+func TestAgentsGetTheRank(t *testing.T) {
+	f := &agents{decide: grantAll}
+	e := newReservingEntry(t, f, newBackend(t, "b-1", events(0)))
+	e.setRoutes(func(r *fleet.Route) { r.Priority = map[string]int{"once": 1}[r.Name] })
+	e.ask(t, http.MethodPost, "/stream/1")
+	e.ask(t, http.MethodPost, "/once/1")
+	e.queues.refused(time.Now(), time.Second)
+	e.ask(t, http.MethodPost, "/once/1", func(r *http.Request) { r.Header.Set(headers.DeadlineMs, "1000") })
+	asks := f.asked()
+	require.Len(t, asks, 3)
+	assert.Equal(t, []int{0, 1, 1}, []int{asks[0].Rank, asks[1].Rank, asks[2].Rank})
+	assert.Equal(t, []float64{1, 0.75, 0.75}, []float64{asks[0].Weight, asks[1].Weight, asks[2].Weight})
+	assert.Equal(t, []bool{false, false, true}, []bool{asks[0].Retry, asks[1].Retry, asks[2].Retry})
+}
+
+// Guards against refusals that come late, or do not say why and when to return.
+func TestRefusalByAgentsComesAtOnce(t *testing.T) { standstill.Run(t, testRefusalByAgents) }
+
+func testRefusalByAgents(t testing.TB) {
+	for reason, logged := range refusalReasons {
+		backends := newBackends(t, 5, events(0))
+		f := &agents{decide: func(int, ask) (reservation.Decision, error) { return refused(reason), nil }}
+		e := newReservingEntry(t, f, backends...)
+		e.setRoutes(func(r *fleet.Route) { r.Objective = 400 * time.Millisecond })
+		least := time.Hour
+		for range 10 {
+			began := time.Now()
+			a := e.ask(t, http.MethodPost, "/stream/1")
+			least = min(least, time.Since(began))
+			require.Equal(t, http.StatusServiceUnavailable, a.status)
+			after, err := strconv.ParseFloat(a.head.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			assert.Positive(t, after)
+			assert.LessOrEqual(t, after, 2.0/3, "a third of the time left")
+		}
+		assert.Less(t, least, 20*time.Millisecond, "%v", reason)
+		assert.Contains(t, e.logs.String(), logged)
+		assert.Contains(t, e.logs.String(), `"decision":"`+reason.String()+`"`)
+		assert.Zero(t, served(backends))
+		assert.Zero(t, e.queues.count.Load())
+	}
+}
