Test that handovers ask for a reservation, which is red

A handover chooses its server by the reports while all other requests to a service reserve their slot, so that its request is at an engine without the agent having counted it before it arrives. The mend needs a choice outside of the lock of the call, and a record of asks of its own, since the call may end meanwhile.

--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -464,3 +464,20 @@
 		assert.Zero(t, e.queues.count.Load())
 	}
 }
+
+// Guards against a handover that adds a request to an engine that other entries count on: nobody knows of it until the
+// engine's next report.
+func TestHandoverAsksForAReservation(t *testing.T) {
+	f := &agents{decide: grantAll}
+	goesOn := newBackend(t, "b-2", events(0))
+	e := newReservingEntry(t, f, newBackend(t, "b-1", silent), goesOn)
+	e.setRoutes(func(r *fleet.Route) { r.Objective = 200 * time.Millisecond })
+	require.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+	require.Len(t, goesOn.requests(), 1)
+	asks := f.asked()
+	require.Len(t, asks, 2)
+	assert.Equal(t, strings.TrimPrefix(goesOn.URL, "http://"), asks[1].server)
+	e.assertNothingInFlight(t)
+	granted, released := f.slots()
+	assert.Equal(t, granted, released)
+}
