--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -233,6 +233,7 @@
 
 // pickSilent returns a server whose agent did not answer and that has room by its reports.
 func (s *slotSearch) pickSilent() balance.Choice {
+	s.want.Reserves = nil
 	for _, server := range s.silent {
 		if choice := s.pickOnly(server); choice.Server != nil {
 			return choice
--- a/internal/reservation/client/client.go
+++ b/internal/reservation/client/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -127,7 +128,8 @@
 	}()
 }
 
-// failed opens the breaker of an agent, for longer with each failure in a row.
+// failed opens the breaker of an agent, for longer with each failure in a row. Calls that were made before it
+// opened do not prolong it.
 func (c *Client) failed(server string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -138,17 +140,28 @@
 		b = &breaker{}
 		c.breakers[server] = b
 	}
-	if now.Before(b.openUntil) {
-		return // one of several concurrent calls
+	open, unknown := now.Before(b.openUntil), isUnknownCall(err)
+	if open && !unknown {
+		return // one of several concurrent calls: a short freeze must not count as several failures in a row
 	}
 	b.duration = min(max(2*b.duration, minBreak), maxBreak)
-	if drpcerr.Code(err) == drpcerr.Unimplemented {
-		b.duration = maxBreak // an agent of an earlier version
+	if unknown {
+		b.duration = maxBreak
 	}
 	b.openUntil = now.Add(b.duration)
 	c.cfg.Metrics.unavailable.Set(float64(len(c.breakers)))
-	c.cfg.Logger.Info().AnErr("cause", err).Str("addr", server).Dur("for_ms", b.duration).
-		Msg("agent did not answer; its backend server is judged by reports")
+	if !open {
+		c.cfg.Logger.Info().AnErr("cause", err).Str("addr", server).Dur("for_ms", b.duration).
+			Msg("agent did not answer; its backend server is judged by reports")
+	}
+}
+
+// unknownCall is in the error that drpcmux returns for a call of a service that is not registered; it has no code.
+const unknownCall = "unknown rpc: "
+
+// isUnknownCall reports whether the agent does not know the call: it is of an earlier version.
+func isUnknownCall(err error) bool {
+	return drpcerr.Code(err) == drpcerr.Unimplemented || strings.Contains(err.Error(), unknownCall)
 }
 
 // answered closes the breaker of an agent.
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -13,6 +13,9 @@
 	// lease is how long a reservation counts whose request does not arrive: entries send requests
 	// within some ms, and a killed entry must not keep slots.
 	lease = 300 * time.Millisecond
+	// lostTime is for how long reports must not count reservations past their lease until these are dropped: the release
+	// of a request that has ended at the engine arrives some ms after that, from a busy entry some ten ms.
+	lostTime = 200 * time.Millisecond
 	// arrivalTime is how long a request may take to its engine after it was granted: a
 	// round trip between regions of 4 ms, and the entry's and engine's processing. Until then the
 	// engine's report may not count it.
@@ -76,6 +79,10 @@
 	// reads is the decayed sum of the time for prompts, as of readsAt.
 	reads   time.Duration
 	readsAt time.Time
+	// lost is the least number of reservations past their lease that reports since lostSince did not count;
+	// lostSince is zero if the last report counted them all.
+	lost      int
+	lostSince time.Time
 }
 
 // New returns the ledger of an engine without reservations.
@@ -99,11 +106,12 @@
 	if l.report.StartUnixMs != 0 && r.StartUnixMs > l.report.StartUnixMs {
 		l.held = map[string]held{}
 		l.foreign, l.batch, l.queued, l.reads = 0, batch{}, nil, 0
+		l.lost, l.lostSince = 0, time.Time{}
 	}
 	before, known := l.at, l.known
 	l.report, l.at, l.known = r, now, true
 	l.expire(now)
-	l.dropMissing(now)
+	l.dropLost(now)
 	least, most := l.foreignBounds(now)
 	foreign := min(max(l.foreign, least), most)
 	if more := foreign - l.foreign; known && more > 0 { // they came since the report before
@@ -127,19 +135,10 @@
 	return max(reported-len(l.held), 0), max(reported-arrived, 0)
 }
 
-// expire drops reservations that were never released.
-func (l *Ledger) expire(now time.Time) {
-	for id, h := range l.held {
-		if now.After(h.expires) {
-			delete(l.held, id)
-		}
-	}
-}
-
-// dropMissing drops the oldest of the reservations past their lease that are more than the requests that the engine
-// reports: their requests never came, or have ended. They would otherwise hide requests without a reservation, and
-// count as not arrived.
-func (l *Ledger) dropMissing(now time.Time) {
+// dropLost drops reservations past their lease that all reports of the last lostTime did not count: their entry was killed, or
+// has not received the grant. If they were kept until their deadline, requests that have arrived would be taken for
+// others that have not. Which ones they are is not known; only their number matters.
+func (l *Ledger) dropLost(now time.Time) {
 	var old []string
 	for id, h := range l.held {
 		if now.Sub(h.at) >= lease {
@@ -147,13 +146,32 @@
 		}
 	}
 	missing := len(old) - l.report.Running - l.report.Waiting
-	if missing <= 0 {
+	switch {
+	case missing <= 0:
+		l.lost, l.lostSince = 0, time.Time{}
+		return
+	case l.lostSince.IsZero():
+		l.lost, l.lostSince = missing, now
+	default:
+		l.lost = min(l.lost, missing)
+	}
+	if now.Sub(l.lostSince) < lostTime {
 		return
 	}
 	slices.SortFunc(old, func(a, b string) int { return l.held[a].at.Compare(l.held[b].at) })
-	for _, id := range old[:missing] {
+	for _, id := range old[:l.lost] {
 		delete(l.held, id)
 	}
+	l.lost, l.lostSince = 0, time.Time{}
+}
+
+// expire drops reservations that were never released.
+func (l *Ledger) expire(now time.Time) {
+	for id, h := range l.held {
+		if now.After(h.expires) {
+			delete(l.held, id)
+		}
+	}
 }
 
 // batch is a pass in which the engine reads prompts. It reads all that are unread when the pass begins, and
--- a/internal/reservation/wire/wire_test.go
+++ b/internal/reservation/wire/wire_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"lynxgate.dev/lynxgate/internal/reservation"
+	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
 // A field that is not converted both ways is lost between entry and agent.
@@ -40,3 +41,24 @@
 	}
 	assert.LessOrEqual(t, proto.Size(DecisionToProto(d)), 80)
 }
+
+// Guards against a field of a request or decision that is lost between entry and agent.
+func TestWireKeepsAllFields(t *testing.T) {
+	r := RequestFromProto(&rpc.ReserveRequest{
+		Id: "a", Rank: 3, Weight: 0.5, Retry: true, Resumed: true, Prompt: 7, Answer: 8, DueUs: 9, BudgetUs: 10, GapUs: 11, LeftUs: 12, Version: 13, Anyway: true,
+	})
+	us := time.Microsecond
+	assert.Equal(t, reservation.Request{
+		ID: "a", Rank: 3, Weight: 0.5, Retry: true, Resumed: true, Prompt: 7, Answer: 8, Due: 9 * us, Budget: 10 * us, Gap: 11 * us, Left: 12 * us, Version: 13, AcceptLate: true,
+	}, r)
+	d := DecisionToProto(reservation.Decision{
+		Reason: reservation.ReasonFull, Wait: us, FirstEvent: 2 * us, End: 3 * us, Again: 4 * us,
+		Load: reservation.Load{Running: 5, Waiting: 6, Reserved: 7, Pace: 8, Age: 9 * us, Version: 10, Loading: true, StartUnixMs: 11},
+	})
+	assert.Equal(t, "full", d.Reason)
+	assert.Equal(t, []int64{1, 2, 3, 4, 9, 11}, []int64{d.WaitUs, d.FirstUs, d.EndUs, d.AgainUs, d.ReportAgeUs, d.Born})
+	assert.Equal(t, []uint32{5, 6, 7}, []uint32{d.Running, d.Waiting, d.Reserved})
+	assert.Equal(t, 8.0, d.Pace)
+	assert.Equal(t, uint64(10), d.Version)
+	assert.True(t, d.Loading)
+}
