The rest of a stream without a gap objective gets places in queues

Without a gap objective its accepted wait was a share of the time to its first event, which was over: 20 ms, which only a free slot fulfils. It is the budget of the request now. TestRestOfAStreamWithoutGapObjectiveIsQueued.

--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -31,7 +31,7 @@
 	// gapShare is the share of the gap objective up to which running streams may be paused by
 	// prompts; the rest is for the way to the caller.
 	gapShare = 0.9
-	// resumedShare is the share of its gap objective, or else its objective, that the rest of a stream may wait.
+	// resumedShare is the share of its gap objective that the rest of a stream may wait.
 	resumedShare = 0.6
 	// passesToFirstEvent is how many passes precede the first event on the mean, besides the prompts: half of the one in
 	// progress, and its own. latestPasses is the number for a request that arrives as a pass begins.
@@ -356,12 +356,8 @@
 // budget returns the longest wait that is accepted for a request at this engine's pace. A slower engine
 // uses more of the objective for the prompt and the first pass.
 func (l *Ledger) budget(r Request) time.Duration {
-	if r.Resumed {
-		share := r.Gap
-		if share == 0 {
-			share = r.Due
-		}
-		return max(time.Duration(resumedShare*float64(share)), minBudget)
+	if r.Resumed && r.Gap > 0 {
+		return max(time.Duration(resumedShare*float64(r.Gap)), minBudget)
 	}
 	usual := l.engine.PrefillTime(l.engine.UsualPrompt) + l.engine.PassTime()
 	return max(r.Budget-time.Duration((l.pace()-1)*float64(usual)), minBudget)
--- a/internal/reservation/ledger_test.go
+++ b/internal/reservation/ledger_test.go
@@ -284,6 +284,16 @@
 	assert.True(t, l.held["rest"].due.IsZero(), "nor must it refuse others")
 }
 
+// Without a gap objective the rest of a stream must get a place in a queue, too, also once its objective has passed: it would
+// lose each free slot to first attempts for as long as an overload lasts.
+func TestRestOfAStreamWithoutGapObjectiveIsQueued(t *testing.T) {
+	r := ask("rest")
+	r.Resumed, r.Gap, r.Due = true, 0, 0
+	assert.True(t, ledger(Report{Running: 12}).Ask(start, r).Granted)
+	r.Budget = 100 * ms
+	assert.Equal(t, ReasonFull, ledger(Report{Running: 12}).Ask(start, r).Reason)
+}
+
 func TestReasonNames(t *testing.T) {
 	for r := ReasonNone; r <= ReasonUnknown; r++ {
 		assert.Equal(t, r, ParseReason(r.String()))
