--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -296,6 +296,19 @@
 	assert.Equal(t, asks[0].Answer-2, asks[1].Answer, "two tokens were received")
 }
 
+// Guards against the rest of a stream that loses each place in a queue to first attempts for as long as an overload lasts.
+func TestRestOfAStreamAcceptsLongerWaitsInTheEnd(t *testing.T) {
+	f := &agents{decide: func(n int, a ask) (reservation.Decision, error) {
+		if a.Resumed && a.Gap > 0 {
+			return reservation.Decision{Reason: reservation.ReasonFull}, nil
+		}
+		return grantAll(n, a)
+	}}
+	e := newReservingEntry(t, f, newBackend(t, "b-1", events(2)), newBackend(t, "b-2", events(0)))
+	e.setRoutes(func(r *fleet.Route) { r.GapObjective = 300 * time.Millisecond })
+	require.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/1").body)
+}
+
 // Guards against a request that fails because its server was lost, although others could serve it late.
 func TestRetryAsksWithoutADueTime(t *testing.T) {
 	f := &agents{decide: grantAll}
