A retry of a request that may have run waits for a free server

Cause: only the rest of a stream that had begun searched again. A first attempt that is not sent can be refused with a time to come back; one that may have run can't, and was failed at once. Ruled out: an agent that refuses (none was asked; the other engine was full by its reports). Change: retries after an attempt that may have run search until the deadline, with the pauses of resumed streams.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -75,8 +75,8 @@
 	return true
 }
 
-// waitToResume waits before the next search for a server for the rest of a stream. It returns
-// false if there is no time left. Where agents are asked, the pause grows, so that a stream that finds no
+// waitToResume waits before the next search for a server for the rest of a stream or for a retry. It returns
+// false if there is no time left. Where agents are asked, the pause grows, so that a request that finds no
 // server makes no more than some ten searches.
 func (c *call) waitToResume(ctx context.Context) bool {
 	pause := resumeInterval
@@ -101,8 +101,8 @@
 }
 
 // pick asks the balancer for a server, and waits in the wait queue if that can help. The rest of
-// a stream that has begun waits until the deadline, as long as any server may become able to
-// take it.
+// a stream that has begun, and the retry of a request that may have run, wait until the deadline, as
+// long as any server may become able to take them: neither can be refused as not run.
 func (c *call) pick(ctx context.Context, isRetry bool) (balance.Choice, balance.Availability) {
 	for {
 		now := clock.Now()
@@ -122,12 +122,15 @@
 				return given, capacity
 			}
 		}
-		if choice.Server != nil || c.events == 0 || capacity.Fit+capacity.Later == 0 || !c.waitToResume(ctx) {
+		if choice.Server != nil || !c.waitsForServer() || capacity.Fit+capacity.Later == 0 || !c.waitToResume(ctx) {
 			return choice, capacity
 		}
 	}
 }
 
+// waitsForServer reports whether the call waits for a server until its deadline.
+func (c *call) waitsForServer() bool { return c.events > 0 || c.mayHaveRun }
+
 // pickNow asks the balancer for a server with a free slot. A client retry, which is late already,
 // gets none while first attempts wait.
 func (c *call) pickNow(now time.Time, want balance.Requirements) (balance.Choice, balance.Availability) {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -162,7 +162,7 @@
 		ID: c.nextReservationID(), Rank: c.rank.Index, Weight: c.rank.Weight, Retry: c.clientRetry, Resumed: c.events > 0,
 		Prompt: c.promptTokens(c.engine()), Answer: c.expectedAnswer(), Gap: c.route.GapObjective, Version: want.Version,
 	}
-	if c.vainSearches > 0 {
+	if c.vainSearches > 0 && c.events > 0 {
 		// The rest of a stream that found no slot within its gap objective misses it anyway. With the same accepted
 		// wait as first attempts it would find none for as long as an overload lasts.
 		s.request.Gap = 0
