--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -9,6 +9,7 @@
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 )
 
@@ -85,13 +86,18 @@
 	return verdict != quarantine.Free
 }
 
-// noteCrash records a crash if the server of a failed attempt turns out to be down.
-func (c *call) noteCrash(s *balance.Server, err error) {
+// noteCrash records a crash if the server of a failed attempt turns out to be down. events counts the pieces of the answer that
+// the caller has.
+func (c *call) noteCrash(s *balance.Server, events int, err error) {
 	if !connectionLost(err) || c.g.balancer.Leaving(s) || !c.g.suspects.hasCrashed(s) {
 		return
 	}
 	c.g.balancer.ConnectionRefused(s, clock.Now())
-	c.g.suspects.recordCrash(clock.Now(), s.Incarnation, c.digest(), c.hasTurn)
+	r := inFlight{content: c.digest(), alone: c.hasTurn, parts: c.sharedParts(), events: events}
+	if events > 0 {
+		r.writing = clock.Since(c.began) - c.firstEvent
+	}
+	c.g.suspects.recordCrash(clock.Now(), s.Incarnation, r)
 }
 
 // connectionLost reports whether an error means that the peer or its VM closed the connection. A
@@ -102,9 +108,9 @@
 }
 
 // clearSuspicion records that the request was answered in full.
-func (c *call) clearSuspicion() {
+func (c *call) clearSuspicion(a *dispatch.Answer) {
 	if c.g.suspects.nonEmpty.Load() {
-		c.g.suspects.recordAnswer(clock.Now(), c.digest())
+		c.g.suspects.recordAnswer(clock.Now(), c.digest(), c.choice.Server.Incarnation, a.Unframed())
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,7 +95,7 @@
 		return
 	}
 	c.g.cfg.Metrics.failedAttempts.WithLabelValues(c.service, strconv.FormatBool(begun)).Inc()
-	c.noteCrash(c.choice.Server, err)
+	c.noteCrash(c.choice.Server, c.events, err)
 }
 
 // attemptFailed handles an attempt without an answer.
@@ -290,7 +290,7 @@
 // writeWhole writes a complete non-streaming answer to the caller.
 func (c *call) writeWhole(a *dispatch.Answer, body []byte) attemptResult {
 	c.g.balancer.Done(&c.choice, clock.Now(), balance.ResultSucceeded)
-	c.clearSuspicion()
+	c.clearSuspicion(a)
 	c.copyHead(a)
 	c.status, c.reason = a.StatusCode, "served"
 	c.write(a.StatusCode, body)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,9 @@
 	// Tokens is the size of the prompt and the maximum size of the answer, in tokens,
 	// separated by a comma.
 	Tokens string
+	// PromptParts lists the parts of the prompt in their order, as comma-separated ID:TOKENS entries. Requests share
+	// parts; the last one belongs to the request itself or to its session.
+	PromptParts string
 	// LengthHint is the caller's estimate of the size of the answer, in tokens.
 	LengthHint string
 	// ResumeAfter is the id of the last event that the caller received.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,7 +29,7 @@
 var headers = Headers{
 	RequestID: "X-Id", DeadlineMs: "X-Wait", Key: "X-Key", Organisation: "X-Org", ExpectServer: "X-Expect",
 	ExpectVersion: "X-Expect-Weights", NotRun: "X-Not-Run", Signature: "X-Signed", ServerID: "X-Server",
-	Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving", Model: "X-Of-Model", Version: "X-Weights", Tokens: "X-Tokens", LengthHint: "X-Hint", ResumeAfter: "Last-Event-ID", Priority: "X-Rank",
+	Load: "X-Load", Limit: "X-Limit", Leaving: "X-Leaving", Model: "X-Of-Model", Version: "X-Weights", Tokens: "X-Tokens", PromptParts: "X-Parts", LengthHint: "X-Hint", ResumeAfter: "Last-Event-ID", Priority: "X-Rank",
 }
 
 // backend is a fake backend server that answers each request with a handler.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,7 +41,7 @@
 	switch {
 	case err == nil:
 		c.g.balancer.Done(&c.choice, clock.Now(), balance.ResultSucceeded)
-		c.clearSuspicion()
+		c.clearSuspicion(a)
 		c.status, c.reason = a.StatusCode, "served"
 		return attemptFinal
 	case errors.Is(err, errCallerGone):
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -124,29 +124,42 @@
 	return s.table.Verdict(now, d), s.table.Evidence(d)
 }
 
-// recordCrash records that an incarnation of a server crashed while it had a request with this
-// content. alone means that the content had no other attempt in progress.
-func (s *suspicions) recordCrash(now time.Time, server string, d quarantine.Digest, alone bool) {
-	update := quarantine.Update{Digest: d, Server: server, SoleAttempt: alone, At: now}
+// inFlight describes a request that a server had when it crashed.
+type inFlight struct {
+	content quarantine.Digest
+	// alone: the content had no other attempt in progress.
+	alone bool
+	// parts are the shared parts of the prompt; events counts the pieces of the answer that came, writing is the time since
+	// the first of them.
+	parts   []string
+	events  int
+	writing time.Duration
+}
+
+// recordCrash records that an incarnation of a server crashed while it had this request.
+func (s *suspicions) recordCrash(now time.Time, server string, r inFlight) {
+	d := r.content
+	update := quarantine.Update{Digest: d, Server: server, SoleAttempt: r.alone, At: now}
 	s.mu.Lock()
 	isNew := s.table.Merge(now, update)
 	verdict := s.table.Verdict(now, d)
 	s.nonEmpty.Store(true)
 	s.mu.Unlock()
 	if isNew {
-		s.log.Info().Stringer("content", d).Str("server", server).Stringer("verdict", verdict).Bool("alone", alone).Msg("backend server ended under work")
+		s.log.Info().Stringer("content", d).Str("server", server).Stringer("verdict", verdict).Bool("alone", r.alone).
+			Strs("parts", r.parts).Int("events", r.events).Dur("writing_ms", r.writing).Msg("backend server ended under work")
 		s.publish([]quarantine.Update{update})
 	}
 }
 
-// recordAnswer records that a request with this content was answered in full, so that it has not
-// crashed a server.
-func (s *suspicions) recordAnswer(now time.Time, d quarantine.Digest) {
+// recordAnswer records that a server answered a request with this content in full, so that it has not
+// crashed a server. unframed: the answer ended with its connection.
+func (s *suspicions) recordAnswer(now time.Time, d quarantine.Digest, server string, unframed bool) {
 	s.mu.Lock()
 	cleared := s.table.Answered(now, d)
 	s.mu.Unlock()
 	if len(cleared) > 0 {
-		s.log.Info().Stringer("content", d).Int("ends", len(cleared)).Msg("work is cleared")
+		s.log.Info().Stringer("content", d).Int("ends", len(cleared)).Str("server", server).Bool("unframed", unframed).Msg("work is cleared")
 		s.publish(cleared)
 	}
 }
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -55,7 +55,7 @@
 		}
 		if readErr == io.EOF {
 			c.g.balancer.Done(&c.choice, clock.Now(), balance.ResultSucceeded)
-			c.clearSuspicion()
+			c.clearSuspicion(a)
 			c.status, c.reason = a.StatusCode, "served"
 			return attemptFinal
 		}
