Parts of prompts are candidate causes of crashes

Cause: the identity of suspect work was the whole request, so each was free, for ever. The class: a cause is looked for at one granularity only, that of the unit that is counted. Evidence: at 56 of 56 crashed engines one part was in flight, no content at more than two (docs/incidents/crashing-parts.md). Two sound parts were at all 56, too, so that counting parts as contents are counted would quarantine a route. Ruled out: loads of the survivors and of weights; holding by organisation, key or first part. Change: a request has several candidates: its content, and each shared part of its prompt, for all organisations and for its own. One table, one verdict, one log for all. A part on which a server has written for half a second, or a whole answer, on this version of the weights is sound and not counted; entries that know one clear it for all. A part counts for all organisations once servers have crashed under requests of two. Candidates that come together are told apart by trials of requests that have only some of them. A request that waited for a server is judged again.

--- a/internal/fleetcontrol/quarantineapi.go
+++ b/internal/fleetcontrol/quarantineapi.go
@@ -18,7 +18,9 @@
 
 // QuarantineStatus is a suspect or quarantined content in the list for operators.
 type QuarantineStatus struct {
-	Content string   `json:"content"`
+	Content string `json:"content"`
+	// Part is the id of the part of prompts, empty for the whole content of a request.
+	Part    string   `json:"part,omitempty"`
 	Verdict string   `json:"verdict"`
 	Servers []string `json:"servers"`
 	// QuarantinedMs is for how long the content has been quarantined, 0 if it is not.
@@ -46,7 +48,7 @@
 	defer h.mu.Unlock()
 	out := []QuarantineStatus{}
 	for _, e := range h.suspects.Entries(now) {
-		w := QuarantineStatus{Content: e.Digest.String(), Verdict: e.Verdict.String(), Servers: e.Servers}
+		w := QuarantineStatus{Content: e.Digest.String(), Part: e.Part, Verdict: e.Verdict.String(), Servers: e.Servers}
 		if !e.Since.IsZero() {
 			w.QuarantinedMs = now.Sub(e.Since).Milliseconds()
 		}
--- a/internal/fleetcontrol/suspects.go
+++ b/internal/fleetcontrol/suspects.go
@@ -64,7 +64,7 @@
 	}
 	quarantined := h.suspects.Quarantine(clock.Now())
 	for _, n := range quarantined {
-		h.log.Warn().Stringer("content", n.Digest).Strs("ended_servers", h.suspects.Evidence(n.Digest)).Msg("work is held back")
+		h.log.Warn().Stringer("content", n.Digest).Str("part", n.Part).Strs("ended_servers", h.suspects.Evidence(n.Digest)).Msg("work is held back")
 	}
 	if len(quarantined) > 0 {
 		h.forward(quarantined)
@@ -116,7 +116,14 @@
 	return out
 }
 
-// recordQuarantined writes quarantined contents to the log while this server is the leader.
+// lifted returns the digests that are in the log as quarantined although they were released since.
+func (h *hub) lifted() []quarantine.Digest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.suspects.Released()
+}
+
+// recordQuarantined writes quarantined contents, and their releases by answers, to the log while this server is the leader.
 func (s *Server) recordQuarantined(ctx context.Context) {
 	ticker := time.NewTicker(recordInterval)
 	defer ticker.Stop()
@@ -126,12 +133,18 @@
 		case <-ctx.Done():
 			return
 		}
-		quarantined := s.hub.unrecorded()
-		if len(quarantined) == 0 || !s.isLeader() {
+		quarantined, lifted := s.hub.unrecorded(), s.hub.lifted()
+		if len(quarantined)+len(lifted) == 0 || !s.isLeader() {
 			continue
 		}
-		err := s.submit(ctx, &rpc.FleetCommand{Held: quarantined})
-		s.cfg.Logger.Info().Int("contents", len(quarantined)).AnErr("error", err).Msg("work that is held was put into the log")
+		if len(quarantined) > 0 {
+			err := s.submit(ctx, &rpc.FleetCommand{Held: quarantined})
+			s.cfg.Logger.Info().Int("contents", len(quarantined)).AnErr("error", err).Msg("work that is held was put into the log")
+		}
+		for _, d := range lifted {
+			err := s.submit(ctx, &rpc.FleetCommand{Lifted: d[:]})
+			s.cfg.Logger.Info().Stringer("content", d).AnErr("error", err).Msg("work that an answer has cleared was taken out of the log")
+		}
 	}
 }
 
--- a/internal/follow/suspicions.go
+++ b/internal/follow/suspicions.go
@@ -14,6 +14,7 @@
 	for _, n := range updates {
 		out = append(out, &rpc.Suspicion{
 			Digest: n.Digest[:], Server: n.Server, Cleared: n.Cleared, Alone: n.SoleAttempt, LogIndex: n.Index, AgeMs: max(now.Sub(n.At), 0).Milliseconds(),
+			Origin: n.Origin, Version: n.Version, Part: n.Part,
 		})
 	}
 	return out
@@ -28,7 +29,7 @@
 		}
 		out = append(out, quarantine.Update{
 			Digest: quarantine.Digest(s.Digest), Server: s.Server, Cleared: s.Cleared, SoleAttempt: s.Alone, Index: s.LogIndex,
-			At: now.Add(-time.Duration(s.AgeMs) * time.Millisecond),
+			Origin: s.Origin, Version: s.Version, Part: s.Part, At: now.Add(-time.Duration(s.AgeMs) * time.Millisecond),
 		})
 	}
 	return out
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -21,9 +21,9 @@
 	quarantine.Suspect:     "a backend server ended under this request, and a copy of it runs",
 }
 
-// admit reports whether the request may be dispatched now as far as its content is concerned.
-// Suspect content, which was in flight at a server that crashed, has one attempt at a time;
-// quarantined content, under which several servers crashed, is refused at once. If admit returns
+// admit reports whether the request may be dispatched now as far as its content and the parts of its prompt are
+// concerned. A suspect one, which was in flight at a server that crashed, has one attempt at a time;
+// a quarantined one, under which several servers crashed, is refused at once. If admit returns
 // false, the call has been answered.
 func (c *call) admit(ctx context.Context) bool {
 	if !c.g.suspects.nonEmpty.Load() {
@@ -31,29 +31,50 @@
 	}
 	waitUntil := clock.Now().Add(maxTurnWait)
 	for {
-		verdict, ended := c.g.suspects.verdict(clock.Now(), c.digest())
+		judgement := c.g.suspects.judge(clock.Now(), c.candidates())
 		var change <-chan struct{}
-		switch verdict {
+		switch judgement.Verdict {
 		case quarantine.Free:
 			return true
 		case quarantine.Quarantined:
-			c.refuseSuspect(verdict, ended)
+			c.refuseSuspect(judgement)
 			return false
 		case quarantine.Suspect:
-			if c.hasTurn {
+			if c.holdsTurnOf(judgement.Cause.Digest) {
 				return true
 			}
-			if c.hasTurn, change = c.g.suspects.takeTurn(ctx, c.digest()); c.hasTurn {
+			if change = c.takeTurn(ctx, judgement.Cause.Digest); c.hasTurn {
 				continue // crashes before this turn may be known by now
 			}
 		}
 		if !clock.Now().Before(waitUntil) || !c.waitForChange(ctx, change) {
-			c.refuseSuspect(verdict, ended)
+			c.refuseSuspect(judgement)
 			return false
 		}
 	}
 }
 
+// stillAdmitted reports whether a request that was admitted may still be dispatched: crashes may have become known while it waited
+// for a server.
+func (c *call) stillAdmitted() bool {
+	if !c.g.suspects.nonEmpty.Load() {
+		return true
+	}
+	judgement := c.g.suspects.judge(clock.Now(), c.candidates())
+	return judgement.Verdict == quarantine.Free || judgement.Verdict == quarantine.Suspect && c.holdsTurnOf(judgement.Cause.Digest)
+}
+
+func (c *call) holdsTurnOf(d quarantine.Digest) bool { return c.hasTurn && c.turn == d }
+
+// takeTurn takes the turn of a suspect candidate, in place of another one that the call may have. If another call has it, takeTurn
+// returns a channel that is closed when that turn ends, nil if that is a call of another entry.
+func (c *call) takeTurn(ctx context.Context, d quarantine.Digest) (ended <-chan struct{}) {
+	c.endTurn()
+	c.hasTurn, ended = c.g.suspects.takeTurn(ctx, d)
+	c.turn = d
+	return ended
+}
+
 // waitForChange waits until change is closed or suspectRecheckInterval has passed. It returns false if
 // the call has no time left.
 func (c *call) waitForChange(ctx context.Context, change <-chan struct{}) bool {
@@ -69,35 +90,40 @@
 	return true
 }
 
-// refuseSuspect ends a call whose content is suspect or quarantined without a further attempt.
-func (c *call) refuseSuspect(verdict quarantine.Verdict, ended []string) {
-	c.g.cfg.Metrics.suspectRefusals.WithLabelValues(verdict.String()).Inc()
-	c.endedServers = ended
-	c.noRetryAfter = verdict == quarantine.Quarantined
-	c.giveUp(quarantineReasons[verdict])
+// refuseSuspect ends a call that is suspect or quarantined without a further attempt.
+func (c *call) refuseSuspect(j quarantine.Judgement) {
+	cause := "content"
+	if j.Cause.Part != "" {
+		cause = "part"
+	}
+	c.g.cfg.Metrics.suspectRefusals.WithLabelValues(j.Verdict.String(), cause).Inc()
+	c.endedServers, c.causePart = j.Servers, j.Cause.Part
+	c.noRetryAfter = j.Verdict == quarantine.Quarantined
+	c.giveUp(quarantineReasons[j.Verdict])
 }
 
-// isSuspect reports whether the request's content is suspect or quarantined.
+// isSuspect reports whether the request is suspect or quarantined.
 func (c *call) isSuspect() bool {
-	if !c.g.suspects.nonEmpty.Load() {
-		return false
-	}
-	verdict, _ := c.g.suspects.verdict(clock.Now(), c.digest())
-	return verdict != quarantine.Free
+	return c.g.suspects.nonEmpty.Load() && c.g.suspects.judge(clock.Now(), c.candidates()).Verdict != quarantine.Free
 }
 
 // noteCrash records a crash if the server of a failed attempt turns out to be down. events counts the pieces of the answer that
 // the caller has.
-func (c *call) noteCrash(s *balance.Server, events int, err error) {
+func (c *call) noteCrash(choice *balance.Choice, events int, err error) {
+	s := choice.Server
 	if !connectionLost(err) || c.g.balancer.Leaving(s) || !c.g.suspects.hasCrashed(s) {
 		return
 	}
 	c.g.balancer.ConnectionRefused(s, clock.Now())
-	r := inFlight{content: c.digest(), alone: c.hasTurn, parts: c.sharedParts(), events: events}
+	r := inFlight{server: s.Incarnation, version: choice.Version, parts: c.sharedParts(), events: events}
 	if events > 0 {
 		r.writing = clock.Since(c.began) - c.firstEvent
 	}
-	c.g.suspects.recordCrash(clock.Now(), s.Incarnation, r)
+	candidates := c.candidates()
+	for i, candidate := range candidates {
+		r.candidates = append(r.candidates, observed{Candidate: candidate, alone: c.holdsTurnFor(candidates, i)})
+	}
+	c.g.suspects.recordCrash(clock.Now(), r)
 }
 
 // connectionLost reports whether an error means that the peer or its VM closed the connection. A
@@ -109,15 +135,23 @@
 
 // clearSuspicion records that the request was answered in full.
 func (c *call) clearSuspicion(a *dispatch.Answer) {
+	c.clearParts()
 	if c.g.suspects.nonEmpty.Load() {
-		c.g.suspects.recordAnswer(clock.Now(), c.digest(), c.choice.Server.Incarnation, a.Unframed())
+		c.g.suspects.recordAnswer(clock.Now(), c.digest(), c.choice.Version, c.choice.Server.Incarnation, a.Unframed())
+	}
+}
+
+// clearParts records that the chosen server has written an answer on the shared parts of the prompt.
+func (c *call) clearParts() {
+	if parts := c.partCandidates(); len(parts) > 0 {
+		c.g.suspects.recordSound(clock.Now(), parts, c.choice.Version, c.choice.Server.Incarnation)
 	}
 }
 
-// endTurn lets another call dispatch the same suspect content.
+// endTurn lets another call dispatch requests with the same suspect candidate.
 func (c *call) endTurn() {
 	if c.hasTurn {
-		c.g.suspects.endTurn(c.digest())
+		c.g.suspects.endTurn(c.turn)
 		c.hasTurn = false
 	}
 }
--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -130,8 +130,8 @@
 	require.Equal(t, wholeStream, a.body)
 	assert.Equal(t, 1, e.suspects.count(), "the crash was recorded")
 	assert.Empty(t, e.Suspicions())
-	verdict, _ := e.suspects.verdict(time.Now(), e.contentOf("/stream/x"))
-	assert.Equal(t, quarantine.Free, verdict)
+	judgement := e.suspects.judge(time.Now(), []quarantine.Candidate{{Digest: e.contentOf("/stream/x")}})
+	assert.Equal(t, quarantine.Free, judgement.Verdict)
 }
 
 // TestSuspectContentHasOneAttemptAtATime: further requests with the content wait until the first one
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,7 +95,7 @@
 		return
 	}
 	c.g.cfg.Metrics.failedAttempts.WithLabelValues(c.service, strconv.FormatBool(begun)).Inc()
-	c.noteCrash(c.choice.Server, c.events, err)
+	c.noteCrash(&c.choice, c.events, err)
 }
 
 // attemptFailed handles an attempt without an answer.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -52,10 +52,16 @@
 	// content is the digest of the request's content, computed by the method digest.
 	content    quarantine.Digest
 	digestOnce sync.Once
-	// hasTurn: the call has the exclusive right to dispatch its suspect content.
+	// parts are computed by the method partCandidates.
+	parts     []quarantine.Candidate
+	partsOnce sync.Once
+	// hasTurn: the call has the exclusive right to dispatch requests with the suspect candidate turn.
 	hasTurn bool
+	turn    quarantine.Digest
 	// endedServers are the crashed incarnations because of which the request was refused.
 	endedServers []string
+	// causePart is the part of the prompt because of which the request was refused, empty if it was its content.
+	causePart string
 	// noRetryAfter: the refusal has no Retry-After, since a client retry would be refused, too.
 	noRetryAfter bool
 	// clientDeadline is the deadline that the caller states; deadline is the earlier of that and
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -25,13 +25,8 @@
 		c.giveUp("retry budget is used up")
 		return false
 	}
-	choice, capacity := c.pick(ctx, isRetry)
-	if choice.Server == nil {
-		c.failNoServer(capacity)
-		return false
-	}
-	if c.endIfExpired(ctx) { // during one of the waits
-		c.g.balancer.Done(&choice, clock.Now(), balance.ResultUnknown)
+	choice, ok := c.pickAdmitted(ctx, isRetry)
+	if !ok {
 		return false
 	}
 	c.choice = choice
@@ -40,6 +35,25 @@
 	return true
 }
 
+// pickAdmitted picks a server for a request that was admitted. It returns false if the call has ended.
+func (c *call) pickAdmitted(ctx context.Context, isRetry bool) (balance.Choice, bool) {
+	for {
+		choice, capacity := c.pick(ctx, isRetry)
+		if choice.Server == nil {
+			c.failNoServer(capacity)
+			return balance.Choice{}, false
+		}
+		expired := c.endIfExpired(ctx) // during one of the waits
+		if !expired && c.stillAdmitted() {
+			return choice, true
+		}
+		c.g.balancer.Done(&choice, clock.Now(), balance.ResultUnknown)
+		if expired || !c.admit(ctx) {
+			return balance.Choice{}, false
+		}
+	}
+}
+
 // attemptsExhausted reports whether the route allows no further attempt. Refusals that requested backoff
 // do not count: the server gets no requests from this entry for that time, and a few such servers
 // would use up the attempts of requests that others have free slots for. For the rest of
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -116,7 +116,7 @@
 	}
 	if result == balance.ResultFailed && !errors.Is(err, dispatch.ErrNotSent) {
 		h.began = true // it may have begun
-		go c.noteCrash(h.choice.Server, 0, err)
+		go c.noteCrash(&h.choice, 0, err)
 	}
 	c.dropHandover(w, h, result, err)
 }
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -91,8 +91,8 @@
 			Name: "lynxgate_gateway_sends_broken_total", Help: "Sends that a backend server, or the way to it, broke off, by whether an answer had begun.",
 		}, []string{"service", "answer_begun"}),
 		suspectRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lynxgate_gateway_requests_held_back_total", Help: "Requests that ended without a further send, since servers had ended under the same work, by verdict.",
-		}, []string{"verdict"}),
+			Name: "lynxgate_gateway_requests_held_back_total", Help: "Requests that ended without a further send, since servers had ended under the same work, by verdict, and by whether that is the whole request or a part of its prompt.",
+		}, []string{"verdict", "cause"}),
 		suspect: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_suspect_work", Help: "Pieces of work known here that were at backend servers that ended.",
 		}),
@@ -228,6 +228,9 @@
 	if c.endedServers != nil {
 		event.Strs("ended_servers", c.endedServers)
 	}
+	if c.causePart != "" {
+		event.Str("part", c.causePart)
+	}
 	c.describe(event).Str("kind", kind).Int("status", c.status).Str("reason", c.reason).
 		Bool("may_have_run", c.mayHaveRun).Int("events", c.events).Dur("first_ms", c.firstEvent).Dur("gap_ms", c.longestGap).
 		Dur("took_ms", clock.Since(c.began)).Msg("request ended")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
@@ -15,6 +16,9 @@
 const (
 	// streamBuffer is the initial buffer size of a stream, in bytes: some events.
 	streamBuffer = 4 << 10
+	// soundAfter is how long a server must write an answer without a crash for the parts of its prompt to be sound: one that
+	// crashes because of a part does so within some 0.1 s of its first event.
+	soundAfter = 500 * time.Millisecond
 	// maxEvent is the limit of one event, in bytes.
 	maxEvent = 1 << 20
 )
@@ -149,9 +153,21 @@
 		return nil, err
 	}
 	watch.begun.Store(true)
+	c.clearPartsInTime(watch)
 	return buf[:copy(buf, buf[end:])], nil
 }
 
+// clearPartsInTime clears the parts of the prompt, once, when the server has written for soundAfter.
+func (c *call) clearPartsInTime(watch *watchdog) {
+	switch now := clock.Now(); {
+	case watch.writingSince.IsZero():
+		watch.writingSince = now
+	case !watch.cleared && now.Sub(watch.writingSince) >= soundAfter:
+		watch.cleared = true
+		c.clearParts()
+	}
+}
+
 // wholeEvents returns the length of the whole events at the start of buf.
 func wholeEvents(buf []byte) int {
 	end := 0
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -82,13 +82,18 @@
 	}
 }
 
-// merge adds the reports of other entries.
+// merge adds the reports of other entries. It clears the parts among them that are known here as sound.
 func (s *suspicions) merge(now time.Time, updates []quarantine.Update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, n := range updates {
-		if s.table.Merge(now, n) && n.Server == "" {
-			s.log.Warn().Stringer("content", n.Digest).Strs("ended_servers", s.table.Evidence(n.Digest)).
+		isNew := s.table.Merge(now, n)
+		if isNew && n.Server != "" && !n.Cleared && s.table.IsSound(now, n.Digest, n.Version) {
+			// This is called while a stream to a control server is read, which must not wait for its own messages.
+			go s.publishCleared(n.Part, n.Server, s.table.Answered(now, n.Digest, n.Version))
+		}
+		if isNew && n.Server == "" {
+			s.log.Warn().Stringer("content", n.Digest).Str("part", n.Part).Strs("ended_servers", s.table.Evidence(n.Digest)).
 				Bool("let_go", n.Cleared).Msg("work is held back, or let go")
 		}
 	}
@@ -117,18 +122,20 @@
 	return s.table.Len()
 }
 
-// verdict returns the verdict on content, and the crashed incarnations that count against it.
-func (s *suspicions) verdict(now time.Time, d quarantine.Digest) (quarantine.Verdict, []string) {
+// judge returns the verdict on a request with these candidate causes.
+func (s *suspicions) judge(now time.Time, candidates []quarantine.Candidate) quarantine.Judgement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Verdict(now, d), s.table.Evidence(d)
+	return s.table.Judge(now, candidates)
 }
 
 // inFlight describes a request that a server had when it crashed.
 type inFlight struct {
-	content quarantine.Digest
-	// alone: the content had no other attempt in progress.
-	alone bool
+	// server is the incarnation of the server, version that of its weights.
+	server  string
+	version uint64
+	// candidates are its candidate causes, the content last.
+	candidates []observed
 	// parts are the shared parts of the prompt; events counts the pieces of the answer that came, writing is the time since
 	// the first of them.
 	parts   []string
@@ -136,27 +143,48 @@
 	writing time.Duration
 }
 
-// recordCrash records that an incarnation of a server crashed while it had this request.
-func (s *suspicions) recordCrash(now time.Time, server string, r inFlight) {
-	d := r.content
-	update := quarantine.Update{Digest: d, Server: server, SoleAttempt: r.alone, At: now}
+// observed is a candidate cause. alone: no other attempt with it was in progress.
+type observed struct {
+	quarantine.Candidate
+	alone bool
+}
+
+// recordCrash records that a server crashed while it had this request. Sound parts do not count.
+func (s *suspicions) recordCrash(now time.Time, r inFlight) {
+	var updates []quarantine.Update
+	var suspect []string
 	s.mu.Lock()
-	isNew := s.table.Merge(now, update)
-	verdict := s.table.Verdict(now, d)
+	for _, o := range r.candidates {
+		if s.table.IsSound(now, o.Digest, r.version) {
+			continue
+		}
+		update := quarantine.Update{
+			Digest: o.Digest, Server: r.server, SoleAttempt: o.alone, Origin: o.Origin, Part: o.Part, Version: r.version, At: now,
+		}
+		if s.table.Merge(now, update) {
+			updates = append(updates, update)
+		}
+		if o.Origin != 0 {
+			suspect = append(suspect, o.Part)
+		}
+	}
+	content := r.candidates[len(r.candidates)-1]
+	verdict := s.table.Verdict(now, content.Digest)
 	s.nonEmpty.Store(true)
 	s.mu.Unlock()
-	if isNew {
-		s.log.Info().Stringer("content", d).Str("server", server).Stringer("verdict", verdict).Bool("alone", r.alone).
-			Strs("parts", r.parts).Int("events", r.events).Dur("writing_ms", r.writing).Msg("backend server ended under work")
-		s.publish([]quarantine.Update{update})
+	if len(updates) > 0 {
+		s.log.Info().Stringer("content", content.Digest).Str("server", r.server).Stringer("verdict", verdict).Bool("alone", content.alone).
+			Strs("parts", r.parts).Strs("suspect_parts", suspect).Uint64("weights", r.version).Int("events", r.events).
+			Dur("writing_ms", r.writing).Msg("backend server ended under work")
+		s.publish(updates)
 	}
 }
 
 // recordAnswer records that a server answered a request with this content in full, so that it has not
 // crashed a server. unframed: the answer ended with its connection.
-func (s *suspicions) recordAnswer(now time.Time, d quarantine.Digest, server string, unframed bool) {
+func (s *suspicions) recordAnswer(now time.Time, d quarantine.Digest, version uint64, server string, unframed bool) {
 	s.mu.Lock()
-	cleared := s.table.Answered(now, d)
+	cleared := s.table.Answered(now, d, version)
 	s.mu.Unlock()
 	if len(cleared) > 0 {
 		s.log.Info().Stringer("content", d).Int("ends", len(cleared)).Str("server", server).Bool("unframed", unframed).Msg("work is cleared")
@@ -164,6 +192,29 @@
 	}
 }
 
+// recordSound records that a server has written an answer on parts of a prompt, which clears them.
+func (s *suspicions) recordSound(now time.Time, parts []quarantine.Candidate, version uint64, server string) {
+	s.mu.Lock()
+	var cleared []quarantine.Update
+	for _, part := range parts {
+		s.table.RecordSound(now, part.Digest, version, server)
+		if s.nonEmpty.Load() {
+			cleared = append(cleared, s.table.Answered(now, part.Digest, version)...)
+		}
+	}
+	s.mu.Unlock()
+	s.publishCleared(parts[0].Part, server, cleared)
+}
+
+// publishCleared reports parts that were cleared, if any.
+func (s *suspicions) publishCleared(part, server string, cleared []quarantine.Update) {
+	if len(cleared) == 0 {
+		return
+	}
+	s.log.Info().Str("part", part).Int("ends", len(cleared)).Str("server", server).Msg("part of prompts is cleared")
+	s.publish(cleared)
+}
+
 // takeTurn takes the turn of suspect content. If another call of this entry has it, takeTurn returns a
 // channel that is closed when that turn ends; if another entry has it, the channel is nil.
 func (s *suspicions) takeTurn(ctx context.Context, d quarantine.Digest) (taken bool, ended <-chan struct{}) {
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 
@@ -12,8 +11,8 @@
 // same digest needs 2^64 attempts; one that looks for another organisation's digest needs 2^128.
 const DigestSize = 16
 
-// Digest identifies the content of a request: organisation, method, host, target and body.
-// Ids and deadlines, which differ between attempts, are left out.
+// Digest identifies a candidate cause: the content of a request (organisation, method, host, target and body, but not ids and
+// deadlines, which differ between attempts) or a part of its prompt.
 type Digest [DigestSize]byte
 
 // String returns the digest in hexadecimal, as in logs.
@@ -34,11 +33,7 @@
 // DigestOf returns the digest of a request. organisation is empty for routes that are open to
 // anyone; target is path and query as the caller sent them.
 func DigestOf(organisation, method, host, target string, body []byte) Digest {
-	head := make([]byte, 0, 256)
-	for _, part := range []string{organisation, method, host, target} {
-		head = binary.AppendUvarint(head, uint64(len(part)))
-		head = append(head, part...)
-	}
+	head := appendFields(make([]byte, 0, 256), organisation, method, host, target)
 	h := blake3.New(DigestSize, nil)
 	// Writes to a hash never fail.
 	_, _ = h.Write(head)
--- a/internal/quarantine/entries.go
+++ b/internal/quarantine/entries.go
@@ -8,7 +8,9 @@
 
 // ContentStatus describes one suspect or quarantined request content to operators.
 type ContentStatus struct {
-	Digest  Digest
+	Digest Digest
+	// Part is the id of the part of prompts, empty for the whole content of a request.
+	Part    string
 	Verdict Verdict
 	// Servers are the incarnations of servers that crashed with it in flight.
 	Servers []string
@@ -24,7 +26,7 @@
 		if verdict == Free {
 			continue
 		}
-		e := ContentStatus{Digest: d, Verdict: verdict, Servers: t.Evidence(d)}
+		e := ContentStatus{Digest: d, Part: r.part, Verdict: verdict, Servers: t.Evidence(d)}
 		if r.quarantined() {
 			e.Since = r.quarantinedSince()
 		}
--- a/internal/quarantine/frequent_test.go
+++ b/internal/quarantine/frequent_test.go
@@ -100,7 +100,7 @@
 				quarantined++
 			case Suspect:
 				if l.answers && (l.killed < l.servers || l.downMS < l.gapMS-200) {
-					table.Answered(at(later), content(i))
+					table.Answered(at(later), content(i), 0)
 				}
 			}
 		}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -30,6 +30,10 @@
 	Server  string
 	Cleared bool
 	Index   uint64
+	// Origin and Part are those of the Candidate. Version is the version of the weights that the server used, 0 if it has none.
+	Origin  uint64
+	Part    string
+	Version uint64
 	// SoleAttempt: the attempt was dispatched after another server had crashed with the content, as the
 	// only one in flight.
 	SoleAttempt bool
@@ -45,6 +49,27 @@
 type crash struct {
 	at             time.Time
 	cleared, alone bool
+	version        uint64
+	// origins are the least two of those of the requests that the server had, 0 for none.
+	origins [2]uint64
+}
+
+// merge returns what both observations of one crash say.
+func (c crash) merge(other crash) crash {
+	c.cleared = c.cleared || other.cleared
+	c.alone = c.alone || other.alone
+	c.version = max(c.version, other.version)
+	for _, origin := range other.origins {
+		c.addOrigin(origin)
+	}
+	return c
+}
+
+func (c *crash) addOrigin(origin uint64) {
+	all := slices.DeleteFunc([]uint64{c.origins[0], c.origins[1], origin}, func(o uint64) bool { return o == 0 })
+	slices.Sort(all)
+	c.origins = [2]uint64{}
+	copy(c.origins[:], slices.Compact(all))
 }
 
 type record struct {
@@ -55,6 +80,8 @@
 	quarantinedAt, releasedAt time.Time
 	logged                    logged
 	touchedAt                 time.Time
+	// part is the id of the part of the prompt, if it is known.
+	part string
 }
 
 // logged is what the replicated log says about a content. A control server that has just started
@@ -84,7 +111,9 @@
 }
 
 // quarantined reports whether the content is quarantined and has not been released since.
-func (r *record) quarantined() bool { return r.quarantinedAt.After(r.releasedAt) || r.logged.inForce() }
+func (r *record) quarantined() bool {
+	return r.quarantinedAt.After(r.releasedAt) || r.logged.inForce() && !r.logged.at.Before(r.releasedAt)
+}
 
 // quarantinedSince returns when the content was quarantined last, as far as it is.
 func (r *record) quarantinedSince() time.Time {
@@ -100,12 +129,13 @@
 	records map[Digest]*record
 	// servers are the times at which incarnations crashed, whatever was in flight there.
 	servers map[string]time.Time
+	sound   soundParts
 }
 
 // New returns an empty table.
 func New() *Table { return &Table{records: map[Digest]*record{}, servers: map[string]time.Time{}} }
 
-// Empty reports whether no content is known.
+// Empty reports whether no content is known as suspect.
 func (t *Table) Empty() bool { return len(t.records) == 0 }
 
 // Len returns the number of known contents.
@@ -125,6 +155,9 @@
 		t.records[n.Digest] = r
 	}
 	r.touchedAt = now
+	if n.Part != "" && (r.part == "" || n.Part < r.part) {
+		r.part = n.Part
+	}
 	if n.Index > 0 {
 		return r.logged.merge(n)
 	}
@@ -138,7 +171,7 @@
 	if !ok {
 		known.at = n.At
 	}
-	joined := crash{at: known.at, cleared: known.cleared || n.Cleared, alone: known.alone || n.SoleAttempt}
+	joined := known.merge(crash{cleared: n.Cleared, alone: n.SoleAttempt, version: n.Version, origins: [2]uint64{n.Origin}})
 	r.crashes[n.Server] = joined
 	return !ok || joined != known
 }
@@ -159,20 +192,28 @@
 	return !wasQuarantined && r.quarantined()
 }
 
-// Answered records that the content was answered completely, and returns the facts that this clears.
-func (t *Table) Answered(now time.Time, d Digest) []Update {
+// Answered records that the content was answered completely on a version of the weights, and returns the facts that this clears. A
+// crash on another version still counts. If no crash counts any more, a quarantine ends.
+func (t *Table) Answered(now time.Time, d Digest, version uint64) []Update {
 	r := t.records[d]
 	if r == nil {
 		return nil
 	}
+	counted := r.counted()
 	var out []Update
 	for server, f := range r.crashes {
-		if !f.cleared {
-			n := Update{Digest: d, Server: server, Cleared: true, At: f.at}
-			t.Merge(now, n)
-			out = append(out, n)
+		if !f.cleared && (f.version == version || f.version == 0 || version == 0) {
+			out = append(out, Update{Digest: d, Server: server, Cleared: true, At: f.at})
 		}
 	}
+	for _, n := range out {
+		t.Merge(now, n)
+	}
+	if counted > 0 && r.counted() == 0 && r.quarantined() {
+		release := Update{Digest: d, Cleared: true, At: now}
+		t.Merge(now, release)
+		out = append(out, release)
+	}
 	return out
 }
 
@@ -196,7 +237,7 @@
 	var out []Update
 	for d, r := range t.records {
 		if !r.quarantined() && t.Verdict(now, d) == Quarantined {
-			n := Update{Digest: d, At: now}
+			n := Update{Digest: d, Part: r.part, At: now}
 			t.Merge(now, n)
 			out = append(out, n)
 		}
@@ -204,13 +245,24 @@
 	return out
 }
 
+// Released returns the candidates that are in the log as quarantined, but were released since they were quarantined last.
+func (t *Table) Released() []Digest {
+	var out []Digest
+	for d, r := range t.records {
+		if r.logged.inForce() && r.releasedAt.After(r.quarantinedAt) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // All returns all facts that count, for a daemon that has just started; cleared crashes are left out.
 func (t *Table) All() []Update {
 	var out []Update
 	for d, r := range t.records {
 		for server, f := range r.crashes {
 			if r.counts(f) {
-				out = append(out, Update{Digest: d, Server: server, SoleAttempt: f.alone, At: f.at})
+				out = append(out, f.updates(d, server, r.part)...)
 			}
 		}
 		if !r.releasedAt.IsZero() {
@@ -224,6 +276,17 @@
 	return out
 }
 
+// updates returns the facts about a crash, one for each origin.
+func (c crash) updates(d Digest, server, part string) []Update {
+	n := Update{Digest: d, Server: server, SoleAttempt: c.alone, Version: c.version, Origin: c.origins[0], Part: part, At: c.at}
+	out := []Update{n}
+	if c.origins[1] != 0 {
+		n.Origin = c.origins[1]
+		out = append(out, n)
+	}
+	return out
+}
+
 // updates returns the facts of the log about a content.
 func (l *logged) updates(d Digest) []Update {
 	var out []Update
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -46,7 +46,7 @@
 		table.crashed(server, 1000*i, content(1))
 		other.crashed(server, 1000*i, content(1))
 	}
-	for _, n := range table.Answered(at(1500), content(1)) {
+	for _, n := range table.Answered(at(1500), content(1), 0) {
 		other.Merge(at(1500), n)
 	}
 	assert.Equal(t, Free, table.Verdict(at(1500), content(1)))
@@ -60,7 +60,7 @@
 func TestClearedContentIsForgottenSoon(t *testing.T) {
 	table := New()
 	table.crashed("s-1", 0, content(1), content(2))
-	table.Answered(at(1000), content(1))
+	table.Answered(at(1000), content(1), 0)
 	assert.Len(t, table.All(), 1, "cleared crashes are left out")
 	table.Forget(at(1000).Add(clearedRetention + time.Second))
 	assert.Equal(t, 1, table.Len())
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -66,7 +66,7 @@
 		return Suspect
 	}
 	switch counted := r.counted(); {
-	case counted == 0:
+	case counted == 0, r.ofOneOrganisation():
 		return Free
 	case counted < crashesToQuarantine:
 		return Suspect
@@ -156,6 +156,22 @@
 	return n
 }
 
+// ofOneOrganisation reports whether the candidate is one of several organisations, and all crashes that count were under requests of
+// one.
+func (r *record) ofOneOrganisation() bool {
+	var seen uint64
+	for _, f := range r.crashes {
+		if !r.counts(f) || f.origins[0] == 0 {
+			continue
+		}
+		if f.origins[1] != 0 || seen != 0 && seen != f.origins[0] {
+			return false
+		}
+		seen = f.origins[0]
+	}
+	return seen != 0
+}
+
 // asConcurrent returns the crashes as if none of the attempts had been dispatched alone.
 func asConcurrent(crashes []crash) []crash {
 	out := slices.Clone(crashes)
