Answers without framing are whole only if their server did not crash

Cause: the end of a connection counted as the end of an answer that has neither a length nor chunks, also when the server's process had ended. The class: an absence is taken for a statement. Ruled out: resets and ends inside an event, which were errors before. Change: at such an end the entry makes a connection. The answer is whole if the server accepts it, or refuses it after it announced that it leaves. Otherwise it has broken off: the rest of a stream is requested elsewhere, an answer that was held is requested again, and one that was begun is aborted. An end at the deadline that the server was given is no whole answer either. Measured: TestUnframedAnswerIsWholeOrBroken, TestUnframedAnswerOfPlainServerIsRequestedAgain, TestUnframedAnswerOfACrashedServerIsBroken, TestLargeUnframedAnswerOfACrashedServerLooksBroken failed before and pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -205,7 +205,7 @@
 // failedAnswer handles an answer with an error status. Server errors of idempotent requests are
 // retried if another attempt is allowed; other answers are forwarded to the caller.
 func (c *call) failedAnswer(watch *watchdog, a *dispatch.Answer) attemptResult {
-	body, err := c.readWhole(a)
+	body, err := c.readWhole(&c.choice, a)
 	if err != nil {
 		return c.brokenAnswer(watch, "answer broke off", err)
 	}
@@ -271,7 +271,7 @@
 // forwardWhole forwards a non-streaming answer once it has been read completely, or begins to
 // forward it when more has been read than is held.
 func (c *call) forwardWhole(watch *watchdog, a *dispatch.Answer) attemptResult {
-	body, err := c.readWhole(a)
+	body, err := c.readWhole(&c.choice, a)
 	large := errors.Is(err, errLargeAnswer)
 	if large {
 		err = nil
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -77,7 +77,7 @@
 	h.began = true
 	a.SetReadDeadline(c.deadline)
 	if c.route.Kind != fleet.KindStream {
-		body, err := c.readWhole(a)
+		body, err := c.readWhole(&h.choice, a)
 		if errors.Is(err, errLargeAnswer) {
 			return nil, balance.ResultUnknown, err // the first server's answer is as large
 		}
@@ -92,7 +92,8 @@
 		n, err := a.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if err == io.EOF && len(buf) == 0 {
-			return nil, 0, nil // the stream has no further events
+			// The stream has no further events.
+			return nil, balance.ResultFailed, c.checkEnd(&h.choice, a)
 		}
 		if err != nil && wholeEvents(buf) == 0 {
 			return nil, balance.ResultFailed, err
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -124,6 +124,9 @@
 		case readErr == io.EOF && c.choice.Expired(clock.Now()):
 			return errEndedAtBound
 		case readErr == io.EOF:
+			if err := c.checkEnd(&c.choice, a); err != nil {
+				return err
+			}
 			return c.endStream(watch, a)
 		case readErr != nil:
 			return readErr
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -262,17 +262,37 @@
 }
 
 func (s *suspicions) checkCrash(server *balance.Server, check *crashCheck) {
-	check.crashed = refusesConnections(server.Pool)
+	check.crashed = probe(server.Pool) == probeRefused
 	s.mu.Lock()
 	delete(s.checks, server)
 	s.mu.Unlock()
 	close(check.done)
 }
 
-// refusesConnections probes until an attempt has a result. Attempts that have none yet go on beside
+// probeResult is what a server's VM does with a new connection.
+type probeResult uint8
+
+const (
+	// probeSilent: there was no answer in time, or an error that says nothing about the server.
+	probeSilent probeResult = iota
+	probeAccepted
+	probeRefused
+)
+
+func probeResultOf(err error) probeResult {
+	switch {
+	case err == nil:
+		return probeAccepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return probeRefused
+	}
+	return probeSilent
+}
+
+// probe makes connection attempts until one has a result. Attempts that have none yet go on beside
 // the later ones. They have no deadline of their own: a timer that expires while the process is
 // stalled ends one interval, whatever the length of the stall.
-func refusesConnections(pool *dispatch.Pool) bool {
+func probe(pool *dispatch.Pool) probeResult {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	results := make(chan error, crashProbes)
@@ -280,14 +300,14 @@
 		go func() { results <- pool.Probe(ctx) }()
 		select {
 		case err := <-results:
-			return errors.Is(err, syscall.ECONNREFUSED)
+			return probeResultOf(err)
 		case <-time.After(crashProbeInterval):
 		}
 	}
 	select {
 	case err := <-results: // it arrived together with the last timer
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return probeResultOf(err)
 	default:
-		return false
+		return probeSilent
 	}
 }
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -26,15 +26,18 @@
 // errLargeAnswer means that an answer is larger than what is held of it.
 var errLargeAnswer = errors.New("answer is larger than what is held")
 
-// readWhole reads a non-streaming answer. Of a larger one, or while other bodies use up the memory
+// readWhole reads a non-streaming answer of the chosen server. Of a larger one, or while other bodies use up the memory
 // for them, it returns a part with errLargeAnswer.
-func (c *call) readWhole(a *dispatch.Answer) ([]byte, error) {
+func (c *call) readWhole(choice *balance.Choice, a *dispatch.Answer) ([]byte, error) {
 	a.SetReadDeadline(c.deadline)
 	body, err := c.readHeld(a, maxHeldAnswer)
-	if errors.Is(err, errNoMemory) {
+	switch {
+	case errors.Is(err, errNoMemory):
 		return body, errLargeAnswer
+	case err != nil:
+		return body, err
 	}
-	return body, err
+	return body, c.checkEnd(choice, a)
 }
 
 // passOn forwards an answer that is too large to be held: what was read of it, and the rest as it
@@ -54,6 +57,9 @@
 			break
 		}
 		if readErr == io.EOF {
+			if err = c.checkEnd(&c.choice, a); err != nil {
+				break
+			}
 			c.g.balancer.Done(&c.choice, clock.Now(), balance.ResultSucceeded)
 			c.clearSuspicion(a)
 			c.status, c.reason = a.StatusCode, "served"
