Parts are named to operators; their verdicts cost little beside a full table

Cause: lynxctl held and explain named digests only. Change: held and explain name the part. Only parts explain crashes under others, and are kept apart. A sound part that is still in use stays known, with the time since which it is.

--- a/cmd/lynxctl/held.go
+++ b/cmd/lynxctl/held.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -52,7 +53,11 @@
 		if w.QuarantinedMs > 0 {
 			held = " for " + (time.Duration(w.QuarantinedMs) * time.Millisecond).Round(time.Second).String()
 		}
-		fmt.Fprintf(c.env.stdout, "%s %s%s, ended under it: %s\n", w.Content, w.Verdict, held, strings.Join(w.Servers, " "))
+		part := ""
+		if w.Part != "" {
+			part = " part " + strconv.Quote(w.Part)
+		}
+		fmt.Fprintf(c.env.stdout, "%s%s %s%s, ended under it: %s\n", w.Content, part, w.Verdict, held, strings.Join(w.Servers, " "))
 	}
 	return exitOK
 }
--- a/cmd/lynxctl/held_test.go
+++ b/cmd/lynxctl/held_test.go
@@ -31,10 +31,10 @@
 }
 
 func TestHeldListsAndLetsGo(t *testing.T) {
-	list := `[{"content":"ab12","verdict":"held","servers":["s-1","s-2","s-3"],"held_ms":61000},{"content":"cd34","verdict":"suspect","servers":["s-1"],"held_ms":0}]`
+	list := `[{"content":"ab12","verdict":"held","servers":["s-1","s-2","s-3"],"held_ms":61000},{"content":"cd34","part":"5c1e07a2","verdict":"suspect","servers":["s-1"],"held_ms":0}]`
 	asked, out, _, code := runHeld(t, http.StatusOK, list)
 	assert.Equal(t, "GET /v1/held", asked)
-	assert.Equal(t, "ab12 held for 1m1s, ended under it: s-1 s-2 s-3\ncd34 suspect, ended under it: s-1\n", out)
+	assert.Equal(t, "ab12 held for 1m1s, ended under it: s-1 s-2 s-3\ncd34 part \"5c1e07a2\" suspect, ended under it: s-1\n", out)
 	assert.Zero(t, code)
 
 	asked, out, _, code = runHeld(t, http.StatusNoContent, "", "ab12")
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -185,12 +185,15 @@
 	r.Reservation = l.reservation()
 }
 
-// crashedServers formats the servers that crashed on the same request content.
+// crashedServers formats the servers that crashed on the same request content, or on the same part of a prompt.
 func (l Line) crashedServers() string {
 	servers, _ := l.Fields["ended_servers"].([]any)
 	if len(servers) == 0 {
 		return ""
 	}
+	if part := l.text("part"); part != "" {
+		return fmt.Sprintf(" (ended under part %q of the prompt: %v)", part, servers)
+	}
 	return fmt.Sprintf(" (ended under the same work %v: %v)", l.Fields["content"], servers)
 }
 
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -90,7 +90,7 @@
 		isNew := s.table.Merge(now, n)
 		if isNew && n.Server != "" && !n.Cleared && s.table.IsSound(now, n.Digest, n.Version) {
 			// This is called while a stream to a control server is read, which must not wait for its own messages.
-			go s.publishCleared(n.Part, n.Server, s.table.Answered(now, n.Digest, n.Version))
+			go s.publish(s.table.Answered(now, n.Digest, n.Version))
 		}
 		if isNew && n.Server == "" {
 			s.log.Warn().Stringer("content", n.Digest).Str("part", n.Part).Strs("ended_servers", s.table.Evidence(n.Digest)).
@@ -198,25 +198,23 @@
 
 // recordSound records that a server has written an answer on parts of a prompt, which clears them.
 func (s *suspicions) recordSound(now time.Time, parts []quarantine.Candidate, version uint64, server string) {
-	s.mu.Lock()
 	var cleared []quarantine.Update
+	var names []string
+	s.mu.Lock()
 	for _, part := range parts {
 		s.table.RecordSound(now, part.Digest, version, server)
-		if s.nonEmpty.Load() {
-			cleared = append(cleared, s.table.Answered(now, part.Digest, version)...)
+		if !s.nonEmpty.Load() {
+			continue
+		}
+		if updates := s.table.Answered(now, part.Digest, version); len(updates) > 0 {
+			cleared, names = append(cleared, updates...), append(names, part.Part)
 		}
 	}
 	s.mu.Unlock()
-	s.publishCleared(parts[0].Part, server, cleared)
-}
-
-// publishCleared reports parts that were cleared, if any.
-func (s *suspicions) publishCleared(part, server string, cleared []quarantine.Update) {
-	if len(cleared) == 0 {
-		return
+	if len(cleared) > 0 {
+		s.log.Info().Strs("parts", names).Int("ends", len(cleared)).Str("server", server).Msg("parts of prompts are cleared")
+		s.publish(cleared)
 	}
-	s.log.Info().Str("part", part).Int("ends", len(cleared)).Str("server", server).Msg("part of prompts is cleared")
-	s.publish(cleared)
 }
 
 // takeTurn takes the turn of suspect content. If another call of this entry has it, takeTurn returns a
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -49,8 +49,8 @@
 )
 
 // mayBeTried reports whether a request with these candidates may be dispatched although one of them, with this record, is quarantined:
-// every crash that counts against that one was also one under other candidates, which the request does not have, and the
-// last trial was long enough ago. Before the first trial there is no wait if all those others are quarantined.
+// every crash that counts against that one was also one under parts of prompts that the request does not have, and the
+// last trial was long enough ago. Before the first trial there is no wait if all those parts are quarantined.
 func (t *Table) mayBeTried(now time.Time, r *record, candidates []Candidate) bool {
 	crashes := r.countedCrashes()
 	if len(crashes) == 0 {
@@ -80,28 +80,39 @@
 	return now.Sub(last) >= trialInterval<<min(max(failed-1, 0), maxTrialDoublings)
 }
 
-// otherCause is a candidate that may be the cause of crashes in place of another one.
+// otherCause is a part that may be the cause of crashes in place of another candidate.
 type otherCause struct {
 	*record
 	quarantined bool
 }
 
-// otherCauses returns the quarantined candidates and the suspect parts, other than these candidates. The same part in the requests of one
-// organisation is no other cause.
+// otherCauses returns the suspect and quarantined parts of prompts that may be the cause of crashes under r, other than these
+// candidates. The same part in the requests of one organisation is no other cause.
 func (t *Table) otherCauses(now time.Time, r *record, candidates []Candidate) (others []otherCause) {
-	for d, other := range t.records {
-		isOwn := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Digest == d })
-		if isOwn || r.part != "" && other.part == r.part {
+	for d, other := range t.parts {
+		if !other.sharesCrash(r) || other.part == r.part {
 			continue
 		}
-		verdict := t.Verdict(now, d)
-		if verdict == Quarantined || verdict != Free && other.part != "" {
+		if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Digest == d }) {
+			continue
+		}
+		if verdict := t.Verdict(now, d); verdict != Free {
 			others = append(others, otherCause{record: other, quarantined: verdict == Quarantined})
 		}
 	}
 	return others
 }
 
+// sharesCrash reports whether a server crashed with both in flight.
+func (r *record) sharesCrash(other *record) bool {
+	for server := range other.crashes {
+		if _, ok := r.crashes[server]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // explanation says under which other causes a server crashed: whether there are any, whether one of them is quarantined, and
 // whether none of these had another attempt in progress.
 type explanation struct{ any, quarantined, allAlone bool }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -107,6 +107,20 @@
 	assert.False(t, table.IsSound(at(3*maxSound), content(0), 1))
 }
 
+// Guards against a common part that is forgotten, or counts as sound for a moment only, because many requests have parts of their own.
+func TestCommonPartStaysSoundBesideRareOnes(t *testing.T) {
+	table := New()
+	common := content(0)
+	for i := range 3 * maxSound {
+		table.RecordSound(at(i), content(1+i), 1, "s-rare")
+		if i%100 == 0 {
+			table.RecordSound(at(i), common, 1, fmt.Sprint("s-", i))
+		}
+	}
+	table.crashedUnder("s-24500", 24600, ofOrg("a", "other")...)
+	assert.True(t, table.IsSound(at(3*maxSound), common, 1))
+}
+
 // Guards against a common part that is quarantined together with the one that is the cause, since no sound request had an answer before:
 // requests with the common part alone would be refused for ten minutes.
 func TestPartsThatComeTogetherAreToldApart(t *testing.T) {
--- a/internal/quarantine/sound.go
+++ b/internal/quarantine/sound.go
@@ -9,9 +9,9 @@
 	// settledAfter is how long after it wrote on a part a server must not crash, for the part to be sound. A server whose answer was
 	// read late may have crashed already.
 	settledAfter = time.Second
-	// maxSound bounds the known sound parts, some 100 bytes each (BenchmarkSoundSize). Those recorded longest ago are
-	// forgotten first, half of them at a time.
-	maxSound = 16384
+	// maxSound bounds the known sound parts, 160 bytes each (BenchmarkSoundSize); a part has two digests. Those that no request had
+	// for longest are forgotten first, half of them at a time.
+	maxSound = 8192
 )
 
 // soundParts are the parts of prompts on which servers have written without a crash. A part that is in most prompts is at most servers
@@ -36,7 +36,7 @@
 }
 
 func (s *soundParts) put(d Digest, known soundness) {
-	if len(s.recent) >= maxSound/2 {
+	if _, ok := s.recent[d]; !ok && len(s.recent) >= maxSound/2 {
 		s.recent, s.older = nil, s.recent
 	}
 	if s.recent == nil {
@@ -49,10 +49,10 @@
 // kept while it is fresh: the longer ago it was, the less it may be due to a server that has crashed unnoticed.
 func (t *Table) RecordSound(now time.Time, d Digest, version uint64, server string) {
 	known, ok := t.sound.get(d)
-	if ok && known.version == version && now.Sub(known.at) < soundRetention/2 && !t.crashedAfter(known) {
-		return
+	if !ok || known.version != version || now.Sub(known.at) >= soundRetention/2 || t.crashedAfter(known) {
+		known = soundness{version: version, server: server, at: now}
 	}
-	t.sound.put(d, soundness{version: version, server: server, at: now})
+	t.sound.put(d, known)
 }
 
 // IsSound reports whether a part of prompts is known as sound on a version of the weights.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -14,7 +14,7 @@
 	// clearedRetention is how long a cleared crash is remembered; updates about it are under way
 	// for less. Most crashes are cleared within seconds.
 	clearedRetention = 30 * time.Second
-	// maxRecords bounds the known content, 670 bytes each with three crashes (BenchmarkRecordSize):
+	// maxRecords bounds the known content, 960 bytes each with three crashes (BenchmarkRecordSize):
 	// that of all slots of 300 servers that crash at once. The record changed longest ago is evicted
 	// first, quarantined content last.
 	maxRecords = 4096
@@ -129,6 +129,8 @@
 	records map[Digest]*record
 	// servers are the times at which incarnations crashed, whatever was in flight there.
 	servers map[string]time.Time
+	// parts are the records of parts of prompts.
+	parts map[Digest]*record
 	// trials are the servers that crashed while they had the only attempt with a suspect part.
 	trials map[string]bool
 	sound  soundParts
@@ -136,7 +138,9 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{records: map[Digest]*record{}, servers: map[string]time.Time{}, trials: map[string]bool{}}
+	return &Table{
+		records: map[Digest]*record{}, servers: map[string]time.Time{}, parts: map[Digest]*record{}, trials: map[string]bool{},
+	}
 }
 
 // Empty reports whether no content is known as suspect.
@@ -161,6 +165,7 @@
 	r.touchedAt = now
 	if n.Part != "" && (r.part == "" || n.Part < r.part) {
 		r.part = n.Part
+		t.parts[n.Digest] = r
 	}
 	if n.Index > 0 {
 		return r.logged.merge(n)
@@ -328,11 +333,16 @@
 			r.logged = logged{}
 		}
 		if len(r.crashes) == 0 && r.quarantinedAt.IsZero() && r.releasedAt.IsZero() && r.logged == (logged{}) {
-			delete(t.records, d)
+			t.drop(d)
 		}
 	}
 }
 
+func (t *Table) drop(d Digest) {
+	delete(t.records, d)
+	delete(t.parts, d)
+}
+
 // evictOldest drops one record to make space for another.
 func (t *Table) evictOldest() {
 	var oldest Digest
@@ -342,7 +352,7 @@
 			oldest, least = d, r
 		}
 	}
-	delete(t.records, oldest)
+	t.drop(oldest)
 }
 
 // evictedBefore reports whether the record is evicted before another.
