Agents take no part of an answer without framing for the whole

Cause: as at entries, the end of a connection counted as the end of a body that has neither a length nor chunks. Ruled out: frames, which carry an end mark and digest, but only of what the agent took for whole. Change: at such an end the agent connects to its server; if that fails and the server has not signalled that it leaves, the outcome is unknown (answer cut).

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -151,7 +151,7 @@
 			defer buffers.Put(large)
 			buf = large[:]
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !a.endsWithServer(ctx, resp) {
 			a.metrics.requests.WithLabelValues("completed").Inc()
 			return w.send(w.frames.End())
 		}
@@ -161,6 +161,14 @@
 	}
 }
 
+// endsWithServer reports whether the end of a body may be that of its server. A body with neither a length nor chunks ends with its
+// connection, and so does one whose server crashes: it is complete if the server still accepts connections, or has signalled
+// that it leaves.
+func (a *Agent) endsWithServer(ctx context.Context, resp *http.Response) bool {
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	return unframed && !a.gate.isBackendLeaving() && !a.backend.reachable(ctx)
+}
+
 // unknownReason distinguishes an expired deadline from a failed backend server.
 func unknownReason(ctx context.Context) outcome.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -86,6 +86,13 @@
 	g.changed()
 }
 
+// isBackendLeaving reports whether the backend server has signalled that it leaves.
+func (g *gate) isBackendLeaving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.backendLeaving
+}
+
 // setBackendLeaving sets whether new requests are refused because the backend
 // server leaves, and reports whether the value changed.
 func (g *gate) setBackendLeaving(leaves bool) bool {
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -214,7 +214,7 @@
 func (a *Answer) Reused() bool { return a.conn.reused }
 
 // Unframed reports whether the body has neither a length nor chunks, so that it ends with the connection.
-func (a *Answer) Unframed() bool { return a.unframed }
+func (a *Answer) Unframed() bool { return a.unframed && a.Body != http.NoBody }
 
 // SetReadDeadline sets the deadline of further reads of the body, a time of package clock.
 func (a *Answer) SetReadDeadline(t time.Time) { _ = a.conn.SetReadDeadline(clock.Deadline(t)) }
