A server that has written for long shows its parts to be sound, though it is killed then

By the entries' lines all engines were killed within a second of the first answers, so that none counted as evidence, and again within a second of the next ones; requests with the part had been written for 1.1 to 1.4 s at servers that counted against it. Change: what a server has written for 0.5 s is evidence whatever happens to the server later. Instead of the second after it, the time of writing itself excludes a standstill of the entry: of a pause 0.2 s count at most. The second remains for short answers. A crash on a version that is not known, as control servers of an earlier build tell it, is cleared by an answer on any.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -117,7 +117,7 @@
 	c.g.balancer.ConnectionRefused(s, clock.Now())
 	r := inFlight{server: s.Incarnation, version: choice.Version, parts: c.sharedParts(), events: events}
 	if events > 0 {
-		r.writing = clock.Since(c.began) - c.firstEvent
+		r.writing = c.writing
 	}
 	candidates := c.candidates()
 	for i, candidate := range candidates {
@@ -144,7 +144,7 @@
 // clearParts records that the chosen server has written an answer on the shared parts of the prompt.
 func (c *call) clearParts() {
 	if parts := c.partCandidates(); len(parts) > 0 {
-		c.g.suspects.recordSound(clock.Now(), parts, c.choice.Version, c.choice.Server.Incarnation)
+		c.g.suspects.recordSound(clock.Now(), parts, c.choice.Version, c.choice.Server.Incarnation, c.writing >= soundAfter)
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,6 +23,7 @@
 // attempt sends the request to the chosen server, once.
 func (c *call) attempt(ctx context.Context) attemptResult {
 	s := c.choice.Server
+	c.writing, c.wroteAt = 0, time.Time{}
 	watch := c.watch(ctx)
 	defer watch.stop()
 	answer, err := s.Pool.Send(watch.ctx, c.request(&c.choice), c.deadline)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -110,6 +110,10 @@
 	// longestGap is the longest pause between events, eventAt the time of the last one.
 	longestGap time.Duration
 	eventAt    time.Time
+	// writing is for how long the server of this attempt has written, wroteAt when its last events came. Of a pause no more
+	// than maxCountedPause counts: after a standstill of the entry, events come that were written long before.
+	writing time.Duration
+	wroteAt time.Time
 	// lastEvent is the id of the last event that the caller has, from this call or an earlier one; resumedAfter is that of an
 	// earlier one. received counts the events of this call.
 	lastEvent    string
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -235,6 +235,7 @@
 // continueHandover forwards the answer of the server that has taken the request over.
 func (c *call) continueHandover(h *handover) attemptResult {
 	c.choice = h.choice
+	c.writing, c.wroteAt = 0, time.Time{}
 	c.tried = append(c.tried, h.choice.Server)
 	defer h.next.stop()
 	defer h.answer.Close()
--- a/internal/gateway/parts_quarantine_test.go
+++ b/internal/gateway/parts_quarantine_test.go
@@ -129,3 +129,23 @@
 	}, 5*time.Second, 10*time.Millisecond)
 	assert.Equal(t, int64(1), e.InFlight())
 }
+
+// Guards against a part taken for sound since the entry stood still between two events of a server that crashed meanwhile.
+func TestOnePauseIsNoTimeOfWriting(t *testing.T) {
+	paused := make(chan struct{})
+	b := newBackend(t, "b-1", func(w http.ResponseWriter, r *http.Request) {
+		twoEvents(w)
+		time.Sleep(soundAfter + 100*time.Millisecond)
+		twoEvents(w)
+		close(paused)
+		<-r.Context().Done()
+	})
+	e := newEntry(t, b)
+	e.onlyEngines()
+	go e.ask(t, http.MethodPost, "/stream/x", withParts("common:5,own:1"))
+	<-paused
+	time.Sleep(50 * time.Millisecond)
+	e.suspects.mu.Lock()
+	defer e.suspects.mu.Unlock()
+	assert.False(t, e.suspects.table.IsSound(time.Now(), partOf("common"), 7))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,8 +17,10 @@
 	// streamBuffer is the initial buffer size of a stream, in bytes: some events.
 	streamBuffer = 4 << 10
 	// soundAfter is how long a server must write an answer without a crash for the parts of its prompt to be sound: one that
-	// crashes because of a part does so within some 0.1 s of its first event.
-	soundAfter = 500 * time.Millisecond
+	// crashes because of a part does so within some 0.1 s of its first event. A pause counts maxCountedPause at most, so that
+	// one standstill of the entry within this time does not look like it.
+	soundAfter      = 500 * time.Millisecond
+	maxCountedPause = 200 * time.Millisecond
 	// maxEvent is the limit of one event, in bytes.
 	maxEvent = 1 << 20
 )
@@ -156,17 +158,18 @@
 		return nil, err
 	}
 	watch.begun.Store(true)
-	c.clearPartsInTime(watch)
+	c.countWriting()
 	return buf[:copy(buf, buf[end:])], nil
 }
 
-// clearPartsInTime clears the parts of the prompt, once, when the server has written for soundAfter.
-func (c *call) clearPartsInTime(watch *watchdog) {
-	switch now := clock.Now(); {
-	case watch.writingSince.IsZero():
-		watch.writingSince = now
-	case !watch.cleared && now.Sub(watch.writingSince) >= soundAfter:
-		watch.cleared = true
+// countWriting counts the time since the last events, and clears the parts of the prompt once the server has written for soundAfter.
+func (c *call) countWriting() {
+	now, before := clock.Now(), c.writing
+	if !c.wroteAt.IsZero() {
+		c.writing += min(now.Sub(c.wroteAt), maxCountedPause)
+	}
+	c.wroteAt = now
+	if before < soundAfter && c.writing >= soundAfter {
 		c.clearParts()
 	}
 }
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -136,8 +136,8 @@
 	version uint64
 	// candidates are its candidate causes, the content last.
 	candidates []observed
-	// parts are the shared parts of the prompt; events counts the pieces of the answer that came, writing is the time since
-	// the first of them.
+	// parts are the shared parts of the prompt; events counts the pieces of the answer that came, writing is for how long the
+	// server had written.
 	parts   []string
 	events  int
 	writing time.Duration
@@ -196,13 +196,14 @@
 	}
 }
 
-// recordSound records that a server has written an answer on parts of a prompt, which clears them.
-func (s *suspicions) recordSound(now time.Time, parts []quarantine.Candidate, version uint64, server string) {
+// recordSound records that a server has written an answer on parts of a prompt, which clears them. settled is that of
+// quarantine.Table.RecordSound.
+func (s *suspicions) recordSound(now time.Time, parts []quarantine.Candidate, version uint64, server string, settled bool) {
 	var cleared []quarantine.Update
 	var names []string
 	s.mu.Lock()
 	for _, part := range parts {
-		s.table.RecordSound(now, part.Digest, version, server)
+		s.table.RecordSound(now, part.Digest, version, server, settled)
 		if !s.nonEmpty.Load() {
 			continue
 		}
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -36,10 +36,6 @@
 	weightsExpired atomic.Bool
 	// begun: an event was forwarded.
 	begun atomic.Bool
-	// writingSince is when the first event was forwarded, cleared whether the parts of the prompt were cleared since. Only the
-	// attempt's goroutine uses them.
-	writingSince time.Time
-	cleared      bool
 	// ended: the attempt has ended. Guarded by call.mu.
 	ended bool
 }
--- a/internal/quarantine/parts_load_test.go
+++ b/internal/quarantine/parts_load_test.go
@@ -224,7 +224,7 @@
 func (p *partPlay) clear(ms int, s *loadServer, q *loadRequest, candidates []Candidate) {
 	for _, c := range candidates {
 		if p.rule == knownSound && c.Part != "" {
-			p.table.RecordSound(at(ms), c.Digest, 1, s.name)
+			p.table.RecordSound(at(ms), c.Digest, 1, s.name, true)
 		}
 		p.table.Answered(at(ms), c.Digest, 1)
 	}
--- a/internal/quarantine/parts_size_test.go
+++ b/internal/quarantine/parts_size_test.go
@@ -14,7 +14,7 @@
 		runtime.ReadMemStats(&before)
 		table := New()
 		for i := range maxSound {
-			table.RecordSound(at(i), content(i), 1, fmt.Sprintf("server-%d", i%100))
+			table.RecordSound(at(i), content(i), 1, fmt.Sprintf("server-%d", i%100), true)
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
@@ -29,7 +29,7 @@
 	for b.Loop() {
 		for _, part := range []string{"5c1e07a2", "91bd3f06", "e4402b7d"} {
 			for _, c := range PartCandidates("organisation", "model", part) {
-				table.RecordSound(at(1), c.Digest, 1, "server")
+				table.RecordSound(at(1), c.Digest, 1, "server", true)
 			}
 		}
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -71,7 +71,7 @@
 func TestSoundPartsAreThoseOfOneVersion(t *testing.T) {
 	table := New()
 	part := ofOrg("a", "p")[1]
-	table.RecordSound(at(0), part.Digest, 1, "s-0")
+	table.RecordSound(at(0), part.Digest, 1, "s-0", true)
 	assert.True(t, table.IsSound(at(1), part.Digest, 1))
 	assert.False(t, table.IsSound(at(1), part.Digest, 2))
 	assert.False(t, table.IsSound(at(1).Add(soundRetention), part.Digest, 1))
@@ -82,25 +82,35 @@
 	assert.Equal(t, Free, table.Verdict(at(300), part.Digest))
 }
 
-// Guards against an entry that stood still between two events of an engine which had crashed by the second one, and takes the
-// part that crashed it for sound.
+// Guards against a part that crashes servers right after short answers, which would be taken for sound.
 func TestPartIsNotSoundIfItsServerCrashedRightAfter(t *testing.T) {
 	table := New()
 	part := ofOrg("a", "p")[1]
-	table.RecordSound(at(1000), part.Digest, 1, "s-1")
+	table.RecordSound(at(1000), part.Digest, 1, "s-1", false)
 	table.crashedUnder("s-1", 1100, ofOrg("a", "other")...)
 	assert.False(t, table.IsSound(at(1200), part.Digest, 1))
-	table.RecordSound(at(1300), part.Digest, 1, "s-2")
+	table.RecordSound(at(1300), part.Digest, 1, "s-2", false)
 	assert.True(t, table.IsSound(at(1400), part.Digest, 1))
-	table.RecordSound(at(9000), part.Digest, 1, "s-3")
+	table.RecordSound(at(9000), part.Digest, 1, "s-3", false)
 	table.crashedUnder("s-3", 9100, ofOrg("a", "other")...)
 	assert.True(t, table.IsSound(at(9200), part.Digest, 1), "it was sound long before")
 }
 
+// Guards against a sound part that counts as a cause since the server that had written on it for long was killed.
+func TestPartOfALongAnswerStaysSoundIfItsServerIsKilled(t *testing.T) {
+	table := New()
+	part := ofOrg("a", "p")[1]
+	table.RecordSound(at(900), part.Digest, 1, "s-1", false)
+	table.RecordSound(at(1000), part.Digest, 1, "s-1", true)
+	table.crashedUnder("s-1", 1100, ofOrg("a", "other")...)
+	assert.True(t, table.IsSound(at(1200), part.Digest, 1))
+	assert.True(t, table.IsSound(at(1200), part.Digest, 0), "the version is not known, as of control servers of an earlier build")
+}
+
 func TestSoundPartsAreBounded(t *testing.T) {
 	table := New()
 	for i := range 3 * maxSound {
-		table.RecordSound(at(i), content(i), 1, "s")
+		table.RecordSound(at(i), content(i), 1, "s", true)
 	}
 	assert.LessOrEqual(t, len(table.sound.recent)+len(table.sound.older), maxSound)
 	assert.True(t, table.IsSound(at(3*maxSound), content(3*maxSound-1), 1))
@@ -112,9 +122,9 @@
 	table := New()
 	common := content(0)
 	for i := range 3 * maxSound {
-		table.RecordSound(at(i), content(1+i), 1, "s-rare")
+		table.RecordSound(at(i), content(1+i), 1, "s-rare", false)
 		if i%100 == 0 {
-			table.RecordSound(at(i), common, 1, fmt.Sprint("s-", i))
+			table.RecordSound(at(i), common, 1, fmt.Sprint("s-", i), false)
 		}
 	}
 	table.crashedUnder("s-24500", 24600, ofOrg("a", "other")...)
