Entries send requests to expiring weights through the agent on the engine's VM

In the last 4.4 s before the bound on an engine's weights, and always for a request that must not run twice, an entry with agents that relay sends the request to the agent, which writes the deadline when it reads it and cancels by its own clock. Direct requests are sent and cancelled early enough for a path that delays by 2 s.

Not in force yet: no adapter sets RelayAddr until agents relay. nextCheckDelay takes the margin as an argument, since there are two now; its test passes the same figures.

Tests: internal/balance relay_test.go (rapid: every direct choice can be cancelled 2.4 s before the bound), internal/gateway relay_test.go.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"lynxgate.dev/lynxgate/internal/backpressure"
+	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
 )
@@ -66,6 +67,8 @@
 	// VersionBound is the time after the naming of a version from which on requests may no
 	// longer begin on an older one.
 	VersionBound time.Duration
+	// RelayAddr returns the address at which the agent on a server's VM relays requests to it; nil if none does.
+	RelayAddr func(serverAddr string) string
 	// A cold server gets at most ColdOverage times its cold rate plus ColdSlack requests in any second
 	// from all entries together. A ColdOverage of 0 stands for 1.
 	ColdOverage, ColdSlack float64
@@ -128,7 +131,7 @@
 	}
 	for id, s := range b.servers {
 		if !listed[id] {
-			s.Pool.Close()
+			s.closePools()
 			delete(b.servers, id)
 		}
 	}
@@ -148,6 +151,9 @@
 		sig := b.signalsOf(record.Incarnation(), record.SeenAt)
 		sig.id = record.ID
 		s = newServer(record, sig)
+		if b.relays() {
+			s.relay = dispatch.NewPool(b.cfg.RelayAddr(record.Addr))
+		}
 		b.servers[record.ID] = s
 	}
 	s.record = record
@@ -160,11 +166,11 @@
 		if declared := t.Service(service); declared != nil {
 			s.engine = declared.Engine
 			s.coldStart, s.coldRate = declared.ColdStart, b.coldRate(declared.ColdRate)
-			s.Pool.SetMaxOpen(max(minConns, int(connShare*float64(declared.MaxConns))/b.view.EntryCount()))
+			s.setMaxConns(max(minConns, int(connShare*float64(declared.MaxConns))/b.view.EntryCount()))
 		}
 	}
 	if record.State != fleet.StateReady || s.retired || !s.signals.leavingAt.IsZero() {
-		s.Pool.Close()
+		s.closePools()
 		return
 	}
 	b.services[service] = append(b.services[service], s)
@@ -366,7 +372,7 @@
 func (b *Balancer) Refresh(now time.Time) {
 	b.mu.Lock()
 	for _, s := range b.servers {
-		s.Pool.CloseStale(now)
+		s.closeStale(now)
 	}
 	updates := b.refreshSignals(now)
 	b.mu.Unlock()
@@ -390,7 +396,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.servers {
-		n += s.Pool.Dials.Load()
+		n += s.dials()
 	}
 	return n
 }
--- a/internal/balance/expiry.go
+++ b/internal/balance/expiry.go
@@ -42,20 +42,14 @@
 	Outlasts bool
 	// KeptByServer: the server gets the bound as the deadline of the request.
 	KeptByServer bool
+	// Relayed: the request is sent through the agent on the server's VM.
+	Relayed bool
 }
 
 // Cuts reports whether the server would stop the request before its predicted end. Such a request is not sent: it must not run
 // twice, and its caller would not learn how far it ran.
 func (e Expiry) Cuts() bool { return e.Outlasts && e.KeptByServer }
 
-// cancelAt returns when a request that has not begun is cancelled, zero if the weights do not expire.
-func (e Expiry) cancelAt() time.Time {
-	if e.At.IsZero() {
-		return time.Time{}
-	}
-	return e.At.Add(namingTolerance - CancelMargin)
-}
-
 // expiry returns the expiry of weights for a request that is predicted to take this long. The server keeps the bound of a request
 // that ends before it, and of one that the entry can't cancel, since it must not run twice.
 func (b *Balancer) expiry(now time.Time, model string, version uint64, takes time.Duration, cancellable bool) Expiry {
@@ -65,7 +59,8 @@
 	}
 	at := named.Add(b.cfg.VersionBound - namingTolerance)
 	outlasts := now.Add(takes).After(at)
-	return Expiry{At: at, Outlasts: outlasts, KeptByServer: !cancellable || !outlasts}
+	relayed := b.relays() && (!cancellable || now.After(at.Add(-relayWindow)))
+	return Expiry{At: at, Outlasts: outlasts, KeptByServer: !cancellable || !outlasts, Relayed: relayed}
 }
 
 // mustConfirm reports whether a server must confirm that it holds a version: if this one or an earlier one was named, those
@@ -119,7 +114,7 @@
 	if c.Expiry.Cuts() {
 		return false
 	}
-	cancelAt := c.Expiry.cancelAt()
+	cancelAt := c.cancelAt()
 	return cancelAt.IsZero() || now.Before(cancelAt)
 }
 
@@ -130,7 +125,7 @@
 	if c.reserved {
 		by = c.pickedAt.Add(reservation.SendTime)
 	}
-	if latest := c.Expiry.cancelAt(); !latest.IsZero() && latest.Before(by) {
+	if latest := c.cancelAt(); !latest.IsZero() && latest.Before(by) {
 		return latest
 	}
 	return by
--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -9,7 +9,7 @@
 	Known, Fit, Abroad, Evacuated int
 	// Tried have had an attempt of this request; Aside are ejected, no longer announced, or have lost
 	// their address to another server; Busy refused a moment ago; Loading accept no new requests;
-	// Empty hold no weights, Old hold a version past its bound, or one on which the request would not begin in time or would be cut, Other one that the request can't use.
+	// Empty hold no weights, Old hold a version past its bound, or one on which the request would not begin in time, would be cut or can't be relayed, Other one that the request can't use.
 	// Unheard may stand still: nothing shows that they run.
 	Tried, Aside, Busy, Loading, Empty, Old, Other, Unheard int
 	// Limited servers fit and have free slots, but this entry has used its part of the limit that they
--- a/internal/balance/incarnations.go
+++ b/internal/balance/incarnations.go
@@ -53,7 +53,7 @@
 
 // retire removes a server whose address another server has claimed in an answer.
 func (b *Balancer) retire(s *Server) {
-	s.Pool.Close()
+	s.closePools()
 	if s.retired {
 		return
 	}
@@ -64,7 +64,7 @@
 // retireIncarnation removes a server of which a later incarnation under the same id is known. Its
 // requests in flight are lost, as after a crash.
 func (b *Balancer) retireIncarnation(s *Server, born int64) {
-	s.Pool.Close()
+	s.closePools()
 	if s.ctx.Err() != nil {
 		return
 	}
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -28,7 +28,7 @@
 	event := b.cfg.Logger.Info().Str("server", sig.id).Str("start", sig.start).Str("source", source)
 	if s := b.servers[sig.id]; s != nil && s.signals == sig {
 		event.Str("addr", s.Addr).Stringer("announced", s.record.State).Int("own_requests", s.inFlight)
-		s.Pool.Close()
+		s.closePools()
 		b.removeFromService(s)
 	}
 	event.Msg("backend server signals that it leaves")
--- /dev/null
+++ b/internal/balance/relay_test.go
@@ -0,0 +1,101 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lynxgate.dev/lynxgate/internal/reservation"
+	_ "lynxgate.dev/lynxgate/internal/testseed"
+)
+
+// relayed is versioned with agents that relay requests.
+func relayed(t0 time.Time, held []uint64, named ...time.Duration) *Balancer {
+	b := versioned(t0, held, named...)
+	view := *b.view
+	b = New(Config{Zone: "z", VersionBound: b.cfg.VersionBound, Logger: b.cfg.Logger, RelayAddr: func(addr string) string { return "agent of " + addr }})
+	b.SetView(&view)
+	return b
+}
+
+func TestRequestsShortlyBeforeTheBoundAreRelayed(t *testing.T) {
+	t0 := time.Now()
+	b := relayed(t0, []uint64{1}, 0)
+	for _, c := range []struct {
+		before  time.Duration
+		relayed bool
+	}{{relayWindow + time.Millisecond, false}, {relayWindow - time.Millisecond, true}, {versionMargin + 200*time.Millisecond, true}} {
+		now := bound(t0).Add(-c.before)
+		choice, _ := b.Pick(now, expiringWant(5))
+		require.NotNil(t, choice.Server, c.before)
+		assert.Equal(t, c.relayed, choice.Expiry.Relayed, c.before)
+		assert.Equal(t, c.relayed, choice.Pool() != choice.Server.Pool, c.before)
+		b.Done(&choice, now, ResultUnknown)
+	}
+}
+
+func TestRequestsToTheNewestWeightsAreNotRelayed(t *testing.T) {
+	t0 := time.Now()
+	b := relayed(t0, []uint64{2}, 0)
+	choice, _ := b.Pick(bound(t0).Add(-time.Second), expiringWant(5))
+	require.NotNil(t, choice.Server)
+	assert.False(t, choice.Expiry.Relayed)
+}
+
+// Guards against requests that begin past the bound since the path delayed them, or the close of their connection, by up to pathDelay.
+func TestDirectRequestIsCancelledSoonEnoughForASlowPath(t *testing.T) {
+	t0 := time.Now()
+	rapid.Check(t, func(r *rapid.T) {
+		b := relayed(t0, []uint64{1}, 0)
+		now := t0.Add(time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(r, "now")))
+		choice, _ := b.Pick(now, expiringWant(rapid.IntRange(1, 400).Draw(r, "answer")))
+		if choice.Server == nil || choice.Expiry.Relayed {
+			return
+		}
+		trueBound := t0.Add(8 * time.Second)
+		assert.True(r, choice.SendBy().Add(pathDelay).Before(trueBound), "sent %v before the bound", trueBound.Sub(choice.SendBy()))
+		assert.False(r, choice.cancelAt().Add(pathDelay+CancelMargin).After(trueBound), "cancelled %v before the bound", trueBound.Sub(choice.cancelAt()))
+		assert.GreaterOrEqual(r, choice.cancelAt().Sub(now), directWait, "the request has too little time for its first event")
+	})
+}
+
+// Guards against a request that can't be cancelled and whose deadline is moved by the delay of its path.
+func TestRequestThatMustNotRunTwiceIsRelayedToExpiringWeights(t *testing.T) {
+	t0 := time.Now()
+	b := relayed(t0, []uint64{1}, 0)
+	want := expiringWant(10)
+	want.RunOnce = true
+	choice, _ := b.Pick(t0.Add(time.Second), want)
+	require.NotNil(t, choice.Server)
+	assert.True(t, choice.Expiry.Relayed)
+	assert.True(t, choice.Expiry.KeptByServer)
+}
+
+func TestServerWhoseAgentRefusesToRelayIsNotChosenForRelayedRequests(t *testing.T) {
+	t0 := time.Now()
+	b := relayed(t0, []uint64{1}, 0)
+	now := bound(t0).Add(-relayWindow / 2)
+	b.RelayRefused(b.servers["b"], now)
+	choice, availability := b.Pick(now, expiringWant(5))
+	assert.Nil(t, choice.Server)
+	assert.Equal(t, 1, availability.Old)
+	choice, _ = b.Pick(now.Add(relayBackoff), expiringWant(5))
+	assert.NotNil(t, choice.Server, "the agent may have started again")
+}
+
+func TestDecisionOnAReservationTellsWhetherARequestIsRelayed(t *testing.T) {
+	t0 := time.Now()
+	b := relayed(t0, []uint64{1}, 0)
+	now := bound(t0).Add(-relayWindow - 5*time.Millisecond)
+	choice, _ := b.Pick(now, expiringWant(5))
+	require.False(t, choice.Expiry.Relayed)
+	directBy := choice.cancelAt()
+	b.Decided(&choice, now.Add(10*time.Millisecond), reservation.Decision{Granted: true, Load: reservation.Load{Version: 1}})
+	assert.True(t, choice.Expiry.Relayed)
+	assert.Equal(t, pathDelay, choice.cancelAt().Sub(directBy))
+	b.Decided(&choice, now.Add(10*time.Millisecond), reservation.Decision{Granted: true, Load: reservation.Load{Version: 2}})
+	assert.False(t, choice.Expiry.Relayed)
+}
--- a/internal/balance/reserve.go
+++ b/internal/balance/reserve.go
@@ -76,6 +76,7 @@
 		c.Wait, c.FirstEvent = d.Wait, d.FirstEvent
 		b.setVersion(c, d.Load.Version, SourceDecision, d.Load.Age)
 		c.Expiry, c.Confirm = b.expiry(now, c.model, c.Version, c.takes, c.cancellable), b.mustConfirm(c.model, c.Version)
+		c.cancelMargin = b.CancelMarginOf(c.Expiry.Relayed)
 	} else {
 		own-- // the stated load is without the refused request
 	}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -21,6 +21,8 @@
 	// Incarnation identifies this incarnation of the server, which may restart under its id.
 	Incarnation string
 	Pool        *dispatch.Pool
+	// relay holds connections to the agent on the server's VM, which relays requests to it; nil if none does.
+	relay *dispatch.Pool
 
 	// ctx is cancelled when a later incarnation under the same id is known: requests in flight
 	// at this one are lost.
@@ -63,6 +65,8 @@
 	// busyUntil is until when a server that refused for lack of a free slot is not chosen.
 	busyUntil time.Time
 	agent     agentReport
+	// relayDownUntil is until when no request is relayed, since the agent has refused a connection.
+	relayDownUntil time.Time
 	// agentSilentAt is when the agent was last asked for a slot without an answer, agentAnsweredAt when it last decided by an
 	// answer of its engine, and agentDownAt when the server's VM first answered, after the last sign of the server, that no agent
 	// serves there.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,11 +22,10 @@
 
 // attempt sends the request to the chosen server, once.
 func (c *call) attempt(ctx context.Context) attemptResult {
-	s := c.choice.Server
 	c.writing, c.wroteAt = 0, time.Time{}
 	watch := c.watch(ctx)
 	defer watch.stop()
-	answer, err := s.Pool.Send(watch.ctx, c.request(&c.choice), c.deadline)
+	answer, err := c.choice.Pool().Send(watch.ctx, c.request(&c.choice), c.deadline)
 	if err != nil {
 		if !c.takenOver(watch, err) {
 			return c.attemptFailed(watch, err)
@@ -62,11 +61,15 @@
 // given no time beyond that: it keeps the bound itself, also while this entry does not run.
 func (c *call) request(choice *balance.Choice) *dispatch.Request {
 	head := c.requestHead(attemptFields{server: choice.Server.ID, expectVersion: c.expectVersion(choice)})
-	deadline := choice.Deadline(c.deadline)
-	return &dispatch.Request{
-		Method: c.r.Method, Encode: func() []byte { return c.encode(head, deadline) }, SendBy: choice.SendBy(),
-		IDHeader: c.g.cfg.Headers.RequestID, ID: c.id,
+	r := &dispatch.Request{Method: c.r.Method, SendBy: choice.SendBy(), IDHeader: c.g.cfg.Headers.RequestID, ID: c.id}
+	if choice.Expiry.Relayed {
+		target := *choice // a handover is encoded while the call goes on
+		r.Encode = func() []byte { return c.encodeRelayed(&target, head) }
+		return r
 	}
+	deadline := choice.Deadline(c.deadline)
+	r.Encode = func() []byte { return c.encode(head, deadline) }
+	return r
 }
 
 // balanceResult returns how a failed attempt ended for the balancer, by who ended it, and sets endedBy.
@@ -109,8 +112,12 @@
 	case errors.Is(err, dispatch.ErrTooLate):
 		result = balance.ResultUnknown
 	}
+	if c.choice.Expiry.Relayed && errors.Is(err, syscall.ECONNREFUSED) {
+		result = balance.ResultUnknown
+		c.g.balancer.RelayRefused(c.choice.Server, clock.Now())
+	}
 	c.g.balancer.Done(&c.choice, clock.Now(), result)
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if !c.choice.Expiry.Relayed && errors.Is(err, syscall.ECONNREFUSED) {
 		c.g.balancer.ConnectionRefused(c.choice.Server, clock.Now())
 	}
 	if errors.Is(err, dispatch.ErrNotSent) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -124,12 +124,19 @@
 func regionOf(zone string) string { return map[string]string{"z": "home", "": "abroad"}[zone] }
 
 func newEntry(t testing.TB, backends ...*backend) *entry {
+	return newEntryOf(t, func(*Config) {}, backends...)
+}
+
+// newEntryOf returns an entry whose configuration is changed by a function.
+func newEntryOf(t testing.TB, change func(*Config), backends ...*backend) *entry {
 	var logs logBuffer
-	g := New(Config{
+	cfg := Config{
 		Headers: headers, Balance: balance.Config{Zone: "z", RegionOf: regionOf, VersionBound: 8 * time.Second, Logger: zerolog.Nop()},
 		RetryShare: 0.2, RetryFloor: 100, RetryWindow: 10 * time.Second,
 		Logger: zerolog.New(&logs), Metrics: NewMetrics(prometheus.NewRegistry()),
-	})
+	}
+	change(&cfg)
+	g := New(cfg)
 	server := httptest.NewUnstartedServer(g)
 	server.Config.ErrorLog = nil
 	server.Start()
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -23,7 +24,7 @@
 	defer close(h.settled)
 	limit := time.AfterFunc(c.handoverTimeLeft(h), h.next.cancel)
 	defer limit.Stop()
-	answer, err := h.choice.Server.Pool.Send(h.next.ctx, h.request, c.deadline)
+	answer, err := h.choice.Pool().Send(h.next.ctx, h.request, c.deadline)
 	if err != nil {
 		c.handoverFailed(w, h, balance.ResultFailed, err)
 		return
@@ -58,7 +59,7 @@
 	if !bounded {
 		return handoverTimeout
 	}
-	return min(handoverTimeout, left-balance.CancelMargin)
+	return min(handoverTimeout, left-c.g.balancer.CancelMarginOf(h.choice.Expiry.Relayed))
 }
 
 // errRefused means that a server did not run the request.
@@ -111,6 +112,9 @@
 		result = balance.ResultUnknown // ended by this entry or its deadline, which says nothing about the server
 	case errors.Is(err, dispatch.ErrNoConnection):
 		result = balance.ResultBusy
+	case h.choice.Expiry.Relayed && errors.Is(err, syscall.ECONNREFUSED):
+		result = balance.ResultUnknown
+		c.g.balancer.RelayRefused(h.choice.Server, clock.Now())
 	}
 	if result == balance.ResultFailed || result == balance.ResultReplaced {
 		c.tried = append(c.tried, h.choice.Server)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -389,9 +389,9 @@
 }
 
 func TestNextCheckFallsOnTheTimeToCancel(t *testing.T) {
-	assert.Equal(t, silenceCheckInterval, nextCheckDelay(0, false), "no newer version was announced")
-	assert.Equal(t, silenceCheckInterval, nextCheckDelay(5*time.Second, true))
-	assert.Equal(t, 50*time.Millisecond, nextCheckDelay(balance.CancelMargin+50*time.Millisecond, true))
+	assert.Equal(t, silenceCheckInterval, nextCheckDelay(0, balance.CancelMargin, false), "no newer version was announced")
+	assert.Equal(t, silenceCheckInterval, nextCheckDelay(5*time.Second, balance.CancelMargin, true))
+	assert.Equal(t, 50*time.Millisecond, nextCheckDelay(balance.CancelMargin+50*time.Millisecond, balance.CancelMargin, true))
 }
 
 func TestRequestThatAHandoverMayHaveRunIsNotReportedAsNotRun(t *testing.T) {
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -24,6 +24,9 @@
 	}
 	switch probe(choice.Server.Pool) {
 	case probeAccepted:
+		if choice.Expiry.Relayed && probe(choice.Pool()) != probeAccepted {
+			return errUnframedEnd // the agent that relayed it has ended
+		}
 		return nil
 	case probeRefused:
 		if c.g.balancer.Leaving(choice.Server) {
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -30,7 +30,9 @@
 	server *balance.Server
 	// weights is the version of weights for which the server was chosen, 0 for plain services.
 	weights uint64
-	sentAt  time.Time
+	// cancelMargin is how long before the bound on these weights the attempt is cancelled if it has not begun.
+	cancelMargin time.Duration
+	sentAt       time.Time
 	// weightsExpired: the watchdog cancelled the attempt, since the server's weights would have
 	// expired before it began.
 	weightsExpired atomic.Bool
@@ -63,6 +65,7 @@
 
 func (c *call) startWatch(w *watchdog) {
 	w.weights, w.sentAt = c.choice.Version, clock.Now()
+	w.cancelMargin = c.g.balancer.CancelMarginOf(c.choice.Expiry.Relayed)
 	if !c.cancellable() {
 		return
 	}
@@ -81,7 +84,8 @@
 	if c.route.Kind != fleet.KindStream && w.weights == 0 && c.route.Objective > 0 {
 		return wholeStallFactor * c.route.Objective
 	}
-	return nextCheckDelay(c.g.balancer.VersionLeft(c.model, w.weights, w.sentAt))
+	left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, w.sentAt)
+	return nextCheckDelay(left, w.cancelMargin, bounded)
 }
 
 // check checks an attempt and schedules the next check.
@@ -90,13 +94,13 @@
 	next := silenceCheckInterval
 	if !w.begun.Load() {
 		left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, now)
-		if bounded && left <= balance.CancelMargin {
+		if bounded && left <= w.cancelMargin {
 			w.weightsExpired.Store(true)
 			w.cancel()
-			c.g.cfg.Metrics.cancelDelay.Observe(max(balance.CancelMargin-left, 0).Seconds())
+			c.g.cfg.Metrics.cancelDelay.Observe(max(w.cancelMargin-left, 0).Seconds())
 			return
 		}
-		next = nextCheckDelay(left, bounded)
+		next = nextCheckDelay(left, w.cancelMargin, bounded)
 	}
 	if why := c.handoverReason(w, now); why != "" {
 		go c.handOver(w, why) // the checks for expired weights continue
@@ -107,13 +111,13 @@
 }
 
 // nextCheckDelay returns the delay until the next check of a request that waits for its first event,
-// if its server's weights expire after left. The check falls on the moment to cancel the request,
-// not up to one interval later, since a busy entry may need the whole balance.CancelMargin.
-func nextCheckDelay(left time.Duration, bounded bool) time.Duration {
+// if its server's weights expire after left, and it is cancelled a margin before that. The check falls on the moment to cancel the
+// request, not up to one interval later, since a busy entry may need the whole balance.CancelMargin.
+func nextCheckDelay(left, margin time.Duration, bounded bool) time.Duration {
 	if !bounded {
 		return silenceCheckInterval
 	}
-	return min(silenceCheckInterval, max(left-balance.CancelMargin, 0))
+	return min(silenceCheckInterval, max(left-margin, 0))
 }
 
 func (w *watchdog) stop() {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -6,7 +6,6 @@
 
 	"github.com/rs/zerolog"
 
-	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
 )
@@ -59,6 +58,6 @@
 	event.Uint64("weights", w.weights).Str("weights_by", c.choice.VersionSource).Dur("weights_age_ms", c.choice.VersionAge).
 		Dur("sent_ms", now.Sub(w.sentAt)).Bool("weights_expired", w.weightsExpired.Load())
 	if left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, now); bounded {
-		event.Dur("cancel_overdue_ms", balance.CancelMargin-left)
+		event.Dur("cancel_overdue_ms", w.cancelMargin-left).Bool("relayed", c.choice.Expiry.Relayed)
 	}
 }
