Requests that name no model keep the bound on old weights

What callers saw: whole answers of an older version, at any time after the bound. A call took its model from the header alone; without one no version was looked up, so that the choice, the deadline, the confirmation and the cancellation knew no bound. No delay is needed for it.

The first model of the engine counts where the caller names none.

TestRequestWithoutAModelDoesNotBeginOnExpiredWeights fails without it (200 in place of 503).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -167,7 +167,7 @@
 	}
 	c.service = pickTarget(c.route.Targets)
 	if s := t.Service(c.service); s != nil && s.Engine != nil {
-		c.model = c.r.Header.Get(c.g.cfg.Headers.Model)
+		c.model = c.modelOf(s.Engine)
 	}
 	c.rank = c.g.ranks.Load().Of(c.service, c.route, c.org)
 	c.recordArrival()
@@ -177,6 +177,15 @@
 	c.runAttempts(ctx)
 }
 
+// modelOf returns the model that the caller names, or the first one of the engine: a request that names none runs on some version of
+// its weights, too.
+func (c *call) modelOf(e *fleet.Engine) string {
+	if model := c.r.Header.Get(c.g.cfg.Headers.Model); model != "" || len(e.Models) == 0 {
+		return model
+	}
+	return e.Models[0]
+}
+
 // pickTarget picks a random service by the weights of the route's targets.
 func pickTarget(targets []fleet.Target) string {
 	sum := 0
--- a/internal/gateway/weights_expiry_test.go
+++ b/internal/gateway/weights_expiry_test.go
@@ -109,3 +109,16 @@
 	at := <-taken
 	assert.True(t, at.Before(over), "cancelled %v after its weights expired", at.Sub(over))
 }
+
+// Guards against a request that names no model, and so began on any version of the weights at any time.
+func TestRequestWithoutAModelDoesNotBeginOnExpiredWeights(t *testing.T) {
+	engine := newBackend(t, "b-1", events(0))
+	e := newEntry(t, engine)
+	e.onlyEngines()
+	noModel := func(r *http.Request) { r.Header.Del(headers.Model) }
+	e.expireWeightsIn(5 * time.Second)
+	require.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/x", noModel).body)
+	e.expireWeightsIn(-100 * time.Millisecond)
+	assert.Equal(t, http.StatusServiceUnavailable, e.ask(t, http.MethodPost, "/stream/x", noModel).status)
+	assert.Len(t, engine.requests(), 1)
+}
