Tell the time of the path in lines of requests on expiring weights

Cause: the logs can't tell the time on the path to an engine from the time in its queue, so that the hypotheses on requests past the bound (a delayed path, a late naming, two processes that stand still) can't be told apart by them.

Ruled out: the round trip of reservations alone.

Change: lines of attempts on weights that expire have the time from the send to the head of the answer (answer_ms), the last connect to the engine (connect_ms, connect_age_ms), and the last round trip to its agent (agent_round_trip_ms, agent_round_trip_age_ms, agent_unanswered). A request that begins in the last 3 s before the bound leaves a line also if it is served. The histogram lynxgate_gateway_path_seconds{zone,by} has connects and calls to agents by the zone of the VM. No decision rests on them.

Measured: tests of dispatch, gateway, balance and reservation pass.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -43,6 +43,8 @@
 // Choice is the server chosen for one attempt.
 type Choice struct {
 	Server *Server
+	// Zone is the availability zone of the server.
+	Zone string
 	// Version of weights that the server holds, 0 for plain services.
 	Version uint64
 	// VersionSource says which statement of the server or its agent Version comes from, VersionAge how old that was at the
@@ -180,7 +182,7 @@
 		if score < bestScore {
 			bestScore = score
 			best = Choice{
-				Server: s, Version: version, Queue: queue, Slots: slots,
+				Server: s, Zone: s.record.Zone, Version: version, Queue: queue, Slots: slots,
 				Wait: p.wait, Read: p.read, FirstEvent: p.firstEvent, Pace: p.pace, takes: takes,
 				ReportAge: -1, pickedAt: now, due: w.Due, bytes: w.Bytes,
 				Owned: s.owned, otherOwner: s.otherOwner && !reserves, InFlight: s.inFlight, Unseen: unseen,
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -68,6 +68,8 @@
 	idleSince time.Time
 	idleLimit time.Duration
 	reused    bool
+	// connectTook is how long the connect took.
+	connectTook time.Duration
 }
 
 // stillIdle reports whether the peer has neither closed an idle connection nor sent
@@ -106,6 +108,8 @@
 // cancels the request.
 type Answer struct {
 	*http.Response
+	// Took is the time from the send, without the connect before it, to the head of the answer.
+	Took time.Duration
 	pool *Pool
 	conn *conn
 	stop func() bool
@@ -141,6 +145,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	sentAt := clock.Now()
 	resp, err := c.roundTrip(r, headBy)
 	if err != nil {
 		stop()
@@ -154,7 +159,7 @@
 	}
 	c.applyKeepAlive(resp.Header)
 	return &Answer{
-		Response: resp, pool: p, conn: c, stop: stop,
+		Response: resp, Took: clock.Since(sentAt), pool: p, conn: c, stop: stop,
 		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 	}, nil
 }
@@ -210,6 +215,14 @@
 	}
 }
 
+// ConnectTook returns how long the connect for this request took, 0 if its connection had carried others.
+func (a *Answer) ConnectTook() time.Duration {
+	if a.conn.reused {
+		return 0
+	}
+	return a.conn.connectTook
+}
+
 // Reused reports whether the connection had already carried other requests.
 func (a *Answer) Reused() bool { return a.conn.reused }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -25,6 +25,28 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
+	// connect is the last one that succeeded.
+	connect Connect
+}
+
+// Connect is a connect to a backend server: a round trip to the kernel of its VM, without the server's queue.
+type Connect struct {
+	Took time.Duration
+	// At is when it began, a time of package clock.
+	At time.Time
+}
+
+// LastConnect returns the last connect that succeeded; At is zero if there was none.
+func (p *Pool) LastConnect() Connect {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connect
+}
+
+func (p *Pool) noteConnect(c Connect) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.connect = c
 }
 
 // NewPool returns an empty pool for a server at addr ("ip:port").
@@ -71,15 +93,18 @@
 	}
 	p.open.Add(1)
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	began := clock.Now()
 	nc, err := dialer.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		p.open.Add(-1)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	p.Dials.Add(1)
+	took := clock.Since(began)
+	p.noteConnect(Connect{Took: took, At: began})
 	// If the system lacks the option, the deadline of each attempt still applies.
 	_ = unacked.Bound(nc, unackedTimeout)
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idleLimit: maxIdle}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idleLimit: maxIdle, connectTook: took}, nil
 }
 
 // Probe connects to the server and closes the connection; its error is that of the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,7 @@
 		return attemptAgain
 	}
 	defer answer.Close()
+	watch.answerTook = answer.Took
 	c.countAttempt()
 	c.noteHead(&c.choice, answer)
 	return c.answered(watch, answer)
--- a/internal/gateway/end_missed_test.go
+++ b/internal/gateway/end_missed_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lynxgate.dev/lynxgate/internal/reservation"
+	reservations "lynxgate.dev/lynxgate/internal/reservation/client"
 	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
@@ -20,7 +21,8 @@
 func (grantingAgents) Ask(context.Context, string, int64, time.Duration, reservation.Request) (reservation.Decision, error) {
 	return reservation.Decision{Granted: true, Load: reservation.Load{Pace: 1, Version: 7}}, nil
 }
-func (grantingAgents) Release(string, int64, string) {}
+func (grantingAgents) Release(string, int64, string)           {}
+func (grantingAgents) RoundTrip(string) reservations.RoundTrip { return reservations.RoundTrip{} }
 
 // Guards against streams that are cut at their deadline because their engine is slow, while another one is idle.
 func TestSlowStreamIsHandedOverBeforeItMissesItsEnd(t *testing.T) {
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -28,6 +28,7 @@
 		c.handoverFailed(w, h, balance.ResultFailed, err)
 		return
 	}
+	h.next.answerTook = answer.Took
 	c.noteHead(&h.choice, answer)
 	read, result, err := c.firstPart(h, answer)
 	if err != nil {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -36,6 +37,8 @@
 	// requests on expiring weights came later than planned.
 	weightsBegun *prometheus.CounterVec
 	cancelDelay  prometheus.Histogram
+	// path is the time of connects to servers and of calls to the agents beside them, by the zone of the VM.
+	path *prometheus.HistogramVec
 	// suspectRefusals counts requests that ended without a further attempt because of their content.
 	suspectRefusals *prometheus.CounterVec
 	// Gauges that Run sets once a second.
@@ -54,6 +57,21 @@
 // latencyBuckets, in seconds, cover objectives of 100 to 400 ms and timeouts of 6 s.
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8}
 
+// How the time of a path is measured: by a connect to a backend server, or by a call to the agent on its VM, also by one that got no
+// answer in time.
+const (
+	pathConnect = "connect"
+	pathAgent   = "agent"
+)
+
+// pathBuckets, in seconds, cover round trips within a zone and the longest time that a connect may take.
+var pathBuckets = []float64{0.0005, 0.001, 0.002, 0.004, 0.008, 0.015, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4}
+
+// observePath records the time of a round trip to a VM of a zone.
+func (m *Metrics) observePath(zone, by string, took time.Duration) {
+	m.path.WithLabelValues(zone, by).Observe(took.Seconds())
+}
+
 // NewMetrics registers the metrics of an entry.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -117,6 +135,9 @@
 		cancelDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lynxgate_gateway_weights_cancel_delay_seconds", Help: "Delay of cancellations of requests whose engine's weights are about to expire.", Buckets: latencyBuckets,
 		}),
+		path: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lynxgate_gateway_path_seconds", Help: "Time of the connect to a backend server, and of calls to the agent on its VM, by the VM's zone.", Buckets: pathBuckets,
+		}, []string{"zone", "by"}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_gateway_config_version", Help: "Version of the configuration in force here.",
 		}),
@@ -127,7 +148,7 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.first, m.whole, m.wait, m.gap, m.sizes, m.ranked, m.slotWait, m.interrupted, m.failedAttempts, m.suspectRefusals, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.throttledAttempts, m.weightsBegun, m.cancelDelay, m.configVersion, m.heldBytes, m.Dialled)
+	r.MustRegister(m.requests, m.attempts, m.first, m.whole, m.wait, m.gap, m.sizes, m.ranked, m.slotWait, m.interrupted, m.failedAttempts, m.suspectRefusals, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.throttledAttempts, m.weightsBegun, m.cancelDelay, m.path, m.configVersion, m.heldBytes, m.Dialled)
 	return m
 }
 
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -43,6 +43,8 @@
 	Ask(ctx context.Context, server string, born int64, timeout time.Duration, r reservation.Request) (reservation.Decision, error)
 	// Release ends a reservation.
 	Release(server string, born int64, id string)
+	// RoundTrip returns what the calls so far tell of the path to the server's VM.
+	RoundTrip(server string) reservations.RoundTrip
 }
 
 const (
@@ -298,6 +300,7 @@
 	asked := clock.Now()
 	decision, err := c.g.cfg.Reservations.Ask(ctx, server, born, timeout, s.requestAt(asked, choice, acceptLate))
 	now := clock.Now()
+	c.g.cfg.Metrics.observePath(choice.Zone, pathAgent, now.Sub(asked))
 	s.asks++
 	s.decisions.asked++
 	if ctx.Err() != nil { // also if a slot was granted
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -28,6 +28,9 @@
 	// unavailable: the circuit breakers of all agents are open.
 	unavailable bool
 
+	// trip is the round trip to each agent.
+	trip reservations.RoundTrip
+
 	mu                sync.Mutex
 	asks              []ask
 	granted, released []string
@@ -42,6 +45,8 @@
 
 func (f *agents) Available(string, time.Time) bool { return !f.unavailable }
 
+func (f *agents) RoundTrip(string) reservations.RoundTrip { return f.trip }
+
 func (f *agents) Ask(_ context.Context, server string, born int64, timeout time.Duration, r reservation.Request) (reservation.Decision, error) {
 	a := ask{server: server, timeout: timeout, Request: r}
 	f.mu.Lock()
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -15,6 +15,9 @@
 // noteHead records the signals about the server in the header of an answer.
 func (c *call) noteHead(choice *balance.Choice, a *dispatch.Answer) {
 	now := clock.Now()
+	if took := a.ConnectTook(); took > 0 {
+		c.g.cfg.Metrics.observePath(choice.Zone, pathConnect, took)
+	}
 	c.g.balancer.BytesReceived(choice.Server, now)
 	c.noteLoad(choice.Server, a.Header, now)
 	c.noteLimit(choice, a, now)
--- a/internal/gateway/standstill_test.go
+++ b/internal/gateway/standstill_test.go
@@ -180,6 +180,8 @@
 
 func (a *stillAgents) Release(string, int64, string) {}
 
+func (a *stillAgents) RoundTrip(string) reservations.RoundTrip { return reservations.RoundTrip{} }
+
 // newStillFleet returns a fleet whose agents report ten times a second until the test ends.
 func newStillFleet(t testing.TB, entries, engines int, reserve bool) *stillFleet {
 	f := &stillFleet{TB: t}
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -31,6 +31,8 @@
 	// weights is the version of weights for which the server was chosen, 0 for plain services.
 	weights uint64
 	sentAt  time.Time
+	// answerTook is the time from the send to the head of the answer, 0 before that is read.
+	answerTook time.Duration
 	// weightsExpired: the watchdog cancelled the attempt, since the server's weights would have
 	// expired before it began.
 	weightsExpired atomic.Bool
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -22,8 +22,11 @@
 	weightsExpired weightsResult = "expired"
 )
 
+// expiringWeights is how long before the bound on weights a line is written for each request that begins on them.
+const expiringWeights = 3 * time.Second
+
 // observeWeights counts with which weights an engine began a request, as its answer states, and writes a line if these
-// are not the ones for which the engine was chosen, or have expired.
+// are not the ones for which the engine was chosen, have expired, or are about to.
 func (c *call) observeWeights(w *watchdog, a *dispatch.Answer) {
 	answered, err := strconv.ParseUint(a.Header.Get(c.g.cfg.Headers.Version), 10, 64)
 	if c.model == "" || err != nil {
@@ -39,15 +42,20 @@
 		result = weightsOther
 	}
 	c.g.cfg.Metrics.weightsBegun.WithLabelValues(c.service, string(result)).Inc()
+	event, message := c.g.log.Warn(), "request began on weights for which its server was not chosen"
 	if result == weightsAsChosen {
-		return
+		if !bounded || left > expiringWeights {
+			return
+		}
+		event, message = c.g.log.Info(), "request began on expiring weights"
 	}
-	event := c.g.log.Warn().Uint64("answered", answered).Bool("bounded", bounded)
+	event.Uint64("answered", answered).Bool("bounded", bounded)
 	if bounded {
 		event.Dur("weights_left_ms", left)
 	}
 	c.describeWeights(event, w, now)
-	c.describe(event).Str("result", string(result)).Msg("request began on weights for which its server was not chosen")
+	c.describe(event).Str("result", string(result)).Str("server", w.server.ID).Float64("queue", c.choice.Queue).
+		Str("zone", c.choice.Zone).Msg(message)
 }
 
 // describeWeights adds what the choice of the engine rested on, when the request was sent, and whether its cancellation is
@@ -60,5 +68,27 @@
 		Dur("sent_ms", now.Sub(w.sentAt)).Bool("weights_expired", w.weightsExpired.Load())
 	if left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, now); bounded {
 		event.Dur("cancel_overdue_ms", balance.CancelMargin-left)
+		c.describePath(event, w, now)
+	}
+}
+
+// describePath adds what is known of the path to an engine: the time from the send to the head of the answer, which includes the
+// engine's queue, and the last connect to the engine and the last round trip to the agent on its VM, which do not.
+func (c *call) describePath(event *zerolog.Event, w *watchdog, now time.Time) {
+	if w.answerTook > 0 {
+		event.Dur("answer_ms", w.answerTook)
+	}
+	if connect := w.server.Pool.LastConnect(); !connect.At.IsZero() {
+		event.Dur("connect_ms", connect.Took).Dur("connect_age_ms", now.Sub(connect.At))
+	}
+	if c.g.cfg.Reservations == nil {
+		return
+	}
+	trip := c.g.cfg.Reservations.RoundTrip(w.server.Addr)
+	if !trip.At.IsZero() {
+		event.Dur("agent_round_trip_ms", trip.Took).Dur("agent_round_trip_age_ms", now.Sub(trip.At))
+	}
+	if trip.Unanswered > 0 {
+		event.Int("agent_unanswered", trip.Unanswered)
 	}
 }
--- a/internal/reservation/client/client.go
+++ b/internal/reservation/client/client.go
@@ -1,6 +1,6 @@
 // Package client is the entry's side of reservations: it asks the agents beside engines for slots.
 //
-// State: a circuit breaker for each agent, behind one lock; pooled connections. Messages:
+// State: a circuit breaker for each agent, behind one lock; the last round trip to each, behind another; pooled connections. Messages:
 // rpc.Reservations to agents.
 package client
 
@@ -66,8 +66,9 @@
 
 // Client asks agents for reservations. It is safe for concurrent use.
 type Client struct {
-	cfg  Config
-	pool *rpcconn.Pool
+	cfg        Config
+	pool       *rpcconn.Pool
+	roundTrips *roundTrips
 
 	mu sync.Mutex
 	// breakers are keyed by the address of the backend server.
@@ -82,7 +83,7 @@
 
 // New returns a client without connections.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, pool: rpcconn.NewPool(), breakers: map[string]*breaker{}}
+	return &Client{cfg: cfg, pool: rpcconn.NewPool(), roundTrips: newRoundTrips(), breakers: map[string]*breaker{}}
 }
 
 // Timeout returns the time for one decision on a request with this objective; an objective of 0 is none.
@@ -123,6 +124,7 @@
 			c.failed(server, err)
 		}
 		c.cfg.Metrics.observe("no answer", took)
+		c.roundTrips.unanswered(server, began.Add(took))
 		if !errors.As(err, new(*rpcconn.DialError)) { // it may be granted later
 			c.Release(server, born, r.ID)
 		}
@@ -132,6 +134,7 @@
 		return reservation.Decision{}, fmt.Errorf("reservation at %s: %w", server, err)
 	}
 	c.answered(server)
+	c.roundTrips.answered(server, began, began.Add(took))
 	d := wire.DecisionFromProto(response)
 	c.cfg.Metrics.observe(d.Result(), took)
 	return d, nil
