--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -33,6 +33,8 @@
 	// cancelMargin is how long before the bound on these weights the attempt is cancelled if it has not begun.
 	cancelMargin time.Duration
 	sentAt       time.Time
+	// answerTook is the time from the send to the head of the answer, 0 before that is read.
+	answerTook time.Duration
 	// weightsExpired: the watchdog cancelled the attempt, since the server's weights would have
 	// expired before it began.
 	weightsExpired atomic.Bool
