The end of a relayed request at its agent is no failure of the engine

An agent closes the connection of a request that has not begun shortly before the bound, by its own clock, which may be 0.1 s ahead of the entry's. An agent that is killed cuts what it relays. Both looked to the entry like a failure of the engine, which counts towards its ejection and has it probed for a crash.

A relayed request that ends without an event within 0.15 s of the entry's own cancellation, or whose agent refuses connections while the engine accepts them, says nothing about the engine; no request is relayed there for 0.5 s in the second case.

--- a/internal/balance/relay.go
+++ b/internal/balance/relay.go
@@ -52,6 +52,12 @@
 	return c.Server.Pool
 }
 
+// EndedByRelay reports whether the agent may have ended the request because of the bound, since it had not begun. Its bound may be some
+// 0.1 s before the one that is known here.
+func (c *Choice) EndedByRelay(now time.Time, begun bool) bool {
+	return c.Expiry.Relayed && !begun && !now.Before(c.cancelAt().Add(-namingTolerance-expiryTolerance))
+}
+
 // RelayRefused records that the agent on a server's VM has refused a connection for a request to be relayed.
 func (b *Balancer) RelayRefused(s *Server, now time.Time) {
 	b.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,6 +88,13 @@
 	case c.choice.Expired(clock.Now()):
 		c.endedBy = "server: its weights are over"
 		return balance.ResultUnknown
+	case c.choice.EndedByRelay(clock.Now(), watch.begun.Load()):
+		c.endedBy = "agent: the server's weights are over"
+		return balance.ResultUnknown
+	case c.choice.Expiry.Relayed && agentHasEnded(&c.choice):
+		c.endedBy = "agent: it has ended"
+		c.g.balancer.RelayRefused(c.choice.Server, clock.Now())
+		return balance.ResultUnknown
 	}
 	c.endedBy = "server or link"
 	return balance.ResultFailed
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,3 +21,8 @@
 	}
 	return encoded
 }
+
+// agentHasEnded reports whether the agent that relayed a request has ended, and the server has not.
+func agentHasEnded(choice *balance.Choice) bool {
+	return probe(choice.Pool()) == probeRefused && probe(choice.Server.Pool) == probeAccepted
+}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -25,7 +25,9 @@
 	net.Listener
 	mu      sync.Mutex
 	refuses bool
-	seen    []*rpc.RelayRequest
+	// dies: it ends as it gets a request.
+	dies bool
+	seen []*rpc.RelayRequest
 }
 
 func newRelayAgent(t testing.TB, refuses bool) *relayAgent {
@@ -62,6 +64,10 @@
 	a.mu.Lock()
 	a.seen = append(a.seen, r)
 	a.mu.Unlock()
+	if a.dies {
+		_ = a.Close()
+		return
+	}
 	if a.refuses {
 		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: expired\r\nContent-Length: 0\r\n\r\n", headers.RequestID, r.Id, headers.NotRun)
 		return
@@ -154,3 +160,21 @@
 	assert.Greater(t, left, 2*time.Second, "a path may delay the close by 2 s")
 	assert.Less(t, left, 2600*time.Millisecond, "a caller's request is not cancelled sooner than needed")
 }
+
+// Guards against an engine that is ejected, or taken to have crashed, because the agent that relayed its requests has ended.
+func TestEndOfAnAgentIsNoFailureOfItsEngine(t *testing.T) {
+	engine, newer := newBackend(t, "b-1", events(0)), newBackend(t, "b-2", events(0))
+	agent := newRelayAgent(t, false)
+	agent.dies = true
+	e := newRelayingEntry(t, agent, engine, newer)
+	e.expireWeightsIn(4 * time.Second)
+	e.report(t, newer, false, 8)
+	e.report(t, engine, false, 7)
+	for range 10 {
+		require.Equal(t, wholeStream, e.ask(t, http.MethodPost, "/stream/x").body)
+	}
+	assert.Len(t, agent.requests(), 1)
+	assert.Contains(t, e.logs.String(), `"ended_by":"agent: it has ended"`)
+	assert.NotContains(t, e.logs.String(), `"ended_by":"server or link"`)
+	e.assertNothingInFlight(t)
+}
