Agents may reach their engine at another address than the announced one

A test that puts a slow path before an engine needs the agent to reach the engine without it, as on a VM. engine.local is that address; the announced one stays the engine's identity.

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -195,7 +195,7 @@
 	if s.ServesAgent() {
 		cfg.Agent = &fleetdaemon.AgentConfig{
 			EngineAddr: s.Engine.Addr, Service: s.Engine.Service, LinkMbps: s.Limits.LinkMbps,
-			Engine: platform.NewEngine(s.Engine.Addr), Origin: platform.NewOrigin(), PeerAddr: s.RPCAddr,
+			Engine: platform.NewEngine(s.LocalEngineAddr()), Origin: platform.NewOrigin(), PeerAddr: s.RPCAddr,
 		}
 	}
 	return cfg
