Control streams show how long messages are under way

Cause: the age of a naming counts from when its message is read. Nothing told how long the message was under way, so that neither a log nor a metric showed by how much a link or a process at a standstill had moved the bound on older weights.

Ruled out: a round trip of separate pings (it says nothing of the message that carries the naming); clock readings in messages (wrong by the skew of two VMs).

Change: both ends of a follow stream send stamps of their own clock (package clock, so that suspensions count) and echo the peer's, with the time that has passed since (Cristian's algorithm). Ages and echo are as of one reading, before the state is read: a standstill between the two can't make the echo later than the ages. Of several stamps the peer echoes the one with the least delay; 500 ppm are taken off for drift, and a stamp is renewed after 10 s with a keep-alive, otherwise with acknowledgements. A keep-alive with an echo is sent only if all namings were sent. Followers tell their namings after the first message of the control server, so that these have an echo, too. Builds without stamps send and get none. lynxgate_follow_path_seconds{role} and path_ms in the lines on namings show the result. Namings are dated as before.

Traffic: not measured.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -52,6 +52,7 @@
 	entriesVersion uint64
 	hasEntries     bool
 	number, acked  uint64
+	stamps         *follow.Stamps
 	waiters        []*waiter
 }
 
@@ -112,12 +113,14 @@
 	}
 	f := h.join(hello)
 	defer h.leave(f)
+	h.receive(f, hello)
 	go func() {
 		for {
 			m, err := stream.Recv()
 			if err != nil {
 				return
 			}
+			at := h.receive(f, m)
 			if m.Report != nil {
 				h.mergeReport(m.Report)
 				continue
@@ -134,7 +137,7 @@
 				continue
 			}
 			if len(m.Versions) > 0 {
-				h.mergeNamings(m.Versions)
+				h.mergeNamings(m.Versions, at)
 				continue
 			}
 			h.acknowledge(f, m)
@@ -154,7 +157,7 @@
 		case <-f.wake:
 			f.pause(stream.Context(), h.updateInterval()-time.Since(sentAt))
 		case <-keepAlive.C:
-			if err := stream.Send(&rpc.FleetUpdate{}); err != nil {
+			if err := stream.Send(h.keepAlive(f)); err != nil {
 				return err
 			}
 		case <-stream.Context().Done():
@@ -169,7 +172,7 @@
 	f := &follower{
 		name: hello.Name, role: hello.Role, zone: hello.Zone, wake: make(chan struct{}, 1),
 		changed: map[string]bool{}, renewed: map[string]bool{}, versions: map[string]ledger.Version{},
-		reports: map[string]bool{},
+		reports: map[string]bool{}, stamps: follow.NewStamps(clock.Now()),
 	}
 	for addr := range h.reports {
 		if f.role == RoleEntry {
@@ -206,6 +209,15 @@
 	h.log.Info().Str("follower", f.name).Str("role", f.role).Msg("follower left")
 }
 
+// receive records the stamp of a message that was just read, and dates the message.
+func (h *hub) receive(f *follower, m *rpc.FollowerMessage) follow.Anchor {
+	now := clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f.stamps.Receive(m.StampUs, now)
+	return f.stamps.Anchor(m.Echo, now)
+}
+
 func (h *hub) acknowledge(f *follower, m *rpc.FollowerMessage) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -222,8 +234,36 @@
 	})
 }
 
+// keepAlive returns a message that says that this server still runs, or an update if the follower was not sent all namings of
+// weights: a message with an echo says that it was.
+func (h *hub) keepAlive(f *follower) *rpc.FleetUpdate {
+	asOf := clock.Now() // before the state is read, so that it holds all namings known then
+	state := h.ledger.State()
+	if u := h.stampedKeepAlive(f, state, asOf); u != nil {
+		return u
+	}
+	return h.next(f)
+}
+
+// stampedKeepAlive returns a keep-alive, nil if the follower was not sent all namings.
+func (h *hub) stampedKeepAlive(f *follower, state *ledger.State, asOf time.Time) *rpc.FleetUpdate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !f.hasNamings(state.Versions) {
+		return nil
+	}
+	return f.stamp(&rpc.FleetUpdate{}, asOf)
+}
+
+// stamp adds the stamp and the echo to a message whose namings are those known at a time, with their ages as of then.
+func (f *follower) stamp(u *rpc.FleetUpdate, asOf time.Time) *rpc.FleetUpdate {
+	u.StampUs, u.Echo = f.stamps.Stamp(asOf), f.stamps.Echo(asOf)
+	return u
+}
+
 // next builds the next update for a follower, nil if the follower is up to date.
 func (h *hub) next(f *follower) *rpc.FleetUpdate {
+	asOf := clock.Now() // before the state is read, so that it holds all namings known then
 	state := h.ledger.State()
 	addrs := h.controlAddrs()
 	h.mu.Lock()
@@ -244,7 +284,7 @@
 	if f.role != RoleControl {
 		outdated = f.addConfig(u, state, now, h.agents) || outdated
 	}
-	outdated = f.addVersions(u, state.Versions, now, h.versionBound) || outdated
+	outdated = f.addVersions(u, state.Versions, asOf, h.versionBound) || outdated
 	for id := range f.changed {
 		if b := h.servers.Get(id); b != nil {
 			u.Servers = append(u.Servers, follow.ServerToProto(b, now))
@@ -270,6 +310,7 @@
 	clear(f.reports)
 	f.number++
 	u.Number = f.number
+	f.stamp(u, asOf)
 	for _, w := range f.waiters {
 		if w.number == 0 {
 			w.number = u.Number
@@ -314,6 +355,18 @@
 	return added
 }
 
+// hasNamings reports whether the follower was sent all these namings.
+func (f *follower) hasNamings(committed map[string]ledger.Version) bool {
+	for model, newest := range committed {
+		for _, v := range newest.History() {
+			if _, changed := f.versions[model].Merge(v); changed {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // addEvacuations adds the orders about zones that were not sent yet.
 func (f *follower) addEvacuations(u *rpc.FleetUpdate, committed map[string]ledger.Evacuation, now time.Time) bool {
 	u.Evacuations = ledger.EvacuationsToProto(committed, f.evacuations, now)
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -204,15 +204,15 @@
 	return nil
 }
 
-// mergePeerUpdate merges an update of another control server.
-func (h *hub) mergePeerUpdate(source string, u *rpc.FleetUpdate) {
+// mergePeerUpdate merges an update of another control server, dated at.
+func (h *hub) mergePeerUpdate(source string, u *rpc.FleetUpdate, at follow.Anchor) {
 	if len(u.Suspicions) > 0 {
 		h.mergeSuspicions(follow.SuspicionsFromProto(u.Suspicions, clock.Now()))
 	}
 	if len(u.Signals) > 0 {
 		h.mergeSignals(follow.SignalsFromProto(u.Signals, clock.Now()))
 	}
-	h.mergeNamings(u.Versions)
+	h.mergeNamings(u.Versions, at)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := clock.Now()
@@ -227,10 +227,9 @@
 }
 
 // mergeNamings merges namings that a control server or a follower knows.
-func (h *hub) mergeNamings(versions []*rpc.ModelVersion) {
-	now := clock.Now()
+func (h *hub) mergeNamings(versions []*rpc.ModelVersion, at follow.Anchor) {
 	for _, m := range versions {
-		h.ledger.MergeNaming(m.Model, ledger.NamingFromProto(m, now))
+		h.ledger.MergeNaming(m.Model, ledger.NamingFromProto(m, at.ReceivedAt))
 	}
 }
 
--- a/internal/fleetcontrol/naming_test.go
+++ b/internal/fleetcontrol/naming_test.go
@@ -49,10 +49,10 @@
 	first := sentAges(h, early)
 	assert.Contains(t, first, uint64(2))
 	assert.Less(t, first[2], tolerance)
-	h.mergePeerUpdate("c-2", naming(2, 6*time.Second))
+	h.mergePeerUpdate("c-2", naming(2, 6*time.Second), follow.Received(clock.Now()))
 	assert.InDelta(t, 6, sentAges(h, early)[2], tolerance, "sent again")
 	assert.Empty(t, sentAges(h, early))
-	h.mergePeerUpdate("c-3", naming(2, 3*time.Second))
+	h.mergePeerUpdate("c-3", naming(2, 3*time.Second), follow.Received(clock.Now()))
 	assert.Empty(t, sentAges(h, early), "never later")
 	joined := h.join(&rpc.FollowerMessage{Name: "a", Role: RoleAgent})
 	assert.InDelta(t, 6, sentAges(h, joined)[2], tolerance)
@@ -60,13 +60,13 @@
 
 func TestControlServerUsesTimeOfNamingThatItAppliesAfterItsPeers(t *testing.T) {
 	h := testHub()
-	h.mergePeerUpdate("c-2", naming(2, 6*time.Second))
+	h.mergePeerUpdate("c-2", naming(2, 6*time.Second), follow.Received(clock.Now()))
 	f := h.join(&rpc.FollowerMessage{Name: "e", Role: RoleEntry})
 	assert.Empty(t, sentAges(h, f), "not committed as far as this server knows")
 	nameVersion(t, h, 2)
 	assert.InDelta(t, 6, sentAges(h, f)[2], tolerance)
 	nameVersion(t, h, 3)
-	h.mergePeerUpdate("c-2", naming(3, time.Second))
+	h.mergePeerUpdate("c-2", naming(3, time.Second), follow.Received(clock.Now()))
 	assert.Equal(t, []uint64{2, 3}, numbers(h))
 	ages := sentAges(h, f)
 	assert.InDelta(t, 1, ages[3], tolerance)
@@ -105,7 +105,7 @@
 		f.namingsAt = f.namingsAt.Add(-namingRepeatInterval)
 		assert.Len(t, sentAges(h, f), 1, role)
 		assert.True(t, h.namedWithinBound(clock.Now()))
-		h.mergePeerUpdate("c-2", naming(2, bound+time.Second))
+		h.mergePeerUpdate("c-2", naming(2, bound+time.Second), follow.Received(clock.Now()))
 		assert.Len(t, sentAges(h, f), 1, "corrected")
 		f.namingsAt = f.namingsAt.Add(-namingRepeatInterval)
 		assert.Empty(t, sentAges(h, f), "the bound has passed")
@@ -140,8 +140,8 @@
 		addr := serveHub(t, h)
 
 		running := follow.NewViewer(nil, nil, time.Second, zerolog.Nop())
-		running.Update("before", naming(2, 6*time.Second))
-		running.Update("before", naming(3, 4*time.Second))
+		running.Update("before", naming(2, 6*time.Second), follow.Received(clock.Now()))
+		running.Update("before", naming(3, 4*time.Second), follow.Received(clock.Now()))
 		client := follow.New(follow.Config{
 			Name: "f", Role: role, Seeds: func() []string { return []string{addr} }, Logger: zerolog.Nop(),
 			Versions: func() map[string]ledger.Version { return running.View().Versions },
@@ -156,7 +156,7 @@
 		}
 		require.Eventually(t, known, 10*time.Second, time.Millisecond, role)
 		fresh := follow.NewViewer(nil, nil, time.Second, zerolog.Nop())
-		fresh.Update("c", h.next(h.join(&rpc.FollowerMessage{Name: "fresh", Role: RoleEntry})))
+		fresh.Update("c", h.next(h.join(&rpc.FollowerMessage{Name: "fresh", Role: RoleEntry})), follow.Received(clock.Now()))
 		two, _ := fresh.View().Versions["m"].Find(2)
 		three, _ := fresh.View().Versions["m"].Find(3)
 		assert.InDelta(t, 6, clock.Since(two.AppliedAt).Seconds(), 2)
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -155,7 +155,7 @@
 
 // Collectors returns the metrics of the replicated log and of the directory.
 func (s *Server) Collectors() []prometheus.Collector {
-	return append(s.hub.collectors(), s.node)
+	return append(append(s.hub.collectors(), s.peers.Collectors()...), s.node)
 }
 
 // controlAddrs returns the rpc addresses of all members of the log.
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -34,6 +34,7 @@
 	following := followerConfig(cfg, fleetcontrol.RoleAgent, viewer)
 	following.MaxServers = agentFollows
 	client := follow.New(following)
+	registry.MustRegister(client.Collectors()...)
 	slots := reservations.New(reservations.Config{
 		Service: a.Service, EngineAddr: a.EngineAddr, Report: a.Engine.Report, View: viewer.View,
 		Logger: cfg.Logger, Metrics: reservations.NewMetrics(registry),
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -66,6 +66,7 @@
 	following := followerConfig(cfg, fleetcontrol.RoleEntry, viewer)
 	following.Suspicions, following.Signals = g.Suspicions, g.Signals
 	client = follow.New(following)
+	registry.MustRegister(client.Collectors()...)
 	ready := http.NewServeMux()
 	e.MountReady(ready, g.Ready)
 	discard := log.New(io.Discard, "", 0) // broken connections of callers are counted, not logged
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
@@ -75,9 +76,9 @@
 	// restart of all control servers only their followers know the times of the namings. It may
 	// be nil.
 	Versions func() map[string]ledger.Version
-	// Update processes an update of a control server. Calls for one source are in
-	// order, those for several sources are concurrent.
-	Update func(source string, u *rpc.FleetUpdate)
+	// Update processes an update of a control server, whose ages count from at. Calls for one source are
+	// in order, those for several sources are concurrent.
+	Update func(source string, u *rpc.FleetUpdate, at Anchor)
 	// Lost is called when a stream has ended.
 	Lost   func(source string)
 	Logger zerolog.Logger
@@ -95,6 +96,8 @@
 	// content.
 	turnRequests map[quarantine.Digest]*turnRequest
 	lastTurnID   uint64
+
+	pathSeconds prometheus.Histogram
 }
 
 // source is one control server.
@@ -180,7 +183,7 @@
 
 // New returns a client; Run starts it.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, known: map[string]*source{}, turnRequests: map[quarantine.Digest]*turnRequest{}}
+	return &Client{cfg: cfg, known: map[string]*source{}, turnRequests: map[quarantine.Digest]*turnRequest{}, pathSeconds: newPathSeconds(cfg.Role)}
 }
 
 // Run follows the control servers until ctx is done.
@@ -341,12 +344,15 @@
 	if err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
-	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role}); err != nil {
+	stampedAt := clock.Now()
+	stamps := NewStamps(stampedAt)
+	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role, StampUs: stamps.Stamp(stampedAt)}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
 	if err := c.sendKnown(stream); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
+	namingsSent := false
 	c.setStream(addr, stream)
 	defer c.removeStream(addr, stream)
 	var listed []string // the control servers last listed by this one; it sends the list only when it changes
@@ -356,11 +362,25 @@
 			return received, streamError(addr, err)
 		}
 		watchdog.Reset(silenceTimeout)
+		at := c.receive(stamps, u)
+		if !namingsSent {
+			namingsSent = true
+			if err := c.sendNamings(stream, stamps); err != nil {
+				return received, streamError(addr, err)
+			}
+		}
 		if len(u.ControlAddrs) > 0 {
 			listed = u.ControlAddrs
 		}
 		c.addListed(run, listed)
+		if u.Number == 0 && at.ReceivedAt.Sub(stampedAt) < stampInterval {
+			continue
+		}
 		if u.Number == 0 {
+			stampedAt = clock.Now()
+			if err := stream.Send(&rpc.FollowerMessage{StampUs: stamps.Stamp(stampedAt)}); err != nil {
+				return received, streamError(addr, err)
+			}
 			continue
 		}
 		if received == 0 {
@@ -368,18 +388,30 @@
 		}
 		received++
 		c.deliverTurns(stream, u.Turns)
-		c.cfg.Update(addr, u)
+		c.cfg.Update(addr, u, at)
 		if u.ConfigVersion > 0 {
 			c.sendConfigVersion(stream)
 		}
-		if err := stream.Send(&rpc.FollowerMessage{Acknowledged: u.Number, ConfigVersion: c.configVersion()}); err != nil {
+		stampedAt = clock.Now()
+		if err := stream.Send(&rpc.FollowerMessage{Acknowledged: u.Number, ConfigVersion: c.configVersion(), StampUs: stamps.Stamp(stampedAt)}); err != nil {
 			return received, streamError(addr, err)
 		}
 	}
 }
 
-// sendKnown sends all known suspicions and signals and the times of namings, which a control server
-// that has just started does not have.
+// receive records the stamp of a message that was just read, and dates the message.
+func (c *Client) receive(stamps *Stamps, u *rpc.FleetUpdate) Anchor {
+	now := clock.Now()
+	stamps.Receive(u.StampUs, now)
+	at := stamps.Anchor(u.Echo, now)
+	if at.Echoed {
+		c.pathSeconds.Observe(at.Path().Seconds())
+	}
+	return at
+}
+
+// sendKnown sends all known suspicions and signals, which a control server that has just started does
+// not have.
 func (c *Client) sendKnown(stream rpc.DRPCFleet_FollowClient) error {
 	now := clock.Now()
 	m := &rpc.FollowerMessage{}
@@ -400,14 +432,21 @@
 			return err
 		}
 	}
-	m = &rpc.FollowerMessage{}
-	if c.cfg.Versions != nil {
-		m.Versions = knownNamings(c.cfg.Versions(), now)
+	return nil
+}
+
+// sendNamings sends the times of namings, which a control server that has just started does not have. It is called
+// when a message of the control server was received, with whose stamp they are dated.
+func (c *Client) sendNamings(stream rpc.DRPCFleet_FollowClient, stamps *Stamps) error {
+	if c.cfg.Versions == nil {
+		return nil
 	}
-	if len(m.Versions) > 0 {
-		return stream.Send(m)
+	now := clock.Now()
+	m := &rpc.FollowerMessage{Versions: knownNamings(c.cfg.Versions(), now), Echo: stamps.Echo(now)}
+	if len(m.Versions) == 0 {
+		return nil
 	}
-	return nil
+	return stream.Send(m)
 }
 
 // knownNamings returns the wire form of the namings whose time is known.
--- a/internal/follow/client_test.go
+++ b/internal/follow/client_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
@@ -49,15 +50,15 @@
 		}
 		return out
 	}
-	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Joined: entries("x")}})
+	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Joined: entries("x")}}, Received(clock.Now()))
 	assert.Empty(t, names(), "the list is not known yet")
-	v.Update("c-1", &rpc.FleetUpdate{Entries: &rpc.EntryList{Entries: entries("a", "b")}})
-	v.Update("c-2", &rpc.FleetUpdate{Entries: &rpc.EntryList{Entries: entries("b", "c")}})
+	v.Update("c-1", &rpc.FleetUpdate{Entries: &rpc.EntryList{Entries: entries("a", "b")}}, Received(clock.Now()))
+	v.Update("c-2", &rpc.FleetUpdate{Entries: &rpc.EntryList{Entries: entries("b", "c")}}, Received(clock.Now()))
 	assert.Equal(t, []string{"a", "b", "c"}, names())
-	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Joined: entries("d"), Left: []string{"a", "b"}}})
+	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Joined: entries("d"), Left: []string{"a", "b"}}}, Received(clock.Now()))
 	assert.Equal(t, []string{"b", "c", "d"}, names(), "b still follows the other control server")
 	v.Lost("c-2")
-	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Left: []string{"d"}}})
+	v.Update("c-1", &rpc.FleetUpdate{EntryChanges: &rpc.EntryChanges{Left: []string{"d"}}}, Received(clock.Now()))
 	assert.Empty(t, names())
 }
 
@@ -67,7 +68,7 @@
 	var paces []float64
 	v.OnReport = func(r *rpc.AgentReport) { paces = append(paces, r.Pace) }
 	for seq, pace := range []float64{0, 2.5, 1} {
-		v.Update("c-1", &rpc.FleetUpdate{Reports: []*rpc.AgentReport{{Addr: "127.0.0.1:1", Epoch: 1, Seq: uint64(seq + 1), Pace: pace}}})
+		v.Update("c-1", &rpc.FleetUpdate{Reports: []*rpc.AgentReport{{Addr: "127.0.0.1:1", Epoch: 1, Seq: uint64(seq + 1), Pace: pace}}}, Received(clock.Now()))
 	}
 	assert.Equal(t, []float64{0, 2.5, 1}, paces)
 }
--- a/internal/follow/naming_test.go
+++ b/internal/follow/naming_test.go
@@ -31,27 +31,27 @@
 func TestLateTimeOfNamingHeardFirstIsReplacedByEarlierOne(t *testing.T) {
 	changes := 0
 	v := NewViewer(nil, func(*View) { changes++ }, 0, zerolog.Nop())
-	v.Update("c-1", namings(2, 0))
-	v.Update("c-2", namings(2, 6))
+	v.Update("c-1", namings(2, 0), Received(clock.Now()))
+	v.Update("c-2", namings(2, 6), Received(clock.Now()))
 	assert.InDelta(t, 6, age(v, 1), tolerance)
 	assert.Equal(t, 2, changes)
-	v.Update("c-3", namings(2, 3))
+	v.Update("c-3", namings(2, 3), Received(clock.Now()))
 	assert.InDelta(t, 6, age(v, 1), tolerance, "never later")
 	assert.Equal(t, 2, changes)
 }
 
 func TestTimeOfPreviousVersionIsReplacedByEarlierOne(t *testing.T) {
 	v := NewViewer(nil, nil, 0, zerolog.Nop())
-	v.Update("c-1", namings(2, 0, 0))
-	v.Update("c-2", namings(2, 6, 4))
+	v.Update("c-1", namings(2, 0, 0), Received(clock.Now()))
+	v.Update("c-2", namings(2, 6, 4), Received(clock.Now()))
 	assert.InDelta(t, 6, age(v, 1), tolerance)
 	assert.InDelta(t, 4, age(v, 2), tolerance)
 }
 
 func TestPreviousVersionHeardAfterNewestKeepsItsOwnTime(t *testing.T) {
 	v := NewViewer(nil, nil, 0, zerolog.Nop())
-	v.Update("c-1", namings(3, 4)) // restored from a snapshot, which has the newest version only
-	v.Update("c-2", namings(2, 6, 4))
+	v.Update("c-1", namings(3, 4), Received(clock.Now())) // restored from a snapshot, which has the newest version only
+	v.Update("c-2", namings(2, 6, 4), Received(clock.Now()))
 	assert.InDelta(t, 6, age(v, 1), tolerance)
 	assert.InDelta(t, 4, age(v, 2), tolerance)
 	assert.EqualValues(t, 3, v.View().Versions["m"].Number)
@@ -62,17 +62,17 @@
 
 func TestRestartedControlServerDoesNotReplaceTheTimeOfNaming(t *testing.T) {
 	v := NewViewer(nil, nil, 0, zerolog.Nop())
-	v.Update("c-1", namings(2, 6, 4))
-	v.Update("c-2", namings(2, unknown, unknown))
+	v.Update("c-1", namings(2, 6, 4), Received(clock.Now()))
+	v.Update("c-2", namings(2, unknown, unknown), Received(clock.Now()))
 	assert.InDelta(t, 6, age(v, 1), tolerance)
 	assert.InDelta(t, 4, age(v, 2), tolerance)
 }
 
 func TestNamingOfUnknownTimeCountsAsNamedLongAgoUntilTheTimeIsKnown(t *testing.T) {
 	v := NewViewer(nil, nil, 0, zerolog.Nop())
-	v.Update("c-1", namings(2, unknown, unknown))
+	v.Update("c-1", namings(2, unknown, unknown), Received(clock.Now()))
 	assert.EqualValues(t, 3, v.View().Versions["m"].Floor(clock.Now(), time.Hour))
-	v.Update("c-2", namings(2, 6, 4))
+	v.Update("c-2", namings(2, 6, 4), Received(clock.Now()))
 	assert.EqualValues(t, 0, v.View().Versions["m"].Floor(clock.Now(), 7*time.Second))
 	assert.InDelta(t, 6, age(v, 1), tolerance)
 	assert.InDelta(t, 4, age(v, 2), tolerance)
@@ -80,7 +80,7 @@
 
 func TestFollowerSendsOnlyTimesOfNamingsThatItKnows(t *testing.T) {
 	v := NewViewer(nil, nil, 0, zerolog.Nop())
-	v.Update("c-1", namings(2, unknown, 4))
+	v.Update("c-1", namings(2, unknown, 4), Received(clock.Now()))
 	sent := knownNamings(v.View().Versions, clock.Now())
 	assert.Len(t, sent, 1)
 	assert.EqualValues(t, 3, sent[0].Version)
@@ -92,7 +92,7 @@
 	changes := 0
 	v := NewViewer(nil, func(*View) { changes++ }, 0, zerolog.Nop())
 	order := func(number uint64, age time.Duration) {
-		v.Update("c", &rpc.FleetUpdate{Evacuations: []*rpc.Evacuation{{Zone: "z", Order: number, AgeMs: age.Milliseconds()}}})
+		v.Update("c", &rpc.FleetUpdate{Evacuations: []*rpc.Evacuation{{Zone: "z", Order: number, AgeMs: age.Milliseconds()}}}, Received(clock.Now()))
 	}
 	age := func() float64 { return clock.Since(v.View().Evacuations["z"].AppliedAt).Seconds() }
 	order(5, 0)
--- a/internal/follow/turns_test.go
+++ b/internal/follow/turns_test.go
@@ -76,7 +76,7 @@
 	c := New(Config{
 		Name: "entry", Role: "entry", Seeds: func() []string { return []string{lis.Addr().String()} },
 		Suspicions: func() []quarantine.Update { return known },
-		Update: func(string, *rpc.FleetUpdate) {
+		Update: func(string, *rpc.FleetUpdate, Anchor) {
 			select {
 			case updated <- struct{}{}:
 			default:
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -88,13 +88,13 @@
 	return 0
 }
 
-// Update merges an update of a control server.
-func (v *Viewer) Update(source string, u *rpc.FleetUpdate) {
+// Update merges an update of a control server, dated at.
+func (v *Viewer) Update(source string, u *rpc.FleetUpdate, at Anchor) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := *v.view.Load()
 	changed := v.mergeConfig(&next, source, u)
-	changed = v.mergeVersions(&next, source, u) || changed
+	changed = v.mergeVersions(&next, source, u, at) || changed
 	changed = v.mergeEvacuations(&next, source, u) || changed
 	if v.mergeServers(u) {
 		next.Servers = v.byService()
@@ -211,27 +211,29 @@
 // mergeVersions merges the namings of an update. A naming that is known already takes the earlier
 // of the two times: a control server that applied it late, and a message that was delayed, make
 // the time later. An unknown time is replaced by a known one.
-func (v *Viewer) mergeVersions(next *View, source string, u *rpc.FleetUpdate) bool {
+func (v *Viewer) mergeVersions(next *View, source string, u *rpc.FleetUpdate, at Anchor) bool {
 	changed := false
-	now := clock.Now()
 	for _, m := range u.Versions {
 		known := next.Versions[m.Model]
-		named := ledger.NamingFromProto(m, now)
+		named := ledger.NamingFromProto(m, at.ReceivedAt)
 		merged, differs := known.Merge(named)
 		if !differs {
 			continue
 		}
 		next.Versions = withVersion(next.Versions, m.Model, merged)
 		changed = true
-		v.logNaming(source, m.Model, known, named, now)
+		v.logNaming(source, m.Model, known, named, at)
 	}
 	return changed
 }
 
-func (v *Viewer) logNaming(source, model string, known, named ledger.Version, now time.Time) {
+func (v *Viewer) logNaming(source, model string, known, named ledger.Version, at Anchor) {
 	event := v.log.Info().Str("control", source).Str("model", model).Uint64("version", named.Number).Bool("time_unknown", named.TimeUnknown)
 	if !named.TimeUnknown {
-		event.Dur("age", now.Sub(named.AppliedAt))
+		event.Dur("age", at.ReceivedAt.Sub(named.AppliedAt))
+	}
+	if at.Echoed {
+		event.Dur("path_ms", at.Path())
 	}
 	before, corrected := known.Find(named.Number)
 	switch {
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/clock/clocktest"
 	"lynxgate.dev/lynxgate/internal/follow"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -27,7 +28,7 @@
 		e.SetView(&next)
 	}, time.Second, e.log)
 	for _, u := range updates {
-		viewer.Update("control", u)
+		viewer.Update("control", u, follow.Received(clock.Now()))
 	}
 }
 
