Date namings of weights by the receiver's own stamps

Cause: the age of a naming counted from when its message was read. A message that was under way for 2 s put the bound on the older weights 2 s late, at followers, at other control servers, and at control servers that had restarted and hear it from a follower.

Change: a naming is dated at stamp + held - age. Times name the process of the control server that applied it: of the times of one the latest counts, all being lower bounds; of several control servers the earliest. The own time is fixed when it is first told, by the entry of the log or the acknowledgement. Ages of such times are rounded up. What moves a time by less than 10 ms is kept and goes out with the next repetition; a larger move in either direction is sent at once. Without echo or without the control server's id (earlier builds), ages count from their receipt and the earliest counts, as before.

Tests: sentAges of fleetcontrol's tests takes the greatest age of a version, as a version now comes once for each control server; the merge of namings in any order, and the wire form of an unknown time, are checked as before.

A naming with a name of 10 characters takes 28 bytes for one control server, 84 for three, 140 for five (before: 19); it is sent once and each second until the bound. Stamp and echo take 20 bytes a message.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -327,8 +327,9 @@
 }
 
 // namingRepeatInterval is how often namings are sent again while the weights before them may be
-// used. A message that waits on its way, or at a follower that is suspended, makes its ages too low
-// by the wait; one of the repetitions that waits less corrects them.
+// used. A repetition that is dated by a stamp with less delay makes their times more exact, and times of other control
+// servers that change nothing by themselves come with it. For a follower without stamps, a message that waits on its
+// way makes the ages too low by the wait; a repetition that waits less corrects them.
 const namingRepeatInterval = time.Second
 
 // namingsDue reports whether namings are sent again now.
@@ -348,7 +349,7 @@
 				continue
 			}
 			f.versions[model], f.namingsAt = sent, now
-			u.Versions = append(u.Versions, ledger.NamingToProto(model, v, now))
+			u.Versions = append(u.Versions, ledger.NamingsToProto(model, v, now)...)
 			added = true
 		}
 	}
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -229,7 +229,7 @@
 // mergeNamings merges namings that a control server or a follower knows.
 func (h *hub) mergeNamings(versions []*rpc.ModelVersion, at follow.Anchor) {
 	for _, m := range versions {
-		h.ledger.MergeNaming(m.Model, ledger.NamingFromProto(m, at.ReceivedAt))
+		h.ledger.MergeNaming(m.Model, ledger.NamingFromProto(m, at.AsOf, at.Echoed))
 	}
 }
 
--- a/internal/fleetcontrol/naming_test.go
+++ b/internal/fleetcontrol/naming_test.go
@@ -34,7 +34,7 @@
 func sentAges(h *hub, f *follower) map[uint64]float64 {
 	ages := map[uint64]float64{}
 	for _, m := range h.next(f).GetVersions() {
-		ages[m.Version] = float64(m.AgeMs) / 1000
+		ages[m.Version] = max(ages[m.Version], float64(m.AgeMs)/1000) // the earliest of several control servers counts
 	}
 	return ages
 }
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -198,8 +198,7 @@
 		err = s.submit(ctx, &rpc.FleetCommand{Model: model, Version: version})
 	}
 	if err == nil {
-		// If the leader fails now, the entry is applied here only after the next election.
-		s.ledger.MergeNaming(model, ledger.Version{Number: version, AppliedAt: clock.Now()})
+		s.ledger.Acknowledged(model, version)
 	}
 	s.logChange("weights of "+model, version, err)
 	return err
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -455,7 +455,7 @@
 	for model, newest := range versions {
 		for _, v := range newest.History() {
 			if !v.TimeUnknown {
-				out = append(out, ledger.NamingToProto(model, v, now))
+				out = append(out, ledger.NamingsToProto(model, v, now)...)
 			}
 		}
 	}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -101,9 +101,7 @@
 		changed = true
 	}
 	changed = v.mergeEntries(&next, source, u) || changed
-	if changed {
-		v.view.Store(&next)
-	}
+	v.view.Store(&next) // also times of namings that were refined
 	if changed && v.changed != nil {
 		v.changed(&next)
 	}
@@ -208,34 +206,39 @@
 	return len(changed) > 0
 }
 
-// mergeVersions merges the namings of an update. A naming that is known already takes the earlier
-// of the two times: a control server that applied it late, and a message that was delayed, make
-// the time later. An unknown time is replaced by a known one.
+// mergeVersions merges the namings of an update and reports whether that has changed them by more than a refinement
+// of times, see ledger.Version.Merge. They count from the time as of which the update was encoded, so that a delay makes no
+// time later.
 func (v *Viewer) mergeVersions(next *View, source string, u *rpc.FleetUpdate, at Anchor) bool {
 	changed := false
 	for _, m := range u.Versions {
 		known := next.Versions[m.Model]
-		named := ledger.NamingFromProto(m, at.ReceivedAt)
+		named := ledger.NamingFromProto(m, at.AsOf, at.Echoed)
 		merged, differs := known.Merge(named)
+		next.Versions = withVersion(next.Versions, m.Model, merged)
 		if !differs {
 			continue
 		}
-		next.Versions = withVersion(next.Versions, m.Model, merged)
 		changed = true
-		v.logNaming(source, m.Model, known, named, at)
+		v.logNaming(source, m.Model, known, merged, m.Version, at)
 	}
 	return changed
 }
 
-func (v *Viewer) logNaming(source, model string, known, named ledger.Version, at Anchor) {
-	event := v.log.Info().Str("control", source).Str("model", model).Uint64("version", named.Number).Bool("time_unknown", named.TimeUnknown)
+// logNaming logs a change of a naming from known to merged.
+func (v *Viewer) logNaming(source, model string, known, merged ledger.Version, number uint64, at Anchor) {
+	named, kept := merged.Find(number)
+	if !kept {
+		return // it was a predecessor of the kept ones
+	}
+	event := v.log.Info().Str("control", source).Str("model", model).Uint64("version", number).Bool("time_unknown", named.TimeUnknown)
 	if !named.TimeUnknown {
 		event.Dur("age", at.ReceivedAt.Sub(named.AppliedAt))
 	}
 	if at.Echoed {
 		event.Dur("path_ms", at.Path())
 	}
-	before, corrected := known.Find(named.Number)
+	before, corrected := known.Find(number)
 	switch {
 	case !corrected:
 		event.Msg("version of weights named")
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -51,6 +53,8 @@
 type Ledger struct {
 	state atomic.Pointer[State]
 	now   func() time.Time
+	// id identifies this process in the times of namings.
+	id uint64
 
 	// changing serializes changes of the state.
 	changing sync.Mutex
@@ -66,7 +70,7 @@
 
 // New returns an empty ledger. now is the clock.
 func New(now func() time.Time) *Ledger {
-	l := &Ledger{now: now, heard: map[string]Version{}, changed: make(chan struct{})}
+	l := &Ledger{now: now, id: rand.Uint64N(math.MaxUint64) + 1, heard: map[string]Version{}, changed: make(chan struct{})}
 	l.state.Store(&State{})
 	return l
 }
@@ -102,7 +106,7 @@
 	defer l.changing.Unlock()
 	next := *l.State()
 	now := l.now()
-	if !next.apply(index, &c, l.naming(c.Version, now), now) {
+	if !next.apply(index, &c, l.naming(c.Model, c.Version, now), now) {
 		return nil
 	}
 	next.mergeNamings(c.Model, l.heard[c.Model])
@@ -110,12 +114,37 @@
 	return nil
 }
 
-// naming returns a version that is named by an entry applied now.
-func (l *Ledger) naming(number uint64, now time.Time) Version {
+// naming returns a version that is named by an entry applied now. The time of this control server does not change once it
+// is told.
+func (l *Ledger) naming(model string, number uint64, now time.Time) Version {
+	if at, ok := l.ownTime(model, number); ok {
+		return AppliedBy(l.id, number, at)
+	}
 	if l.replaying {
 		return UnknownNaming(number, now)
 	}
-	return Version{Number: number, AppliedAt: now}
+	return AppliedBy(l.id, number, now)
+}
+
+// Acknowledged records that the naming of a version is committed, which counts as applied if it is not applied yet: if the
+// leader fails now, the entry is applied here only after the next election.
+func (l *Ledger) Acknowledged(model string, number uint64) {
+	l.changing.Lock()
+	defer l.changing.Unlock()
+	if _, ok := l.ownTime(model, number); !ok {
+		l.mergeNaming(model, AppliedBy(l.id, number, l.now()))
+	}
+}
+
+// ownTime returns the time at which a version counts as applied here, false if it does not yet. The caller holds changing.
+func (l *Ledger) ownTime(model string, number uint64) (time.Time, bool) {
+	for _, newest := range []Version{l.State().Versions[model], l.heard[model]} {
+		v, _ := newest.Find(number)
+		if at, ok := v.appliedBy(l.id); ok {
+			return at, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // BeginReplay is called before the log of an earlier process is applied: the times of namings in it
@@ -156,8 +185,8 @@
 	s.Versions = versions
 }
 
-// mergeNamings merges namings of versions up to the committed one. The others come into the state
-// with their log entries.
+// mergeNamings merges namings of versions up to the committed one, and reports whether that has changed more than
+// Version.Merge tells. The others come into the state with their log entries.
 func (s *State) mergeNamings(model string, chain Version) (changed bool) {
 	merged := s.Versions[model]
 	for _, named := range chain.History() {
@@ -168,7 +197,7 @@
 		merged, differs = merged.Merge(named)
 		changed = changed || differs
 	}
-	if changed {
+	if merged.Number > 0 {
 		s.setVersion(model, merged)
 	}
 	return changed
@@ -179,11 +208,21 @@
 func (l *Ledger) MergeNaming(model string, named Version) {
 	l.changing.Lock()
 	defer l.changing.Unlock()
+	if _, own := named.appliedBy(l.id); own {
+		return // an estimate by others
+	}
+	l.mergeNaming(model, named)
+}
+
+// mergeNaming publishes changes; refinements of times are sent with the next repetition of the naming. The caller holds changing.
+func (l *Ledger) mergeNaming(model string, named Version) {
 	l.heard[model], _ = l.heard[model].Merge(named)
 	next := *l.State()
 	if next.mergeNamings(model, l.heard[model]) {
 		l.publish(&next)
+		return
 	}
+	l.state.Store(&next)
 }
 
 // release lifts the quarantine of a content, given by its digest.
--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,10 +15,22 @@
 	// naming applied it. If TimeUnknown is set, it is a time before any bound on old weights.
 	AppliedAt   time.Time
 	TimeUnknown bool
+	// Applied has the time for each control server of which it is known. It is empty if the control
+	// server of AppliedAt is not known.
+	Applied []Applied
 	// Previous is the version named before, nil if it is not known.
 	Previous *Version
 }
 
+// Applied is when a control server applied a naming. Other processes estimate that time by messages that were under way
+// for an unknown time, and no estimate is later than the time itself.
+type Applied struct {
+	// Server identifies a process of a control server, 0: not known. The time of an unknown one may be too late by the
+	// delay of a message.
+	Server uint64
+	At     time.Time
+}
+
 const (
 	// keptVersions bounds the chain of previous versions: only those named within the
 	// time bound on old weights matter, which is some seconds.
@@ -27,9 +40,8 @@
 	unknownAge = (1 << 40) * time.Millisecond
 	// firstVersion is the lowest number of a version: 0 is none.
 	firstVersion = 1
-	// minCorrection is the least difference by which a known time is replaced by an earlier one.
-	// Each control server applies a naming at a slightly different time, and each correction is
-	// sent to all followers.
+	// minCorrection is the least difference by which AppliedAt counts as changed. Each control server applies
+	// a naming at a slightly different time, and each correction is sent to all followers.
 	minCorrection = 10 * time.Millisecond
 )
 
@@ -45,9 +57,14 @@
 	return next
 }
 
-// Merge returns v and the versions before it with one naming, and whether that has changed them.
-// Of two times of a naming the earlier counts: what delays a message or a control server makes the
-// time later, never earlier. A known time counts more than an unknown one. It says nothing about the namings before, which stay
+// Merge returns v and the versions before it with one naming, and whether that has changed them by more than a
+// refinement of times below minCorrection.
+//
+// Of the times of one control server the latest counts: none is later than the true one, and each is too early by the delays
+// of a stamp (follow.Stamps). Of several control servers the earliest counts, as the one that acknowledged is not known. So the
+// result depends neither on the order nor on the paths of the messages, and a time that is forwarded in circles stays as it
+// is. Of times whose control server is not known, which builds without stamps send, the earliest counts: a delay makes them later.
+// A known time counts more than an unknown one. It says nothing about the namings before, which stay
 // unknown until their own times are known.
 func (v Version) Merge(named Version) (merged Version, changed bool) {
 	return v.merge(named, keptVersions)
@@ -69,14 +86,12 @@
 		}
 		return named, true
 	case named.Number == v.Number:
-		if !named.corrects(v) {
-			return v, false
-		}
-		if v.TimeUnknown {
-			v.Previous = v.unknownPrevious(n)
+		merged = v.withTimes(named)
+		if v.TimeUnknown && !merged.TimeUnknown {
+			merged.Previous = v.unknownPrevious(n)
+			return merged, true
 		}
-		v.AppliedAt, v.TimeUnknown = named.AppliedAt, named.TimeUnknown
-		return v, true
+		return merged, merged.AppliedAt.Sub(v.AppliedAt).Abs() >= minCorrection
 	case n == 0:
 		return v, false
 	}
@@ -85,12 +100,11 @@
 		previous = *v.Previous
 	}
 	isNew := previous.Number < named.Number
-	if previous, changed = previous.merge(named, n-1); changed {
-		if isNew && v.TimeUnknown && !named.TimeUnknown {
-			previous.Previous = previous.unknownPrevious(n - 1)
-		}
-		v.Previous = &previous
+	previous, changed = previous.merge(named, n-1)
+	if isNew && changed && v.TimeUnknown && !named.TimeUnknown {
+		previous.Previous = previous.unknownPrevious(n - 1)
 	}
+	v.Previous = &previous
 	return v, changed
 }
 
@@ -104,12 +118,55 @@
 	return &unknown
 }
 
-// corrects reports whether the time of v replaces that of known, which is of the same version.
-func (v Version) corrects(known Version) bool {
-	if v.TimeUnknown || known.TimeUnknown {
-		return known.TimeUnknown && !v.TimeUnknown
+// withTimes returns v with the times of named, which is the same version.
+func (v Version) withTimes(named Version) Version {
+	if named.TimeUnknown {
+		return v
+	}
+	times := slices.Clone(v.times())
+	for _, a := range named.times() {
+		i, known := slices.BinarySearchFunc(times, a.Server, func(t Applied, server uint64) int { return cmp.Compare(t.Server, server) })
+		switch {
+		case !known:
+			times = slices.Insert(times, i, a)
+		case a.replaces(times[i]):
+			times[i] = a
+		}
+	}
+	v.Applied, v.TimeUnknown = times, false
+	v.AppliedAt = slices.MinFunc(times, func(a, b Applied) int { return a.At.Compare(b.At) }).At
+	return v
+}
+
+// replaces reports whether the time counts more than another one of the same control server.
+func (a Applied) replaces(known Applied) bool {
+	if a.Server == 0 {
+		return known.At.Sub(a.At) >= minCorrection
+	}
+	return a.At.After(known.At)
+}
+
+// times returns the known times in the order of the control servers.
+func (v Version) times() []Applied {
+	if v.TimeUnknown || len(v.Applied) > 0 {
+		return v.Applied
+	}
+	return []Applied{{At: v.AppliedAt}}
+}
+
+// AppliedBy returns a version that was applied by one control server.
+func AppliedBy(server uint64, number uint64, at time.Time) Version {
+	return Version{Number: number, AppliedAt: at, Applied: []Applied{{Server: server, At: at}}}
+}
+
+// appliedBy returns when a control server applied v, false if that is not known.
+func (v Version) appliedBy(server uint64) (time.Time, bool) {
+	for _, a := range v.Applied {
+		if a.Server == server {
+			return a.At, true
+		}
 	}
-	return known.AppliedAt.Sub(v.AppliedAt) >= minCorrection
+	return time.Time{}, false
 }
 
 // Find returns the version with this number, v or one before it; false if it is not there.
@@ -170,20 +227,33 @@
 	return out
 }
 
-// NamingToProto returns the wire form of a naming; its age is as of now. The age is rounded down,
-// so that a time does not get earlier each time that it is forwarded.
-func NamingToProto(model string, v Version, now time.Time) *rpc.ModelVersion {
-	age := max(now.Sub(v.AppliedAt), 0)
+// NamingsToProto returns the wire form of a naming, one message for each control server; the ages are as of now. The age
+// of a time of an unknown control server is rounded down, so that it does not get earlier each time that it is forwarded. The
+// others are rounded up, so that none gets later.
+func NamingsToProto(model string, v Version, now time.Time) []*rpc.ModelVersion {
 	if v.TimeUnknown {
-		age = unknownAge
+		return []*rpc.ModelVersion{{Model: model, Version: v.Number, AgeMs: unknownAge.Milliseconds()}}
+	}
+	var out []*rpc.ModelVersion
+	for _, a := range v.times() {
+		age := max(now.Sub(a.At), 0)
+		if a.Server != 0 {
+			age += time.Millisecond - 1
+		}
+		out = append(out, &rpc.ModelVersion{Model: model, Version: v.Number, AgeMs: age.Milliseconds(), AppliedBy: a.Server})
 	}
-	return &rpc.ModelVersion{Model: model, Version: v.Number, AgeMs: age.Milliseconds()}
+	return out
 }
 
-// NamingFromProto is the inverse of NamingToProto.
-func NamingFromProto(m *rpc.ModelVersion, now time.Time) Version {
+// NamingFromProto returns the version of one of the messages of NamingsToProto. asOf is a time that is not later than the one
+// for which the age was computed, and exact is false if it is not known to be: then the control server counts as unknown.
+func NamingFromProto(m *rpc.ModelVersion, asOf time.Time, exact bool) Version {
 	if m.AgeMs >= unknownAge.Milliseconds() {
-		return UnknownNaming(m.Version, now)
+		return UnknownNaming(m.Version, asOf)
+	}
+	at := asOf.Add(-time.Duration(max(m.AgeMs, 0)) * time.Millisecond)
+	if !exact || m.AppliedBy == 0 {
+		return Version{Number: m.Version, AppliedAt: at}
 	}
-	return Version{Number: m.Version, AppliedAt: now.Add(-time.Duration(max(m.AgeMs, 0)) * time.Millisecond)}
+	return AppliedBy(m.AppliedBy, m.Version, at)
 }
--- a/internal/ledger/versions_test.go
+++ b/internal/ledger/versions_test.go
@@ -175,12 +175,12 @@
 // Guards against an age that an earlier build cannot read: it adds this many milliseconds.
 func TestUnknownAgeIsLongForAnEarlierBuild(t *testing.T) {
 	now := time.Unix(100, 0)
-	m := NamingToProto("m", UnknownNaming(2, now), now)
+	m := NamingsToProto("m", UnknownNaming(2, now), now)[0]
 	age := time.Duration(m.AgeMs) * time.Millisecond
 	assert.Greater(t, age, 24*time.Hour)
 	assert.Equal(t, age, now.Sub(now.Add(-age)))
-	assert.True(t, NamingFromProto(m, now.Add(time.Second)).TimeUnknown)
-	assert.Equal(t, now, NamingFromProto(&rpc.ModelVersion{Model: "m", Version: 2, AgeMs: -5}, now).AppliedAt)
+	assert.True(t, NamingFromProto(m, now.Add(time.Second), true).TimeUnknown)
+	assert.Equal(t, now, NamingFromProto(&rpc.ModelVersion{Model: "m", Version: 2, AgeMs: -5}, now, true).AppliedAt)
 }
 
 // Guards against a snapshot that an earlier build writes or reads otherwise: fleets are upgraded while they run.
