Keep the stamps of a follow stream in a type of their own

Client.stream dialled, kept the stamps, told known namings and processed updates in one function. No change of behaviour.

--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -344,41 +344,32 @@
 	if err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
-	stampedAt := clock.Now()
-	stamps := NewStamps(stampedAt)
-	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role, StampUs: stamps.Stamp(stampedAt)}); err != nil {
+	in := newSession(stream)
+	if err := in.send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
 	if err := c.sendKnown(stream); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
-	namingsSent := false
 	c.setStream(addr, stream)
 	defer c.removeStream(addr, stream)
 	var listed []string // the control servers last listed by this one; it sends the list only when it changes
 	for {
-		u, err := stream.Recv()
+		u, at, err := in.receive()
 		if err != nil {
 			return received, streamError(addr, err)
 		}
 		watchdog.Reset(silenceTimeout)
-		at := c.receive(stamps, u)
-		if !namingsSent {
-			namingsSent = true
-			if err := c.sendNamings(stream, stamps); err != nil {
-				return received, streamError(addr, err)
-			}
+		c.observe(at)
+		if err := in.sendNamings(c.cfg.Versions); err != nil {
+			return received, streamError(addr, err)
 		}
 		if len(u.ControlAddrs) > 0 {
 			listed = u.ControlAddrs
 		}
 		c.addListed(run, listed)
-		if u.Number == 0 && at.ReceivedAt.Sub(stampedAt) < stampInterval {
-			continue
-		}
 		if u.Number == 0 {
-			stampedAt = clock.Now()
-			if err := stream.Send(&rpc.FollowerMessage{StampUs: stamps.Stamp(stampedAt)}); err != nil {
+			if err := in.renewStamp(at.ReceivedAt); err != nil {
 				return received, streamError(addr, err)
 			}
 			continue
@@ -392,22 +383,17 @@
 		if u.ConfigVersion > 0 {
 			c.sendConfigVersion(stream)
 		}
-		stampedAt = clock.Now()
-		if err := stream.Send(&rpc.FollowerMessage{Acknowledged: u.Number, ConfigVersion: c.configVersion(), StampUs: stamps.Stamp(stampedAt)}); err != nil {
+		if err := in.send(&rpc.FollowerMessage{Acknowledged: u.Number, ConfigVersion: c.configVersion()}); err != nil {
 			return received, streamError(addr, err)
 		}
 	}
 }
 
-// receive records the stamp of a message that was just read, and dates the message.
-func (c *Client) receive(stamps *Stamps, u *rpc.FleetUpdate) Anchor {
-	now := clock.Now()
-	stamps.Receive(u.StampUs, now)
-	at := stamps.Anchor(u.Echo, now)
+// observe counts for how long a message was under way.
+func (c *Client) observe(at Anchor) {
 	if at.Echoed {
 		c.pathSeconds.Observe(at.Path().Seconds())
 	}
-	return at
 }
 
 // sendKnown sends all known suspicions and signals, which a control server that has just started does
@@ -435,20 +421,6 @@
 	return nil
 }
 
-// sendNamings sends the times of namings, which a control server that has just started does not have. It is called
-// when a message of the control server was received, with whose stamp they are dated.
-func (c *Client) sendNamings(stream rpc.DRPCFleet_FollowClient, stamps *Stamps) error {
-	if c.cfg.Versions == nil {
-		return nil
-	}
-	now := clock.Now()
-	m := &rpc.FollowerMessage{Versions: knownNamings(c.cfg.Versions(), now), Echo: stamps.Echo(now)}
-	if len(m.Versions) == 0 {
-		return nil
-	}
-	return stream.Send(m)
-}
-
 // knownNamings returns the wire form of the namings whose time is known.
 func knownNamings(versions map[string]ledger.Version, now time.Time) []*rpc.ModelVersion {
 	var out []*rpc.ModelVersion
