Bound the work of a control server for stamps and keep-alives

A keep-alive compared all namings with those sent, for each follower 2.5 times a second, and each report took the hub's lock once more for a stamp that it does not have. The state is immutable, so that the last one whose namings were all sent is remembered; messages with neither stamp nor echo are not looked at. CPU time: not measured.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -45,6 +45,8 @@
 	versions map[string]ledger.Version
 	// namingsAt is when it was last sent a naming.
 	namingsAt time.Time
+	// informed is the last state whose namings it was all sent.
+	informed *ledger.State
 	// evacuations are the last orders about zones that the follower was sent.
 	evacuations  map[string]ledger.Evacuation
 	controlAddrs []string
@@ -212,6 +214,9 @@
 // receive records the stamp of a message that was just read, and dates the message.
 func (h *hub) receive(f *follower, m *rpc.FollowerMessage) follow.Anchor {
 	now := clock.Now()
+	if m.StampUs == 0 && m.Echo == nil {
+		return follow.Received(now) // reports, which are most of the messages
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f.stamps.Receive(m.StampUs, now)
@@ -249,7 +254,7 @@
 func (h *hub) stampedKeepAlive(f *follower, state *ledger.State, asOf time.Time) *rpc.FleetUpdate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !f.hasNamings(state.Versions) {
+	if !f.hasNamings(state) {
 		return nil
 	}
 	return f.stamp(&rpc.FleetUpdate{}, asOf)
@@ -285,6 +290,7 @@
 		outdated = f.addConfig(u, state, now, h.agents) || outdated
 	}
 	outdated = f.addVersions(u, state.Versions, asOf, h.versionBound) || outdated
+	f.informed = state
 	for id := range f.changed {
 		if b := h.servers.Get(id); b != nil {
 			u.Servers = append(u.Servers, follow.ServerToProto(b, now))
@@ -356,15 +362,19 @@
 	return added
 }
 
-// hasNamings reports whether the follower was sent all these namings.
-func (f *follower) hasNamings(committed map[string]ledger.Version) bool {
-	for model, newest := range committed {
+// hasNamings reports whether the follower was sent all namings of a state.
+func (f *follower) hasNamings(state *ledger.State) bool {
+	if f.informed == state {
+		return true
+	}
+	for model, newest := range state.Versions {
 		for _, v := range newest.History() {
 			if _, changed := f.versions[model].Merge(v); changed {
 				return false
 			}
 		}
 	}
+	f.informed = state
 	return true
 }
 
