--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -155,7 +155,7 @@
 
 // Collectors returns the metrics of the replicated log and of the directory.
 func (s *Server) Collectors() []prometheus.Collector {
-	return append(s.hub.collectors(), s.node)
+	return append(append(s.hub.collectors(), s.peers.Collectors()...), s.node)
 }
 
 // controlAddrs returns the rpc addresses of all members of the log.
@@ -198,8 +198,7 @@
 		err = s.submit(ctx, &rpc.FleetCommand{Model: model, Version: version})
 	}
 	if err == nil {
-		// If the leader fails now, the entry is applied here only after the next election.
-		s.ledger.MergeNaming(model, ledger.Version{Number: version, AppliedAt: clock.Now()})
+		s.ledger.Acknowledged(model, version)
 	}
 	s.logChange("weights of "+model, version, err)
 	return err
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"storj.io/drpc"
 
@@ -75,9 +76,12 @@
 	// restart of all control servers only their followers know the times of the namings. It may
 	// be nil.
 	Versions func() map[string]ledger.Version
-	// Update processes an update of a control server. Calls for one source are in
-	// order, those for several sources are concurrent.
-	Update func(source string, u *rpc.FleetUpdate)
+	// Update processes an update of a control server, whose ages count from at. Calls for one source are
+	// in order, those for several sources are concurrent.
+	Update func(source string, u *rpc.FleetUpdate, at Anchor)
+	// Heard is called for each message between updates: a control server that sends an echo has sent all
+	// namings that it knew as of then. It may be nil.
+	Heard func(at Anchor)
 	// Lost is called when a stream has ended.
 	Lost   func(source string)
 	Logger zerolog.Logger
@@ -95,6 +99,8 @@
 	// content.
 	turnRequests map[quarantine.Digest]*turnRequest
 	lastTurnID   uint64
+
+	pathSeconds prometheus.Histogram
 }
 
 // source is one control server.
@@ -180,7 +186,7 @@
 
 // New returns a client; Run starts it.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, known: map[string]*source{}, turnRequests: map[quarantine.Digest]*turnRequest{}}
+	return &Client{cfg: cfg, known: map[string]*source{}, turnRequests: map[quarantine.Digest]*turnRequest{}, pathSeconds: newPathSeconds(cfg.Role)}
 }
 
 // Run follows the control servers until ctx is done.
@@ -341,7 +347,8 @@
 	if err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
-	if err := stream.Send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role}); err != nil {
+	in := newSession(stream)
+	if err := in.send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
 	if err := c.sendKnown(stream); err != nil {
@@ -351,16 +358,24 @@
 	defer c.removeStream(addr, stream)
 	var listed []string // the control servers last listed by this one; it sends the list only when it changes
 	for {
-		u, err := stream.Recv()
+		u, at, err := in.receive()
 		if err != nil {
 			return received, streamError(addr, err)
 		}
 		watchdog.Reset(silenceTimeout)
+		c.observe(at)
+		if err := in.sendNamings(c.cfg.Versions); err != nil {
+			return received, streamError(addr, err)
+		}
 		if len(u.ControlAddrs) > 0 {
 			listed = u.ControlAddrs
 		}
 		c.addListed(run, listed)
 		if u.Number == 0 {
+			c.heard(at)
+			if err := in.renewStamp(at.ReceivedAt); err != nil {
+				return received, streamError(addr, err)
+			}
 			continue
 		}
 		if received == 0 {
@@ -368,18 +383,31 @@
 		}
 		received++
 		c.deliverTurns(stream, u.Turns)
-		c.cfg.Update(addr, u)
+		c.cfg.Update(addr, u, at)
 		if u.ConfigVersion > 0 {
 			c.sendConfigVersion(stream)
 		}
-		if err := stream.Send(&rpc.FollowerMessage{Acknowledged: u.Number, ConfigVersion: c.configVersion()}); err != nil {
+		if err := in.send(&rpc.FollowerMessage{Acknowledged: u.Number, ConfigVersion: c.configVersion()}); err != nil {
 			return received, streamError(addr, err)
 		}
 	}
 }
 
-// sendKnown sends all known suspicions and signals and the times of namings, which a control server
-// that has just started does not have.
+// observe counts for how long a message was under way.
+func (c *Client) observe(at Anchor) {
+	if at.Echoed {
+		c.pathSeconds.Observe(at.Path().Seconds())
+	}
+}
+
+func (c *Client) heard(at Anchor) {
+	if c.cfg.Heard != nil {
+		c.cfg.Heard(at)
+	}
+}
+
+// sendKnown sends all known suspicions and signals, which a control server that has just started does
+// not have.
 func (c *Client) sendKnown(stream rpc.DRPCFleet_FollowClient) error {
 	now := clock.Now()
 	m := &rpc.FollowerMessage{}
@@ -400,13 +428,6 @@
 			return err
 		}
 	}
-	m = &rpc.FollowerMessage{}
-	if c.cfg.Versions != nil {
-		m.Versions = knownNamings(c.cfg.Versions(), now)
-	}
-	if len(m.Versions) > 0 {
-		return stream.Send(m)
-	}
 	return nil
 }
 
@@ -416,7 +437,7 @@
 	for model, newest := range versions {
 		for _, v := range newest.History() {
 			if !v.TimeUnknown {
-				out = append(out, ledger.NamingToProto(model, v, now))
+				out = append(out, ledger.NamingsToProto(model, v, now)...)
 			}
 		}
 	}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -56,6 +56,8 @@
 	OnRenewal func(id string, at time.Time)
 
 	view atomic.Pointer[View]
+	// heardAt is the time of HeardAt.
+	heardAt atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	servers *directory.Directory
@@ -74,9 +76,32 @@
 func NewViewer(decode func([]byte) (*fleet.Config, error), changed func(*View), interval time.Duration, log zerolog.Logger) *Viewer {
 	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(interval), entries: map[string]map[string]Entry{}, reports: map[string]*rpc.AgentReport{}}
 	v.view.Store(&View{})
+	v.heardAt.Store(&time.Time{})
 	return v
 }
 
+// HeardAt returns the latest time as of which the namings of a control server are in the view, zero if none was heard: what that
+// server knew then is in View, if View is called afterwards. The time is not later than the true one whatever delays the
+// messages, except for control servers that send no echo (an earlier build), whose messages count from their receipt.
+//
+// A naming that is not in the view became known to that control server later. It may have been acknowledged by another one
+// before, by as much as the one that was heard lagged behind the log.
+func (v *Viewer) HeardAt() time.Time { return *v.heardAt.Load() }
+
+// Heard records that a control server was heard whose namings are all in the view.
+func (v *Viewer) Heard(at Anchor) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.heard(at)
+}
+
+// heard is Heard; the caller holds mu.
+func (v *Viewer) heard(at Anchor) {
+	if at.AsOf.After(v.HeardAt()) {
+		v.heardAt.Store(&at.AsOf)
+	}
+}
+
 // View returns the newest view.
 func (v *Viewer) View() *View { return v.view.Load() }
 
@@ -88,22 +113,21 @@
 	return 0
 }
 
-// Update merges an update of a control server.
-func (v *Viewer) Update(source string, u *rpc.FleetUpdate) {
+// Update merges an update of a control server, dated at.
+func (v *Viewer) Update(source string, u *rpc.FleetUpdate, at Anchor) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := *v.view.Load()
 	changed := v.mergeConfig(&next, source, u)
-	changed = v.mergeVersions(&next, source, u) || changed
+	changed = v.mergeVersions(&next, source, u, at) || changed
 	changed = v.mergeEvacuations(&next, source, u) || changed
 	if v.mergeServers(u) {
 		next.Servers = v.byService()
 		changed = true
 	}
 	changed = v.mergeEntries(&next, source, u) || changed
-	if changed {
-		v.view.Store(&next)
-	}
+	v.view.Store(&next) // also times of namings that were refined
+	v.heard(at)
 	if changed && v.changed != nil {
 		v.changed(&next)
 	}
@@ -208,32 +232,39 @@
 	return len(changed) > 0
 }
 
-// mergeVersions merges the namings of an update. A naming that is known already takes the earlier
-// of the two times: a control server that applied it late, and a message that was delayed, make
-// the time later. An unknown time is replaced by a known one.
-func (v *Viewer) mergeVersions(next *View, source string, u *rpc.FleetUpdate) bool {
+// mergeVersions merges the namings of an update and reports whether that has changed them by more than a refinement
+// of times, see ledger.Version.Merge. They count from the time as of which the update was encoded, so that a delay makes no
+// time later.
+func (v *Viewer) mergeVersions(next *View, source string, u *rpc.FleetUpdate, at Anchor) bool {
 	changed := false
-	now := clock.Now()
 	for _, m := range u.Versions {
 		known := next.Versions[m.Model]
-		named := ledger.NamingFromProto(m, now)
+		named := ledger.NamingFromProto(m, at.AsOf, at.Echoed)
 		merged, differs := known.Merge(named)
+		next.Versions = withVersion(next.Versions, m.Model, merged)
 		if !differs {
 			continue
 		}
-		next.Versions = withVersion(next.Versions, m.Model, merged)
 		changed = true
-		v.logNaming(source, m.Model, known, named, now)
+		v.logNaming(source, m.Model, known, merged, m.Version, at)
 	}
 	return changed
 }
 
-func (v *Viewer) logNaming(source, model string, known, named ledger.Version, now time.Time) {
-	event := v.log.Info().Str("control", source).Str("model", model).Uint64("version", named.Number).Bool("time_unknown", named.TimeUnknown)
+// logNaming logs a change of a naming from known to merged.
+func (v *Viewer) logNaming(source, model string, known, merged ledger.Version, number uint64, at Anchor) {
+	named, kept := merged.Find(number)
+	if !kept {
+		return // it was a predecessor of the kept ones
+	}
+	event := v.log.Info().Str("control", source).Str("model", model).Uint64("version", number).Bool("time_unknown", named.TimeUnknown)
 	if !named.TimeUnknown {
-		event.Dur("age", now.Sub(named.AppliedAt))
+		event.Dur("age", at.ReceivedAt.Sub(named.AppliedAt))
+	}
+	if at.Echoed {
+		event.Dur("path_ms", at.Path())
 	}
-	before, corrected := known.Find(named.Number)
+	before, corrected := known.Find(number)
 	switch {
 	case !corrected:
 		event.Msg("version of weights named")
