Agents report that they relay requests

While a fleet is upgraded, an entry of this build beside agents of an earlier one would find no engine on older weights for the last 4.4 s before their bound. A report that does not say so has requests sent directly with the earlier margins, which guard as before.

TestRequestsBesideAnAgentThatDoesNotRelayAreSentDirectly.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -231,6 +231,8 @@
 	Running, Waiting int
 	// Pace is how many times as long as usual the server's work takes, 0 if not reported.
 	Pace float64
+	// Relays: the agent relays requests to the server; those of earlier builds do not.
+	Relays bool
 }
 
 // Reported applies an agent's report.
@@ -253,7 +255,7 @@
 		if !r.Loading || !s.agent.loading {
 			since = now
 		}
-		s.agent = agentReport{at: now, resumedAt: s.agent.resumption(now, len(b.services[s.record.Service])), loading: r.Loading, loadingSince: since, models: r.Models, pace: r.Pace}
+		s.agent = agentReport{at: now, resumedAt: s.agent.resumption(now, len(b.services[s.record.Service])), loading: r.Loading, loadingSince: since, models: r.Models, pace: r.Pace, relays: r.Relays}
 		if now.Sub(s.load.decidedAt) >= reportDelay {
 			s.load = load{known: true, running: r.Running, waiting: r.Waiting, at: now, ownInFlight: s.inFlight}
 		}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -52,8 +52,8 @@
 	VersionSource string
 	VersionAge    time.Duration
 	Expiry        Expiry
-	// cancelMargin is how long before the bound the request is cancelled if it has not begun.
-	cancelMargin time.Duration
+	// pathMargin is part of CancelMargin.
+	pathMargin time.Duration
 	// Confirm: the server must refuse the request if it holds another version.
 	Confirm bool
 	// Queue is the estimated number of requests there, Slots its number of slots.
@@ -168,7 +168,7 @@
 			continue
 		}
 		takes := p.firstEvent + s.answerTime(w.Answer, p.pace)
-		expiry := b.expiry(now, w.Model, version, takes, !w.RunOnce)
+		expiry := b.expiryAt(s, now, w.Model, version, takes, !w.RunOnce)
 		if expiry.Cuts() || expiry.Relayed && now.Before(s.relayDownUntil) || !expiry.At.IsZero() && now.Add(p.firstEvent).After(expiry.At) {
 			availability.Fit--
 			availability.Old++
@@ -189,7 +189,7 @@
 				ReportAge: -1, pickedAt: now, due: w.Due, bytes: w.Bytes,
 				Owned: s.owned, otherOwner: s.otherOwner && !reserves, InFlight: s.inFlight, Unseen: unseen,
 				Reserve: reserves, StartUnixMs: s.record.StartUnixMs, Signal: s.signals.strongest(now),
-				model: w.Model, cancellable: !w.RunOnce, Expiry: expiry, cancelMargin: b.CancelMarginOf(expiry.Relayed), Confirm: b.mustConfirm(w.Model, version),
+				model: w.Model, cancellable: !w.RunOnce, Expiry: expiry, pathMargin: b.pathMargin(s, expiry), Confirm: b.mustConfirm(w.Model, version),
 				Signs: s.signs(now),
 			}
 			if s.load.known {
--- a/internal/balance/relay.go
+++ b/internal/balance/relay.go
@@ -27,21 +27,38 @@
 // relays reports whether agents relay requests.
 func (b *Balancer) relays() bool { return b.cfg.RelayAddr != nil }
 
-// CancelMarginOf returns how long before the bound on a server's weights a request that has not begun is cancelled, or not sent any
-// more. A request that is relayed is also cancelled by the agent.
-func (b *Balancer) CancelMarginOf(relayed bool) time.Duration {
-	if b.relays() && !relayed {
-		return CancelMargin + pathDelay
+// relaysTo reports whether the agent on a server's VM relays requests. One that has not reported yet is taken to do so: without it
+// the server gets no requests shortly before the bound.
+func (b *Balancer) relaysTo(s *Server) bool {
+	return b.relays() && (s.agent.at.IsZero() || s.agent.relays)
+}
+
+// expiryAt returns the expiry of a server's weights. Beside an agent of an earlier build, which does not relay, only the server and this
+// entry keep the bound.
+func (b *Balancer) expiryAt(s *Server, now time.Time, model string, version uint64, takes time.Duration, cancellable bool) Expiry {
+	e := b.expiry(now, model, version, takes, cancellable)
+	e.Relayed = e.Relayed && b.relaysTo(s)
+	return e
+}
+
+// pathMargin returns the part of Choice.CancelMargin that covers the path.
+func (b *Balancer) pathMargin(s *Server, e Expiry) time.Duration {
+	if b.relaysTo(s) && !e.Relayed {
+		return pathDelay
 	}
-	return CancelMargin
+	return 0
 }
 
+// CancelMargin returns how long before the bound on the server's weights the request is cancelled if it has not begun, or not sent any
+// more. The agent that relays it cancels it, too.
+func (c *Choice) CancelMargin() time.Duration { return CancelMargin + c.pathMargin }
+
 // cancelAt returns when the request is cancelled if it has not begun, zero if the weights do not expire.
 func (c *Choice) cancelAt() time.Time {
 	if c.Expiry.At.IsZero() {
 		return time.Time{}
 	}
-	return c.Expiry.At.Add(namingTolerance - c.cancelMargin)
+	return c.Expiry.At.Add(namingTolerance - c.CancelMargin())
 }
 
 // Pool returns the connections on which the request is sent.
--- a/internal/balance/relay_test.go
+++ b/internal/balance/relay_test.go
@@ -99,3 +99,19 @@
 	b.Decided(&choice, now.Add(10*time.Millisecond), reservation.Decision{Granted: true, Load: reservation.Load{Version: 2}})
 	assert.False(t, choice.Expiry.Relayed)
 }
+
+// Guards against callers that are refused shortly before the bound while agents are upgraded one by one.
+func TestRequestsBesideAnAgentThatDoesNotRelayAreSentDirectly(t *testing.T) {
+	t0 := time.Now()
+	b := relayed(t0, []uint64{1}, 0)
+	now := bound(t0).Add(-relayWindow / 2)
+	loaded := b.servers["b"].record.Models
+	b.Reported(now, Report{Addr: b.servers["b"].Addr, Models: loaded})
+	choice, _ := b.Pick(now, expiringWant(5))
+	require.NotNil(t, choice.Server)
+	assert.False(t, choice.Expiry.Relayed)
+	assert.Equal(t, CancelMargin, choice.CancelMargin())
+	b.Reported(now, Report{Addr: b.servers["b"].Addr, Models: loaded, Relays: true})
+	choice, _ = b.Pick(now, expiringWant(5))
+	assert.True(t, choice.Expiry.Relayed)
+}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -98,6 +98,8 @@
 	models       []fleet.Loaded
 	// pace is 0 if not reported.
 	pace float64
+	// relays: the agent relays requests.
+	relays bool
 }
 
 // maxReportAge is the age after which an agent's report is not used any more: it
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,7 +159,7 @@
 func (g *Gateway) AddReport(r *rpc.AgentReport) {
 	g.balancer.Reported(clock.Now(), balance.Report{
 		Addr: r.Addr, StartUnixMs: r.Born, Loading: r.Loading, Models: follow.ModelsFromProto(r.Models),
-		Running: int(r.Running), Waiting: int(r.Waiting), Pace: r.Pace,
+		Running: int(r.Running), Waiting: int(r.Waiting), Pace: r.Pace, Relays: r.Relays,
 	})
 }
 
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -60,7 +60,7 @@
 	if !bounded {
 		return handoverTimeout
 	}
-	return min(handoverTimeout, left-c.g.balancer.CancelMarginOf(h.choice.Expiry.Relayed))
+	return min(handoverTimeout, left-h.choice.CancelMargin())
 }
 
 // errRefused means that a server did not run the request.
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -54,7 +54,7 @@
 func (e *entry) report(t testing.TB, b *backend, loading bool, version uint64) {
 	t.Helper()
 	tell := func() {
-		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(b.URL, "http://"), Loading: loading, Models: []fleet.Loaded{{Model: "m", Version: version}}})
+		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(b.URL, "http://"), Loading: loading, Models: []fleet.Loaded{{Model: "m", Version: version}}, Relays: true})
 	}
 	tell()
 	ticker, done := time.NewTicker(50*time.Millisecond), make(chan struct{})
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -67,7 +67,7 @@
 
 func (c *call) startWatch(w *watchdog) {
 	w.weights, w.sentAt = c.choice.Version, clock.Now()
-	w.cancelMargin = c.g.balancer.CancelMarginOf(c.choice.Expiry.Relayed)
+	w.cancelMargin = c.choice.CancelMargin()
 	if !c.cancellable() {
 		return
 	}
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -121,7 +121,7 @@
 func (s *Stager) sendReport(r Report) {
 	next := &rpc.AgentReport{
 		Addr: s.cfg.EngineAddr, Born: r.Born, Epoch: s.epoch, Seq: s.lastReport.Seq + 1, Loading: s.loading || r.Busy,
-		Models: follow.ModelsToProto(r.Models), Running: uint32(r.Running), Waiting: uint32(r.Waiting), Pace: r.Pace,
+		Models: follow.ModelsToProto(r.Models), Running: uint32(r.Running), Waiting: uint32(r.Waiting), Pace: r.Pace, Relays: true,
 	}
 	urgent := next.Loading != s.lastReport.Loading || !follow.SameModels(next.Models, s.lastReport.Models) ||
 		paceChanged(s.lastReport.Pace, next.Pace)
