--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -245,14 +245,15 @@
 	return out
 }
 
-// NamingFromProto returns the version of one of the messages of NamingsToProto. asOf is a time that is not later than the one
-// for which the age was computed, and exact is false if it is not known to be: then the control server counts as unknown.
-func NamingFromProto(m *rpc.ModelVersion, asOf time.Time, exact bool) Version {
+// NamingFromProto returns the version of one of the messages of NamingsToProto. The age counts from asOf. If that is
+// anchored, it is never later than the time as of which the age was computed; else the control server counts as unknown, since the
+// time may be late.
+func NamingFromProto(m *rpc.ModelVersion, asOf time.Time, anchored bool) Version {
 	if m.AgeMs >= unknownAge.Milliseconds() {
 		return UnknownNaming(m.Version, asOf)
 	}
 	at := asOf.Add(-time.Duration(max(m.AgeMs, 0)) * time.Millisecond)
-	if !exact || m.AppliedBy == 0 {
+	if !anchored || m.AppliedBy == 0 {
 		return Version{Number: m.Version, AppliedAt: at}
 	}
 	return AppliedBy(m.AppliedBy, m.Version, at)
