relay: pass requests of entries on to the engine beside an agent

Cause: the deadline of a request and the close of its connection both travel the path from the entry to the engine, so that whatever delays them, or an entry that stands still, moves the bound on the engine's weights.

Ruled out: a wider margin at the entry, which only moves the delay at which it fails.

Change: the agent reads requests with their length before them, decides by its own clock (decide.go, pure), and writes the engine's deadline when it passes a request on, after its last wait. It passes the engine's bytes back unchanged and parses a copy of them to know when an answer has begun and when it is complete. A request without an answer 0.4 s before the bound is cancelled: both connections are closed, that of the entry by a reset. A request that was certainly not written is refused on the connection, which stays usable. The time of a cancellation is checked each 100 ms, as timers don't count a suspension of the VM, and an earlier bound that the agent learns meanwhile applies.

--- /dev/null
+++ b/internal/relay/decide.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"time"
+)
+
+// CancelMargin is how long before the bound on weights the last request is passed on to an engine that holds them, and how long
+// before it a request without an answer is cancelled. An agent that is busy runs up to some 0.3 s late.
+const CancelMargin = 400 * time.Millisecond
+
+// Reason says why a request was not passed on. It is the value of the header field Headers.NotRun.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonNone         Reason = ""
+	ReasonExpired      Reason = "expired"
+	ReasonSilent       Reason = "engine-silent"
+	ReasonOtherEngine  Reason = "other-engine"
+	ReasonDraining     Reason = "draining"
+	ReasonNoTime       Reason = "no-time"
+	ReasonNotConnected Reason = "engine-not-connected"
+)
+
+// conditions are what a decision on a request depends on besides the request. Times are those of package clock.
+type conditions struct {
+	now time.Time
+	// engineAddr is the announced address of the engine beside the agent.
+	engineAddr string
+	// expires is from when on no request may begin on the request's weights, as the agent knows it.
+	expires time.Time
+	// draining: the agent stops. silent: the engine does not answer its agent.
+	draining, silent bool
+}
+
+// decision is whether a request is passed on.
+type decision struct {
+	// reason is ReasonNone if the request is passed on.
+	reason Reason
+	// bound is from when on no request may begin on the weights.
+	bound time.Time
+	// deadline is the time that the engine is given, in whole milliseconds.
+	deadline time.Duration
+	// cancelAt is when the request is cancelled unless its answer has begun, zero if never.
+	cancelAt time.Time
+}
+
+// decide decides whether a request is passed on now.
+func decide(c conditions, f frame) decision {
+	d := decision{bound: earlier(c.expires, f.arrival.Add(micros(f.LeftUs)))}
+	left := f.arrival.Add(micros(f.DeadlineUs)).Sub(c.now)
+	if f.EndsBefore {
+		left = min(left, d.bound.Sub(c.now))
+	}
+	d.deadline = left.Truncate(time.Millisecond)
+	switch {
+	case f.Addr != c.engineAddr:
+		d.reason = ReasonOtherEngine
+	case c.draining:
+		d.reason = ReasonDraining
+	case !c.now.Before(d.bound.Add(-CancelMargin)):
+		d.reason = ReasonExpired
+	case d.deadline <= 0:
+		d.reason = ReasonNoTime
+	case c.silent:
+		d.reason = ReasonSilent
+	}
+	if !f.RunOnce {
+		d.cancelAt = d.bound.Add(-CancelMargin)
+	}
+	return d
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// micros converts microseconds of a message, which may be too many for a duration.
+func micros(us int64) time.Duration {
+	const most = int64(24 * time.Hour / time.Microsecond)
+	return time.Duration(min(max(us, -most), most)) * time.Microsecond
+}
--- /dev/null
+++ b/internal/relay/decide_test.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"lynxgate.dev/lynxgate/internal/rpc"
+	_ "lynxgate.dev/lynxgate/internal/testseed"
+)
+
+const (
+	ms         = time.Millisecond
+	engineAddr = "10.0.0.1:8001"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name string
+		// After the arrival: now, and when the weights expire as the agent knows it.
+		now, expires time.Duration
+		change       func(c *conditions, r *rpc.RelayRequest)
+		reason       Reason
+		deadline     time.Duration
+		// cancelAt is after the arrival, 0 if the request is not cancelled.
+		cancelAt time.Duration
+	}{
+		{name: "the entry's bound", expires: 3000 * ms, deadline: 5000 * ms, cancelAt: 1600 * ms},
+		{name: "the agent's bound is earlier", expires: 1000 * ms, deadline: 5000 * ms, cancelAt: 600 * ms},
+		{name: "the engine keeps the bound", expires: 1000 * ms, now: 100 * ms, deadline: 900 * ms, cancelAt: 600 * ms,
+			change: func(_ *conditions, r *rpc.RelayRequest) { r.EndsBefore = true }},
+		{name: "the caller's deadline is earlier than the bound", expires: 1000 * ms, now: 100 * ms, deadline: 200 * ms, cancelAt: 600 * ms,
+			change: func(_ *conditions, r *rpc.RelayRequest) { r.EndsBefore, r.DeadlineUs = true, 300_000 }},
+		{name: "must not run twice", expires: 1000 * ms, deadline: 1000 * ms,
+			change: func(_ *conditions, r *rpc.RelayRequest) { r.EndsBefore, r.RunOnce = true, true }},
+		{name: "a part of a millisecond is not given", expires: 3000 * ms, now: 100*ms + 1, deadline: 4899 * ms, cancelAt: 1600 * ms},
+		{name: "just in time", expires: 1000 * ms, now: 600*ms - 1, deadline: 4400 * ms, cancelAt: 600 * ms},
+		{name: "read at the margin", expires: 1000 * ms, now: 600 * ms, reason: ReasonExpired},
+		{name: "read after the bound", expires: -ms, reason: ReasonExpired},
+		{name: "the agent knows no bound", change: func(c *conditions, _ *rpc.RelayRequest) { c.expires = time.Time{} }, reason: ReasonExpired},
+		{name: "no time left", expires: 3000 * ms, now: 200 * ms, reason: ReasonNoTime,
+			change: func(_ *conditions, r *rpc.RelayRequest) { r.DeadlineUs = 200_900 }},
+		{name: "engine silent", expires: 3000 * ms, reason: ReasonSilent, change: func(c *conditions, _ *rpc.RelayRequest) { c.silent = true }},
+		{name: "engine silent until the margin", expires: 1000 * ms, now: 600 * ms, reason: ReasonExpired,
+			change: func(c *conditions, _ *rpc.RelayRequest) { c.silent = true }},
+		{name: "draining", expires: 3000 * ms, reason: ReasonDraining, change: func(c *conditions, _ *rpc.RelayRequest) { c.draining = true }},
+		{name: "other engine", expires: 3000 * ms, reason: ReasonOtherEngine, change: func(_ *conditions, r *rpc.RelayRequest) { r.Addr = "10.0.0.2:8001" }},
+		{name: "times out of range", expires: 3000 * ms, deadline: 24 * time.Hour, cancelAt: 2600 * ms,
+			change: func(_ *conditions, r *rpc.RelayRequest) { r.LeftUs, r.DeadlineUs = 1<<63-1, 1<<63-1 }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := conditions{now: start.Add(test.now), engineAddr: engineAddr, expires: start.Add(test.expires)}
+			r := &rpc.RelayRequest{Addr: engineAddr, LeftUs: 2_000_000, DeadlineUs: 5_000_000}
+			if test.change != nil {
+				test.change(&c, r)
+			}
+			d := decide(c, frame{RelayRequest: r, arrival: start})
+			assert.Equal(t, test.reason, d.reason)
+			if test.reason != ReasonNone {
+				return
+			}
+			assert.Equal(t, test.deadline, d.deadline)
+			if test.cancelAt == 0 {
+				assert.Zero(t, d.cancelAt)
+				return
+			}
+			assert.Equal(t, start.Add(test.cancelAt), d.cancelAt)
+		})
+	}
+}
+
+// Guards against a request that is passed on when it may begin after the bound, and against an engine that is given time beyond it.
+func TestNothingIsPassedOnAtTheMarginOfTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		duration := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(-int64(3*time.Second), int64(3*time.Second)).Draw(t, name))
+		}
+		c := conditions{
+			now: start.Add(max(duration("now"), 0)), engineAddr: engineAddr, expires: start.Add(duration("expires")),
+			silent: rapid.Bool().Draw(t, "silent"), draining: rapid.Bool().Draw(t, "draining"),
+		}
+		r := &rpc.RelayRequest{
+			Addr: engineAddr, LeftUs: duration("left").Microseconds(), DeadlineUs: duration("deadline").Microseconds(),
+			EndsBefore: rapid.Bool().Draw(t, "ends before"), RunOnce: rapid.Bool().Draw(t, "run once"),
+		}
+		d := decide(c, frame{RelayRequest: r, arrival: start})
+		bound := c.expires
+		if stated := start.Add(time.Duration(r.LeftUs) * time.Microsecond); stated.Before(bound) {
+			bound = stated
+		}
+		if d.reason != ReasonNone {
+			return
+		}
+		assert.Less(t, c.now.Add(CancelMargin), bound)
+		assert.False(t, c.silent || c.draining)
+		assert.GreaterOrEqual(t, d.deadline, ms)
+		assert.LessOrEqual(t, d.deadline, start.Add(time.Duration(r.DeadlineUs)*time.Microsecond).Sub(c.now))
+		if r.EndsBefore {
+			assert.LessOrEqual(t, d.deadline, bound.Sub(c.now))
+		}
+		if r.RunOnce {
+			assert.Zero(t, d.cancelAt)
+		} else {
+			assert.Equal(t, bound.Add(-CancelMargin), d.cancelAt)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/engine.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// dialTimeout bounds connecting to the engine, which is on the same VM.
+	dialTimeout = 400 * time.Millisecond
+	// engineBuffer is how many bytes of the engine are passed back at one time.
+	engineBuffer = 16 << 10
+)
+
+// engineConn is the connection to the engine that belongs to a connection of an entry. One goroutine passes the engine's bytes
+// back unchanged, and parses them to know when an answer has begun and when it is complete.
+type engineConn struct {
+	net.Conn
+	source endRecorder
+	br     *bufio.Reader
+	// current is the request whose answer is awaited, nil if there is none.
+	current atomic.Pointer[exchange]
+	// unasked is set by bytes that came while no answer was awaited: where the next answer begins is not certain any more.
+	unasked atomic.Bool
+	// ended is closed once nothing more is passed back.
+	ended chan struct{}
+}
+
+// endRecorder records the error that ended a connection, and returns it from then on: a connection that was reset looks properly
+// closed at the next read.
+type endRecorder struct {
+	io.Reader
+	err error
+}
+
+func (r *endRecorder) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.Reader.Read(p)
+	r.err = err
+	return n, err
+}
+
+// dialEngine connects to the engine at addr and starts to pass its bytes back to the entry.
+func dialEngine(ctx context.Context, addr string, entry io.Writer) (*engineConn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("connect to the engine: %w", err)
+	}
+	e := &engineConn{Conn: nc, source: endRecorder{Reader: nc}, ended: make(chan struct{})}
+	e.br = bufio.NewReaderSize(io.TeeReader(&e.source, entry), engineBuffer)
+	go e.passBack()
+	return e, nil
+}
+
+// passBack passes the engine's bytes back until one of the connections ends.
+func (e *engineConn) passBack() {
+	defer close(e.ended)
+	for {
+		if err := e.passMessage(); err != nil {
+			return
+		}
+	}
+}
+
+// passMessage passes one response back. It returns an error when nothing can follow.
+func (e *engineConn) passMessage() error {
+	if _, err := e.br.Peek(1); err != nil {
+		return err
+	}
+	x, method := e.current.Load(), http.MethodGet
+	if x == nil {
+		e.unasked.Store(true)
+	} else {
+		method = x.method
+	}
+	resp, err := http.ReadResponse(e.br, &http.Request{Method: method})
+	if err != nil {
+		return e.passRest()
+	}
+	answer := x != nil && x.answeredBy(resp)
+	if answer && hasBody(resp) {
+		x.begin()
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return e.passRest()
+	}
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	if answer {
+		x.begin()
+		e.current.Store(nil)
+		close(x.complete)
+	}
+	if unframed {
+		return io.EOF
+	}
+	return nil
+}
+
+// hasBody waits for the first byte of a body. It reads no more than that one, since a reader of chunks waits for the whole chunk.
+func hasBody(resp *http.Response) bool {
+	var first [1]byte
+	n, _ := resp.Body.Read(first[:])
+	return n > 0
+}
+
+// passRest passes back what is no response, up to the end of the connection.
+func (e *engineConn) passRest() error {
+	if _, err := io.Copy(io.Discard, e.br); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// closedByEngine reports whether the engine has closed the connection properly.
+func (e *engineConn) closedByEngine() bool { return e.isEnded() && errors.Is(e.source.err, io.EOF) }
+
+// closedByEntry reports whether nothing more is passed back since the entry takes nothing more.
+func (e *engineConn) closedByEntry() bool { return e.isEnded() && e.source.err == nil }
+
+// isEnded reports whether nothing more is passed back.
+func (e *engineConn) isEnded() bool {
+	select {
+	case <-e.ended:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// States of an exchange.
+const (
+	waiting int32 = iota
+	begun
+	cancelled
+)
+
+// exchange is one request that is passed on to the engine, with its answer.
+type exchange struct {
+	id, idHeader, method string
+	state                atomic.Int32
+	// complete is closed once the whole answer was passed back.
+	complete chan struct{}
+}
+
+func newExchange(f frame, idHeader string) *exchange {
+	method, _, _ := bytes.Cut(f.Head, []byte{' '})
+	return &exchange{id: string(f.Id), idHeader: idHeader, method: string(method), complete: make(chan struct{})}
+}
+
+// begin records that the answer has begun. It has no effect on a cancelled exchange.
+func (x *exchange) begin() { x.state.CompareAndSwap(waiting, begun) }
+
+// cancel reports whether the answer had not begun; it can't begin any more then.
+func (x *exchange) cancel() bool { return x.state.CompareAndSwap(waiting, cancelled) }
+
+func (x *exchange) waiting() bool { return x.state.Load() == waiting }
+
+func (x *exchange) isComplete() bool {
+	select {
+	case <-x.complete:
+		return true
+	default:
+		return false
+	}
+}
+
+// answeredBy reports whether a response is the final answer to the request, and not one to an earlier request.
+func (x *exchange) answeredBy(resp *http.Response) bool {
+	if resp.StatusCode < http.StatusOK {
+		return false
+	}
+	id := resp.Header.Get(x.idHeader)
+	return id == x.id || id == "" && resp.StatusCode >= http.StatusMultipleChoices
+}
+
+// encodeRequest returns a request as the engine gets it.
+func encodeRequest(f frame, deadlineHeader string, deadline time.Duration) []byte {
+	var b bytes.Buffer
+	b.Grow(len(f.Head) + len(f.Body) + 64)
+	b.Write(f.Head)
+	writeField(&b, deadlineHeader, strconv.FormatInt(deadline.Milliseconds(), 10))
+	b.WriteString("\r\n")
+	b.Write(f.Body)
+	return b.Bytes()
+}
+
+// encodeRefusal returns the answer to a request that was not passed on.
+func encodeRefusal(h Headers, id []byte, reason Reason) []byte {
+	var b bytes.Buffer
+	b.WriteString("HTTP/1.1 503 Service Unavailable\r\n")
+	writeField(&b, h.RequestID, string(id))
+	writeField(&b, h.NotRun, string(reason))
+	writeField(&b, "Content-Length", "0")
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func writeField(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
--- a/internal/relay/frame.go
+++ b/internal/relay/frame.go
@@ -7,14 +7,20 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
+// maxFrame bounds a request with its length, in bytes. Bodies that entries accept are smaller.
+const maxFrame = 8 << 20
+
 // Encode returns a request as it is written to the connection to an agent.
 func Encode(r *rpc.RelayRequest) ([]byte, error) {
 	var b bytes.Buffer
@@ -24,3 +30,22 @@
 	}
 	return b.Bytes(), nil
 }
+
+// frame is a request of an entry and when its first byte was read, a time of package clock. Times that the request states count
+// from then.
+type frame struct {
+	*rpc.RelayRequest
+	arrival time.Time
+}
+
+// readFrame reads the next request. Its error wraps io.EOF if the entry has closed the connection between two requests.
+func readFrame(br *bufio.Reader) (frame, error) {
+	if _, err := br.Peek(1); err != nil {
+		return frame{}, fmt.Errorf("read a request to be relayed: %w", err)
+	}
+	f := frame{RelayRequest: &rpc.RelayRequest{}, arrival: clock.Now()}
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxFrame}).UnmarshalFrom(br, f.RelayRequest); err != nil {
+		return frame{}, fmt.Errorf("decode a request to be relayed: %w", err)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Results of requests besides the reasons of refusals.
+const (
+	resultAnswered     = "answered"
+	resultCancelled    = "cancelled"
+	resultEntryLeft    = "entry-left"
+	resultEngineClosed = "engine-closed"
+)
+
+// Metrics are the metrics of a Server.
+type Metrics struct {
+	requests    *prometheus.CounterVec
+	cancelDelay prometheus.Histogram
+	open        prometheus.Gauge
+}
+
+// NewMetrics returns metrics registered with r.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_relay_requests_total", Help: "Requests of entries to be passed on to the engine, by result: answered, cancelled, entry-left, engine-closed, or the reason why it was not passed on.",
+		}, []string{"result"}),
+		cancelDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "lynxgate_relay_cancel_delay_seconds", Help: "Time from the planned to the actual cancellation of requests without an answer shortly before their weights expire.",
+			Buckets: []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 1, 3},
+		}),
+		open: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_relay_open", Help: "Open connections of entries to the relay.",
+		}),
+	}
+	r.MustRegister(m.requests, m.cancelDelay, m.open)
+	return m
+}
+
+func (m *Metrics) ended(result string) { m.requests.WithLabelValues(result).Inc() }
+
+func (m *Metrics) cancelled(late time.Duration) { m.cancelDelay.Observe(late.Seconds()) }
--- /dev/null
+++ b/internal/relay/session.go
@@ -0,0 +1,305 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lynxgate.dev/lynxgate/internal/clock"
+)
+
+const (
+	// idleTimeout is after how long a connection without a request is closed. Entries close idle ones sooner.
+	idleTimeout = 60 * time.Second
+	// checkInterval is how often the time of a cancellation is checked, since timers don't count a suspension of the VM.
+	checkInterval = 100 * time.Millisecond
+	// lingerTimeout is how long an entry may take to close a connection whose last bytes it was sent.
+	lingerTimeout = time.Second
+	// refusalTimeout bounds the write of a refusal.
+	refusalTimeout = time.Second
+	frameBuffer    = 4 << 10
+)
+
+// session is one connection of an entry and the connection to the engine that belongs to it.
+type session struct {
+	s     *Server
+	entry net.Conn
+	// frames are the requests read. It is closed when no more can follow.
+	frames chan frame
+	// engine is nil before the first request.
+	engine *engineConn
+}
+
+func newSession(s *Server, entry net.Conn) *session {
+	return &session{s: s, entry: entry, frames: make(chan frame)}
+}
+
+// run serves the connection until one side closes it, it has been idle for long or ctx is done.
+func (c *session) run(ctx context.Context) {
+	ctx, entryLeft := context.WithCancel(ctx)
+	defer entryLeft()
+	defer c.close()
+	go func() {
+		defer entryLeft()
+		c.readFrames(ctx)
+	}()
+	for {
+		f, ok := c.next(ctx)
+		if !ok || !c.relay(ctx, f) {
+			return
+		}
+	}
+}
+
+// next returns the next request. There is none if a connection was closed, or this one has been idle for long.
+func (c *session) next(ctx context.Context) (f frame, ok bool) {
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
+	select {
+	case f = <-c.frames:
+		return f, true
+	case <-idle.C:
+	case <-ctx.Done():
+	case <-c.engineEnded():
+		select {
+		case f = <-c.frames: // it crossed the close of the engine; a new connection serves it
+			return f, true
+		default:
+			c.closeAfterLastByte(ctx)
+		}
+	}
+	return frame{}, false
+}
+
+// readFrames reads requests until the entry closes the connection or sends something else. It goes on reading while a request is
+// in progress, which shows that the entry leaves.
+func (c *session) readFrames(ctx context.Context) {
+	br := bufio.NewReaderSize(c.entry, frameBuffer)
+	for {
+		f, err := readFrame(br)
+		if err != nil {
+			return
+		}
+		select {
+		case c.frames <- f:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// engineEnded is closed once the engine's connection has ended; nil if there is none.
+func (c *session) engineEnded() <-chan struct{} {
+	if c.engine == nil {
+		return nil
+	}
+	return c.engine.ended
+}
+
+// relay serves one request. It reports whether the connection may carry another one.
+func (c *session) relay(ctx context.Context, f frame) bool {
+	accepted := c.s.begin()
+	if accepted {
+		defer c.s.end()
+	}
+	if d := c.decide(f, conditions{draining: !accepted}); d.reason != ReasonNone {
+		return c.refuse(f, d)
+	}
+	answers := c.engineAnswers(ctx, f)
+	if ctx.Err() != nil {
+		c.s.cfg.Metrics.ended(resultEntryLeft)
+		return false
+	}
+	if d := c.decide(f, conditions{silent: !answers}); d.reason != ReasonNone {
+		return c.refuse(f, d)
+	}
+	if err := c.connect(ctx); err != nil {
+		if ctx.Err() != nil {
+			c.s.cfg.Metrics.ended(resultEntryLeft)
+			return false
+		}
+		c.s.log.Debug().Err(err).Msg("request not passed on")
+		return c.refuse(f, decision{reason: ReasonNotConnected})
+	}
+	return c.pass(ctx, f)
+}
+
+// decide decides on a request as of now.
+func (c *session) decide(f frame, conditions conditions) decision {
+	conditions.now = clock.Now()
+	conditions.engineAddr = c.s.cfg.EngineAddr
+	conditions.expires = c.s.cfg.Expires(string(f.Model), f.Version)
+	return decide(conditions, f)
+}
+
+// engineAnswers asks whether the engine answers, until the request may not be passed on any more.
+func (c *session) engineAnswers(ctx context.Context, f frame) bool {
+	ctx, cancel := context.WithDeadline(ctx, clock.Deadline(c.decide(f, conditions{}).bound.Add(-CancelMargin)))
+	defer cancel()
+	return c.s.cfg.Answers(ctx)
+}
+
+// connect sees to it that there is a connection to the engine.
+func (c *session) connect(ctx context.Context) error {
+	if c.engine != nil && !c.engine.isEnded() {
+		return nil
+	}
+	c.dropEngine()
+	e, err := dialEngine(ctx, c.s.cfg.DialAddr, c.entry)
+	if err != nil {
+		return err
+	}
+	c.engine = e
+	return nil
+}
+
+// pass writes a request to the engine, after a last decision, and waits for the end of its answer.
+func (c *session) pass(ctx context.Context, f frame) bool {
+	e, x := c.engine, newExchange(f, c.s.cfg.Headers.RequestID)
+	defer context.AfterFunc(ctx, func() { _ = e.Close() })()
+	d := c.decide(f, conditions{})
+	if d.reason != ReasonNone {
+		return c.refuse(f, d)
+	}
+	_ = e.SetWriteDeadline(clock.Deadline(d.bound.Add(-CancelMargin)))
+	e.current.Store(x)
+	n, err := e.Write(encodeRequest(f, c.s.cfg.Headers.DeadlineMs, d.deadline))
+	f.Head, f.Body = nil, nil
+	switch {
+	case err == nil:
+		return c.await(ctx, f, x, d)
+	case n == 0 && ctx.Err() == nil: // certainly nothing was written
+		c.dropEngine()
+		if d = c.decide(f, conditions{}); d.reason == ReasonNone {
+			d.reason = ReasonNotConnected
+		}
+		return c.refuse(f, d)
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.cancel():
+		return c.cancelled(f, d, clock.Since(d.bound.Add(-CancelMargin)))
+	default:
+		return c.breakOff(ctx, x)
+	}
+}
+
+// await waits until the answer is complete, and cancels the request if it has to.
+func (c *session) await(ctx context.Context, f frame, x *exchange, d decision) bool {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-x.complete:
+			c.s.cfg.Metrics.ended(resultAnswered)
+			return true
+		case <-c.engine.ended:
+			if !x.isComplete() {
+				return c.breakOff(ctx, x)
+			}
+		case <-ctx.Done():
+			return c.breakOff(ctx, x)
+		case <-timer.C:
+			if d.cancelAt.IsZero() || !x.waiting() {
+				continue
+			}
+			// The agent may learn meanwhile that a newer version was named earlier than it knew.
+			d.cancelAt = earlier(d.cancelAt, c.decide(f, conditions{}).cancelAt)
+			left := clock.Until(d.cancelAt)
+			if left <= 0 && x.cancel() {
+				return c.cancelled(f, d, -left)
+			}
+			timer.Reset(min(left, checkInterval))
+		}
+	}
+}
+
+// cancelled closes both connections of a request without an answer.
+func (c *session) cancelled(f frame, d decision, late time.Duration) bool {
+	_ = c.engine.Close()
+	c.abort()
+	c.s.cfg.Metrics.ended(resultCancelled)
+	c.s.cfg.Metrics.cancelled(late)
+	c.log(f, d).Dur("late_ms", late).Msg("relayed request cancelled before its weights expire")
+	return false
+}
+
+// breakOff ends both connections in the middle of an exchange. An answer that the engine has ended properly is passed back as such;
+// otherwise it must not look complete.
+func (c *session) breakOff(ctx context.Context, x *exchange) bool {
+	switch {
+	case x.isComplete():
+		c.s.cfg.Metrics.ended(resultAnswered)
+	case ctx.Err() != nil || c.engine.closedByEntry():
+		c.s.cfg.Metrics.ended(resultEntryLeft)
+	case c.engine.closedByEngine():
+		c.s.cfg.Metrics.ended(resultEngineClosed)
+		c.closeAfterLastByte(ctx)
+	default:
+		c.s.cfg.Metrics.ended(resultEngineClosed)
+		c.abort()
+	}
+	return false
+}
+
+// refuse answers that a request was not run. It reports whether the connection may carry another one.
+func (c *session) refuse(f frame, d decision) bool {
+	c.s.cfg.Metrics.ended(string(d.reason))
+	if d.reason == ReasonExpired {
+		c.log(f, d).Msg("relayed request refused: its weights expire")
+	}
+	if c.engine != nil && c.engine.unasked.Load() {
+		return false // bytes of the engine may lie before or within the refusal
+	}
+	_ = c.entry.SetWriteDeadline(clock.Deadline(clock.Now().Add(refusalTimeout)))
+	_, err := c.entry.Write(encodeRefusal(c.s.cfg.Headers, f.Id, d.reason))
+	_ = c.entry.SetWriteDeadline(time.Time{})
+	return err == nil
+}
+
+// closeAfterLastByte ends the entry's connection behind the bytes that were sent on it, and waits until the entry has closed it,
+// too: a close with unread bytes of the entry would reset it.
+func (c *session) closeAfterLastByte(ctx context.Context) {
+	if half, ok := c.entry.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	limit := time.NewTimer(lingerTimeout)
+	defer limit.Stop()
+	for {
+		select {
+		case <-c.frames: // read after the end: not answered, not passed on
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		}
+	}
+}
+
+// abort resets the entry's connection, so that no answer on it looks complete.
+func (c *session) abort() {
+	if tcp, ok := c.entry.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.entry.Close()
+}
+
+func (c *session) close() {
+	_ = c.entry.Close()
+	c.dropEngine()
+}
+
+func (c *session) dropEngine() {
+	if c.engine != nil {
+		_ = c.engine.Close()
+		c.engine = nil
+	}
+}
+
+// log returns a line about a request whose weights expire.
+func (c *session) log(f frame, d decision) *zerolog.Event {
+	return c.s.log.Info().Str("id", string(f.Id)).Str("model", string(f.Model)).Uint64("version", f.Version).
+		Dur("bound_left_ms", clock.Until(d.bound)).Dur("stated_left_ms", micros(f.LeftUs)).Bool("run_once", f.RunOnce)
+}
