Agents take requests to their engines at the second internal port

Cause: package relay had no process to run in.

Change: the agent serves it at its IP number with the port after the first internal one (listen.relay overrides the address at which it listens, engine.local the one at which it reaches its engine, so that a proxy can stand at the announced ones). Weights expire at the bound less 0.1 s after the next version was named, or, while none is known, after the last update of a control server was read (fleetdaemon.heard). A request is passed on only if the engine has answered its agent within 5 ms or does so within 100 ms (reservation server EngineAnswers). A stop drains the relay within the grace period. An agent's settings must name two internal ports.

Measured: platform TestAgentKeepsTheBoundOfRequestsItPassesOn and TestStoppingAgentFinishesRequestsItPassedOn, of processes, pass in 1 of 1 run; in a scratch copy the first fails without the agent's bound (requests begin 51 and 161 ms past it), the second without the drain. Tests of fleetdaemon, reservation/server, settings pass, and those of platform that match TestReserv, TestExpired, TestLeaving, TestEngineThatStands, TestFrozenAgent, TestRestartedEngine, TestUnread (1 run, load 28). No entry uses the relay yet.

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -194,8 +194,9 @@
 	}
 	if s.ServesAgent() {
 		cfg.Agent = &fleetdaemon.AgentConfig{
-			EngineAddr: s.Engine.Addr, Service: s.Engine.Service, LinkMbps: s.Limits.LinkMbps,
-			Engine: platform.NewEngine(s.Engine.Addr), Origin: platform.NewOrigin(), PeerAddr: s.RPCAddr,
+			EngineAddr: s.Engine.Addr, EngineDialAddr: s.EngineDialAddr(), Service: s.Engine.Service, LinkMbps: s.Limits.LinkMbps,
+			RelayAddr: s.RelayListenAddr(), RelayHeaders: platform.RelayHeaders(),
+			Engine: platform.NewEngine(s.EngineDialAddr()), Origin: platform.NewOrigin(), PeerAddr: s.RPCAddr,
 		}
 	}
 	return cfg
--- a/internal/fleetdaemon/agent.go
+++ b/internal/fleetdaemon/agent.go
@@ -5,12 +5,14 @@
 	"errors"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/relay"
 	reservations "lynxgate.dev/lynxgate/internal/reservation/server"
 	"lynxgate.dev/lynxgate/internal/staging"
 )
@@ -21,11 +23,14 @@
 // would be most of the streams.
 const agentFollows = 2
 
-// agentRole stages weights on the engine of its VM, and grants entries its slots.
+// agentRole stages weights on the engine of its VM, grants entries its slots, and passes requests on to it.
 type agentRole struct {
 	stager       *staging.Stager
 	reservations *reservations.Server
 	client       *follow.Client
+	relay        *relay.Server
+	relayAddr    string
+	log          zerolog.Logger
 }
 
 func newAgentRole(cfg *Config, registry prometheus.Registerer) *agentRole {
@@ -33,13 +38,16 @@
 	a := cfg.Agent
 	following := followerConfig(cfg, fleetcontrol.RoleAgent, viewer)
 	following.MaxServers = agentFollows
+	var updates heard
+	following.Update = updates.following(following.Update)
 	client := follow.New(following)
 	slots := reservations.New(reservations.Config{
 		Service: a.Service, EngineAddr: a.EngineAddr, Report: a.Engine.Report, View: viewer.View,
 		Logger: cfg.Logger, Metrics: reservations.NewMetrics(registry),
 	})
 	return &agentRole{
-		client: client, reservations: slots,
+		client: client, reservations: slots, log: cfg.Logger,
+		relay: newRelay(cfg, viewer.View, updates.lastAt, slots, registry), relayAddr: a.RelayAddr,
 		stager: staging.New(staging.Config{
 			Service: a.Service, EngineAddr: a.EngineAddr, PeerAddr: a.PeerAddr,
 			Engine: a.Engine, Origin: a.Origin, View: viewer.View, Tell: client.SendReport, Zone: cfg.Zone, LinkMbps: a.LinkMbps,
@@ -56,7 +64,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.client.Run(ctx) })
 	group.Go(func() error { return r.stager.Run(ctx) })
+	group.Go(func() error { return serveRelay(ctx, r.relay, r.relayAddr) })
 	return group.Wait()
 }
 
-func (r *agentRole) leave(context.Context) error { return nil }
+// leave waits for the requests that are passed on to the engine.
+func (r *agentRole) leave(ctx context.Context) error {
+	if err := r.relay.Drain(ctx); err != nil {
+		r.log.Warn().Err(err).Msg("grace period is over; requests in progress are aborted")
+	}
+	return nil
+}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -25,6 +25,7 @@
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/fleetcontrol"
 	"lynxgate.dev/lynxgate/internal/gateway"
+	"lynxgate.dev/lynxgate/internal/relay"
 	"lynxgate.dev/lynxgate/internal/rpcconn"
 	"lynxgate.dev/lynxgate/internal/staging"
 )
@@ -102,8 +103,13 @@
 
 // AgentConfig is the configuration of an agent.
 type AgentConfig struct {
-	EngineAddr string
-	Service    string
+	// EngineAddr is the announced address of the engine, EngineDialAddr the one at which the agent reaches it.
+	EngineAddr     string
+	EngineDialAddr string
+	Service        string
+	// RelayAddr is the address at which the agent listens for requests to be passed on to the engine.
+	RelayAddr    string
+	RelayHeaders relay.Headers
 	// LinkMbps is the bandwidth of the VM's link.
 	LinkMbps float64
 	Engine   staging.Engine
--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -149,6 +149,9 @@
 	return true
 }
 
+// EngineAnswers reports whether the engine answers a question for its report within the wait, or has just answered one.
+func (s *Server) EngineAnswers(ctx context.Context, wait time.Duration) bool { return s.refresh(ctx, wait) }
+
 // refresh has the ledger observe the engine's report unless one is at hand that is young enough. Concurrent
 // calls share one request to the engine. It returns false if the engine has not answered within the wait: a request that is sent
 // to an engine that stands still can't be taken back.
