--- a/internal/balance/expiry.go
+++ b/internal/balance/expiry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lynxgate.dev/lynxgate/internal/relay"
 	"lynxgate.dev/lynxgate/internal/reservation"
 )
 
@@ -19,7 +20,7 @@
 	namingTolerance = 100 * time.Millisecond
 	// CancelMargin is how long before the bound a request that has no event is cancelled, or not sent any more. It covers an
 	// entry that is busy with a new configuration for 0.3 s, and the latency to the server.
-	CancelMargin = 400 * time.Millisecond
+	CancelMargin = relay.CancelMargin
 	// answerPaceFactor is how many times as long as a pass an event of an answer takes at an engine with all slots in use:
 	// prompts of other requests take up to a third of the time.
 	answerPaceFactor = 1.5
--- a/internal/balance/relay.go
+++ b/internal/balance/relay.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/dispatch"
+	"lynxgate.dev/lynxgate/internal/relay"
 )
 
 // A deadline counts from when the server reads it, and the close of a connection takes effect when it arrives there. Both are
@@ -13,8 +14,7 @@
 
 const (
 	// pathDelay is the longest delay of the path to a server with which requests that were sent directly keep the bound.
-	// A connection whose data stay unacknowledged for 1.5 s has failed by then.
-	pathDelay = 2 * time.Second
+	pathDelay = relay.PathDelay
 	// directWait is how long a request that is sent directly has at least for its first event before it is cancelled because
 	// of the bound. Callers of streams wait for 2 s.
 	directWait = 2 * time.Second
