--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -182,7 +182,7 @@
 			RetryFloor: int(s.Bounds.RetryFloor), RetryWindow: seconds(s.Bounds.RetryWindowS),
 			HeldBytes:   int64(heldShare * s.Limits.MemoryMB * (1 << 20)),
 			ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
-			ReservationMode: gateway.ReservationMode(s.Reservations.Mode), AgentAddr: s.RPCAddr,
+			ReservationMode: gateway.ReservationMode(s.Reservations.Mode), AgentAddr: s.RPCAddr, RelayAddr: s.RelayAddr,
 		}
 	}
 	if s.ServesControl() {
@@ -194,8 +194,9 @@
 	}
 	if s.ServesAgent() {
 		cfg.Agent = &fleetdaemon.AgentConfig{
-			EngineAddr: s.Engine.Addr, Service: s.Engine.Service, LinkMbps: s.Limits.LinkMbps,
-			Engine: platform.NewEngine(s.LocalEngineAddr()), Origin: platform.NewOrigin(), PeerAddr: s.RPCAddr,
+			EngineAddr: s.Engine.Addr, EngineDialAddr: s.EngineDialAddr(), Service: s.Engine.Service, LinkMbps: s.Limits.LinkMbps,
+			RelayAddr: s.RelayListenAddr(), RelayHeaders: platform.RelayHeaders(),
+			Engine: platform.NewEngine(s.EngineDialAddr()), Origin: platform.NewOrigin(), PeerAddr: s.RPCAddr,
 		}
 	}
 	return cfg
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -43,6 +43,8 @@
 // Choice is the server chosen for one attempt.
 type Choice struct {
 	Server *Server
+	// Zone is the availability zone of the server.
+	Zone string
 	// Version of weights that the server holds, 0 for plain services.
 	Version uint64
 	// VersionSource says which statement of the server or its agent Version comes from, VersionAge how old that was at the
@@ -50,6 +52,8 @@
 	VersionSource string
 	VersionAge    time.Duration
 	Expiry        Expiry
+	// pathMargin is part of CancelMargin.
+	pathMargin time.Duration
 	// Confirm: the server must refuse the request if it holds another version.
 	Confirm bool
 	// Queue is the estimated number of requests there, Slots its number of slots.
@@ -164,11 +168,11 @@
 			continue
 		}
 		takes := p.firstEvent + s.answerTime(w.Answer, p.pace)
-		expiry := b.expiry(now, w.Model, version, takes, !w.RunOnce)
-		if expiry.Cuts() || !expiry.At.IsZero() && now.Add(p.firstEvent).After(expiry.At) {
+		expiry := b.expiryAt(s, now, w.Model, version, takes, !w.RunOnce)
+		if expiry.Cuts() || expiry.Relayed && now.Before(s.relayDownUntil) || !expiry.At.IsZero() && now.Add(p.firstEvent).After(expiry.At) {
 			availability.Fit--
 			availability.Old++
-			continue // it would be cut, or not begin in time
+			continue // it would be cut, can't be relayed, or would not begin in time
 		}
 		score := b.score(now, s, queue, p, costsOf(s, w, reserves))
 		if p.isLastResort(now, w.Due) {
@@ -180,12 +184,12 @@
 		if score < bestScore {
 			bestScore = score
 			best = Choice{
-				Server: s, Version: version, Queue: queue, Slots: slots,
+				Server: s, Zone: s.record.Zone, Version: version, Queue: queue, Slots: slots,
 				Wait: p.wait, Read: p.read, FirstEvent: p.firstEvent, Pace: p.pace, takes: takes,
 				ReportAge: -1, pickedAt: now, due: w.Due, bytes: w.Bytes,
 				Owned: s.owned, otherOwner: s.otherOwner && !reserves, InFlight: s.inFlight, Unseen: unseen,
 				Reserve: reserves, StartUnixMs: s.record.StartUnixMs, Signal: s.signals.strongest(now),
-				model: w.Model, cancellable: !w.RunOnce, Expiry: expiry, Confirm: b.mustConfirm(w.Model, version),
+				model: w.Model, cancellable: !w.RunOnce, Expiry: expiry, pathMargin: b.pathMargin(s, expiry), Confirm: b.mustConfirm(w.Model, version),
 				Signs: s.signs(now),
 			}
 			if s.load.known {
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -49,7 +49,7 @@
 	turns := &clientTurns{client: &client}
 	g := gateway.New(gateway.Config{
 		Headers:    e.Headers,
-		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, RegionOf: cfg.RegionOf, VersionBound: cfg.VersionBound, ColdOverage: e.ColdOverage, ColdSlack: e.ColdSlack, Logger: cfg.Logger},
+		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, RegionOf: cfg.RegionOf, VersionBound: cfg.VersionBound, RelayAddr: e.RelayAddr, ColdOverage: e.ColdOverage, ColdSlack: e.ColdSlack, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
 		HeldBytes:       e.HeldBytes,
 		ReservationMode: e.ReservationMode,
@@ -66,6 +66,7 @@
 	following := followerConfig(cfg, fleetcontrol.RoleEntry, viewer)
 	following.Suspicions, following.Signals = g.Suspicions, g.Signals
 	client = follow.New(following)
+	registry.MustRegister(client.Collectors()...)
 	ready := http.NewServeMux()
 	e.MountReady(ready, g.Ready)
 	discard := log.New(io.Discard, "", 0) // broken connections of callers are counted, not logged
@@ -98,7 +99,7 @@
 	return follow.Config{
 		Name: cfg.Name, Zone: cfg.Zone, Role: role, Seeds: cfg.Seeds,
 		ConfigVersion: viewer.ConfigVersion, Versions: func() map[string]ledger.Version { return viewer.View().Versions },
-		Update: viewer.Update, Lost: viewer.Lost, Logger: cfg.Logger,
+		Update: viewer.Update, Heard: viewer.Heard, Lost: viewer.Lost, Logger: cfg.Logger,
 	}
 }
 
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -23,11 +24,12 @@
 	defer close(h.settled)
 	limit := time.AfterFunc(c.handoverTimeLeft(h), h.next.cancel)
 	defer limit.Stop()
-	answer, err := h.choice.Server.Pool.Send(h.next.ctx, h.request, c.deadline)
+	answer, err := h.choice.Pool().Send(h.next.ctx, h.request, c.deadline)
 	if err != nil {
 		c.handoverFailed(w, h, balance.ResultFailed, err)
 		return
 	}
+	h.next.answerTook = answer.Took
 	c.noteHead(&h.choice, answer)
 	read, result, err := c.firstPart(h, answer)
 	if err != nil {
@@ -58,7 +60,7 @@
 	if !bounded {
 		return handoverTimeout
 	}
-	return min(handoverTimeout, left-balance.CancelMargin)
+	return min(handoverTimeout, left-h.choice.CancelMargin())
 }
 
 // errRefused means that a server did not run the request.
@@ -107,10 +109,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case h.next.ctx.Err() != nil, h.choice.Expired(clock.Now()), errors.Is(err, dispatch.ErrTooLate):
+	case h.next.ctx.Err() != nil, h.choice.Expired(clock.Now()), h.choice.EndedByRelay(clock.Now(), false), errors.Is(err, dispatch.ErrTooLate):
 		result = balance.ResultUnknown // ended by this entry or its deadline, which says nothing about the server
 	case errors.Is(err, dispatch.ErrNoConnection):
 		result = balance.ResultBusy
+	case h.choice.Expiry.Relayed && errors.Is(err, syscall.ECONNREFUSED):
+		result = balance.ResultUnknown
+		c.g.balancer.RelayRefused(h.choice.Server, clock.Now())
 	}
 	if result == balance.ResultFailed || result == balance.ResultReplaced {
 		c.tried = append(c.tried, h.choice.Server)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -54,7 +54,7 @@
 func (e *entry) report(t testing.TB, b *backend, loading bool, version uint64) {
 	t.Helper()
 	tell := func() {
-		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(b.URL, "http://"), Loading: loading, Models: []fleet.Loaded{{Model: "m", Version: version}}})
+		e.balancer.Reported(time.Now(), balance.Report{Addr: strings.TrimPrefix(b.URL, "http://"), Loading: loading, Models: []fleet.Loaded{{Model: "m", Version: version}}, Relays: true})
 	}
 	tell()
 	ticker, done := time.NewTicker(50*time.Millisecond), make(chan struct{})
@@ -389,9 +389,9 @@
 }
 
 func TestNextCheckFallsOnTheTimeToCancel(t *testing.T) {
-	assert.Equal(t, silenceCheckInterval, nextCheckDelay(0, false), "no newer version was announced")
-	assert.Equal(t, silenceCheckInterval, nextCheckDelay(5*time.Second, true))
-	assert.Equal(t, 50*time.Millisecond, nextCheckDelay(balance.CancelMargin+50*time.Millisecond, true))
+	assert.Equal(t, silenceCheckInterval, nextCheckDelay(0, balance.CancelMargin, false), "no newer version was announced")
+	assert.Equal(t, silenceCheckInterval, nextCheckDelay(5*time.Second, balance.CancelMargin, true))
+	assert.Equal(t, 50*time.Millisecond, nextCheckDelay(balance.CancelMargin+50*time.Millisecond, balance.CancelMargin, true))
 }
 
 func TestRequestThatAHandoverMayHaveRunIsNotReportedAsNotRun(t *testing.T) {
