Streams of a control server over a path that delays by 2 s are followed

A stream whose first message does not come within 1.5 s was closed, so that over a path that delays by more no daemon ever heard of a naming: in the delayed path test, 2 s from all control servers, the entry and both agents never logged it and requests began past the bound. After a failure the first message may take 3 s; later ones as before, since those of a delayed path still come in their rhythm.

--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -35,6 +35,9 @@
 	// keep-alives and the delay of a slow machine. TCP alone would take minutes to
 	// detect a network partition.
 	silenceTimeout = 1500 * time.Millisecond
+	// maxFirstTimeout bounds the wait for the first message of a stream, which grows with failures in a row: over a path that delays by
+	// more than silenceTimeout no stream would ever be followed, though its messages keep coming.
+	maxFirstTimeout = 2 * silenceTimeout
 	// reconnectPause is the mean pause after a stream has ended. It is doubled with each stream in a
 	// row that the control server accepted and did not serve for servedAfter, up to
 	// maxReconnectPause: then it has too many followers to join, and each new stream is more work.
@@ -254,7 +257,7 @@
 			}
 		}
 		began := clock.Now()
-		received, err := c.stream(ctx, run, addr, rpcconn.RedialTimeout(failed))
+		received, err := c.stream(ctx, run, addr, failed)
 		if ctx.Err() != nil {
 			return
 		}
@@ -328,12 +331,20 @@
 	return rendezvous.Weight(rendezvous.Hash(c.cfg.Name), rendezvous.Hash(addr))
 }
 
-// stream connects to a control server and processes its updates until the stream fails
+// firstTimeout returns how long the first message of a stream may take after this many failures in a row.
+func firstTimeout(failed int) time.Duration {
+	if failed > 0 {
+		return maxFirstTimeout
+	}
+	return silenceTimeout
+}
+
+// stream connects to a control server, which has failed this many times in a row, and processes its updates until the stream fails
 // or nothing is received for silenceTimeout.
-func (c *Client) stream(ctx, run context.Context, addr string, dialTimeout time.Duration) (received int, err error) {
+func (c *Client) stream(ctx, run context.Context, addr string, failed int) (received int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancelDial := context.WithTimeout(ctx, rpcconn.RedialTimeout(failed))
 	conn, err := rpcconn.Dial(dialCtx, addr)
 	cancelDial()
 	if err != nil {
@@ -341,7 +352,7 @@
 	}
 	defer conn.Close()
 	// Closing the connection ends a stream whose peer no longer responds.
-	watchdog := time.AfterFunc(silenceTimeout, func() { _ = conn.Close() })
+	watchdog := time.AfterFunc(firstTimeout(failed), func() { _ = conn.Close() })
 	defer watchdog.Stop()
 	stream, err := rpc.NewDRPCFleetClient(conn).Follow(ctx)
 	if err != nil {
--- a/internal/follow/client_test.go
+++ b/internal/follow/client_test.go
@@ -85,3 +85,10 @@
 	c.removeStream("control", current)
 	assert.Empty(t, c.streams())
 }
+
+// Guards against a control server that is never followed over a path that delays by more than the silence after which a stream is closed.
+func TestFirstMessageMayTakeLongerAfterAFailure(t *testing.T) {
+	assert.Equal(t, silenceTimeout, firstTimeout(0))
+	assert.Greater(t, firstTimeout(1), 2*time.Second)
+	assert.Equal(t, firstTimeout(1), firstTimeout(20))
+}
