No request waits in an engine's queue with only its agent to keep the bound

A relayed request that is predicted to outlast the bound has no deadline there, and the entry's close does not reach the engine. An agent that stands still alone would let it begin from the queue past the bound. The agent now passes such a request on only if the engine's report, asked for after the request was read, shows a free slot and an empty queue; otherwise it answers that the request did not run.

One that must not run twice is cancelled at the bound, when its engine's deadline ends as well: an engine that reads it later would count the deadline anew.

--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -20,6 +20,7 @@
 	ReasonNone         Reason = ""
 	ReasonExpired      Reason = "expired"
 	ReasonSilent       Reason = "engine-silent"
+	ReasonFull         Reason = "engine-full"
 	ReasonOtherEngine  Reason = "other-engine"
 	ReasonDraining     Reason = "draining"
 	ReasonNoTime       Reason = "no-time"
@@ -33,8 +34,8 @@
 	engineAddr string
 	// expires is from when on no request may begin on the request's weights, as the agent knows it; zero if it does not.
 	expires time.Time
-	// draining: the agent stops. silent: the engine does not answer its agent.
-	draining, silent bool
+	// draining: the agent stops. silent: the engine does not answer its agent. full: a request would wait in its queue.
+	draining, silent, full bool
 }
 
 // decision is whether a request is passed on.
@@ -45,7 +46,7 @@
 	bound time.Time
 	// deadline is the time that the engine is given, in whole milliseconds.
 	deadline time.Duration
-	// cancelAt is when the request is cancelled unless its answer has begun, zero if never.
+	// cancelAt is when the request is cancelled unless its answer has begun.
 	cancelAt time.Time
 }
 
@@ -68,9 +69,12 @@
 		d.reason = ReasonNoTime
 	case c.silent:
 		d.reason = ReasonSilent
+	case c.full && !f.EndsBefore: // in the queue only this agent would keep the bound, and it may stand still
+		d.reason = ReasonFull
 	}
-	if !f.RunOnce {
-		d.cancelAt = d.bound.Add(-CancelMargin)
+	d.cancelAt = d.bound.Add(-CancelMargin)
+	if f.RunOnce { // until then it may run; the engine ends it then, unless it reads it later
+		d.cancelAt = d.bound
 	}
 	return d
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -48,6 +48,8 @@
 	Expires func(model string, version uint64) time.Time
 	// Answers reports whether the engine answers its agent now, or did so within the last moments.
 	Answers func(ctx context.Context) bool
+	// Full reports whether a request would wait in the engine's queue, as of the answer to Answers.
+	Full    func() bool
 	Logger  zerolog.Logger
 	Metrics *Metrics
 }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -115,7 +115,7 @@
 		c.s.cfg.Metrics.ended(resultEntryLeft)
 		return false
 	}
-	if d := c.decide(f, conditions{silent: !answers}); d.reason != ReasonNone {
+	if d := c.decide(f, conditions{silent: !answers, full: c.s.cfg.Full()}); d.reason != ReasonNone {
 		return c.refuse(f, d)
 	}
 	if err := c.connect(ctx); err != nil {
@@ -202,7 +202,7 @@
 		case <-ctx.Done():
 			return c.breakOff(ctx, x)
 		case <-timer.C:
-			if d.cancelAt.IsZero() || !x.waiting() {
+			if !x.waiting() {
 				continue
 			}
 			// The agent may learn meanwhile that a newer version was named earlier than it knew.
--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -55,6 +55,8 @@
 	// observedAt is when the newest report was requested.
 	observedAt time.Time
 	born       int64
+	// full: by the newest report a request would wait for a slot.
+	full bool
 	loading    bool
 	decisions  decisions
 }
@@ -154,6 +156,13 @@
 	return s.refresh(ctx, wait)
 }
 
+// EngineFull reports whether a request would wait for a slot of the engine, by its newest report.
+func (s *Server) EngineFull() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.full
+}
+
 // refresh has the ledger observe the engine's report unless one is at hand that is young enough. Concurrent
 // calls share one request to the engine. It returns false if the engine has not answered within the wait: a request that is sent
 // to an engine that stands still can't be taken back.
@@ -198,6 +207,7 @@
 		loaded := fleet.BackendServer{Models: report.Models}
 		r.Version = loaded.Holds(s.engine.Models[0], s.engine.Layers)
 	}
+	s.full = r.Waiting > 0 || r.Running >= s.engine.Slots
 	s.ledger.Observe(clock.Now(), r)
 	s.cfg.Metrics.reported(s.engine.Slots, r)
 	return nil
