--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -56,9 +56,9 @@
 	observedAt time.Time
 	born       int64
 	// full: by the newest report a request would wait for a slot.
-	full bool
-	loading    bool
-	decisions  decisions
+	full      bool
+	loading   bool
+	decisions decisions
 }
 
 // New returns a server without reservations.
