Remove Viewer.HeardAt, which nothing uses

It was to be the lease of an agent that does not know of a naming. A control server that lags behind the log makes such a lease too long; the agent takes the bound that the entry states, less the longest delay of a path, instead.

--- a/internal/fleetcontrol/stamps_test.go
+++ b/internal/fleetcontrol/stamps_test.go
@@ -83,25 +83,3 @@
 	assert.True(t, at.Echoed)
 	assert.GreaterOrEqual(t, at.Path(), 20*time.Millisecond)
 }
-
-// Guards against a lease that ends since a control server without news sends no updates.
-func TestKeepAlivesTellThatTheControlServerWasHeard(t *testing.T) {
-	h := testHub()
-	addr := serveHub(t, h)
-	v := follow.NewViewer(nil, nil, time.Second, zerolog.Nop())
-	client := follow.New(follow.Config{
-		Name: "f", Role: RoleAgent, Seeds: func() []string { return []string{addr} }, Logger: zerolog.Nop(),
-		Update: v.Update, Heard: v.Heard, Lost: v.Lost,
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- client.Run(ctx) }()
-	began := clock.Now()
-	for range 2 {
-		require.Eventually(t, func() bool { return v.HeardAt().After(began) }, 10*time.Second, time.Millisecond)
-		began = v.HeardAt()
-		assert.False(t, began.After(clock.Now()))
-	}
-	cancel()
-	<-ended
-}
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -99,7 +99,7 @@
 	return follow.Config{
 		Name: cfg.Name, Zone: cfg.Zone, Role: role, Seeds: cfg.Seeds,
 		ConfigVersion: viewer.ConfigVersion, Versions: func() map[string]ledger.Version { return viewer.View().Versions },
-		Update: viewer.Update, Heard: viewer.Heard, Lost: viewer.Lost, Logger: cfg.Logger,
+		Update: viewer.Update, Lost: viewer.Lost, Logger: cfg.Logger,
 	}
 }
 
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -82,9 +82,6 @@
 	// Update processes an update of a control server, whose ages count from at. Calls for one source are
 	// in order, those for several sources are concurrent.
 	Update func(source string, u *rpc.FleetUpdate, at Anchor)
-	// Heard is called for each message between updates: a control server that sends an echo has sent all
-	// namings that it knew as of then. It may be nil.
-	Heard func(at Anchor)
 	// Lost is called when a stream has ended.
 	Lost   func(source string)
 	Logger zerolog.Logger
@@ -383,7 +380,6 @@
 		}
 		c.addListed(run, listed)
 		if u.Number == 0 {
-			c.heard(at)
 			if err := in.renewStamp(at.ReceivedAt); err != nil {
 				return received, streamError(addr, err)
 			}
@@ -411,12 +407,6 @@
 	}
 }
 
-func (c *Client) heard(at Anchor) {
-	if c.cfg.Heard != nil {
-		c.cfg.Heard(at)
-	}
-}
-
 // sendKnown sends all known suspicions and signals, which a control server that has just started does
 // not have.
 func (c *Client) sendKnown(stream rpc.DRPCFleet_FollowClient) error {
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -56,8 +56,6 @@
 	OnRenewal func(id string, at time.Time)
 
 	view atomic.Pointer[View]
-	// heardAt is the time of HeardAt.
-	heardAt atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	servers *directory.Directory
@@ -76,32 +74,9 @@
 func NewViewer(decode func([]byte) (*fleet.Config, error), changed func(*View), interval time.Duration, log zerolog.Logger) *Viewer {
 	v := &Viewer{decode: decode, changed: changed, log: log, servers: directory.New(interval), entries: map[string]map[string]Entry{}, reports: map[string]*rpc.AgentReport{}}
 	v.view.Store(&View{})
-	v.heardAt.Store(&time.Time{})
 	return v
 }
 
-// HeardAt returns the latest time as of which the namings of a control server are in the view, zero if none was heard: what that
-// server knew then is in View, if View is called afterwards. The time is not later than the true one whatever delays the
-// messages, except for control servers that send no echo (an earlier build), whose messages count from their receipt.
-//
-// A naming that is not in the view became known to that control server later. It may have been acknowledged by another one
-// before, by as much as the one that was heard lagged behind the log.
-func (v *Viewer) HeardAt() time.Time { return *v.heardAt.Load() }
-
-// Heard records that a control server was heard whose namings are all in the view.
-func (v *Viewer) Heard(at Anchor) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.heard(at)
-}
-
-// heard is Heard; the caller holds mu.
-func (v *Viewer) heard(at Anchor) {
-	if at.AsOf.After(v.HeardAt()) {
-		v.heardAt.Store(&at.AsOf)
-	}
-}
-
 // View returns the newest view.
 func (v *Viewer) View() *View { return v.view.Load() }
 
@@ -127,7 +102,6 @@
 	}
 	changed = v.mergeEntries(&next, source, u) || changed
 	v.view.Store(&next) // also times of namings that were refined
-	v.heard(at)
 	if changed && v.changed != nil {
 		v.changed(&next)
 	}
