Requests that were passed on count against the engine's free slots

Requests whose answer has not begun now take the slots that the report shows, counted and decided under one lock.

A connection that ends with the agent's grace period is reset, so that a cut answer without framing does not look complete.

TestNoMoreRequestsThatOutlastTheBoundArePassedOnThanThereAreSlots.

--- a/internal/fleetdaemon/relay.go
+++ b/internal/fleetdaemon/relay.go
@@ -39,7 +39,7 @@
 			return weightsExpire(view().Versions[model], version, cfg.VersionBound)
 		},
 		Answers: func(ctx context.Context) bool { return slots.EngineAnswers(ctx, engineAnswerWait) },
-		Full:    slots.EngineFull,
+		Free:    slots.FreeSlots,
 		Logger:  cfg.Logger, Metrics: relay.NewMetrics(registry),
 	})
 }
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -17,9 +17,10 @@
 
 // Reasons of refusals.
 const (
-	ReasonNone         Reason = ""
-	ReasonExpired      Reason = "expired"
-	ReasonSilent       Reason = "engine-silent"
+	ReasonNone    Reason = ""
+	ReasonExpired Reason = "expired"
+	ReasonSilent  Reason = "engine-silent"
+	// ReasonFull: in the engine's queue only the agent would keep the bound, and it may stand still.
 	ReasonFull         Reason = "engine-full"
 	ReasonOtherEngine  Reason = "other-engine"
 	ReasonDraining     Reason = "draining"
@@ -34,8 +35,8 @@
 	engineAddr string
 	// expires is from when on no request may begin on the request's weights, as the agent knows it; zero if it does not.
 	expires time.Time
-	// draining: the agent stops. silent: the engine does not answer its agent. full: a request would wait in its queue.
-	draining, silent, full bool
+	// draining: the agent stops. silent: the engine does not answer its agent.
+	draining, silent bool
 }
 
 // decision is whether a request is passed on.
@@ -69,8 +70,6 @@
 		d.reason = ReasonNoTime
 	case c.silent:
 		d.reason = ReasonSilent
-	case c.full && !f.EndsBefore: // in the queue only this agent would keep the bound, and it may stand still
-		d.reason = ReasonFull
 	}
 	d.cancelAt = d.bound.Add(-CancelMargin)
 	if f.RunOnce { // until then it may run; the engine ends it then, unless it reads it later
--- a/internal/relay/decide_test.go
+++ b/internal/relay/decide_test.go
@@ -47,9 +47,6 @@
 		{name: "engine silent", expires: 3000 * ms, reason: ReasonSilent, change: func(c *conditions, _ *rpc.RelayRequest) { c.silent = true }},
 		{name: "engine silent until the margin", expires: 1000 * ms, now: 600 * ms, reason: ReasonExpired,
 			change: func(c *conditions, _ *rpc.RelayRequest) { c.silent = true }},
-		{name: "engine full, and the answer outlasts the bound", expires: 3000 * ms, reason: ReasonFull, change: func(c *conditions, _ *rpc.RelayRequest) { c.full = true }},
-		{name: "engine full, and it keeps the bound", expires: 1000 * ms, deadline: 1000 * ms, cancelAt: 600 * ms,
-			change: func(c *conditions, r *rpc.RelayRequest) { c.full, r.EndsBefore = true, true }},
 		{name: "the agent does not know the naming", deadline: 3000 * ms, cancelAt: 2600 * ms,
 			change: func(c *conditions, r *rpc.RelayRequest) {
 				c.expires, r.LeftUs, r.EndsBefore = time.Time{}, (PathDelay + 3*time.Second).Microseconds(), true
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,15 +22,21 @@
 	state                atomic.Int32
 	// complete is closed once the whole answer was passed back.
 	complete chan struct{}
+	// releaseSlot is called once the answer has begun, and at the end of the exchange.
+	releaseSlot func()
 }
 
-func newExchange(f frame, idHeader string) *exchange {
+func newExchange(f frame, idHeader string, releaseSlot func()) *exchange {
 	method, _, _ := bytes.Cut(f.Head, []byte{' '})
-	return &exchange{id: string(f.Id), idHeader: idHeader, method: string(method), complete: make(chan struct{})}
+	return &exchange{id: string(f.Id), idHeader: idHeader, method: string(method), complete: make(chan struct{}), releaseSlot: sync.OnceFunc(releaseSlot)}
 }
 
 // begin records that the answer has begun. It has no effect on a cancelled exchange.
-func (x *exchange) begin() { x.state.CompareAndSwap(waiting, begun) }
+func (x *exchange) begin() {
+	if x.state.CompareAndSwap(waiting, begun) {
+		x.releaseSlot()
+	}
+}
 
 // cancel reports whether the answer had not begun; it can't begin any more then.
 func (x *exchange) cancel() bool { return x.state.CompareAndSwap(waiting, cancelled) }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -44,6 +44,8 @@
 	engine net.Listener
 	// expires is the bound that the agent knows, a time of package clock.
 	expires atomic.Pointer[time.Time]
+	// free is what Config.Free returns.
+	free atomic.Int64
 	// answers replaces Config.Answers.
 	answers atomic.Pointer[func(context.Context) bool]
 	stop    context.CancelFunc
@@ -59,6 +61,7 @@
 func newRig(t testing.TB) *rig {
 	r := &rig{TB: t, engine: listen(t)}
 	r.setExpires(far)
+	r.free.Store(1000)
 	r.Server = New(Config{
 		EngineAddr: engineAddr, DialAddr: r.engine.Addr().String(), Headers: headers,
 		Expires: func(string, uint64) time.Time { return *r.expires.Load() },
@@ -68,7 +71,7 @@
 			}
 			return true
 		},
-		Full:   func() bool { return false },
+		Free:   func() int { return int(r.free.Load()) },
 		Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	lis := listen(t)
@@ -683,3 +686,30 @@
 	entry.send("a", boundIn(0))
 	entry.refused("a", ReasonExpired)
 }
+
+// Guards against requests without a deadline at the bound that wait in the engine's queue, where an agent that stands still does not cancel
+// them: those of a burst share one report.
+func TestNoMoreRequestsThatOutlastTheBoundArePassedOnThanThereAreSlots(t *testing.T) {
+	r := newRig(t)
+	r.free.Store(2)
+	entries, engines := make([]*peer, 3), make([]*peer, 2)
+	for i := range engines {
+		entries[i] = r.entry()
+		entries[i].send("a")
+		engines[i] = r.accept()
+		engines[i].readRequest()
+	}
+	entries[2] = r.entry()
+	entries[2].send("a")
+	entries[2].refused("a", ReasonFull)
+	entries[2].send("a", func(r *rpc.RelayRequest) { r.EndsBefore = true })
+	kept := r.accept()
+	kept.readRequest()
+	kept.write(answerA)
+	entries[2].expect(answerA)
+
+	engines[0].write(answerA)
+	entries[0].expect(answerA)
+	entries[2].send("a")
+	kept.readRequest()
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -115,7 +115,7 @@
 		c.s.cfg.Metrics.ended(resultEntryLeft)
 		return false
 	}
-	if d := c.decide(f, conditions{silent: !answers, full: c.s.cfg.Full()}); d.reason != ReasonNone {
+	if d := c.decide(f, conditions{silent: !answers}); d.reason != ReasonNone {
 		return c.refuse(f, d)
 	}
 	if err := c.connect(ctx); err != nil {
@@ -130,11 +130,11 @@
 }
 
 // decide decides on a request as of now.
-func (c *session) decide(f frame, conditions conditions) decision {
-	conditions.now = clock.Now()
-	conditions.engineAddr = c.s.cfg.EngineAddr
-	conditions.expires = c.s.cfg.Expires(string(f.Model), f.Version)
-	return decide(conditions, f)
+func (c *session) decide(f frame, now conditions) decision {
+	now.now = clock.Now()
+	now.engineAddr = c.s.cfg.EngineAddr
+	now.expires = c.s.cfg.Expires(string(f.Model), f.Version)
+	return decide(now, f)
 }
 
 // engineAnswers asks whether the engine answers, until the request may not be passed on any more.
@@ -160,7 +160,11 @@
 
 // pass writes a request to the engine, after a last decision, and waits for the end of its answer.
 func (c *session) pass(ctx context.Context, f frame) bool {
-	e, x := c.engine, newExchange(f, c.s.cfg.Headers.RequestID)
+	if !c.s.claimSlot(!f.EndsBefore) {
+		return c.refuse(f, decision{reason: ReasonFull})
+	}
+	e, x := c.engine, newExchange(f, c.s.cfg.Headers.RequestID, c.s.releaseSlot)
+	defer x.releaseSlot()
 	defer context.AfterFunc(ctx, func() { _ = e.Close() })()
 	d := c.decide(f, conditions{})
 	if d.reason != ReasonNone {
@@ -232,8 +236,9 @@
 	switch {
 	case x.isComplete():
 		c.s.cfg.Metrics.ended(resultAnswered)
-	case ctx.Err() != nil || c.engine.closedByEntry():
+	case ctx.Err() != nil || c.engine.closedByEntry(): // also at the end of the grace period
 		c.s.cfg.Metrics.ended(resultEntryLeft)
+		c.abort()
 	case c.engine.closedByEngine():
 		c.s.cfg.Metrics.ended(resultEngineClosed)
 		c.closeAfterLastByte(ctx)
--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -55,8 +55,8 @@
 	// observedAt is when the newest report was requested.
 	observedAt time.Time
 	born       int64
-	// full: by the newest report a request would wait for a slot.
-	full      bool
+	// free is how many slots are free by the newest report, 0 if requests wait for one.
+	free      int
 	loading   bool
 	decisions decisions
 }
@@ -156,11 +156,11 @@
 	return s.refresh(ctx, wait)
 }
 
-// EngineFull reports whether a request would wait for a slot of the engine, by its newest report.
-func (s *Server) EngineFull() bool {
+// FreeSlots returns how many slots of the engine are free by its newest report, 0 if requests wait for one or its slots are not known.
+func (s *Server) FreeSlots() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.full
+	return s.free
 }
 
 // refresh has the ledger observe the engine's report unless one is at hand that is young enough. Concurrent
@@ -207,7 +207,10 @@
 		loaded := fleet.BackendServer{Models: report.Models}
 		r.Version = loaded.Holds(s.engine.Models[0], s.engine.Layers)
 	}
-	s.full = r.Waiting > 0 || r.Running >= s.engine.Slots
+	s.free = 0
+	if r.Waiting == 0 {
+		s.free = max(s.engine.Slots-r.Running, 0)
+	}
 	s.ledger.Observe(clock.Now(), r)
 	s.cfg.Metrics.reported(s.engine.Slots, r)
 	return nil
