--- a/internal/balance/expiry.go
+++ b/internal/balance/expiry.go
@@ -96,15 +96,18 @@
 
 // Deadline returns the earlier of a deadline and the bound on the chosen server's weights, if the server keeps that.
 func (c *Choice) Deadline(deadline time.Time) time.Time {
-	if c.Expiry.KeptByServer && c.Expiry.At.Before(deadline) {
-		return c.Expiry.At
+	if c.Expiry.KeptByServer && c.keptUntil().Before(deadline) {
+		return c.keptUntil()
 	}
 	return deadline
 }
 
+// keptUntil returns when the server ends the request, if it keeps the bound. The path may renew the deadline of a direct request.
+func (c *Choice) keptUntil() time.Time { return c.Expiry.At.Add(-c.pathMargin) }
+
 // Expired reports whether the server may have ended the request because of the bound on its weights.
 func (c *Choice) Expired(now time.Time) bool {
-	return c.Expiry.KeptByServer && !now.Before(c.Expiry.At.Add(-expiryTolerance))
+	return c.Expiry.KeptByServer && !now.Before(c.keptUntil().Add(-expiryTolerance))
 }
 
 // Sendable reports whether the request may still be sent.
--- a/internal/balance/relay.go
+++ b/internal/balance/relay.go
@@ -38,6 +38,9 @@
 func (b *Balancer) expiryAt(s *Server, now time.Time, model string, version uint64, takes time.Duration, cancellable bool) Expiry {
 	e := b.expiry(now, model, version, takes, cancellable)
 	e.Relayed = e.Relayed && b.relaysTo(s)
+	if b.pathMargin(s, e) > 0 && e.KeptByServer {
+		e.KeptByServer = !now.Add(takes).After(e.At.Add(-pathDelay)) // its deadline is as much earlier
+	}
 	return e
 }
 
@@ -69,12 +72,6 @@
 	return c.Server.Pool
 }
 
-// EndedByRelay reports whether the agent may have ended the request because of the bound, since it had not begun. Its bound may be some
-// 0.1 s before the one that is known here.
-func (c *Choice) EndedByRelay(now time.Time, begun bool) bool {
-	return c.Expiry.Relayed && !begun && !now.Before(c.cancelAt().Add(-namingTolerance-expiryTolerance))
-}
-
 // RelayRefused records that the agent on a server's VM has refused a connection for a request to be relayed.
 func (b *Balancer) RelayRefused(s *Server, now time.Time) {
 	b.mu.Lock()
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -37,7 +38,7 @@
 	silenceTimeout = 1500 * time.Millisecond
 	// maxFirstTimeout bounds the wait for the first message of a stream, which grows with failures in a row: over a path that delays by
 	// more than silenceTimeout no stream would ever be followed, though its messages keep coming.
-	maxFirstTimeout = 2 * silenceTimeout
+	maxFirstTimeout = 3 * silenceTimeout
 	// reconnectPause is the mean pause after a stream has ended. It is doubled with each stream in a
 	// row that the control server accepted and did not serve for servedAfter, up to
 	// maxReconnectPause: then it has too many followers to join, and each new stream is more work.
@@ -243,7 +244,7 @@
 // context of Run.
 func (c *Client) follow(ctx, run context.Context, addr string) {
 	lost := false
-	failed, unserved := 0, 0
+	failed, unserved, silent := 0, 0, false
 	for ctx.Err() == nil {
 		if !c.mayFollow(addr) {
 			select {
@@ -254,11 +255,11 @@
 			}
 		}
 		began := clock.Now()
-		received, err := c.stream(ctx, run, addr, failed)
+		received, err := c.stream(ctx, run, addr, failed, firstTimeout(failed, silent))
 		if ctx.Err() != nil {
 			return
 		}
-		unserved = countUnserved(unserved, err, clock.Since(began))
+		unserved, silent = countUnserved(unserved, err, clock.Since(began)), errors.Is(err, errSilent)
 		failed++
 		if received > 0 {
 			failed = 0
@@ -328,17 +329,21 @@
 	return rendezvous.Weight(rendezvous.Hash(c.cfg.Name), rendezvous.Hash(addr))
 }
 
-// firstTimeout returns how long the first message of a stream may take after this many failures in a row.
-func firstTimeout(failed int) time.Duration {
-	if failed > 0 {
+// firstTimeout returns how long the first message of a stream may take after this many failures in a row, or after a stream that was
+// closed because of its silence.
+func firstTimeout(failed int, silent bool) time.Duration {
+	if failed > 0 || silent {
 		return maxFirstTimeout
 	}
 	return silenceTimeout
 }
 
+// errSilent means that a stream was closed since nothing was received.
+var errSilent = errors.New("silent")
+
 // stream connects to a control server, which has failed this many times in a row, and processes its updates until the stream fails
-// or nothing is received for silenceTimeout.
-func (c *Client) stream(ctx, run context.Context, addr string, failed int) (received int, err error) {
+// or nothing is received for silenceTimeout, at first for firstTimeout.
+func (c *Client) stream(ctx, run context.Context, addr string, failed int, firstTimeout time.Duration) (received int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dialCtx, cancelDial := context.WithTimeout(ctx, rpcconn.RedialTimeout(failed))
@@ -349,8 +354,17 @@
 	}
 	defer conn.Close()
 	// Closing the connection ends a stream whose peer no longer responds.
-	watchdog := time.AfterFunc(firstTimeout(failed), func() { _ = conn.Close() })
+	var silent atomic.Bool
+	watchdog := time.AfterFunc(firstTimeout, func() {
+		silent.Store(true)
+		_ = conn.Close()
+	})
 	defer watchdog.Stop()
+	defer func() {
+		if silent.Load() {
+			err = fmt.Errorf("%w: %w", errSilent, err)
+		}
+	}()
 	stream, err := rpc.NewDRPCFleetClient(conn).Follow(ctx)
 	if err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
 	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/relay"
 )
 
 // deadlineTolerance is how long before its deadline a server may answer that the time is up: deadlines are in whole
@@ -88,12 +89,8 @@
 	case c.choice.Expired(clock.Now()):
 		c.endedBy = "server: its weights are over"
 		return balance.ResultUnknown
-	case c.choice.EndedByRelay(clock.Now(), watch.begun.Load()):
-		c.endedBy = "agent: the server's weights are over"
-		return balance.ResultUnknown
-	case c.choice.Expiry.Relayed && agentHasEnded(&c.choice):
-		c.endedBy = "agent: it has ended"
-		c.g.balancer.RelayRefused(c.choice.Server, clock.Now())
+	case c.choice.Expiry.Relayed && c.g.endedByAgent(&c.choice, watch.begun.Load()):
+		c.endedBy = "agent or link"
 		return balance.ResultUnknown
 	}
 	c.endedBy = "server or link"
@@ -189,6 +186,9 @@
 
 // refusal returns how an attempt that its server did not run ended for the balancer.
 func (c *call) refusal(a *dispatch.Answer, choice *balance.Choice) balance.Result {
+	if result, ok := c.g.relayRefusal(relay.Reason(a.Header.Get(c.g.cfg.Headers.NotRun)), choice); ok {
+		return result
+	}
 	other := a.Header.Get(c.g.cfg.Headers.ServerID)
 	if a.StatusCode == http.StatusMisdirectedRequest && other != "" && other != choice.Server.ID {
 		return balance.ResultReplaced
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"strconv"
-	"syscall"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/balance"
@@ -109,13 +108,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case h.next.ctx.Err() != nil, h.choice.Expired(clock.Now()), h.choice.EndedByRelay(clock.Now(), false), errors.Is(err, dispatch.ErrTooLate):
+	case h.next.ctx.Err() != nil, h.choice.Expired(clock.Now()), errors.Is(err, dispatch.ErrTooLate):
 		result = balance.ResultUnknown // ended by this entry or its deadline, which says nothing about the server
 	case errors.Is(err, dispatch.ErrNoConnection):
 		result = balance.ResultBusy
-	case h.choice.Expiry.Relayed && errors.Is(err, syscall.ECONNREFUSED):
+	case result == balance.ResultFailed && h.choice.Expiry.Relayed && c.g.endedByAgent(&h.choice, h.began):
 		result = balance.ResultUnknown
-		c.g.balancer.RelayRefused(h.choice.Server, clock.Now())
 	}
 	if result == balance.ResultFailed || result == balance.ResultReplaced {
 		c.tried = append(c.tried, h.choice.Server)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,7 +12,7 @@
 func (c *call) encodeRelayed(choice *balance.Choice, head []byte) []byte {
 	now := clock.Now()
 	encoded, err := relay.Encode(&rpc.RelayRequest{
-		Id: []byte(c.id), Addr: choice.Server.Addr, Born: choice.StartUnixMs, Model: []byte(c.model), Version: choice.Version,
+		Id: []byte(c.id), Addr: choice.Server.Addr, Model: []byte(c.model), Version: choice.Version,
 		LeftUs: choice.Expiry.At.Sub(now).Microseconds(), DeadlineUs: c.deadline.Sub(now).Microseconds(),
 		EndsBefore: choice.Expiry.KeptByServer, RunOnce: !c.cancellable(), Head: head, Body: c.body,
 	})
@@ -22,7 +22,30 @@
 	return encoded
 }
 
-// agentHasEnded reports whether the agent that relayed a request has ended, and the server has not.
-func agentHasEnded(choice *balance.Choice) bool {
-	return probe(choice.Pool()) == probeRefused && probe(choice.Server.Pool) == probeAccepted
+// endedByAgent reports whether a relayed request that failed says nothing about its server, which accepts connections: the agent has
+// ended, or has cancelled the request because of the bound that it knows. Once an answer has begun, only the end of the agent counts.
+func (g *Gateway) endedByAgent(choice *balance.Choice, begun bool) bool {
+	if probe(choice.Server.Pool) != probeAccepted {
+		return false
+	}
+	if probe(choice.Pool()) == probeAccepted {
+		return !begun
+	}
+	g.balancer.RelayRefused(choice.Server, clock.Now())
+	return true
+}
+
+// relayRefusal returns how an attempt that the agent refused to pass on ended for the balancer, false if its server refused it.
+func (g *Gateway) relayRefusal(reason relay.Reason, choice *balance.Choice) (balance.Result, bool) {
+	if !choice.Expiry.Relayed {
+		return 0, false
+	}
+	switch reason {
+	case relay.ReasonDraining:
+		g.balancer.RelayRefused(choice.Server, clock.Now())
+		return balance.ResultUnknown, true
+	case relay.ReasonFull, relay.ReasonExpired, relay.ReasonNoTime: // others that are answered sooner may be passed on
+		return balance.ResultUnknown, true
+	}
+	return 0, false
 }
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -19,14 +19,14 @@
 	if !a.Unframed() {
 		return nil
 	}
+	if choice.Expiry.Relayed {
+		return errUnframedEnd // an agent that has ended and started again looks as if the server had ended the answer
+	}
 	if left := clock.Until(choice.Deadline(c.deadline)); left < deadlineTolerance {
 		return errUnframedEnd // its server ends it at the deadline, wherever it is
 	}
 	switch probe(choice.Server.Pool) {
 	case probeAccepted:
-		if choice.Expiry.Relayed && probe(choice.Pool()) != probeAccepted {
-			return errUnframedEnd // the agent that relayed it has ended
-		}
 		return nil
 	case probeRefused:
 		if c.g.balancer.Leaving(choice.Server) {
