--- a/review/1/stand/main.go
+++ b/review/1/stand/main.go
@@ -175,6 +175,7 @@
 	for _, w := range b.Models {
 		b.Logf("worker %s: loads %v", w.ID, w.Takes())
 	}
+	b.LogRuns()
 	b.Logf("origin: %d manifests and %d pieces sent", o.manifests.Load(), o.pieces.Load())
 	b.Logf("before the final fault: %d of %d requests served", served.served, served.sent)
 	b.Logf("of those sent later than %v after the daemons were back: %d of %d served", recovery, recovered.served, recovered.sent)
--- a/review/2/stand/main.go
+++ b/review/2/stand/main.go
@@ -83,6 +83,7 @@
 			}
 		}
 	}
+	b.LogRuns()
 	current := string(held) == string(standin.Document(5, b.Origin.Addr))
 	b.Logf("the configuration read back is the new one: %v", current)
 	b.Logf("%d of %d requests on the dropped route ran, sent over %v after the acknowledgement; %d of %d on a kept route were served", ran, requests, configApply+2*time.Second, answered, requests)
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -153,6 +153,17 @@
 	return w, w.Start()
 }
 
+// LogRuns records how often each worker ran a request.
+func (b *Bed) LogRuns() {
+	for _, w := range append(append([]*standin.Worker{}, b.Models...), b.Plain...) {
+		runs := 0
+		for _, n := range w.Runs() {
+			runs += n
+		}
+		b.Logf("worker %s of %s ran %d requests", w.ID, w.Service, runs)
+	}
+}
+
 // AtEnd adds something that ends with the deployment.
 func (b *Bed) AtEnd(end func()) {
 	b.mu.Lock()
