Control servers tell what they send to which region, and who is late

Cause: of the hypotheses in docs/incidents/config-whole-fleet.md none can be told from the others by the logs: bytes of drpc are counted by service only, and nothing says how long followers take to acknowledge an update.

Change: bytes of updates by kind and region of the follower, as a counter and, every 5 s, as one log line with the followers that have not acknowledged an update for longer than a leave may take. A change that fails tells when the leader last heard a quorum.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -23,7 +23,9 @@
 // follower is one stream. Its fields are guarded by the hub's lock.
 type follower struct {
 	name, role, zone string
-	wake             chan struct{}
+	// region is that of the zone, empty if it is not known.
+	region string
+	wake   chan struct{}
 	// urgent: the next update must not wait for others to be sent with it.
 	urgent atomic.Bool
 	// changed holds the ids whose record is to be sent, renewed those of which only
@@ -56,6 +58,8 @@
 	number, acked  uint64
 	stamps         *follow.Stamps
 	waiters        []*waiter
+	// unacknowledged are the updates on their way, oldest first.
+	unacknowledged []sentUpdate
 }
 
 // waiter is the wait for one follower to acknowledge that a server leaves.
@@ -150,6 +154,7 @@
 	for {
 		u := h.next(f)
 		if u != nil {
+			h.traffic.add(f.region, u)
 			if err := stream.Send(u); err != nil {
 				return err
 			}
@@ -172,7 +177,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := &follower{
-		name: hello.Name, role: hello.Role, zone: hello.Zone, wake: make(chan struct{}, 1),
+		name: hello.Name, role: hello.Role, zone: hello.Zone, region: h.region(hello.Zone), wake: make(chan struct{}, 1),
 		changed: map[string]bool{}, renewed: map[string]bool{}, versions: map[string]ledger.Version{},
 		reports: map[string]bool{}, stamps: follow.NewStamps(clock.Now()),
 	}
@@ -230,6 +235,7 @@
 		f.configVersion, f.configAt = m.ConfigVersion, clock.Now()
 	}
 	f.acked = max(f.acked, m.Acknowledged)
+	f.dropAcknowledged()
 	f.waiters = slices.DeleteFunc(f.waiters, func(w *waiter) bool {
 		if w.number == 0 || w.number > f.acked {
 			return false
@@ -316,6 +322,7 @@
 	clear(f.reports)
 	f.number++
 	u.Number = f.number
+	f.sent(now)
 	f.stamp(u, asOf)
 	for _, w := range f.waiters {
 		if w.number == 0 {
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -40,6 +40,9 @@
 	services     *declaredServices
 	refused      *refusals
 	agents       *agentConfigs
+	traffic      *traffic
+	// regionOf is Config.RegionOf.
+	regionOf func(zone string) string
 	// versionBound is Config.VersionBound.
 	versionBound time.Duration
 
@@ -66,7 +69,7 @@
 	return &hub{
 		ledger: l, controlAddrs: controlAddrs, log: log,
 		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
-		agents:  &agentConfigs{decode: decode},
+		agents: &agentConfigs{decode: decode}, traffic: newTraffic(),
 		servers: directory.New(announceInterval), followers: map[*follower]bool{}, entries: newEntryList(),
 		reports: map[string]*rpc.AgentReport{}, suspects: quarantine.New(), signals: backpressure.NewTable(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
 		pauses: pauses{now: clock.Now},
@@ -82,6 +85,8 @@
 	defer report.Stop()
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
+	logTraffic := time.NewTicker(trafficInterval)
+	defer logTraffic.Stop()
 	changed := h.ledger.Changed()
 	for {
 		select {
@@ -106,12 +111,22 @@
 			h.suspects.Forget(clock.Now())
 			h.signals.Forget(clock.Now())
 			h.mu.Unlock()
+		case <-logTraffic.C:
+			h.logTraffic(clock.Now())
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// region returns the region of a zone, empty if it is not known.
+func (h *hub) region(zone string) string {
+	if h.regionOf == nil {
+		return ""
+	}
+	return h.regionOf(zone)
+}
+
 // namedWithinBound reports whether a version of weights was named so recently that those before it may
 // still be used.
 func (h *hub) namedWithinBound(now time.Time) bool {
--- a/internal/fleetcontrol/metrics.go
+++ b/internal/fleetcontrol/metrics.go
@@ -16,6 +16,7 @@
 	}
 	return []prometheus.Collector{
 		h.refused.count,
+		h.traffic.bytes,
 		gauge("lynxgate_fleet_config_version", "Version of the newest committed configuration known here.", func() float64 {
 			return float64(h.ledger.State().ConfigVersion)
 		}),
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -48,6 +48,8 @@
 // Config is the configuration of a control server.
 type Config struct {
 	Name string
+	// Zone is the availability zone of this server.
+	Zone string
 	// Addr is the rpc ip:port of this server.
 	Addr    string
 	Replica replica.Config
@@ -88,9 +90,9 @@
 	}
 	s := &Server{cfg: cfg, node: node, ledger: l, replayed: make(chan struct{})}
 	s.hub = newHub(l, s.controlAddrs, cfg.AnnounceInterval, cfg.Decode, cfg.Logger)
-	s.hub.versionBound = cfg.VersionBound
+	s.hub.versionBound, s.hub.regionOf = cfg.VersionBound, cfg.RegionOf
 	s.peers = follow.New(follow.Config{
-		Name: cfg.Name, Role: RoleControl, Self: cfg.Addr, Seeds: s.peerAddrs,
+		Name: cfg.Name, Zone: cfg.Zone, Role: RoleControl, Self: cfg.Addr, Seeds: s.peerAddrs,
 		Update: s.hub.mergePeerUpdate, Lost: func(string) {}, Logger: cfg.Logger,
 	})
 	return s, nil
@@ -216,7 +218,7 @@
 func (s *Server) logChange(what string, version uint64, err error) {
 	event := s.cfg.Logger.Info()
 	if err != nil {
-		event = s.cfg.Logger.Warn().Err(err)
+		event = s.cfg.Logger.Warn().Err(err).Time("quorum_contact", s.node.Status().LastQuorumContact)
 	}
 	event.Str("change", what).Uint64("version", version).Bool("accepted", err == nil).Msg("change decided")
 }
--- a/internal/fleetdaemon/control.go
+++ b/internal/fleetdaemon/control.go
@@ -129,7 +129,7 @@
 		r.Peers = append(r.Peers, replica.Member{Name: name, Addr: addr})
 	}
 	return fleetcontrol.Config{
-		Name: cfg.Name, Addr: cfg.RPCAddr, Replica: r, Seeds: cfg.Seeds,
+		Name: cfg.Name, Zone: cfg.Zone, Addr: cfg.RPCAddr, Replica: r, Seeds: cfg.Seeds,
 		AnnounceInterval: cfg.AnnounceInterval, VersionBound: cfg.VersionBound, Decode: cfg.Decode, RegionOf: cfg.RegionOf, Logger: cfg.Logger,
 	}
 }
