Failing tests: presence fills links between regions, committed state waits behind it

What callers saw: on the whole fleet changes are not acknowledged for seconds, and reads of the configuration get no answer.

--- /dev/null
+++ b/internal/fleetcontrol/presence_growth_test.go
@@ -0,0 +1,200 @@
+package fleetcontrol
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/rpc"
+)
+
+const (
+	testRegions         = 3
+	controlsPerRegion   = 2
+	serversPerEntry     = 2
+	presenceSettleTime  = 4 * time.Second
+	maxPresenceGrowth   = 2.3 // at twice the fleet, where 2 is in proportion to it
+	countedRounds       = 4
+	roundTimeout        = 15 * time.Second
+	startOfServersEpoch = 1_000_000
+)
+
+// presenceFleet is a fleet of hubs and entries in several regions, one zone each, over loopback connections. It counts the bytes
+// of updates between regions.
+type presenceFleet struct {
+	hubs    []*hub
+	entries []*presenceEntry
+	servers int
+
+	mu       sync.Mutex
+	crossing int
+}
+
+// presenceEntry is what an entry knows of the servers.
+type presenceEntry struct {
+	mu       sync.Mutex
+	seqs     map[string]uint64
+	reported map[string]uint64
+}
+
+func testRegion(zone string) string { return strings.TrimSuffix(zone, "-a") }
+
+func testZone(region int) string { return fmt.Sprintf("r%d-a", region) }
+
+// newPresenceFleet starts a fleet with this many entries in each region.
+func newPresenceFleet(t *testing.T, entriesPerRegion int) *presenceFleet {
+	p := &presenceFleet{servers: testRegions * entriesPerRegion * serversPerEntry}
+	var addrs, zones []string
+	for i := range testRegions * controlsPerRegion {
+		h := testHub()
+		h.pauses.now = clock.Now
+		h.regionOf = testRegion
+		p.hubs = append(p.hubs, h)
+		addrs = append(addrs, serveHub(t, h))
+		zones = append(zones, testZone(i/controlsPerRegion))
+	}
+	zoneOf := map[string]string{}
+	for i, addr := range addrs {
+		zoneOf[addr] = zones[i]
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	listed := func() []string { return addrs }
+	start := func(cfg follow.Config, update func(*rpc.FleetUpdate, string, follow.Anchor)) {
+		cfg.Seeds, cfg.Logger, cfg.Lost = listed, zerolog.Nop(), func(string) {}
+		cfg.Update = func(source string, u *rpc.FleetUpdate, at follow.Anchor) {
+			if testRegion(zoneOf[source]) != testRegion(cfg.Zone) {
+				p.mu.Lock()
+				p.crossing += proto.Size(u)
+				p.mu.Unlock()
+			}
+			update(u, source, at)
+		}
+		client := follow.New(cfg)
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			_ = client.Run(ctx)
+		}()
+	}
+	for i, h := range p.hubs {
+		h.controlAddrs = listed
+		go h.run(ctx)
+		start(follow.Config{Name: addrs[i], Zone: zones[i], Role: RoleControl, Self: addrs[i]},
+			func(u *rpc.FleetUpdate, source string, at follow.Anchor) { h.mergePeerUpdate(source, u, at) })
+	}
+	for i := range testRegions * entriesPerRegion {
+		e := &presenceEntry{seqs: map[string]uint64{}, reported: map[string]uint64{}}
+		p.entries = append(p.entries, e)
+		start(follow.Config{Name: fmt.Sprint("entry-", i), Zone: testZone(i / entriesPerRegion), Role: RoleEntry},
+			func(u *rpc.FleetUpdate, _ string, _ follow.Anchor) { e.update(u) })
+	}
+	followers := len(p.entries) + len(p.hubs) - 1
+	require.Eventually(t, func() bool {
+		for _, h := range p.hubs {
+			if lag := h.acknowledgementLags(clock.Now()); total(lag) < followers {
+				return false
+			}
+		}
+		return true
+	}, roundTimeout, 10*time.Millisecond)
+	return p
+}
+
+func total(lags map[string]acknowledgementLag) (n int) {
+	for _, lag := range lags {
+		n += lag.followers
+	}
+	return n
+}
+
+func (e *presenceEntry) update(u *rpc.FleetUpdate) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range u.Servers {
+		e.seqs[s.Id] = max(e.seqs[s.Id], s.Seq)
+	}
+	for _, s := range u.Seen {
+		e.seqs[s.Id] = max(e.seqs[s.Id], s.Seq)
+	}
+	for _, r := range u.Reports {
+		e.reported[r.Addr] = max(e.reported[r.Addr], r.Seq)
+	}
+}
+
+func (e *presenceEntry) knows(servers int, seq uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range servers {
+		if e.seqs[testServer(i)] < seq || e.reported[testServerAddr(i)] < seq {
+			return false
+		}
+	}
+	return true
+}
+
+func testServer(i int) string     { return fmt.Sprint("server-", i) }
+func testServerAddr(i int) string { return fmt.Sprintf("10.0.%d.%d:8000", i/256, i%256) }
+
+// round has each server announce itself and each agent report to one of the control servers, and waits until all entries know.
+func (p *presenceFleet) round(t *testing.T, seq uint64) {
+	t.Helper()
+	for i := range p.servers {
+		h := p.hubs[i%len(p.hubs)]
+		require.NoError(t, h.announce(t.Context(), fleet.BackendServer{
+			ID: testServer(i), Service: "s", Addr: testServerAddr(i), Zone: testZone(i % testRegions), Slots: 8, Seq: seq, StartUnixMs: startOfServersEpoch, SeenAt: clock.Now(),
+		}))
+		h.mergeReport(&rpc.AgentReport{Addr: testServerAddr(i), Epoch: 1, Seq: seq, Running: 3, Born: startOfServersEpoch})
+	}
+	require.Eventually(t, func() bool {
+		for _, e := range p.entries {
+			if !e.knows(p.servers, seq) {
+				return false
+			}
+		}
+		return true
+	}, roundTimeout, 10*time.Millisecond)
+}
+
+// crossingPerRound returns the bytes of updates between regions for one announcement and one report of each server.
+func (p *presenceFleet) crossingPerRound(t *testing.T) float64 {
+	seq := uint64(1)
+	for settled := time.Now().Add(presenceSettleTime); time.Now().Before(settled); seq++ {
+		p.round(t, seq)
+	}
+	p.mu.Lock()
+	before := p.crossing
+	p.mu.Unlock()
+	for range countedRounds {
+		p.round(t, seq)
+		seq++
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return float64(p.crossing-before) / countedRounds
+}
+
+// Guards against renewals and reports that cross the links between regions once for each entry, and fill them.
+func TestPresenceBetweenRegionsGrowsWithTheFleetAlone(t *testing.T) {
+	var small, large float64
+	t.Run("small", func(t *testing.T) { small = newPresenceFleet(t, 6).crossingPerRound(t) })
+	t.Run("large", func(t *testing.T) { large = newPresenceFleet(t, 12).crossingPerRound(t) })
+	require.Positive(t, small)
+	t.Logf("bytes between regions in each round: %.0f with %d entries, %.0f with twice as many", small, 6*testRegions, large)
+	assert.Less(t, large/small, maxPresenceGrowth)
+}
