Agents' reports are spread over the control servers that they follow

Cause: an agent sends a report on the first of its streams in the order of addresses, so that the control servers of the lowest addresses forward most of them: of ten the first 20 in 100, the last none.

Change: streams are ordered by the agent's preference, the rendezvous weight by which it chooses control servers anyway.

--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -5,6 +5,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -115,7 +116,8 @@
 }
 
 // SendReport sends an agent's report on all open streams if all is set, else on one of
-// them. One is enough for a report that changes nothing that control servers forward.
+// them. One is enough for a report that changes nothing that control servers forward. Agents prefer different control
+// servers, so that each forwards its part.
 func (c *Client) SendReport(r *rpc.AgentReport, all bool) {
 	for _, stream := range c.streams() {
 		// The goroutine of a failed stream reconnects, and each report is complete
@@ -146,12 +148,13 @@
 	}
 }
 
-// streams returns the open streams in the order of the addresses.
+// streams returns the open streams in the order of this daemon's preference, by rendezvous hashing.
 func (c *Client) streams() []rpc.DRPCFleet_FollowClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []rpc.DRPCFleet_FollowClient
-	for _, addr := range slices.Sorted(maps.Keys(c.known)) {
+	preferred := slices.SortedFunc(maps.Keys(c.known), func(a, b string) int { return cmp.Compare(c.weight(b), c.weight(a)) })
+	for _, addr := range preferred {
 		if s := c.known[addr]; s.stream != nil {
 			out = append(out, s.stream)
 		}
