Presence crosses a region's links once a control server, and yields to what is committed

What callers saw: on the whole fleet changes are not acknowledged for seconds and reads of the configuration get no answer.

Cause: every control server sent each renewal, and one of them each agent's report, to every entry by itself: servers x entries x control servers. The links between regions carry the log, documents and leaves behind it, in the order sent.

Ruled out by reading: retries or a herd of joins as first cause (followers leave while nothing else happens).

Change: entries take renewals, reports and changes of ready servers from the control servers of their own region, two at most, which relay those of the others (follow.presencePolicy); what no chosen one has relayed for a second comes from its control server directly. With three control servers or fewer all send directly, as before. Committed state, leaves, suspicions and signals still come from every control server. Presence on the way to all followers together is bounded by 512 KiB; the rest waits, once a server, for acknowledgements. Relayed renewals and reports tell their age, so that they are no younger signs of life than they are.

Measured, in tests that failed before: bytes between regions for one announcement and one report of each server 7,528 with 18 entries and 14,584 with 36 (1.94 times; 42,579 and 155,427, 3.65 times before). A leave behind a link filled by 728 servers' presence is known to all after 0.34 s with 65 entries and with 130 (4.91 and 8.66 s before). A control server that is cut off from the others: all entries hear of its servers within the test's time limit.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -233,6 +233,8 @@
 	Pace float64
 	// Relays: the agent relays requests to the server; those of earlier builds do not.
 	Relays bool
+	// Age is for how long control servers have had the report.
+	Age time.Duration
 }
 
 // Reported applies an agent's report.
@@ -255,7 +257,7 @@
 		if !r.Loading || !s.agent.loading {
 			since = now
 		}
-		s.agent = agentReport{at: now, resumedAt: s.agent.resumption(now, len(b.services[s.record.Service])), loading: r.Loading, loadingSince: since, models: r.Models, pace: r.Pace, relays: r.Relays}
+		s.agent = agentReport{at: now, madeAt: now.Add(-r.Age), resumedAt: s.agent.resumption(now, r.Age, len(b.services[s.record.Service])), loading: r.Loading, loadingSince: since, models: r.Models, pace: r.Pace, relays: r.Relays}
 		if now.Sub(s.load.decidedAt) >= reportDelay {
 			s.load = load{known: true, running: r.Running, waiting: r.Waiting, at: now, ownInFlight: s.inFlight}
 		}
--- a/internal/balance/liveness.go
+++ b/internal/balance/liveness.go
@@ -10,8 +10,8 @@
 // long before the connection was closed. So no request is sent to a server of which nothing shows that it runs.
 
 const (
-	// reportLag is how old an agent's report is at most when it is received: control servers forward reports every
-	// follow.ReportForwardInterval, a busy one takes as long again, and both are doubled.
+	// reportLag is how old an agent's report is at most when it is received, besides the age that comes with relayed ones: control
+	// servers forward reports every follow.ReportForwardInterval, a busy one takes as long again, and both are doubled.
 	reportLag = 4 * follow.ReportForwardInterval
 	// announcementLag is the same for a server's announcement: control servers forward renewals every 500 ms.
 	announcementLag = 1 * time.Second
@@ -171,15 +171,16 @@
 // ranAfter reports whether the server has certainly run after t: it has written something, its agent has reported
 // its state or has decided by an answer of it, its VM has refused a connection a moment ago, or it has announced itself.
 func (s *Server) ranAfter(t, now time.Time) bool {
-	return s.agentAnsweredAt.After(t) || s.agentDownAt.After(t) && s.agentDown(now) || s.health.lastByteAt.After(t) || s.agent.resumedAt.After(t) || s.agent.at.After(t.Add(reportLag)) ||
+	return s.agentAnsweredAt.After(t) || s.agentDownAt.After(t) && s.agentDown(now) || s.health.lastByteAt.After(t) || s.agent.resumedAt.After(t) || s.agent.madeAt.After(t.Add(reportLag)) ||
 		s.seenAt.After(t.Add(announcementLag))
 }
 
-// resumption returns when reports were resumed last, if the next one comes now in a service of this many servers. All reports that
-// were made before a pause of reportGap, which is at least reportLag, have been received by its end.
-func (r agentReport) resumption(now time.Time, servers int) time.Time {
+// resumption returns when reports were resumed last, if the next one, which control servers have had for age, comes now in a
+// service of this many servers. All reports that were made before a pause of reportGap, which is at least reportLag, have been received by
+// control servers by its end.
+func (r agentReport) resumption(now time.Time, age time.Duration, servers int) time.Time {
 	if now.Sub(r.at) >= reportGap(servers) {
-		return now
+		return now.Add(-age)
 	}
 	return r.resumedAt
 }
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -89,7 +89,8 @@
 
 // agentReport is the last report of the agent beside the server.
 type agentReport struct {
-	at time.Time
+	// at is when it was received, madeAt when a control server had it at the latest.
+	at, madeAt time.Time
 	// resumedAt is when the first report came after a pause of reportGap or more.
 	resumedAt time.Time
 	loading   bool
--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -58,6 +58,10 @@
 	number, acked  uint64
 	stamps         *follow.Stamps
 	waiters        []*waiter
+	// interested: an entry wants presence. truncated: some of it waits for acknowledgements.
+	interested, truncated bool
+	// sender is what the follower was told of this control server.
+	sender *rpc.ControlSender
 	// unacknowledged are the updates on their way, oldest first.
 	unacknowledged []sentUpdate
 }
@@ -127,6 +131,10 @@
 				return
 			}
 			at := h.receive(f, m)
+			if m.Presence != rpc.PresenceInterest_PRESENCE_INTEREST_UNSPECIFIED {
+				h.setInterest(f, m.Presence)
+				continue
+			}
 			if m.Report != nil {
 				h.mergeReport(m.Report)
 				continue
@@ -180,20 +188,17 @@
 		name: hello.Name, role: hello.Role, zone: hello.Zone, region: h.region(hello.Zone), wake: make(chan struct{}, 1),
 		changed: map[string]bool{}, renewed: map[string]bool{}, versions: map[string]ledger.Version{},
 		reports: map[string]bool{}, stamps: follow.NewStamps(clock.Now()),
+		interested: hello.Presence != rpc.PresenceInterest_PRESENCE_INTEREST_UNWANTED,
 	}
-	for addr := range h.reports {
-		if f.role == RoleEntry {
-			f.reports[addr] = true
-		}
-	}
-	for _, b := range h.servers.All() {
-		f.changed[b.ID] = true
-	}
+	h.markAll(f)
 	if f.role != RoleAgent {
 		f.suspicions = h.suspects.All()
 		f.signals = h.signals.All()
 	}
 	h.followers[f] = true
+	if f.wantsPresence() {
+		h.interested[f] = true
+	}
 	if f.role == RoleEntry {
 		h.entries.join(f.name, f.zone) // the others get it with the next renewals
 	}
@@ -205,6 +210,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.followers, f)
+	delete(h.interested, f)
 	if f.role == RoleEntry {
 		h.entries.leave(f.name)
 	}
@@ -236,6 +242,9 @@
 	}
 	f.acked = max(f.acked, m.Acknowledged)
 	f.dropAcknowledged()
+	if f.truncated {
+		f.notifyUrgent()
+	}
 	f.waiters = slices.DeleteFunc(f.waiters, func(w *waiter) bool {
 		if w.number == 0 || w.number > f.acked {
 			return false
@@ -292,24 +301,13 @@
 		outdated = f.addEntries(u, h.entries) || outdated
 		outdated = f.addEvacuations(u, state.Evacuations, now) || outdated
 	}
+	outdated = h.addSender(f, u) || outdated
 	if f.role != RoleControl {
 		outdated = f.addConfig(u, state, now, h.agents) || outdated
 	}
 	outdated = f.addVersions(u, state.Versions, asOf, h.versionBound) || outdated
 	f.informed = state
-	for id := range f.changed {
-		if b := h.servers.Get(id); b != nil {
-			u.Servers = append(u.Servers, follow.ServerToProto(b, now))
-		}
-	}
-	for id := range f.renewed {
-		if b := h.servers.Get(id); b != nil && !f.changed[id] {
-			u.Seen = append(u.Seen, &rpc.ServerSeen{Id: id, Born: b.StartUnixMs, Seq: b.Seq})
-		}
-	}
-	for addr := range f.reports {
-		u.Reports = append(u.Reports, h.reports[addr])
-	}
+	size := h.addServers(f, u, now)
 	u.Suspicions = follow.SuspicionsToProto(f.suspicions, now)
 	u.Signals = follow.SignalsToProto(f.signals, now)
 	u.Turns = f.turns
@@ -317,12 +315,9 @@
 		return nil
 	}
 	f.suspicions, f.signals, f.turns = nil, nil, nil
-	clear(f.changed)
-	clear(f.renewed)
-	clear(f.reports)
 	f.number++
 	u.Number = f.number
-	f.sent(now)
+	f.sent(now, size)
 	f.stamp(u, asOf)
 	for _, w := range f.waiters {
 		if w.number == 0 {
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -41,6 +41,9 @@
 	refused      *refusals
 	agents       *agentConfigs
 	traffic      *traffic
+	zone         string
+	// forwarding returns the control servers that forward their presence to this one; it may be nil.
+	forwarding func() []string
 	// regionOf is Config.RegionOf.
 	regionOf func(zone string) string
 	// versionBound is Config.VersionBound.
@@ -49,9 +52,14 @@
 	mu        sync.Mutex
 	servers   *directory.Directory
 	followers map[*follower]bool
-	entries   *entryList
+	// interested are the followers that are sent presence.
+	interested map[*follower]bool
+	entries    *entryList
+	// relaying: control servers relay presence. relays are those whose presence this one relays.
+	relaying bool
+	relays   []string
 	// reports are the agents' newest reports by address of the backend server.
-	reports map[string]*rpc.AgentReport
+	reports map[string]receivedReport
 	// suspects holds the suspicions of all entries.
 	suspects *quarantine.Table
 	// signals are those that backend servers have sent to entries.
@@ -70,8 +78,8 @@
 		ledger: l, controlAddrs: controlAddrs, log: log,
 		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
 		agents: &agentConfigs{decode: decode}, traffic: newTraffic(),
-		servers: directory.New(announceInterval), followers: map[*follower]bool{}, entries: newEntryList(),
-		reports: map[string]*rpc.AgentReport{}, suspects: quarantine.New(), signals: backpressure.NewTable(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
+		servers: directory.New(announceInterval), followers: map[*follower]bool{}, interested: map[*follower]bool{}, entries: newEntryList(),
+		reports: map[string]receivedReport{}, suspects: quarantine.New(), signals: backpressure.NewTable(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
 		pauses: pauses{now: clock.Now},
 	}
 }
@@ -97,9 +105,10 @@
 			now := clock.Now()
 			recent := h.namedWithinBound(now)
 			h.wakeFor(func(f *follower) bool {
-				return recent && f.namingsDue(now) || len(f.renewed) > 0 || f.role == RoleEntry && f.entriesVersion != h.entries.version
+				return recent && f.namingsDue(now) || len(f.renewed) > 0 || f.role == RoleEntry && f.entriesVersion != h.entries.version || h.senderOutdated(f)
 			})
 		case <-report.C:
+			h.updateRelays()
 			h.mu.Lock()
 			h.noteRunning()
 			h.mu.Unlock()
@@ -165,6 +174,9 @@
 		h.log.Info().Str("server", b.ID).Int64("born", b.StartUnixMs).Str("service", b.Service).Str("addr", b.Addr).Str("zone", b.Zone).
 			Stringer("state", b.State).Uint64("seq", b.Seq).Str("source", source).Msg("backend server changed")
 		for f := range h.followers {
+			if !f.wantsServer(b.State) {
+				continue
+			}
 			f.changed[b.ID] = true
 			if b.State != fleet.StateReady {
 				f.notifyUrgent()
@@ -173,23 +185,11 @@
 			}
 		}
 	case directory.Renewed:
-		h.markRenewed(b.ID)
+		h.markRenewed(b.ID, false)
 	}
 	return change
 }
 
-// markRenewed marks a renewal for followers, unless it may have come during a pause. The caller holds the lock.
-func (h *hub) markRenewed(id string) {
-	if h.noteRunning() {
-		return
-	}
-	for f := range h.followers {
-		if f.role != RoleAgent { // agents need changes only
-			f.renewed[id] = true
-		}
-	}
-}
-
 // announce merges an announcement and, if the server leaves, waits until the
 // followers have acknowledged it.
 func (h *hub) announce(ctx context.Context, b fleet.BackendServer) error {
@@ -228,6 +228,9 @@
 		h.mergeSignals(follow.SignalsFromProto(u.Signals, clock.Now()))
 	}
 	h.mergeNamings(u.Versions, at)
+	for _, r := range u.Reports {
+		h.mergeReportAt(r, clock.Now().Add(-time.Duration(u.ReportsAgeMs)*time.Millisecond), true)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := clock.Now()
@@ -235,8 +238,8 @@
 		h.merge(follow.ServerFromProto(s, now), source)
 	}
 	for _, s := range u.Seen {
-		if h.servers.Renew(s.Id, s.Born, s.Seq, now) == directory.Renewed {
-			h.markRenewed(s.Id)
+		if h.servers.Renew(s.Id, s.Born, s.Seq, follow.SeenAt(s, now)) == directory.Renewed {
+			h.markRenewed(s.Id, true)
 		}
 	}
 }
@@ -247,30 +250,3 @@
 		h.ledger.MergeNaming(m.Model, ledger.NamingFromProto(m, at.AsOf, at.Echoed))
 	}
 }
-
-// mergeReport merges an agent's report and marks it for entries. A change of the loaded
-// models, or of whether the engine is loading, is sent at once, since it changes where
-// requests may be dispatched; other reports wait for run. Reports that may have come during
-// a pause are dropped.
-func (h *hub) mergeReport(r *rpc.AgentReport) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.noteRunning() {
-		return // the next one comes within half a second
-	}
-	known := h.reports[r.Addr]
-	if known != nil && known.Epoch == r.Epoch && known.Seq >= r.Seq {
-		return
-	}
-	h.reports[r.Addr] = r
-	urgent := known == nil || known.Loading != r.Loading || !follow.SameModels(known.Models, r.Models)
-	for f := range h.followers {
-		if f.role != RoleEntry {
-			continue
-		}
-		f.reports[r.Addr] = true
-		if urgent {
-			f.notify()
-		}
-	}
-}
--- a/internal/fleetcontrol/traffic.go
+++ b/internal/fleetcontrol/traffic.go
@@ -132,16 +132,30 @@
 type sentUpdate struct {
 	number uint64
 	at     time.Time
+	// presence are its bytes of presence.
+	presence int
 }
 
 // maxSentUpdates bounds the updates whose times are kept for one follower.
 const maxSentUpdates = 64
 
-// sent records that an update is sent.
-func (f *follower) sent(now time.Time) {
-	if len(f.unacknowledged) < maxSentUpdates {
-		f.unacknowledged = append(f.unacknowledged, sentUpdate{number: f.number, at: now})
+// sent records that an update with this many bytes of presence is sent. Beyond maxSentUpdates the last one stands for all later ones.
+func (f *follower) sent(now time.Time, presence int) {
+	if n := len(f.unacknowledged); n == maxSentUpdates {
+		last := &f.unacknowledged[n-1]
+		last.number = f.number
+		last.presence += presence
+		return
 	}
+	f.unacknowledged = append(f.unacknowledged, sentUpdate{number: f.number, at: now, presence: presence})
+}
+
+// presenceInFlight returns the bytes of presence that the follower has not acknowledged.
+func (f *follower) presenceInFlight() (bytes int) {
+	for _, u := range f.unacknowledged {
+		bytes += u.presence
+	}
+	return bytes
 }
 
 // dropAcknowledged drops the times of the updates that were acknowledged.
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -64,6 +64,7 @@
 	viewer := follow.NewViewer(cfg.Decode, g.SetView, cfg.AnnounceInterval, cfg.Logger)
 	viewer.OnReport, viewer.OnRenewal, viewer.OnSuspicions, viewer.OnSignals = g.AddReport, g.Renew, g.MergeSuspicions, g.MergeSignals
 	following := followerConfig(cfg, fleetcontrol.RoleEntry, viewer)
+	following.RegionOf = regionOf(cfg)
 	following.Suspicions, following.Signals = g.Suspicions, g.Signals
 	client = follow.New(following)
 	registry.MustRegister(client.Collectors()...)
@@ -103,6 +104,14 @@
 	}
 }
 
+// regionOf returns Config.RegionOf; without it no region is known, and zones alone tell which control servers are near.
+func regionOf(cfg *Config) func(zone string) string {
+	if cfg.RegionOf == nil {
+		return func(string) string { return "" }
+	}
+	return cfg.RegionOf
+}
+
 func (r *entryRole) register(*drpcmux.Mux) error { return nil }
 
 func (r *entryRole) run(ctx context.Context) error {
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -60,6 +60,9 @@
 	Name string
 	Zone string
 	Role string
+	// RegionOf returns the region of a zone, empty if it is not known. Entries with it take presence from the nearest control
+	// servers; if it is nil, every control server sends it.
+	RegionOf func(zone string) string
 	// Self is the rpc address of this daemon if it is a control server: it does
 	// not follow itself.
 	Self string
@@ -113,6 +116,11 @@
 	failedAt time.Time
 	// stream is nil while there is no open stream.
 	stream rpc.DRPCFleet_FollowClient
+	// presence is nil until the control server has told its zone on this stream, and interest what it was told last.
+	presence *presenceSource
+	interest rpc.PresenceInterest
+	// forwards: it forwards presence to other control servers.
+	forwards bool
 }
 
 // SendReport sends an agent's report on all open streams if all is set, else on one of
@@ -170,11 +178,13 @@
 	}
 }
 
-func (c *Client) setStream(addr string, stream rpc.DRPCFleet_FollowClient) {
+// setStream records an open stream whose control server was told this interest in presence.
+func (c *Client) setStream(addr string, stream rpc.DRPCFleet_FollowClient, interest rpc.PresenceInterest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s := c.known[addr]; s != nil {
-		s.stream = stream
+		s.stream, s.interest = stream, interest
+		s.presence, s.forwards = nil, false
 	}
 }
 
@@ -184,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s := c.known[addr]; s != nil && s.stream == stream {
-		s.stream = nil
+		s.stream, s.presence, s.forwards = nil, nil, false
 	}
 }
 
@@ -200,6 +210,7 @@
 	for {
 		c.addListed(ctx, c.cfg.Seeds())
 		c.dropUnlisted()
+		c.updatePresence()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -373,13 +384,15 @@
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
 	in := newSession(stream)
-	if err := in.send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role}); err != nil {
+	interest := c.interestAtStart()
+	if err := in.send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role, Presence: interest}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
 	if err := c.sendKnown(stream); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
-	c.setStream(addr, stream)
+	c.setStream(addr, stream, interest)
+	defer c.updatePresence() // another control server takes over
 	defer c.removeStream(addr, stream)
 	var listed []string // the control servers last listed by this one; it sends the list only when it changes
 	for {
@@ -407,6 +420,9 @@
 		}
 		received++
 		c.deliverTurns(stream, u.Turns)
+		if u.Sender != nil {
+			c.noteSender(addr, u.Sender)
+		}
 		c.cfg.Update(addr, u, at)
 		if u.ConfigVersion > 0 {
 			c.sendConfigVersion(stream)
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -50,9 +50,9 @@
 	OnSuspicions func(updates []quarantine.Update)
 	// OnSignals is called with the signals of backend servers in an update; it may be nil.
 	OnSignals func(updates []backpressure.Update)
-	// OnReport is called with each new report of an agent, OnRenewal when a server has
-	// announced itself without a change; both may be nil.
-	OnReport  func(r *rpc.AgentReport)
+	// OnReport is called with each new report of an agent, which it made at least age ago. OnRenewal is called when a server has
+	// announced itself without a change. Both may be nil.
+	OnReport  func(r *rpc.AgentReport, age time.Duration)
 	OnRenewal func(id string, at time.Time)
 
 	view atomic.Pointer[View]
@@ -123,7 +123,7 @@
 		}
 		v.reports[r.Addr] = r
 		if v.OnReport != nil {
-			v.OnReport(r)
+			v.OnReport(r, time.Duration(u.ReportsAgeMs)*time.Millisecond)
 		}
 	}
 }
@@ -269,8 +269,9 @@
 		}
 	}
 	for _, s := range u.Seen {
-		if v.servers.Renew(s.Id, s.Born, s.Seq, now) != directory.Unchanged && v.OnRenewal != nil {
-			v.OnRenewal(s.Id, now)
+		at := SeenAt(s, now)
+		if v.servers.Renew(s.Id, s.Born, s.Seq, at) != directory.Unchanged && v.OnRenewal != nil {
+			v.OnRenewal(s.Id, at)
 		}
 	}
 	if now.After(v.nextForget) {
--- a/internal/follow/wire.go
+++ b/internal/follow/wire.go
@@ -30,6 +30,11 @@
 	return b
 }
 
+// SeenAt returns when a control server received the announcement of a renewal that is read at a time.
+func SeenAt(s *rpc.ServerSeen, now time.Time) time.Time {
+	return now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
+}
+
 // ModelsToProto returns the wire form of the models that an engine has loaded.
 func ModelsToProto(models []fleet.Loaded) []*rpc.LoadedModel {
 	var out []*rpc.LoadedModel
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,11 +155,11 @@
 	g.updateRetryFloors(clock.Now())
 }
 
-// AddReport adds an agent's report.
-func (g *Gateway) AddReport(r *rpc.AgentReport) {
+// AddReport adds a report that an agent made at least age ago.
+func (g *Gateway) AddReport(r *rpc.AgentReport, age time.Duration) {
 	g.balancer.Reported(clock.Now(), balance.Report{
 		Addr: r.Addr, StartUnixMs: r.Born, Loading: r.Loading, Models: follow.ModelsFromProto(r.Models),
-		Running: int(r.Running), Waiting: int(r.Waiting), Pace: r.Pace, Relays: r.Relays,
+		Running: int(r.Running), Waiting: int(r.Waiting), Pace: r.Pace, Relays: r.Relays, Age: age,
 	})
 }
 
