--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -250,10 +250,14 @@
 
 // Announce processes an announcement of a backend server. If the server leaves, it returns
 // once all followers have acknowledged this, or after leaveTimeout: followers that have not
-// answered by then are unreachable. An announcement for a service that is not declared is
-// counted and has no effect; the caller gets no error.
+// answered by then are unreachable. An announcement for a service that is not declared, or
+// that can't be encoded for followers, is counted and has no effect; the caller gets no error.
 func (s *Server) Announce(ctx context.Context, b fleet.BackendServer) error {
 	b.SeenAt = clock.Now()
+	if err := checkEncodable(&b); err != nil {
+		s.hub.refused.add(b.SeenAt, b.ID, reasonUnreadable, err)
+		return nil
+	}
 	if err := s.hub.checkService(&b); err != nil {
 		s.hub.refused.add(b.SeenAt, b.ID, reasonUnknownService, err)
 		return nil
--- a/internal/fleetcontrol/writers.go
+++ b/internal/fleetcontrol/writers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -42,6 +43,21 @@
 	}, []string{"reason"})}
 }
 
+// checkEncodable returns an error if a record has a text that is no UTF-8. An update with it could not be sent, nor any
+// later one, since a record is sent to each follower that joins.
+func checkEncodable(b *fleet.BackendServer) error {
+	texts := []string{b.ID, b.Service, b.Addr, b.Zone}
+	for _, m := range b.Models {
+		texts = append(texts, m.Model)
+	}
+	for _, text := range texts {
+		if !utf8.ValidString(text) {
+			return fmt.Errorf("text %.40q is no UTF-8", text)
+		}
+	}
+	return nil
+}
+
 // maxLoggedBytes bounds each text of a refused announcement in a log line.
 const maxLoggedBytes = 200
 
