--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -307,6 +307,8 @@
 	ResultReplaced
 	// ResultSilent: nothing came from it, neither for this request nor for others.
 	ResultSilent
+	// ResultForeign: something that is no backend server answered at its address.
+	ResultForeign
 	// ResultTimedOut: it answered that the request's deadline has passed. It may hang, or be overloaded.
 	ResultTimedOut
 	// ResultUnknown: nothing is known about the server; the caller left, or the deadline passed.
@@ -340,11 +342,11 @@
 	case ResultBusy:
 		b.learnUnseen(c, now, true)
 		s.busyUntil = now.Add(busyBackoff)
-	case ResultFailed, ResultSilent:
+	case ResultFailed, ResultSilent, ResultForeign:
 		if result == ResultSilent && s.engine != nil {
 			s.excess.raiseTo(now, silentExcess)
 		}
-		if s.health.failed(now) || (result == ResultSilent && s.health.ejectOnce(now)) {
+		if s.health.failed(now) || (result != ResultFailed && s.health.ejectOnce(now)) {
 			b.cfg.Logger.Warn().Str("server", s.ID).Str("addr", s.Addr).Dur("for", s.health.ejectionTime).
 				Float64("failures", s.health.failures).Msg("backend server set aside")
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -168,12 +168,27 @@
 	switch {
 	case notRun:
 		return c.notRun(watch, a)
-	case a.StatusCode/100 != 2:
+	case a.StatusCode >= http.StatusInternalServerError || a.StatusCode/100 != 2 && c.signed(a):
 		return c.failedAnswer(watch, a)
+	case a.StatusCode/100 != 2:
+		return c.foreignAnswer(watch, a)
 	}
 	return c.brokenAnswer(watch, "answer without a signature", nil)
 }
 
+// foreignAnswer handles a denial or redirection that no backend server has signed: something else answers at its address.
+// What it did with the request is not known.
+func (c *call) foreignAnswer(watch *watchdog, a *dispatch.Answer) attemptResult {
+	c.g.balancer.Done(&c.choice, clock.Now(), balance.ResultForeign)
+	what := "no backend server answered: " + strconv.Itoa(a.StatusCode)
+	c.logAttempt(watch, what, nil)
+	if c.route.Idempotent() {
+		return attemptAgain
+	}
+	c.giveUp(what)
+	return attemptFinal
+}
+
 // isNotRun reports whether the answer states that the server did not run the request.
 func (c *call) isNotRun(a *dispatch.Answer) bool {
 	return a.Header.Get(c.g.cfg.Headers.NotRun) != "" || a.StatusCode == http.StatusMisdirectedRequest
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -248,11 +248,18 @@
 		status int
 		sends  int
 	}{
-		"refused by the servers":   {"/unsafe/1", notRun, http.StatusServiceUnavailable, 2},
-		"cut, may have run":        {"/unsafe/1", cut, http.StatusBadGateway, 1},
-		"cut stream, may have run": {"/once/1", cut, http.StatusBadGateway, 1},
-		"cut twice, idempotent":    {"/safe/1", cut, http.StatusBadGateway, 2},
-		"not signed":               {"/unsafe/1", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }, http.StatusBadGateway, 1},
+		"refused by the servers":         {"/unsafe/1", notRun, http.StatusServiceUnavailable, 2},
+		"cut, may have run":              {"/unsafe/1", cut, http.StatusBadGateway, 1},
+		"cut stream, may have run":       {"/once/1", cut, http.StatusBadGateway, 1},
+		"cut twice, idempotent":          {"/safe/1", cut, http.StatusBadGateway, 2},
+		"not signed":                     {"/unsafe/1", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }, http.StatusBadGateway, 1},
+		"denied, not signed":             {"/unsafe/1", http.NotFound, http.StatusBadGateway, 1},
+		"denied, not signed, idempotent": {"/safe/1", http.NotFound, http.StatusBadGateway, 2},
+		"redirected, not signed":         {"/unsafe/1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(302) }, http.StatusBadGateway, 1},
+		"denied by the server": {"/unsafe/1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headers.Signature, "signed")
+			w.WriteHeader(404)
+		}, 404, 1},
 		"its own failure": {"/unsafe/1", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(headers.Signature, "signed")
 			w.WriteHeader(500)
