Labels of prompt parts are UTF-8, so that suspicions can be sent

Bytes that are no UTF-8, or a cut within a character, make a suspicion that no daemon can encode, and end the streams on which it is sent, once a server has crashed under such a request.

Change: such bytes are replaced in the label; digests are of the bytes as before.

The stream that ends was not brought about.

--- a/internal/quarantine/candidate.go
+++ b/internal/quarantine/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strings"
 
 	"lukechampine.com/blake3"
 )
@@ -19,14 +20,15 @@
 // whoever sends it. It counts only once servers have crashed under requests of two organisations, so that none can have the
 // parts of others quarantined. The second one is the part in the requests of this organisation.
 func PartCandidates(organisation, model, part string) [2]Candidate {
-	label := part[:min(len(part), maxLabel)]
+	label := strings.ToValidUTF8(part[:min(len(part), maxLabel)], "?")
 	return [2]Candidate{
 		{Digest: partDigest("", "", model, part), Origin: originOf(organisation), Part: label},
 		{Digest: partDigest("organisation", organisation, model, part), Part: label},
 	}
 }
 
-// maxLabel bounds the ids of parts that are kept for operators, in bytes. Callers choose them.
+// maxLabel bounds the ids of parts that are kept for operators, in bytes. Callers choose them; a label that is no UTF-8 could
+// not be sent to other daemons.
 const maxLabel = 64
 
 // partDomain is hashed where DigestOf has the length of an organisation's name, which is shorter.
