A server keeps its service until it starts again

Cause: an announcement under a known id, of another declared service and with a high sequence number, replaced the server's record.

Change: without a later start it is refused and counted.

Measured: TestServerKeepsItsServiceUntilItStartsAgain fails before and passes now.

--- a/internal/fleetcontrol/writers.go
+++ b/internal/fleetcontrol/writers.go
@@ -125,7 +125,8 @@
 
 // checkService returns an error unless an announcement is of a server of this fleet: its
 // service is declared, or the server is already known with it. The latter is so for a server
-// that leaves after its service was removed from the configuration.
+// that leaves after its service was removed from the configuration. A server does not change
+// its service without a new start.
 func (h *hub) checkService(b *fleet.BackendServer) error {
 	h.mu.Lock()
 	known := h.servers.Get(b.ID)
@@ -133,6 +134,8 @@
 	switch {
 	case b.Service == "" && b.State == fleet.StateGone: // a leave contains only the id
 	case known != nil && known.Service == b.Service:
+	case known != nil && b.StartUnixMs <= known.StartUnixMs:
+		return fmt.Errorf("service %q is not that of the server, %q", b.Service, known.Service)
 	case !h.services.has(b.Service):
 		return fmt.Errorf("service %q is not declared", b.Service)
 	}
--- a/internal/fleetcontrol/writers_test.go
+++ b/internal/fleetcontrol/writers_test.go
@@ -124,3 +124,20 @@
 	other.configAt = other.configAt.Add(-time.Minute)
 	assert.EqualValues(t, 9, h.next(other).ConfigVersion, "its services may differ")
 }
+
+// Guards against requests that are sent to a server of another service, since someone else has announced its id.
+func TestServerKeepsItsServiceUntilItStartsAgain(t *testing.T) {
+	h := newHub(ledger.New(time.Now), func() []string { return nil }, time.Second, decodeServices, zerolog.Nop())
+	s := &Server{hub: h}
+	declare(t, h, 1, "drafts plain")
+	announce := func(service string, seq uint64, born int64) string {
+		require.NoError(t, s.Announce(t.Context(), fleet.BackendServer{ID: "a", Service: service, Addr: "10.0.0.1:1", Seq: seq, StartUnixMs: born}))
+		return h.servers.Get("a").Service
+	}
+	announce("drafts", 1, 0)
+	assert.Equal(t, "drafts", announce("plain", 1000, 0))
+	assert.EqualValues(t, 1, counted(t, h.refused, reasonUnknownService))
+	assert.Equal(t, "drafts", announce("drafts", 2, 5))
+	assert.Equal(t, "drafts", announce("plain", 1000, 5))
+	assert.Equal(t, "plain", announce("plain", 1, 6))
+}
