A wrong digest of a piece is corrected by a second answer

Why our checks missed it: the stand-in's origin spoilt pieces, never a manifest, and no test bounded what the origin is asked.

Cause: the first manifest with the right number of digests was kept for good and passed on to peers; a piece that didn't match was taken for spoilt each time, and requested again at once.

Change: a piece that two independent answers don't match puts its digest in doubt. Digests are requested again, from peers that sent such bytes and then from the origin, and the one that the bytes match replaces it; nothing else of the set changes. Digests in doubt aren't passed on.

Weighed: a majority of manifests (needs three answers of the origin, and peers' copies are not independent); a new set with the newest manifest (loses nothing, but one wrong digit elsewhere begins it anew).

--- a/internal/staging/digests.go
+++ b/internal/staging/digests.go
@@ -80,15 +80,9 @@
 			return nil, ctx.Err()
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
-	defer cancel()
-	digests, err := s.cfg.Origin.Digests(ctx, g.origin.Addr, g.model, g.version)
-	s.recordOrigin(err, clock.Now())
+	digests, err := s.digestsFromOrigin(ctx, g)
 	if err != nil {
-		return nil, fmt.Errorf("digests from the origin: %w", err)
-	}
-	if len(digests) != g.engine.Pieces {
-		return nil, fmt.Errorf("origin returned %d digests, the configuration has %d pieces", len(digests), g.engine.Pieces)
+		return nil, err
 	}
 	s.log.Info().Str("model", g.model).Uint64("version", g.version).Msg("digests taken from the origin")
 	return digests, nil
@@ -149,7 +143,7 @@
 			taken++
 		}
 	}
-	if taken == len(set.digests) {
+	if taken == set.size() {
 		s.verification.record(g.key(), began)
 	}
 	s.log.Info().Uint64("version", g.version).Int("held", len(staged)).Int("taken", taken).Msg("staged pieces taken in")
--- a/internal/staging/fetch.go
+++ b/internal/staging/fetch.go
@@ -92,6 +92,7 @@
 			return errSuperseded
 		}
 		f.refresh(clock.Now())
+		f.recheckDigests(ctx, clock.Now())
 		if due {
 			f.startFetches(ctx, missing)
 		}
@@ -135,7 +136,7 @@
 	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	slices.SortStableFunc(missing, func(a, b int) int { return count[a] - count[b] })
 	for _, piece := range missing {
-		if f.inFlight[piece] {
+		if f.inFlight[piece] || !f.set.mayRequest(piece, now) {
 			continue
 		}
 		if f.large() && f.directRequests < maxDirect && !f.askedDirectly[piece] && count[piece] == 0 && f.zoneRank(piece) == 0 {
--- a/internal/staging/fetched.go
+++ b/internal/staging/fetched.go
@@ -77,6 +77,7 @@
 	if r.err == nil && !f.set.put(r.piece, r.data) {
 		r.err = errDigest
 		f.dropHolder(r.peer, r.piece)
+		f.set.noteMismatch(r.piece, r.peer, r.data, clock.Now())
 	}
 	if r.err != nil {
 		f.startBackoff(r)
@@ -134,7 +135,8 @@
 }
 
 // startBackoff starts a backoff for the source of a failed fetch. A piece from the origin that
-// was corrupted in transit is requested again immediately, because there is no other source.
+// was corrupted in transit once is requested again immediately, because there is no other source;
+// after that, noteMismatch delays it.
 func (f *fetcher) startBackoff(r fetchResult) {
 	now := clock.Now()
 	switch {
--- a/internal/staging/load.go
+++ b/internal/staging/load.go
@@ -53,7 +53,7 @@
 func (s *Stager) verifyStaged(ctx context.Context, g goal, set *pieceSet) error {
 	began := s.now()
 	s.verification.stagingBegan(g.key(), began)
-	for i, digest := range set.digests {
+	for i, digest := range set.allDigests() {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		data, err := s.cfg.Engine.Get(callCtx, g.model, i)
 		cancel()
--- a/internal/staging/orders.go
+++ b/internal/staging/orders.go
@@ -95,14 +95,18 @@
 func (s *Stager) verifyLoaded(ctx context.Context, model string, version uint64) {
 	set := s.sets.get(key{model, version})
 	intact := set != nil
-	for i := 0; intact && i < len(set.digests); i++ {
+	var digests []Digest
+	if intact {
+		digests = set.allDigests()
+	}
+	for i := 0; intact && i < len(digests); i++ {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		data, err := s.cfg.Engine.Get(callCtx, model, i)
 		cancel()
 		if err != nil && !errors.Is(err, ErrNotStaged) {
 			return // tried again after the next report
 		}
-		intact = err == nil && sha256.Sum256(data) == set.digests[i]
+		intact = err == nil && sha256.Sum256(data) == digests[i]
 	}
 	s.orders.unverified, s.orders.restaged = !intact, !intact
 	s.log.Info().Str("model", model).Uint64("version", version).Bool("intact", intact).Dur("since_order_ms", clock.Since(s.orderedAt)).
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -18,6 +18,8 @@
 	failures *prometheus.CounterVec
 	orders   prometheus.Counter
 	relaid   prometheus.Counter
+	// corrected counts the digests that were wrong.
+	corrected prometheus.Counter
 }
 
 // NewMetrics returns metrics registered with r.
@@ -38,8 +40,11 @@
 		relaid: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lynxgate_staging_relaid_total", Help: "Pieces that were spoilt at the engine and laid anew before a load.",
 		}),
+		corrected: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lynxgate_staging_digests_corrected_total", Help: "Digests of pieces that were received wrong, and corrected.",
+		}),
 	}
-	r.MustRegister(m.pieces, m.bytes, m.failures, m.orders, m.relaid)
+	r.MustRegister(m.pieces, m.bytes, m.failures, m.orders, m.relaid, m.corrected)
 	return m
 }
 
@@ -214,11 +219,11 @@
 	time.Sleep(wait)
 }
 
-// Digests returns the digests of a version, or none if they are not known here.
+// Digests returns the digests of a version, or none if they are not known here or in doubt.
 func (s *server) Digests(_ context.Context, req *rpc.HeldRequest) (*rpc.DigestsResponse, error) {
 	resp := &rpc.DigestsResponse{}
-	if set := s.stager.sets.get(key{req.Model, req.Version}); set != nil {
-		for _, d := range set.digests {
+	if set := s.stager.sets.get(key{req.Model, req.Version}); set != nil && !set.inDoubt() {
+		for _, d := range set.allDigests() {
 			resp.Digests = append(resp.Digests, d[:])
 		}
 	}
--- a/internal/staging/sets.go
+++ b/internal/staging/sets.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,7 +41,7 @@
 	if known := s.sets[k]; known != nil {
 		return known
 	}
-	set := newPieceSet(digests)
+	set := newPieceSet(slices.Clone(digests))
 	s.sets[k] = set
 	oldest, count := k, 0
 	for other := range s.sets {
@@ -60,14 +61,20 @@
 
 // pieceSet contains the verified pieces of one version.
 type pieceSet struct {
-	digests []Digest
 	// createdAt is when the set was created: its digests were not known here before.
 	createdAt time.Time
 
-	mu      sync.Mutex
-	pieces  [][]byte
-	order   []uint32 // pieces in the order of their arrival
-	changed chan struct{}
+	mu sync.Mutex
+	// digests are corrected where they turn out to be wrong; their number is constant.
+	digests []Digest
+	// mismatches are the missing pieces whose bytes did not match.
+	mismatches map[int]*mismatch
+	// recheckAt is when digests may be requested again, after this many rechecks that corrected none.
+	recheckAt time.Time
+	rechecks  int
+	pieces    [][]byte
+	order     []uint32 // pieces in the order of their arrival
+	changed   chan struct{}
 	// imported is true once the import of the pieces staged at the engine has begun.
 	imported bool
 	// complete is when the last piece arrived.
@@ -77,7 +84,7 @@
 }
 
 func newPieceSet(digests []Digest) *pieceSet {
-	return &pieceSet{digests: digests, createdAt: clock.Now(), pieces: make([][]byte, len(digests)), changed: make(chan struct{}), peerPieces: map[int]bool{}}
+	return &pieceSet{digests: digests, mismatches: map[int]*mismatch{}, createdAt: clock.Now(), pieces: make([][]byte, len(digests)), changed: make(chan struct{}), peerPieces: map[int]bool{}}
 }
 
 // addPeerPiece records that a peer has a piece, and reports whether it is the first peer.
@@ -106,11 +113,13 @@
 
 // put adds a piece if its digest matches, and reports whether it does.
 func (p *pieceSet) put(piece int, data []byte) bool {
-	if piece < 0 || piece >= len(p.digests) || sha256.Sum256(data) != p.digests[piece] {
-		return false
-	}
+	digest := Digest(sha256.Sum256(data))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if piece < 0 || piece >= len(p.digests) || digest != p.digests[piece] {
+		return false
+	}
+	delete(p.mismatches, piece)
 	if p.pieces[piece] == nil {
 		p.pieces[piece] = data
 		p.order = append(p.order, uint32(piece))
@@ -123,6 +132,16 @@
 	return true
 }
 
+// size returns the number of pieces of the version.
+func (p *pieceSet) size() int { return len(p.pieces) }
+
+// allDigests returns a copy of the digests.
+func (p *pieceSet) allDigests() []Digest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.digests)
+}
+
 func (p *pieceSet) get(piece int) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
