An agent releases a slot before the entry has the answer's first bytes

Cause: the engine's bytes were written to the entry as they were read, and parsed afterwards; the entry's next request could come in between.

Change: bytes are written when the next ones are read, after the parser is done with them, or at the end of an answer, and nothing waits for the engine in between.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -24,6 +24,7 @@
 type engineConn struct {
 	net.Conn
 	source endRecorder
+	passer passer
 	br     *bufio.Reader
 	// current is the request whose answer is awaited, nil if there is none.
 	current atomic.Pointer[exchange]
@@ -49,6 +50,33 @@
 	return n, err
 }
 
+// passer reads the engine's bytes, and writes them to the entry when the next ones are read, or at flush. So what is learned of an
+// answer from the last bytes takes effect before the entry has them.
+type passer struct {
+	source io.Reader
+	entry  io.Writer
+	unsent []byte
+	// err is that of the last write to the entry; nothing follows it.
+	err error
+}
+
+func (p *passer) Read(b []byte) (int, error) {
+	if err := p.flush(); err != nil {
+		return 0, err
+	}
+	n, err := p.source.Read(b)
+	p.unsent = append(p.unsent[:0], b[:n]...)
+	return n, err
+}
+
+func (p *passer) flush() error {
+	if len(p.unsent) > 0 && p.err == nil {
+		_, p.err = p.entry.Write(p.unsent)
+		p.unsent = p.unsent[:0]
+	}
+	return p.err
+}
+
 // dialEngine connects to the engine at addr and starts to pass its bytes back to the entry.
 func dialEngine(ctx context.Context, addr string, entry io.Writer) (*engineConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
@@ -57,7 +85,8 @@
 		return nil, fmt.Errorf("connect to the engine: %w", err)
 	}
 	e := &engineConn{Conn: nc, source: endRecorder{Reader: nc}, ended: make(chan struct{})}
-	e.br = bufio.NewReaderSize(io.TeeReader(&e.source, entry), engineBuffer)
+	e.passer = passer{source: &e.source, entry: entry}
+	e.br = bufio.NewReaderSize(&e.passer, engineBuffer)
 	go e.passBack()
 	return e, nil
 }
@@ -66,7 +95,8 @@
 func (e *engineConn) passBack() {
 	defer close(e.ended)
 	for {
-		if err := e.passMessage(); err != nil {
+		err := e.passMessage()
+		if flushErr := e.passer.flush(); err != nil || flushErr != nil {
 			return
 		}
 	}
@@ -98,6 +128,9 @@
 	if answer {
 		x.begin()
 		e.current.Store(nil)
+		if err := e.passer.flush(); err != nil {
+			return err
+		}
 		close(x.complete)
 	}
 	if unframed {
