Race between a handover and the log line of its call

Cause: call.want, which handovers use, stores the accepted wait that call.describeSize logs; the handover runs beside the call.

Change: the value is atomic.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,10 +45,10 @@
 	body      []byte
 	// holds is how many bytes of bodies the call has reserved; they are released at its end.
 	holds atomic.Int64
-	// size is the size that the caller states. allowed is the longest predicted wait that was
-	// accepted at the last choice of a server.
+	// size is the size that the caller states. allowed is the longest predicted wait, in nanoseconds, that was
+	// accepted at the last choice of a server, also at that of a handover.
 	size    size
-	allowed time.Duration
+	allowed atomic.Int64
 	// content is the digest of the request's content, computed by the method digest.
 	content    quarantine.Digest
 	digestOnce sync.Once
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -54,7 +54,7 @@
 	if e := c.engine(); e != nil {
 		w.Read = e.PrefillTime(c.promptTokens(e))
 		w.Budget = c.g.queues.allowance(c.service, share, e.PassTime())
-		c.allowed = w.Budget
+		c.allowed.Store(int64(w.Budget))
 		w.Answer = c.expectedAnswer()
 		// A request whose prompt alone takes the objective is late at any server.
 		if !c.clientRetry && w.Read+e.PassTime() < c.route.Objective {
--- a/internal/gateway/size.go
+++ b/internal/gateway/size.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -95,7 +96,7 @@
 	if c.view.Table == nil || c.engine() == nil {
 		return
 	}
-	event.Int("prompt", c.size.prompt).Int("most_answer", c.size.answer).Dur("allowed_ms", c.allowed)
+	event.Int("prompt", c.size.prompt).Int("most_answer", c.size.answer).Dur("allowed_ms", time.Duration(c.allowed.Load()))
 	if c.capacity.Fit > 0 {
 		event.Dur("soonest_ms", c.capacity.Soonest)
 	}
