Presence on its way shrinks where acknowledgements wait

Cause: a fixed bound of presence is 0.3 s of a link of 27 Mbit/s and 3 s of one that is squeezed to a tenth; a leave waits as long.

Change: each follower has a window of presence, 2 KiB at first, that grows by a quarter with each acknowledged update and is halved when one took over 150 ms more than the fastest; its part of 512 KiB is the most.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -60,6 +60,7 @@
 	waiters        []*waiter
 	// interested: an entry wants presence. truncated: some of it waits for acknowledgements.
 	interested, truncated bool
+	window                presenceWindow
 	// sender is what the follower was told of this control server.
 	sender *rpc.ControlSender
 	// unacknowledged are the updates on their way, oldest first.
@@ -241,7 +242,7 @@
 		f.configVersion, f.configAt = m.ConfigVersion, clock.Now()
 	}
 	f.acked = max(f.acked, m.Acknowledged)
-	f.dropAcknowledged()
+	f.dropAcknowledged(h.now(), h.mostPresence())
 	if f.truncated {
 		f.notifyUrgent()
 	}
@@ -317,7 +318,7 @@
 	f.suspicions, f.signals, f.turns = nil, nil, nil
 	f.number++
 	u.Number = f.number
-	f.sent(now, size)
+	f.sent(h.now(), size)
 	f.stamp(u, asOf)
 	for _, w := range f.waiters {
 		if w.number == 0 {
--- a/internal/fleetcontrol/full_link_test.go
+++ b/internal/fleetcontrol/full_link_test.go
@@ -1,6 +1,8 @@
 package fleetcontrol
 
 import (
+	"flag"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -21,16 +23,25 @@
 	// announcedEvery is the time between two announcements of a server, reportedEvery that between two reports of its agent.
 	announcedEvery = 1200 * time.Millisecond
 	reportedEvery  = 500 * time.Millisecond
+	// leaveCallTimeout is how long a server waits for the answer to its leave.
+	leaveCallTimeout = time.Second
+	// linkSettleTime is how long a link has a rate before a server leaves.
+	linkSettleTime = 2 * time.Second
 )
 
+// linkSeeds is the number of seeds of TestSeriesOfLeavesIsAcknowledgedOnChangingLinks.
+var linkSeeds = flag.Uint64("link.seeds", 3, "seeds of changing links")
+
 // fullLink is a link between a control server and the entries of another region, in virtual time. Its rate is shared in the order
 // sent.
 type fullLink struct {
 	hub       *hub
 	followers []*follower
 	servers   int
-	now       time.Duration
-	queue     []sentOnLink
+	// rate is in bytes a second.
+	rate  float64
+	now   time.Duration
+	queue []sentOnLink
 	// queued are the bytes of each follower in the queue.
 	queued map[*follower]int
 	// credit are bytes that the link could have carried by now; negative while the first update in the queue is being carried.
@@ -44,7 +55,9 @@
 }
 
 func newFullLink(entries, servers int) *fullLink {
-	l := &fullLink{hub: testHub(), servers: servers, queued: map[*follower]int{}}
+	l := &fullLink{hub: testHub(), servers: servers, rate: linkRate, queued: map[*follower]int{}}
+	began := clock.Now()
+	l.hub.now = func() time.Time { return began.Add(l.now) }
 	for range entries {
 		l.followers = append(l.followers, l.hub.join(&rpc.FollowerMessage{Name: "e", Role: RoleEntry, Zone: "z"}))
 	}
@@ -83,7 +96,7 @@
 			l.queued[f] += size
 		}
 	}
-	l.credit += linkRate * linkStep.Seconds()
+	l.credit += l.rate * linkStep.Seconds()
 	for len(l.queue) > 0 && l.credit > 0 {
 		first := l.queue[0]
 		l.queue = l.queue[1:]
@@ -104,30 +117,52 @@
 	return uint64(at / every), at%every < linkStep
 }
 
+// leave announces that a server leaves, and returns how long it takes until all followers have acknowledged that.
+func (l *fullLink) leave(server int) time.Duration {
+	l.announce(server, 1_000_000, fleet.StateDraining)
+	began := l.now
+	numbers := map[*follower]uint64{}
+	for _, f := range l.followers {
+		numbers[f] = f.number + 1 // the next update holds the leave
+	}
+	for len(numbers) > 0 && l.now-began < time.Minute {
+		l.step()
+		for f, number := range numbers {
+			if f.acked >= number {
+				delete(numbers, f)
+			}
+		}
+	}
+	return l.now - began
+}
+
 // Guards against leaves that are acknowledged late, or before all followers know them, while renewals and reports fill a link.
 func TestLeaveIsAcknowledgedWhilePresenceFillsTheLink(t *testing.T) {
 	for _, entries := range []int{65, 130} {
-		const servers = 728
-		l := newFullLink(entries, servers)
+		l := newFullLink(entries, 728)
 		for l.now < 5*time.Second {
 			l.step()
 		}
-		l.announce(0, 1000, fleet.StateDraining)
-		began := l.now
-		numbers := map[*follower]uint64{}
-		for _, f := range l.followers {
-			numbers[f] = f.number + 1 // the next update holds the leave
-		}
-		for len(numbers) > 0 && l.now-began < time.Minute {
-			l.step()
-			for f, number := range numbers {
-				if f.acked >= number {
-					delete(numbers, f)
-				}
-			}
-		}
-		took := l.now - began
+		took := l.leave(0)
 		t.Logf("%d entries: acknowledged by all after %v", entries, took)
 		assert.Less(t, took, leaveTimeout, "%d entries", entries)
 	}
 }
+
+// Guards against the same on links that narrow and widen while servers leave one after the other.
+func TestSeriesOfLeavesIsAcknowledgedOnChangingLinks(t *testing.T) {
+	for seed := range *linkSeeds {
+		r := rand.New(rand.NewPCG(seed, 0))
+		entries := 10 + r.IntN(60)
+		l := newFullLink(entries, 200)
+		for server := range 8 {
+			l.rate = linkRate / (1 + 9*r.Float64())
+			settled := l.now + linkSettleTime
+			for l.now < settled {
+				l.step()
+			}
+			took := l.leave(server)
+			assert.Less(t, took, leaveCallTimeout, "seed %d, %d entries, leave %d at %.2f Mbit/s", seed, entries, server, l.rate*8/1e6)
+		}
+	}
+}
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -46,6 +46,8 @@
 	forwarding func() []string
 	// regionOf is Config.RegionOf.
 	regionOf func(zone string) string
+	// now is clock.Now, except in tests; it dates updates and their acknowledgements.
+	now func() time.Time
 	// versionBound is Config.VersionBound.
 	versionBound time.Duration
 
@@ -77,7 +79,7 @@
 	return &hub{
 		ledger: l, controlAddrs: controlAddrs, log: log,
 		services: &declaredServices{ledger: l, decode: decode}, refused: newRefusals(log),
-		agents: &agentConfigs{decode: decode}, traffic: newTraffic(),
+		agents: &agentConfigs{decode: decode}, traffic: newTraffic(), now: clock.Now,
 		servers: directory.New(announceInterval), followers: map[*follower]bool{}, interested: map[*follower]bool{}, entries: newEntryList(),
 		reports: map[string]receivedReport{}, suspects: quarantine.New(), signals: backpressure.NewTable(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
 		pauses: pauses{now: clock.Now},
--- a/internal/fleetcontrol/presence.go
+++ b/internal/fleetcontrol/presence.go
@@ -18,10 +18,46 @@
 	// presenceInFlight bounds the bytes of presence that are on their way to all followers together: 0.3 s of a link of 27 Mbit/s that
 	// two control servers fill with it, less than leaveTimeout.
 	presenceInFlight = 512 << 10
-	// minPresenceWindow is the least part of a follower, some servers' records.
-	minPresenceWindow = 1 << 10
+	// minPresenceWindow is the least part of a follower, some servers' records, firstPresenceWindow the part of one whose
+	// way is not known yet.
+	minPresenceWindow   = 1 << 10
+	firstPresenceWindow = 2 << 10
+	// maxQueueing is by how much longer than usual an update may be on its way before the follower's part is halved: it waits
+	// behind others on a full link.
+	maxQueueing = 150 * time.Millisecond
+	// windowGrowth is the divisor of the part by which it grows with each update that has not waited.
+	windowGrowth = 4
 )
 
+// presenceWindow bounds the bytes of presence on their way to one follower.
+type presenceWindow struct {
+	// bytes is 0 until the first acknowledgement; shortest is the shortest time from an update to its acknowledgement.
+	bytes    int
+	shortest time.Duration
+}
+
+// acknowledged records that an update with presence was acknowledged after a time. most is the follower's part of presenceInFlight.
+func (w *presenceWindow) acknowledged(took time.Duration, most int) {
+	if w.bytes == 0 {
+		w.bytes, w.shortest = firstPresenceWindow, took
+	}
+	w.shortest = min(w.shortest, took)
+	if took-w.shortest > maxQueueing {
+		w.bytes /= 2
+	} else {
+		w.bytes += w.bytes/windowGrowth + 1
+	}
+	w.bytes = min(max(w.bytes, minPresenceWindow), most)
+}
+
+// left returns how many more bytes may be sent.
+func (w *presenceWindow) left(inFlight, most int) int {
+	if w.bytes == 0 {
+		return min(firstPresenceWindow, most) - inFlight
+	}
+	return min(w.bytes, most) - inFlight
+}
+
 // wantsPresence reports whether a follower is sent renewals and reports: entries that have asked for them, and
 // control servers.
 func (f *follower) wantsPresence() bool {
@@ -143,7 +179,7 @@
 // addServers adds the records, renewals and reports to be sent, as far as the follower's window allows, and returns the size
 // of the presence among them. The caller holds the lock.
 func (h *hub) addServers(f *follower, u *rpc.FleetUpdate, now time.Time) (size int) {
-	window := h.presenceWindow() - f.presenceInFlight()
+	window := f.window.left(f.presenceInFlight(), h.mostPresence())
 	f.truncated = false
 	full := func() bool {
 		f.truncated = f.truncated || size >= window
@@ -194,8 +230,8 @@
 	return size
 }
 
-// presenceWindow returns the bytes of presence that may be on their way to one follower.
-func (h *hub) presenceWindow() int {
+// mostPresence returns a follower's part of presenceInFlight.
+func (h *hub) mostPresence() int {
 	return max(presenceInFlight/max(len(h.interested), 1), minPresenceWindow)
 }
 
--- a/internal/fleetcontrol/traffic.go
+++ b/internal/fleetcontrol/traffic.go
@@ -158,11 +158,13 @@
 	return bytes
 }
 
-// dropAcknowledged drops the times of the updates that were acknowledged.
-func (f *follower) dropAcknowledged() {
+// dropAcknowledged drops the updates that were acknowledged, and adapts the window to how long they took.
+func (f *follower) dropAcknowledged(now time.Time, most int) {
 	n := 0
-	for n < len(f.unacknowledged) && f.unacknowledged[n].number <= f.acked {
-		n++
+	for ; n < len(f.unacknowledged) && f.unacknowledged[n].number <= f.acked; n++ {
+		if u := f.unacknowledged[n]; u.presence > 0 {
+			f.window.acknowledged(now.Sub(u.at), most)
+		}
 	}
 	f.unacknowledged = f.unacknowledged[n:]
 }
