A document is sent to an entry by its nearest control server first

A document of 18 kB is sent to all 323 entries by each control server that has it before the entry says that it has it: three of ten sent all copies, 1.2 MB to each region. The links carry the leader's heartbeats behind them.

Change: each entry's control servers are ordered by zone, region and rendezvous. The first sends a document at once, the second after 0.3 s and each further one 0.1 s later, unless the entry has said that it has it; the same after a join. Agents as before.

Entries whose region's control servers are behind: all have the document within 2 s, the shortest bound.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -43,6 +43,9 @@
 	// accepted, configAt when it last changed.
 	configVersion uint64
 	configAt      time.Time
+	// joinedAt is when the stream began. documentWait is when a document is sent that the follower has not got from
+	// another control server by then, zero if there is none.
+	joinedAt, documentWait time.Time
 	// versions are those of weights that the follower was sent, with their times, by model.
 	versions map[string]ledger.Version
 	// namingsAt is when it was last sent a naming.
@@ -188,7 +191,7 @@
 	f := &follower{
 		name: hello.Name, role: hello.Role, zone: hello.Zone, region: h.region(hello.Zone), wake: make(chan struct{}, 1),
 		changed: map[string]bool{}, renewed: map[string]bool{}, versions: map[string]ledger.Version{},
-		reports: map[string]bool{}, stamps: follow.NewStamps(clock.Now()),
+		reports: map[string]bool{}, stamps: follow.NewStamps(clock.Now()), joinedAt: clock.Now(),
 		interested: hello.Presence != rpc.PresenceInterest_PRESENCE_INTEREST_UNWANTED,
 	}
 	h.markAll(f)
@@ -304,7 +307,7 @@
 	}
 	outdated = h.addSender(f, u) || outdated
 	if f.role != RoleControl {
-		outdated = f.addConfig(u, state, now, h.agents) || outdated
+		outdated = h.addConfig(f, u, state, now) || outdated
 	}
 	outdated = f.addVersions(u, state.Versions, asOf, h.versionBound) || outdated
 	f.informed = state
@@ -390,14 +393,16 @@
 
 // addConfig adds a committed document that was not sent yet, or for an agent its services if they
 // have changed.
-func (f *follower) addConfig(u *rpc.FleetUpdate, state *ledger.State, now time.Time, agents *agentConfigs) bool {
-	if state.ConfigVersion <= f.configVersion || !f.configDue(now) {
+func (h *hub) addConfig(f *follower, u *rpc.FleetUpdate, state *ledger.State, now time.Time) bool {
+	f.documentWait = time.Time{}
+	if state.ConfigVersion <= f.configVersion || !f.configDue(now) || !h.documentDue(f, state.ConfigVersion, now) {
 		return false
 	}
+	f.documentWait = time.Time{}
 	document := state.Config
-	if f.role == RoleAgent && agents.decode != nil {
+	if f.role == RoleAgent && h.agents.decode != nil {
 		var err error
-		document, err = agents.newServices(f.configVersion, state.ConfigVersion, state.Config)
+		document, err = h.agents.newServices(f.configVersion, state.ConfigVersion, state.Config)
 		if err != nil || document == nil {
 			return false // no error is expected: a document that cannot be decoded is not accepted
 		}
--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -41,7 +41,10 @@
 	refused      *refusals
 	agents       *agentConfigs
 	traffic      *traffic
-	zone         string
+	// addr and zone are those of this control server.
+	addr, zone string
+	// peers returns the zones of the other control servers that this one follows; it may be nil.
+	peers func() map[string]string
 	// forwarding returns the control servers that forward their presence to this one; it may be nil.
 	forwarding func() []string
 	// regionOf is Config.RegionOf.
@@ -60,6 +63,11 @@
 	// relaying: control servers relay presence. relays are those whose presence this one relays.
 	relaying bool
 	relays   []string
+	// controls are this control server and those that it follows.
+	controls []controlServer
+	// documentVersion is that of the newest document, which was seen in the log at documentAt.
+	documentVersion uint64
+	documentAt      time.Time
 	// reports are the agents' newest reports by address of the backend server.
 	reports map[string]receivedReport
 	// suspects holds the suspicions of all entries.
@@ -110,12 +118,13 @@
 				return recent && f.namingsDue(now) || len(f.renewed) > 0 || f.role == RoleEntry && f.entriesVersion != h.entries.version || h.senderOutdated(f)
 			})
 		case <-report.C:
-			h.updateRelays()
+			h.updateControls()
 			h.mu.Lock()
 			h.noteRunning()
 			h.mu.Unlock()
 			h.settle()
-			h.wakeFor(func(f *follower) bool { return len(f.reports) > 0 })
+			now := clock.Now()
+			h.wakeFor(func(f *follower) bool { return len(f.reports) > 0 || f.documentWaited(now) })
 		case <-forget.C:
 			h.mu.Lock()
 			h.servers.Forget(clock.Now())
--- a/internal/fleetcontrol/presence.go
+++ b/internal/fleetcontrol/presence.go
@@ -107,8 +107,15 @@
 	}
 }
 
-// updateRelays notes whether control servers relay presence to one another's entries, and that of which ones this one relays.
-func (h *hub) updateRelays() {
+// updateControls notes the control servers that this one follows, whether they relay presence to one another's entries, and
+// that of which ones this one relays.
+func (h *hub) updateControls() {
+	controls := []controlServer{{addr: h.addr, zone: h.zone}}
+	if h.peers != nil {
+		for addr, zone := range h.peers() {
+			controls = append(controls, controlServer{addr: addr, zone: zone})
+		}
+	}
 	relaying := len(h.controlAddrs()) > follow.DirectPresenceServers
 	var relays []string
 	if relaying && h.forwarding != nil {
@@ -117,7 +124,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	began := relaying && !h.relaying
-	h.relaying, h.relays = relaying, relays
+	h.relaying, h.relays, h.controls = relaying, relays, controls
 	for f := range h.interested {
 		if began && f.role == RoleControl {
 			h.markReports(f)
--- a/internal/fleetcontrol/presence_growth_test.go
+++ b/internal/fleetcontrol/presence_growth_test.go
@@ -21,13 +21,16 @@
 )
 
 const (
-	testRegions         = 3
-	controlsPerRegion   = 2
-	serversPerEntry     = 2
-	presenceSettleTime  = 4 * time.Second
-	maxPresenceGrowth   = 2.3 // at twice the fleet, where 2 is in proportion to it
-	countedRounds       = 5
-	roundTimeout        = 15 * time.Second
+	testRegions        = 3
+	controlsPerRegion  = 2
+	serversPerEntry    = 2
+	presenceSettleTime = 4 * time.Second
+	maxPresenceGrowth  = 2.3 // at twice the fleet, where 2 is in proportion to it
+	countedRounds      = 5
+	roundTimeout       = 15 * time.Second
+	documentBytes      = 18 << 10
+	// configApplyBound is the time within which a configuration must be in force.
+	configApplyBound    = 2 * time.Second
 	startOfServersEpoch = 1_000_000
 )
 
@@ -49,6 +52,7 @@
 	mu       sync.Mutex
 	seqs     map[string]uint64
 	reported map[string]uint64
+	document uint64
 }
 
 func testRegion(zone string) string { return strings.TrimSuffix(zone, "-a") }
@@ -104,6 +108,7 @@
 					h.mergePeerUpdate(source, u, at)
 				}
 			})
+		h.addr, h.peers = addrs[i], peers.Zones
 		h.forwarding = func() []string {
 			return slices.DeleteFunc(peers.Forwarding(), func(source string) bool { return p.cut(addrs[i], source) })
 		}
@@ -112,7 +117,7 @@
 	for i := range testRegions * entriesPerRegion {
 		e := &presenceEntry{seqs: map[string]uint64{}, reported: map[string]uint64{}}
 		p.entries = append(p.entries, e)
-		start(follow.Config{Name: fmt.Sprint("entry-", i), Zone: testZone(i / entriesPerRegion), Role: RoleEntry, RegionOf: testRegion},
+		start(follow.Config{Name: fmt.Sprint("entry-", i), Zone: testZone(i / entriesPerRegion), Role: RoleEntry, RegionOf: testRegion, ConfigVersion: e.configVersion},
 			func(u *rpc.FleetUpdate, _ string, _ follow.Anchor) { e.update(u) })
 	}
 	followers := len(p.entries) + len(p.hubs) - 1
@@ -137,6 +142,7 @@
 func (e *presenceEntry) update(u *rpc.FleetUpdate) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.document = max(e.document, u.ConfigVersion)
 	for _, s := range u.Servers {
 		e.seqs[s.Id] = max(e.seqs[s.Id], s.Seq)
 	}
@@ -148,6 +154,12 @@
 	}
 }
 
+func (e *presenceEntry) configVersion() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.document
+}
+
 func (e *presenceEntry) knows(servers int, seq uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -236,3 +248,40 @@
 	p.mu.Unlock()
 	p.round(t, 4)
 }
+
+// commit puts a document of some size into the logs of these control servers, and waits until all entries have it.
+func (p *presenceFleet) commit(t *testing.T, version uint64, hubs []*hub) {
+	t.Helper()
+	data, err := proto.Marshal(&rpc.FleetCommand{ConfigVersion: version, Config: make([]byte, documentBytes)})
+	require.NoError(t, err)
+	for _, h := range hubs {
+		h.ledger.Apply(version, data)
+	}
+	require.Eventually(t, func() bool {
+		return !slices.ContainsFunc(p.entries, func(e *presenceEntry) bool { return e.configVersion() < version })
+	}, roundTimeout, 10*time.Millisecond)
+}
+
+// Guards against documents that cross the links between regions once for each entry and control server, before the leader's
+// heartbeats.
+func TestDocumentsCrossRegionsInTheLogAlone(t *testing.T) {
+	p := newPresenceFleet(t, 6)
+	p.round(t, 1)
+	time.Sleep(presenceSettleTime)
+	before := p.crossed()
+	for version := range uint64(4) {
+		p.commit(t, version+1, p.hubs)
+	}
+	copies := float64(p.crossed()-before) / documentBytes
+	t.Logf("%.1f copies of 4 documents between regions, %d entries", copies, len(p.entries))
+	assert.Less(t, copies, float64(len(p.entries))) // a quarter of one copy for each entry
+}
+
+// Guards against entries whose nearest control servers are behind and that get no document from others.
+func TestDocumentComesFromAnotherRegionIfTheNearestControlServersAreBehind(t *testing.T) {
+	p := newPresenceFleet(t, 2)
+	p.round(t, 1)
+	began := time.Now()
+	p.commit(t, 1, p.hubs[controlsPerRegion:])
+	assert.Less(t, time.Since(began), configApplyBound)
+}
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -90,12 +90,13 @@
 	}
 	s := &Server{cfg: cfg, node: node, ledger: l, replayed: make(chan struct{})}
 	s.hub = newHub(l, s.controlAddrs, cfg.AnnounceInterval, cfg.Decode, cfg.Logger)
-	s.hub.versionBound, s.hub.regionOf, s.hub.zone = cfg.VersionBound, cfg.RegionOf, cfg.Zone
+	s.hub.versionBound, s.hub.regionOf = cfg.VersionBound, cfg.RegionOf
+	s.hub.addr, s.hub.zone = cfg.Addr, cfg.Zone
 	s.peers = follow.New(follow.Config{
 		Name: cfg.Name, Zone: cfg.Zone, Role: RoleControl, Self: cfg.Addr, Seeds: s.peerAddrs,
 		Update: s.hub.mergePeerUpdate, Lost: func(string) {}, Logger: cfg.Logger,
 	})
-	s.hub.forwarding = s.peers.Forwarding
+	s.hub.peers, s.hub.forwarding = s.peers.Zones, s.peers.Forwarding
 	return s, nil
 }
 
--- a/internal/follow/presence.go
+++ b/internal/follow/presence.go
@@ -187,3 +187,16 @@
 	slices.Sort(addrs)
 	return addrs
 }
+
+// Zones returns the zones of the control servers that are followed now and have told them, by address.
+func (c *Client) Zones() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	zones := map[string]string{}
+	for addr, s := range c.known {
+		if s.stream != nil && s.presence != nil {
+			zones[addr] = s.presence.zone
+		}
+	}
+	return zones
+}
