Choices of presence's sources are told in their order

Cause: several goroutines of a client chose the sources and told control servers of the changes after they had released the lock, so that the older of two choices could be told last: an entry then got presence from a control server of another region for good.

Change: Run alone chooses and tells. The test's fleet is assembled before anything of it runs: its hubs were configured beside their streams, which the race detector reported.

--- a/internal/fleetcontrol/presence_growth_test.go
+++ b/internal/fleetcontrol/presence_growth_test.go
@@ -40,6 +40,10 @@
 	hubs    []*hub
 	entries []*presenceEntry
 	servers int
+	clients []*follow.Client
+	// addrs are those of the control servers, zones their zones.
+	addrs []string
+	zones map[string]string
 
 	mu       sync.Mutex
 	crossing int
@@ -61,77 +65,84 @@
 
 // newPresenceFleet starts a fleet with this many entries in each region.
 func newPresenceFleet(t *testing.T, entriesPerRegion int) *presenceFleet {
-	p := &presenceFleet{servers: testRegions * entriesPerRegion * serversPerEntry}
-	var addrs, zones []string
+	p := &presenceFleet{servers: testRegions * entriesPerRegion * serversPerEntry, zones: map[string]string{}}
 	for i := range testRegions * controlsPerRegion {
 		h := testHub()
 		h.pauses.now = clock.Now
 		h.regionOf, h.zone = testRegion, testZone(i/controlsPerRegion)
+		h.addr = serveHub(t, h)
 		p.hubs = append(p.hubs, h)
-		addrs = append(addrs, serveHub(t, h))
-		zones = append(zones, testZone(i/controlsPerRegion))
+		p.addrs = append(p.addrs, h.addr)
+		p.zones[h.addr] = h.zone
 	}
-	zoneOf := map[string]string{}
-	for i, addr := range addrs {
-		zoneOf[addr] = zones[i]
+	for _, h := range p.hubs {
+		p.addPeers(h)
 	}
+	for i := range testRegions * entriesPerRegion {
+		p.addEntry(fmt.Sprint("entry-", i), testZone(i/entriesPerRegion))
+	}
+	p.run(t)
+	followers := len(p.entries) + len(p.hubs) - 1
+	require.Eventually(t, func() bool {
+		return !slices.ContainsFunc(p.hubs, func(h *hub) bool { return total(h.acknowledgementLags(clock.Now())) < followers })
+	}, roundTimeout, 10*time.Millisecond)
+	return p
+}
+
+// addPeers has a control server follow the others.
+func (p *presenceFleet) addPeers(h *hub) {
+	peers := p.client(follow.Config{Name: h.addr, Zone: h.zone, Role: RoleControl, Self: h.addr}, func(u *rpc.FleetUpdate, source string, at follow.Anchor) {
+		if !p.cut(h.addr, source) {
+			h.mergePeerUpdate(source, u, at)
+		}
+	})
+	h.controlAddrs, h.peers = p.listed, peers.Zones
+	h.forwarding = func() []string {
+		return slices.DeleteFunc(peers.Forwarding(), func(source string) bool { return p.cut(h.addr, source) })
+	}
+}
+
+func (p *presenceFleet) addEntry(name, zone string) {
+	e := &presenceEntry{seqs: map[string]uint64{}, reported: map[string]uint64{}}
+	p.entries = append(p.entries, e)
+	cfg := follow.Config{Name: name, Zone: zone, Role: RoleEntry, RegionOf: testRegion, ConfigVersion: e.configVersion}
+	p.client(cfg, func(u *rpc.FleetUpdate, _ string, _ follow.Anchor) { e.update(u) })
+}
+
+// client returns a client that counts the bytes that it is sent from other regions. It runs from run on.
+func (p *presenceFleet) client(cfg follow.Config, update func(*rpc.FleetUpdate, string, follow.Anchor)) *follow.Client {
+	cfg.Seeds, cfg.Logger, cfg.Lost = p.listed, zerolog.Nop(), func(string) {}
+	cfg.Update = func(source string, u *rpc.FleetUpdate, at follow.Anchor) {
+		if testRegion(p.zones[source]) != testRegion(cfg.Zone) {
+			p.mu.Lock()
+			p.crossing += proto.Size(u)
+			p.mu.Unlock()
+		}
+		update(u, source, at)
+	}
+	client := follow.New(cfg)
+	p.clients = append(p.clients, client)
+	return client
+}
+
+// run runs the control servers and all clients until the end of the test.
+func (p *presenceFleet) run(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	t.Cleanup(func() {
 		cancel()
 		running.Wait()
 	})
-	listed := func() []string { return addrs }
-	start := func(cfg follow.Config, update func(*rpc.FleetUpdate, string, follow.Anchor)) *follow.Client {
-		cfg.Seeds, cfg.Logger, cfg.Lost = listed, zerolog.Nop(), func(string) {}
-		cfg.Update = func(source string, u *rpc.FleetUpdate, at follow.Anchor) {
-			if testRegion(zoneOf[source]) != testRegion(cfg.Zone) {
-				p.mu.Lock()
-				p.crossing += proto.Size(u)
-				p.mu.Unlock()
-			}
-			update(u, source, at)
-		}
-		client := follow.New(cfg)
-		running.Add(1)
-		go func() {
-			defer running.Done()
-			_ = client.Run(ctx)
-		}()
-		return client
+	for _, h := range p.hubs {
+		running.Go(func() { h.run(ctx) })
 	}
-	for i, h := range p.hubs {
-		h.controlAddrs = listed
-		peers := start(follow.Config{Name: addrs[i], Zone: zones[i], Role: RoleControl, Self: addrs[i]},
-			func(u *rpc.FleetUpdate, source string, at follow.Anchor) {
-				if !p.cut(addrs[i], source) {
-					h.mergePeerUpdate(source, u, at)
-				}
-			})
-		h.addr, h.peers = addrs[i], peers.Zones
-		h.forwarding = func() []string {
-			return slices.DeleteFunc(peers.Forwarding(), func(source string) bool { return p.cut(addrs[i], source) })
-		}
-		go h.run(ctx)
-	}
-	for i := range testRegions * entriesPerRegion {
-		e := &presenceEntry{seqs: map[string]uint64{}, reported: map[string]uint64{}}
-		p.entries = append(p.entries, e)
-		start(follow.Config{Name: fmt.Sprint("entry-", i), Zone: testZone(i / entriesPerRegion), Role: RoleEntry, RegionOf: testRegion, ConfigVersion: e.configVersion},
-			func(u *rpc.FleetUpdate, _ string, _ follow.Anchor) { e.update(u) })
+	for _, client := range p.clients {
+		running.Go(func() { _ = client.Run(ctx) })
 	}
-	followers := len(p.entries) + len(p.hubs) - 1
-	require.Eventually(t, func() bool {
-		for _, h := range p.hubs {
-			if lag := h.acknowledgementLags(clock.Now()); total(lag) < followers {
-				return false
-			}
-		}
-		return true
-	}, roundTimeout, 10*time.Millisecond)
-	return p
 }
 
+func (p *presenceFleet) listed() []string { return p.addrs }
+
 func total(lags map[string]acknowledgementLag) (n int) {
 	for _, lag := range lags {
 		n += lag.followers
@@ -239,7 +250,7 @@
 	p := newPresenceFleet(t, 2)
 	p.round(t, 1)
 	p.mu.Lock()
-	p.cutOff = p.hubs[0].controlAddrs()[0]
+	p.cutOff = p.addrs[0]
 	p.mu.Unlock()
 	p.round(t, 2)
 	p.round(t, 3)
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -104,6 +104,8 @@
 	// content.
 	turnRequests map[quarantine.Digest]*turnRequest
 	lastTurnID   uint64
+	// sourcesChanged wakes Run to choose the sources of presence anew.
+	sourcesChanged chan struct{}
 
 	pathSeconds prometheus.Histogram
 }
@@ -200,7 +202,7 @@
 
 // New returns a client; Run starts it.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, known: map[string]*source{}, turnRequests: map[quarantine.Digest]*turnRequest{}, pathSeconds: newPathSeconds(cfg.Role)}
+	return &Client{cfg: cfg, known: map[string]*source{}, turnRequests: map[quarantine.Digest]*turnRequest{}, sourcesChanged: make(chan struct{}, 1), pathSeconds: newPathSeconds(cfg.Role)}
 }
 
 // Run follows the control servers until ctx is done.
@@ -212,6 +214,7 @@
 		c.dropUnlisted()
 		c.updatePresence()
 		select {
+		case <-c.sourcesChanged:
 		case <-ticker.C:
 		case <-ctx.Done():
 			c.running.Wait()
@@ -392,7 +395,7 @@
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
 	}
 	c.setStream(addr, stream, interest)
-	defer c.updatePresence() // another control server takes over
+	defer c.notifySourcesChanged() // another control server takes over
 	defer c.removeStream(addr, stream)
 	var listed []string // the control servers last listed by this one; it sends the list only when it changes
 	for {
--- a/internal/follow/presence.go
+++ b/internal/follow/presence.go
@@ -126,10 +126,18 @@
 		s.forwards = sender.Forwards
 	}
 	c.mu.Unlock()
-	c.updatePresence()
+	c.notifySourcesChanged()
 }
 
-// updatePresence chooses the control servers that send presence and tells those for which the choice has changed.
+func (c *Client) notifySourcesChanged() {
+	select {
+	case c.sourcesChanged <- struct{}{}:
+	default:
+	}
+}
+
+// updatePresence chooses the control servers that send presence and tells those for which the choice has changed. Only Run calls it:
+// of two concurrent choices the older one could be told last.
 func (c *Client) updatePresence() {
 	if c.cfg.RegionOf == nil {
 		return
