--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -311,7 +311,7 @@
 	}
 	outdated = f.addVersions(u, state.Versions, asOf, h.versionBound) || outdated
 	f.informed = state
-	size := h.addServers(f, u, now)
+	size := h.addPresence(f, u, now)
 	u.Suspicions = follow.SuspicionsToProto(f.suspicions, now)
 	u.Signals = follow.SignalsToProto(f.signals, now)
 	u.Turns = f.turns
--- a/internal/fleetcontrol/presence.go
+++ b/internal/fleetcontrol/presence.go
@@ -11,52 +11,8 @@
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
-// Presence, which package follow describes, yields to all else: it is sent only while little of it is on its way. What
-// waits is kept once by server, so that a slow link delays presence and makes it coarser, and delays nothing else.
-
-const (
-	// presenceInFlight bounds the bytes of presence that are on their way to all followers together: 0.3 s of a link of 27 Mbit/s that
-	// two control servers fill with it, less than leaveTimeout.
-	presenceInFlight = 512 << 10
-	// minPresenceWindow is the least part of a follower, some servers' records, firstPresenceWindow the part of one whose
-	// way is not known yet.
-	minPresenceWindow   = 1 << 10
-	firstPresenceWindow = 2 << 10
-	// maxQueueing is by how much longer than usual an update may be on its way before the follower's part is halved: it waits
-	// behind others on a full link.
-	maxQueueing = 150 * time.Millisecond
-	// windowGrowth is the divisor of the part by which it grows with each update that has not waited.
-	windowGrowth = 4
-)
-
-// presenceWindow bounds the bytes of presence on their way to one follower.
-type presenceWindow struct {
-	// bytes is 0 until the first acknowledgement; shortest is the shortest time from an update to its acknowledgement.
-	bytes    int
-	shortest time.Duration
-}
-
-// acknowledged records that an update with presence was acknowledged after a time. most is the follower's part of presenceInFlight.
-func (w *presenceWindow) acknowledged(took time.Duration, most int) {
-	if w.bytes == 0 {
-		w.bytes, w.shortest = firstPresenceWindow, took
-	}
-	w.shortest = min(w.shortest, took)
-	if took-w.shortest > maxQueueing {
-		w.bytes /= 2
-	} else {
-		w.bytes += w.bytes/windowGrowth + 1
-	}
-	w.bytes = min(max(w.bytes, minPresenceWindow), most)
-}
-
-// left returns how many more bytes may be sent.
-func (w *presenceWindow) left(inFlight, most int) int {
-	if w.bytes == 0 {
-		return min(firstPresenceWindow, most) - inFlight
-	}
-	return min(w.bytes, most) - inFlight
-}
+// Presence, which package follow describes, yields to all else: it is sent only while little of it is on its way, see
+// presenceWindow. What waits is kept once by server, so that a slow link delays presence and makes it coarser, and delays nothing else.
 
 // wantsPresence reports whether a follower is sent renewals and reports: entries that have asked for them, and
 // control servers.
@@ -149,10 +105,10 @@
 // mergeReport merges a report that an agent has sent to this control server.
 func (h *hub) mergeReport(r *rpc.AgentReport) { h.mergeReportAt(r, h.pauses.now(), false) }
 
-// mergeReportAt merges an agent's report, which a control server received at a time, and marks it for entries and, if it came from the
-// agent itself, for control servers that relay it. A change of the loaded models, or of whether the engine is loading, is sent at once, since it changes where
-// requests may be dispatched; other reports wait for run. Reports that may have come during
-// a pause are dropped.
+// mergeReportAt merges an agent's report, which a control server received at a time. It marks the report for entries and, if it came from
+// the agent itself, for control servers that relay it. A change of the loaded models, or of whether the engine is loading, is sent at
+// once, since it changes where requests may be dispatched; other reports wait for run. Reports that may have come during a pause are
+// dropped.
 func (h *hub) mergeReportAt(r *rpc.AgentReport, at time.Time, relayed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -183,46 +139,75 @@
 	at     time.Time
 }
 
-// addServers adds the records, renewals and reports to be sent, as far as the follower's window allows, and returns the size
-// of the presence among them. The caller holds the lock.
-func (h *hub) addServers(f *follower, u *rpc.FleetUpdate, now time.Time) (size int) {
-	window := f.window.left(f.presenceInFlight(), h.mostPresence())
-	f.truncated = false
-	full := func() bool {
-		f.truncated = f.truncated || size >= window
-		return size >= window
-	}
+// addPresence adds the reports, records and renewals to be sent, as far as the follower's window allows, and servers that leave. It
+// returns the size of the presence among them. The caller holds the lock.
+func (h *hub) addPresence(f *follower, u *rpc.FleetUpdate, now time.Time) int {
+	room := &presenceRoom{left: f.window.left(f.presenceInFlight(), h.mostPresence())}
+	h.addReports(f, u, room, now)
+	h.addRecords(f, u, room, now)
+	h.addRenewals(f, u, room, now)
+	f.truncated = room.lacked
+	return room.used
+}
+
+// presenceRoom is the room for presence in one update.
+type presenceRoom struct {
+	left, used int
+	// lacked: something did not fit.
+	lacked bool
+}
+
+// full reports whether nothing more fits, when there is something.
+func (r *presenceRoom) full() bool {
+	r.lacked = r.lacked || r.left <= 0
+	return r.left <= 0
+}
+
+func (r *presenceRoom) take(m proto.Message) {
+	size := proto.Size(m)
+	r.left -= size
+	r.used += size
+}
+
+func (h *hub) addReports(f *follower, u *rpc.FleetUpdate, room *presenceRoom, now time.Time) {
 	for addr := range f.reports {
-		if full() {
-			break
+		if room.full() {
+			return
 		}
 		r := h.reports[addr]
 		u.Reports = append(u.Reports, r.report)
 		if h.relaying {
 			u.ReportsAgeMs = max(u.ReportsAgeMs, now.Sub(r.at).Milliseconds())
 		}
-		size += proto.Size(r.report)
+		room.take(r.report)
 		delete(f.reports, addr)
 	}
+}
+
+// addRecords adds changed records. Those of servers that leave are no presence, and always fit.
+func (h *hub) addRecords(f *follower, u *rpc.FleetUpdate, room *presenceRoom, now time.Time) {
 	for id := range f.changed {
 		b := h.servers.Get(id)
-		switch {
-		case b == nil || !f.wantsServer(b.State):
-		case b.State != fleet.StateReady:
-			u.Servers = append(u.Servers, follow.ServerToProto(b, now))
-		case full():
-			continue
-		default:
+		if b != nil && f.wantsServer(b.State) {
+			ready := b.State == fleet.StateReady
+			if ready && room.full() {
+				continue
+			}
 			s := follow.ServerToProto(b, now)
 			u.Servers = append(u.Servers, s)
-			size += proto.Size(s)
+			if ready {
+				room.take(s)
+			}
 		}
 		delete(f.changed, id)
 		delete(f.renewed, id)
 	}
+}
+
+func (h *hub) addRenewals(f *follower, u *rpc.FleetUpdate, room *presenceRoom, now time.Time) {
 	for id := range f.renewed {
-		if full() {
-			break
+		if room.full() {
+			return
 		}
 		if b := h.servers.Get(id); b != nil && !f.changed[id] {
 			s := &rpc.ServerSeen{Id: id, Born: b.StartUnixMs, Seq: b.Seq}
@@ -230,11 +215,10 @@
 				s.AgeMs = now.Sub(b.SeenAt).Milliseconds()
 			}
 			u.Seen = append(u.Seen, s)
-			size += proto.Size(s)
+			room.take(s)
 		}
 		delete(f.renewed, id)
 	}
-	return size
 }
 
 // mostPresence returns a follower's part of presenceInFlight.
