A version is loaded only once a second answer of the origin confirms its digests

What callers would see: one answer for digests of version 2 names those of version 1, for all pieces or for some, and all engines load pieces of version 1 as version 2. Answers are produced from older or mixed weights; no log line, metric or refusal tells it.

Why our checks missed it: the stand-in's wrong manifests had digests that no bytes match, which is what the mend of wrong digests looks for. A digest that staged pieces do match was never played.

A digest counted as the version's as soon as any bytes matched it, also those staged at the engine for the older version.

Change: a digest is confirmed by bytes that the origin sent for this version, to this agent or to a peer that says so, or by digests that it sent to another agent. Orders to load are given for confirmed digests only. Where answers differ, staged pieces count for nothing and the origin's bytes decide. Agents pass on what is confirmed, with a hash in place of digests that the other one has. A verification of staged pieces under replaced digests is not used. A peer's digests replace ours only if it has confirmed them: the test of a peer that sends other bytes asks for that, and, as before, for the piece to be accepted in the end.

--- /dev/null
+++ b/internal/staging/confirm_test.go
@@ -0,0 +1,121 @@
+package staging
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/follow"
+)
+
+// answeringOrigin is a fake origin; it answers with digests in turn, the last of them again and again.
+type answeringOrigin struct {
+	answers [][]Digest
+	err     error
+	asked   int
+}
+
+func (o *answeringOrigin) Digests(context.Context, string, string, uint64) ([]Digest, error) {
+	o.asked++
+	if o.err != nil {
+		return nil, o.err
+	}
+	answer := o.answers[0]
+	if len(o.answers) > 1 {
+		o.answers = o.answers[1:]
+	}
+	return answer, nil
+}
+
+func (o *answeringOrigin) Piece(context.Context, string, string, uint64, int) ([]byte, error) {
+	return nil, errors.New("no piece is requested in these tests")
+}
+
+// confirmingStager returns the stager of an agent without peers whose engine has these pieces staged.
+func confirmingStager(o *answeringOrigin, staged ...string) (*Stager, goal) {
+	e := &stagingEngine{read: func(int) {}}
+	for _, data := range staged {
+		e.staged = append(e.staged, []byte(data))
+	}
+	s := New(Config{
+		Service: "s", Engine: e, EngineAddr: "127.0.0.1:1", Origin: o, Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		PeerAddr: func(addr string) string { return addr },
+		View: func() *follow.View {
+			return &follow.View{Servers: map[string][]*fleet.BackendServer{"s": {{ID: "1", Addr: "127.0.0.1:1", Service: "s"}}}}
+		},
+	})
+	s.reported.Store(true)
+	return s, goal{model: "m", version: 2, engine: &fleet.Engine{Pieces: len(staged)}, origin: &fleet.Origin{}}
+}
+
+func TestPiecesThatVersionsShareAreNotFetchedAgain(t *testing.T) {
+	o := &answeringOrigin{answers: [][]Digest{digestsOf("a", "b2")}}
+	s, g := confirmingStager(o, "a", "b1")
+	set, err := s.openSet(t.Context(), g)
+	require.NoError(t, err)
+	assert.Equal(t, []int{1}, set.missing())
+	require.True(t, set.put(1, []byte("b2"), true))
+	assert.False(t, set.loadable())
+	s.confirm(t.Context(), g, set, time.Now())
+	assert.True(t, set.loadable())
+	assert.Equal(t, 2, o.asked)
+	_, due := set.takeConfirmation(time.Now())
+	assert.False(t, due)
+}
+
+// Guards against a version that is loaded with staged pieces of the older one, since the origin fails after an answer that named them, and
+// against one that is not loaded after it has recovered.
+func TestStagedPiecesAreNotLoadedWhileTheOriginConfirmsNothing(t *testing.T) {
+	o := &answeringOrigin{answers: [][]Digest{digestsOf("a1", "b"), digestsOf("a2", "b")}}
+	s, g := confirmingStager(o, "a1", "b")
+	set, err := s.openSet(t.Context(), g)
+	require.NoError(t, err)
+	assert.Empty(t, set.missing())
+	o.err = errors.New("connection refused")
+	began, asked := time.Now(), o.asked
+	for now := began; now.Sub(began) < 10*time.Second; now = now.Add(wantedInterval) {
+		if _, due := set.takeConfirmation(now); due {
+			s.confirm(t.Context(), g, set, began)
+		}
+		assert.False(t, set.loadable())
+	}
+	assert.Greater(t, o.asked-asked, 4)
+	assert.Less(t, o.asked-asked, 20, "the origin is asked without a pause")
+	o.err = nil
+	s.confirm(t.Context(), g, set, began)
+	assert.Equal(t, []int{0}, set.missing())
+	require.True(t, set.put(0, []byte("a2"), true))
+	assert.True(t, set.loadable())
+}
+
+// Guards against a load without a verification of the staged pieces, since one was made before the digests were replaced.
+func TestVerificationOfPiecesUnderReplacedDigestsIsNotUsed(t *testing.T) {
+	o := &answeringOrigin{answers: [][]Digest{digestsOf("a1"), digestsOf("a2")}}
+	s, g := confirmingStager(o, "a1")
+	set, err := s.openSet(t.Context(), g)
+	require.NoError(t, err)
+	_, recent := s.verification.recent(g.key(), s.now())
+	require.True(t, recent, "all staged pieces were taken in")
+	s.confirm(t.Context(), g, set, time.Now())
+	require.True(t, set.put(0, []byte("a2"), true))
+	_, recent = s.verification.recent(g.key(), s.now())
+	assert.False(t, recent)
+}
+
+func TestAgentThatReceivedTheFirstAnswerIsTheLastToAskForASecond(t *testing.T) {
+	s := New(Config{EngineAddr: "127.0.0.1:1"})
+	servers := []*fleet.BackendServer{{Addr: "127.0.0.1:1"}, {Addr: "127.0.0.2:1"}, {Addr: "127.0.0.3:1"}, {Addr: "127.0.0.4:1"}}
+	confirmers := s.confirmers(servers)
+	require.Len(t, confirmers, len(servers)-1)
+	set := newPieceSet(nil)
+	set.askedOrigin.Store(true)
+	assert.Equal(t, len(confirmers)-1, s.confirmationRank(confirmers, set))
+	assert.Len(t, s.confirmers(servers[:1]), 1, "an agent without peers asks again itself")
+}
--- a/internal/staging/digests.go
+++ b/internal/staging/digests.go
@@ -31,11 +31,13 @@
 	k := key{g.model, g.version}
 	set := s.sets.get(k)
 	if set == nil {
-		digests, err := s.digests(ctx, g)
+		first, fromOrigin, err := s.firstDigests(ctx, g)
 		if err != nil {
 			return nil, err
 		}
-		set = s.sets.add(k, digests)
+		set = s.sets.add(k, first.digests)
+		set.adopt(first)
+		set.askedOrigin.Store(fromOrigin)
 	}
 	if s.reported.Load() && set.startImport() {
 		s.importStaged(ctx, g, set)
@@ -66,31 +68,31 @@
 	}
 }
 
-// digests returns the digests of a version from a peer or, after a delay that grows with this
+// firstDigests returns the digests of a version from a peer or, after a delay that grows with this
 // agent's rank, from the origin.
-func (s *Stager) digests(ctx context.Context, g goal) ([]Digest, error) {
+func (s *Stager) firstDigests(ctx context.Context, g goal) (answer digestAnswer, fromOrigin bool, err error) {
 	servers := s.servers()
 	rank := s.rankAmong(servers, rankForDigests)
 	for began := clock.Now(); !s.reported.Load() || clock.Since(began) < time.Duration(rank)*digestDelay; {
-		if digests := s.digestsFromPeers(ctx, g, servers); digests != nil {
+		if answer, ok := s.digestsFromPeers(ctx, g, servers); ok {
 			s.recordOriginServes(clock.Now())
-			return digests, nil
+			return answer, false, nil
 		}
 		if !pause.For(ctx, digestInterval) {
-			return nil, ctx.Err()
+			return digestAnswer{}, false, ctx.Err()
 		}
 	}
 	digests, err := s.digestsFromOrigin(ctx, g)
 	if err != nil {
-		return nil, err
+		return digestAnswer{}, false, err
 	}
 	s.log.Info().Str("model", g.model).Uint64("version", g.version).Msg("digests taken from the origin")
-	return digests, nil
+	return digestAnswer{digests: digests, confirmed: make([]bool, len(digests))}, true, nil
 }
 
 // digestsFromPeers asks the agent that is first to ask the origin, and some random others. It
-// returns nil if none of them has the digests.
-func (s *Stager) digestsFromPeers(ctx context.Context, g goal, servers []*fleet.BackendServer) []Digest {
+// returns false if none of them has the digests.
+func (s *Stager) digestsFromPeers(ctx context.Context, g goal, servers []*fleet.BackendServer) (digestAnswer, bool) {
 	asked := rand.Perm(len(servers))[:min(digestPeers, len(servers))]
 	if first := newPieceRanks(s.cfg.EngineAddr, servers).first(rankForDigests); first != nil {
 		asked = append([]int{slices.Index(servers, first)}, asked...)
@@ -99,29 +101,31 @@
 		if servers[i].Addr == s.cfg.EngineAddr {
 			continue
 		}
-		digests, err := s.digestsFrom(ctx, s.cfg.PeerAddr(servers[i].Addr), g)
-		if err == nil && len(digests) == g.engine.Pieces {
-			return digests
+		answer, err := s.digestsFrom(ctx, s.cfg.PeerAddr(servers[i].Addr), g, nil)
+		if err == nil && len(answer.digests) == g.engine.Pieces {
+			return answer, true
 		}
 	}
-	return nil
+	return digestAnswer{}, false
 }
 
-func (s *Stager) digestsFrom(ctx context.Context, peer string, g goal) ([]Digest, error) {
+// digestsFrom asks a peer what it knows of the digests of a version, of which known are known here; nil if none are.
+func (s *Stager) digestsFrom(ctx context.Context, peer string, g goal, known []Digest) (digestAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 	defer cancel()
-	resp, err := rpc.NewDRPCPiecesClient(s.pool.Get(ctx, peer)).Digests(ctx, &rpc.HeldRequest{Model: g.model, Version: g.version})
+	req := &rpc.DigestsRequest{Model: g.model, Version: g.version}
+	if known != nil {
+		req.Known = digestSum(known)
+	}
+	resp, err := rpc.NewDRPCPiecesClient(s.pool.Get(ctx, peer)).Digests(ctx, req)
 	if err != nil {
-		return nil, err
+		return digestAnswer{}, err
 	}
-	digests := make([]Digest, len(resp.Digests))
-	for i, d := range resp.Digests {
-		if len(d) != len(digests[i]) {
-			return nil, fmt.Errorf("digest has invalid length %d from %s", len(d), peer)
-		}
-		copy(digests[i][:], d)
+	answer, err := decodeDigests(resp, known)
+	if err != nil {
+		return digestAnswer{}, fmt.Errorf("digests from %s: %w", peer, err)
 	}
-	return digests, nil
+	return answer, nil
 }
 
 // importStaged adds the pieces that are staged at the engine to set if their digests match.
@@ -139,7 +143,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		data, err := s.cfg.Engine.Get(callCtx, g.model, piece)
 		cancel()
-		if err == nil && set.put(piece, data) {
+		if err == nil && set.put(piece, data, false) {
 			taken++
 		}
 	}
--- a/internal/staging/doubt.go
+++ b/internal/staging/doubt.go
@@ -25,7 +25,7 @@
 
 // mismatch is what is known of a piece whose bytes did not match its digest.
 type mismatch struct {
-	// seen are the digests of the bytes received.
+	// seen are the digests of the bytes received; true if the origin sent them.
 	seen map[Digest]bool
 	// peers are those that have sent such bytes, fromOrigin counts the origin's answers.
 	peers      map[string]bool
@@ -62,8 +62,8 @@
 	} else {
 		m.peers[peer] = true
 	}
-	if len(m.seen) < maxSeenDigests {
-		m.seen[sha256.Sum256(data)] = true
+	if digest := Digest(sha256.Sum256(data)); len(m.seen) < maxSeenDigests {
+		m.seen[digest] = m.seen[digest] || peer == originPeer
 	}
 	if n := m.answers(); n > 1 {
 		m.retryAt = now.Add(doubtBackoff(n - 1))
@@ -117,7 +117,18 @@
 	return r, true
 }
 
-// correct replaces the digests that bytes did not match by those of other digests that they match, and returns the pieces.
+// mismatched reports whether bytes with this digest did not match that of a piece. The caller holds the lock.
+func (p *pieceSet) mismatched(piece int, digest Digest) bool {
+	m := p.mismatches[piece]
+	if m == nil {
+		return false
+	}
+	_, seen := m.seen[digest]
+	return seen
+}
+
+// correct replaces the digests that bytes of the origin did not match by those of another answer of it that they match, and returns the
+// pieces.
 func (p *pieceSet) correct(other []Digest) (corrected []int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -125,15 +136,10 @@
 		return nil
 	}
 	for piece, m := range p.mismatches {
-		if other[piece] != p.digests[piece] && m.seen[other[piece]] {
-			p.digests[piece] = other[piece]
-			delete(p.mismatches, piece)
+		if m.seen[other[piece]] && p.confirm(piece, other[piece]) {
 			corrected = append(corrected, piece)
 		}
 	}
-	if len(corrected) > 0 {
-		p.recheckAt, p.rechecks = time.Time{}, 0
-	}
 	return corrected
 }
 
@@ -148,8 +154,8 @@
 
 func (s *Stager) recheckDigests(ctx context.Context, g goal, set *pieceSet, r recheck) {
 	for _, peer := range r.peers {
-		digests, err := s.digestsFrom(ctx, peer, g)
-		if err == nil && s.correctDigests(g, set, digests, peer) {
+		answer, err := s.digestsFrom(ctx, peer, g, set.allDigests())
+		if err == nil && s.adopt(g, set, answer, peer) {
 			return
 		}
 	}
@@ -161,20 +167,20 @@
 		s.log.Warn().Err(err).Str("model", g.model).Uint64("version", g.version).Msg("digests in doubt were not received again")
 		return
 	}
-	if !s.correctDigests(g, set, digests, "origin") {
+	corrected := set.correct(digests)
+	_, contested := set.compare(digests, false)
+	s.logContested(g, contested, "origin")
+	if len(corrected) > 0 {
+		s.logCorrected(g, corrected, "origin")
+	} else {
 		s.log.Warn().Str("model", g.model).Uint64("version", g.version).Msg("pieces do not match digests that were received again")
 	}
 }
 
-// correctDigests corrects digests by those of a source, and reports whether any was wrong.
-func (s *Stager) correctDigests(g goal, set *pieceSet, digests []Digest, source string) bool {
-	corrected := set.correct(digests)
-	if len(corrected) == 0 {
-		return false
-	}
+// logCorrected records that digests were wrong.
+func (s *Stager) logCorrected(g goal, corrected []int, source string) {
 	s.cfg.Metrics.corrected.Add(float64(len(corrected)))
 	s.log.Warn().Str("model", g.model).Uint64("version", g.version).Ints("pieces", corrected).Str("source", source).Msg("wrong digests corrected")
-	return true
 }
 
 // digestsFromOrigin requests the digests of a version from the origin.
--- a/internal/staging/doubt_test.go
+++ b/internal/staging/doubt_test.go
@@ -19,8 +19,8 @@
 func TestWrongDigestIsCorrected(t *testing.T) {
 	now := time.Now()
 	set := newPieceSet(digestsOf("spoilt", "b"))
-	assert.True(t, set.put(1, []byte("b")))
-	assert.False(t, set.put(0, []byte("a")))
+	assert.True(t, set.put(1, []byte("b"), true))
+	assert.False(t, set.put(0, []byte("a"), true))
 	set.noteMismatch(0, originPeer, []byte("a"), now)
 	assert.False(t, set.inDoubt(), "the piece may be spoilt")
 	_, due := set.takeRecheck(now)
@@ -35,7 +35,7 @@
 	assert.Empty(t, set.correct(digestsOf("a")), "digests of another number of pieces")
 	assert.Equal(t, []int{0}, set.correct(digestsOf("a", "spoilt too")))
 	assert.False(t, set.inDoubt())
-	assert.True(t, set.put(0, []byte("a")))
+	assert.True(t, set.put(0, []byte("a"), true))
 	assert.Empty(t, set.missing(), "the piece that matched its digest is kept")
 }
 
@@ -49,7 +49,12 @@
 	r, due := set.takeRecheck(now)
 	assert.True(t, due)
 	assert.Equal(t, recheck{peers: []string{"p"}}, r)
-	assert.Equal(t, []int{0}, set.correct(digestsOf("a")))
+	replaced, contested := set.adopt(digestAnswer{digests: digestsOf("a"), confirmed: []bool{false}})
+	assert.Empty(t, replaced, "the peer may have staged a piece of another version")
+	assert.Equal(t, []int{0}, contested)
+	replaced, _ = set.adopt(digestAnswer{digests: digestsOf("a"), confirmed: []bool{true}})
+	assert.Equal(t, []int{0}, replaced)
+	assert.True(t, set.put(0, []byte("a"), false))
 }
 
 // Guards against an object that is spoilt for good and is requested without a pause.
--- a/internal/staging/fetch_test.go
+++ b/internal/staging/fetch_test.go
@@ -120,8 +120,8 @@
 
 func TestCompletionTimeIsRecorded(t *testing.T) {
 	f := testFetcher([]byte("a"), []byte("b"))
-	f.set.put(0, []byte("a"))
+	f.set.put(0, []byte("a"), true)
 	assert.True(t, f.set.completedAt().IsZero())
-	f.set.put(1, []byte("b"))
+	f.set.put(1, []byte("b"), true)
 	assert.False(t, f.set.completedAt().IsZero())
 }
--- a/internal/staging/fetched.go
+++ b/internal/staging/fetched.go
@@ -19,7 +19,9 @@
 	// direct: requested from the agent that is first to fetch the piece from the origin.
 	direct bool
 	data   []byte
-	err    error
+	// confirmed: the peer has confirmed the digest of these bytes.
+	confirmed bool
+	err       error
 	// took is the duration of the fetch without the wait at the peer; concurrent is the number
 	// of fetches on the link at its start or its end, whichever is higher, including itself.
 	took       time.Duration
@@ -39,14 +41,23 @@
 // errDigest reports that the bytes received do not match the digest of the piece.
 var errDigest = errors.New("digest does not match")
 
+// received is a piece as a source sent it.
+type received struct {
+	data []byte
+	// confirmed: the source is a peer that has confirmed the digest.
+	confirmed bool
+	// waited is how long the request waited at the source.
+	waited time.Duration
+}
+
 // run executes one fetch and passes its result to the fetcher.
-func (f *fetcher) run(ctx context.Context, r fetchResult, get func(context.Context) ([]byte, time.Duration, error)) {
+func (f *fetcher) run(ctx context.Context, r fetchResult, get func(context.Context) (received, error)) {
 	callCtx, cancel := context.WithTimeout(ctx, pieceTimeout)
 	defer cancel()
 	began := clock.Now()
-	var waited time.Duration
-	r.data, waited, r.err = get(callCtx)
-	r.took = clock.Since(began) - waited
+	got, err := get(callCtx)
+	r.data, r.confirmed, r.err = got.data, got.confirmed, err
+	r.took = clock.Since(began) - got.waited
 	select {
 	case f.results <- r:
 	case <-ctx.Done():
@@ -74,10 +85,13 @@
 		f.downloads--
 		delete(f.busy, r.peer)
 	}
-	if r.err == nil && !f.set.put(r.piece, r.data) {
+	proven := r.peer == originPeer || r.confirmed
+	if r.err == nil && !f.set.put(r.piece, r.data, proven) {
 		r.err = errDigest
 		f.dropHolder(r.peer, r.piece)
-		f.set.noteMismatch(r.piece, r.peer, r.data, clock.Now())
+		if proven || !f.set.named(r.piece, r.data) {
+			f.set.noteMismatch(r.piece, r.peer, r.data, clock.Now())
+		}
 	}
 	if r.err != nil {
 		f.startBackoff(r)
--- a/internal/staging/goal_test.go
+++ b/internal/staging/goal_test.go
@@ -43,7 +43,7 @@
 	var none *pieceSet
 	assert.Zero(t, none.available())
 	f := testFetcher([]byte("a"), []byte("b"), []byte("c"))
-	f.set.put(0, []byte("a"))
+	f.set.put(0, []byte("a"), true)
 	f.handleUpdate(peerUpdate{peer: "p", pieces: []uint32{0, 2}})
 	assert.Equal(t, 2, f.set.available())
 }
@@ -118,7 +118,7 @@
 		f.servers = append(f.servers, &fleet.BackendServer{Addr: fmt.Sprintf("127.0.0.%d:1", i+1), Zone: fmt.Sprint(i % 5)})
 	}
 	f.zoneServers, f.refreshed = f.servers[:36], time.Now().Add(time.Hour)
-	f.s.sets, f.s.start = newSets(), time.Now()
+	f.s.sets, f.s.start = newSets(nil), time.Now()
 	f.downloads, f.directRequests, f.inFlight[95] = maxDownloadsIdle, maxDirect, true // no fetch from a peer may start
 	f.began = time.Now().Add(time.Hour)                                               // and the origin may not be asked yet
 	for peer := range 20 {
--- a/internal/staging/limits.go
+++ b/internal/staging/limits.go
@@ -114,4 +114,6 @@
 	rankForDigests = -1
 	// rankForLoad ranks the engines for their time to load.
 	rankForLoad = -2
+	// rankForConfirmation ranks the agents for fetching the second answer for digests from the origin.
+	rankForConfirmation = -3
 )
--- a/internal/staging/load_test.go
+++ b/internal/staging/load_test.go
@@ -63,7 +63,7 @@
 	}
 	set := newPieceSet(digests)
 	for i, p := range pieces {
-		require.True(t, set.put(i, p))
+		require.True(t, set.put(i, p, true))
 	}
 	e.staged = append([][]byte(nil), pieces...)
 	return s, goal{model: "m", version: 2, engine: &fleet.Engine{Pieces: len(pieces)}}, set
--- a/internal/staging/serve.go
+++ b/internal/staging/serve.go
@@ -18,8 +18,9 @@
 	failures *prometheus.CounterVec
 	orders   prometheus.Counter
 	relaid   prometheus.Counter
-	// corrected counts the digests that were wrong.
-	corrected prometheus.Counter
+	// corrected counts the digests that were wrong, confirmed those that a second answer of the origin confirmed, contested those for
+	// which answers differ.
+	corrected, confirmed, contested prometheus.Counter
 }
 
 // NewMetrics returns metrics registered with r.
@@ -43,8 +44,14 @@
 		corrected: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lynxgate_staging_digests_corrected_total", Help: "Digests of pieces that were received wrong, and corrected.",
 		}),
+		confirmed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lynxgate_staging_digests_confirmed_total", Help: "Digests of pieces that a second answer of the origin confirmed.",
+		}),
+		contested: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lynxgate_staging_digests_contested_total", Help: "Digests of pieces for which answers of the origin differ.",
+		}),
 	}
-	r.MustRegister(m.pieces, m.bytes, m.failures, m.orders, m.relaid, m.corrected)
+	r.MustRegister(m.pieces, m.bytes, m.failures, m.orders, m.relaid, m.corrected, m.confirmed, m.contested)
 	return m
 }
 
@@ -137,12 +144,12 @@
 	}
 	defer func() { <-s.stager.slots }()
 	k := key{req.Model, req.Version}
-	data, err := s.piece(ctx, k, int(req.Piece))
+	data, confirmed, err := s.piece(ctx, k, int(req.Piece))
 	if err != nil {
 		return &rpc.PieceResponse{}, nil // the peer uses another source
 	}
 	s.stager.pace(len(data))
-	return &rpc.PieceResponse{Data: data, WaitedMs: uint32(clock.Since(began).Milliseconds())}, nil
+	return &rpc.PieceResponse{Data: data, WaitedMs: uint32(clock.Since(began).Milliseconds()), Confirmed: confirmed}, nil
 }
 
 // maxPieceWait limits the wait for a piece that has not arrived yet, and then the wait for
@@ -194,11 +201,14 @@
 	return false
 }
 
-func (s *server) piece(ctx context.Context, k key, piece int) ([]byte, error) {
+// piece returns a piece and whether its digest is confirmed.
+func (s *server) piece(ctx context.Context, k key, piece int) (data []byte, confirmed bool, err error) {
 	if set := s.stager.sets.get(k); set != nil {
-		return set.get(piece), nil
+		data, confirmed = set.getConfirmed(piece)
+		return data, confirmed, nil
 	}
-	return s.stager.cfg.Engine.Get(ctx, k.model, piece)
+	data, err = s.stager.cfg.Engine.Get(ctx, k.model, piece)
+	return data, false, err
 }
 
 // pace waits until the link has had time to send the previous pieces, so that the
@@ -220,12 +230,10 @@
 }
 
 // Digests returns the digests of a version, or none if they are not known here or in doubt.
-func (s *server) Digests(_ context.Context, req *rpc.HeldRequest) (*rpc.DigestsResponse, error) {
-	resp := &rpc.DigestsResponse{}
-	if set := s.stager.sets.get(key{req.Model, req.Version}); set != nil && !set.inDoubt() {
-		for _, d := range set.allDigests() {
-			resp.Digests = append(resp.Digests, d[:])
-		}
+func (s *server) Digests(_ context.Context, req *rpc.DigestsRequest) (*rpc.DigestsResponse, error) {
+	set := s.stager.sets.get(key{req.Model, req.Version})
+	if set == nil || set.inDoubt() {
+		return &rpc.DigestsResponse{}, nil
 	}
-	return resp, nil
+	return encodeDigests(set.answer(), req.Known), nil
 }
--- a/internal/staging/sets.go
+++ b/internal/staging/sets.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/clock"
@@ -23,9 +24,13 @@
 type sets struct {
 	mu   sync.Mutex
 	sets map[key]*pieceSet
+	// onReplaced is called before a piece of any set is dropped or its digest replaced; it may be nil.
+	onReplaced func()
 }
 
-func newSets() *sets { return &sets{sets: map[key]*pieceSet{}} }
+func newSets(onReplaced func()) *sets {
+	return &sets{sets: map[key]*pieceSet{}, onReplaced: onReplaced}
+}
 
 func (s *sets) get(k key) *pieceSet {
 	s.mu.Lock()
@@ -42,6 +47,7 @@
 		return known
 	}
 	set := newPieceSet(slices.Clone(digests))
+	set.onReplaced = s.onReplaced
 	s.sets[k] = set
 	oldest, count := k, 0
 	for other := range s.sets {
@@ -63,18 +69,28 @@
 type pieceSet struct {
 	// createdAt is when the set was created: its digests were not known here before.
 	createdAt time.Time
+	// askedOrigin is true if the origin sent the first answer for the digests to this agent.
+	askedOrigin atomic.Bool
+	// onReplaced is called, with mu locked, before a piece is dropped or its digest replaced; it may be nil.
+	onReplaced func()
 
 	mu sync.Mutex
 	// digests are corrected where they turn out to be wrong; their number is constant.
-	digests []Digest
+	digests  []Digest
+	evidence evidence
 	// mismatches are the missing pieces whose bytes did not match.
 	mismatches map[int]*mismatch
 	// recheckAt is when digests may be requested again, after this many rechecks that corrected none.
 	recheckAt time.Time
 	rechecks  int
-	pieces    [][]byte
-	order     []uint32 // pieces in the order of their arrival
-	changed   chan struct{}
+	// confirmSince is since when digests lack a confirmation, zero if none does. Peers are asked again at confirmAt, after this many
+	// tries.
+	confirmSince, confirmAt time.Time
+	confirmTries            int
+	pieces                  [][]byte
+	held                    int      // number of pieces that are not nil
+	order                   []uint32 // pieces in the order of their arrival; one that was dropped may be there again
+	changed                 chan struct{}
 	// imported is true once the import of the pieces staged at the engine has begun.
 	imported bool
 	// complete is when the last piece arrived.
@@ -84,7 +100,10 @@
 }
 
 func newPieceSet(digests []Digest) *pieceSet {
-	return &pieceSet{digests: digests, mismatches: map[int]*mismatch{}, createdAt: clock.Now(), pieces: make([][]byte, len(digests)), changed: make(chan struct{}), peerPieces: map[int]bool{}}
+	return &pieceSet{
+		digests: digests, evidence: newEvidence(len(digests)), mismatches: map[int]*mismatch{}, createdAt: clock.Now(),
+		pieces: make([][]byte, len(digests)), changed: make(chan struct{}), peerPieces: map[int]bool{},
+	}
 }
 
 // addPeerPiece records that a peer has a piece, and reports whether it is the first peer.
@@ -111,19 +130,21 @@
 	return n
 }
 
-// put adds a piece if its digest matches, and reports whether it does.
-func (p *pieceSet) put(piece int, data []byte) bool {
+// put adds a piece if its digest matches, and reports whether it does. Bytes are proven if the origin sent them for this version, to this
+// agent or to a peer.
+func (p *pieceSet) put(piece int, data []byte, proven bool) bool {
 	digest := Digest(sha256.Sum256(data))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if piece < 0 || piece >= len(p.digests) || digest != p.digests[piece] {
+	if piece < 0 || piece >= len(p.digests) || !p.accept(piece, digest, proven) {
 		return false
 	}
 	delete(p.mismatches, piece)
 	if p.pieces[piece] == nil {
 		p.pieces[piece] = data
+		p.held++
 		p.order = append(p.order, uint32(piece))
-		if len(p.order) == len(p.pieces) {
+		if p.held == len(p.pieces) {
 			p.complete = clock.Now()
 		}
 		close(p.changed)
@@ -143,12 +164,18 @@
 }
 
 func (p *pieceSet) get(piece int) []byte {
+	data, _ := p.getConfirmed(piece)
+	return data
+}
+
+// getConfirmed returns a piece, nil if it is not here, and whether its digest is confirmed.
+func (p *pieceSet) getConfirmed(piece int) (data []byte, confirmed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if piece < 0 || piece >= len(p.pieces) {
-		return nil
+		return nil, false
 	}
-	return p.pieces[piece]
+	return p.pieces[piece], p.evidence.confirmed[piece]
 }
 
 // addedAfter returns the pieces added after the first n, and a channel that is closed
--- a/internal/staging/sources.go
+++ b/internal/staging/sources.go
@@ -25,7 +25,7 @@
 	if f.link.narrow() {
 		timeout = pieceTimeout
 	}
-	go f.run(ctx, fetchResult{piece: piece, peer: peer, concurrent: f.downloads}, func(ctx context.Context) ([]byte, time.Duration, error) {
+	go f.run(ctx, fetchResult{piece: piece, peer: peer, concurrent: f.downloads}, func(ctx context.Context) (received, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return f.requestPiece(ctx, peer, piece, false)
@@ -44,24 +44,23 @@
 	f.inFlight[piece] = true
 	f.directRequests++
 	peer := f.s.cfg.PeerAddr(first.Addr)
-	go f.run(ctx, fetchResult{piece: piece, peer: peer, direct: true}, func(ctx context.Context) ([]byte, time.Duration, error) {
+	go f.run(ctx, fetchResult{piece: piece, peer: peer, direct: true}, func(ctx context.Context) (received, error) {
 		return f.requestPiece(ctx, peer, piece, true)
 	})
 }
 
 // requestPiece requests a piece from a peer. With wait the peer waits until it has the piece.
-// It also returns how long the request waited at the peer.
-func (f *fetcher) requestPiece(ctx context.Context, peer string, piece int, wait bool) ([]byte, time.Duration, error) {
+func (f *fetcher) requestPiece(ctx context.Context, peer string, piece int, wait bool) (received, error) {
 	resp, err := rpc.NewDRPCPiecesClient(f.s.pool.Get(ctx, peer)).Piece(ctx, &rpc.PieceRequest{
 		Model: f.g.model, Version: f.g.version, Piece: uint32(piece), Wait: wait,
 	})
 	if err != nil {
-		return nil, 0, err
+		return received{}, err
 	}
 	if len(resp.Data) == 0 {
-		return nil, 0, errPeerBusy
+		return received{}, errPeerBusy
 	}
-	return resp.Data, time.Duration(resp.WaitedMs) * time.Millisecond, nil
+	return received{data: resp.Data, confirmed: resp.Confirmed, waited: time.Duration(resp.WaitedMs) * time.Millisecond}, nil
 }
 
 // freeHolders returns the peers of this agent's zone, or of others, that have a piece and
@@ -123,8 +122,8 @@
 func (f *fetcher) fromOrigin(ctx context.Context, piece int) {
 	f.inFlight[piece] = true
 	f.originFetches++
-	go f.run(ctx, fetchResult{piece: piece, peer: originPeer}, func(ctx context.Context) ([]byte, time.Duration, error) {
+	go f.run(ctx, fetchResult{piece: piece, peer: originPeer}, func(ctx context.Context) (received, error) {
 		data, err := f.s.cfg.Origin.Piece(ctx, f.g.origin.Addr, f.g.model, f.g.version, piece)
-		return data, 0, err
+		return received{data: data}, err
 	})
 }
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -109,12 +109,14 @@
 
 // New returns a Stager; Run starts it.
 func New(cfg Config) *Stager {
-	return &Stager{
-		cfg: cfg, log: cfg.Logger, pool: rpcconn.NewPool(), sets: newSets(),
+	s := &Stager{
+		cfg: cfg, log: cfg.Logger, pool: rpcconn.NewPool(),
 		slots: make(chan struct{}, maxUploads), now: clock.Now,
 		start: clock.Now(),
 		epoch: uint64(time.Now().UnixNano()), lastReport: &rpc.AgentReport{},
 	}
+	s.sets = newSets(func() { s.verification.invalidate(s.now()) })
+	return s
 }
 
 // sendReport sends the engine's state to the entries through the control servers.
@@ -146,18 +148,12 @@
 }
 
 // Run runs the stager until ctx is done. One goroutine fetches pieces, one fetches the
-// digests of the newest version, and one gives orders to the engine.
+// digests of the newest version, one confirms digests, and one gives orders to the engine.
 func (s *Stager) Run(ctx context.Context) error {
-	fetched := make(chan struct{})
-	go func() {
-		defer close(fetched)
-		s.fetchAll(ctx)
-	}()
-	prefetched := make(chan struct{})
-	go func() {
-		defer close(prefetched)
-		s.prefetchDigests(ctx)
-	}()
+	var background sync.WaitGroup
+	background.Go(func() { s.fetchAll(ctx) })
+	background.Go(func() { s.prefetchDigests(ctx) })
+	background.Go(func() { s.confirmDigests(ctx) })
 	for {
 		s.step(ctx)
 		timer := time.NewTimer(s.pollPause())
@@ -165,8 +161,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			<-fetched
-			<-prefetched
+			background.Wait()
 			return ctx.Err()
 		}
 	}
@@ -241,7 +236,7 @@
 		return
 	}
 	set := s.sets.get(key{g.model, g.version})
-	if set == nil || len(set.missing()) > 0 {
+	if set == nil || !set.loadable() {
 		return
 	}
 	if s.stagedVersion != g.version {
--- a/internal/staging/verified.go
+++ b/internal/staging/verified.go
@@ -48,6 +48,14 @@
 	return v.began, v.of == k && now.Sub(v.began) <= verificationReuse
 }
 
+// invalidate drops the verification, and any that began before now: the digests that it was based on are replaced.
+func (v *verification) invalidate(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.of, v.began = key{}, time.Time{}
+	v.changed = now
+}
+
 // reset drops the verification after a restart of the engine.
 func (v *verification) reset() {
 	v.mu.Lock()
