Names of organisations that can't be sent in a header field are refused

What could be seen: the name of an organisation is sent to backend servers in a header field, as it stands. A name with a line break, in an accepted configuration, adds fields to the requests of that organisation, or ends their head, so that what follows is read as another request.

Why our checks missed it: no test of a document has control characters in a name.

Change: such a document is invalid and refused with 400, as it can't be obeyed.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Kind says which requests of a route may be retried.
@@ -219,6 +221,9 @@
 func (c *Config) validateOrganisations() error {
 	holders := map[string]string{}
 	for _, o := range c.Organisations {
+		if !httpguts.ValidHeaderFieldValue(o.Name) {
+			return fmt.Errorf("%w: the name of organisation %q can't be sent in a header field", ErrInvalid, o.Name)
+		}
 		if err := validateRegions("organisation", o.Name, o.Regions); err != nil {
 			return err
 		}
