A command of the log that can't be decoded ends no control server

What could be seen: a command that can't be decoded, once committed, ends the process of each control server that applies it, and again at each replay: no change is accepted any more.

Why our checks missed it: commands are always encoded by the proposer; nothing tests what another control server forwards, which was proposed unseen.

Change: a control server refuses to propose such a command; one that is committed all the same, as by an earlier build, changes nothing and has an error as its result.

--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -335,8 +335,11 @@
 // service implements rpc.DRPCFleetServer.
 type service struct{ server *Server }
 
-// Submit proposes a command that another control server has forwarded.
+// Submit proposes a command that another control server has forwarded. It refuses one that can't be decoded.
 func (s *service) Submit(ctx context.Context, req *rpc.SubmitRequest) (*rpc.SubmitResponse, error) {
+	if err := ledger.CheckCommand(req.Command); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	_, err := s.server.node.Propose(ctx, req.Command)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -95,12 +95,20 @@
 	l.changed = make(chan struct{})
 }
 
-// Apply executes one committed command. Its result is always nil: State shows all
-// effects.
+// CheckCommand returns an error if a command can't be decoded, and so must not be committed.
+func CheckCommand(data []byte) error {
+	if err := proto.Unmarshal(data, &rpc.FleetCommand{}); err != nil {
+		return fmt.Errorf("decode command: %w", err)
+	}
+	return nil
+}
+
+// Apply executes one committed command. Its result is nil, as State shows all effects; a command that can't be decoded has none, and its
+// result is an error: it would stop each control server again at each replay of the log.
 func (l *Ledger) Apply(index uint64, data []byte) any {
 	var c rpc.FleetCommand
 	if err := proto.Unmarshal(data, &c); err != nil {
-		panic(fmt.Sprintf("ledger: decode command of entry %d: %v", index, err))
+		return fmt.Errorf("decode command of entry %d: %w", index, err)
 	}
 	l.changing.Lock()
 	defer l.changing.Unlock()
