--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -134,31 +134,7 @@
 			if err != nil {
 				return
 			}
-			at := h.receive(f, m)
-			if m.Presence != rpc.PresenceInterest_PRESENCE_INTEREST_UNSPECIFIED {
-				h.setInterest(f, m.Presence)
-				continue
-			}
-			if m.Report != nil {
-				h.mergeReport(m.Report)
-				continue
-			}
-			if h.handleTurnMessage(f, m) {
-				continue
-			}
-			if len(m.Suspicions) > 0 {
-				h.mergeSuspicions(follow.SuspicionsFromProto(m.Suspicions, clock.Now()))
-				continue
-			}
-			if len(m.Signals) > 0 {
-				h.mergeSignals(follow.SignalsFromProto(m.Signals, clock.Now()))
-				continue
-			}
-			if len(m.Versions) > 0 {
-				h.mergeNamings(m.Versions, at)
-				continue
-			}
-			h.acknowledge(f, m)
+			h.handle(f, m)
 		}
 	}()
 	keepAlive := time.NewTicker(follow.KeepAlive)
@@ -185,6 +161,26 @@
 	}
 }
 
+// handle handles one message of a follower that has joined.
+func (h *hub) handle(f *follower, m *rpc.FollowerMessage) {
+	at := h.receive(f, m)
+	switch {
+	case m.Presence != rpc.PresenceInterest_PRESENCE_INTEREST_UNSPECIFIED:
+		h.setInterest(f, m.Presence)
+	case m.Report != nil:
+		h.mergeReport(m.Report)
+	case h.handleTurnMessage(f, m):
+	case len(m.Suspicions) > 0:
+		h.mergeSuspicions(follow.SuspicionsFromProto(m.Suspicions, clock.Now()))
+	case len(m.Signals) > 0:
+		h.mergeSignals(follow.SignalsFromProto(m.Signals, clock.Now()))
+	case len(m.Versions) > 0:
+		h.mergeNamings(m.Versions, at)
+	default:
+		h.acknowledge(f, m)
+	}
+}
+
 func (h *hub) join(hello *rpc.FollowerMessage) *follower {
 	h.mu.Lock()
 	defer h.mu.Unlock()
