No presence is added behind updates that no follower acknowledges

Cause: a follower's window of presence is halved by acknowledgements that come late. While a link narrows none come at all, and presence goes on at the old rate until all windows are full, up to 512 KB, which the narrow link needs 3 s for. A leave waits behind it.

Change: a follower whose oldest update is on its way for 150 ms longer than the shortest way gets only the least window's presence until acknowledgements come. The bound is one of time, so that it holds at any number of followers.

--- a/internal/fleetcontrol/full_link_test.go
+++ b/internal/fleetcontrol/full_link_test.go
@@ -162,7 +162,28 @@
 				l.step()
 			}
 			took := l.leave(server)
+			t.Logf("seed %d, %d entries, leave %d at %.2f Mbit/s: acknowledged by all after %v", seed, entries, server, l.rate*8/1e6, took)
 			assert.Less(t, took, leaveCallTimeout, "seed %d, %d entries, leave %d at %.2f Mbit/s", seed, entries, server, l.rate*8/1e6)
 		}
 	}
 }
+
+// Guards against presence that is sent on to a link that has just narrowed, before which acknowledgements no longer come, so that
+// a leave waits behind it.
+func TestLeaveIsAcknowledgedSoonAfterALinkNarrows(t *testing.T) {
+	const entries, wideFor, narrowedFor = 50, 10 * time.Second, 300 * time.Millisecond
+	for _, share := range []float64{1, 0.6, 0.4, 0.3, 0.2} {
+		l := newFullLink(entries, 200)
+		l.rate = linkRate * share
+		for l.now < wideFor {
+			l.step()
+		}
+		l.rate = linkRate / 10
+		for until := l.now + narrowedFor; l.now < until; {
+			l.step()
+		}
+		took := l.leave(0)
+		t.Logf("from %.1f to %.1f Mbit/s: acknowledged by all after %v", linkRate*share*8/1e6, l.rate*8/1e6, took)
+		assert.Less(t, took, leaveCallTimeout)
+	}
+}
--- a/internal/fleetcontrol/presence.go
+++ b/internal/fleetcontrol/presence.go
@@ -142,7 +142,7 @@
 // addPresence adds the reports, records and renewals to be sent, as far as the follower's window allows, and servers that leave. It
 // returns the size of the presence among them. The caller holds the lock.
 func (h *hub) addPresence(f *follower, u *rpc.FleetUpdate, now time.Time) int {
-	room := &presenceRoom{left: f.window.left(f.presenceInFlight(), h.mostPresence())}
+	room := &presenceRoom{left: f.window.left(f.presenceInFlight(), h.mostPresence(), f.unacknowledgedFor(h.now()))}
 	h.addReports(f, u, room, now)
 	h.addRecords(f, u, room, now)
 	h.addRenewals(f, u, room, now)
--- a/internal/fleetcontrol/window.go
+++ b/internal/fleetcontrol/window.go
@@ -38,10 +38,14 @@
 	w.bytes = min(max(w.bytes, minPresenceWindow), most)
 }
 
-// left returns how many more bytes may be sent.
-func (w *presenceWindow) left(inFlight, most int) int {
-	if w.bytes == 0 {
+// left returns how many more bytes may be sent. oldest is for how long the oldest update is on its way: if that is too long, the link may
+// have narrowed, and nothing is added to what fills it before the acknowledgements tell.
+func (w *presenceWindow) left(inFlight, most int, oldest time.Duration) int {
+	switch {
+	case w.bytes == 0:
 		return min(firstPresenceWindow, most) - inFlight
+	case oldest-w.shortest > maxQueueing:
+		return min(minPresenceWindow, most) - inFlight
 	}
 	return min(w.bytes, most) - inFlight
 }
