An engine that holds some requests gets more again as it begins others in time

Cause: once found, it got one request at a time after pauses of 0.5, 1, 2 and 4 s, whatever it did with them. Nothing but 5 s without a hold ended that, which is longer than requests are relayed.

Change: a request that the engine begins in time, after one that it held, ends the doubling and lets one more at a time through; the next one that it holds begins anew with one. The least pause is 0.1 s: it bounds how often a caller pays for a try with 0.25 s, while what may begin late, should an agent stand still, stays one request. What begins late keeps its checks.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -23,19 +23,19 @@
 	continued chan struct{}
 	// complete is closed once the whole answer was passed back.
 	complete chan struct{}
-	// releaseSlot is called when the answer has begun. It may be called again at the end of the exchange.
-	releaseSlot func()
+	// onBegin is called when the answer has begun.
+	onBegin func()
 }
 
-func newExchange(f frame, idHeader string, releaseSlot func()) *exchange {
+func newExchange(f frame, idHeader string, onBegin func()) *exchange {
 	method, _, _ := bytes.Cut(f.Head, []byte{' '})
-	return &exchange{id: string(f.Id), idHeader: idHeader, method: string(method), continued: make(chan struct{}), complete: make(chan struct{}), releaseSlot: releaseSlot}
+	return &exchange{id: string(f.Id), idHeader: idHeader, method: string(method), continued: make(chan struct{}), complete: make(chan struct{}), onBegin: onBegin}
 }
 
 // begin records that the answer has begun. It has no effect on a cancelled exchange.
 func (x *exchange) begin() {
 	if x.state.CompareAndSwap(waiting, begun) {
-		x.releaseSlot()
+		x.onBegin()
 	}
 }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -120,8 +119,7 @@
 		return c.refuse(f, d)
 	}
 	ticket, d := c.awaitSlot(ctx, f)
-	releaseSlot := sync.OnceFunc(func() { c.s.slots.leave(ticket) })
-	defer releaseSlot()
+	defer c.s.slots.leave(ticket)
 	switch {
 	case d.reason == ReasonNone:
 	case ctx.Err() != nil:
@@ -138,7 +136,7 @@
 		c.s.log.Debug().Err(err).Msg("request not passed on")
 		return c.refuse(f, decision{reason: ReasonNotConnected})
 	}
-	return c.pass(ctx, f, releaseSlot)
+	return c.pass(ctx, f, ticket)
 }
 
 // awaitSlot waits until the request may be passed on, and counts it among the requests at the engine then. Otherwise the decision
@@ -202,8 +200,9 @@
 }
 
 // pass writes a request to the engine, after a last decision, and waits for the end of its answer.
-func (c *session) pass(ctx context.Context, f frame, releaseSlot func()) bool {
-	e, x := c.engine, newExchange(f, c.s.cfg.Headers.RequestID, releaseSlot)
+func (c *session) pass(ctx context.Context, f frame, ticket *slotTicket) bool {
+	e := c.engine
+	x := newExchange(f, c.s.cfg.Headers.RequestID, func() { c.s.slots.begun(ticket, clock.Now()) })
 	defer context.AfterFunc(ctx, func() { _ = e.Close() })()
 	d := c.decide(f, conditions{})
 	if d.reason != ReasonNone {
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -18,8 +18,8 @@
 	maxBeginTime   = 800 * time.Millisecond
 	probeBeginTime = 250 * time.Millisecond
 	// minHoldingBackoff is how long an engine that has exceeded one of them gets no requests that must begin at once. It doubles
-	// each time, up to maxHoldingBackoff.
-	minHoldingBackoff = 500 * time.Millisecond
+	// each time, up to maxHoldingBackoff, until the engine begins one in time: it may hold some requests only.
+	minHoldingBackoff = 100 * time.Millisecond
 	maxHoldingBackoff = 4 * time.Second
 	// holdingMemory is for how long such an engine then gets them one at a time. It is longer than the time before a bound in
 	// which requests are relayed.
@@ -41,9 +41,12 @@
 	unbegun []*slotTicket
 	waiting []*slotTicket
 	// heldAt is when the engine was last found to hold a request in a free slot, a time of package clock. It gets none until
-	// backoffUntil. holds counts how often it was found so within holdingMemory.
+	// backoffUntil. holds counts how often it was found so within holdingMemory, since it last began one in time.
 	heldAt, backoffUntil time.Time
 	holds                int
+	// atOnce is how many requests that have not begun an engine may have that was found to hold some: one, and one more for each
+	// that it has begun in time since.
+	atOnce int
 }
 
 // slotTicket is the place of a request among those that wait, or among those that were passed on.
@@ -86,7 +89,7 @@
 	defer q.mu.Unlock()
 	left := q.left(report)
 	if q.hasHeld(now) {
-		left = min(left, 1-len(q.unbegun))
+		left = min(left, q.atOnce-len(q.unbegun))
 	}
 	if slices.Index(q.waiting, t) >= left {
 		return false
@@ -137,6 +140,17 @@
 	q.waiting, q.unbegun = without(q.waiting, t), without(q.unbegun, t)
 }
 
+// begun removes a request whose answer has begun. An engine that begins one in time, after it has held some, does not hold all.
+func (q *slotQueue) begun(t *slotTicket, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.hasHeld(now) && t.passedAt.After(q.heldAt) && now.Before(t.beginBy) {
+		q.holds = 0
+		q.atOnce++
+	}
+	q.unbegun = without(q.unbegun, t)
+}
+
 func without(tickets []*slotTicket, t *slotTicket) []*slotTicket {
 	if i := slices.Index(tickets, t); i >= 0 {
 		return slices.Delete(tickets, i, i+1)
@@ -164,11 +178,11 @@
 		q.holds = 0
 	}
 	q.backoffUntil = now.Add(min(minHoldingBackoff<<min(q.holds, 10), maxHoldingBackoff))
-	q.heldAt = now
+	q.heldAt, q.atOnce = now, 1
 	q.holds++
 }
 
 // hasHeld reports whether the engine was found to hold requests lately. q.mu must be locked.
 func (q *slotQueue) hasHeld(now time.Time) bool {
-	return q.holds > 0 && now.Sub(q.heldAt) < holdingMemory
+	return !q.heldAt.IsZero() && now.Sub(q.heldAt) < holdingMemory
 }
