Digests are confirmed by another answer only once the origin's bytes have matched one

What callers would see: as with one stale answer for digests, but the answer is repeated, as by a cache, and the second agent that asks gets the same: engines load the older version as the newer one.

Change: digests that another agent was sent count once bytes of the origin have matched one of the set, and while none contradict any. Where all pieces of a version were staged, one of them, the same at all agents, is requested from the origin; the others are shared as before. Staged pieces of the version that the engine has loaded are proven, and those of the first version: an agent that starts anew, or whose engine has crashed, waits for nothing.

--- a/internal/staging/confirm.go
+++ b/internal/staging/confirm.go
@@ -74,7 +74,7 @@
 		s.log.Warn().Str("model", g.model).Uint64("version", g.version).Int("unproven", unproven).Int("contested", contested).
 			Dur("waited_ms", waited).Msg("digests are not confirmed yet")
 	}
-	if unproven == 0 || !s.reported.Load() || waited < time.Duration(s.confirmationRank(confirmers, set))*digestDelay {
+	if unproven == 0 || !set.hasBytes() || !s.reported.Load() || waited < time.Duration(s.confirmationRank(confirmers, set))*digestDelay {
 		return
 	}
 	second, err := s.digestsFromOrigin(ctx, g)
--- a/internal/staging/confirm_test.go
+++ b/internal/staging/confirm_test.go
@@ -77,7 +77,9 @@
 	s, g := confirmingStager(o, "a1", "b")
 	set, err := s.openSet(t.Context(), g)
 	require.NoError(t, err)
-	assert.Empty(t, set.missing())
+	assert.Equal(t, []int{0}, set.missing(), "all were staged")
+	require.True(t, set.put(1, []byte("b"), true))
+	require.True(t, set.put(0, []byte("a1"), false))
 	o.err = errors.New("connection refused")
 	began, asked := time.Now(), o.asked
 	for now := began; now.Sub(began) < 10*time.Second; now = now.Add(wantedInterval) {
@@ -97,18 +99,37 @@
 
 // Guards against a load without a verification of the staged pieces, since one was made before the digests were replaced.
 func TestVerificationOfPiecesUnderReplacedDigestsIsNotUsed(t *testing.T) {
-	o := &answeringOrigin{answers: [][]Digest{digestsOf("a1"), digestsOf("a2")}}
-	s, g := confirmingStager(o, "a1")
+	o := &answeringOrigin{answers: [][]Digest{digestsOf("a1", "b")}}
+	s, g := confirmingStager(o, "a1", "b")
 	set, err := s.openSet(t.Context(), g)
 	require.NoError(t, err)
-	_, recent := s.verification.recent(g.key(), s.now())
-	require.True(t, recent, "all staged pieces were taken in")
-	s.confirm(t.Context(), g, set, time.Now())
+	require.True(t, set.put(0, []byte("a1"), false))
+	s.verification.record(g.key(), s.now())
+	s.adopt(g, set, digestAnswer{digests: digestsOf("a2", "b"), confirmed: []bool{true, true}}, "peer")
 	require.True(t, set.put(0, []byte("a2"), true))
-	_, recent = s.verification.recent(g.key(), s.now())
+	require.True(t, set.loadable())
+	_, recent := s.verification.recent(g.key(), s.now())
 	assert.False(t, recent)
 }
 
+// Guards against an agent that starts anew and does not load, or fetches again, what its engine had loaded before it crashed.
+func TestStagedPiecesOfTheLoadedVersionAreProven(t *testing.T) {
+	for name, c := range map[string]struct {
+		version, loaded uint64
+		missing         int
+	}{
+		"loaded": {2, 2, 0}, "the first version": {1, 0, 0}, "another one is loaded": {2, 1, 1}, "none is loaded": {2, 0, 1},
+	} {
+		s, g := confirmingStager(&answeringOrigin{answers: [][]Digest{digestsOf("a", "b")}}, "a", "b")
+		g.version = c.version
+		s.engineVersion.Store(c.loaded)
+		set, err := s.openSet(t.Context(), g)
+		require.NoError(t, err)
+		assert.Len(t, set.missing(), c.missing, name)
+		assert.Equal(t, c.missing == 0, set.loadable(), name)
+	}
+}
+
 func TestAgentThatReceivedTheFirstAnswerIsTheLastToAskForASecond(t *testing.T) {
 	s := New(Config{EngineAddr: "127.0.0.1:1"})
 	servers := []*fleet.BackendServer{{Addr: "127.0.0.1:1"}, {Addr: "127.0.0.2:1"}, {Addr: "127.0.0.3:1"}, {Addr: "127.0.0.4:1"}}
--- a/internal/staging/digests.go
+++ b/internal/staging/digests.go
@@ -138,16 +138,23 @@
 		s.log.Warn().Err(err).Msg("listing the staged pieces failed")
 		return
 	}
+	// The engine got what it has loaded under digests that were confirmed, and there is no version before the first.
+	loaded := s.engineVersion.Load()
+	proven := loaded == g.version || g.version == firstVersion
 	taken := 0
 	for _, piece := range staged {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		data, err := s.cfg.Engine.Get(callCtx, g.model, piece)
 		cancel()
-		if err == nil && set.put(piece, data, false) {
+		if err == nil && set.put(piece, data, proven) {
 			taken++
 		}
 	}
-	if taken == set.size() {
+	switch {
+	case taken < set.size():
+	case set.dropSample(g.version):
+		s.log.Info().Uint64("version", g.version).Msg("all pieces were staged; one is fetched to compare")
+	default:
 		s.verification.record(g.key(), began)
 	}
 	s.log.Info().Uint64("version", g.version).Int("held", len(staged)).Int("taken", taken).Msg("staged pieces taken in")
--- a/internal/staging/evidence.go
+++ b/internal/staging/evidence.go
@@ -7,7 +7,8 @@
 
 // A digest that bytes match is not thereby the version's: an answer of the origin may name digests of an older version, whose pieces are
 // staged. A digest is confirmed by evidence from a second answer of the origin: bytes that it sent for this version, or digests that it
-// sent to another agent. Only pieces with confirmed digests are loaded.
+// sent to another agent. The latter count only once its bytes have matched any digest: a stale answer may be repeated, and then names
+// digests of the older version for all pieces. Only pieces with confirmed digests are loaded.
 
 // maxCandidates bounds the other digests kept for one piece.
 const maxCandidates = 8
@@ -29,6 +30,8 @@
 // evidence is what confirms the digests of a set, or contradicts them. Its owner locks it.
 type evidence struct {
 	confirmed []bool
+	// hasBytes: bytes that the origin sent for the version have matched a digest, here or at a peer.
+	hasBytes bool
 	// candidates are the other digests named for pieces whose digests are not confirmed.
 	candidates map[int]map[Digest]bool
 }
@@ -37,7 +40,7 @@
 	return evidence{confirmed: make([]bool, pieces), candidates: map[int]map[Digest]bool{}}
 }
 
-// accept reports whether bytes with a digest are a piece of the version. Proven bytes, which the origin sent for it, confirm the digest.
+// accept reports whether bytes with a digest are a piece of the version. Proven bytes, such as those that the origin sent for it, confirm the digest.
 // Others, such as staged ones, are not accepted while answers name different digests.
 func (p *pieceSet) accept(piece int, digest Digest, proven bool) bool {
 	switch {
@@ -61,7 +64,7 @@
 		delete(p.mismatches, piece)
 		p.recheckAt, p.rechecks = time.Time{}, 0
 	}
-	p.evidence.confirmed[piece] = true
+	p.evidence.confirmed[piece], p.evidence.hasBytes = true, true
 	delete(p.evidence.candidates, piece)
 	return replaced
 }
@@ -150,13 +153,14 @@
 }
 
 // compare takes in another answer of the origin. If it is independent of the first one, sent to another agent, it confirms the digests that
-// both name. It returns how many digests it confirmed, and the pieces for which the answers differ.
+// both name, once bytes have matched one of them and none contradict any. It returns how many digests it confirmed, and the pieces for which the answers differ.
 func (p *pieceSet) compare(other []Digest, independent bool) (confirmed int, contested []int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(other) != len(p.digests) {
 		return 0, nil
 	}
+	confirms := independent && p.evidence.hasBytes && len(p.mismatches) == 0
 	for piece, digest := range other {
 		switch {
 		case p.evidence.confirmed[piece]:
@@ -164,7 +168,7 @@
 			if p.contest(piece, digest) {
 				contested = append(contested, piece)
 			}
-		case independent && len(p.evidence.candidates[piece]) == 0:
+		case confirms && len(p.evidence.candidates[piece]) == 0:
 			p.confirm(piece, digest)
 			confirmed++
 		}
@@ -172,6 +176,25 @@
 	return confirmed, contested
 }
 
+// dropSample drops one piece if none has a confirmed digest, and reports whether it did. It is called when all pieces were staged: the origin
+// is then asked for that one. It is the same at all agents, so that the origin sends it once.
+func (p *pieceSet) dropSample(version uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.evidence.hasBytes || len(p.pieces) == 0 {
+		return false
+	}
+	p.drop(int(version % uint64(len(p.pieces))))
+	return true
+}
+
+// hasBytes reports whether bytes of the origin have matched a digest.
+func (p *pieceSet) hasBytes() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.evidence.hasBytes
+}
+
 // answer returns what this agent knows of the digests.
 func (p *pieceSet) answer() digestAnswer {
 	p.mu.Lock()
--- a/internal/staging/evidence_test.go
+++ b/internal/staging/evidence_test.go
@@ -26,6 +26,30 @@
 	assert.True(t, set.loadable())
 }
 
+// Guards against a stale answer that is repeated, so that two agents have it: without bytes of the origin neither confirms the other.
+func TestAnswersConfirmNothingWithoutBytesOfTheOrigin(t *testing.T) {
+	set := newPieceSet(digestsOf("old", "older"))
+	require.True(t, set.put(0, []byte("old"), false))
+	require.True(t, set.put(1, []byte("older"), false))
+	require.True(t, set.dropSample(2))
+	assert.Equal(t, []int{0}, set.missing())
+	confirmed, _ := set.compare(digestsOf("old", "older"), true)
+	assert.Zero(t, confirmed)
+	assert.False(t, set.put(0, []byte("new"), true), "the origin's bytes are not those that the answers name")
+	set.noteMismatch(0, originPeer, []byte("new"), time.Now())
+	confirmed, _ = set.compare(digestsOf("old", "older"), true)
+	assert.Zero(t, confirmed)
+	fresh := digestsOf("new", "newer")
+	assert.Equal(t, []int{0}, set.correct(fresh))
+	_, contested := set.compare(fresh, false)
+	assert.Equal(t, []int{1}, contested)
+	require.True(t, set.put(0, []byte("new"), true))
+	assert.False(t, set.put(1, []byte("older"), false))
+	require.True(t, set.put(1, []byte("newer"), true))
+	assert.True(t, set.loadable())
+	assert.False(t, set.dropSample(2))
+}
+
 func TestOriginsBytesDecideBetweenAnswersThatDiffer(t *testing.T) {
 	replaced := 0
 	set := newPieceSet(digestsOf("old"))
--- a/internal/staging/sets.go
+++ b/internal/staging/sets.go
@@ -131,7 +131,7 @@
 }
 
 // put adds a piece if its digest matches, and reports whether it does. Bytes are proven if the origin sent them for this version, to this
-// agent or to a peer.
+// agent or to a peer, or if the engine has loaded them as this version.
 func (p *pieceSet) put(piece int, data []byte, proven bool) bool {
 	digest := Digest(sha256.Sum256(data))
 	p.mu.Lock()
