Pieces of agents that confirm nothing are compared with the origin's bytes

Found by reading, before any run: an agent whose pieces all come from agents of an earlier build, which confirm nothing, would have had no byte of the origin, so that no second answer counted, and would never have loaded the version.

Change: whenever all pieces are here and none is confirmed, one is dropped and taken from the origin, or from a peer that has it from there, only.

Measured: TestPiecesOfPeersThatConfirmNothingAreComparedWithTheOrigin fails without it; the tests of stale manifests pass, 20,000 schedules as before.

--- a/internal/staging/confirm.go
+++ b/internal/staging/confirm.go
@@ -68,6 +68,9 @@
 			s.adopt(g, set, answer, peer)
 		}
 	}
+	if s.engineVersion.Load() < g.version {
+		set.dropSample(g.version) // all pieces came from peers that confirm nothing, such as those of an earlier build
+	}
 	unproven, contested := set.unconfirmed()
 	waited := clock.Since(since)
 	if unproven+contested > 0 && waited > confirmWarning {
--- a/internal/staging/confirm_test.go
+++ b/internal/staging/confirm_test.go
@@ -78,8 +78,9 @@
 	set, err := s.openSet(t.Context(), g)
 	require.NoError(t, err)
 	assert.Equal(t, []int{0}, set.missing(), "all were staged")
-	require.True(t, set.put(1, []byte("b"), true))
-	require.True(t, set.put(0, []byte("a1"), false))
+	assert.False(t, set.put(0, []byte("a1"), false), "a staged piece is no second answer")
+	require.True(t, set.put(0, []byte("a1"), true))
+	o.answers = [][]Digest{digestsOf("a1", "b2")}
 	o.err = errors.New("connection refused")
 	began, asked := time.Now(), o.asked
 	for now := began; now.Sub(began) < 10*time.Second; now = now.Add(wantedInterval) {
@@ -92,18 +93,36 @@
 	assert.Less(t, o.asked-asked, 20, "the origin is asked without a pause")
 	o.err = nil
 	s.confirm(t.Context(), g, set, began)
+	assert.Equal(t, []int{1}, set.missing())
+	require.True(t, set.put(1, []byte("b2"), true))
+	assert.True(t, set.loadable())
+}
+
+// Guards against a version that is never loaded beside agents of an earlier build, which confirm nothing.
+func TestPiecesOfPeersThatConfirmNothingAreComparedWithTheOrigin(t *testing.T) {
+	o := &answeringOrigin{answers: [][]Digest{digestsOf("a2", "b2")}}
+	s, g := confirmingStager(o, "a1", "b1")
+	set, err := s.openSet(t.Context(), g)
+	require.NoError(t, err)
+	for piece, data := range []string{"a2", "b2"} {
+		require.True(t, set.put(piece, []byte(data), false))
+	}
+	s.confirm(t.Context(), g, set, time.Now())
 	assert.Equal(t, []int{0}, set.missing())
+	assert.False(t, set.put(0, []byte("a2"), false))
 	require.True(t, set.put(0, []byte("a2"), true))
+	s.confirm(t.Context(), g, set, time.Now())
 	assert.True(t, set.loadable())
+	assert.Equal(t, 2, o.asked)
 }
 
 // Guards against a load without a verification of the staged pieces, since one was made before the digests were replaced.
 func TestVerificationOfPiecesUnderReplacedDigestsIsNotUsed(t *testing.T) {
 	o := &answeringOrigin{answers: [][]Digest{digestsOf("a1", "b")}}
-	s, g := confirmingStager(o, "a1", "b")
+	s, g := confirmingStager(o, "a1", "older")
 	set, err := s.openSet(t.Context(), g)
 	require.NoError(t, err)
-	require.True(t, set.put(0, []byte("a1"), false))
+	require.True(t, set.put(1, []byte("b"), true))
 	s.verification.record(g.key(), s.now())
 	s.adopt(g, set, digestAnswer{digests: digestsOf("a2", "b"), confirmed: []bool{true, true}}, "peer")
 	require.True(t, set.put(0, []byte("a2"), true))
--- a/internal/staging/evidence.go
+++ b/internal/staging/evidence.go
@@ -32,12 +32,14 @@
 	confirmed []bool
 	// hasBytes: bytes that the origin sent for the version have matched a digest, here or at a peer.
 	hasBytes bool
+	// sample is the piece that only such bytes may provide, none if it is negative: without them all pieces were here.
+	sample int
 	// candidates are the other digests named for pieces whose digests are not confirmed.
 	candidates map[int]map[Digest]bool
 }
 
 func newEvidence(pieces int) evidence {
-	return evidence{confirmed: make([]bool, pieces), candidates: map[int]map[Digest]bool{}}
+	return evidence{confirmed: make([]bool, pieces), sample: -1, candidates: map[int]map[Digest]bool{}}
 }
 
 // accept reports whether bytes with a digest are a piece of the version. Proven bytes, such as those that the origin sent for it, confirm the digest.
@@ -47,7 +49,7 @@
 	case p.evidence.confirmed[piece]:
 		return digest == p.digests[piece]
 	case !proven:
-		return digest == p.digests[piece] && len(p.evidence.candidates[piece]) == 0
+		return digest == p.digests[piece] && len(p.evidence.candidates[piece]) == 0 && piece != p.evidence.sample
 	case digest != p.digests[piece] && !p.evidence.candidates[piece][digest]:
 		return false
 	}
@@ -64,7 +66,7 @@
 		delete(p.mismatches, piece)
 		p.recheckAt, p.rechecks = time.Time{}, 0
 	}
-	p.evidence.confirmed[piece], p.evidence.hasBytes = true, true
+	p.evidence.confirmed[piece], p.evidence.hasBytes, p.evidence.sample = true, true, -1
 	delete(p.evidence.candidates, piece)
 	return replaced
 }
@@ -176,15 +178,16 @@
 	return confirmed, contested
 }
 
-// dropSample drops one piece if none has a confirmed digest, and reports whether it did. It is called when all pieces were staged: the origin
-// is then asked for that one. It is the same at all agents, so that the origin sends it once.
+// dropSample drops one piece if all are here and none of them has a confirmed digest, and reports whether it did: the origin is then asked
+// for that one. It is the same at all agents, so that the origin sends it once.
 func (p *pieceSet) dropSample(version uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.evidence.hasBytes || len(p.pieces) == 0 {
+	if p.evidence.hasBytes || p.held < len(p.pieces) || len(p.pieces) == 0 {
 		return false
 	}
-	p.drop(int(version % uint64(len(p.pieces))))
+	p.evidence.sample = int(version % uint64(len(p.pieces)))
+	p.drop(p.evidence.sample)
 	return true
 }
 
