The agent that received the first answer for digests waits for the others' turn

Found by reading: in a fleet of two, that agent's rank among those that ask for the second answer was 0, so that it asked itself at once, and its own second answer counted as another agent's.

Change: its rank is the number of the others, 0 only if there is none.

Measured: TestAgentThatReceivedTheFirstAnswerIsTheLastToAskForASecond, for fleets of one to four and each agent, fails before for two, three and four.

--- a/internal/staging/confirm.go
+++ b/internal/staging/confirm.go
@@ -126,7 +126,7 @@
 // answer itself is the last.
 func (s *Stager) confirmationRank(confirmers []*fleet.BackendServer, set *pieceSet) int {
 	if set.askedOrigin.Load() {
-		return len(confirmers) - 1
+		return len(slices.DeleteFunc(slices.Clone(confirmers), func(b *fleet.BackendServer) bool { return b.Addr == s.cfg.EngineAddr }))
 	}
 	return s.rankAmong(confirmers, rankForConfirmation)
 }
--- a/internal/staging/confirm_test.go
+++ b/internal/staging/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,12 +151,19 @@
 }
 
 func TestAgentThatReceivedTheFirstAnswerIsTheLastToAskForASecond(t *testing.T) {
-	s := New(Config{EngineAddr: "127.0.0.1:1"})
 	servers := []*fleet.BackendServer{{Addr: "127.0.0.1:1"}, {Addr: "127.0.0.2:1"}, {Addr: "127.0.0.3:1"}, {Addr: "127.0.0.4:1"}}
-	confirmers := s.confirmers(servers)
-	require.Len(t, confirmers, len(servers)-1)
 	set := newPieceSet(nil)
 	set.askedOrigin.Store(true)
-	assert.Equal(t, len(confirmers)-1, s.confirmationRank(confirmers, set))
-	assert.Len(t, s.confirmers(servers[:1]), 1, "an agent without peers asks again itself")
+	for n := 1; n <= len(servers); n++ {
+		for _, own := range servers[:n] {
+			s := New(Config{EngineAddr: own.Addr})
+			confirmers := s.confirmers(servers[:n])
+			assert.Len(t, confirmers, max(n-1, 1))
+			if slices.Contains(confirmers, own) {
+				assert.Equal(t, len(confirmers)-1, s.confirmationRank(confirmers, set), "of %d", n)
+			} else {
+				assert.Equal(t, n-1, s.confirmationRank(confirmers, set), "of %d", n)
+			}
+		}
+	}
 }
