--- a/internal/standstill/standstill.go
+++ b/internal/standstill/standstill.go
@@ -60,7 +60,9 @@
 	// processes are those of Watch.
 	processes *processMonitor
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// noted are the stalls that the scenario has found itself.
+	noted    time.Duration
 	messages []string
 	failed   bool
 	cleanups []func()
@@ -77,10 +79,22 @@
 		scenario(r)
 	}()
 	<-done
-	r.stalled = meter.stop() + r.processes.stop()
+	r.stalled = meter.stop() + r.processes.stop() + r.noted
 	return r
 }
 
+// Note records that the machine held up a scenario for a time, as by a disk that stalled. Like the stalls that are measured, it has a
+// run that fails repeated, and no other effect.
+func Note(t testing.TB, stalled time.Duration) {
+	r, ok := t.(*scenarioRun)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noted += stalled
+}
+
 func (r *scenarioRun) runCleanups() {
 	for len(r.cleanups) > 0 {
 		last := r.cleanups[len(r.cleanups)-1]
--- a/internal/standstill/standstill_test.go
+++ b/internal/standstill/standstill_test.go
@@ -80,3 +80,15 @@
 	}
 	assert.Equal(t, 4*time.Second, m.stalled)
 }
+
+func TestFailureWithANotedStallRunsAgain(t *testing.T) {
+	runs := 0
+	assert.True(t, passes(t, fakeMeter{0, 0}, func(t testing.TB) {
+		if runs++; runs == 1 {
+			Note(t, time.Second)
+			assert.Fail(t, "wrong")
+		}
+	}))
+	assert.Equal(t, 2, runs)
+	Note(t, time.Second) // no scenario
+}
