Sight: how bodies went to the engine, and what was closed there before it had begun

Logs and metrics of agents could not tell the hypotheses about kept requests apart: whether a request that was closed could still begin at its engine, and which engines ask for bodies. lynxgate_relay_bodies_total, lynxgate_relay_closed_unbegun_total and lynxgate_relay_engine_asks_for_bodies count both; lines name the request, how its body went, its deadline and bound. No decision changes.

--- a/internal/relay/continue.go
+++ b/internal/relay/continue.go
@@ -32,10 +32,12 @@
 	return c.asks || !now.Before(c.unaskedUntil)
 }
 
-func (c *continuing) asked() {
+// asked records that the engine has asked for a body. It reports whether it had not before.
+func (c *continuing) asked() (first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.asks = true
+	first, c.asks = !c.asks, true
+	return first
 }
 
 // giveUp reports whether a body that has waited since a time is to be sent unasked.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -25,6 +25,8 @@
 	complete chan struct{}
 	// onBegin is called when the answer has begun.
 	onBegin func()
+	// body is how the body went to the engine. Only the session's goroutine uses it.
+	body string
 }
 
 func newExchange(f frame, idHeader string, onBegin func()) *exchange {
@@ -42,6 +44,8 @@
 // cancel reports whether the answer had not begun; it can't begin any more then.
 func (x *exchange) cancel() bool { return x.state.CompareAndSwap(waiting, cancelled) }
 
+func (x *exchange) hasBegun() bool { return x.state.Load() == begun }
+
 func (x *exchange) waiting() bool { return x.state.Load() == waiting }
 
 func (x *exchange) isComplete() bool {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -15,10 +15,23 @@
 	resultEngineClosed = "engine-closed"
 )
 
+// How bodies went to the engine.
+const (
+	bodyNone     = "none"
+	bodyAsked    = "asked"
+	bodyUnasked  = "unasked"
+	bodyWithHead = "with-head"
+	// bodyWithheld: the request ended before its body was sent, so that the engine can't begin it.
+	bodyWithheld = "withheld"
+)
+
 // Metrics are the metrics of a Server.
 type Metrics struct {
 	requests    *prometheus.CounterVec
 	cuts        *prometheus.CounterVec
+	bodies      *prometheus.CounterVec
+	closed      *prometheus.CounterVec
+	asks        prometheus.Gauge
 	cancelDelay prometheus.Histogram
 	open        prometheus.Gauge
 }
@@ -32,6 +45,15 @@
 		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_relay_answers_cut_total", Help: "Answers that broke off after they had begun, by result: entry-left or engine-closed.",
 		}, []string{"result"}),
+		bodies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_relay_bodies_total", Help: "Requests that were passed on, by how their body went to the engine: none, asked, unasked, with-head or withheld.",
+		}, []string{"sent"}),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_relay_closed_unbegun_total", Help: "Requests whose connection to the engine was closed before they had begun, by how their body had gone there. Some engines begin them later, unless it was withheld.",
+		}, []string{"sent"}),
+		asks: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lynxgate_relay_engine_asks_for_bodies", Help: "1 if the engine has asked for a body, 0 if it has not.",
+		}),
 		cancelDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lynxgate_relay_cancel_delay_seconds", Help: "Time from the planned to the actual cancellation of requests without an answer shortly before their weights expire.",
 			Buckets: []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 1, 3},
@@ -40,7 +62,7 @@
 			Name: "lynxgate_relay_open", Help: "Open connections of entries to the relay.",
 		}),
 	}
-	r.MustRegister(m.requests, m.cuts, m.cancelDelay, m.open)
+	r.MustRegister(m.requests, m.cuts, m.bodies, m.closed, m.asks, m.cancelDelay, m.open)
 	return m
 }
 
@@ -48,4 +70,8 @@
 
 func (m *Metrics) cut(result string) { m.cuts.WithLabelValues(result).Inc() }
 
+func (m *Metrics) passedOn(body string) { m.bodies.WithLabelValues(body).Inc() }
+
+func (m *Metrics) closedUnbegun(body string) { m.closed.WithLabelValues(body).Inc() }
+
 func (m *Metrics) cancelled(late time.Duration) { m.cancelDelay.Observe(late.Seconds()) }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -212,9 +212,16 @@
 	e.current.Store(x)
 	expect := len(f.Body) > 0 && c.s.bodies.expect(clock.Now())
 	request := encodeHead(f, c.s.cfg.Headers.DeadlineMs, d.deadline, expect)
-	if !expect {
+	switch {
+	case expect:
+		x.body = bodyWithheld
+	case len(f.Body) == 0:
+		x.body = bodyNone
+	default:
+		x.body = bodyWithHead
 		request, f.Body = append(request, f.Body...), nil
 	}
+	defer func() { c.noteBody(f, x, d) }()
 	n, err := e.Write(request)
 	f.Head = nil
 	switch {
@@ -230,6 +237,18 @@
 	return c.writeFailed(ctx, f, x, d, err)
 }
 
+// noteBody counts how the body of a request went to the engine. An engine may begin a request whose connection was closed, unless
+// its body was withheld.
+func (c *session) noteBody(f frame, x *exchange, d decision) {
+	c.s.cfg.Metrics.passedOn(x.body)
+	if x.hasBegun() {
+		return
+	}
+	c.s.cfg.Metrics.closedUnbegun(x.body)
+	c.log(f, d).Str("body", x.body).Bool("ends_before", f.EndsBefore).Dur("deadline_left_ms", clock.Until(d.endsAt)).
+		Msg("request closed at the engine before it had begun")
+}
+
 // writeFailed ends an exchange whose request was written in part.
 func (c *session) writeFailed(ctx context.Context, f frame, x *exchange, d decision, err error) bool {
 	if errors.Is(err, os.ErrDeadlineExceeded) && x.cancel() {
@@ -250,12 +269,12 @@
 var errTooLate = errors.New("the request may not be passed on any more")
 
 // sendBody writes the body of a request whose head the engine has, unless it is too late.
-func (c *session) sendBody(f *frame, x *exchange) error {
+func (c *session) sendBody(f *frame, x *exchange, how string) error {
 	if c.decide(*f, conditions{}).reason != ReasonNone && x.cancel() {
 		return errTooLate
 	}
 	body := f.Body
-	f.Body = nil
+	f.Body, x.body = nil, how
 	_, err := c.engine.Write(body)
 	return err
 }
@@ -284,8 +303,8 @@
 			return c.breakOff(ctx, f, x, d)
 		case <-continued:
 			continued = nil
-			c.s.bodies.asked()
-			if err := c.sendBody(&f, x); err != nil {
+			c.engineAsked()
+			if err := c.sendBody(&f, x, bodyAsked); err != nil {
 				return c.bodyFailed(ctx, f, x, d, err)
 			}
 		case <-timer.C:
@@ -294,7 +313,8 @@
 			}
 			if continued != nil && c.s.bodies.giveUp(sentAt, clock.Now()) {
 				continued = nil
-				if err := c.sendBody(&f, x); err != nil {
+				c.s.log.Info().Str("id", string(f.Id)).Msg("engine did not ask for a body in time; bodies are sent unasked for a time")
+				if err := c.sendBody(&f, x, bodyUnasked); err != nil {
 					return c.bodyFailed(ctx, f, x, d, err)
 				}
 			}
@@ -313,6 +333,14 @@
 	}
 }
 
+// engineAsked records that the engine asks for bodies.
+func (c *session) engineAsked() {
+	if c.s.bodies.asked() {
+		c.s.cfg.Metrics.asks.Set(1)
+		c.s.log.Info().Msg("engine asks for bodies")
+	}
+}
+
 // held closes both connections of a request that the engine holds in a free slot: should this agent stand still, nothing would
 // keep the engine from beginning it past the bound.
 func (c *session) held(f frame, d decision) bool {
