A request closed at the bound on its weights counts as a run

What callers saw: nothing; the operators' limit on servers for one client attempt could be exceeded. A route of two attempts had its request at three servers.

Cause: the entry closes a request whose server's weights are about to expire and took it for not begun. Most servers drop a closed request, some go on with it. The next server's stream broke off, and since only that one counted as a run, a third server got the rest.

Ruled out: requests without an event (each send counts there), requests that must not run twice (they ended as possibly run before, too), streams that were taken over and whole answers that were handed over; tests of these pass before and after.

Change: each attempt that was sent and not refused counts as a run.

Measured: TestRequestClosedAtTheBoundIsRunByNoThirdServer failed before (3 servers) and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -133,13 +133,9 @@
 		return attemptAgain
 	}
 	c.countAttempt()
-	c.mayHaveRun = true
+	c.countRun() // also if this entry closed it: its server may go on with it
 	c.recordFailure(result, false, err)
 	c.logAttempt(watch, "send failed", err)
-	if watch.weightsExpired.Load() && c.route.Idempotent() {
-		return attemptAgain // it has most likely not begun
-	}
-	c.runs++
 	if c.route.Idempotent() {
 		return attemptAgain
 	}
--- /dev/null
+++ b/internal/gateway/kept_requests_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/standstill"
+)
+
+// keeps goes on with requests whose connection is closed, and writes nothing.
+func keeps(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(3 * time.Second)
+}
+
+// keepsAfterOneEvent is keeps for a stream that has begun.
+func keepsAfterOneEvent(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headers.Signature, "signed")
+	w.Header().Set(headers.Version, "7")
+	fmt.Fprint(w, "id: 1\ndata: 1\n\n")
+	_ = http.NewResponseController(w).Flush()
+	keeps(w, r)
+}
+
+// breaksAfterTwoEvents breaks off each stream, on version 8 of the weights.
+func breaksAfterTwoEvents(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set(headers.Signature, "signed")
+	w.Header().Set(headers.Version, "8")
+	fmt.Fprint(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// longRoutes gives the callers of all routes time for several attempts.
+func (e *entry) longRoutes() {
+	e.setRoutes(func(r *fleet.Route) { r.Timeout = 6 * time.Second })
+}
+
+func longDeadline(r *http.Request) { r.Header.Set(headers.DeadlineMs, "5000") }
+
+// assertServersUsed checks how many servers have got a request, each of which may have run it.
+func assertServersUsed(t testing.TB, most int, backends ...*backend) {
+	t.Helper()
+	used := 0
+	for _, b := range backends {
+		if len(b.requests()) > 0 {
+			used++
+		}
+	}
+	assert.LessOrEqual(t, used, most, "servers that may have run the request")
+}
+
+// Guards against a third server for a request of two attempts, since the first one, closed at the bound, does not count as a run.
+func TestRequestClosedAtTheBoundIsRunByNoThirdServer(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		kept := newBackend(t, "b-keeps", keeps)
+		others := []*backend{newBackend(t, "b-2", breaksAfterTwoEvents), newBackend(t, "b-3", breaksAfterTwoEvents)}
+		e := newEntry(t, kept, others[0], others[1])
+		e.onlyEngines()
+		e.longRoutes()
+		e.report(t, kept, false, 7)
+		for _, b := range others {
+			e.report(t, b, false, 8)
+		}
+		e.expireWeightsIn(1200 * time.Millisecond)
+		e.ask(t, http.MethodPost, "/stream/x", longDeadline)
+		require.NotEmpty(t, kept.requests())
+		assertServersUsed(t, 2, kept, others[0], others[1])
+		assert.NotEmpty(t, append(others[0].requests(), others[1].requests()...), "another server may take it")
+		e.assertNothingInFlight(t)
+	})
+}
+
+// Guards against a third server for a stream of two attempts whose first server keeps it while another one has taken it over.
+func TestServerWhoseRequestWasTakenOverCountsAsARun(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		for _, first := range []http.HandlerFunc{keeps, keepsAfterOneEvent} {
+			silent := newBackend(t, "b-silent", first)
+			others := []*backend{newBackend(t, "b-2", events(2)), newBackend(t, "b-3", events(2))}
+			e := newEntry(t, silent, others[0], others[1])
+			e.onlyEngines()
+			e.longRoutes()
+			e.ask(t, http.MethodPost, "/stream/x", longDeadline)
+			assert.NotEmpty(t, append(others[0].requests(), others[1].requests()...), "a handover was tried")
+			assertServersUsed(t, 2, silent, others[0], others[1])
+			e.assertNothingInFlight(t)
+		}
+	})
+}
+
+// Guards against a third server for a whole answer that two servers keep.
+func TestWholeAnswerThatTwoServersKeepIsAskedOfNoThird(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		backends := newBackends(t, 3, keeps)
+		e := newEntry(t, backends...)
+		e.longRoutes()
+		a := e.ask(t, http.MethodPost, "/safe/x")
+		assert.Equal(t, http.StatusGatewayTimeout, a.status, "both may have run it")
+		assertServersUsed(t, 2, backends...)
+		e.assertNothingInFlight(t)
+	})
+}
