A handover that was called off counts as a run

What callers saw: nothing; a stream of a route of two attempts could run at three servers.

Cause: a handover whose server did not answer in time is called off by a close, and was counted only against handovers from servers that wait to load or are too slow. After a silence of the first server it was not counted, nor when the rest of a broken stream was requested. Engines that keep closed requests run it.

Ruled out: handovers whose server had begun to answer or failed (counted before); handovers before the first event (each send counts).

Change: handovers count as runs unless they were not sent or were refused; the separate count of unanswered ones is gone.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -79,11 +79,9 @@
 	// vainSearches counts searches for the rest of a stream that found no slot.
 	vainSearches int
 
-	// attempts counts the attempts that were sent to a server, runs those that may have run.
+	// attempts counts the attempts that were sent to a server, runs those that may have run: all but those that were refused,
+	// since a server may go on with a request whose connection is closed.
 	attempts, runs int
-	// unanswered counts handovers that were cancelled before the other server had answered: it
-	// may have begun all the same. They count against handovers for handoverLoading.
-	unanswered int
 	// refusals counts attempts that a server refused, backoffs those of them whose answer
 	// requested backoff, or which its agent did not pass on.
 	refusals, backoffs int
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -71,7 +71,7 @@
 // asked for a slot, so that call.mu is not locked meanwhile.
 func (c *call) chooseForHandover(w *watchdog, why handoverReason) balance.Choice {
 	c.mu.Lock()
-	allowed := c.handoverAllowed(w, why)
+	allowed := c.handoverAllowed(w)
 	want := c.handoverWant(why)
 	var search *slotSearch
 	if allowed && c.engine() != nil && c.g.reserves(c.service) {
@@ -88,8 +88,8 @@
 	return choice
 }
 
-func (c *call) handoverAllowed(w *watchdog, why handoverReason) bool {
-	return !w.ended && w.parent.Err() == nil && c.handover == nil && c.mayHandOver(w, why)
+func (c *call) handoverAllowed(w *watchdog) bool {
+	return !w.ended && w.parent.Err() == nil && c.handover == nil && c.mayHandOver(w)
 }
 
 // beginHandover begins the handover to a chosen server. It returns nil if none is allowed any more.
@@ -97,7 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Now()
-	if !c.handoverAllowed(w, why) || !c.g.budget(c.service).TryRetry(c.g.monotonic(now)) {
+	if !c.handoverAllowed(w) || !c.g.budget(c.service).TryRetry(c.g.monotonic(now)) {
 		c.g.balancer.Done(&choice, now, balance.ResultUnknown)
 		return nil
 	}
@@ -113,14 +113,11 @@
 
 // mayHandOver reports whether a handover is allowed for the attempt that w watches. That attempt
 // itself is counted only once its server has answered.
-func (c *call) mayHandOver(w *watchdog, why handoverReason) bool {
+func (c *call) mayHandOver(w *watchdog) bool {
 	if c.isSuspect() {
 		return false // suspect content has one attempt at a time
 	}
 	most := max(c.route.MaxAttempts, 1)
-	if (why == handoverLoading || why == handoverEndMissed) && c.runs+c.unanswered >= most {
-		return false
-	}
 	if w.begun.Load() {
 		return c.runs < most && c.attempts < most+maxExtraHandovers
 	}
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -119,7 +119,6 @@
 		c.tried = append(c.tried, h.choice.Server)
 	}
 	if result == balance.ResultFailed && !errors.Is(err, dispatch.ErrNotSent) {
-		h.began = true // it may have begun
 		go c.noteCrash(&h.choice, 0, err)
 	}
 	c.dropHandover(w, h, result, err)
@@ -131,14 +130,9 @@
 	if errors.Is(err, dispatch.ErrNotSent) {
 		c.attempts--
 	}
-	if h.began {
-		c.runs++
-	}
 	if !errors.Is(err, dispatch.ErrNotSent) && !errors.Is(err, errRefused) {
-		c.mayHaveRun = true // even if no answer was received
-		if !h.began {
-			c.unanswered++
-		}
+		c.runs++ // also without an answer: a server may go on with a request whose connection is closed
+		c.mayHaveRun = true
 	}
 	h.next.cancel()
 	c.g.balancer.Done(&h.choice, clock.Now(), result)
--- a/internal/gateway/kept_requests_test.go
+++ b/internal/gateway/kept_requests_test.go
@@ -79,6 +79,28 @@
 	})
 }
 
+// Guards against a third server for a stream of two attempts, since a handover that was called off does not count as a run.
+func TestHandoverThatWasCalledOffCountsAsARun(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		silent := newBackend(t, "b-silent", keepsAfterOneEvent)
+		var e *entry
+		others := make([]*backend, 2)
+		for i := range others {
+			others[i] = newBackend(t, fmt.Sprintf("b-%d", i+2), func(w http.ResponseWriter, r *http.Request) {
+				e.report(t, others[i], true, 7) // the next handover goes to the other server
+				keeps(w, r)
+			})
+		}
+		e = newEntry(t, silent, others[0], others[1])
+		e.onlyEngines()
+		e.longRoutes()
+		e.ask(t, http.MethodPost, "/stream/x", longDeadline)
+		assert.NotEmpty(t, append(others[0].requests(), others[1].requests()...), "a handover was tried")
+		assertServersUsed(t, 2, silent, others[0], others[1])
+		e.assertNothingInFlight(t)
+	})
+}
+
 // Guards against a third server for a stream of two attempts whose first server keeps it while another one has taken it over.
 func TestServerWhoseRequestWasTakenOverCountsAsARun(t *testing.T) {
 	standstill.Run(t, func(t testing.TB) {
