Tests: kept requests are not reported as not run, and hold up no stop

What callers see of a request that the entry closed at the bound on its weights, and that its server goes on with: 502 or 504, never 503, also where it must not run twice and where the other servers refuse it. A stop of an entry does not wait for requests whose callers have left. Both hold on the code as it is: no change of logic.

--- a/internal/gateway/kept_requests_test.go
+++ b/internal/gateway/kept_requests_test.go
@@ -130,3 +130,45 @@
 		e.assertNothingInFlight(t)
 	})
 }
+
+// Guards against a caller who is told that a request did not run, which a server goes on with after its connection was closed at the bound.
+func TestRequestClosedAtTheBoundIsNotReportedAsNotRun(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		for _, route := range []string{"/once/x", "/stream/x"} {
+			kept, refuses := newBackend(t, "b-keeps", keeps), newBackend(t, "b-2", notRun)
+			e := newEntry(t, kept, refuses)
+			e.onlyEngines()
+			e.longRoutes()
+			e.report(t, kept, false, 7)
+			e.report(t, refuses, false, 8)
+			e.expireWeightsIn(1200 * time.Millisecond)
+			a := e.ask(t, http.MethodPost, route, longDeadline)
+			require.NoError(t, a.err)
+			require.NotEmpty(t, kept.requests())
+			assert.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, a.status, route)
+			assert.Empty(t, a.head.Get("Retry-After"), route)
+			assert.Contains(t, e.logs.String(), `"may_have_run":true`)
+			e.assertNothingInFlight(t)
+		}
+	})
+}
+
+// Guards against a stop of an entry that waits for a request whose caller has left, and which its server keeps.
+func TestStopDoesNotWaitForKeptRequestsOfCallersThatLeft(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		for _, route := range []string{"/unsafe/x", "/safe/x", "/stream/x", "/once/x"} {
+			kept := newBackend(t, "b-keeps", keeps)
+			e := newEntry(t, kept)
+			e.longRoutes()
+			change, leave := leaves()
+			time.AfterFunc(100*time.Millisecond, leave)
+			e.ask(t, http.MethodPost, route, longDeadline, change)
+			require.Len(t, kept.requests(), 1, route)
+			e.StartDraining()
+			began := time.Now()
+			require.NoError(t, e.Config.Shutdown(t.Context()))
+			assert.Less(t, time.Since(began), time.Second, route)
+			e.assertNothingInFlight(t)
+		}
+	})
+}
