A closed request under which its server crashes is suspect

What callers saw: an engine that goes on with closed requests crashed under one whose caller had left; the requests of others there became suspect, the one that crashed it did not, so that it could be sent on.

Cause: crashes are attributed to the attempts that break off. One that the entry has closed (caller left, bound on the weights, handover called off) was forgotten at its close.

Ruled out: closed requests whose call was served elsewhere (an answer in full clears the content); parts of their prompts: they are in many requests, of which most are not kept.

The line "backend server ended under work" states `closed`.

Measured: TestKeptRequestUnderWhichItsServerCrashesIsSuspect and TestKeptRequestIsSuspectOnceAnotherEntryReportsTheCrash fail with the call of rememberClosed taken out, and pass. The new tests pass in the race build.

Open: a closed copy holds no turn, so that a later attempt may count as the only one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -135,6 +135,7 @@
 	c.countAttempt()
 	c.countRun() // also if this entry closed it: its server may go on with it
 	c.recordFailure(result, false, err)
+	c.noteClosed(&c.choice, result)
 	c.logAttempt(watch, "send failed", err)
 	if c.route.Idempotent() {
 		return attemptAgain
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -290,6 +290,7 @@
 	c := g.newCall(w, r)
 	c.extendWriteDeadline()
 	c.serve()
+	c.rememberClosed()
 	c.g.held.release(c.holds.Load())
 	c.endTurn()
 	c.report()
--- a/internal/gateway/kept_requests_test.go
+++ b/internal/gateway/kept_requests_test.go
@@ -4,13 +4,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
+	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
@@ -172,3 +175,64 @@
 		}
 	})
 }
+
+// Guards against a request that a server goes on with after its caller has left, and that crashes it, while only others are suspected.
+func TestKeptRequestUnderWhichItsServerCrashesIsSuspect(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		var b *backend
+		b = newBackend(t, "b-1", func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/stream/sound" {
+				keepsAfterOneEvent(w, r)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			time.Sleep(600 * time.Millisecond)
+			_ = b.Listener.Close()
+			b.CloseClientConnections()
+		})
+		e := newEntry(t, b)
+		e.onlyEngines()
+		go e.ask(t, http.MethodPost, "/stream/sound")
+		require.Eventually(t, func() bool { return len(b.requests()) == 1 }, time.Second, time.Millisecond)
+		change, leave := leaves()
+		time.AfterFunc(300*time.Millisecond, leave)
+		e.ask(t, http.MethodPost, "/stream/deadly", change)
+		verdict := func(path string) quarantine.Verdict {
+			return e.suspects.judge(time.Now(), []quarantine.Candidate{{Digest: e.contentOf(path)}}).Verdict
+		}
+		assert.Eventually(t, func() bool { return verdict("/stream/deadly") == quarantine.Suspect }, 2*time.Second, 10*time.Millisecond)
+		assert.Zero(t, e.suspects.closedCount)
+	})
+}
+
+// Guards against a request that another entry's crash report concerns, since its server had kept it.
+func TestKeptRequestIsSuspectOnceAnotherEntryReportsTheCrash(t *testing.T) {
+	kept := newBackend(t, "b-1", keeps)
+	e := newEntry(t, kept)
+	e.onlyEngines()
+	change, leave := leaves()
+	time.AfterFunc(50*time.Millisecond, leave)
+	e.ask(t, http.MethodPost, "/stream/x", change)
+	e.assertNothingInFlight(t)
+	server := knownAt(e, strings.TrimPrefix(kept.URL, "http://")).Incarnation
+	e.MergeSuspicions([]quarantine.Update{{Digest: e.contentOf("/stream/y"), Server: server, At: time.Now()}})
+	assert.Eventually(t, func() bool {
+		return e.suspects.judge(time.Now(), []quarantine.Candidate{{Digest: e.contentOf("/stream/x")}}).Verdict == quarantine.Suspect
+	}, time.Second, time.Millisecond)
+}
+
+// Guards against requests that are remembered forever, or suspected although another server has answered them.
+func TestClosedRequestsAreForgotten(t *testing.T) {
+	s := newSuspicions(zerolog.Nop(), nil, nil)
+	now := time.Now()
+	for range 2 * maxClosed {
+		s.rememberClosed(now, closedRequest{inFlight{server: "s"}, now.Add(time.Second)})
+	}
+	assert.Equal(t, maxClosed, s.closedCount)
+	s.removeExpired(now.Add(time.Second))
+	assert.Zero(t, s.closedCount)
+	assert.Empty(t, s.closed)
+	c := &call{status: http.StatusOK, closed: []inFlight{{server: "s"}}, g: &Gateway{suspects: s}}
+	c.rememberClosed()
+	assert.Empty(t, s.closed, "it was served")
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,6 +81,9 @@
 	}
 	c.endedBy = "entry: " + string(h.why)
 	c.noteInterrupted()
+	if c.events == 0 {
+		c.noteClosed(&c.choice, result)
+	}
 	c.g.balancer.Done(&c.choice, clock.Now(), result)
 	c.logAttempt(watch, "request goes on at another server", nil)
 	c.next = h
--- a/internal/gateway/suspicions.go
+++ b/internal/gateway/suspicions.go
@@ -48,6 +48,9 @@
 	turns map[quarantine.Digest]chan struct{}
 	// checks are the crash checks in progress, by server.
 	checks map[*balance.Server]*crashCheck
+	// closed are requests that servers may go on with, by the server's incarnation; closedCount is their number.
+	closed      map[string][]closedRequest
+	closedCount int
 }
 
 // crashCheck is one check whether a server has crashed.
@@ -79,6 +82,7 @@
 	return &suspicions{
 		log: log, publish: publish, fleet: fleet, table: quarantine.New(),
 		turns: map[quarantine.Digest]chan struct{}{}, checks: map[*balance.Server]*crashCheck{},
+		closed: map[string][]closedRequest{},
 	}
 }
 
@@ -86,8 +90,12 @@
 func (s *suspicions) merge(now time.Time, updates []quarantine.Update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var kept []inFlight
 	for _, n := range updates {
 		isNew := s.table.Merge(now, n)
+		if isNew && !n.Cleared {
+			kept = append(kept, s.takeClosed(now, n.Server)...)
+		}
 		if isNew && n.Server != "" && !n.Cleared && s.table.IsSound(now, n.Digest, n.Version) {
 			// This is called while a stream to a control server is read, which must not wait for its own messages.
 			go s.publish(s.table.Answered(now, n.Digest, n.Version))
@@ -98,6 +106,9 @@
 		}
 	}
 	s.nonEmpty.Store(!s.table.Empty())
+	if len(kept) > 0 {
+		go s.recordCrashes(now, kept) // it publishes, as above
+	}
 }
 
 // all returns all records, for control servers that may have lost them.
@@ -112,6 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Forget(now)
+	s.dropExpiredClosed(now)
 	s.nonEmpty.Store(!s.table.Empty())
 }
 
@@ -141,6 +153,8 @@
 	parts   []string
 	events  int
 	writing time.Duration
+	// closed: this entry had closed it, so that the server may have dropped it.
+	closed bool
 }
 
 // observed is a candidate cause. alone: no other attempt with it was in progress.
@@ -149,7 +163,14 @@
 	alone bool
 }
 
-// recordCrash records that a server crashed while it had this request. Sound parts do not count.
+func (s *suspicions) recordCrashes(now time.Time, requests []inFlight) {
+	for _, r := range requests {
+		s.recordCrash(now, r)
+	}
+}
+
+// recordCrash records that a server crashed while it had this request, and those that it may have gone on with. Sound parts do
+// not count.
 func (s *suspicions) recordCrash(now time.Time, r inFlight) {
 	var updates []quarantine.Update
 	var suspect []string
@@ -175,13 +196,15 @@
 	content := r.candidates[len(r.candidates)-1]
 	verdict := s.table.Verdict(now, content.Digest)
 	s.nonEmpty.Store(true)
+	kept := s.takeClosed(now, r.server)
 	s.mu.Unlock()
 	if len(updates) > 0 {
 		s.log.Info().Stringer("content", content.Digest).Str("server", r.server).Stringer("verdict", verdict).Bool("alone", content.alone).
-			Strs("parts", r.parts).Strs("suspect_parts", suspect).Uint64("weights", r.version).Int("events", r.events).
+			Strs("parts", r.parts).Strs("suspect_parts", suspect).Uint64("weights", r.version).Int("events", r.events).Bool("closed", r.closed).
 			Dur("writing_ms", r.writing).Msg("backend server ended under work")
 		s.publish(updates)
 	}
+	s.recordCrashes(now, kept)
 }
 
 // recordAnswer records that a server answered a request with this content in full, so that it has not
