--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -106,8 +106,8 @@
 }
 
 // Answer is the head of an answer together with its body, which the caller reads
-// until io.EOF and then closes. Close before io.EOF closes the connection, which
-// cancels the request.
+// until io.EOF and then closes. Close before io.EOF closes the connection, at which
+// most servers drop the request; some go on with it.
 type Answer struct {
 	*http.Response
 	// Took is the time from the send, without the connect before it, to the head of the answer.
