A direct request whose choice has grown old is not sent once requests are relayed

What callers saw: nothing.

TestDirectChoiceIsNotSentOnceRequestsAreRelayed failed before (sendable 1 ms later).

--- a/internal/balance/expiry.go
+++ b/internal/balance/expiry.go
@@ -136,8 +136,17 @@
 	if c.reserved {
 		by = c.pickedAt.Add(reservation.SendTime)
 	}
-	if latest := c.cancelAt(); !latest.IsZero() && latest.Before(by) {
+	if latest := c.latestSend(); !latest.IsZero() && latest.Before(by) {
 		return latest
 	}
 	return by
 }
+
+// latestSend returns until when the bound on the server's weights allows the request to be sent, zero if they do not expire. After that, a
+// direct one is to be relayed.
+func (c *Choice) latestSend() time.Time {
+	if c.pathMargin > 0 {
+		return c.Expiry.At.Add(-relayWindow)
+	}
+	return c.cancelAt()
+}
--- a/internal/balance/relay_test.go
+++ b/internal/balance/relay_test.go
@@ -63,6 +63,18 @@
 	})
 }
 
+// Guards against a request that is sent directly, though its agent had to keep the bound by then, since its choice has grown old.
+func TestDirectChoiceIsNotSentOnceRequestsAreRelayed(t *testing.T) {
+	t0 := time.Now()
+	b := relayed(t0, []uint64{1}, 0)
+	relayedFrom := bound(t0).Add(-relayWindow)
+	choice, _ := b.Pick(relayedFrom.Add(-100*time.Millisecond), expiringWant(5))
+	require.False(t, choice.Expiry.Relayed)
+	assert.True(t, choice.Sendable(relayedFrom))
+	assert.False(t, choice.Sendable(relayedFrom.Add(time.Millisecond)))
+	assert.True(t, choice.Renewable(relayedFrom.Add(time.Millisecond)), "it is chosen again, and relayed")
+}
+
 // Guards against a request that can't be cancelled and whose deadline is moved by the delay of its path.
 func TestRequestThatMustNotRunTwiceIsRelayedToExpiringWeights(t *testing.T) {
 	t0 := time.Now()
