Review: bodies and questions of engines that were silent, and run-once requests in queues

What callers would see: requests begun past the bound, or, near a bound, an engine out of use for a minute. Found by a review with tests that failed: - a body went unasked to an engine that had read the head late, so that its deadline ended past the bound, or without a free slot: both are checked before each body; - a question that came just after the body had gone unasked was not heard, and the engine was taken for a minute for one that does not ask; - requests that must not run twice could wait in a queue without a slot until 3 s before the bound, with a guard that needs them to begin at once: 2 s before their margin now. The decision that a body is asked for is the one that the margin rests on, writes end at the request's margin, and nothing is counted as closed of which nothing was written.

--- a/internal/relay/continue_test.go
+++ b/internal/relay/continue_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/rpc"
 	"lynxgate.dev/lynxgate/internal/standstill"
 )
@@ -98,6 +99,60 @@
 	}
 }
 
+// Guards against a deadline past the bound, as the engine read the head late and gets the body unasked once it answers.
+func TestBodyIsNotSentUnaskedOnceItsDeadlineMayEndPastTheBound(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		r := newRig(t)
+		r.reportsNow.Store(true)
+		r.setExpires(unreadMargin + 1500*ms)
+		entry := r.entry()
+		entry.send("a", endsBefore)
+		engine := r.accept()
+		silent := func(context.Context) bool { return false }
+		r.answers.Store(&silent)
+		time.Sleep(AskTime + 500*ms)
+		engine.readRequest()
+		r.answers.Store(nil)
+		got, _ := engine.ends()
+		assert.Empty(t, got, "the body")
+		r.counted(1, resultCancelled)
+	})
+}
+
+// Guards against a body that follows unasked to the queue of a full engine, since its request was to have no body there.
+func TestBodyOfARequestWithoutASlotIsNotSentUnasked(t *testing.T) {
+	r := newRig(t)
+	r.reportsNow.Store(true)
+	r.free.Store(0)
+	entry := r.entry()
+	entry.send("a", endsBefore)
+	engine := r.accept()
+	engine.readRequest()
+	got, _ := engine.ends()
+	assert.Empty(t, got, "the body")
+	r.counted(1, resultCancelled)
+}
+
+// Guards against an engine that is taken for a minute for one that does not ask, since it asked just after it got a body unasked.
+func TestQuestionThatComesAfterABodyWasSentUnaskedCounts(t *testing.T) {
+	r := newRig(t)
+	r.reportsNow.Store(true)
+	entry := r.entry()
+	entry.send("a", withBody)
+	engine := r.accept()
+	engine.readRequest()
+	engine.expect("work")
+	engine.write(askForBody)
+	entry.expect(askForBody)
+	assert.Eventually(t, func() bool { return !r.bodies.unasked(clock.Now()) }, patience, 5*ms)
+	engine.write(answerA)
+	entry.expect(answerA)
+	r.counted(1, resultAnswered)
+	r.setExpires(unreadMargin - 300*ms)
+	entry.send("b", endsBefore)
+	assert.Equal(t, "100-continue", engine.readRequest().Header.Get("Expect"))
+}
+
 // Guards against a request that is taken for the body of the one before it, which its engine refused by its head.
 func TestNoRequestFollowsOneWhoseBodyWasNotSent(t *testing.T) {
 	r := newRig(t)
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -77,8 +77,12 @@
 	endsAt   time.Time
 	// cancelAt is when the request is cancelled unless its answer has begun.
 	cancelAt time.Time
+	// latest is when the request, or its body, is sent to the engine at the latest.
+	latest time.Time
 	// needsSlot: the request must begin at once, since nothing else keeps it from beginning past the bound.
 	needsSlot bool
+	// asks: the engine is to ask for the body.
+	asks bool
 }
 
 // decide decides whether a request is passed on now.
@@ -91,13 +95,15 @@
 	d.deadline = left.Truncate(time.Millisecond)
 	d.endsAt = c.now.Add(d.deadline)
 	margin := c.margin(f)
-	d.needsSlot = margin > CancelMargin && (!f.RunOnce || d.bound.Sub(c.now) < maxQueueTime)
+	d.latest = d.bound.Add(-margin)
+	d.needsSlot = margin > CancelMargin && (!f.RunOnce || d.latest.Sub(c.now) < maxQueueTime)
+	d.asks = len(f.Body) > 0 && !c.unasked
 	switch {
 	case f.Addr != c.engineAddr:
 		d.reason = ReasonOtherEngine
 	case c.draining:
 		d.reason = ReasonDraining
-	case !c.now.Before(d.bound.Add(-margin)):
+	case !c.now.Before(d.latest):
 		d.reason = ReasonExpired
 	case d.deadline <= 0:
 		d.reason = ReasonNoTime
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -28,9 +28,10 @@
 	arrivalTime = 10 * time.Millisecond
 	// maxPace bounds a stated pace.
 	maxPace = 10
-	// maxQueueTime is how long before the bound a request that can't be cancelled may still wait in the engine's queue, and one that the
-	// engine holds may stay there.
-	maxQueueTime = 3 * time.Second
+	// maxQueueTime is how long a request that can't be cancelled may wait in the engine's queue, before its margin.
+	maxQueueTime = 2 * time.Second
+	// maxHeldTime is how long before the bound a request that the engine holds in a free slot may stay there.
+	maxHeldTime = 3 * time.Second
 )
 
 // slotQueue gives the engine's free slots to requests in the order of their arrival. A request without a deadline at the bound
@@ -158,6 +159,13 @@
 	q.unbegun = without(q.unbegun, t)
 }
 
+// hasSlot reports whether a slot was free when the request was passed on.
+func (q *slotQueue) hasSlot(t *slotTicket) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !t.beginBy.IsZero()
+}
+
 func without(tickets []*slotTicket, t *slotTicket) []*slotTicket {
 	if i := slices.Index(tickets, t); i >= 0 {
 		return slices.Delete(tickets, i, i+1)
