--- a/internal/balance/expiry.go
+++ b/internal/balance/expiry.go
@@ -145,7 +145,7 @@
 // latestSend returns until when the bound on the server's weights allows the request to be sent, zero if they do not expire. After that, a
 // direct one is to be relayed.
 func (c *Choice) latestSend() time.Time {
-	if c.pathMargin > 0 {
+	if !c.Expiry.At.IsZero() && c.pathMargin > 0 {
 		return c.Expiry.At.Add(-relayWindow)
 	}
 	return c.cancelAt()
--- a/internal/balance/relay_test.go
+++ b/internal/balance/relay_test.go
@@ -41,9 +41,11 @@
 func TestRequestsToTheNewestWeightsAreNotRelayed(t *testing.T) {
 	t0 := time.Now()
 	b := relayed(t0, []uint64{2}, 0)
-	choice, _ := b.Pick(bound(t0).Add(-time.Second), expiringWant(5))
+	now := bound(t0).Add(-time.Second)
+	choice, _ := b.Pick(now, expiringWant(5))
 	require.NotNil(t, choice.Server)
 	assert.False(t, choice.Expiry.Relayed)
+	assert.True(t, choice.Sendable(now.Add(maxChoiceAge)), "its weights do not expire")
 }
 
 // Guards against requests that begin past the bound since the path delayed them, or the close of their connection, by up to pathDelay.
