Direct and relayed connections to a server count together against its limit

What callers saw: at an engine that takes few connections for each slot, resets and 502 shortly before a bound on weights. Cause: an entry kept its part of the limit in two pools, and the direct connections stayed open, idle, when requests began to go through agents, which open one to the engine for each of theirs.

The pools share the limit, and an idle connection of one makes room for one of the other.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -153,6 +153,7 @@
 		s = newServer(record, sig)
 		if b.relays() {
 			s.relay = dispatch.NewPool(b.cfg.RelayAddr(record.Addr))
+			dispatch.ShareLimit(s.Pool, s.relay) // the agent opens a connection to the server for each
 		}
 		b.servers[record.ID] = s
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -150,6 +150,24 @@
 	assert.ErrorIs(t, err, ErrNotSent)
 }
 
+// Guards against connections beyond a server's limit, since those of two pools to it are counted apart.
+func TestPoolsThatShareALimitExceedItNowhere(t *testing.T) {
+	direct, relayed := NewPool(script(t, false, okAnswer("a", "aaaa"))), NewPool(script(t, false, okAnswer("a", "aaaa"), okAnswer("a", "aaaa")))
+	ShareLimit(direct, relayed)
+	for _, p := range []*Pool{direct, relayed} {
+		p.SetMaxOpen(1)
+	}
+	_, _, err := send(direct, "a")
+	require.NoError(t, err)
+	require.EqualValues(t, 1, direct.open.Load(), "it is idle")
+	_, _, err = send(relayed, "a")
+	require.NoError(t, err, "an idle connection makes room")
+	assert.EqualValues(t, 0, direct.open.Load())
+	relayed.idle = nil // in use
+	_, _, err = send(direct, "a")
+	assert.ErrorIs(t, err, ErrNoConnection)
+}
+
 func TestCancelClosesTheConnection(t *testing.T) {
 	p := NewPool(script(t, false, "HTTP/1.1 200 OK\r\n"+idHeader+": a\r\nContent-Length: 10\r\n\r\nhalf"))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,6 +19,8 @@
 	// max is how many connections may be open; 0 means no limit.
 	max  atomic.Int64
 	open atomic.Int64
+	// other is the pool whose connections count against max, too; nil if there is none.
+	other *Pool
 	// Dials counts the connections established.
 	Dials atomic.Int64
 
@@ -55,6 +57,40 @@
 // SetMaxOpen limits the number of open connections.
 func (p *Pool) SetMaxOpen(n int) { p.max.Store(int64(n)) }
 
+// ShareLimit has the connections of two pools count together against the limit of each. It is called before their first use.
+func ShareLimit(a, b *Pool) { a.other, b.other = b, a }
+
+// hasRoom reports whether one more connection may be opened. An idle one of the other pool makes room for it.
+func (p *Pool) hasRoom() bool {
+	limit := p.max.Load()
+	if limit <= 0 || p.open.Load()+p.other.openConns() < limit {
+		return true
+	}
+	return p.open.Load() < limit && p.other.dropOldestIdle()
+}
+
+func (p *Pool) openConns() int64 {
+	if p == nil {
+		return 0
+	}
+	return p.open.Load()
+}
+
+// dropOldestIdle closes the connection that has been idle for longest. It reports whether there was one.
+func (p *Pool) dropOldestIdle() bool {
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return false
+	}
+	p.drop(p.idle[0])
+	p.idle = p.idle[1:]
+	return true
+}
+
 // CloseIdle closes the idle connections. It is called when a connection to the server
 // has become unresponsive: others that were open at the same time may be so, too.
 func (p *Pool) CloseIdle() {
@@ -88,8 +124,8 @@
 	if c := p.takeIdle(); c != nil {
 		return c, nil
 	}
-	if limit := p.max.Load(); limit > 0 && p.open.Load() >= limit {
-		return nil, fmt.Errorf("%w: %d to %s are open", ErrNoConnection, limit, p.addr)
+	if !p.hasRoom() {
+		return nil, fmt.Errorf("%w: %d to %s are open", ErrNoConnection, p.max.Load(), p.addr)
 	}
 	p.open.Add(1)
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
