--- a/internal/balance/expiry.go
+++ b/internal/balance/expiry.go
@@ -11,7 +11,8 @@
 // begun must not be cut. An engine ends a request at its deadline, whether it waits or is being answered. So an engine gets the
 // bound as a deadline only for requests that end before it even if the engine slows down by maxSlowdown; that keeps the bound also
 // while no process of ours runs. Other requests begin at once or not at all: shortly before the bound the agent on the engine's VM
-// passes them on to free slots only, and cancels those that have not begun (package relay). One that is predicted to outlast the
+// passes them on to free slots only, and so early that they begin in time (package relay): some engines go on with a request that was
+// cancelled. One that is predicted to outlast the
 // bound is sent to an engine on expiring weights only if none of the others that are evaluated accepts it. Servers must confirm each
 // version that was named.
 
--- a/internal/balance/relay.go
+++ b/internal/balance/relay.go
@@ -7,10 +7,11 @@
 	"lynxgate.dev/lynxgate/internal/relay"
 )
 
-// A deadline counts from when the server reads it, and the close of a connection takes effect when it arrives there. Both are
-// late by what the path delays them, which nobody knows in advance. So shortly before the bound on a server's weights, requests
-// go through the agent on its VM, which keeps the bound by its own clock (package relay). Until then they are sent
-// directly, so early that they can be cancelled over a path that delays by pathDelay.
+// A deadline counts from when the server reads it, and the close of a connection takes effect when it arrives there, if the server drops
+// requests at a close at all. Both are late by what the path delays them, which nobody knows in advance. So shortly before the bound on a
+// server's weights, requests go through the agent on its VM, which keeps the bound by its own clock (package relay). Until then they are
+// sent directly, so early that a server that stands still begins them in time, and that most servers drop them when they are cancelled
+// over a path that delays by pathDelay.
 
 const (
 	// pathDelay is the longest delay of the path to a server with which requests that were sent directly keep the bound.
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -5,7 +5,8 @@
 )
 
 // CancelMargin is how long before the bound on weights the last request is passed on to an engine that holds them, and how long
-// before it a request without an answer is cancelled. An agent that is busy runs up to some 0.3 s late.
+// before it a request without an answer is cancelled, so that its caller may be served elsewhere. An agent that is busy runs up to some
+// 0.3 s late.
 const CancelMargin = 400 * time.Millisecond
 
 // PathDelay is the longest delay of the path between an entry and a VM with which the bound is kept where an end of it has to rely on
