Requests without a deadline at the bound are passed on until 1.8 s before it

The margin was 2.0 s: 1.2 s of standstill and 0.8 s to begin. It is 1.8 s with a standstill of 1 s, "a second or so" on the users' page.

--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -18,7 +18,7 @@
 	// missing body nor a deadline does.
 	unreadSilence = 2500 * time.Millisecond
 	// readSilence is that of an engine which has read a request without a deadline at the bound, and has not begun it.
-	readSilence = 1200 * time.Millisecond
+	readSilence = 1 * time.Second
 	// unreadMargin and BeginMargin are how long before the bound the last such request is passed on. To close its connection later
 	// is no guard: some engines go on with what they were sent.
 	unreadMargin = unreadSilence + maxBeginTime
