--- a/internal/relay/continue.go
+++ b/internal/relay/continue.go
@@ -26,11 +26,11 @@
 	unaskedUntil time.Time
 }
 
-// expect reports whether the engine is to ask for the next body.
-func (c *continuing) expect(now time.Time) bool {
+// unasked reports whether the engine gets bodies without having asked for them.
+func (c *continuing) unasked(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.asks || !now.Before(c.unaskedUntil)
+	return !c.asks && now.Before(c.unaskedUntil)
 }
 
 // asked records that the engine has asked for a body. It reports whether it had not before.
@@ -54,6 +54,3 @@
 	defer c.mu.Unlock()
 	c.unaskedUntil = now.Add(unaskedTime)
 }
-
-// unasked reports whether the engine gets bodies unasked.
-func (c *continuing) unasked(now time.Time) bool { return !c.expect(now) }
