Lines of refused requests tell servers that are late from full ones

Cause: "all backend servers are full" is also said where engines have room and only the lateness of their recent first events, which a slow path causes too, exceeds the wait that is allowed. Change: servers counts Late: those of Fit that would accept the request without that lateness. Nothing is decided by it.

--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -185,8 +185,9 @@
 	now := start.Add(900 * time.Millisecond)
 	assert.Equal(t, "2", pick(t, b, now, want()).Server.ID)
 	short := Requirements{Service: service, Model: model, Budget: 100 * time.Millisecond, Exclude: b.services[service][1:]}
-	none, _ := b.Pick(now, short)
+	none, availability := b.Pick(now, short)
 	assert.Nil(t, none.Server)
+	assert.Equal(t, 1, availability.Late)
 	pick(t, b, now.Add(6*time.Second), short) // it is used again
 	// Attempts arrive late there, so that its old version is excluded earlier.
 	b.servers["1"].excess = excess{value: time.Second, at: start.Add(6 * time.Second)}
@@ -195,6 +196,21 @@
 	assert.Nil(t, none.Server)
 }
 
+// Guards against a full server that is counted as a late one.
+func TestFullServerIsNotCountedAsLate(t *testing.T) {
+	b := balancer(view(record("1", "here", 1)))
+	short := want()
+	short.Budget = 100 * time.Millisecond
+	for range b.servers["1"].slots() {
+		pick(t, b, start, want())
+	}
+	b.servers["1"].excess = excess{value: time.Second, at: start}
+	none, availability := b.Pick(start, short)
+	assert.Nil(t, none.Server)
+	assert.Equal(t, 1, availability.Fit)
+	assert.Zero(t, availability.Late)
+}
+
 func TestAgentReportsDelaySilence(t *testing.T) {
 	b := balancer(view(record("1", "here", 1)))
 	c := pick(t, b, start, want())
--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -7,6 +7,8 @@
 	// Known servers of the service, and those that could serve the request but may be full. Abroad
 	// are those in regions that the request must not use, Evacuated those in evacuated zones.
 	Known, Fit, Abroad, Evacuated int
+	// Late are those of Fit that would accept the request if first events did not come later than predicted there.
+	Late int
 	// Tried have had an attempt of this request; Aside are ejected, no longer announced, or have lost
 	// their address to another server; Busy refused a moment ago; Loading accept no new requests;
 	// Empty hold no weights, Old hold a version past its bound, or one on which the request would not begin in time, would be cut or can't be relayed, Other one that the request can't use.
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -50,6 +50,13 @@
 	return p
 }
 
+// onTime returns the prediction without the lateness that it includes.
+func (p prediction) onTime(lateness time.Duration) prediction {
+	p.wait -= lateness
+	p.firstEvent -= lateness
+	return p
+}
+
 // budget returns the longest accepted wait at an engine of this pace. A slower engine uses more of the
 // objective for a usual prompt and the pass to the first event.
 func (s *Server) budget(accepted time.Duration, pace float64) time.Duration {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -165,6 +165,9 @@
 			availability.Soonest = p.wait
 		}
 		if !reserves && !b.accepts(s, w, queue, p) {
+			if b.accepts(s, w, queue, p.onTime(s.excess.now(now))) {
+				availability.Late++
+			}
 			continue
 		}
 		takes := p.firstEvent + s.answerTime(w.Answer, p.pace)
