Agents that all received the first answer for digests waited for each other's turns

Cause: a version whose pieces were all staged is loaded only once a second answer of the origin, to another agent, has confirmed its digests. After a loss of all power each agent knows no other one yet, ranks first and asks the origin itself. An agent that received a first answer waits until all others had their turn, 0.4 s each; all had, so that nobody asked again for 0.4 s times the number of agents, and no engine loaded: 8.3 s with 22 agents, more than 12 s from 31 on.

Change: an agent says with its digests whether the origin sent them to it. Two that both received a first answer confirm each other's, under the conditions of a second answer, once all peers that were asked have been heard.

Measured: TestAgentsThatAllReceivedTheFirstAnswerConfirmItByEachOthers fails before.

--- a/internal/staging/confirm.go
+++ b/internal/staging/confirm.go
@@ -63,9 +63,16 @@
 func (s *Stager) confirm(ctx context.Context, g goal, set *pieceSet, since time.Time) {
 	servers := s.servers()
 	confirmers := s.confirmers(servers)
+	answers := map[string]digestAnswer{}
 	for _, peer := range s.confirmationPeers(servers, confirmers) {
 		if answer, err := s.digestsFrom(ctx, peer, g, set.allDigests()); err == nil {
 			s.adopt(g, set, answer, peer)
+			answers[peer] = answer
+		}
+	}
+	for peer, answer := range answers { // after all were adopted: digests for which any of them differs are not confirmed
+		if confirmed := set.compareFirst(answer); confirmed > 0 {
+			s.logConfirmed(g, confirmed, peer)
 		}
 	}
 	if s.engineVersion.Load() < g.version {
@@ -86,8 +93,7 @@
 		return
 	}
 	confirmed, differing := set.compare(second, true)
-	s.cfg.Metrics.confirmed.Add(float64(confirmed))
-	s.log.Info().Str("model", g.model).Uint64("version", g.version).Int("confirmed", confirmed).Msg("second answer for digests received")
+	s.logConfirmed(g, confirmed, "origin")
 	s.logContested(g, differing, "origin")
 }
 
@@ -102,6 +108,13 @@
 	return true
 }
 
+// logConfirmed records that a second answer was compared, and how many digests it confirmed.
+func (s *Stager) logConfirmed(g goal, confirmed int, source string) {
+	s.cfg.Metrics.confirmed.Add(float64(confirmed))
+	s.log.Info().Str("model", g.model).Uint64("version", g.version).Int("confirmed", confirmed).Str("source", source).
+		Msg("second answer for digests received")
+}
+
 // logContested records that answers name different digests for pieces.
 func (s *Stager) logContested(g goal, pieces []int, source string) {
 	if len(pieces) == 0 {
--- a/internal/staging/confirm_test.go
+++ b/internal/staging/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -11,9 +12,11 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
 
 	"lynxgate.dev/lynxgate/internal/fleet"
 	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/rpcconn"
 )
 
 // answeringOrigin is a fake origin; it answers with digests in turn, the last of them again and again.
@@ -167,3 +170,108 @@
 		}
 	}
 }
+
+// confirmingFleet returns the stagers of n agents that serve each other, whose engines have these pieces staged.
+func confirmingFleet(t *testing.T, n int, o *answeringOrigin, staged ...string) ([]*Stager, goal) {
+	view := &follow.View{Servers: map[string][]*fleet.BackendServer{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, n)
+	t.Cleanup(func() {
+		cancel()
+		for range n {
+			assert.NoError(t, <-served)
+		}
+	})
+	var stagers []*Stager
+	var g goal
+	for range n {
+		var s *Stager
+		s, g = confirmingStager(o, staged...)
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		mux := drpcmux.New()
+		require.NoError(t, s.Register(mux))
+		go func() { served <- rpcconn.Serve(ctx, lis, mux) }()
+		s.cfg.EngineAddr, s.cfg.View = lis.Addr().String(), func() *follow.View { return view }
+		view.Servers["s"] = append(view.Servers["s"], &fleet.BackendServer{ID: lis.Addr().String(), Addr: lis.Addr().String(), Service: "s"})
+		stagers = append(stagers, s)
+	}
+	return stagers, g
+}
+
+// confirmUntil has an agent confirm its digests, which asks peers at random, until the condition holds.
+func confirmUntil(t *testing.T, s *Stager, g goal, set *pieceSet, done func() bool) {
+	for deadline := time.Now().Add(time.Minute); !done(); {
+		require.True(t, time.Now().Before(deadline), "digests are not compared")
+		s.confirm(t.Context(), g, set, time.Now())
+	}
+}
+
+// Guards against agents that all wait for each other's turns: after a loss of all power each of them knows no other yet and asks the origin itself.
+func TestAgentsThatAllReceivedTheFirstAnswerConfirmItByEachOthers(t *testing.T) {
+	o := &answeringOrigin{answers: [][]Digest{digestsOf("a", "b")}}
+	stagers, g := confirmingFleet(t, 6, o, "a", "b")
+	for _, s := range stagers {
+		set, err := s.openSet(t.Context(), g)
+		require.NoError(t, err)
+		set.askedOrigin.Store(true)
+		require.Len(t, set.missing(), 1)
+	}
+	o.err = errors.New("connection refused")
+	for _, s := range stagers {
+		set := s.sets.get(g.key())
+		for range 5 {
+			s.confirm(t.Context(), g, set, time.Now())
+		}
+		assert.False(t, set.loadable(), "no bytes of the origin")
+		require.True(t, set.put(0, []byte("a"), true))
+		confirmUntil(t, s, g, set, set.loadable)
+	}
+}
+
+func TestFirstAnswerThatWasPassedOnConfirmsNothing(t *testing.T) {
+	for name, c := range map[string]struct{ own, peer bool }{"here": {false, true}, "at the peer": {true, false}, "at both": {false, false}} {
+		o := &answeringOrigin{answers: [][]Digest{digestsOf("a", "b")}}
+		stagers, g := confirmingFleet(t, 2, o, "a", "b")
+		for i, s := range stagers {
+			set, err := s.openSet(t.Context(), g)
+			require.NoError(t, err)
+			set.askedOrigin.Store([]bool{c.own, c.peer}[i])
+		}
+		set := stagers[0].sets.get(g.key())
+		require.True(t, set.put(0, []byte("a"), true))
+		o.err = errors.New("connection refused")
+		for range 20 {
+			stagers[0].confirm(t.Context(), g, set, time.Now())
+		}
+		assert.False(t, set.loadable(), name)
+	}
+}
+
+func TestFirstAnswersThatDifferConfirmNothing(t *testing.T) {
+	o := &answeringOrigin{err: errors.New("connection refused")}
+	stagers, g := confirmingFleet(t, 2, o, "a", "b")
+	for i, s := range stagers {
+		set := s.sets.add(g.key(), [][]Digest{digestsOf("a", "b"), digestsOf("a", "b2")}[i])
+		set.askedOrigin.Store(true)
+		s.importStaged(t.Context(), g, set)
+	}
+	set := stagers[0].sets.get(g.key())
+	require.True(t, set.put(0, []byte("a"), true))
+	confirmUntil(t, stagers[0], g, set, func() bool { return len(set.missing()) > 0 })
+	assert.Equal(t, []int{1}, set.missing(), "the origin's bytes decide")
+	require.True(t, set.put(1, []byte("b2"), true))
+	assert.True(t, set.loadable())
+}
+
+func TestFirstAnswersConfirmNoDigestThatAnotherAnswerContests(t *testing.T) {
+	set := newPieceSet(digestsOf("a", "b"))
+	set.askedOrigin.Store(true)
+	require.True(t, set.put(0, []byte("a"), true))
+	require.True(t, set.put(1, []byte("b"), false))
+	other := digestAnswer{digests: digestsOf("a", "b2"), confirmed: []bool{false, false}, askedOrigin: true}
+	_, contested := set.adopt(other)
+	assert.Equal(t, []int{1}, contested)
+	assert.Zero(t, set.compareFirst(digestAnswer{digests: digestsOf("a", "b"), confirmed: []bool{false, false}, askedOrigin: true}))
+	assert.False(t, set.loadable())
+}
--- a/internal/staging/digest_messages.go
+++ b/internal/staging/digest_messages.go
@@ -10,7 +10,7 @@
 
 // encodeDigests returns the message for what this agent knows of digests. Digests whose hash the caller has stated are left out.
 func encodeDigests(a digestAnswer, known []byte) *rpc.DigestsResponse {
-	resp := &rpc.DigestsResponse{Same: bytes.Equal(known, digestSum(a.digests)), Confirmed: make([]byte, (len(a.confirmed)+7)/8)}
+	resp := &rpc.DigestsResponse{Same: bytes.Equal(known, digestSum(a.digests)), Confirmed: make([]byte, (len(a.confirmed)+7)/8), AskedOrigin: a.askedOrigin}
 	for piece, confirmed := range a.confirmed {
 		if confirmed {
 			resp.Confirmed[piece/8] |= 1 << (piece % 8)
@@ -38,7 +38,7 @@
 	if resp.Same {
 		digests = slices.Clone(known)
 	}
-	a := digestAnswer{digests: digests, confirmed: make([]bool, len(digests))}
+	a := digestAnswer{digests: digests, confirmed: make([]bool, len(digests)), askedOrigin: resp.AskedOrigin}
 	for i := range a.confirmed {
 		a.confirmed[i] = i/8 < len(resp.Confirmed) && resp.Confirmed[i/8]>>(i%8)&1 == 1
 	}
--- a/internal/staging/evidence.go
+++ b/internal/staging/evidence.go
@@ -25,6 +25,8 @@
 	digests    []Digest
 	confirmed  []bool
 	candidates []candidate
+	// askedOrigin: the origin sent the digests to that agent itself.
+	askedOrigin bool
 }
 
 // evidence is what confirms the digests of a set, or contradicts them. Its owner locks it.
@@ -178,6 +180,16 @@
 	return confirmed, contested
 }
 
+// compareFirst takes in the answer of a peer as another one of the origin if the origin sent the first answer to both agents. It returns how
+// many digests it confirmed.
+func (p *pieceSet) compareFirst(a digestAnswer) (confirmed int) {
+	if !a.askedOrigin || !p.askedOrigin.Load() {
+		return 0
+	}
+	confirmed, _ = p.compare(a.digests, true)
+	return confirmed
+}
+
 // dropSample drops one piece if all are here and none of them has a confirmed digest, and reports whether it did: the origin is then asked
 // for that one. It is the same at all agents, so that the origin sends it once.
 func (p *pieceSet) dropSample(version uint64) bool {
@@ -202,7 +214,7 @@
 func (p *pieceSet) answer() digestAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := digestAnswer{digests: append([]Digest(nil), p.digests...), confirmed: append([]bool(nil), p.evidence.confirmed...)}
+	a := digestAnswer{digests: append([]Digest(nil), p.digests...), confirmed: append([]bool(nil), p.evidence.confirmed...), askedOrigin: p.askedOrigin.Load()}
 	for piece, others := range p.evidence.candidates {
 		for digest := range others {
 			a.candidates = append(a.candidates, candidate{piece, digest})
--- a/internal/staging/fuzz_test.go
+++ b/internal/staging/fuzz_test.go
@@ -13,7 +13,7 @@
 // FuzzDecodeDigests checks that an answer of a peer about digests is taken over, and passed on as it was received.
 func FuzzDecodeDigests(f *testing.F) {
 	known := digestsOf("a", "b", "c")
-	a := digestAnswer{digests: digestsOf("a", "x", "c"), confirmed: []bool{true, true, false}, candidates: []candidate{{2, digestsOf("y")[0]}}}
+	a := digestAnswer{digests: digestsOf("a", "x", "c"), confirmed: []bool{true, true, false}, candidates: []candidate{{2, digestsOf("y")[0]}}, askedOrigin: true}
 	for _, resp := range []*rpc.DigestsResponse{
 		{}, encodeDigests(a, nil), encodeDigests(a, digestSum(a.digests)), {Same: true, Confirmed: []byte{0xff, 0xff}},
 		{Digests: [][]byte{{1}}}, {Same: true, Candidates: []*rpc.DigestCandidate{{Piece: 1 << 31, Digest: make([]byte, 32)}}},
@@ -37,6 +37,7 @@
 		require.Equal(t, answer.digests, again.digests)
 		require.Equal(t, answer.confirmed, again.confirmed)
 		require.Equal(t, answer.candidates, again.candidates)
+		require.Equal(t, answer.askedOrigin, again.askedOrigin)
 
 		set := newPieceSet(slices.Clone(known))
 		for piece, text := range []string{"a", "b", "c"} {
