The deadline of a request without a body holds if its engine reads it late

Seen: platform TestLongRequestsThatEnginesHaveReadAndKeep..., "once, held after a standstill": a request that must not run twice, without a body, sent 3.6 s before the bound with that as its deadline to an engine that stands still for 1.2 s and then holds it, began 50 ms past the bound. Cause: an engine counts a deadline from its reading. A body is held back until the engine asks for it, so that a late reading is seen; a request without one has nothing to hold back, and its deadline ended 0.2 s before the bound only if it was read at once. Ruled out: the lack of a deadline (this one has it), and the hold alone (without a standstill the deadline ends it).

Change: the deadline of a request without a body ends 2.5 s before the bound, the longest standstill that the margin of such requests counts with. Entries know that too, and give the bound as deadline only if the answer ends by then even at a quarter of the predicted speed; so the guard against cuts is the same, and such requests are sent for as long as before. The requests of balance's tests have a body now unless they say otherwise, as callers' have; TestDecide's deadline of a request without a body is 0.8 s in place of 3.1 s, which is stricter.

TestDecide's row and balance's new test fail without the mend. Green, one run each: TestSilentEngineThatKeeps..., TestEnginesThatKeepClosed..., TestStreamThatOutlasts..., TestLongAnswersBeginOnNoExpiredWeights, TestHeldRequests..., TestPairs..., TestDelayedPath....

--- a/internal/balance/expiry_test.go
+++ b/internal/balance/expiry_test.go
@@ -35,7 +35,7 @@
 }
 
 func expiringWant(answer int) Requirements {
-	return Requirements{Service: "engine", Model: "m", Read: 10 * time.Millisecond, Budget: time.Second, Answer: answer}
+	return Requirements{Service: "engine", Model: "m", Read: 10 * time.Millisecond, Budget: time.Second, Answer: answer, Bytes: 4}
 }
 
 // bound is when weights expire whose successor was named at t0.
@@ -83,6 +83,7 @@
 			now := t0.Add(time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(r, "now")))
 			want := expiringWant(rapid.IntRange(1, 400).Draw(r, "answer"))
 			want.RunOnce = rapid.Bool().Draw(r, "once")
+			want.Bytes = rapid.IntRange(0, 1).Draw(r, "bytes")
 			choice, _ := b.Pick(now, want)
 			if choice.Server == nil {
 				return
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -65,10 +65,10 @@
 	// Pace is how many times as long as usual the server's work takes, as known at the choice.
 	Pace float64
 	// model is the model that the request needs, empty at plain services; takes is how long the request is predicted to take,
-	// cancellable whether the entry cancels it if it has not begun in time.
-	model       string
-	takes       time.Duration
-	cancellable bool
+	// cancellable whether the entry cancels it if it has not begun in time, bodiless whether it has no body.
+	model                 string
+	takes                 time.Duration
+	cancellable, bodiless bool
 	// bytes is the size of the body.
 	bytes int
 	// pickedAt is when the server was chosen; begun: an event was received.
@@ -168,7 +168,7 @@
 			continue
 		}
 		takes := p.firstEvent + s.answerTime(w.Answer, p.pace)
-		expiry := b.expiryAt(s, now, w.Model, version, takes, s.excess.now(now), !w.RunOnce)
+		expiry := b.expiryAt(s, now, w.Model, version, takes, s.excess.now(now), !w.RunOnce, w.Bytes == 0)
 		if expiry.Unsendable() || expiry.Relayed && now.Before(s.relayDownUntil) || !expiry.At.IsZero() && now.Add(p.firstEvent).After(expiry.At) {
 			availability.Fit--
 			availability.Old++
@@ -189,7 +189,7 @@
 				ReportAge: -1, pickedAt: now, due: w.Due, bytes: w.Bytes,
 				Owned: s.owned, otherOwner: s.otherOwner && !reserves, InFlight: s.inFlight, Unseen: unseen,
 				Reserve: reserves, StartUnixMs: s.record.StartUnixMs, Signal: s.signals.strongest(now),
-				model: w.Model, cancellable: !w.RunOnce, Expiry: expiry, pathMargin: b.pathMargin(s, expiry), Confirm: b.mustConfirm(w.Model, version),
+				model: w.Model, cancellable: !w.RunOnce, bodiless: w.Bytes == 0, Expiry: expiry, pathMargin: b.pathMargin(s, expiry), Confirm: b.mustConfirm(w.Model, version),
 				Signs: s.signs(now),
 			}
 			if s.load.known {
--- a/internal/balance/relay.go
+++ b/internal/balance/relay.go
@@ -35,15 +35,15 @@
 }
 
 // expiryAt returns the expiry of a server's weights for a request that is predicted to take this long, of which the path is late by
-// lateness. Beside an agent of an earlier build, which does not relay, only the server and this
+// lateness; bodiless requests have no body that the server still has to ask for. Beside an agent of an earlier build, which does not relay, only the server and this
 // entry keep the bound, and the server alone that of a request that can't be cancelled.
-func (b *Balancer) expiryAt(s *Server, now time.Time, model string, version uint64, takes, lateness time.Duration, cancellable bool) Expiry {
+func (b *Balancer) expiryAt(s *Server, now time.Time, model string, version uint64, takes, lateness time.Duration, cancellable, bodiless bool) Expiry {
 	e := b.expiry(now, model, version, takes)
 	if e.At.IsZero() {
 		return e
 	}
 	e.Relayed = b.relaysTo(s) && (!cancellable || now.After(e.At.Add(-relayWindow)))
-	e.KeptUntil = e.At.Add(-b.deadlineMargin(s, e))
+	e.KeptUntil = e.At.Add(-b.deadlineMargin(s, e, bodiless))
 	e.MayBeCut = now.Add(lateness + maxSlowdown*(takes-lateness)).After(e.KeptUntil)
 	e.KeptByServer = !e.MayBeCut || !cancellable && !e.Relayed
 	e.Unguarded = e.Relayed && e.MayBeCut && now.After(e.At.Add(-relay.BeginMargin))
@@ -51,10 +51,10 @@
 }
 
 // deadlineMargin returns how long before the bound a server that keeps it ends the request. The path may renew the deadline of a direct
-// request, the server's question for the body that of a relayed one.
-func (b *Balancer) deadlineMargin(s *Server, e Expiry) time.Duration {
+// request, the server's reading that of a relayed one.
+func (b *Balancer) deadlineMargin(s *Server, e Expiry, bodiless bool) time.Duration {
 	if e.Relayed {
-		return relay.AskTime
+		return relay.DeadlineMargin(bodiless)
 	}
 	return b.pathMargin(s, e)
 }
--- a/internal/balance/relay_test.go
+++ b/internal/balance/relay_test.go
@@ -89,6 +89,34 @@
 	assert.True(t, choice.Expiry.KeptByServer)
 }
 
+// Guards against a server that begins a request without a body past the bound, since it stood still before it read it and counts the
+// deadline from then.
+func TestDeadlineOfARequestWithoutABodyHoldsIfItIsReadLate(t *testing.T) {
+	t0 := time.Now()
+	b := relayed(t0, []uint64{1}, 0)
+	want := expiringWant(10)
+	want.Bytes, want.RunOnce = 0, true
+	for _, left := range []time.Duration{3600 * time.Millisecond, 7 * time.Second} {
+		now := bound(t0).Add(-left)
+		choice, _ := b.Pick(now, want)
+		require.NotNil(t, choice.Server)
+		require.True(t, choice.Expiry.Relayed && choice.Expiry.KeptByServer)
+		assert.Equal(t, bound(t0).Add(-relay.DeadlineMargin(true)), choice.Expiry.KeptUntil)
+		b.Decided(&choice, now, reservation.Decision{Granted: true, Load: reservation.Load{Version: 1}})
+		assert.Equal(t, bound(t0).Add(-relay.DeadlineMargin(true)), choice.Expiry.KeptUntil, "its agent has decided")
+		b.Done(&choice, now, ResultUnknown)
+	}
+	now := bound(t0).Add(-3600 * time.Millisecond)
+	want.Answer = 40
+	choice, _ := b.Pick(now, want)
+	require.NotNil(t, choice.Server)
+	assert.False(t, choice.Expiry.KeptByServer, "the answer might be cut")
+	want.Bytes = 4
+	choice, _ = b.Pick(now, want)
+	require.NotNil(t, choice.Server)
+	assert.True(t, choice.Expiry.KeptByServer, "no body follows a late question")
+}
+
 // Guards against requests that a server begins past the bound, as it keeps them though their connection is closed.
 func TestRequestWithoutADeadlineAtTheBoundIsNotSentShortlyBeforeIt(t *testing.T) {
 	t0 := time.Now()
--- a/internal/balance/reserve.go
+++ b/internal/balance/reserve.go
@@ -75,7 +75,7 @@
 		c.takes = max(c.takes+d.FirstEvent-c.FirstEvent, d.End)
 		c.Wait, c.FirstEvent = d.Wait, d.FirstEvent
 		b.setVersion(c, d.Load.Version, SourceDecision, d.Load.Age)
-		c.Expiry, c.Confirm = b.expiryAt(s, now, c.model, c.Version, c.takes, 0, c.cancellable), b.mustConfirm(c.model, c.Version)
+		c.Expiry, c.Confirm = b.expiryAt(s, now, c.model, c.Version, c.takes, 0, c.cancellable, c.bodiless), b.mustConfirm(c.model, c.Version)
 		c.pathMargin = b.pathMargin(s, c.Expiry)
 	} else {
 		own-- // the stated load is without the refused request
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -28,6 +28,16 @@
 	AskTime = 200 * time.Millisecond
 )
 
+// DeadlineMargin returns how long before the bound the deadline of a request ends that has the bound as its deadline. It counts from the
+// engine's reading, which a standstill delays. No body follows a late question for it, but nothing keeps an engine from beginning a
+// request without one.
+func DeadlineMargin(bodiless bool) time.Duration {
+	if bodiless {
+		return unreadSilence
+	}
+	return AskTime
+}
+
 // Reason says why a request was not passed on. It is the value of the header field Headers.NotRun.
 type Reason string
 
@@ -91,7 +101,7 @@
 	d := decision{bound: bound(c.expires, f)}
 	left := f.arrival.Add(micros(f.DeadlineUs)).Sub(c.now)
 	if f.EndsBefore {
-		left = min(left, d.bound.Sub(c.now)-AskTime)
+		left = min(left, d.bound.Sub(c.now)-DeadlineMargin(len(f.Body) == 0))
 	}
 	d.deadline = left.Truncate(time.Millisecond)
 	d.endsAt = c.now.Add(d.deadline)
--- a/internal/relay/decide_test.go
+++ b/internal/relay/decide_test.go
@@ -56,7 +56,7 @@
 		{name: "read after the bound", expires: -ms, reason: ReasonExpired, change: keeps},
 		{name: "no deadline keeps the bound, just in time", expires: 3000 * ms, now: 1200*ms - 1, deadline: 3800 * ms, cancelAt: 2600 * ms},
 		{name: "no deadline keeps the bound, read at the margin", expires: 3000 * ms, now: 1200 * ms, reason: ReasonExpired},
-		{name: "no body keeps the engine from beginning, just in time", expires: 4000 * ms, now: 700*ms - 1, deadline: 3100 * ms, cancelAt: 3600 * ms,
+		{name: "no body keeps the engine from beginning, just in time", expires: 4000 * ms, now: 700*ms - 1, deadline: 800 * ms, cancelAt: 3600 * ms,
 			change: func(_ *conditions, r *rpc.RelayRequest) { r.EndsBefore, r.Body = true, nil }},
 		{name: "no body keeps the engine from beginning", expires: 4000 * ms, now: 700 * ms, reason: ReasonExpired,
 			change: func(_ *conditions, r *rpc.RelayRequest) { r.EndsBefore, r.Body = true, nil }},
@@ -132,6 +132,9 @@
 		if r.EndsBefore {
 			assert.LessOrEqual(t, d.deadline+AskTime, bound.Sub(c.now))
 		}
+		if r.EndsBefore && len(r.Body) == 0 {
+			assert.LessOrEqual(t, d.deadline+unreadSilence, bound.Sub(c.now), "a standstill before the engine reads the request moves its deadline past the bound")
+		}
 		if !r.EndsBefore {
 			assert.Less(t, c.now.Add(BeginMargin), bound, "no deadline keeps the request from beginning past the bound")
 		}
