Agents count and log reservations that end without their release

Cause: nothing told which reservations of a killed entry stay open, by which rule, and what the engine's report said then.

Change: lynxgate_reservations_dropped_total{cause}, the line "reservations dropped" with entries and the engine's load, and the open reservations and those past their lease in the line "reservations decided". No change of a decision.

To be told apart by it, why they stay open until their deadlines beside engines that keep requests: (1) young requests of other entries hide them from the count of reservations past their lease: open > running + waiting all the time, past_lease is not, the killed entry's end by deadline; (2) the engine reports kept requests until then: open <= running + waiting; (3) releases of the living entry are lost: the dropped ones are that entry's.

--- a/internal/reservation/client/client.go
+++ b/internal/reservation/client/client.go
@@ -111,7 +111,8 @@
 	defer cancel()
 	conn := c.pool.Get(callCtx, c.cfg.AgentAddr(server))
 	defer conn.Close()
-	request := wire.RequestToProto(c.cfg.Entry, server, born, r)
+	r.Entry = c.cfg.Entry
+	request := wire.RequestToProto(server, born, r)
 	request.TimeoutUs = timeout.Microseconds()
 	response, err := rpc.NewDRPCReservationsClient(conn).Reserve(callCtx, request)
 	took := clock.Since(began)
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -49,10 +49,13 @@
 	maxReadShare = 0.6
 	// expiryMargin is how long after its deadline a reservation is dropped that was never released.
 	expiryMargin = 1 * time.Second
+	// maxDropped bounds the dropped reservations that nobody has taken.
+	maxDropped = 1024
 )
 
 // held is a reservation that was not released.
 type held struct {
+	entry   string
 	at      time.Time
 	expires time.Time
 	// read is the time for its prompt, readsAt the start of the pass in which it is predicted to be read.
@@ -72,6 +75,8 @@
 	known   bool
 	loading bool
 	held    map[string]held
+	// dropped are the reservations that ended without their release since TakeDropped.
+	dropped []Dropped
 	// foreign counts the engine's requests without a reservation, as of the last report.
 	foreign int
 	// batch is the last pass that is predicted to read prompts of requests with a slot. queued are the prompts of those
@@ -102,11 +107,29 @@
 	return len(l.held)
 }
 
+// TakeDropped returns the reservations that ended without their release since the last call.
+func (l *Ledger) TakeDropped() []Dropped {
+	dropped := l.dropped
+	l.dropped = nil
+	return dropped
+}
+
+// drop ends a reservation without its release.
+func (l *Ledger) drop(now time.Time, id string, cause DropCause) {
+	h := l.held[id]
+	delete(l.held, id)
+	if len(l.dropped) < maxDropped {
+		l.dropped = append(l.dropped, Dropped{Entry: h.entry, Age: now.Sub(h.at), Cause: cause})
+	}
+}
+
 // Observe applies a report of the engine, as of now. A later incarnation of the engine has none of the
 // earlier one's requests.
 func (l *Ledger) Observe(now time.Time, r Report) {
 	if l.report.StartUnixMs != 0 && r.StartUnixMs > l.report.StartUnixMs {
-		l.held = map[string]held{}
+		for id := range l.held {
+			l.drop(now, id, DropEngineRestarted)
+		}
 		l.foreign, l.batch, l.queued, l.reads = 0, batch{}, nil, 0
 		l.lost, l.lostSince = 0, time.Time{}
 	}
@@ -162,7 +185,7 @@
 	}
 	slices.SortFunc(old, func(a, b string) int { return l.held[a].at.Compare(l.held[b].at) })
 	for _, id := range old[:l.lost] {
-		delete(l.held, id)
+		l.drop(now, id, DropNotCounted)
 	}
 	l.lost, l.lostSince = 0, time.Time{}
 }
@@ -171,7 +194,7 @@
 func (l *Ledger) expire(now time.Time) {
 	for id, h := range l.held {
 		if now.After(h.expires) {
-			delete(l.held, id)
+			l.drop(now, id, DropDeadline)
 		}
 	}
 }
@@ -242,10 +265,20 @@
 	return max(since, min(leased, missing))
 }
 
-// load returns the state of the engine.
-func (l *Ledger) load(now time.Time) Load {
+// pastLease returns the number of open reservations past their lease.
+func (l *Ledger) pastLease(now time.Time) (n int) {
+	for _, h := range l.held {
+		if now.Sub(h.at) >= lease {
+			n++
+		}
+	}
+	return n
+}
+
+// Load returns the state of the engine.
+func (l *Ledger) Load(now time.Time) Load {
 	return Load{
-		Running: l.report.Running, Waiting: l.report.Waiting, Reserved: l.reserved(now), Pace: l.pace(), Age: now.Sub(l.at),
+		Running: l.report.Running, Waiting: l.report.Waiting, Reserved: l.reserved(now), Open: len(l.held), PastLease: l.pastLease(now), Pace: l.pace(), Age: now.Sub(l.at),
 		Version: l.report.Version, Loading: l.loading || l.report.Busy, StartUnixMs: l.report.StartUnixMs,
 	}
 }
@@ -283,7 +316,7 @@
 	l.expire(now)
 	l.startQueued(now)
 	l.Release(now, r.ID)
-	d := Decision{Load: l.load(now)}
+	d := Decision{Load: l.Load(now)}
 	switch {
 	case !l.known || d.Load.Age > maxReportAge:
 		return d.refused(ReasonUnknown)
@@ -424,7 +457,7 @@
 
 // grant records a reservation.
 func (l *Ledger) grant(now time.Time, r Request, p prediction) {
-	h := held{at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read, readsAt: p.batch.start, gap: r.Gap}
+	h := held{entry: r.Entry, at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read, readsAt: p.batch.start, gap: r.Gap}
 	if r.Due > 0 && !r.Resumed { // the rest of a stream has had its first event
 		h.due = now.Add(r.Due)
 	}
--- a/internal/reservation/ledger_test.go
+++ b/internal/reservation/ledger_test.go
@@ -104,7 +104,7 @@
 	l.Ask(start, ask("b"))
 	later := start.Add(lease + ms)
 	l.Observe(later, Report{Running: 10, Version: 1})
-	assert.Zero(t, l.load(later).Reserved)
+	assert.Zero(t, l.Load(later).Reserved)
 	assert.Zero(t, l.Ask(later, ask("c")).Wait)
 	l.Observe(start.Add(10*time.Second), Report{Running: 1, Version: 1})
 	assert.Zero(t, l.Held(start.Add(10*time.Second)), "the rest is dropped after its deadline")
@@ -125,7 +125,7 @@
 	l.Observe(start.Add(500*ms), Report{Running: 8, Version: 1})
 	now := start.Add(time.Second)
 	l.Observe(now, Report{Version: 1})
-	assert.Zero(t, l.load(now).Reserved, "the leases have ended")
+	assert.Zero(t, l.Load(now).Reserved, "the leases have ended")
 	now = now.Add(lease)
 	l.Observe(now, Report{Version: 1})
 	for i := range 6 {
@@ -133,7 +133,7 @@
 	}
 	now = now.Add(20 * ms)
 	l.Observe(now, Report{Running: 6, Version: 1})
-	assert.Zero(t, l.load(now).Reserved, "all have arrived")
+	assert.Zero(t, l.Load(now).Reserved, "all have arrived")
 }
 
 // A request has ended at its engine some ms before its release arrives: if its reservation were taken for one of a killed
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -19,6 +19,8 @@
 type Request struct {
 	// ID identifies the attempt; asking again with the same id replaces the reservation.
 	ID string
+	// Entry is the name of the entry, for logs.
+	Entry string
 	// Rank and Weight are those of package urgency; a Weight of 0 counts as 1.
 	Rank   int
 	Weight float64
@@ -84,6 +86,28 @@
 	return ReasonUnknown
 }
 
+// Dropped is a reservation that ended without its release.
+type Dropped struct {
+	Entry string
+	// Age is the time since it was granted.
+	Age time.Duration
+	// Cause is why it ended.
+	Cause DropCause
+}
+
+// DropCause is why a reservation ended without its release.
+type DropCause string
+
+// The causes.
+const (
+	// DropNotCounted: the engine's reports did not count its request any more.
+	DropNotCounted DropCause = "not-counted"
+	// DropDeadline: it was open until after its deadline.
+	DropDeadline DropCause = "deadline"
+	// DropEngineRestarted: the engine was started again.
+	DropEngineRestarted DropCause = "engine-restarted"
+)
+
 // Decision is the answer to a Request.
 type Decision struct {
 	Granted bool
@@ -109,6 +133,8 @@
 	Running, Waiting int
 	// Reserved requests have not arrived yet, including the one that was just granted.
 	Reserved int
+	// Open counts the reservations that were not released, PastLease those of them past their lease. They are not sent to entries.
+	Open, PastLease int
 	// Pace is how many times as long as usual work takes, 1 if the engine does not report it.
 	Pace float64
 	// Age is that of the engine's report.
--- a/internal/reservation/server/metrics.go
+++ b/internal/reservation/server/metrics.go
@@ -16,6 +16,7 @@
 type Metrics struct {
 	decided *prometheus.CounterVec
 	wait    prometheus.Histogram
+	dropped *prometheus.CounterVec
 	// held returns the number of reservations; nil before there is a server.
 	held atomic.Pointer[func() int]
 	// Gauges of the engine as of its last report.
@@ -32,6 +33,9 @@
 			Name: "lynxgate_reservations_predicted_wait_seconds", Help: "Predicted wait of granted requests for a slot and for the prompts before theirs.",
 			Buckets: []float64{0.005, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1},
 		}),
+		dropped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_reservations_dropped_total", Help: "Reservations that ended without their release, by cause.",
+		}, []string{"cause"}),
 		slots: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_reservations_slots", Help: "Slots of the engine by the configuration in force.",
 		}),
@@ -42,7 +46,7 @@
 			Name: "lynxgate_reservations_pace", Help: "How many times as long as usual the engine's work takes, as of the last request for a slot.",
 		}),
 	}
-	r.MustRegister(m.decided, m.wait, m.slots, m.running, m.pace, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	r.MustRegister(m.decided, m.wait, m.dropped, m.slots, m.running, m.pace, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "lynxgate_reservations_open", Help: "Reservations that were not released.",
 	}, func() float64 {
 		if held := m.held.Load(); held != nil {
@@ -67,8 +71,8 @@
 	}
 }
 
-// decisionsInterval is the least time between two log lines about decisions.
-const decisionsInterval = time.Second
+// logInterval is the least time between two log lines of a kind.
+const logInterval = time.Second
 
 // decisions counts decisions by result for the log.
 type decisions struct {
@@ -82,13 +86,13 @@
 		d.counts, d.since = map[string]int{}, now
 	}
 	d.counts[decided.Result()]++
-	if now.Sub(d.since) < decisionsInterval {
+	if now.Sub(d.since) < logInterval {
 		return
 	}
 	granted := d.counts[reservation.Decision{Granted: true}.Result()]
 	if granted < d.total() {
 		event := log.Info().Int("running", decided.Load.Running).Int("waiting", decided.Load.Waiting).Float64("pace", decided.Load.Pace).
-			Dur("report_age_ms", decided.Load.Age)
+			Dur("report_age_ms", decided.Load.Age).Int("open", decided.Load.Open).Int("past_lease", decided.Load.PastLease)
 		for result, n := range d.counts {
 			event.Int(result, n)
 		}
@@ -104,3 +108,35 @@
 	}
 	return n
 }
+
+// drops are the dropped reservations that no log line has told yet.
+type drops struct {
+	loggedAt time.Time
+	untold   []reservation.Dropped
+}
+
+func (d *drops) add(dropped []reservation.Dropped) { d.untold = append(d.untold, dropped...) }
+
+// due reports whether there is something to be logged, and the last lines are older than logInterval.
+func (d *drops) due(now time.Time) bool {
+	return len(d.untold) > 0 && now.Sub(d.loggedAt) >= logInterval
+}
+
+// log writes a line for each cause.
+func (d *drops) log(now time.Time, load reservation.Load, log zerolog.Logger) {
+	byCause := map[reservation.DropCause][]reservation.Dropped{}
+	for _, one := range d.untold {
+		byCause[one.Cause] = append(byCause[one.Cause], one)
+	}
+	for cause, some := range byCause {
+		entries, oldest := map[string]int{}, time.Duration(0)
+		for _, one := range some {
+			entries[one.Entry]++
+			oldest = max(oldest, one.Age)
+		}
+		log.Info().Str("cause", string(cause)).Int("dropped", len(some)).Interface("entries", entries).Dur("oldest_ms", oldest).
+			Int("open", load.Open).Int("past_lease", load.PastLease).Int("running", load.Running).Int("waiting", load.Waiting).
+			Msg("reservations dropped")
+	}
+	d.loggedAt, d.untold = now, nil
+}
--- a/internal/reservation/server/server.go
+++ b/internal/reservation/server/server.go
@@ -58,6 +58,7 @@
 	slots      Slots
 	loading    bool
 	decisions  decisions
+	drops      drops
 }
 
 // New returns a server without reservations.
@@ -75,7 +76,21 @@
 	if s.ledger == nil {
 		return 0
 	}
-	return s.ledger.Held(clock.Now())
+	now := clock.Now()
+	open := s.ledger.Held(now)
+	s.noteDropped(now)
+	return open
+}
+
+// noteDropped counts the reservations that the ledger has dropped, for metrics and the log.
+func (s *Server) noteDropped(now time.Time) {
+	dropped := s.ledger.TakeDropped()
+	for _, d := range dropped {
+		s.cfg.Metrics.dropped.WithLabelValues(string(d.Cause)).Inc()
+	}
+	if s.drops.add(dropped); s.drops.due(now) {
+		s.drops.log(now, s.ledger.Load(now), s.cfg.Logger)
+	}
 }
 
 // Register registers the rpc.Reservations service for entries.
@@ -108,6 +123,7 @@
 		d.Reason = reservation.ReasonSilent
 	default:
 		d = s.ledger.Ask(now, wire.RequestFromProto(req))
+		s.noteDropped(now)
 	}
 	s.cfg.Metrics.observe(int(req.Rank), d)
 	s.decisions.note(now, d, s.cfg.Logger)
@@ -220,7 +236,9 @@
 	if r.Waiting == 0 {
 		s.slots.Free = max(s.engine.Slots-r.Running, 0)
 	}
-	s.ledger.Observe(clock.Now(), r)
+	now := clock.Now()
+	s.ledger.Observe(now, r)
+	s.noteDropped(now)
 	s.cfg.Metrics.reported(s.engine.Slots, r)
 	return nil
 }
--- a/internal/reservation/server/server_test.go
+++ b/internal/reservation/server/server_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -36,6 +38,7 @@
 	vm       *clocktest.VM
 	registry *prometheus.Registry
 	view     atomic.Pointer[follow.View]
+	log      bytes.Buffer
 
 	mu     sync.Mutex
 	report staging.Report
@@ -52,7 +55,7 @@
 	a.setReport(staging.Report{Born: 1})
 	a.Server = New(Config{
 		Service: "model", EngineAddr: engineAddr, Report: a.engineReport, View: a.view.Load,
-		Logger: zerolog.Nop(), Metrics: NewMetrics(a.registry),
+		Logger: zerolog.New(&a.log).Level(zerolog.InfoLevel), Metrics: NewMetrics(a.registry),
 	})
 	return a
 }
@@ -102,6 +105,19 @@
 	return a.report, nil
 }
 
+// metric returns the first metric of this name.
+func (a *agent) metric(name string) *dto.Metric {
+	families, err := a.registry.Gather()
+	require.NoError(a, err)
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0]
+		}
+	}
+	require.Fail(a, "no such metric", name)
+	return nil
+}
+
 func (a *agent) reports() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -363,16 +379,7 @@
 // Guards against a gauge that shows reservations that have ended without a call, as those of a killed entry do.
 func TestOpenReservationsAreCountedWithoutCalls(t *testing.T) {
 	a := newAgent(t)
-	gauge := func() float64 {
-		families, err := a.registry.Gather()
-		require.NoError(t, err)
-		for _, family := range families {
-			if family.GetName() == "lynxgate_reservations_open" {
-				return family.GetMetric()[0].GetGauge().GetValue()
-			}
-		}
-		return -1
-	}
+	gauge := func() float64 { return a.metric("lynxgate_reservations_open").GetGauge().GetValue() }
 	for i := range 3 {
 		require.True(t, a.reserve(request(fmt.Sprint(i))).Granted)
 	}
@@ -391,3 +398,15 @@
 	require.ErrorIs(t, err, context.Canceled)
 	assert.Equal(t, 1, a.open())
 }
+
+// Guards against reservations that end without their release and without a trace.
+func TestDroppedReservationsAreCountedAndLogged(t *testing.T) {
+	a := newAgent(t)
+	asked := request("a")
+	asked.Entry = "entry-1"
+	require.True(t, a.reserve(asked).Granted)
+	a.vm.Suspend(2*time.Second + 1100*ms) // past the deadline of the request, and the ledger's margin
+	assert.Zero(t, a.open())
+	assert.Equal(t, 1.0, a.metric("lynxgate_reservations_dropped_total").GetCounter().GetValue())
+	assert.Contains(t, a.log.String(), `"cause":"deadline","dropped":1,"entries":{"entry-1":1}`)
+}
--- a/internal/reservation/wire/wire.go
+++ b/internal/reservation/wire/wire.go
@@ -14,9 +14,9 @@
 
 // RequestToProto returns the message that asks for a slot of the engine at addr, whose incarnation started at born
 // (Unix ms, 0 if not known).
-func RequestToProto(entry, addr string, born int64, r reservation.Request) *rpc.ReserveRequest {
+func RequestToProto(addr string, born int64, r reservation.Request) *rpc.ReserveRequest {
 	return &rpc.ReserveRequest{
-		Id: r.ID, Entry: entry, Addr: addr, Born: born, Rank: uint32(r.Rank), Weight: r.Weight, Retry: r.Retry, Resumed: r.Resumed,
+		Id: r.ID, Entry: r.Entry, Addr: addr, Born: born, Rank: uint32(r.Rank), Weight: r.Weight, Retry: r.Retry, Resumed: r.Resumed,
 		Prompt: uint32(r.Prompt), Answer: uint32(r.Answer), DueUs: r.Due.Microseconds(), BudgetUs: r.Budget.Microseconds(),
 		GapUs: r.Gap.Microseconds(), LeftUs: r.Left.Microseconds(), Version: r.Version, Anyway: r.AcceptLate,
 	}
@@ -25,7 +25,7 @@
 // RequestFromProto is the inverse of RequestToProto.
 func RequestFromProto(r *rpc.ReserveRequest) reservation.Request {
 	return reservation.Request{
-		ID: r.Id, Rank: int(r.Rank), Weight: r.Weight, Retry: r.Retry, Resumed: r.Resumed,
+		ID: r.Id, Entry: r.Entry, Rank: int(r.Rank), Weight: r.Weight, Retry: r.Retry, Resumed: r.Resumed,
 		Prompt: int(r.Prompt), Answer: int(r.Answer), Due: micros(r.DueUs), Budget: micros(r.BudgetUs),
 		Gap: micros(r.GapUs), Left: micros(r.LeftUs), Version: r.Version, AcceptLate: r.Anyway,
 	}
