Reservations of a killed entry end once the engine's reports miss their requests, also beside others

Cause: lost reservations were counted as those past their lease less all running and waiting requests. Requests of another entry that were younger than their lease stood in for the lost ones, so that beside a busy engine some were kept until their deadlines. Engines that drop closed requests all at once hid it in the test: the other entry's requests then begin together, and there are moments without a young one. Kept requests end one after the other. The trace of a failing run: the agent had 5 open reservations and reported 4 running at each line of 3 s, one of the killed entry among them.

Ruled out: the engine does not report kept requests until their deadlines (open reservations exceed its report); no releases of the living entry are lost (what was dropped is the killed entry's).

Change: as many reservations are dropped as each report of one lease (300 ms) has missed, if one of these reports has missed them apart from what was granted in the 15 ms before and released in the 50 ms after it. Those of the entry whose last grant is the oldest go first. The earlier comparison stays, as it needs 200 ms only. Kept requests are in the report, so their slots stay taken.

--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -13,9 +14,6 @@
 	// lease is how long a reservation counts whose request does not arrive: entries send requests
 	// within some ms, and a killed entry must not keep slots.
 	lease = 300 * time.Millisecond
-	// lostTime is for how long reports must not count reservations past their lease until these are dropped: the release
-	// of a request that has ended at the engine arrives some ms after that, from a busy entry some ten ms.
-	lostTime = 200 * time.Millisecond
 	// arrivalTime is how long a request may take to its engine after it was granted: a
 	// round trip between regions of 4 ms, and the entry's and engine's processing. Until then the
 	// engine's report may not count it.
@@ -86,10 +84,9 @@
 	// reads is the decayed sum of the time for prompts, as of readsAt.
 	reads   time.Duration
 	readsAt time.Time
-	// lost is the least number of reservations past their lease that reports since lostSince did not count;
-	// lostSince is zero if the last report counted them all.
-	lost      int
-	lostSince time.Time
+	// lostOld counts lost reservations among those past their lease, of which none is on its way to the engine, as if all reported
+	// requests were theirs. lostAny counts them among all.
+	lostOld, lostAny lostCount
 }
 
 // New returns the ledger of an engine without reservations.
@@ -131,7 +128,7 @@
 			l.drop(now, id, DropEngineRestarted)
 		}
 		l.foreign, l.batch, l.queued, l.reads = 0, batch{}, nil, 0
-		l.lost, l.lostSince = 0, time.Time{}
+		l.lostOld, l.lostAny = lostCount{}, lostCount{}
 	}
 	before, known := l.at, l.known
 	l.report, l.at, l.known = r, now, true
@@ -160,34 +157,40 @@
 	return max(reported-len(l.held), 0), max(reported-arrived, 0)
 }
 
-// dropLost drops reservations past their lease that all reports of the last lostTime did not count: their entry was killed, or
-// has not received the grant. If they were kept until their deadline, requests that have arrived would be taken for
-// others that have not. Which ones they are is not known; only their number matters.
+// dropLost drops reservations past their lease whose requests the engine does not have. If they were kept until their deadline,
+// requests that have arrived would be taken for others that have not. Only their number is known. Those of entries that have got
+// no grant for the longest time go first, since releases of others would be without effect.
 func (l *Ledger) dropLost(now time.Time) {
+	sent := 0
 	var old []string
+	lastGrant := map[string]time.Time{}
 	for id, h := range l.held {
+		if now.Sub(h.at) < arrivalTime {
+			sent++
+		}
 		if now.Sub(h.at) >= lease {
 			old = append(old, id)
 		}
+		if h.at.After(lastGrant[h.entry]) {
+			lastGrant[h.entry] = h.at
+		}
 	}
-	missing := len(old) - l.report.Running - l.report.Waiting
-	switch {
-	case missing <= 0:
-		l.lost, l.lostSince = 0, time.Time{}
-		return
-	case l.lostSince.IsZero():
-		l.lost, l.lostSince = missing, now
-	default:
-		l.lost = min(l.lost, missing)
-	}
-	if now.Sub(l.lostSince) < lostTime {
+	reported := l.report.Running + l.report.Waiting
+	l.lostOld.observe(now, lostTime, len(old)-reported, 0)
+	l.lostAny.observe(now, lease, len(l.held)-reported, sent)
+	n := min(max(l.lostOld.lost(now, lostTime), l.lostAny.lost(now, lease)), len(old))
+	if n == 0 {
 		return
 	}
-	slices.SortFunc(old, func(a, b string) int { return l.held[a].at.Compare(l.held[b].at) })
-	for _, id := range old[:l.lost] {
+	slices.SortFunc(old, func(a, b string) int {
+		first, second := l.held[a], l.held[b]
+		return cmp.Or(lastGrant[first.entry].Compare(lastGrant[second.entry]), first.at.Compare(second.at))
+	})
+	for _, id := range old[:n] {
 		l.drop(now, id, DropNotCounted)
 	}
-	l.lost, l.lostSince = 0, time.Time{}
+	l.lostOld.dropped(n)
+	l.lostAny.dropped(n)
 }
 
 // expire drops reservations that were never released.
@@ -290,6 +293,8 @@
 		return
 	}
 	delete(l.held, id)
+	l.lostOld.released(now, h.at)
+	l.lostAny.released(now, h.at)
 	if !h.readsAt.After(now) {
 		return // read, or about to be
 	}
