Tests: reservations of an entry that is started again under its name

Change: the play of a killed entry also with all requests under one name, so that the order by last grants does not tell them apart.

--- a/internal/reservation/lost_test.go
+++ b/internal/reservation/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -24,6 +25,8 @@
 	doomedShare, keptShare float64
 	// releaseDelay is how long a release takes at most.
 	releaseDelay time.Duration
+	// restarts: the other requests are of the killed entry, too, started again under its name.
+	restarts bool
 }
 
 const (
@@ -31,6 +34,8 @@
 	lostEnd        = 6 * time.Second
 	lostStep       = 5 * ms
 	mostSettleTime = 2 * lease
+	// settledBy is when the requests have ended for which reservations of the entry that was started again were dropped at first.
+	settledBy = lostKilledAt + 3*time.Second
 )
 
 // lostSim plays a lostPlan in steps of lostStep. The engine's reports have no delay.
@@ -51,12 +56,14 @@
 	lastLostAt, settledAt time.Duration
 	// missing is the highest number of requests, at the engine and on their way, that had no reservation.
 	missing int
+	// excess is the least number of reservations without a request in a report from settledBy on.
+	excess int
 }
 
 func playLost(plan lostPlan) *lostSim {
 	s := &lostSim{
 		plan: plan, random: rand.New(rand.NewPCG(plan.seed, 1)), ledger: New(model()), todo: map[time.Duration][]func(){},
-		atEngine: map[string]bool{}, doomed: map[string]bool{},
+		atEngine: map[string]bool{}, doomed: map[string]bool{}, excess: math.MaxInt,
 	}
 	s.ledger.Observe(start, Report{Version: 1})
 	s.after(plan.interval, s.ask)
@@ -90,7 +97,11 @@
 			s.dropped++
 		}
 	}
-	s.missing = max(s.missing, len(s.atEngine)+s.onTheWay-s.ledger.Held(start.Add(s.now)))
+	excess := s.ledger.Held(start.Add(s.now)) - len(s.atEngine) - s.onTheWay
+	s.missing = max(s.missing, -excess)
+	if s.now >= settledBy {
+		s.excess = min(s.excess, excess)
+	}
 	if s.settledAt <= s.lastLostAt && s.dropped == s.lost {
 		s.settledAt = s.now
 	}
@@ -106,7 +117,7 @@
 		return
 	}
 	r := ask(id)
-	r.Entry = fmt.Sprint(doomed)
+	r.Entry = fmt.Sprint(doomed && !s.plan.restarts)
 	r.Budget, r.Due, r.Gap, r.Prompt = minBudget, 0, 0, 1
 	if !s.ledger.Ask(start.Add(s.now), r).Granted {
 		return
@@ -174,6 +185,17 @@
 	}
 }
 
+// Guards against reservations of an entry before its restart that its later ones hide until their deadlines.
+func TestReservationsOfARestartedEntryEndBesideItsLaterOnes(t *testing.T) {
+	for seed := range uint64(10) {
+		s := playLost(lostPlan{
+			seed: seed, interval: 40 * ms, lasts: time.Second, doomedShare: 0.5, keptShare: 0.25, releaseDelay: 10 * ms, restarts: true,
+		})
+		assert.Positive(t, s.lost, "seed %d", seed)
+		assert.Zero(t, s.excess, "seed %d", seed)
+	}
+}
+
 // Guards against reservations that are dropped while their requests, or the releases of ended ones, are on their way, and against
 // slots that are granted twice then, also those of kept requests.
 func TestNoReservationIsDroppedForARequestOnItsWay(t *testing.T) {
