--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -13,9 +14,6 @@
 	// lease is how long a reservation counts whose request does not arrive: entries send requests
 	// within some ms, and a killed entry must not keep slots.
 	lease = 300 * time.Millisecond
-	// lostTime is for how long reports must not count reservations past their lease until these are dropped: the release
-	// of a request that has ended at the engine arrives some ms after that, from a busy entry some ten ms.
-	lostTime = 200 * time.Millisecond
 	// arrivalTime is how long a request may take to its engine after it was granted: a
 	// round trip between regions of 4 ms, and the entry's and engine's processing. Until then the
 	// engine's report may not count it.
@@ -49,10 +47,13 @@
 	maxReadShare = 0.6
 	// expiryMargin is how long after its deadline a reservation is dropped that was never released.
 	expiryMargin = 1 * time.Second
+	// maxDropped bounds the dropped reservations that nobody has taken.
+	maxDropped = 1024
 )
 
 // held is a reservation that was not released.
 type held struct {
+	entry   string
 	at      time.Time
 	expires time.Time
 	// read is the time for its prompt, readsAt the start of the pass in which it is predicted to be read.
@@ -72,6 +73,8 @@
 	known   bool
 	loading bool
 	held    map[string]held
+	// dropped are the reservations that ended without their release since TakeDropped.
+	dropped []Dropped
 	// foreign counts the engine's requests without a reservation, as of the last report.
 	foreign int
 	// batch is the last pass that is predicted to read prompts of requests with a slot. queued are the prompts of those
@@ -81,10 +84,9 @@
 	// reads is the decayed sum of the time for prompts, as of readsAt.
 	reads   time.Duration
 	readsAt time.Time
-	// lost is the least number of reservations past their lease that reports since lostSince did not count;
-	// lostSince is zero if the last report counted them all.
-	lost      int
-	lostSince time.Time
+	// lostOld counts lost reservations among those past their lease, of which none is on its way to the engine, as if all reported
+	// requests were theirs. lostAny counts them among all.
+	lostOld, lostAny lostCount
 }
 
 // New returns the ledger of an engine without reservations.
@@ -102,13 +104,31 @@
 	return len(l.held)
 }
 
+// TakeDropped returns the reservations that ended without their release since the last call.
+func (l *Ledger) TakeDropped() []Dropped {
+	dropped := l.dropped
+	l.dropped = nil
+	return dropped
+}
+
+// drop ends a reservation without its release.
+func (l *Ledger) drop(now time.Time, id string, cause DropCause) {
+	h := l.held[id]
+	delete(l.held, id)
+	if len(l.dropped) < maxDropped {
+		l.dropped = append(l.dropped, Dropped{Entry: h.entry, Age: now.Sub(h.at), Cause: cause})
+	}
+}
+
 // Observe applies a report of the engine, as of now. A later incarnation of the engine has none of the
 // earlier one's requests.
 func (l *Ledger) Observe(now time.Time, r Report) {
 	if l.report.StartUnixMs != 0 && r.StartUnixMs > l.report.StartUnixMs {
-		l.held = map[string]held{}
+		for id := range l.held {
+			l.drop(now, id, DropEngineRestarted)
+		}
 		l.foreign, l.batch, l.queued, l.reads = 0, batch{}, nil, 0
-		l.lost, l.lostSince = 0, time.Time{}
+		l.lostOld, l.lostAny = lostCount{}, lostCount{}
 	}
 	before, known := l.at, l.known
 	l.report, l.at, l.known = r, now, true
@@ -137,41 +157,47 @@
 	return max(reported-len(l.held), 0), max(reported-arrived, 0)
 }
 
-// dropLost drops reservations past their lease that all reports of the last lostTime did not count: their entry was killed, or
-// has not received the grant. If they were kept until their deadline, requests that have arrived would be taken for
-// others that have not. Which ones they are is not known; only their number matters.
+// dropLost drops reservations past their lease whose requests the engine does not have. If they were kept until their deadline,
+// requests that have arrived would be taken for others that have not. Only their number is known. Those of entries that have got
+// no grant for the longest time go first, since releases of others would be without effect.
 func (l *Ledger) dropLost(now time.Time) {
+	sent := 0
 	var old []string
+	lastGrant := map[string]time.Time{}
 	for id, h := range l.held {
+		if now.Sub(h.at) < arrivalTime {
+			sent++
+		}
 		if now.Sub(h.at) >= lease {
 			old = append(old, id)
 		}
+		if h.at.After(lastGrant[h.entry]) {
+			lastGrant[h.entry] = h.at
+		}
 	}
-	missing := len(old) - l.report.Running - l.report.Waiting
-	switch {
-	case missing <= 0:
-		l.lost, l.lostSince = 0, time.Time{}
-		return
-	case l.lostSince.IsZero():
-		l.lost, l.lostSince = missing, now
-	default:
-		l.lost = min(l.lost, missing)
-	}
-	if now.Sub(l.lostSince) < lostTime {
+	reported := l.report.Running + l.report.Waiting
+	l.lostOld.observe(now, lostTime, len(old)-reported, 0)
+	l.lostAny.observe(now, lease, len(l.held)-reported, sent)
+	n := min(max(l.lostOld.lost(now, lostTime), l.lostAny.lost(now, lease)), len(old))
+	if n == 0 {
 		return
 	}
-	slices.SortFunc(old, func(a, b string) int { return l.held[a].at.Compare(l.held[b].at) })
-	for _, id := range old[:l.lost] {
-		delete(l.held, id)
+	slices.SortFunc(old, func(a, b string) int {
+		first, second := l.held[a], l.held[b]
+		return cmp.Or(lastGrant[first.entry].Compare(lastGrant[second.entry]), first.at.Compare(second.at))
+	})
+	for _, id := range old[:n] {
+		l.drop(now, id, DropNotCounted)
 	}
-	l.lost, l.lostSince = 0, time.Time{}
+	l.lostOld.dropped(n)
+	l.lostAny.dropped(n)
 }
 
 // expire drops reservations that were never released.
 func (l *Ledger) expire(now time.Time) {
 	for id, h := range l.held {
 		if now.After(h.expires) {
-			delete(l.held, id)
+			l.drop(now, id, DropDeadline)
 		}
 	}
 }
@@ -242,10 +268,20 @@
 	return max(since, min(leased, missing))
 }
 
-// load returns the state of the engine.
-func (l *Ledger) load(now time.Time) Load {
+// pastLease returns the number of open reservations past their lease.
+func (l *Ledger) pastLease(now time.Time) (n int) {
+	for _, h := range l.held {
+		if now.Sub(h.at) >= lease {
+			n++
+		}
+	}
+	return n
+}
+
+// Load returns the state of the engine.
+func (l *Ledger) Load(now time.Time) Load {
 	return Load{
-		Running: l.report.Running, Waiting: l.report.Waiting, Reserved: l.reserved(now), Pace: l.pace(), Age: now.Sub(l.at),
+		Running: l.report.Running, Waiting: l.report.Waiting, Reserved: l.reserved(now), Open: len(l.held), PastLease: l.pastLease(now), Pace: l.pace(), Age: now.Sub(l.at),
 		Version: l.report.Version, Loading: l.loading || l.report.Busy, StartUnixMs: l.report.StartUnixMs,
 	}
 }
@@ -257,6 +293,8 @@
 		return
 	}
 	delete(l.held, id)
+	l.lostOld.released(now, h.at)
+	l.lostAny.released(now, h.at)
 	if !h.readsAt.After(now) {
 		return // read, or about to be
 	}
@@ -283,7 +321,7 @@
 	l.expire(now)
 	l.startQueued(now)
 	l.Release(now, r.ID)
-	d := Decision{Load: l.load(now)}
+	d := Decision{Load: l.Load(now)}
 	switch {
 	case !l.known || d.Load.Age > maxReportAge:
 		return d.refused(ReasonUnknown)
@@ -424,7 +462,7 @@
 
 // grant records a reservation.
 func (l *Ledger) grant(now time.Time, r Request, p prediction) {
-	h := held{at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read, readsAt: p.batch.start, gap: r.Gap}
+	h := held{entry: r.Entry, at: now, expires: now.Add(max(r.Left, lease) + expiryMargin), read: p.read, readsAt: p.batch.start, gap: r.Gap}
 	if r.Due > 0 && !r.Resumed { // the rest of a stream has had its first event
 		h.due = now.Add(r.Due)
 	}
