First answers for digests are compared only if two other agents have them

Cause: an agent that received a first answer from the origin took the equal one of a single other agent for its confirmation. Two wrong answers of many, both with an older version's digest, thus confirmed each other, and replaced the others' as confirmed ones: engines would have loaded a piece of the older version. A peer's answer counted although the origin's bytes contradicted it there, and an agent could ask itself, if a record of its engine at another port was still there.

Change: each attempt asks two different agents, none of them itself, and compares only if both (or the only other one) have a first answer; an agent that holds bytes which contradict its digests does not say that it has one.

Three equal wrong answers of many would still be taken.

--- a/internal/staging/confirm.go
+++ b/internal/staging/confirm.go
@@ -16,6 +16,11 @@
 	maxConfirmBackoff = 2 * time.Second
 	// confirmWarning is for how long a version may wait for the confirmation of its digests before that is logged.
 	confirmWarning = 2 * time.Second
+	// maxConfirmationPeers bounds the agents that are asked in an attempt.
+	maxConfirmationPeers = 2
+	// minFirstAnswers is how many first answers of other agents are compared with an agent's own, if there are so many agents: fewer may be
+	// equal though they are wrong, which those of the others would show.
+	minFirstAnswers = 2
 )
 
 // confirmDigests confirms the digests of the wanted versions until ctx is done.
@@ -63,18 +68,20 @@
 func (s *Stager) confirm(ctx context.Context, g goal, set *pieceSet, since time.Time) {
 	servers := s.servers()
 	confirmers := s.confirmers(servers)
-	answers := map[string]digestAnswer{}
+	first := map[string]digestAnswer{}
 	for _, peer := range s.confirmationPeers(servers, confirmers) {
-		if answer, err := s.digestsFrom(ctx, peer, g, set.allDigests()); err == nil {
-			s.adopt(g, set, answer, peer)
-			answers[peer] = answer
+		answer, err := s.digestsFrom(ctx, peer, g, set.allDigests())
+		if err != nil {
+			continue
 		}
-	}
-	for peer, answer := range answers { // after all were adopted: digests for which any of them differs are not confirmed
-		if confirmed := set.compareFirst(answer); confirmed > 0 {
-			s.logConfirmed(g, confirmed, peer)
+		s.adopt(g, set, answer, peer)
+		if answer.askedOrigin && len(answer.digests) == set.size() {
+			first[peer] = answer
 		}
 	}
+	if len(first) >= min(minFirstAnswers, len(servers)-1) {
+		s.compareFirst(g, set, first)
+	}
 	if s.engineVersion.Load() < g.version {
 		set.dropSample(g.version) // all pieces came from peers that confirm nothing, such as those of an earlier build
 	}
@@ -97,6 +104,16 @@
 	s.logContested(g, differing, "origin")
 }
 
+// compareFirst compares the digests with the first answers of other agents, all of which were adopted: digests for which any of them differs
+// are not confirmed.
+func (s *Stager) compareFirst(g goal, set *pieceSet, answers map[string]digestAnswer) {
+	for peer, answer := range answers {
+		if confirmed := set.compareFirst(answer); confirmed > 0 {
+			s.logConfirmed(g, confirmed, peer)
+		}
+	}
+}
+
 // adopt takes over what a peer knows of the digests, and reports whether that replaced any.
 func (s *Stager) adopt(g goal, set *pieceSet, answer digestAnswer, peer string) bool {
 	replaced, contested := set.adopt(answer)
@@ -144,18 +161,19 @@
 	return s.rankAmong(confirmers, rankForConfirmation)
 }
 
-// confirmationPeers returns the agent that is first to ask the origin for the second answer, and a random one.
+// confirmationPeers returns the agent that is first to ask the origin for the second answer, and random other ones.
 func (s *Stager) confirmationPeers(servers, confirmers []*fleet.BackendServer) (peers []string) {
+	own := s.cfg.PeerAddr(s.cfg.EngineAddr)
 	add := func(b *fleet.BackendServer) {
-		if peer := s.cfg.PeerAddr(b.Addr); b.Addr != s.cfg.EngineAddr && !slices.Contains(peers, peer) {
+		if peer := s.cfg.PeerAddr(b.Addr); peer != own && len(peers) < maxConfirmationPeers && !slices.Contains(peers, peer) {
 			peers = append(peers, peer)
 		}
 	}
 	if first := newPieceRanks(s.cfg.EngineAddr, confirmers).first(rankForConfirmation); first != nil {
 		add(first)
 	}
-	if len(servers) > 0 {
-		add(servers[rand.IntN(len(servers))])
+	for _, i := range rand.Perm(len(servers)) {
+		add(servers[i])
 	}
 	return peers
 }
--- a/internal/staging/evidence.go
+++ b/internal/staging/evidence.go
@@ -25,7 +25,7 @@
 	digests    []Digest
 	confirmed  []bool
 	candidates []candidate
-	// askedOrigin: the origin sent the digests to that agent itself.
+	// askedOrigin: the origin sent the digests to that agent itself, and no bytes contradict them there.
 	askedOrigin bool
 }
 
@@ -214,7 +214,7 @@
 func (p *pieceSet) answer() digestAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	a := digestAnswer{digests: append([]Digest(nil), p.digests...), confirmed: append([]bool(nil), p.evidence.confirmed...), askedOrigin: p.askedOrigin.Load()}
+	a := digestAnswer{digests: append([]Digest(nil), p.digests...), confirmed: append([]bool(nil), p.evidence.confirmed...), askedOrigin: p.askedOrigin.Load() && len(p.mismatches) == 0}
 	for piece, others := range p.evidence.candidates {
 		for digest := range others {
 			a.candidates = append(a.candidates, candidate{piece, digest})
