A closed request whose answer had begun is suspect, too, if its server crashes

Cause: a request that this entry had closed was remembered only if its answer had not begun. A caller who reads one event and leaves could thus crash one engine after another that keep closed requests, unsuspected.

Change: attempts, answers, handovers and what a handover left are remembered whether or not they had begun, unless the call was served.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -287,6 +287,7 @@
 	result := c.balanceResult(watch)
 	c.g.balancer.Done(&c.choice, clock.Now(), result)
 	c.recordFailure(result, true, err)
+	c.noteClosed(&c.choice, result)
 	c.noteInterrupted()
 	c.logAttempt(watch, what, err)
 	if c.route.Idempotent() {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -82,7 +82,7 @@
 	// attempts counts the attempts that were sent to a server, runs those that may have run: all but those that were refused,
 	// since a server may go on with a request whose connection is closed.
 	attempts, runs int
-	// closed are attempts without an answer that this entry has closed.
+	// closed are attempts that this entry has closed before their answers were complete.
 	closed []inFlight
 	// refusals counts attempts that a server refused, backoffs those of them whose answer
 	// requested backoff, or which its agent did not pass on.
--- a/internal/gateway/closed.go
+++ b/internal/gateway/closed.go
@@ -10,14 +10,14 @@
 // maxClosed bounds the requests that are remembered because their servers may go on with them.
 const maxClosed = 1024
 
-// closedRequest is a request that this entry has closed before its answer began. Its server may go on with it, and crash under it.
+// closedRequest is a request that this entry has closed before its answer was complete. Its server may go on with it, and crash under it.
 type closedRequest struct {
 	inFlight
 	// until is when the request's deadline passes.
 	until time.Time
 }
 
-// noteClosed records that an attempt without an answer was closed by this entry, if it was.
+// noteClosed records that an attempt was closed by this entry before its answer was complete, if it was.
 func (c *call) noteClosed(choice *balance.Choice, result balance.Result) {
 	if result == balance.ResultUnknown || result == balance.ResultSilent {
 		c.closed = append(c.closed, inFlight{server: choice.Server.Incarnation, version: choice.Version, closed: true})
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -257,6 +257,7 @@
 	c.next = nil
 	h.answer.Close()
 	h.next.stop()
+	c.noteClosed(&h.choice, balance.ResultUnknown)
 	c.g.balancer.Done(&h.choice, clock.Now(), balance.ResultUnknown)
 }
 
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -133,9 +133,7 @@
 	if !errors.Is(err, dispatch.ErrNotSent) && !errors.Is(err, errRefused) {
 		c.runs++ // also without an answer: a server may go on with a request whose connection is closed
 		c.mayHaveRun = true
-		if !h.began {
-			c.noteClosed(&h.choice, result)
-		}
+		c.noteClosed(&h.choice, result)
 	}
 	h.next.cancel()
 	c.g.balancer.Done(&h.choice, clock.Now(), result)
--- a/internal/gateway/kept_begun_test.go
+++ b/internal/gateway/kept_begun_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -47,7 +48,9 @@
 	standstill.Run(t, func(t testing.TB) {
 		verdict := keptCrash(t, func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
-			events(1)(w, r)
+			w.Header().Set(headers.Signature, "signed")
+			w.Header().Set(headers.Version, "7")
+			fmt.Fprint(w, "id: 1\ndata: 1\n\n")
 			_ = http.NewResponseController(w).Flush()
 		}, true)
 		assert.Eventually(t, func() bool { return verdict() == quarantine.Suspect }, 2*time.Second, 10*time.Millisecond)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,6 +51,7 @@
 		c.status, c.reason = a.StatusCode, "served"
 		return attemptFinal
 	case errors.Is(err, errCallerGone):
+		c.noteClosed(&c.choice, balance.ResultUnknown)
 		c.g.balancer.Done(&c.choice, clock.Now(), balance.ResultUnknown)
 		c.status, c.reason = statusClientGone, "caller left"
 		return attemptFinal
@@ -81,9 +82,7 @@
 	}
 	c.endedBy = "entry: " + string(h.why)
 	c.noteInterrupted()
-	if c.events == 0 {
-		c.noteClosed(&c.choice, result)
-	}
+	c.noteClosed(&c.choice, result)
 	c.g.balancer.Done(&c.choice, clock.Now(), result)
 	c.logAttempt(watch, "request goes on at another server", nil)
 	c.next = h
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -68,6 +68,7 @@
 		err = readErr
 	}
 	if errors.Is(err, errCallerGone) {
+		c.noteClosed(&c.choice, balance.ResultUnknown)
 		c.g.balancer.Done(&c.choice, clock.Now(), balance.ResultUnknown)
 		c.status, c.reason, c.broken = statusClientGone, "caller left", true
 		return attemptFinal
@@ -76,6 +77,7 @@
 	result := c.balanceResult(watch)
 	c.g.balancer.Done(&c.choice, clock.Now(), result)
 	c.recordFailure(result, true, err)
+	c.noteClosed(&c.choice, result)
 	c.logAttempt(watch, "answer broke off", err)
 	c.giveUp("answer broke off")
 	return attemptFinal
