Closed requests count at the first refused connection to their server

Cause: closed requests counted only once another request in progress had failed at the server, or another entry told of its crash. If they were the only ones there, the crash went unnoticed: a later connection is refused, which was no crash.

Change: a refused connection to a server that is not leaving counts the closed requests that it may still have had.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,6 +123,7 @@
 	c.g.balancer.Done(&c.choice, clock.Now(), result)
 	if !c.choice.Expiry.Relayed && errors.Is(err, syscall.ECONNREFUSED) {
 		c.g.balancer.ConnectionRefused(c.choice.Server, clock.Now())
+		c.noteRefused(c.choice.Server)
 	}
 	if errors.Is(err, dispatch.ErrNotSent) {
 		c.logAttempt(watch, "send failed", err)
--- a/internal/gateway/closed.go
+++ b/internal/gateway/closed.go
@@ -24,6 +24,14 @@
 	}
 }
 
+// noteRefused counts the closed requests that a server may still have had, since it has crashed: it refuses connections and is not
+// leaving.
+func (c *call) noteRefused(s *balance.Server) {
+	if !c.g.balancer.Leaving(s) {
+		c.g.suspects.recordClosedAt(clock.Now(), s.Incarnation)
+	}
+}
+
 // rememberClosed has the closed attempts of a call that was not served counted should their servers crash. Only the
 // content counts, as its parts are in many requests.
 func (c *call) rememberClosed() {
@@ -61,6 +69,14 @@
 	return kept
 }
 
+// recordClosedAt records that a server has crashed under the closed requests that it may still have had.
+func (s *suspicions) recordClosedAt(now time.Time, server string) {
+	s.mu.Lock()
+	kept := s.takeClosed(now, server)
+	s.mu.Unlock()
+	s.recordCrashes(now, kept)
+}
+
 // dropExpiredClosed forgets the closed requests whose deadlines have passed. s.mu must be locked.
 func (s *suspicions) dropExpiredClosed(now time.Time) {
 	for server, requests := range s.closed {
