--- a/internal/standstill/process.go
+++ b/internal/standstill/process.go
@@ -31,6 +31,18 @@
 	r.processes.add(pid)
 }
 
+// Waited returns for how long the threads of the processes that a scenario watches have waited for a processor, as counted by Watch.
+func Waited(t testing.TB) time.Duration {
+	r, ok := t.(*scenarioRun)
+	if !ok {
+		return 0
+	}
+	r.processes.sampleAll()
+	r.processes.mu.Lock()
+	defer r.processes.mu.Unlock()
+	return r.processes.stalled
+}
+
 // processMonitor is a stallMeter that samples for how long the threads of processes have waited for a processor.
 type processMonitor struct {
 	quit, done chan struct{}
--- a/internal/standstill/process_test.go
+++ b/internal/standstill/process_test.go
@@ -63,3 +63,16 @@
 	}))
 	assert.Equal(t, 2, runs)
 }
+
+func TestWaitsOfWatchedProcessesAreStatedDuringAScenario(t *testing.T) {
+	assert.Zero(t, Waited(t), "not a scenario")
+	assert.True(t, passes(t, fakeMeter{0}, func(t testing.TB) {
+		assert.Zero(t, Waited(t))
+		processes := t.(*scenarioRun).processes
+		processes.mu.Lock()
+		processes.sample("a", 0)
+		processes.sample("a", time.Second)
+		processes.mu.Unlock()
+		assert.Equal(t, time.Second, Waited(t))
+	}))
+}
