An engine beside a frozen agent is probed, and used once it answers

Cause: an agent's silence holds its engine back until something shows that the engine runs: a byte, a report, an announcement. While only the agent stands still, an entry without a stream there hears nothing but announcements, and one counts only if it came a second after the question, so that the engine stays idle for up to 2.2 s. The breaker is not what holds it back: while it is open the entry does go on by reports, and these have stopped as well.

Ruled out: counting announcements earlier (they may be as old as the question), sending by reports at once (requests pile up at VMs that stand still), a connect as a sign (the kernel accepts for a process that does not run).

An answer shows that it has run since the probe was sent; where reports have stopped it counts for 0.3 s, like a byte. Its load is used as a report's.

--- a/cmd/lynxgated/platform.go
+++ b/cmd/lynxgated/platform.go
@@ -182,7 +182,7 @@
 			RetryFloor: int(s.Bounds.RetryFloor), RetryWindow: seconds(s.Bounds.RetryWindowS),
 			HeldBytes:   int64(heldShare * s.Limits.MemoryMB * (1 << 20)),
 			ColdOverage: s.Bounds.ColdOverage, ColdSlack: s.Bounds.ColdSlack,
-			ReservationMode: gateway.ReservationMode(s.Reservations.Mode), AgentAddr: s.RPCAddr, RelayAddr: s.RelayAddr,
+			ReservationMode: gateway.ReservationMode(s.Reservations.Mode), AgentAddr: s.RPCAddr, RelayAddr: s.RelayAddr, EngineReport: platform.EngineReports(),
 		}
 	}
 	if s.ServesControl() {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -104,6 +104,8 @@
 	publishSignals func([]backpressure.Update)
 	// slotFreed is called, without the lock, when a server may have a free slot.
 	slotFreed func()
+	// sendProbe is nil if engines are not probed.
+	sendProbe func(*Server)
 }
 
 // New returns a balancer without servers.
--- a/internal/balance/fits.go
+++ b/internal/balance/fits.go
@@ -59,6 +59,7 @@
 	case !w.reserves(s) && b.heldBack(now, s):
 		availability.Unheard++
 		availability.Later++
+		b.probe(now, s)
 	default:
 		opens := b.opens(now, s)
 		if !opens.After(now) {
--- a/internal/balance/liveness.go
+++ b/internal/balance/liveness.go
@@ -82,10 +82,11 @@
 	}
 }
 
-// lastSign returns when the last byte, announcement, report or decision of the server or its agent was received.
+// lastSign returns when the last byte, announcement, report or decision of the server or its agent was received, or when it was last
+// sent a probe that it has answered.
 func (s *Server) lastSign() time.Time {
 	last := s.health.lastByteAt
-	for _, at := range []time.Time{s.seenAt, s.agent.at, s.agentAnsweredAt} {
+	for _, at := range []time.Time{s.seenAt, s.agent.at, s.agentAnsweredAt, s.probes.answeredAt} {
 		if at.After(last) {
 			last = at
 		}
@@ -110,7 +111,7 @@
 	}
 	b.cfg.Logger.Info().Str("server", s.ID).Str("addr", s.Addr).Int("unanswered", signs.Unanswered).
 		Dur("report_age_ms", signs.ReportAge).Dur("byte_age_ms", signs.ByteAge).Dur("agent_silent_ms", age(now, s.agentSilentAt)).
-		Dur("announced_ms", now.Sub(s.seenAt)).Msg(what)
+		Dur("announced_ms", now.Sub(s.seenAt)).Dur("probe_answered_ms", age(now, s.probes.answeredAt)).Msg(what)
 	return held
 }
 
@@ -124,9 +125,9 @@
 }
 
 // reportsStopped reports whether the agent's reports have stopped because it or its VM does not run, and the server writes nothing
-// and has not announced itself since.
+// and has neither announced itself nor answered a probe since.
 func (b *Balancer) reportsStopped(now time.Time, s *Server) bool {
-	if s.agent.at.IsZero() || s.agentDown(now) || s.writes(now) || s.seenAt.After(s.agent.at.Add(announcementLag)) {
+	if s.agent.at.IsZero() || s.agentDown(now) || s.writes(now) || s.answersProbes(now) || s.seenAt.After(s.agent.at.Add(announcementLag)) {
 		return false
 	}
 	r := b.reportsOf(s.record.Service, now)
@@ -169,10 +170,11 @@
 }
 
 // ranAfter reports whether the server has certainly run after t: it has written something, its agent has reported
-// its state or has decided by an answer of it, its VM has refused a connection a moment ago, or it has announced itself.
+// its state or has decided by an answer of it, its VM has refused a connection a moment ago, or it has announced itself or answered
+// a probe.
 func (s *Server) ranAfter(t, now time.Time) bool {
 	return s.agentAnsweredAt.After(t) || s.agentDownAt.After(t) && s.agentDown(now) || s.health.lastByteAt.After(t) || s.agent.resumedAt.After(t) || s.agent.madeAt.After(t.Add(reportLag)) ||
-		s.seenAt.After(t.Add(announcementLag))
+		s.seenAt.After(t.Add(announcementLag)) || s.probes.answeredAt.After(t)
 }
 
 // resumption returns when reports were resumed last, if the next one, which control servers have had for age, comes now in a
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -71,6 +71,7 @@
 	// answer of its engine, and agentDownAt when the server's VM first answered, after the last sign of the server, that no agent
 	// serves there.
 	agentSilentAt, agentAnsweredAt, agentDownAt time.Time
+	probes                                      probes
 	// heldBackLogged is what the last log line said on whether the server may stand still, heldBackLoggedAt its time.
 	heldBackLogged   bool
 	heldBackLoggedAt time.Time
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -85,6 +85,8 @@
 	AgentAddr func(serverAddr string) string
 	// RelayAddr returns the address at which the agent on the VM of a backend server takes requests to it.
 	RelayAddr func(serverAddr string) string
+	// EngineReport asks the engine at an address for its state.
+	EngineReport func(ctx context.Context, addr string) (staging.Report, error)
 }
 
 // ControlConfig is the configuration of a control server.
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -20,6 +20,7 @@
 	"lynxgate.dev/lynxgate/internal/ledger"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	reservations "lynxgate.dev/lynxgate/internal/reservation/client"
+	"lynxgate.dev/lynxgate/internal/staging"
 )
 
 const (
@@ -56,6 +57,7 @@
 		Reservations: reservations.New(reservations.Config{
 			Entry: cfg.Name, AgentAddr: e.AgentAddr, Logger: cfg.Logger, Metrics: reservations.NewMetrics(registry),
 		}),
+		EngineReport:      engineReport(e.EngineReport),
 		PublishSuspicions: func(updates []quarantine.Update) { client.SendSuspicions(updates) },
 		PublishSignals:    func(updates []backpressure.Update) { client.SendSignals(updates) },
 		Turns:             turns,
@@ -83,6 +85,17 @@
 	}
 }
 
+// engineReport returns gateway.Config.EngineReport for the engines' protocol; nil if there is none.
+func engineReport(ask func(context.Context, string) (staging.Report, error)) func(context.Context, string) (balance.Report, error) {
+	if ask == nil {
+		return nil
+	}
+	return func(ctx context.Context, addr string) (balance.Report, error) {
+		r, err := ask(ctx, addr)
+		return balance.Report{Addr: addr, StartUnixMs: r.Born, Running: r.Running, Waiting: r.Waiting}, err
+	}
+}
+
 // clientTurns acquires turns from a client that is created after the gateway. The two depend on
 // each other: the client passes updates to the gateway's viewer, and the gateway acquires turns
 // from the client.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,8 @@
 	// Reservations asks agents for slots of engines, for the services that ReservationMode says; it may be nil.
 	Reservations    Reservations
 	ReservationMode ReservationMode
+	// EngineReport asks the engine at an address for its state; it may be nil.
+	EngineReport func(ctx context.Context, addr string) (balance.Report, error)
 	// Turns grants the turns of suspect content across entries; it may be nil.
 	Turns   Turns
 	Logger  zerolog.Logger
@@ -138,6 +140,9 @@
 	}
 	b.OnSlotFreed(g.queues.grant)
 	b.OnSignals(cfg.PublishSignals)
+	if cfg.EngineReport != nil {
+		b.OnProbe(g.probeEngine)
+	}
 	g.view.Store(&follow.View{})
 	return g
 }
