Control servers that learn of a commit late date the naming no later than its acknowledgement

What callers saw: a process that heard of a naming first, or only, from a control server other than the leader placed the bound on older weights late by as much as that one had learned of the commit after the leader: by the delay of the path, and for as long as it stood still. Class: requests that begin on expired weights.

Cause, shown: each control server dated a naming by when it applied it itself.

Change: the leader takes the time of the commit before any other server hears of it and marks it (ModelVersion.decided); once it is known, no other time counts. Another control server states the last moment as of which the leader, by a dated message, had not told the naming. After a change of leader that is the earliest of all that have led since the proposal, or of all members; without evidence the time is unknown, as after a restart. Earlier builds ignore the mark and count the earliest time, as before. This also mends that followers of a leader that is lost right after its acknowledgement dated the naming by the election.

Times elsewhere, by reading: orders about zones, suspicions and signals of backend servers count from receipt. A late one keeps a server cold, a content suspected or a limit in force for longer; none extends the use of weights.

--- a/internal/fleetcontrol/hub.go
+++ b/internal/fleetcontrol/hub.go
@@ -53,6 +53,8 @@
 	now func() time.Time
 	// versionBound is Config.VersionBound.
 	versionBound time.Duration
+	// evidence dates namings that another control server has committed.
+	evidence *evidence
 
 	mu        sync.Mutex
 	servers   *directory.Directory
@@ -90,7 +92,7 @@
 		agents: &agentConfigs{decode: decode}, traffic: newTraffic(), now: clock.Now,
 		servers: directory.New(announceInterval), followers: map[*follower]bool{}, interested: map[*follower]bool{}, entries: newEntryList(),
 		reports: map[string]receivedReport{}, suspects: quarantine.New(), signals: backpressure.NewTable(), recorded: map[quarantine.Digest]bool{}, turns: turns{},
-		pauses: pauses{now: clock.Now},
+		pauses: pauses{now: clock.Now}, evidence: newEvidence(),
 	}
 }
 
@@ -239,6 +241,7 @@
 		h.mergeSignals(follow.SignalsFromProto(u.Signals, clock.Now()))
 	}
 	h.mergeNamings(u.Versions, at)
+	h.evidence.heard(source, u.Versions, at)
 	for _, r := range u.Reports {
 		h.mergeReportAt(r, clock.Now().Add(-time.Duration(u.ReportsAgeMs)*time.Millisecond), true)
 	}
@@ -255,6 +258,9 @@
 	}
 }
 
+// peerUnchanged records that another control server had told all namings that it knew at a time.
+func (h *hub) peerUnchanged(source string, at follow.Anchor) { h.evidence.heard(source, nil, at) }
+
 // mergeNamings merges namings that a control server or a follower knows.
 func (h *hub) mergeNamings(versions []*rpc.ModelVersion, at follow.Anchor) {
 	for _, m := range versions {
--- a/internal/fleetcontrol/server.go
+++ b/internal/fleetcontrol/server.go
@@ -84,17 +84,18 @@
 func New(cfg Config) (*Server, error) {
 	l := ledger.New(clock.Now)
 	l.BeginReplay()
-	node, err := replica.Start(cfg.Replica, l)
+	evidence := newEvidence()
+	node, err := replica.Start(cfg.Replica, stateMachine{Ledger: l, evidence: evidence})
 	if err != nil {
 		return nil, fmt.Errorf("start replicated log: %w", err)
 	}
 	s := &Server{cfg: cfg, node: node, ledger: l, replayed: make(chan struct{})}
 	s.hub = newHub(l, s.controlAddrs, cfg.AnnounceInterval, cfg.Decode, cfg.Logger)
 	s.hub.versionBound, s.hub.regionOf = cfg.VersionBound, cfg.RegionOf
-	s.hub.addr, s.hub.zone = cfg.Addr, cfg.Zone
+	s.hub.addr, s.hub.zone, s.hub.evidence = cfg.Addr, cfg.Zone, evidence
 	s.peers = follow.New(follow.Config{
 		Name: cfg.Name, Zone: cfg.Zone, Role: RoleControl, Self: cfg.Addr, Seeds: s.peerAddrs,
-		Update: s.hub.mergePeerUpdate, Lost: func(string) {}, Logger: cfg.Logger,
+		Update: s.hub.mergePeerUpdate, Unchanged: s.hub.peerUnchanged, Lost: func(string) {}, Logger: cfg.Logger,
 	})
 	s.hub.peers, s.hub.forwarding = s.peers.Zones, s.peers.Forwarding
 	return s, nil
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -87,6 +87,8 @@
 	// Update processes an update of a control server, whose ages count from at. Calls for one source are
 	// in order, those for several sources are concurrent.
 	Update func(source string, u *rpc.FleetUpdate, at Anchor)
+	// Unchanged is called for a message by which a control server says that it knew no other naming of weights at a time; it may be nil.
+	Unchanged func(source string, at Anchor)
 	// Lost is called when a stream has ended.
 	Lost   func(source string)
 	Logger zerolog.Logger
@@ -413,6 +415,9 @@
 		}
 		c.addListed(run, listed)
 		if u.Number == 0 {
+			if c.cfg.Unchanged != nil {
+				c.cfg.Unchanged(addr, at)
+			}
 			if err := in.renewStamp(at.ReceivedAt); err != nil {
 				return received, streamError(addr, err)
 			}
--- a/internal/ledger/applied_test.go
+++ b/internal/ledger/applied_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -140,3 +141,38 @@
 	unknown := NamingFromProto(NamingsToProto("m", v, now)[0], now, false)
 	require.Empty(t, unknown.Applied, "a time that may be late is of no known control server")
 }
+
+// Guards against times of control servers that learned of a commit late, or are too early, where that of the leader is known.
+func TestTimeOfTheLeaderThatCommittedANamingCounts(t *testing.T) {
+	at := time.Unix(100, 0)
+	early, committed, late := AppliedBy(1, 2, at.Add(-time.Second)), DecidedBy(2, 2, at), AppliedBy(3, 2, at.Add(time.Second))
+	for _, order := range [][]Version{{early, committed, late}, {late, early, committed}, {committed, late, early}} {
+		v := UnknownNaming(2, at)
+		for _, named := range order {
+			v, _ = v.Merge(named)
+		}
+		assert.Equal(t, at, v.AppliedAt)
+		now := at.Add(3 * time.Second)
+		forwarded := UnknownNaming(2, now)
+		for _, m := range NamingsToProto("m", v, now) {
+			forwarded, _ = forwarded.Merge(NamingFromProto(m, now, true))
+		}
+		assert.Equal(t, at, forwarded.AppliedAt)
+	}
+	v, _ := committed.Merge(AppliedBy(2, 2, at.Add(time.Millisecond))) // forwarded by an earlier build, less delayed
+	v, _ = v.Merge(early)
+	assert.Equal(t, at.Add(time.Millisecond), v.AppliedAt)
+	v, _ = early.Merge(late)
+	assert.Equal(t, at.Add(-time.Second), v.AppliedAt, "until it is known")
+}
+
+func TestNamingWithoutEvidenceOfItsTimeHasNone(t *testing.T) {
+	at := time.Unix(100, 0)
+	l := New(func() time.Time { return at })
+	data, err := proto.Marshal(&rpc.FleetCommand{Model: "m", Version: 2})
+	require.NoError(t, err)
+	l.ApplyDated(1, data, func(string, uint64) Dating { return Dating{} })
+	assert.True(t, l.State().Versions["m"].TimeUnknown)
+	l.MergeNaming("m", DecidedBy(l.id+1, 2, at.Add(-time.Second)))
+	assert.Equal(t, at.Add(-time.Second), l.State().Versions["m"].AppliedAt)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -103,9 +103,23 @@
 	return nil
 }
 
-// Apply executes one committed command. Its result is nil, as State shows all effects; a command that can't be decoded has none, and its
-// result is an error: it would stop each control server again at each replay of the log.
+// Dating is what a control server knows of the time of a naming that it applies.
+type Dating struct {
+	// NotBefore is a time at which the naming was not acknowledged yet, zero if none is known.
+	NotBefore time.Time
+	// Decided: this control server committed it at NotBefore as the leader.
+	Decided bool
+}
+
+// Apply executes one command that counts as committed now, see ApplyDated.
 func (l *Ledger) Apply(index uint64, data []byte) any {
+	return l.ApplyDated(index, data, func(string, uint64) Dating { return Dating{NotBefore: l.now()} })
+}
+
+// ApplyDated executes one committed command; date dates the naming of a version of a model in it. The result is nil, as State shows all
+// effects; a command that can't be decoded has none, and its result is an error: it would stop each control server again at each replay of
+// the log.
+func (l *Ledger) ApplyDated(index uint64, data []byte, date func(model string, number uint64) Dating) any {
 	var c rpc.FleetCommand
 	if err := proto.Unmarshal(data, &c); err != nil {
 		return fmt.Errorf("decode command of entry %d: %w", index, err)
@@ -114,7 +128,7 @@
 	defer l.changing.Unlock()
 	next := *l.State()
 	now := l.now()
-	if !next.apply(index, &c, l.naming(c.Model, c.Version, now), now) {
+	if !next.apply(index, &c, l.naming(c.Model, c.Version, date), now) {
 		return nil
 	}
 	next.mergeNamings(c.Model, l.heard[c.Model])
@@ -124,14 +138,18 @@
 
 // naming returns a version that is named by an entry applied now. The time of this control server does not change once it
 // is told.
-func (l *Ledger) naming(model string, number uint64, now time.Time) Version {
+func (l *Ledger) naming(model string, number uint64, date func(string, uint64) Dating) Version {
 	if at, ok := l.ownTime(model, number); ok {
 		return AppliedBy(l.id, number, at)
 	}
-	if l.replaying {
-		return UnknownNaming(number, now)
+	dating := date(model, number)
+	switch {
+	case l.replaying || dating.NotBefore.IsZero():
+		return UnknownNaming(number, l.now())
+	case dating.Decided:
+		return DecidedBy(l.id, number, dating.NotBefore)
 	}
-	return AppliedBy(l.id, number, now)
+	return AppliedBy(l.id, number, dating.NotBefore)
 }
 
 // Acknowledged records that the naming of a version is committed, which counts as applied if it is not applied yet: if the
--- a/internal/ledger/versions.go
+++ b/internal/ledger/versions.go
@@ -11,8 +11,8 @@
 // Version is a version of a model's weights, and when it was named.
 type Version struct {
 	Number uint64
-	// AppliedAt is the earliest known time at which a control server that was running at the
-	// naming applied it. If TimeUnknown is set, it is a time before any bound on old weights.
+	// AppliedAt is when the naming was committed, as far as it is known: the time of the leader that committed it or, until that is known,
+	// the earliest time of a control server. If TimeUnknown is set, it is a time before any bound on old weights.
 	AppliedAt   time.Time
 	TimeUnknown bool
 	// Applied has the time for each control server of which it is known. It is empty if the control
@@ -22,13 +22,15 @@
 	Previous *Version
 }
 
-// Applied is when a control server applied a naming. Other processes estimate that time by messages that were under way
-// for an unknown time, and no estimate is later than the time itself.
+// Applied is a time of a control server before which a naming was not acknowledged. Other processes estimate that time by messages that
+// were under way for an unknown time, and no estimate is later than the time itself.
 type Applied struct {
 	// Server identifies a process of a control server, 0: not known. The time of an unknown one may be too late by the
 	// delay of a message.
 	Server uint64
 	At     time.Time
+	// Decided: the control server has committed the naming as the leader, and At is the time of the commit.
+	Decided bool
 }
 
 const (
@@ -64,6 +66,7 @@
 // of a stamp (follow.Stamps). Of several control servers the earliest counts, as the one that acknowledged is not known. So the
 // result depends neither on the order nor on the paths of the messages, and a time that is forwarded in circles stays as it
 // is. Of times whose control server is not known, which builds without stamps send, the earliest counts: a delay makes them later.
+// Once the time of the leader that committed the naming is known, the others no longer count.
 // A known time counts more than an unknown one. It says nothing about the namings before, which stay
 // unknown until their own times are known.
 func (v Version) Merge(named Version) (merged Version, changed bool) {
@@ -130,14 +133,28 @@
 		case !known:
 			times = slices.Insert(times, i, a)
 		case a.replaces(times[i]):
+			a.Decided = a.Decided || times[i].Decided // earlier builds forward it without
 			times[i] = a
+		default:
+			times[i].Decided = a.Decided || times[i].Decided
 		}
 	}
 	v.Applied, v.TimeUnknown = times, false
-	v.AppliedAt = slices.MinFunc(times, func(a, b Applied) int { return a.At.Compare(b.At) }).At
+	v.AppliedAt = slices.MinFunc(times, compareApplied).At
 	return v
 }
 
+// compareApplied orders the times of a naming: the one that counts most is first.
+func compareApplied(a, b Applied) int {
+	switch {
+	case a.Decided == b.Decided:
+		return a.At.Compare(b.At)
+	case a.Decided:
+		return -1
+	}
+	return 1
+}
+
 // replaces reports whether the time counts more than another one of the same control server.
 func (a Applied) replaces(known Applied) bool {
 	if a.Server == 0 {
@@ -159,6 +176,13 @@
 	return Version{Number: number, AppliedAt: at, Applied: []Applied{{Server: server, At: at}}}
 }
 
+// DecidedBy returns a version that one control server committed as the leader.
+func DecidedBy(server uint64, number uint64, at time.Time) Version {
+	v := AppliedBy(server, number, at)
+	v.Applied[0].Decided = true
+	return v
+}
+
 // appliedBy returns when a control server applied v, false if that is not known.
 func (v Version) appliedBy(server uint64) (time.Time, bool) {
 	for _, a := range v.Applied {
@@ -240,7 +264,7 @@
 		if a.Server != 0 {
 			age += time.Millisecond - 1
 		}
-		out = append(out, &rpc.ModelVersion{Model: model, Version: v.Number, AgeMs: age.Milliseconds(), AppliedBy: a.Server})
+		out = append(out, &rpc.ModelVersion{Model: model, Version: v.Number, AgeMs: age.Milliseconds(), AppliedBy: a.Server, Decided: a.Decided})
 	}
 	return out
 }
@@ -256,5 +280,8 @@
 	if !anchored || m.AppliedBy == 0 {
 		return Version{Number: m.Version, AppliedAt: at}
 	}
+	if m.Decided {
+		return DecidedBy(m.AppliedBy, m.Version, at)
+	}
 	return AppliedBy(m.AppliedBy, m.Version, at)
 }
--- a/internal/replica/api.go
+++ b/internal/replica/api.go
@@ -19,6 +19,21 @@
 	Restore(snapshot []byte) error
 }
 
+// DatedFSM is an FSM that is told when each command was committed. The node calls ApplyCommitted in place of Apply.
+type DatedFSM interface {
+	FSM
+	ApplyCommitted(index uint64, data []byte, c Commit) any
+}
+
+// Commit is what a server knows about the time at which a command was committed.
+type Commit struct {
+	// At is when this server committed the command or learned that it is committed. No other server has learned it from this one before.
+	At time.Time
+	// Deciders are the addresses of the other servers that may have committed it before At: its leader, or all that have led since it was
+	// proposed. It is empty if only this server can have committed it.
+	Deciders []string
+}
+
 // Member is one server of the cluster. Incarnation is the random number stored in
 // its data folder; it is zero in settings, where only names are known.
 type Member struct {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -15,6 +15,8 @@
 type applyItem struct {
 	snapshot *consensus.Snapshot
 	entries  []consensus.Entry
+	// commits tells when the entries of each term were committed.
+	commits map[uint64]Commit
 }
 
 // waiter is a proposer that waits for the entry at one index. If an entry of
@@ -88,7 +90,7 @@
 	for _, e := range item.entries {
 		var result any
 		if e.Kind == consensus.EntryCommand {
-			result = a.fsm.Apply(e.Index, e.Data)
+			result = a.applyCommand(e, item.commits[e.Term])
 			a.snapshotBytes += len(e.Data)
 		}
 		a.finish(e, result)
@@ -96,6 +98,13 @@
 	return a.maybeSnapshot()
 }
 
+func (a *applier) applyCommand(e consensus.Entry, c Commit) any {
+	if dated, ok := a.fsm.(DatedFSM); ok {
+		return dated.ApplyCommitted(e.Index, e.Data, c)
+	}
+	return a.fsm.Apply(e.Index, e.Data)
+}
+
 func (a *applier) restore(s consensus.Snapshot) error {
 	if s.Index > consensus.BootstrapIndex {
 		if err := a.fsm.Restore(s.Data); err != nil {
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -24,6 +24,24 @@
 type listFSM struct {
 	mu       sync.Mutex
 	commands []string
+	commits  map[string]Commit
+}
+
+func (f *listFSM) ApplyCommitted(index uint64, data []byte, c Commit) any {
+	f.mu.Lock()
+	if f.commits == nil {
+		f.commits = map[string]Commit{}
+	}
+	f.commits[string(data)] = c
+	f.mu.Unlock()
+	return f.Apply(index, data)
+}
+
+// commit returns when a command was committed, as the server knows it.
+func (f *listFSM) commit(command string) Commit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.commits[command]
 }
 
 func (f *listFSM) Apply(_ uint64, data []byte) any {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -140,6 +140,8 @@
 func (n *Node) processReady() error {
 	for n.core.HasReady() {
 		rd := n.core.Ready()
+		n.recordLeader()
+		commits := n.commits(rd.Committed, clock.Now()) // before other servers hear of them
 		n.send(rd.Early)
 		if err := n.persistWithRetry(rd); err != nil {
 			return err
@@ -150,7 +152,7 @@
 			n.applier.push(applyItem{snapshot: rd.Snapshot})
 		}
 		if len(rd.Committed) > 0 {
-			n.applier.push(applyItem{entries: rd.Committed})
+			n.applier.push(applyItem{entries: rd.Committed, commits: commits})
 		}
 		n.core.Advance()
 		n.answerReads(rd.ReadStates)
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -60,6 +60,7 @@
 	contactAt      time.Time // its time, since ticks do not advance while the process is suspended
 	lastMembers    consensus.Membership
 	lastState      consensus.State
+	leaders        map[uint64]consensus.ServerID // of the last terms, as far as known
 }
 
 // Start opens the data folder and joins the cluster. Other members can reach the
@@ -103,7 +104,7 @@
 	n := &Node{
 		cfg: cfg, store: store, metrics: newMetrics(),
 		events: make(chan event, eventQueueLen), stopped: make(chan struct{}), loopDone: make(chan struct{}),
-		reads: map[uint64][]*read{}, readContext: random.Uint64(),
+		reads: map[uint64][]*read{}, readContext: random.Uint64(), leaders: map[uint64]consensus.ServerID{},
 	}
 	n.transport = newTransport(cfg.Peers, time.Duration(staleTimeouts*cfg.ElectionTicks)*cfg.TickInterval, n.metrics)
 	n.applier = newApplier(n, fsm, snapshot.Index)
