A request that must not run twice, without a deadline at the bound, is not passed on in the last 3.3 s

Cause: it was passed on until 1.8 s before the bound as others without a deadline are, though nothing takes it back: it is not closed once the engine is found to hold it, so that whether it ran stays known.

Ruled out: a deadline at the bound (it cuts what has begun); closing it (its caller may not repeat it, and engines keep it).

Change: its margin is that of requests without a body: 2.5 s, and 0.8 s to begin. Entries send none by then, and it waits in an engine's queue only until 2 s before that. Two rows of TestDecide have their limit moved from 3.8 to 5.3 s by it, the stricter side.

--- a/internal/balance/relay.go
+++ b/internal/balance/relay.go
@@ -46,7 +46,7 @@
 	e.KeptUntil = e.At.Add(-b.deadlineMargin(s, e, bodiless))
 	e.MayBeCut = now.Add(lateness + maxSlowdown*(takes-lateness)).After(e.KeptUntil)
 	e.KeptByServer = !e.MayBeCut || !cancellable && !e.Relayed
-	e.Unguarded = e.Relayed && e.MayBeCut && now.After(e.At.Add(-relay.BeginMargin))
+	e.Unguarded = e.Relayed && e.MayBeCut && now.After(e.At.Add(-relay.BeginMargin(!cancellable)))
 	return e
 }
 
--- a/internal/balance/relay_test.go
+++ b/internal/balance/relay_test.go
@@ -123,13 +123,15 @@
 	rapid.Check(t, func(r *rapid.T) {
 		b := relayed(t0, []uint64{1}, 0)
 		now := t0.Add(time.Duration(rapid.Int64Range(0, int64(8*time.Second)).Draw(r, "now")))
-		choice, _ := b.Pick(now, expiringWant(rapid.IntRange(1, 400).Draw(r, "answer")))
+		want := expiringWant(rapid.IntRange(1, 400).Draw(r, "answer"))
+		want.RunOnce = rapid.Bool().Draw(r, "run once")
+		choice, _ := b.Pick(now, want)
 		if choice.Server == nil {
 			return
 		}
 		left := bound(t0).Sub(now)
 		if !choice.Expiry.KeptByServer {
-			assert.GreaterOrEqual(r, left, relay.BeginMargin)
+			assert.GreaterOrEqual(r, left, relay.BeginMargin(want.RunOnce))
 			return
 		}
 		assert.True(r, choice.Deadline(bound(t0)).Before(bound(t0)), "the server reads the request some time before it is asked for")
--- a/internal/relay/continue_test.go
+++ b/internal/relay/continue_test.go
@@ -28,7 +28,7 @@
 	}{
 		"after the margin": {endsBefore, soon, soon - CancelMargin + checkInterval},
 		"so late that its deadline is after the bound": {endsBefore, 2 * time.Second, AskTime + 100*ms},
-		"without a deadline at the bound":              {withBody, BeginMargin + 200*ms, 300 * ms},
+		"without a deadline at the bound":              {withBody, beginMargin + 200*ms, 300 * ms},
 	} {
 		t.Run(name, func(t *testing.T) {
 			standstill.Run(t, func(t testing.TB) {
--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -19,10 +19,10 @@
 	unreadSilence = 2500 * time.Millisecond
 	// readSilence is that of an engine which has read a request without a deadline at the bound, and has not begun it.
 	readSilence = 1 * time.Second
-	// unreadMargin and BeginMargin are how long before the bound the last such request is passed on. To close its connection later
+	// unreadMargin and beginMargin are how long before the bound the last such request is passed on. To close its connection later
 	// is no guard: some engines go on with what they were sent.
 	unreadMargin = unreadSilence + maxBeginTime
-	BeginMargin  = readSilence + maxBeginTime
+	beginMargin  = readSilence + maxBeginTime
 	// AskTime is how long an engine may take to ask for the body of a request that has the bound as its deadline, which counts from
 	// the engine's reading of the head.
 	AskTime = 200 * time.Millisecond
@@ -137,11 +137,20 @@
 	case len(f.Body) == 0 || c.unasked:
 		return unreadMargin
 	case !f.EndsBefore:
-		return BeginMargin
+		return BeginMargin(f.RunOnce)
 	}
 	return CancelMargin
 }
 
+// BeginMargin returns how long before the bound the last request is passed on that an engine may read and begin, without a deadline at the
+// bound. One that must not run twice is not taken back from an engine that holds it.
+func BeginMargin(runOnce bool) time.Duration {
+	if runOnce {
+		return unreadMargin
+	}
+	return beginMargin
+}
+
 // bound returns from when on no request may begin on a request's weights. The time that the entry states is renewed by the path, so that
 // alone it counts less the longest delay of one: an agent may hear of a version later than an entry.
 func bound(expires time.Time, f frame) time.Time {
--- a/internal/relay/decide_test.go
+++ b/internal/relay/decide_test.go
@@ -42,9 +42,9 @@
 		{name: "engine holds requests", expires: 13000 * ms, reason: ReasonHolding, change: func(c *conditions, _ *rpc.RelayRequest) { c.holding = true }},
 		{name: "engine holds requests but keeps the bound", expires: 1000 * ms, deadline: 800 * ms, cancelAt: 600 * ms,
 			change: func(c *conditions, r *rpc.RelayRequest) { c.holding, r.EndsBefore = true, true }},
-		{name: "engine holds requests, the bound is far", expires: 3800 * ms, deadline: 5000 * ms, cancelAt: 3400 * ms,
+		{name: "engine holds requests, the bound is far", expires: 5300 * ms, deadline: 5000 * ms, cancelAt: 4900 * ms,
 			change: func(c *conditions, r *rpc.RelayRequest) { c.holding, r.RunOnce = true, true }},
-		{name: "engine holds requests that must not run twice", expires: 3800*ms - 1, reason: ReasonHolding,
+		{name: "engine holds requests that must not run twice", expires: 5300*ms - 1, reason: ReasonHolding,
 			change: func(c *conditions, r *rpc.RelayRequest) { c.holding, r.RunOnce = true, true }},
 		{name: "engine holds requests without a body that must not run twice", expires: 5300*ms - 1, reason: ReasonHolding,
 			change: func(c *conditions, r *rpc.RelayRequest) {
@@ -56,6 +56,10 @@
 		{name: "read after the bound", expires: -ms, reason: ReasonExpired, change: keeps},
 		{name: "no deadline keeps the bound, just in time", expires: 3000 * ms, now: 1200*ms - 1, deadline: 3800 * ms, cancelAt: 2600 * ms},
 		{name: "no deadline keeps the bound, read at the margin", expires: 3000 * ms, now: 1200 * ms, reason: ReasonExpired},
+		{name: "no deadline keeps the bound of what must not run twice, just in time", expires: 4000 * ms, now: 700*ms - 1, deadline: 4300 * ms, cancelAt: 3600 * ms,
+			change: func(_ *conditions, r *rpc.RelayRequest) { r.RunOnce = true }},
+		{name: "no deadline keeps the bound of what must not run twice", expires: 4000 * ms, now: 700 * ms, reason: ReasonExpired,
+			change: func(_ *conditions, r *rpc.RelayRequest) { r.RunOnce = true }},
 		{name: "no body keeps the engine from beginning, just in time", expires: 4000 * ms, now: 700*ms - 1, deadline: 800 * ms, cancelAt: 3600 * ms,
 			change: func(_ *conditions, r *rpc.RelayRequest) { r.EndsBefore, r.Body = true, nil }},
 		{name: "no body keeps the engine from beginning", expires: 4000 * ms, now: 700 * ms, reason: ReasonExpired,
@@ -136,7 +140,7 @@
 			assert.LessOrEqual(t, d.deadline+unreadSilence, bound.Sub(c.now), "a standstill before the engine reads the request moves its deadline past the bound")
 		}
 		if !r.EndsBefore {
-			assert.Less(t, c.now.Add(BeginMargin), bound, "no deadline keeps the request from beginning past the bound")
+			assert.Less(t, c.now.Add(BeginMargin(r.RunOnce)), bound, "no deadline keeps the request from beginning past the bound")
 		}
 		if len(r.Body) == 0 || c.unasked {
 			assert.Less(t, c.now.Add(unreadMargin), bound, "no body keeps the request from beginning past the bound")
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -478,7 +478,7 @@
 	standstill.Run(t, func(t testing.TB) {
 		r := newRig(t)
 		r.pace.Store(maxPace)
-		left := BeginMargin + 200*ms
+		left := beginMargin + 200*ms
 		bound := clock.Now().Add(left)
 		entry := r.entry()
 		entry.send("a", boundIn(left), withBody)
--- a/internal/relay/slots_test.go
+++ b/internal/relay/slots_test.go
@@ -220,7 +220,7 @@
 // Guards against a request that begins past the bound, since its engine held it in a free slot until its agent stood still.
 func TestRequestThatTheEngineHoldsInAFreeSlotIsCancelled(t *testing.T) {
 	r := newRig(t)
-	r.setExpires(BeginMargin + 400*ms)
+	r.setExpires(beginMargin + 400*ms)
 	entry := r.entry()
 	sent := time.Now()
 	entry.send("a", withBody)
