Agents count how long engines take to begin relayed requests

How long a silence the margin of requests without a deadline at the bound holds for depends on that time, and nothing told it: 1.8 s less the time to begin. lynxgate_relay_begin_seconds is a histogram at agents. No decision depends on it.

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -33,6 +33,7 @@
 	closed      *prometheus.CounterVec
 	asks        prometheus.Gauge
 	cancelDelay prometheus.Histogram
+	beginTime   prometheus.Histogram
 	open        prometheus.Gauge
 }
 
@@ -58,11 +59,15 @@
 			Name: "lynxgate_relay_cancel_delay_seconds", Help: "Time from the planned to the actual cancellation of requests without an answer shortly before their weights expire.",
 			Buckets: []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 1, 3},
 		}),
+		beginTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "lynxgate_relay_begin_seconds", Help: "Time from when a request was passed on to the engine until its answer began.",
+			Buckets: []float64{0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5},
+		}),
 		open: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lynxgate_relay_open", Help: "Open connections of entries to the relay.",
 		}),
 	}
-	r.MustRegister(m.requests, m.cuts, m.bodies, m.closed, m.asks, m.cancelDelay, m.open)
+	r.MustRegister(m.requests, m.cuts, m.bodies, m.closed, m.asks, m.cancelDelay, m.beginTime, m.open)
 	return m
 }
 
@@ -74,4 +79,6 @@
 
 func (m *Metrics) closedUnbegun(body string) { m.closed.WithLabelValues(body).Inc() }
 
+func (m *Metrics) begun(after time.Duration) { m.beginTime.Observe(after.Seconds()) }
+
 func (m *Metrics) cancelled(late time.Duration) { m.cancelDelay.Observe(late.Seconds()) }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -203,7 +203,12 @@
 // pass writes a request to the engine, after a last decision, and waits for the end of its answer.
 func (c *session) pass(ctx context.Context, f frame, ticket *slotTicket) bool {
 	e := c.engine
-	x := newExchange(f, c.s.cfg.Headers.RequestID, func() { c.s.slots.begun(ticket, clock.Now()) })
+	passedAt := clock.Now()
+	x := newExchange(f, c.s.cfg.Headers.RequestID, func() {
+		now := clock.Now()
+		c.s.slots.begun(ticket, now)
+		c.s.cfg.Metrics.begun(now.Sub(passedAt))
+	})
 	defer context.AfterFunc(ctx, func() { _ = e.Close() })()
 	d := c.decide(f, conditions{})
 	if d.reason == ReasonNone && d.needsSlot && !c.s.slots.hasSlot(ticket) {
