Count bytes that are no answer, by cause

An entry told neither in a metric nor by a typed error why bytes that came back were no answer: a head that was cut, no HTTP, too long, or answers to other requests. So a head that is cut can't be told from other failures.

Change: dispatch.InvalidAnswerError carries the cause; entries count it as lynxgate_gateway_invalid_answers_total{service,cause}, also for handovers. The lines "send failed" and "request stays at its server" name it as before. No change of what is sent or accepted.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -59,8 +59,6 @@
 	// ErrConnectionLost means that the connection failed after at least part of the request
 	// was sent and before an answer was received: the request may have run.
 	ErrConnectionLost = errors.New("connection failed without an answer")
-	// ErrInvalidAnswer means that the bytes received are not an answer to this request.
-	ErrInvalidAnswer = errors.New("not an answer to the request")
 )
 
 // conn is one connection; it carries one request at a time.
@@ -177,7 +175,7 @@
 		}
 		resp, err := c.in.ReadResponse(&http.Request{Method: r.Method})
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrInvalidAnswer, err)
+			return nil, invalidHead(err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim answer
@@ -190,19 +188,19 @@
 			return nil, err
 		}
 	}
-	return nil, fmt.Errorf("%w: answers to other requests", ErrInvalidAnswer)
+	return nil, invalidAnswer(CauseOtherRequest, "answers to other requests")
 }
 
 // discard reads and drops an answer to another request.
 func discard(resp *http.Response) error {
 	if resp.Close || (resp.ContentLength < 0 && len(resp.TransferEncoding) == 0) {
-		return fmt.Errorf("%w: answer to request %q", ErrInvalidAnswer, resp.Header)
+		return invalidAnswer(CauseOtherRequest, "answer to request %q", resp.Header)
 	}
 	switch _, err := io.CopyN(io.Discard, resp.Body, maxDiscard); {
 	case err == nil:
-		return fmt.Errorf("%w: answer to another request of %d bytes or more", ErrInvalidAnswer, maxDiscard)
+		return invalidAnswer(CauseOtherRequest, "answer to another request of %d bytes or more", maxDiscard)
 	case err != io.EOF:
-		return fmt.Errorf("%w: answer to another request: %w", ErrInvalidAnswer, err)
+		return invalidAnswer(CauseOtherRequest, "answer to another request: %w", err)
 	}
 	return nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,7 @@
 	defer watch.stop()
 	answer, err := c.choice.Pool().Send(watch.ctx, c.request(&c.choice), c.deadline)
 	if err != nil {
+		c.g.cfg.Metrics.noteInvalid(c.service, err)
 		if !c.takenOver(watch, err) {
 			return c.attemptFailed(watch, err)
 		}
--- a/internal/gateway/handover_attempt.go
+++ b/internal/gateway/handover_attempt.go
@@ -25,6 +25,7 @@
 	defer limit.Stop()
 	answer, err := h.choice.Pool().Send(h.next.ctx, h.request, c.deadline)
 	if err != nil {
+		c.g.cfg.Metrics.noteInvalid(c.service, err)
 		c.handoverFailed(w, h, balance.ResultFailed, err)
 		return
 	}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +11,7 @@
 
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
+	"lynxgate.dev/lynxgate/internal/dispatch"
 )
 
 // Metrics are the metrics of a Gateway.
@@ -31,6 +33,8 @@
 	// failedAttempts counts attempts that failed because of a server or the connection to it, by
 	// whether an answer had begun.
 	failedAttempts *prometheus.CounterVec
+	// invalidAnswers counts attempts of which bytes came that are no answer, by dispatch.InvalidCause.
+	invalidAnswers *prometheus.CounterVec
 	// throttledAttempts counts attempts at servers that were known to be throttled.
 	throttledAttempts *prometheus.CounterVec
 	// weightsBegun counts requests that engines began, by weightsResult; cancelDelay is by how much cancellations of
@@ -108,6 +112,9 @@
 		failedAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_gateway_sends_broken_total", Help: "Sends that a backend server, or the way to it, broke off, by whether an answer had begun.",
 		}, []string{"service", "answer_begun"}),
+		invalidAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_gateway_invalid_answers_total", Help: "Sends of which bytes came back that are no answer, by cause.",
+		}, []string{"service", "cause"}),
 		suspectRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_gateway_requests_held_back_total", Help: "Requests that ended without a further send, since servers had ended under the same work, by verdict, and by whether that is the whole request or a part of its prompt.",
 		}, []string{"verdict", "cause"}),
@@ -148,10 +155,18 @@
 			Name: "lynxgate_gateway_dialled", Help: "Connections made to the backend servers that are known now.",
 		}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.first, m.whole, m.wait, m.gap, m.sizes, m.ranked, m.slotWait, m.interrupted, m.failedAttempts, m.suspectRefusals, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.throttledAttempts, m.weightsBegun, m.cancelDelay, m.path, m.configVersion, m.heldBytes, m.Dialled)
+	r.MustRegister(m.requests, m.attempts, m.first, m.whole, m.wait, m.gap, m.sizes, m.ranked, m.slotWait, m.interrupted, m.failedAttempts, m.invalidAnswers, m.suspectRefusals, m.suspect, m.budgetLeft, m.directoryAge, m.unseen, m.signals, m.throttledAttempts, m.weightsBegun, m.cancelDelay, m.path, m.configVersion, m.heldBytes, m.Dialled)
 	return m
 }
 
+// noteInvalid counts an error of a send if it means that bytes came back that are no answer.
+func (m *Metrics) noteInvalid(service string, err error) {
+	var invalid *dispatch.InvalidAnswerError
+	if errors.As(err, &invalid) {
+		m.invalidAnswers.WithLabelValues(service, string(invalid.Cause)).Inc()
+	}
+}
+
 // report logs and counts the result of a call, and aborts the connection if the answer was begun
 // and can't be completed.
 func (c *call) report() {
