--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -52,11 +52,15 @@
 	return lis.Addr().String()
 }
 
-func send(p *Pool, id string) (*Answer, string, error) {
-	a, err := p.Send(context.Background(), &Request{
-		Method: "GET", Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n" + idHeader + ": " + id + "\r\n\r\n") },
+func sendAs(p *Pool, method, id string) (*Answer, error) {
+	return p.Send(context.Background(), &Request{
+		Method: method, Encode: func() []byte { return []byte(method + " / HTTP/1.1\r\nHost: h\r\n" + idHeader + ": " + id + "\r\n\r\n") },
 		IDHeader: idHeader, ID: id,
 	}, time.Now().Add(time.Second))
+}
+
+func send(p *Pool, id string) (*Answer, string, error) {
+	a, err := sendAs(p, http.MethodGet, id)
 	if err != nil {
 		return nil, "", err
 	}
