A head in which another status line lies is no answer

What callers saw: a 200 with the body of a 500, or a request that must not run twice sent again, since a part of a head took the status line of the next answer as the rest of a field, and that one's fields ("not run" among them) completed it.

Cause: http.ReadResponse takes any text for the value of a field, and merges or drops a second length. Ruled out: cuts in a field's name, in a length, in a coding, in the status (never read as a head before either).

Change: headlimit keeps the bytes of the head that it reads and looks for status lines in them. One in the reason, in a field with a grammar of its own, in a folded line, behind a part of a token, or in an open quoted string decides by itself; elsewhere the order of the fields around it decides (doc of spliced). Entries treat such an answer as ErrInvalidAnswer (may have run, connection closed, counted as spliced-head); agents pass its bytes back and count it neither as begun nor as complete.

Not told apart: a free-text field behind the length that is cut at the start of its value or behind a separator, with a message behind that has neither length, coding nor a field of its sender's own that the first one has.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -101,6 +101,8 @@
 	// another request.
 	IDHeader string
 	ID       string
+	// OwnFields are the fields that servers add to HTTP's, IDHeader among them.
+	OwnFields headlimit.Fields
 }
 
 // Answer is the head of an answer together with its body, which the caller reads
@@ -173,7 +175,7 @@
 		if _, err := c.in.Buffered().Peek(1); err != nil {
 			return nil, fmt.Errorf("%w: read: %w", ErrConnectionLost, err)
 		}
-		resp, err := c.in.ReadResponse(&http.Request{Method: r.Method})
+		resp, err := c.in.ReadResponse(&http.Request{Method: r.Method}, r.OwnFields)
 		if err != nil {
 			return nil, invalidHead(err)
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lynxgate.dev/lynxgate/internal/headlimit"
 	"lynxgate.dev/lynxgate/internal/unacked"
 )
 
@@ -54,8 +55,10 @@
 
 func sendAs(p *Pool, method, id string) (*Answer, error) {
 	return p.Send(context.Background(), &Request{
-		Method: method, Encode: func() []byte { return []byte(method + " / HTTP/1.1\r\nHost: h\r\n" + idHeader + ": " + id + "\r\n\r\n") },
-		IDHeader: idHeader, ID: id,
+		Method: method, Encode: func() []byte {
+			return []byte(method + " / HTTP/1.1\r\nHost: h\r\n" + idHeader + ": " + id + "\r\n\r\n")
+		},
+		IDHeader: idHeader, ID: id, OwnFields: headlimit.Fields{idHeader},
 	}, time.Now().Add(time.Second))
 }
 
--- a/internal/dispatch/invalid.go
+++ b/internal/dispatch/invalid.go
@@ -24,6 +24,8 @@
 	CauseIncomplete InvalidCause = "incomplete-head"
 	// CauseTooLarge is a head over headlimit.MaxBytes.
 	CauseTooLarge InvalidCause = "head-too-large"
+	// CauseSpliced is a head that another response has completed (headlimit.ErrSplicedHead).
+	CauseSpliced InvalidCause = "spliced-head"
 	// CauseOtherRequest is an answer to another request that could not be skipped, or too many that could.
 	CauseOtherRequest InvalidCause = "other-request"
 )
@@ -45,6 +47,8 @@
 	switch {
 	case errors.Is(err, headlimit.ErrTooLarge):
 		cause = CauseTooLarge
+	case errors.Is(err, headlimit.ErrSplicedHead):
+		cause = CauseSpliced
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
 		cause = CauseIncomplete
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,7 +63,9 @@
 // given no time beyond that: it keeps the bound itself, also while this entry does not run.
 func (c *call) request(choice *balance.Choice) *dispatch.Request {
 	head := c.requestHead(attemptFields{server: choice.Server.ID, expectVersion: c.expectVersion(choice)})
-	r := &dispatch.Request{Method: c.r.Method, SendBy: choice.SendBy(), IDHeader: c.g.cfg.Headers.RequestID, ID: c.id}
+	r := &dispatch.Request{
+		Method: c.r.Method, SendBy: choice.SendBy(), IDHeader: c.g.cfg.Headers.RequestID, ID: c.id, OwnFields: c.g.answers,
+	}
 	if choice.Expiry.Relayed {
 		target := *choice // a handover is encoded while the call goes on
 		r.Encode = func() []byte { return c.encodeRelayed(&target, head) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/follow"
+	"lynxgate.dev/lynxgate/internal/headlimit"
 	"lynxgate.dev/lynxgate/internal/quarantine"
 	"lynxgate.dev/lynxgate/internal/retry"
 	"lynxgate.dev/lynxgate/internal/rpc"
@@ -75,6 +76,11 @@
 	Priority string
 }
 
+// ofAnswers returns the names of the fields that backend servers add to their answers.
+func (h Headers) ofAnswers() headlimit.Fields {
+	return headlimit.Fields{h.RequestID, h.NotRun, h.Signature, h.ServerID, h.Load, h.Limit, h.Leaving, h.Version}
+}
+
 // Config configures a Gateway.
 type Config struct {
 	Headers Headers
@@ -106,6 +112,7 @@
 type Gateway struct {
 	cfg      Config
 	log      zerolog.Logger
+	answers  headlimit.Fields
 	view     atomic.Pointer[follow.View]
 	ranks    atomic.Pointer[urgency.Ranks]
 	balancer *balance.Balancer
@@ -133,7 +140,7 @@
 func New(cfg Config) *Gateway {
 	b := balance.New(cfg.Balance)
 	g := &Gateway{
-		cfg: cfg, log: cfg.Logger, balancer: b, queues: newWaitQueues(b), learned: newLearned(),
+		cfg: cfg, log: cfg.Logger, answers: cfg.Headers.ofAnswers(), balancer: b, queues: newWaitQueues(b), learned: newLearned(),
 		suspects: newSuspicions(cfg.Logger, cfg.PublishSuspicions, cfg.Turns),
 		held:     heldBytes{most: cfg.HeldBytes},
 		start:    clock.Now(), budgets: map[string]*retry.Budget{},
--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -1,7 +1,8 @@
-// Package headlimit bounds the heads of HTTP responses. http.ReadResponse reads a status line and fields into memory for as long as
-// bytes come, and a server in trouble may send them without end.
+// Package headlimit reads the heads of HTTP responses of servers that may be in trouble. It bounds them, since http.ReadResponse reads
+// a status line and fields into memory for as long as bytes come. It refuses those that two responses have written, since a field
+// that was cut takes the next status line as the rest of its value.
 //
-// State: how much of the current head may still be read from a connection.
+// State: the bytes of the current head, and how much of it may still be read from a connection.
 package headlimit
 
 import (
@@ -9,6 +10,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 )
 
 // MaxBytes is the limit of the head of a response, in bytes. What the connection's buffer reads of its body counts, too.
@@ -25,8 +27,13 @@
 	// inHead: a head is read, of which left bytes may still follow.
 	inHead bool
 	left   int
+	// raw is what was read since the head began, nil while none is read.
+	raw []byte
 }
 
+// rawHeads are buffers for raw. Connections hold none between heads.
+var rawHeads = sync.Pool{New: func() any { return new([]byte) }}
+
 // NewReader returns a Reader with a buffer of this size in bytes, which is at most MaxBytes.
 func NewReader(source io.Reader, size int) *Reader {
 	r := &Reader{source: source}
@@ -37,11 +44,31 @@
 // Buffered returns the buffer, from which everything must be read.
 func (r *Reader) Buffered() *bufio.Reader { return r.buffered }
 
-// ReadResponse is http.ReadResponse with a limit on the head. Its error wraps ErrTooLarge if that is exceeded.
-func (r *Reader) ReadResponse(req *http.Request) (*http.Response, error) {
-	r.inHead, r.left = true, MaxBytes-r.buffered.Buffered()
-	defer func() { r.inHead = false }()
-	return http.ReadResponse(r.buffered, req)
+// ReadResponse is http.ReadResponse with a limit on the head, and with a check that it is that of one response; own are the fields
+// that its sender adds to HTTP's. Its error wraps ErrTooLarge or ErrSplicedHead if these fail: nothing more can be read then.
+func (r *Reader) ReadResponse(req *http.Request, own Fields) (*http.Response, error) {
+	scratch := rawHeads.Get().(*[]byte)
+	r.beginHead(*scratch)
+	defer func() {
+		*scratch = r.raw
+		r.inHead, r.raw = false, nil
+		rawHeads.Put(scratch)
+	}()
+	resp, err := http.ReadResponse(r.buffered, req)
+	if err != nil {
+		return nil, err
+	}
+	if spliced(r.raw[:len(r.raw)-r.buffered.Buffered()], own) {
+		return nil, ErrSplicedHead
+	}
+	return resp, nil
+}
+
+// beginHead begins to record a head, with the bytes that are buffered.
+func (r *Reader) beginHead(scratch []byte) {
+	buffered, _ := r.buffered.Peek(r.buffered.Buffered())
+	r.raw = append(scratch[:0], buffered...)
+	r.inHead, r.left = true, MaxBytes-len(buffered)
 }
 
 // Read implements io.Reader for the buffer.
@@ -54,5 +81,6 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.raw = append(r.raw, p[:n]...)
 	return n, err
 }
--- a/internal/headlimit/headlimit_test.go
+++ b/internal/headlimit/headlimit_test.go
@@ -27,7 +27,7 @@
 	for _, text := range []string{"long ", "HTTP/1.1 200 ", "X-Many: 1\r\n", "\r\n"} {
 		endless := &repeating{text: text}
 		r := NewReader(io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nA: "), endless), 4<<10)
-		_, err := r.ReadResponse(nil)
+		_, err := r.ReadResponse(nil, nil)
 		if text == "\r\n" {
 			require.NoError(t, err, "the head ends with the first empty line")
 			continue
@@ -42,7 +42,7 @@
 	one := "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", MaxBytes-8<<10) + "\r\nContent-Length: 196608\r\n\r\n" + body
 	r := NewReader(strings.NewReader(one+one+one), 4<<10)
 	for range 3 {
-		resp, err := r.ReadResponse(nil)
+		resp, err := r.ReadResponse(nil, nil)
 		require.NoError(t, err)
 		got, err := io.ReadAll(resp.Body)
 		require.NoError(t, err)
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -112,12 +112,13 @@
 		return err
 	}
 	x, method := e.current.Load(), http.MethodGet
+	var own headlimit.Fields
 	if x == nil {
 		e.unasked.Store(true)
 	} else {
-		method = x.method
+		method, own = x.method, headlimit.Fields{x.idHeader}
 	}
-	resp, err := e.in.ReadResponse(&http.Request{Method: method})
+	resp, err := e.in.ReadResponse(&http.Request{Method: method}, own)
 	if err != nil {
 		return e.passRest()
 	}
