Clients of engines, origins and backend servers refuse spliced heads, too

What could be seen: an order counted as accepted, a piece as staged, a manifest or report as read, or a failure passed on as a success, when a part of a head lies before the answer: http.Transport has the same gap as http.ReadResponse. JSON and digests catch it for reports, manifests and pieces; nothing does for orders (Load, Unload) and Put, which look at the status alone.

Ruled out by reading: adminclient and lynxctl's metrics (their servers are ours, one process a connection, and net/http's server writes a head at once); drpc (frames with ids); dispatch.Probe (connects only).

Change: headlimit.Checked wraps a DialContext; its connections check the bytes of each head that follows a request, so that equal lengths and the order of fields count as in ReadResponse. The error is not "not sent".

Reads of one byte give an error of net/textproto that hides it.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -46,6 +46,7 @@
 
 func newBackend(addr string, plain bool) *backend {
 	transport := &http.Transport{
+		DialContext:         headlimit.Checked((&net.Dialer{}).DialContext, headlimit.Fields{headerRequestID, headerWeightsDigest}),
 		DisableKeepAlives:   plain,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConns,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -85,7 +86,9 @@
 
 // New returns a client for the engine at addr ("ip:port").
 func New(addr string) *Client {
-	return &Client{base: "http://" + addr, http: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: headlimit.MaxBytes}}}
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: &http.Transport{
+		DialContext: headlimit.Checked((&net.Dialer{}).DialContext, nil), MaxResponseHeaderBytes: headlimit.MaxBytes,
+	}}}
 }
 
 // State returns the state that the engine reports.
--- /dev/null
+++ b/internal/headlimit/conn_test.go
@@ -0,0 +1,87 @@
+package headlimit_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/headlimit"
+	"lynxgate.dev/lynxgate/internal/headlimit/headlimittest"
+)
+
+// slowConn reads one byte at a time.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Read(p []byte) (int, error) { return iotest.OneByteReader(c.Conn).Read(p) }
+
+func clients() map[string]*http.Client {
+	dial := (&net.Dialer{}).DialContext
+	slow := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		return slowConn{c}, err
+	}
+	return map[string]*http.Client{
+		"at once":        {Transport: &http.Transport{DialContext: headlimit.Checked(dial, nil)}},
+		"byte by byte":   {Transport: &http.Transport{DialContext: headlimit.Checked(slow, nil)}},
+		"a new one each": {Transport: &http.Transport{DialContext: headlimit.Checked(dial, nil), DisableKeepAlives: true}},
+	}
+}
+
+// Guards against a failure that http.Transport reads as a success.
+func TestSplicedHeadIsAnErrorOfTheTransport(t *testing.T) {
+	const sound, interim = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 103 Early Hints\r\n\r\n"
+	for name, client := range clients() {
+		for _, answers := range [][]string{
+			{headlimittest.SplicedAnswer},
+			{interim + interim + headlimittest.SplicedAnswer},
+			{sound, headlimittest.SplicedAnswer},
+			{sound, interim + headlimittest.SplicedAnswer},
+		} {
+			if client.Transport.(*http.Transport).DisableKeepAlives && len(answers) > 1 {
+				continue
+			}
+			addr := headlimittest.Serve(t, answers...)
+			var err error
+			for range answers {
+				var resp *http.Response
+				resp, err = client.Post("http://"+addr, "text/plain", strings.NewReader("body"))
+				if err == nil {
+					assert.Equal(t, http.StatusOK, resp.StatusCode)
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+			}
+			require.Error(t, err, "%s: %q", name, answers)
+			if name != "byte by byte" { // net/textproto hides an error behind a part of a line
+				assert.ErrorIs(t, err, headlimit.ErrSplicedHead, "%s: %q", name, answers)
+			}
+		}
+	}
+}
+
+func TestSoundAnswersPassACheckedConnection(t *testing.T) {
+	body := strings.Repeat("HTTP/1.1 500 Internal Server Error\r\n\r\n", 1000)
+	answers := []string{
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 38000\r\nX-Upstream-Status: HTTP/1.1 500 Failed\r\n\r\n" + body,
+		"HTTP/1.1 200 OK\nContent-Length: 38000\n\n" + body,
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
+	}
+	for name, client := range clients() {
+		addr := headlimittest.Serve(t, answers...)
+		for range answers {
+			resp, err := client.Post("http://"+addr, "text/plain", strings.NewReader("body"))
+			require.NoError(t, err, name)
+			got, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			assert.Equal(t, body, string(got))
+			_ = resp.Body.Close()
+		}
+	}
+}
--- a/internal/headlimit/splice.go
+++ b/internal/headlimit/splice.go
@@ -156,6 +156,9 @@
 
 // isInterim reports whether a status line is that of an interim response. Those have no fields that could tell.
 func isInterim(statusLine []byte) bool {
+	if len(statusLine) < len("HTTP/1.1") {
+		return false
+	}
 	return bytes.HasPrefix(bytes.TrimLeft(statusLine[len("HTTP/1.1"):], " "), []byte{'1'})
 }
 
--- a/internal/weights/origin/client.go
+++ b/internal/weights/origin/client.go
@@ -77,7 +77,7 @@
 func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           headlimit.Checked(dialer.DialContext, nil),
 		MaxIdleConnsPerHost:   idleConnections,
 		ResponseHeaderTimeout: headerTimeout,
 		DisableCompression:    true,
