Streams forward no event that ends with the head of another answer

A cut within the id was sent to the next server as Last-Event-Id.

Cause: an event ends at the next empty line, and so does a head. Ruled out: parts of events of two servers (each attempt has its own buffer; broken streams of the gateway's tests show it); small chunks (the chunk ends within the status line, which is an error before the event is whole).

Change: headlimit.IndexHead finds a status line with fields behind it, which can't stand as such in an event's lines; the events before it are forwarded, the stream counts as broken and is resumed. An event whose data tells of HTTP is forwarded.

Not told apart: a message without any field of HTTP or of servers of ours.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 	"lynxgate.dev/lynxgate/internal/balance"
 	"lynxgate.dev/lynxgate/internal/clock"
 	"lynxgate.dev/lynxgate/internal/dispatch"
+	"lynxgate.dev/lynxgate/internal/headlimit"
 )
 
 const (
@@ -33,6 +34,8 @@
 
 var (
 	errEventTooLarge = errors.New("event is too large")
+	// errSplicedEvent means that an event that was cut ends with the head of another answer.
+	errSplicedEvent = errors.New("head of another answer within an event")
 	// errEndedAtBound means that a stream has ended when its server was to stop it because of the bound on its weights: it may be
 	// incomplete. Nothing in a stream shows whether it is complete.
 	errEndedAtBound = errors.New("stream ended at the bound on its server's weights")
@@ -159,12 +162,29 @@
 	}
 	end += from
 	c.g.balancer.BytesReceived(c.choice.Server, clock.Now())
-	if err := c.forwardOrBuffer(a, buf[:end]); err != nil {
+	if head := headlimit.IndexHead(buf[:end], c.g.answers); head >= 0 {
+		if err := c.forwardSound(watch, a, buf[:wholeEvents(buf[:head])]); err != nil {
+			return nil, err
+		}
+		return nil, errSplicedEvent
+	}
+	if err := c.forwardSound(watch, a, buf[:end]); err != nil {
 		return nil, err
 	}
+	return buf[:copy(buf, buf[end:])], nil
+}
+
+// forwardSound forwards whole events that are all of this answer.
+func (c *call) forwardSound(watch *watchdog, a *dispatch.Answer, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
+	if err := c.forwardOrBuffer(a, events); err != nil {
+		return err
+	}
 	watch.begun.Store(true)
 	c.countWriting()
-	return buf[:copy(buf, buf[end:])], nil
+	return nil
 }
 
 // countWriting counts the time since the last events, and clears the parts of the prompt once the server has written for soundAfter.
--- a/internal/headlimit/splice.go
+++ b/internal/headlimit/splice.go
@@ -70,6 +70,32 @@
 	return false
 }
 
+// IndexHead returns where the head of a response begins in text, -1 if there is none: at a status line that a field of HTTP or of own
+// follows before the next empty line. It is meant for text in whose lines such fields can't stand, as in the events of a stream.
+func IndexHead(text []byte, own Fields) int {
+	for from := 0; from < len(text); {
+		at := bytes.Index(text[from:], versionPrefix)
+		if at < 0 {
+			return -1
+		}
+		at += from
+		from = at + len(versionPrefix)
+		if !isStatusLine(text[at:]) {
+			continue
+		}
+		end := headEnd(text[at:], 0)
+		if end < 0 {
+			return -1
+		}
+		fields := text[lineEnd(text, at) : at+end]
+		if hasAny(fields, framingFields) || hasAny(fields, httpFields) || hasAny(fields, own) {
+			return at
+		}
+		from = at + end
+	}
+	return -1
+}
+
 // isStatusLine reports whether text begins with a status line that http.ReadResponse accepts: "HTTP/1.1", spaces, "200", and a space
 // or the end of the line.
 func isStatusLine(text []byte) bool {
--- a/internal/headlimit/splice_test.go
+++ b/internal/headlimit/splice_test.go
@@ -68,6 +68,26 @@
 	}
 }
 
+func TestIndexHead(t *testing.T) {
+	const head = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+	for text, want := range map[string]int{
+		"":                                     -1,
+		"data: 1\n\n":                          -1,
+		"data: HTTP/1.1 500 Failed\n\n":        -1,
+		"data: HTTP/1.1 500 Failed\nid: 1\n\n": -1,
+		"data: HTTP/1.1 500 Failed\ndata: Content-Length: 0\n\n": -1,
+		"data: HTTP/1.1 500 Failed\n\nContent-Length: 0\n\n":     -1,
+		"data: 1HTTP/1.1 500 Failed\r\nContent-Length: 0":        -1, // more may follow
+		head:                                0,
+		"da" + head:                         2,
+		"data: HTTP/1.1 500 \n\n" + head:    21,
+		"id: 1HTTP/1.1 500\nX-Id: a\n\n":    5,
+		"id: 1HTTP/1.1 500\nx-other: a\n\n": -1,
+	} {
+		assert.Equal(t, want, IndexHead([]byte(text), ownFields), "%q", text)
+	}
+}
+
 // Framings of the messages under test.
 const (
 	framedByLength = iota
