Test: chunks that are cut and another response are never read as one

Chunks with an extension and trailers, cut at each byte, and a response of each status and framing behind: 500 statuses, 3 framings, 72 cuts. All is read as what one of them states, or as nothing: net/http's reader of chunks refuses a size line with a carriage return within, or with other than hexadecimal digits before an extension, and data without its line end. A trailer that takes a status line as the rest of its value spoils the trailers only. No change was needed.

--- a/internal/headlimit/splice_test.go
+++ b/internal/headlimit/splice_test.go
@@ -198,6 +198,26 @@
 	}
 }
 
+// Guards against chunks of one response that the next one completes: size lines, data, the last chunk and trailers.
+func TestCutChunksAndAnotherResponseAreNeverReadAsOne(t *testing.T) {
+	head, body := message(http.StatusOK, framedByChunks, http.MethodGet)
+	chunks := "5;ext=\"a b\"\r\nbody-\r\n6\r\nof-200\r\n0\r\nX-Trailer: text\r\nX-Signature: 3e1b\r\n\r\n"
+	first := head[:headLen(head)] + chunks
+	require.Equal(t, []string{"200 " + body}, readWhole(first, http.MethodGet))
+	for status := 100; status < 600; status++ {
+		for framing := range framings {
+			second, secondBody := message(status, framing, http.MethodGet)
+			for cut := headLen(head); cut < len(first); cut++ {
+				for _, read := range readWhole(first[:cut]+second, http.MethodGet) {
+					if read != "200 "+body && read != fmt.Sprint(status, " ", secondBody) {
+						t.Fatalf("%q was read of %q and %q", read, first[:cut], second)
+					}
+				}
+			}
+		}
+	}
+}
+
 // Guards against an interim response without fields that completes a head, so that the next response is read as its body.
 func TestInterimResponseCompletesNoHead(t *testing.T) {
 	const interim = "HTTP/1.1 100 Continue\r\n\r\n"
