A body that the head of another answer completes is no whole answer

Cause: a length is met by any bytes. The rest of the other head lies in the connection's buffer and counted as extra bytes only.

Change: once a body with a length is read to its end, and bytes follow, headlimit.HeadBegins looks for a head that begins in the body and ends in them. A body that holds a whole response, extra bytes that are none, and extra bytes that are a response by themselves are left alone (tests).

Not seen: a rest of the head that comes later than the body's end, bodies over 1 MiB, and another answer that ends exactly with the length.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -119,6 +119,7 @@
 	complete bool
 	// unframed is true if the body ends only when the connection is closed.
 	unframed  bool
+	own       headlimit.Fields
 	closeOnce sync.Once
 }
 
@@ -162,7 +163,7 @@
 	c.applyKeepAlive(resp.Header)
 	return &Answer{
 		Response: resp, Took: clock.Since(sentAt), pool: p, conn: c, stop: stop,
-		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, own: r.OwnFields,
 	}, nil
 }
 
@@ -240,6 +241,16 @@
 // Buffered returns the number of bytes that can be read without waiting.
 func (a *Answer) Buffered() int { return a.conn.in.Buffered().Buffered() }
 
+// CompletedByAnother reports whether a body with a length, read to its end, is a part of this answer and the beginning of another
+// one, whose head goes on in the bytes that have come since.
+func (a *Answer) CompletedByAnother(body []byte) bool {
+	if a.ContentLength <= 0 {
+		return false
+	}
+	following, _ := a.conn.in.Buffered().Peek(a.Buffered())
+	return headlimit.HeadBegins(body, following, a.own)
+}
+
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -26,6 +26,9 @@
 // errLargeAnswer means that an answer is larger than what is held of it.
 var errLargeAnswer = errors.New("answer is larger than what is held")
 
+// errSplicedBody means that an answer was cut in its body, and that the next bytes of the connection were read as its rest.
+var errSplicedBody = errors.New("head of another answer within the body")
+
 // readWhole reads a non-streaming answer of the chosen server. Of a larger one, or while other bodies use up the memory
 // for them, it returns a part with errLargeAnswer.
 func (c *call) readWhole(choice *balance.Choice, a *dispatch.Answer) ([]byte, error) {
@@ -36,6 +39,8 @@
 		return body, errLargeAnswer
 	case err != nil:
 		return body, err
+	case a.CompletedByAnother(body):
+		return body, errSplicedBody
 	}
 	return body, c.checkEnd(choice, a)
 }
--- a/internal/headlimit/splice.go
+++ b/internal/headlimit/splice.go
@@ -96,6 +96,36 @@
 	return -1
 }
 
+// HeadBegins reports whether a head of a response begins in body, which a length ends, and ends in the bytes that follow it: the body
+// was cut, and the next response was read as its rest. Text of a whole head within the body may be the body's own.
+func HeadBegins(body, following []byte, own Fields) bool {
+	if len(following) == 0 || isStatusLine(following) {
+		return false
+	}
+	tail := body[max(0, len(body)-MaxBytes):]
+	joined := append(bytes.Clone(tail), following[:min(len(following), MaxBytes)]...)
+	for from := 0; from < len(tail); {
+		at := bytes.Index(joined[from:], versionPrefix)
+		if at < 0 || from+at >= len(tail) {
+			return false
+		}
+		at += from
+		from = at + len(versionPrefix)
+		if !isStatusLine(joined[at:]) {
+			continue
+		}
+		end := headEnd(joined[at:], 0)
+		if end < 0 {
+			return false
+		}
+		from = at + end
+		if fields := joined[lineEnd(joined, at):from]; from > len(tail) {
+			return hasAny(fields, framingFields) || hasAny(fields, httpFields) || hasAny(fields, own)
+		}
+	}
+	return false
+}
+
 // isStatusLine reports whether text begins with a status line that http.ReadResponse accepts: "HTTP/1.1", spaces, "200", and a space
 // or the end of the line.
 func isStatusLine(text []byte) bool {
--- a/internal/headlimit/splice_test.go
+++ b/internal/headlimit/splice_test.go
@@ -88,6 +88,19 @@
 	}
 }
 
+func TestHeadBegins(t *testing.T) {
+	const head = "HTTP/1.1 500 Failed\r\nDate: now\r\nContent-Length: 0\r\n\r\n"
+	for _, before := range []string{"", "{", "\n\n", "text of HTTP/1.1 200 OK and ", "HTTP/1.1 200 OK\r\nDate: now\r\n\r\n"} {
+		for cut := range len(head) + 1 {
+			want := cut > 0 && cut < len(head)
+			assert.Equal(t, want, HeadBegins([]byte(before+head[:cut]), []byte(head[cut:]+"rest"), ownFields), "%q, %d", before, cut)
+		}
+	}
+	assert.False(t, HeadBegins([]byte(head), nil, ownFields), "a body that tells of a response")
+	assert.False(t, HeadBegins([]byte("seen: HTTP/1.1 500 Failed\r\n"), []byte("extra bytes"), ownFields))
+	assert.False(t, HeadBegins([]byte("seen: HTTP/1.1 500 Failed\r\n"), []byte(head), ownFields), "extra bytes that are an answer")
+}
+
 // Framings of the messages under test.
 const (
 	framedByLength = iota
