--- a/internal/headlimit/conn_test.go
+++ b/internal/headlimit/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -85,3 +86,53 @@
 		}
 	}
 }
+
+// bytesConn reads given bytes, size at a time.
+type bytesConn struct {
+	net.Conn
+	left []byte
+	size int
+}
+
+func (c *bytesConn) Read(p []byte) (int, error) {
+	if len(c.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, c.left[:min(len(c.left), c.size)])
+	c.left = c.left[n:]
+	return n, nil
+}
+
+func (c *bytesConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// FuzzChecked checks that a connection gives its bytes unchanged, and an error exactly if ReadResponse finds another response within
+// the first final head.
+func FuzzChecked(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"), uint8(3))
+	f.Add([]byte("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\nX: aHTTP/1.1 500 b\nContent-Length: 4\n\nbody"), uint8(7))
+	f.Add([]byte(headlimittest.SplicedAnswer), uint8(255))
+	f.Fuzz(func(t *testing.T, data []byte, size uint8) {
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			return &bytesConn{left: data, size: 1 + int(size)}, nil
+		}
+		conn, err := headlimit.Checked(dial, nil)(context.Background(), "", "")
+		require.NoError(t, err)
+		_, err = conn.Write([]byte("GET"))
+		require.NoError(t, err)
+		read, err := io.ReadAll(conn)
+		if err == nil {
+			assert.Equal(t, string(data), string(read))
+		}
+		r := headlimit.NewReader(strings.NewReader(string(data)), 1<<10)
+		for {
+			resp, headErr := r.ReadResponse(nil, nil)
+			if headErr == nil && resp.StatusCode < http.StatusOK {
+				continue
+			}
+			if headErr == nil || errors.Is(headErr, headlimit.ErrSplicedHead) {
+				assert.Equal(t, headErr, err)
+			}
+			return
+		}
+	})
+}
