Sight of namings: how old an entry's knowledge is, and who told it

A request that was sent by an entry which did not know of a naming left no trace of that: its line told the bound and whether it was relayed, not when and from whom the entry heard of the version. Lines of requests on weights that expire now have named, naming_by and naming_heard_ms beside sent_ms. ConfirmedAt is as of when a majority of the control servers has told all namings that it knows, exported as lynxgate_follow_confirmed_age_seconds by daemons that follow all of them. No decision rests on it yet.

TestFirstUpdateEchoesTheStampOfTheFollower read the first metric of a client, whichever that was; it looks for the histogram by its name now, and checks the same of it.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -198,6 +198,14 @@
 	return named.Add(b.cfg.VersionBound).Sub(now), true
 }
 
+// NamingHeard returns how this entry heard of the newest version of a model's weights; false if it has not.
+func (b *Balancer) NamingHeard(model string) (follow.Heard, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	heard, ok := b.view.Heard[model]
+	return heard, ok
+}
+
 // BytesReceived records that bytes were received from a server.
 func (b *Balancer) BytesReceived(s *Server, now time.Time) {
 	b.mu.Lock()
--- a/internal/fleetcontrol/stamps_test.go
+++ b/internal/fleetcontrol/stamps_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -42,7 +44,9 @@
 	registry.MustRegister(client.Collectors()...)
 	families, err := registry.Gather()
 	require.NoError(t, err)
-	assert.Positive(t, families[0].Metric[0].Histogram.GetSampleCount())
+	path := slices.IndexFunc(families, func(f *dto.MetricFamily) bool { return f.GetName() == "lynxgate_follow_path_seconds" })
+	require.NotEqual(t, -1, path)
+	assert.Positive(t, families[path].Metric[0].Histogram.GetSampleCount())
 }
 
 // Guards against an echo that says that the follower has all namings while one is not sent yet.
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -106,6 +106,8 @@
 	lastTurnID   uint64
 	// sourcesChanged wakes Run to choose the sources of presence anew.
 	sourcesChanged chan struct{}
+	// confirmedAt is what ConfirmedAt returns, nil for zero.
+	confirmedAt atomic.Pointer[time.Time]
 
 	pathSeconds prometheus.Histogram
 }
@@ -123,6 +125,8 @@
 	interest rpc.PresenceInterest
 	// forwards: it forwards presence to other control servers.
 	forwards bool
+	// toldAt is as of when it has told all namings of weights that it knows, zero if it has not.
+	toldAt time.Time
 }
 
 // SendReport sends an agent's report on all open streams if all is set, else on one of
@@ -413,6 +417,7 @@
 		}
 		c.addListed(run, listed)
 		if u.Number == 0 {
+			c.noteTold(addr, at.AsOf, listed)
 			if err := in.renewStamp(at.ReceivedAt); err != nil {
 				return received, streamError(addr, err)
 			}
@@ -427,6 +432,7 @@
 			c.noteSender(addr, u.Sender)
 		}
 		c.cfg.Update(addr, u, at)
+		c.noteTold(addr, at.AsOf, listed)
 		if u.ConfigVersion > 0 {
 			c.sendConfigVersion(stream)
 		}
--- a/internal/follow/metrics.go
+++ b/internal/follow/metrics.go
@@ -1,6 +1,10 @@
 package follow
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lynxgate.dev/lynxgate/internal/clock"
+)
 
 // newPathSeconds returns the histogram of the time that messages of control servers were under way.
 func newPathSeconds(role string) prometheus.Histogram {
@@ -12,5 +16,20 @@
 	})
 }
 
-// Collectors returns the metrics of the client.
-func (c *Client) Collectors() []prometheus.Collector { return []prometheus.Collector{c.pathSeconds} }
+// Collectors returns the metrics of the client. Daemons that follow a few control servers alone never hear a majority of many.
+func (c *Client) Collectors() []prometheus.Collector {
+	collectors := []prometheus.Collector{c.pathSeconds}
+	if c.cfg.MaxServers > 0 {
+		return collectors
+	}
+	return append(collectors, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name:        "lynxgate_follow_confirmed_age_seconds",
+		Help:        "Time since a majority of the control servers has told all namings of weights that it knows, 0 before the first time.",
+		ConstLabels: prometheus.Labels{"role": c.cfg.Role},
+	}, func() float64 {
+		if at := c.ConfirmedAt(); !at.IsZero() {
+			return clock.Since(at).Seconds()
+		}
+		return 0
+	}))
+}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -24,6 +24,8 @@
 	// Table is nil while no configuration is known.
 	Table    *fleet.Table
 	Versions map[string]ledger.Version
+	// Heard says how each model's newest version of weights was first heard of.
+	Heard map[string]Heard
 	// Evacuations holds the last order about each zone that has had one.
 	Evacuations map[string]ledger.Evacuation
 	// Servers holds the backend servers by service, including those that have left.
@@ -32,6 +34,13 @@
 	Entries []Entry
 }
 
+// Heard is when this daemon first heard of a version of weights, and from which control server.
+type Heard struct {
+	Version uint64
+	Control string
+	At      time.Time
+}
+
 // Entry is one entry of the fleet.
 type Entry struct{ Name, Zone string }
 
@@ -215,11 +224,14 @@
 		known := next.Versions[m.Model]
 		named := ledger.NamingFromProto(m, at.AsOf, at.Echoed)
 		merged, differs := known.Merge(named)
-		next.Versions = withVersion(next.Versions, m.Model, merged)
+		next.Versions = withKey(next.Versions, m.Model, merged)
 		if !differs {
 			continue
 		}
 		changed = true
+		if merged.Number > known.Number {
+			next.Heard = withKey(next.Heard, m.Model, Heard{Version: merged.Number, Control: source, At: at.ReceivedAt})
+		}
 		v.logNaming(source, m.Model, known, merged, m.Version, at)
 	}
 	return changed
@@ -249,11 +261,11 @@
 	}
 }
 
-// withVersion returns a copy of versions with this one of a model.
-func withVersion(versions map[string]ledger.Version, model string, version ledger.Version) map[string]ledger.Version {
-	out := make(map[string]ledger.Version, len(versions)+1)
-	maps.Copy(out, versions)
-	out[model] = version
+// withKey returns a copy of m with this value of a key.
+func withKey[T any](m map[string]T, key string, value T) map[string]T {
+	out := make(map[string]T, len(m)+1)
+	maps.Copy(out, m)
+	out[key] = value
 	return out
 }
 
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -68,10 +68,18 @@
 	if left, bounded := c.g.balancer.VersionLeft(c.model, w.weights, now); bounded {
 		event.Dur("cancel_overdue_ms", w.cancelMargin-left).Bool("relayed", c.choice.Expiry.Relayed).Dur("bound_left_ms", left).
 			Bool("ends_before", c.choice.Expiry.KeptByServer).Dur("predicted_ms", c.choice.Takes())
+		c.describeNaming(event, now)
 		c.describePath(event, w, now)
 	}
 }
 
+// describeNaming adds how this entry heard of the newest version. A request with a longer sent_ms was sent without knowing of it.
+func (c *call) describeNaming(event *zerolog.Event, now time.Time) {
+	if heard, ok := c.g.balancer.NamingHeard(c.model); ok {
+		event.Uint64("named", heard.Version).Str("naming_by", heard.Control).Dur("naming_heard_ms", now.Sub(heard.At))
+	}
+}
+
 // describePath adds what is known of the path to an engine: the time from the send to the head of the answer, which includes the
 // engine's queue, and the last connect to the engine and the last round trip to the agent on its VM, which do not.
 func (c *call) describePath(event *zerolog.Event, w *watchdog, now time.Time) {
