Relay: counter and line for what follows a part of a message

Callers could get an answer of one connection to the engine under the head that another one had begun. Nothing told: an agent neither counted messages that were cut on an entry's connection nor what it wrote behind them.

lynxgate_relay_mid_message_total{next} and a bounded line with the request's id count refusals and new connections to the engine that come in the middle of a message.

--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -34,6 +34,8 @@
 	current atomic.Pointer[exchange]
 	// unasked is set by bytes that came while no answer was awaited: where the next answer begins is not certain any more.
 	unasked atomic.Bool
+	// midMessage: the bytes passed back do not end with a whole message.
+	midMessage atomic.Bool
 	// ended is closed once nothing more is passed back.
 	ended chan struct{}
 }
@@ -111,6 +113,7 @@
 	if _, err := e.in.Buffered().Peek(1); err != nil {
 		return err
 	}
+	e.midMessage.Store(true)
 	x, method := e.current.Load(), http.MethodGet
 	if x == nil {
 		e.unasked.Store(true)
@@ -132,6 +135,7 @@
 		return e.passRest()
 	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	e.midMessage.Store(unframed || e.in.Buffered().Buffered() > 0)
 	if answer {
 		x.begin()
 		e.current.Store(nil)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -25,10 +25,17 @@
 	bodyWithheld = "withheld"
 )
 
+// What was to follow a part of a message on the connection of an entry.
+const (
+	nextRefusal = "refusal"
+	nextEngine  = "engine-connection"
+)
+
 // Metrics are the metrics of a Server.
 type Metrics struct {
 	requests    *prometheus.CounterVec
 	cuts        *prometheus.CounterVec
+	midMessage  *prometheus.CounterVec
 	bodies      *prometheus.CounterVec
 	closed      *prometheus.CounterVec
 	asks        prometheus.Gauge
@@ -45,6 +52,9 @@
 		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_relay_answers_cut_total", Help: "Answers that broke off after they had begun, by result: entry-left or engine-closed.",
 		}, []string{"result"}),
+		midMessage: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lynxgate_relay_mid_message_total", Help: "Requests on connections of entries whose last message was not complete when another source was to write there, by what that was: refusal or engine-connection.",
+		}, []string{"next"}),
 		bodies: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_relay_bodies_total", Help: "Requests that were passed on, by how their body went to the engine: none, asked, unasked, with-head or withheld.",
 		}, []string{"sent"}),
@@ -62,7 +72,7 @@
 			Name: "lynxgate_relay_open", Help: "Open connections of entries to the relay.",
 		}),
 	}
-	r.MustRegister(m.requests, m.cuts, m.bodies, m.closed, m.asks, m.cancelDelay, m.open)
+	r.MustRegister(m.requests, m.cuts, m.midMessage, m.bodies, m.closed, m.asks, m.cancelDelay, m.open)
 	return m
 }
 
@@ -70,6 +80,8 @@
 
 func (m *Metrics) cut(result string) { m.cuts.WithLabelValues(result).Inc() }
 
+func (m *Metrics) followed(next string) { m.midMessage.WithLabelValues(next).Inc() }
+
 func (m *Metrics) passedOn(body string) { m.bodies.WithLabelValues(body).Inc() }
 
 func (m *Metrics) closedUnbegun(body string) { m.closed.WithLabelValues(body).Inc() }
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -33,6 +33,8 @@
 	frames chan frame
 	// engine is nil before the first request.
 	engine *engineConn
+	// midMessage: a connection to the engine was dropped in the middle of a message.
+	midMessage bool
 }
 
 func newSession(s *Server, entry net.Conn) *session {
@@ -128,7 +130,7 @@
 	default:
 		return c.refuse(f, d)
 	}
-	if err := c.connect(ctx); err != nil {
+	if err := c.connect(ctx, f); err != nil {
 		if ctx.Err() != nil {
 			c.s.cfg.Metrics.ended(resultEntryLeft)
 			return false
@@ -187,11 +189,12 @@
 }
 
 // connect sees to it that there is a connection to the engine.
-func (c *session) connect(ctx context.Context) error {
+func (c *session) connect(ctx context.Context, f frame) error {
 	if c.engine != nil && !c.engine.isEnded() {
 		return nil
 	}
 	c.dropEngine()
+	c.noteMidMessage(f, nextEngine)
 	e, err := dialEngine(ctx, c.s.cfg.DialAddr, c.entry)
 	if err != nil {
 		return err
@@ -420,6 +423,7 @@
 	if d.reason == ReasonExpired {
 		c.log(f, d).Msg("relayed request refused: its weights expire")
 	}
+	c.noteMidMessage(f, nextRefusal)
 	if c.engine != nil && c.engine.unasked.Load() {
 		return false // bytes of the engine may lie before or within the refusal
 	}
@@ -464,10 +468,20 @@
 func (c *session) dropEngine() {
 	if c.engine != nil {
 		_ = c.engine.Close()
+		c.midMessage = c.midMessage || c.engine.midMessage.Load()
 		c.engine = nil
 	}
 }
 
+// noteMidMessage counts that another source is to write on the entry's connection in the middle of a message.
+func (c *session) noteMidMessage(f frame, next string) {
+	if !c.midMessage && (c.engine == nil || !c.engine.midMessage.Load()) {
+		return
+	}
+	c.s.cfg.Metrics.followed(next)
+	c.s.log.Warn().Str("id", string(f.Id)).Str("next", next).Msg("entry's connection is in the middle of a message of the engine")
+}
+
 // log returns a line about a request whose weights expire.
 func (c *session) log(f frame, d decision) *zerolog.Event {
 	return c.s.log.Info().Str("id", string(f.Id)).Str("model", string(f.Model)).Uint64("version", f.Version).
