Relay: a message begins on an entry's connection only behind a whole one

Callers saw: 200 with the body of a failure, or of another answer, or with "not run" behind it, when an engine had sent a part of a message that nobody waited for and its connection had ended while the entry's next request waited at the agent.

Cause: the mark that bytes lie before what comes next belonged to the engine's connection and was dropped with it; the entry's connection lived on, and a refusal or the answer of the engine's next connection followed the part.

entryConn owns the entry's connection and states the rule once. Every source writes through it: each connection to the engine, and refusals. What a source has begun only that source goes on with; if it can't, the entry's connection is reset, nothing is passed on, and the request has no answer, as nothing honest can follow a part. A request that crosses the close behind whole messages is served as before.

--- a/internal/relay/cut_message_test.go
+++ b/internal/relay/cut_message_test.go
@@ -7,13 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lynxgate.dev/lynxgate/internal/standstill"
 )
 
 // Messages of the engine that are cut, and answers that may follow them. An entry that reads one of signature "cut" has read a cut one.
@@ -213,3 +217,143 @@
 		}
 	}
 }
+
+// Guards against an answer that is read as the rest of what the engine sent before it.
+func TestRequestIsNotPassedOnBehindAPartOfAMessage(t *testing.T) {
+	for name, part := range map[string]string{"head": cutToAnother[:30], "body": cutToAnother[:len(cutToAnother)-1], "no length": cutWithoutEnd} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			entry := r.entry()
+			entry.send("a")
+			engine := r.accept()
+			engine.readRequest()
+			engine.write(answerA + part)
+			entry.expect(answerA + part)
+			entry.send("b")
+			got, err := entry.ends()
+			assert.Empty(t, got)
+			assert.ErrorIs(t, err, syscall.ECONNRESET)
+			got, _ = engine.ends()
+			assert.Empty(t, got, "the request")
+			r.counted(1, resultMidMessage)
+			assert.Equal(t, 1, r.resets(nextAnswer))
+		})
+	}
+}
+
+// Guards against a request that is lost since the rest of a message before it is on its way.
+func TestRequestIsPassedOnOnceTheMessageBeforeItIsWhole(t *testing.T) {
+	r := newRig(t)
+	s, entry := r.session()
+	entry.send("a")
+	engine := r.accept()
+	engine.readRequest()
+	engine.write(answerA + cutToAnother[:30])
+	entry.expect(answerA + cutToAnother[:30])
+	rest := func(context.Context) bool { // it runs in the session's goroutine
+		engine.write(cutToAnother[30:])
+		return assert.Eventually(t, func() bool { return !s.entry.midMessage() }, patience, ms)
+	}
+	r.answers.Store(&rest)
+	entry.send("b")
+	entry.expect(cutToAnother[30:])
+	engine.readRequest()
+	engine.write(successB)
+	entry.expect(successB)
+	r.counted(2, resultAnswered)
+}
+
+// Guards against a failure that tells "not run" to nobody, since whole messages came before it.
+func TestRefusalFollowsWholeMessages(t *testing.T) {
+	r := newRig(t)
+	entry := r.entry()
+	entry.send("a")
+	engine := r.accept()
+	engine.readRequest()
+	engine.write(answerA + cutToAnother)
+	entry.expect(answerA + cutToAnother)
+	r.counted(1, resultAnswered)
+	entry.send("b", boundIn(0))
+	entry.refused("b", ReasonExpired)
+}
+
+// Guards against a message without a length that looks complete although its engine was reset.
+func TestIdleConnectionIsResetWithThatOfTheEngineInAMessage(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*peer)
+		want error
+	}{"close": {func(p *peer) { _ = p.Close() }, nil}, "reset": {(*peer).reset, syscall.ECONNRESET}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			entry := r.entry()
+			entry.send("a")
+			engine := r.accept()
+			engine.readRequest()
+			engine.write(answerA + cutWithoutEnd)
+			entry.expect(answerA + cutWithoutEnd)
+			c.end(engine)
+			_, err := entry.ends()
+			assert.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
+func (r *rig) resets(next string) int {
+	var m dto.Metric
+	require.NoError(r, r.cfg.Metrics.midMessage.WithLabelValues(next).Write(&m))
+	return int(m.GetCounter().GetValue())
+}
+
+func TestSourcesWriteWholeMessagesInTurn(t *testing.T) {
+	written := &strings.Builder{}
+	c := newEntryConn(recordingConn{to: written})
+	first, err := c.source()
+	require.NoError(t, err)
+	second, err := c.source()
+	require.NoError(t, err)
+	require.NoError(t, first.write([]byte("a"), true))
+	require.NoError(t, second.write([]byte("b"), false))
+	assert.ErrorIs(t, first.write([]byte("no"), true), errMidMessage)
+	assert.ErrorIs(t, c.writeMessage([]byte("no"), time.Second), errMidMessage)
+	_, err = c.source()
+	assert.ErrorIs(t, err, errMidMessage)
+	assert.ErrorIs(t, c.awaitWhole(t.Context(), nil), errMidMessage)
+	require.NoError(t, second.write(nil, true))
+	require.NoError(t, c.awaitWhole(t.Context(), nil))
+	require.NoError(t, c.writeMessage([]byte("c"), time.Second))
+	require.NoError(t, first.write([]byte("d"), false))
+	assert.Equal(t, "abcd", written.String())
+	assert.True(t, c.midMessage())
+}
+
+// Guards against a request that is lost since it came while the message before it was written.
+func TestRestOfAMessageIsWaitedFor(t *testing.T) {
+	standstill.Run(t, func(t testing.TB) {
+		c := newEntryConn(recordingConn{to: io.Discard})
+		source, err := c.source()
+		require.NoError(t, err)
+		require.NoError(t, source.write([]byte("a"), false))
+		go func() { _ = source.write([]byte("b"), true) }()
+		assert.NoError(t, c.awaitWhole(t.Context(), nil))
+	})
+}
+
+func TestNothingFollowsAMessageWhoseWriteFailed(t *testing.T) {
+	c := newEntryConn(recordingConn{to: failingWriter{}})
+	assert.ErrorIs(t, c.writeMessage([]byte("refusal"), time.Second), os.ErrDeadlineExceeded)
+	assert.ErrorIs(t, c.writeMessage([]byte("refusal"), time.Second), errMidMessage)
+}
+
+// recordingConn is a connection that only takes writes.
+type recordingConn struct {
+	net.Conn
+	to io.Writer
+}
+
+func (c recordingConn) Write(p []byte) (int, error)      { return c.to.Write(p) }
+func (c recordingConn) SetWriteDeadline(time.Time) error { return nil }
+
+// failingWriter takes one byte of each write.
+type failingWriter struct{}
+
+func (failingWriter) Write([]byte) (int, error) { return 1, os.ErrDeadlineExceeded }
--- a/internal/relay/engine.go
+++ b/internal/relay/engine.go
@@ -32,10 +32,6 @@
 	in     *headlimit.Reader
 	// current is the request whose answer is awaited, nil if there is none.
 	current atomic.Pointer[exchange]
-	// unasked is set by bytes that came while no answer was awaited: where the next answer begins is not certain any more.
-	unasked atomic.Bool
-	// midMessage: the bytes passed back do not end with a whole message.
-	midMessage atomic.Bool
 	// ended is closed once nothing more is passed back.
 	ended chan struct{}
 }
@@ -60,14 +56,14 @@
 // answer from the last bytes takes effect before the entry has them.
 type passer struct {
 	source io.Reader
-	entry  io.Writer
+	entry  *entrySource
 	unsent []byte
 	// err is that of the last write to the entry; nothing follows it.
 	err error
 }
 
 func (p *passer) Read(b []byte) (int, error) {
-	if err := p.flush(); err != nil {
+	if err := p.flush(false); err != nil {
 		return 0, err
 	}
 	n, err := p.source.Read(b)
@@ -75,23 +71,29 @@
 	return n, err
 }
 
-func (p *passer) flush() error {
-	if len(p.unsent) > 0 && p.err == nil {
-		_, p.err = p.entry.Write(p.unsent)
+// flush writes the bytes read. whole tells that they end with a whole message.
+func (p *passer) flush(whole bool) error {
+	if p.err == nil && (whole || len(p.unsent) > 0) {
+		p.err = p.entry.write(p.unsent, whole)
 		p.unsent = p.unsent[:0]
 	}
 	return p.err
 }
 
-// dialEngine connects to the engine at addr and starts to pass its bytes back to the entry.
-func dialEngine(ctx context.Context, addr string, entry io.Writer) (*engineConn, error) {
+// dialEngine connects to the engine at addr and starts to pass its bytes back to the entry. Its error wraps errMidMessage if they could
+// not be told from those before them.
+func dialEngine(ctx context.Context, addr string, entry *entryConn) (*engineConn, error) {
+	source, err := entry.source()
+	if err != nil {
+		return nil, fmt.Errorf("pass back what the engine sends: %w", err)
+	}
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("connect to the engine: %w", err)
 	}
 	e := &engineConn{Conn: nc, source: endRecorder{Reader: nc}, ended: make(chan struct{})}
-	e.passer = passer{source: &e.source, entry: entry}
+	e.passer = passer{source: &e.source, entry: source}
 	e.in = headlimit.NewReader(&e.passer, engineBuffer)
 	go e.passBack()
 	return e, nil
@@ -101,8 +103,8 @@
 func (e *engineConn) passBack() {
 	defer close(e.ended)
 	for {
-		err := e.passMessage()
-		if flushErr := e.passer.flush(); err != nil || flushErr != nil {
+		if err := e.passMessage(); err != nil {
+			_ = e.passer.flush(false) // nothing follows
 			return
 		}
 	}
@@ -113,11 +115,8 @@
 	if _, err := e.in.Buffered().Peek(1); err != nil {
 		return err
 	}
-	e.midMessage.Store(true)
 	x, method := e.current.Load(), http.MethodGet
-	if x == nil {
-		e.unasked.Store(true)
-	} else {
+	if x != nil {
 		method = x.method
 	}
 	resp, err := e.in.ReadResponse(&http.Request{Method: method})
@@ -135,13 +134,15 @@
 		return e.passRest()
 	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-	e.midMessage.Store(unframed || e.in.Buffered().Buffered() > 0)
 	if answer {
 		x.begin()
 		e.current.Store(nil)
-		if err := e.passer.flush(); err != nil {
-			return err
-		}
+	}
+	// Bytes that are buffered are written with those of this message, and begin the next one.
+	if err := e.passer.flush(!unframed && e.in.Buffered().Buffered() == 0); err != nil {
+		return err
+	}
+	if answer {
 		close(x.complete)
 	}
 	if unframed {
@@ -172,6 +173,9 @@
 // closedByEngine reports whether the engine has closed the connection properly.
 func (e *engineConn) closedByEngine() bool { return e.isEnded() && errors.Is(e.source.err, io.EOF) }
 
+// heldBack reports whether nothing more is passed back since it would follow a part of another source's message.
+func (e *engineConn) heldBack() bool { return e.isEnded() && errors.Is(e.passer.err, errMidMessage) }
+
 // closedByEntry reports whether nothing more is passed back since the entry takes nothing more.
 func (e *engineConn) closedByEntry() bool { return e.isEnded() && e.source.err == nil }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -13,6 +13,7 @@
 	resultHeld         = "held"
 	resultEntryLeft    = "entry-left"
 	resultEngineClosed = "engine-closed"
+	resultMidMessage   = "mid-message"
 )
 
 // How bodies went to the engine.
@@ -28,7 +29,7 @@
 // What was to follow a part of a message on the connection of an entry.
 const (
 	nextRefusal = "refusal"
-	nextEngine  = "engine-connection"
+	nextAnswer  = "answer"
 )
 
 // Metrics are the metrics of a Server.
@@ -47,13 +48,13 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lynxgate_relay_requests_total", Help: "Requests of entries to be passed on to the engine, by result: answered, cancelled, held, entry-left, engine-closed, or the reason why it was not passed on.",
+			Name: "lynxgate_relay_requests_total", Help: "Requests of entries to be passed on to the engine, by result: answered, cancelled, held, entry-left, engine-closed, mid-message, or the reason why it was not passed on.",
 		}, []string{"result"}),
 		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lynxgate_relay_answers_cut_total", Help: "Answers that broke off after they had begun, by result: entry-left or engine-closed.",
+			Name: "lynxgate_relay_answers_cut_total", Help: "Answers that broke off after they had begun, by result: entry-left, engine-closed or mid-message.",
 		}, []string{"result"}),
 		midMessage: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lynxgate_relay_mid_message_total", Help: "Requests on connections of entries whose last message was not complete when another source was to write there, by what that was: refusal or engine-connection.",
+			Name: "lynxgate_relay_mid_message_total", Help: "Connections of entries that were reset since a message of the engine on them was not complete when something else was to follow, by what that was: refusal or answer.",
 		}, []string{"next"}),
 		bodies: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lynxgate_relay_bodies_total", Help: "Requests that were passed on, by how their body went to the engine: none, asked, unasked, with-head or withheld.",
@@ -80,7 +81,7 @@
 
 func (m *Metrics) cut(result string) { m.cuts.WithLabelValues(result).Inc() }
 
-func (m *Metrics) followed(next string) { m.midMessage.WithLabelValues(next).Inc() }
+func (m *Metrics) endedMidMessage(next string) { m.midMessage.WithLabelValues(next).Inc() }
 
 func (m *Metrics) passedOn(body string) { m.bodies.WithLabelValues(body).Inc() }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -28,17 +28,15 @@
 // session is one connection of an entry and the connection to the engine that belongs to it.
 type session struct {
 	s     *Server
-	entry net.Conn
+	entry *entryConn
 	// frames are the requests read. It is closed when no more can follow.
 	frames chan frame
 	// engine is nil before the first request.
 	engine *engineConn
-	// midMessage: a connection to the engine was dropped in the middle of a message.
-	midMessage bool
 }
 
 func newSession(s *Server, entry net.Conn) *session {
-	return &session{s: s, entry: entry, frames: make(chan frame)}
+	return &session{s: s, entry: newEntryConn(entry), frames: make(chan frame)}
 }
 
 // run serves the connection until one side closes it, it has been idle for long or ctx is done.
@@ -72,7 +70,7 @@
 		case f = <-c.frames: // it crossed the close of the engine; a new connection serves it
 			return f, true
 		default:
-			c.closeAfterLastByte(ctx)
+			c.endWithEngine(ctx)
 		}
 	}
 	return frame{}, false
@@ -130,15 +128,19 @@
 	default:
 		return c.refuse(f, d)
 	}
-	if err := c.connect(ctx, f); err != nil {
-		if ctx.Err() != nil {
-			c.s.cfg.Metrics.ended(resultEntryLeft)
-			return false
-		}
+	switch err := c.connect(ctx); {
+	case err == nil:
+		return c.pass(ctx, f, ticket)
+	case ctx.Err() != nil:
+		c.s.cfg.Metrics.ended(resultEntryLeft)
+		return false
+	case errors.Is(err, errMidMessage):
+		c.s.cfg.Metrics.ended(resultMidMessage)
+		return c.endMidMessage(f, nextAnswer)
+	default:
 		c.s.log.Debug().Err(err).Msg("request not passed on")
 		return c.refuse(f, decision{reason: ReasonNotConnected})
 	}
-	return c.pass(ctx, f, ticket)
 }
 
 // awaitSlot waits until the request may be passed on, and counts it among the requests at the engine then. Otherwise the decision
@@ -188,13 +190,18 @@
 	return c.s.cfg.Answers(ctx)
 }
 
-// connect sees to it that there is a connection to the engine.
-func (c *session) connect(ctx context.Context, f frame) error {
-	if c.engine != nil && !c.engine.isEnded() {
-		return nil
+// connect sees to it that there is a connection to the engine, and that its answer can be told from the bytes before. Its error wraps
+// errMidMessage if it can't.
+func (c *session) connect(ctx context.Context) error {
+	if c.engine != nil {
+		if err := c.entry.awaitWhole(ctx, c.engine.ended); err != nil {
+			return err
+		}
+		if !c.engine.isEnded() {
+			return nil
+		}
 	}
 	c.dropEngine()
-	c.noteMidMessage(f, nextEngine)
 	e, err := dialEngine(ctx, c.s.cfg.DialAddr, c.entry)
 	if err != nil {
 		return err
@@ -367,7 +374,7 @@
 // held closes both connections of a request that the engine holds in a free slot, so that its caller may be served elsewhere.
 func (c *session) held(f frame, d decision) bool {
 	_ = c.engine.Close()
-	c.abort()
+	c.entry.abort()
 	c.s.cfg.Metrics.ended(resultHeld)
 	c.log(f, d).Msg("relayed request cancelled: the engine holds requests in free slots")
 	return false
@@ -376,7 +383,7 @@
 // cancelled closes both connections of a request without an answer.
 func (c *session) cancelled(f frame, d decision, late time.Duration) bool {
 	_ = c.engine.Close()
-	c.abort()
+	c.entry.abort()
 	c.s.cfg.Metrics.ended(resultCancelled)
 	c.s.cfg.Metrics.cancelled(late)
 	c.log(f, d).Dur("late_ms", late).Msg("relayed request cancelled before its weights expire")
@@ -389,15 +396,18 @@
 	switch {
 	case x.isComplete():
 		c.s.cfg.Metrics.ended(resultAnswered)
+	case c.engine.heldBack():
+		c.brokenOff(f, x, d, resultMidMessage)
+		return c.endMidMessage(f, nextAnswer)
 	case ctx.Err() != nil || c.engine.closedByEntry(): // also at the end of the grace period
 		c.brokenOff(f, x, d, resultEntryLeft)
-		c.abort()
+		c.entry.abort()
 	case c.engine.closedByEngine():
 		c.brokenOff(f, x, d, resultEngineClosed)
 		c.closeAfterLastByte(ctx)
 	default:
 		c.brokenOff(f, x, d, resultEngineClosed)
-		c.abort()
+		c.entry.abort()
 	}
 	return false
 }
@@ -423,20 +433,35 @@
 	if d.reason == ReasonExpired {
 		c.log(f, d).Msg("relayed request refused: its weights expire")
 	}
-	c.noteMidMessage(f, nextRefusal)
-	if c.engine != nil && c.engine.unasked.Load() {
-		return false // bytes of the engine may lie before or within the refusal
+	err := c.entry.writeMessage(encodeRefusal(c.s.cfg.Headers, f.Id, d.reason), refusalTimeout)
+	if errors.Is(err, errMidMessage) {
+		return c.endMidMessage(f, nextRefusal)
 	}
-	_ = c.entry.SetWriteDeadline(clock.Deadline(clock.Now().Add(refusalTimeout)))
-	_, err := c.entry.Write(encodeRefusal(c.s.cfg.Headers, f.Id, d.reason))
-	_ = c.entry.SetWriteDeadline(time.Time{})
 	return err == nil
 }
 
+// endMidMessage resets the entry's connection, on which a message was cut and nothing can follow: the request has no answer.
+func (c *session) endMidMessage(f frame, next string) bool {
+	c.entry.abort()
+	c.s.cfg.Metrics.endedMidMessage(next)
+	c.s.log.Warn().Str("id", string(f.Id)).Str("next", next).Msg("entry's connection reset: a message of the engine on it is not complete")
+	return false
+}
+
+// endWithEngine ends the entry's connection without a request after that to the engine has ended. A message that was cut by a reset must not
+// look complete.
+func (c *session) endWithEngine(ctx context.Context) {
+	if c.entry.midMessage() && !c.engine.closedByEngine() {
+		c.entry.abort()
+		return
+	}
+	c.closeAfterLastByte(ctx)
+}
+
 // closeAfterLastByte ends the entry's connection behind the bytes that were sent on it, and waits until the entry has closed it,
 // too: a close with unread bytes of the entry would reset it.
 func (c *session) closeAfterLastByte(ctx context.Context) {
-	if half, ok := c.entry.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+	if !c.entry.closeWrite() {
 		return
 	}
 	limit := time.NewTimer(lingerTimeout)
@@ -452,36 +477,18 @@
 	}
 }
 
-// abort resets the entry's connection, so that no answer on it looks complete.
-func (c *session) abort() {
-	if tcp, ok := c.entry.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.entry.Close()
-}
-
 func (c *session) close() {
-	_ = c.entry.Close()
+	c.entry.close()
 	c.dropEngine()
 }
 
 func (c *session) dropEngine() {
 	if c.engine != nil {
 		_ = c.engine.Close()
-		c.midMessage = c.midMessage || c.engine.midMessage.Load()
 		c.engine = nil
 	}
 }
 
-// noteMidMessage counts that another source is to write on the entry's connection in the middle of a message.
-func (c *session) noteMidMessage(f frame, next string) {
-	if !c.midMessage && (c.engine == nil || !c.engine.midMessage.Load()) {
-		return
-	}
-	c.s.cfg.Metrics.followed(next)
-	c.s.log.Warn().Str("id", string(f.Id)).Str("next", next).Msg("entry's connection is in the middle of a message of the engine")
-}
-
 // log returns a line about a request whose weights expire.
 func (c *session) log(f frame, d decision) *zerolog.Event {
 	return c.s.log.Info().Str("id", string(f.Id)).Str("model", string(f.Model)).Uint64("version", f.Version).
