headlimit: fields around a text are looked up in one pass; body's heads apart

The fields before and behind a text were scanned once for each name: up to 400 scans of a head of 64 KiB. What looks for heads in bodies and events has a file of its own, and takes no bytes for a status line that lack its beginning (a case of TestHeadBegins).

No other change of what is accepted: the tests of headlimit, dispatch, agent, engine, origin and the gateway's spliced answers pass.

--- a/internal/headlimit/splice.go
+++ b/internal/headlimit/splice.go
@@ -11,7 +11,7 @@
 var ErrSplicedHead = errors.New("head of the response holds the status line of another")
 
 // Fields are names of fields, in any case, that a response has once at most and whose values never hold free text: an id, a number,
-// a signature.
+// a signature. They are 64 at most.
 type Fields []string
 
 // httpFields are those of HTTP that a response has once at most (RFC 9110).
@@ -26,13 +26,30 @@
 // framingFields tell where the body ends. A response has one of them.
 var framingFields = Fields{"Content-Length", "Transfer-Encoding"}
 
-func (f Fields) has(name []byte) bool {
-	for _, own := range f {
+// index returns the position of a name among the fields, -1 if it is not one of them.
+func (f Fields) index(name []byte) int {
+	for i, own := range f {
 		if len(own) == len(name) && strings.EqualFold(own, string(name)) {
-			return true
+			return i
 		}
 	}
-	return false
+	return -1
+}
+
+func (f Fields) has(name []byte) bool { return f.index(name) >= 0 }
+
+// in returns which of the fields stand in lines, a bit for each.
+func (f Fields) in(lines []byte) (found uint64) {
+	for line := range bytes.Lines(lines) {
+		name, _, ok := bytes.Cut(line, []byte{':'})
+		if !ok {
+			continue
+		}
+		if i := f.index(name); i >= 0 {
+			found |= 1 << i
+		}
+	}
+	return found
 }
 
 // versionPrefix begins each status line.
@@ -44,13 +61,15 @@
 // spliced reports whether a head, up to and with its empty line, holds the status line of another response. own are the fields that
 // the sender adds to HTTP's.
 //
-// A response that was cut takes the next status line as the rest of a line, so that text of the form of a status line is the
-// evidence looked for. It decides by itself where no response has it: in the reason, in a field with a grammar of its own, in a
-// folded line, behind a part of a token or a control character, and in a quoted string that does not end. Elsewhere, in a field
-// that may hold free text, the fields around it decide: the text is that field's own if the length or coding of the body stands
-// before it, none of own and no second length behind it, and nothing that a response has once on both sides. The status of an
-// interim response, which has none of these fields, is never a field's own. A quoted string that ends is the field's own without that order. A status line as the whole value of a field before the length can't be told from
-// that of another response, and counts as one.
+// A response that was cut takes the next status line as the rest of a line, so that text of the form of a status line is the evidence
+// looked for. It decides by itself where no response has it: in the reason, in a field with a grammar of its own, in a folded line,
+// behind a part of a token or a control character, and in a quoted string that does not end.
+//
+// Elsewhere, in a field that may hold free text, the fields around it decide. The text is that field's own if the length or coding of
+// the body stands before it, none of own and no second length behind it, and nothing that a response has once on both sides. A quoted
+// string that ends needs the last of these only. The status of an interim response, which has no such fields, is never a field's own
+// unless it is quoted. A status line as the whole value of a field before the length can't be told from that of another response, and
+// counts as one.
 func spliced(head []byte, own Fields) bool {
 	texts := 0
 	for from := len(versionPrefix); from < len(head); {
@@ -70,67 +89,11 @@
 	return false
 }
 
-// IndexHead returns where the head of a response begins in text, -1 if there is none: at a status line that a field of HTTP or of own
-// follows before the next empty line. It is meant for text in whose lines such fields can't stand, as in the events of a stream.
-func IndexHead(text []byte, own Fields) int {
-	for from := 0; from < len(text); {
-		at := bytes.Index(text[from:], versionPrefix)
-		if at < 0 {
-			return -1
-		}
-		at += from
-		from = at + len(versionPrefix)
-		if !isStatusLine(text[at:]) {
-			continue
-		}
-		end := headEnd(text[at:], 0)
-		if end < 0 {
-			return -1
-		}
-		fields := text[lineEnd(text, at) : at+end]
-		if hasAny(fields, framingFields) || hasAny(fields, httpFields) || hasAny(fields, own) {
-			return at
-		}
-		from = at + end
-	}
-	return -1
-}
-
-// HeadBegins reports whether a head of a response begins in body, which a length ends, and ends in the bytes that follow it: the body
-// was cut, and the next response was read as its rest. Text of a whole head within the body may be the body's own.
-func HeadBegins(body, following []byte, own Fields) bool {
-	if len(following) == 0 || isStatusLine(following) {
-		return false
-	}
-	tail := body[max(0, len(body)-MaxBytes):]
-	joined := append(bytes.Clone(tail), following[:min(len(following), MaxBytes)]...)
-	for from := 0; from < len(tail); {
-		at := bytes.Index(joined[from:], versionPrefix)
-		if at < 0 || from+at >= len(tail) {
-			return false
-		}
-		at += from
-		from = at + len(versionPrefix)
-		if !isStatusLine(joined[at:]) {
-			continue
-		}
-		end := headEnd(joined[at:], 0)
-		if end < 0 {
-			return false
-		}
-		from = at + end
-		if fields := joined[lineEnd(joined, at):from]; from > len(tail) {
-			return hasAny(fields, framingFields) || hasAny(fields, httpFields) || hasAny(fields, own)
-		}
-	}
-	return false
-}
-
 // isStatusLine reports whether text begins with a status line that http.ReadResponse accepts: "HTTP/1.1", spaces, "200", and a space
 // or the end of the line.
 func isStatusLine(text []byte) bool {
 	const versionLen, statusLen = len("HTTP/1.1"), 3
-	if len(text) < versionLen || !isDigit(text[5]) || text[6] != '.' || !isDigit(text[7]) {
+	if len(text) < versionLen || !bytes.HasPrefix(text, versionPrefix) || !isDigit(text[5]) || text[6] != '.' || !isDigit(text[7]) {
 		return false
 	}
 	rest := bytes.TrimLeft(text[versionLen:], " ")
@@ -177,26 +140,13 @@
 }
 
 func readNeighbours(before, behind []byte, own Fields) neighbours {
-	n := neighbours{framedBefore: hasAny(before, framingFields)}
-	n.ownBehind = hasAny(behind, framingFields) || hasAny(behind, own)
-	n.twice = n.framedBefore && hasAny(behind, framingFields)
-	for _, fields := range []Fields{httpFields, own} {
-		for _, name := range fields {
-			one := Fields{name}
-			n.twice = n.twice || hasAny(before, one) && hasAny(behind, one)
-		}
+	framedBefore, framedBehind := framingFields.in(before) != 0, framingFields.in(behind) != 0
+	ownBehind := own.in(behind)
+	return neighbours{
+		framedBefore: framedBefore,
+		ownBehind:    framedBehind || ownBehind != 0,
+		twice:        framedBefore && framedBehind || own.in(before)&ownBehind != 0 || httpFields.in(before)&httpFields.in(behind) != 0,
 	}
-	return n
-}
-
-// hasAny reports whether one of the lines is one of the fields.
-func hasAny(lines []byte, fields Fields) bool {
-	for line := range bytes.Lines(lines) {
-		if name, _, ok := bytes.Cut(line, []byte{':'}); ok && fields.has(name) {
-			return true
-		}
-	}
-	return false
 }
 
 // lineEnd returns the position behind the line feed that ends the line at a position.
--- a/internal/headlimit/splice_test.go
+++ b/internal/headlimit/splice_test.go
@@ -98,6 +98,7 @@
 	}
 	assert.False(t, HeadBegins([]byte(head), nil, ownFields), "a body that tells of a response")
 	assert.False(t, HeadBegins([]byte("seen: HTTP/1.1 500 Failed\r\n"), []byte("extra bytes"), ownFields))
+	assert.True(t, HeadBegins([]byte("{HTTP/1.1 500 "), []byte("ERROR1.1 500 \r\nDate: now\r\n\r\n"), ownFields), "no status line follows")
 	assert.False(t, HeadBegins([]byte("seen: HTTP/1.1 500 Failed\r\n"), []byte(head), ownFields), "extra bytes that are an answer")
 }
 
