Namings on their way on a stream that falls silent are heard

What callers saw: none of it on their answers; 17 requests began on weights past a bound of 8 s, at engines that keep closed requests, when the paths from and to all control servers came to take 2 s just before a version was named.

Cause: a follower closed a stream after 1.5 s of silence. With it went the naming that would have come after 2 s; a new stream over the same path takes a round trip more, so that entry and agents heard of the naming 5.5 s after it, and dated it 4 s early.

Ruled out: one slow control server of three, one that stands still at the naming after it has acknowledged it, and an entry that starts again just before: the naming is heard at once, or with the first configuration, before which an entry sends nothing.

Change: a silent stream is still read for 3 s, for namings only, beside the stream that replaces it. Namings commute, so no order between the two is needed. A send that blocks still ends, with the stream, after these 3 s. The test that a stream's namings are sent with an echo reads through the new reader.

--- a/internal/fleetcontrol/delayed_naming_test.go
+++ b/internal/fleetcontrol/delayed_naming_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,6 +115,54 @@
 	<-ended
 }
 
+// Guards against a naming that is lost on its way, as its stream is closed since the path has become slower than the silence after which
+// a stream is taken for lost.
+func TestNamingOnItsWayIsHeardThoughItsStreamFellSilent(t *testing.T) {
+	const delay = 2 * time.Second
+	h := testHub()
+	h.versionBound = time.Minute
+	hubAddr := serveHub(t, h)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	h.controlAddrs = func() []string { return []string{lis.Addr().String()} }
+	var slow atomic.Int64
+	go forwardOne(lis, hubAddr, func() time.Duration { return time.Duration(slow.Load()) })
+	v := follow.NewViewer(nil, nil, time.Second, zerolog.Nop())
+	client := follow.New(follow.Config{
+		Name: "f", Role: RoleEntry, Seeds: func() []string { return []string{lis.Addr().String()} }, Logger: zerolog.Nop(), Update: v.Update, Lost: v.Lost,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go h.run(ctx)
+	go func() { ended <- client.Run(ctx) }()
+	require.Eventually(t, func() bool { return len(v.View().Entries) > 0 }, 10*time.Second, time.Millisecond)
+	slow.Store(int64(delay))
+	nameVersion(t, h, 2)
+	assert.Eventually(t, func() bool { return v.View().Versions["m"].Number == 2 }, 2*delay, 10*time.Millisecond)
+	assert.False(t, v.View().Versions["m"].AppliedAt.After(appliedAt(h)))
+	cancel()
+	<-ended
+}
+
+// forwardOne forwards the first connection to addr, and accepts no other. What it returns takes a delay.
+func forwardOne(lis net.Listener, addr string, delay func() time.Duration) {
+	near, err := lis.Accept()
+	_ = lis.Close()
+	if err != nil {
+		return
+	}
+	defer near.Close()
+	far, err := net.Dial("tcp", addr)
+	if err != nil {
+		return
+	}
+	go func() {
+		_, _ = io.Copy(far, near)
+		_ = far.Close()
+	}()
+	copyLate(near, far, delay)
+}
+
 // delayed returns the address of a forwarder to addr that holds what it returns for a time.
 func delayed(t *testing.T, addr string, delay time.Duration) string {
 	t.Helper()
@@ -136,7 +185,7 @@
 				_ = far.Close()
 			}()
 			go func() {
-				copyLate(near, far, delay)
+				copyLate(near, far, func() time.Duration { return delay })
 				_ = near.Close()
 			}()
 		}
@@ -144,8 +193,8 @@
 	return lis.Addr().String()
 }
 
-// copyLate copies from src to dst until either ends; each byte is delayed alike.
-func copyLate(dst io.Writer, src io.Reader, delay time.Duration) {
+// copyLate copies from src to dst until either ends; each byte takes the delay of when it is read.
+func copyLate(dst io.Writer, src io.Reader, delay func() time.Duration) {
 	type chunk struct {
 		data []byte
 		due  time.Time
@@ -159,7 +208,7 @@
 			if err != nil {
 				return
 			}
-			chunks <- chunk{data[:n], time.Now().Add(delay)}
+			chunks <- chunk{data[:n], time.Now().Add(delay())}
 		}
 	}()
 	for c := range chunks {
--- a/internal/follow/client.go
+++ b/internal/follow/client.go
@@ -40,6 +40,8 @@
 	// maxFirstTimeout bounds the wait for the first message of a stream, which grows with failures in a row: over a path that delays by
 	// more than silenceTimeout no stream would ever be followed, though its messages keep coming.
 	maxFirstTimeout = 3 * silenceTimeout
+	// drainTimeout is for how long a silent stream is still read beside the one that replaces it, which has its first message by then.
+	drainTimeout = maxFirstTimeout - silenceTimeout
 	// reconnectPause is the mean pause after a stream has ended. It is doubled with each stream in a
 	// row that the control server accepted and did not serve for servedAfter, up to
 	// maxReconnectPause: then it has too many followers to join, and each new stream is more work.
@@ -85,7 +87,7 @@
 	// be nil.
 	Versions func() map[string]ledger.Version
 	// Update processes an update of a control server, whose ages count from at. Calls for one source are
-	// in order, those for several sources are concurrent.
+	// in order, but for namings alone that come late; those for several sources are concurrent.
 	Update func(source string, u *rpc.FleetUpdate, at Anchor)
 	// Lost is called when a stream has ended.
 	Lost   func(source string)
@@ -363,34 +365,56 @@
 var errSilent = errors.New("silent")
 
 // stream connects to a control server, which has failed this many times in a row, and processes its updates until the stream fails
-// or nothing is received for silenceTimeout, at first for firstTimeout.
+// or nothing is received for silenceTimeout, at first for firstTimeout. What is still on its way on one that falls silent is drained.
 func (c *Client) stream(ctx, run context.Context, addr string, failed int, firstTimeout time.Duration) (received int, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	s, err := c.connect(ctx, addr, failed)
+	if err != nil {
+		return 0, err
+	}
+	received, err = c.process(run, addr, s, firstTimeout)
+	if received == 0 || !errors.Is(err, errSilent) {
+		s.close()
+		return received, err
+	}
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		c.drain(addr, s)
+	}()
+	return received, err
+}
+
+// connect opens a stream from a control server.
+func (c *Client) connect(ctx context.Context, addr string, failed int) (*session, error) {
 	dialCtx, cancelDial := context.WithTimeout(ctx, rpcconn.RedialTimeout(failed))
 	conn, err := rpcconn.Dial(dialCtx, addr)
 	cancelDial()
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", errNotConnected, err)
+		return nil, fmt.Errorf("%w: %w", errNotConnected, err)
 	}
-	defer conn.Close()
-	// Closing the connection ends a stream whose peer no longer responds.
-	var silent atomic.Bool
-	watchdog := time.AfterFunc(firstTimeout, func() {
-		silent.Store(true)
-		_ = conn.Close()
-	})
-	defer watchdog.Stop()
-	defer func() {
-		if silent.Load() {
-			err = fmt.Errorf("%w: %w", errSilent, err)
-		}
-	}()
+	ctx, cancel := context.WithCancel(ctx)
 	stream, err := rpc.NewDRPCFleetClient(conn).Follow(ctx)
 	if err != nil {
-		return 0, fmt.Errorf("follow %s: %w", addr, err)
+		cancel()
+		_ = conn.Close()
+		return nil, fmt.Errorf("follow %s: %w", addr, err)
+	}
+	s := newSession(stream)
+	s.close = func() {
+		cancel()
+		_ = conn.Close() // ends a stream whose peer no longer responds
 	}
-	in := newSession(stream)
+	go s.read(ctx)
+	return s, nil
+}
+
+// process processes the updates of a stream until it fails or is silent.
+func (c *Client) process(run context.Context, addr string, in *session, firstTimeout time.Duration) (received int, err error) {
+	stream := in.stream
+	silence := time.NewTimer(firstTimeout)
+	defer silence.Stop()
+	watchdog := time.AfterFunc(firstTimeout+drainTimeout, in.close) // ends a send that blocks
+	defer watchdog.Stop()
 	interest := c.interestAtStart()
 	if err := in.send(&rpc.FollowerMessage{Name: c.cfg.Name, Zone: c.cfg.Zone, Role: c.cfg.Role, Presence: interest}); err != nil {
 		return 0, fmt.Errorf("follow %s: %w", addr, err)
@@ -401,23 +425,23 @@
 	c.setStream(addr, stream, interest)
 	defer c.notifySourcesChanged() // another control server takes over
 	defer c.removeStream(addr, stream)
-	var listed []string // the control servers last listed by this one; it sends the list only when it changes
 	for {
-		u, at, err := in.receive()
+		u, at, err := in.receive(silence.C)
 		if err != nil {
 			return received, streamError(addr, err)
 		}
-		watchdog.Reset(silenceTimeout)
+		silence.Reset(silenceTimeout)
+		watchdog.Reset(silenceTimeout + drainTimeout)
 		c.observe(at)
 		if err := in.sendNamings(c.cfg.Versions); err != nil {
 			return received, streamError(addr, err)
 		}
 		if len(u.ControlAddrs) > 0 {
-			listed = u.ControlAddrs
+			in.listed = u.ControlAddrs
 		}
-		c.addListed(run, listed)
+		c.addListed(run, in.listed)
 		if u.Number == 0 {
-			c.noteTold(addr, at.AsOf, listed)
+			c.noteTold(addr, at.AsOf, in.listed)
 			if err := in.renewStamp(at.ReceivedAt); err != nil {
 				return received, streamError(addr, err)
 			}
@@ -432,7 +456,7 @@
 			c.noteSender(addr, u.Sender)
 		}
 		c.cfg.Update(addr, u, at)
-		c.noteTold(addr, at.AsOf, listed)
+		c.noteTold(addr, at.AsOf, in.listed)
 		if u.ConfigVersion > 0 {
 			c.sendConfigVersion(stream)
 		}
@@ -442,6 +466,24 @@
 	}
 }
 
+// drain merges the namings that are on their way on a silent stream, and closes it. A path that has become slow delivers them before
+// another stream does, which takes a round trip more.
+func (c *Client) drain(addr string, in *session) {
+	defer in.close()
+	timeout := time.NewTimer(drainTimeout)
+	defer timeout.Stop()
+	for {
+		u, at, err := in.receive(timeout.C)
+		if err != nil {
+			return
+		}
+		if len(u.Versions) > 0 {
+			c.cfg.Update(addr, &rpc.FleetUpdate{Versions: u.Versions}, at)
+		}
+		c.noteTold(addr, at.AsOf, in.listed)
+	}
+}
+
 // observe counts for how long a message was under way.
 func (c *Client) observe(at Anchor) {
 	if at.Echoed {
--- a/internal/follow/session.go
+++ b/internal/follow/session.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/clock"
@@ -8,28 +9,59 @@
 	"lynxgate.dev/lynxgate/internal/rpc"
 )
 
-// session is an open stream with its stamps. One goroutine uses it; others may send messages without stamps on the stream.
+// session is an open stream with its stamps. One goroutine uses it beside its reader; others may send messages without stamps on the
+// stream.
 type session struct {
-	stream    rpc.DRPCFleet_FollowClient
+	stream rpc.DRPCFleet_FollowClient
+	// close ends the stream and its reader.
+	close     func()
+	messages  chan message
 	stamps    *Stamps
 	stampedAt time.Time
+	// listed are the control servers last listed by this one, which sends the list only when it changes.
+	listed []string
 	// namingsSent: the control server was sent the namings known at the start of the stream.
 	namingsSent bool
 }
 
+// message is what a read of the stream has returned, and when.
+type message struct {
+	update *rpc.FleetUpdate
+	err    error
+	at     time.Time
+}
+
 func newSession(stream rpc.DRPCFleet_FollowClient) *session {
-	return &session{stream: stream, stamps: NewStamps(clock.Now())}
+	return &session{stream: stream, messages: make(chan message), stamps: NewStamps(clock.Now())}
 }
 
-// receive returns the next message of the control server and dates it.
-func (s *session) receive() (*rpc.FleetUpdate, Anchor, error) {
-	u, err := s.stream.Recv()
-	if err != nil {
-		return nil, Anchor{}, err
+// read reads messages for receive until the stream fails or ctx is done.
+func (s *session) read(ctx context.Context) {
+	for {
+		u, err := s.stream.Recv()
+		select {
+		case s.messages <- message{update: u, err: err, at: clock.Now()}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// receive returns the next message of the control server and dates it, or errSilent once timeout fires.
+func (s *session) receive(timeout <-chan time.Time) (*rpc.FleetUpdate, Anchor, error) {
+	select {
+	case m := <-s.messages:
+		if m.err != nil {
+			return nil, Anchor{}, m.err
+		}
+		s.stamps.Receive(m.update.StampUs, m.at)
+		return m.update, s.stamps.Anchor(m.update.Echo, m.at), nil
+	case <-timeout:
+		return nil, Anchor{}, errSilent
 	}
-	now := clock.Now()
-	s.stamps.Receive(u.StampUs, now)
-	return u, s.stamps.Anchor(u.Echo, now), nil
 }
 
 // send sends a message with a stamp.
--- a/internal/follow/session_test.go
+++ b/internal/follow/session_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -25,6 +26,9 @@
 }
 
 func (s *recordedStream) Recv() (*rpc.FleetUpdate, error) {
+	if len(s.updates) == 0 {
+		return nil, io.EOF
+	}
 	u := s.updates[0]
 	s.updates = s.updates[1:]
 	return u, nil
@@ -51,8 +55,9 @@
 	known := func() map[string]ledger.Version {
 		return map[string]ledger.Version{"m": ledger.AppliedBy(5, 2, clock.Now().Add(-time.Second))}
 	}
+	go s.read(t.Context())
 	for range 2 {
-		_, _, err := s.receive()
+		_, _, err := s.receive(nil)
 		require.NoError(t, err)
 		require.NoError(t, s.sendNamings(known))
 	}
