--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -59,8 +59,6 @@
 	// ErrConnectionLost means that the connection failed after at least part of the request
 	// was sent and before an answer was received: the request may have run.
 	ErrConnectionLost = errors.New("connection failed without an answer")
-	// ErrInvalidAnswer means that the bytes received are not an answer to this request.
-	ErrInvalidAnswer = errors.New("not an answer to the request")
 )
 
 // conn is one connection; it carries one request at a time.
@@ -103,6 +101,8 @@
 	// another request.
 	IDHeader string
 	ID       string
+	// OwnFields are the fields that servers add to HTTP's, IDHeader among them.
+	OwnFields headlimit.Fields
 }
 
 // Answer is the head of an answer together with its body, which the caller reads
@@ -119,6 +119,7 @@
 	complete bool
 	// unframed is true if the body ends only when the connection is closed.
 	unframed  bool
+	own       headlimit.Fields
 	closeOnce sync.Once
 }
 
@@ -162,7 +163,7 @@
 	c.applyKeepAlive(resp.Header)
 	return &Answer{
 		Response: resp, Took: clock.Since(sentAt), pool: p, conn: c, stop: stop,
-		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, own: r.OwnFields,
 	}, nil
 }
 
@@ -175,9 +176,9 @@
 		if _, err := c.in.Buffered().Peek(1); err != nil {
 			return nil, fmt.Errorf("%w: read: %w", ErrConnectionLost, err)
 		}
-		resp, err := c.in.ReadResponse(&http.Request{Method: r.Method})
+		resp, err := c.in.ReadResponse(&http.Request{Method: r.Method}, r.OwnFields)
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrInvalidAnswer, err)
+			return nil, invalidHead(err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim answer
@@ -190,19 +191,19 @@
 			return nil, err
 		}
 	}
-	return nil, fmt.Errorf("%w: answers to other requests", ErrInvalidAnswer)
+	return nil, invalidAnswer(CauseOtherRequest, "answers to other requests")
 }
 
 // discard reads and drops an answer to another request.
 func discard(resp *http.Response) error {
 	if resp.Close || (resp.ContentLength < 0 && len(resp.TransferEncoding) == 0) {
-		return fmt.Errorf("%w: answer to request %q", ErrInvalidAnswer, resp.Header)
+		return invalidAnswer(CauseOtherRequest, "answer to request %q", resp.Header)
 	}
 	switch _, err := io.CopyN(io.Discard, resp.Body, maxDiscard); {
 	case err == nil:
-		return fmt.Errorf("%w: answer to another request of %d bytes or more", ErrInvalidAnswer, maxDiscard)
+		return invalidAnswer(CauseOtherRequest, "answer to another request of %d bytes or more", maxDiscard)
 	case err != io.EOF:
-		return fmt.Errorf("%w: answer to another request: %w", ErrInvalidAnswer, err)
+		return invalidAnswer(CauseOtherRequest, "answer to another request: %w", err)
 	}
 	return nil
 }
@@ -240,6 +241,16 @@
 // Buffered returns the number of bytes that can be read without waiting.
 func (a *Answer) Buffered() int { return a.conn.in.Buffered().Buffered() }
 
+// CompletedByAnother reports whether a body with a length, read to its end, is a part of this answer and the beginning of another
+// one, whose head goes on in the bytes that have come since.
+func (a *Answer) CompletedByAnother(body []byte) bool {
+	if a.ContentLength <= 0 {
+		return false
+	}
+	following, _ := a.conn.in.Buffered().Peek(a.Buffered())
+	return headlimit.HeadBegins(body, following, a.own)
+}
+
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"lynxgate.dev/lynxgate/internal/headlimit"
 	"lynxgate.dev/lynxgate/internal/unacked"
 )
 
@@ -52,11 +53,17 @@
 	return lis.Addr().String()
 }
 
-func send(p *Pool, id string) (*Answer, string, error) {
-	a, err := p.Send(context.Background(), &Request{
-		Method: "GET", Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n" + idHeader + ": " + id + "\r\n\r\n") },
-		IDHeader: idHeader, ID: id,
+func sendAs(p *Pool, method, id string) (*Answer, error) {
+	return p.Send(context.Background(), &Request{
+		Method: method, Encode: func() []byte {
+			return []byte(method + " / HTTP/1.1\r\nHost: h\r\n" + idHeader + ": " + id + "\r\n\r\n")
+		},
+		IDHeader: idHeader, ID: id, OwnFields: headlimit.Fields{idHeader},
 	}, time.Now().Add(time.Second))
+}
+
+func send(p *Pool, id string) (*Answer, string, error) {
+	a, err := sendAs(p, http.MethodGet, id)
 	if err != nil {
 		return nil, "", err
 	}
