Entries that may not know of a naming send through agents

Cause: an entry without a naming took that for knowing that there is none, however long ago it had last been told anything.

Ruled out: the time of the naming (the entry has it right once it has read the message), and the agents, which knew and were not asked.

Change: the follower states as of when a majority of the control servers has told all namings (ConfirmedAt). Where that is over 1.5 s ago, a version may have been named right after it, and the entry relays what it would relay for that one. The agent decides by what it knows itself; one that knows of no newer version either is told a bound that refuses nothing. A deadline at the bound goes only to requests that end before it at a quarter of their speed, so that nothing is cut.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -67,6 +67,9 @@
 	// VersionBound is the time after the naming of a version from which on requests may no
 	// longer begin on an older one.
 	VersionBound time.Duration
+	// ConfirmedAt returns as of when all namings of versions are known (follow.Client.ConfirmedAt), zero if that is not known. It may be
+	// nil.
+	ConfirmedAt func() time.Time
 	// RelayAddr returns the address at which the agent on a server's VM relays requests to it; nil if none does.
 	RelayAddr func(serverAddr string) string
 	// A cold server gets at most ColdOverage times its cold rate plus ColdSlack requests in any second
--- a/internal/balance/expiry.go
+++ b/internal/balance/expiry.go
@@ -32,6 +32,9 @@
 	// with newer weights; unlike lastResortPenalty it does not have all servers evaluated, which would send the requests of all
 	// entries to the same ones.
 	outlastsPenalty = 1 * time.Second
+	// maxConfirmationAge is how old the knowledge of all namings may be to count as current. Control servers renew it every 0.4 s, unless
+	// a stream is lost.
+	maxConfirmationAge = 1500 * time.Millisecond
 	// maxChoiceAge is the age of a choice from which on its request is not sent: an entry that stood still knows nothing of
 	// the server since. Connecting takes up to 0.4 s.
 	maxChoiceAge = 1 * time.Second
@@ -52,6 +55,10 @@
 	MayBeCut bool
 	// Relayed: the request is sent through the agent on the server's VM.
 	Relayed bool
+	// Unconfirmed: no newer version is known, but one may have been named since this entry was last told all namings.
+	// The agent decides by what it knows itself, and is told AgentsBound, which refuses nothing if it knows of no newer version either.
+	Unconfirmed bool
+	AgentsBound time.Time
 	// Unguarded: the server might begin the request past the bound after a standstill, whether or not its connection is open then.
 	Unguarded bool
 }
@@ -70,6 +77,19 @@
 	return Expiry{At: at, Outlasts: now.Add(takes).After(at)}
 }
 
+// unconfirmedExpiry returns the expiry of a server's weights in case a newer version was named right after this entry was last told all
+// namings, zero if that counts as current.
+func (b *Balancer) unconfirmedExpiry(now time.Time, version uint64) Expiry {
+	if version == 0 || b.cfg.ConfirmedAt == nil {
+		return Expiry{}
+	}
+	confirmed := b.cfg.ConfirmedAt()
+	if confirmed.IsZero() || now.Sub(confirmed) <= maxConfirmationAge {
+		return Expiry{}
+	}
+	return Expiry{At: confirmed.Add(b.cfg.VersionBound - namingTolerance), Unconfirmed: true}
+}
+
 // mustConfirm reports whether a server must confirm that it holds a version: if this one or an earlier one was named, those
 // before it expire sooner, or have expired.
 func (b *Balancer) mustConfirm(model string, version uint64) bool {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -172,6 +172,9 @@
 		}
 		takes := p.firstEvent + s.answerTime(w.Answer, p.pace)
 		expiry := b.expiryAt(s, now, w.Model, version, takes, s.excess.now(now), !w.RunOnce, w.Bytes == 0)
+		if expiry.Unconfirmed && now.Add(p.firstEvent).After(expiry.At) {
+			expiry = Expiry{}
+		}
 		if expiry.Unsendable() || expiry.Relayed && now.Before(s.relayDownUntil) || !expiry.At.IsZero() && now.Add(p.firstEvent).After(expiry.At) {
 			availability.Fit--
 			availability.Old++
--- a/internal/balance/relay.go
+++ b/internal/balance/relay.go
@@ -39,9 +39,22 @@
 // entry keep the bound, and the server alone that of a request that can't be cancelled.
 func (b *Balancer) expiryAt(s *Server, now time.Time, model string, version uint64, takes, lateness time.Duration, cancellable, bodiless bool) Expiry {
 	e := b.expiry(now, model, version, takes)
-	if e.At.IsZero() {
+	if !e.At.IsZero() {
+		return b.guarded(e, s, now, takes, lateness, cancellable, bodiless)
+	}
+	if e = b.unconfirmedExpiry(now, version); e.At.IsZero() {
 		return e
 	}
+	e = b.guarded(e, s, now, takes, lateness, cancellable, bodiless)
+	if !e.Relayed || e.Unsendable() || now.After(e.At.Add(-CancelMargin)) || now.Before(s.relayDownUntil) {
+		return Expiry{} // nobody is refused for a version that may not exist
+	}
+	e.AgentsBound = now.Add(b.cfg.VersionBound + pathDelay)
+	return e
+}
+
+// guarded returns an expiry with who keeps its bound.
+func (b *Balancer) guarded(e Expiry, s *Server, now time.Time, takes, lateness time.Duration, cancellable, bodiless bool) Expiry {
 	e.Relayed = b.relaysTo(s) && (!cancellable || now.After(e.At.Add(-relayWindow)))
 	e.KeptUntil = e.At.Add(-b.deadlineMargin(s, e, bodiless))
 	e.MayBeCut = now.Add(lateness + maxSlowdown*(takes-lateness)).After(e.KeptUntil)
@@ -87,6 +100,14 @@
 	return c.Server.Pool
 }
 
+// RelayBound returns the bound that the agent is told.
+func (c *Choice) RelayBound() time.Time {
+	if c.Expiry.Unconfirmed {
+		return c.Expiry.AgentsBound
+	}
+	return c.Expiry.At
+}
+
 // RelayRefused records that the agent on a server's VM has refused a connection for a request to be relayed.
 func (b *Balancer) RelayRefused(s *Server, now time.Time) {
 	b.mu.Lock()
--- a/internal/balance/relay_test.go
+++ b/internal/balance/relay_test.go
@@ -177,3 +177,55 @@
 	choice, _ = b.Pick(now, expiringWant(5))
 	assert.True(t, choice.Expiry.Relayed)
 }
+
+// unconfirmed is relayed without a naming, by an entry that was last told all namings at t0.
+func unconfirmed(t0 time.Time) *Balancer {
+	b := relayed(t0, []uint64{1, 1})
+	b.cfg.ConfirmedAt = func() time.Time { return t0 }
+	return b
+}
+
+// Guards against requests that are sent directly shortly before the bound of a naming that the entry has not heard of.
+func TestRequestsAreRelayedWhereANamingMayBeUnknown(t *testing.T) {
+	t0 := time.Now()
+	for _, c := range []struct {
+		age     time.Duration
+		runOnce bool
+		relayed bool
+	}{
+		{maxConfirmationAge, true, false}, {maxConfirmationAge + time.Millisecond, true, true}, {maxConfirmationAge + time.Millisecond, false, false},
+		{bound(t0).Sub(t0) - relayWindow - time.Millisecond, false, false}, {bound(t0).Sub(t0) - relayWindow + time.Millisecond, false, true},
+		{bound(t0).Sub(t0) + time.Second, false, false},
+	} {
+		b, now := unconfirmed(t0), t0.Add(c.age)
+		want := expiringWant(5)
+		want.RunOnce = c.runOnce
+		choice, _ := b.Pick(now, want)
+		require.NotNil(t, choice.Server, "%v", c)
+		assert.Equal(t, c.relayed, choice.Expiry.Relayed, "%v", c)
+		if c.relayed {
+			assert.True(t, choice.Expiry.KeptByServer)
+			assert.Equal(t, now.Add(8*time.Second+pathDelay), choice.RelayBound(), "an agent without the naming refuses nothing")
+		}
+	}
+}
+
+// Guards against entries that stop sending while all control servers are lost.
+func TestNobodyIsRefusedForANamingThatMayBeUnknown(t *testing.T) {
+	t0 := time.Now()
+	rapid.Check(t, func(r *rapid.T) {
+		b := unconfirmed(t0)
+		now := t0.Add(time.Duration(rapid.Int64Range(0, int64(12*time.Second)).Draw(r, "age")))
+		want := expiringWant(rapid.IntRange(1, 400).Draw(r, "answer"))
+		want.RunOnce, want.Bytes = rapid.Bool().Draw(r, "once"), rapid.IntRange(0, 1).Draw(r, "bytes")
+		if rapid.Bool().Draw(r, "agent down") {
+			for _, s := range b.servers {
+				b.RelayRefused(s, now)
+			}
+		}
+		choice, _ := b.Pick(now, want)
+		require.NotNil(r, choice.Server)
+		assert.False(r, choice.Expiry.Unsendable())
+		assert.True(r, choice.Sendable(now))
+	})
+}
--- a/internal/fleetdaemon/entry.go
+++ b/internal/fleetdaemon/entry.go
@@ -50,7 +50,7 @@
 	turns := &clientTurns{client: &client}
 	g := gateway.New(gateway.Config{
 		Headers:    e.Headers,
-		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, RegionOf: cfg.RegionOf, VersionBound: cfg.VersionBound, RelayAddr: e.RelayAddr, ColdOverage: e.ColdOverage, ColdSlack: e.ColdSlack, Logger: cfg.Logger},
+		Balance:    balance.Config{Name: cfg.Name, Zone: cfg.Zone, RegionOf: cfg.RegionOf, VersionBound: cfg.VersionBound, RelayAddr: e.RelayAddr, ConfirmedAt: func() time.Time { return client.ConfirmedAt() }, ColdOverage: e.ColdOverage, ColdSlack: e.ColdSlack, Logger: cfg.Logger},
 		RetryShare: e.RetryShare, RetryFloor: e.RetryFloor, RetryWindow: e.RetryWindow,
 		HeldBytes:       e.HeldBytes,
 		ReservationMode: e.ReservationMode,
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -13,7 +13,7 @@
 	now := clock.Now()
 	encoded, err := relay.Encode(&rpc.RelayRequest{
 		Id: []byte(c.id), Addr: choice.Server.Addr, Model: []byte(c.model), Version: choice.Version,
-		LeftUs: choice.Expiry.At.Sub(now).Microseconds(), DeadlineUs: c.deadline.Sub(now).Microseconds(),
+		LeftUs: choice.RelayBound().Sub(now).Microseconds(), DeadlineUs: c.deadline.Sub(now).Microseconds(),
 		EndsBefore: choice.Expiry.KeptByServer, RunOnce: !c.cancellable(), Head: head, Body: c.body,
 	})
 	if err != nil {
