--- a/internal/relay/cut_message_test.go
+++ b/internal/relay/cut_message_test.go
@@ -39,10 +39,18 @@
 	reset bool
 	// forSlot: the request waits for a slot meanwhile, and not for the engine's word.
 	forSlot bool
-	// next is the answer of the engine on its next connection; there is none if it is empty.
+	// next is the answer of the engine on its next connection, or one of refusesConnections and silent.
 	next string
 }
 
+// What an engine does that answers no request.
+const (
+	refusesConnections = "refuses connections"
+	silent             = "silent"
+)
+
+func (c cutCase) refused() bool { return c.next == refusesConnections || c.next == silent }
+
 func (c cutCase) String() string {
 	return fmt.Sprintf("%d bytes up to %q, reset %v, for a slot %v, then %.12q", len(c.part), c.part[max(0, len(c.part)-9):], c.reset, c.forSlot, c.next)
 }
@@ -79,6 +87,7 @@
 			close(waits)
 			<-goOn
 			<-s.engineEnded()
+			return c.next != silent
 		}
 		return true
 	}
@@ -87,7 +96,7 @@
 	<-waits
 	engine.write(c.part)
 	entry.expect(c.part)
-	if c.next == "" {
+	if c.next == refusesConnections {
 		require.NoError(t, r.engine.Close())
 	}
 	if c.reset {
@@ -182,7 +191,7 @@
 		"length": cutsOf(cutLength, 1), "interim": cutsOf(cutInterim, 3), "chunks": cutsOf(cutChunks, 3), "no length": {cutUnframed, cutWithoutEnd},
 		"another request": cutsOf(cutToAnother, 5), "no response": {"no response", "\r\n", "HTTP/1.1 2000 OK\r\n\r\n"},
 	} {
-		for then, next := range map[string]string{"refusal": "", "failure": failureB, "success": successB} {
+		for then, next := range map[string]string{"no connection": refusesConnections, "silence": silent, "failure": failureB, "success": successB} {
 			t.Run(name+", "+then, func(t *testing.T) {
 				for i, part := range parts {
 					c := cutCase{part: part, next: next, reset: i%2 == 1, forSlot: i%4 >= 2}
@@ -204,14 +213,14 @@
 		"chunks": strings.Replace(cutChunks, headOf+"b", headOf+"z", 1), "two": cutToAnother + cutInterim,
 	} {
 		for then, want := range map[string]string{
-			"": `503 signature= not-run=engine-not-connected ""`, failureB: `500 signature= not-run= "fail"`, successB: `200 signature=whole not-run= "right"`,
+			refusesConnections: `503 signature= not-run=engine-not-connected ""`, silent: `503 signature= not-run=engine-silent ""`, failureB: `500 signature= not-run= "fail"`, successB: `200 signature=whole not-run= "right"`,
 		} {
 			t.Run(fmt.Sprintf("%s, then %.12q", name, then), func(t *testing.T) {
 				for i := range 4 {
 					c := cutCase{part: part, next: then, reset: i%2 == 1, forSlot: i >= 2}
 					p := c.play(t)
 					assert.Equal(t, want, p.answer, "%v", c)
-					assert.Equal(t, then != "", p.passedOn)
+					assert.Equal(t, !c.refused(), p.passedOn)
 				}
 			})
 		}
