Entry: no error event within an event of the backend server

Callers saw an error event as the rest of an event: a stream that runs at most once is buffered until its end is checked, and is flushed at any byte once it exceeds 1 MiB; when it broke off then, the error event followed there. Other streams are passed on as whole events and were ruled out by reading, and by TestTruncatedStreamResumesOnTheSameVersionOnly.

The event is left out where the bytes sent end within another one; the connection breaks off as before. Before: 2 of 4 cases of TestErrorEventFollowsWholeEventsOnly fail; after: 0 of 4. go test ./internal/entry: ok, once.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -34,6 +34,8 @@
 	// sent is true once a part of the answer has been sent to the caller.
 	sent   bool
 	buffer bytes.Buffer
+	// midEvent is true if what was sent of an event stream ends within an event.
+	midEvent bool
 	// tokens counts the data events passed on, after which a retry resumes. The count is also
 	// reported to admission as the tokens used.
 	tokens int
@@ -129,6 +131,9 @@
 // flush passes on everything buffered.
 func (a *answer) flush() error {
 	a.writeHead()
+	if a.buffer.Len() > 0 {
+		a.midEvent = a.events && !bytes.HasSuffix(a.buffer.Bytes(), eventEnd)
+	}
 	_, err := a.buffer.WriteTo(a.w)
 	return err
 }
@@ -168,10 +173,11 @@
 func (a *answer) resumable() bool { return a.events }
 
 // abort ends a partly sent answer so that the caller cannot mistake it for a
-// complete one: it sends an error event on an event stream, and closes the
-// connection without terminating the body.
+// complete one: it sends an error event on an event stream, unless that would be
+// read as the rest of another event, and closes the connection without terminating
+// the body.
 func (a *answer) abort(o outcome.Outcome) {
-	if a.events {
+	if a.events && !a.midEvent {
 		_, _ = a.w.Write(o.Event())
 		_ = http.NewResponseController(a.w).Flush()
 	}
