Failing test: a removed leader is left out of those that may have committed an entry

TestEntriesOfEarlierTermsMayHaveBeenCommittedByAnyLeaderSince, with a leader that is no member any more and a later term whose leader is not known: deciders returns the members alone, also where the former leader is known.

--- a/internal/replica/commit_test.go
+++ b/internal/replica/commit_test.go
@@ -36,10 +36,10 @@
 // Guards against a leader that takes the election for the time of what the one before it had committed.
 func TestEntriesOfEarlierTermsMayHaveBeenCommittedByAnyLeaderSince(t *testing.T) {
 	id := func(name string) consensus.ServerID { return consensus.ServerID{Name: name, Incarnation: 1} }
-	self, a, b := id("self"), id("a"), id("b")
+	self, a, b, removed := id("self"), id("a"), id("b"), id("removed")
 	n := &Node{
-		leaders:   map[uint64]consensus.ServerID{3: a, 4: self, 5: b, 7: self},
-		transport: newTransport([]Member{{Name: "self", Addr: "self:1"}, {Name: "a", Addr: "a:1"}, {Name: "b", Addr: "b:1"}}, time.Second, newMetrics()),
+		leaders:   map[uint64]consensus.ServerID{3: a, 4: self, 5: b, 7: self, 8: removed, 10: a},
+		transport: newTransport([]Member{{Name: "self", Addr: "self:1"}, {Name: "a", Addr: "a:1"}, {Name: "b", Addr: "b:1"}, {Name: "removed", Addr: "removed:1"}}, time.Second, newMetrics()),
 	}
 	members := consensus.Membership{{ID: self}, {ID: a}, {ID: b}}
 	for _, c := range []struct {
@@ -54,6 +54,9 @@
 		{3, 5, []string{"a:1", "b:1"}},
 		{5, 7, []string{"a:1", "b:1"}},
 		{2, 3, []string{"a:1", "b:1"}},
+		{5, 6, []string{"a:1", "b:1"}},
+		{8, 11, []string{"a:1", "b:1", "removed:1"}},
+		{8, 10, []string{"a:1", "b:1", "removed:1"}},
 	} {
 		assert.Equal(t, c.want, n.deciders(c.entry, consensus.State{ID: self, Term: c.current, Members: members}), "entry of term %d in term %d", c.entry, c.current)
 	}
