A leader that was removed stays among those that may have committed an entry

What callers saw: nothing yet, by reading. A control server that learns of a naming after its leader was removed, with a later term whose leader it does not know, asked the members alone for evidence. They learn of the commit later than the removed one acknowledged it, so the bound on older weights would be late by that.

Cause: deciders dropped the leaders that it knew as soon as one term had none. Ruled out: an address that is lost with the membership (the transport keeps it; without it there is no evidence, and the time is unknown).

Change: members and known leaders both count.

--- a/internal/replica/commit.go
+++ b/internal/replica/commit.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -40,19 +41,22 @@
 }
 
 // deciders returns the addresses of the other servers that may have committed an entry of a term before this one learns of it: those that have
-// led from then on, and all members if one of them is not known.
+// led from then on, and all members if one of them is not known. One that is known may have been removed since.
 func (n *Node) deciders(term uint64, state consensus.State) []string {
 	var leaders []consensus.ServerID
-	for ; term <= state.Term; term++ {
-		leader, ok := n.leaders[term]
-		if !ok {
-			leaders = leaders[:0]
-			for _, m := range state.Members {
-				leaders = append(leaders, m.ID)
-			}
-			break
+	allKnown := true
+	for t := state.Term; allKnown && t >= term; t-- {
+		_, allKnown = n.leaders[t]
+	}
+	if !allKnown {
+		for _, m := range state.Members {
+			leaders = append(leaders, m.ID)
+		}
+	}
+	for _, t := range slices.Sorted(maps.Keys(n.leaders)) {
+		if term <= t && t <= state.Term {
+			leaders = append(leaders, n.leaders[t])
 		}
-		leaders = append(leaders, leader)
 	}
 	var addrs []string
 	for _, id := range leaders {
