Failing test: a leader that restarts dates its own naming late

TestControlServerThatReplaysItsLogIsNoEvidence: a leader acknowledges a naming, restarts, and tells none before its log is replayed.

--- a/internal/fleetcontrol/dating_test.go
+++ b/internal/fleetcontrol/dating_test.go
@@ -127,3 +127,27 @@
 	assert.WithinDuration(t, committed, appliedAt(third), lateness/2)
 	assert.False(t, appliedAt(third).After(committed))
 }
+
+// Guards against a leader that restarts right after its acknowledgement, and says that it knows no naming before it has replayed its log.
+func TestControlServerThatReplaysItsLogIsNoEvidence(t *testing.T) {
+	leader, restarted, late := testHub(), testHub(), testHub()
+	restarted.ledger.BeginReplay()
+	before := newLink(leader, RoleControl, 0)
+	hear(late, "leader", before, 0)
+	hear(late, "leader", before, 0)
+	commitVersion(t, leader, 2)
+	acknowledged := clock.Now()
+	time.Sleep(lateness)
+	after := newLink(restarted, RoleControl, 0)
+	hear(late, "leader", after, 0)
+	hear(late, "leader", after, 0)
+	commitVersion(t, late, 2, "leader")
+	at, known := dated(late)
+	require.True(t, known)
+	assert.False(t, at.After(acknowledged), "dated %v late", at.Sub(acknowledged))
+
+	restarted.ledger.EndReplay()
+	nameVersion(t, restarted, 2)
+	hear(late, "leader", after, 0)
+	assert.EqualValues(t, 2, after.f.versions["m"].Number, "it tells its namings once the log is replayed")
+}
