A control server tells others no namings until its log is replayed

What callers saw: nothing yet, shown in a test. A leader that restarts right after it acknowledged a naming follows and is followed again before it has replayed its log, and its dated messages tell no naming. A control server that learns of the commit only then, from the next leader, took the last of them for a time at which the naming was not acknowledged: 600 ms late in the test, up to the time of the next election and replay in a fleet, for who hears of the naming from there first.

Cause: the evidence is "what the leader does not tell in a dated message it had not committed", which holds for a process whose state is confirmed by a quorum only. A wiped and replaced control server at the same address is the same case.

Ruled out: to forget the evidence with the stream (a path that is slow for a moment would date namings early); a field that says so (to withhold needs none, and serves receivers of earlier builds); to serve no follower until then (presence must go on without a quorum).

Change: while it replays, a control server sends other control servers neither namings nor an echo; the keep-alive after that sends them. Entries and agents get all as before. Times that it was told meanwhile reach other control servers that much later. With an earlier build as the restarted leader the case stays.

--- a/internal/fleetcontrol/follower.go
+++ b/internal/fleetcontrol/follower.go
@@ -257,18 +257,27 @@
 // keepAlive returns a message that says that this server still runs, or an update if the follower was not sent all namings of
 // weights: a message with an echo says that it was.
 func (h *hub) keepAlive(f *follower) *rpc.FleetUpdate {
-	asOf := clock.Now() // before the state is read, so that it holds all namings known then
+	asOf, withheld := clock.Now(), h.withholdsNamings(f) // before the state is read, so that it holds all namings known then
 	state := h.ledger.State()
-	if u := h.stampedKeepAlive(f, state, asOf); u != nil {
+	if u := h.stampedKeepAlive(f, state, asOf, withheld); u != nil {
 		return u
 	}
 	return h.next(f)
 }
 
+// withholdsNamings reports whether a follower is sent neither namings nor an echo, which says that it was sent all: until its log is replayed
+// a control server may have committed one before its restart that it does not know. Other control servers date namings by what it tells.
+func (h *hub) withholdsNamings(f *follower) bool {
+	return f.role == RoleControl && h.ledger.Replaying()
+}
+
 // stampedKeepAlive returns a keep-alive, nil if the follower was not sent all namings.
-func (h *hub) stampedKeepAlive(f *follower, state *ledger.State, asOf time.Time) *rpc.FleetUpdate {
+func (h *hub) stampedKeepAlive(f *follower, state *ledger.State, asOf time.Time, withheld bool) *rpc.FleetUpdate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if withheld {
+		return &rpc.FleetUpdate{StampUs: f.stamps.Stamp(asOf)}
+	}
 	if !f.hasNamings(state) {
 		return nil
 	}
@@ -283,7 +292,7 @@
 
 // next builds the next update for a follower, nil if the follower is up to date.
 func (h *hub) next(f *follower) *rpc.FleetUpdate {
-	asOf := clock.Now() // before the state is read, so that it holds all namings known then
+	asOf, withheld := clock.Now(), h.withholdsNamings(f) // before the state is read, so that it holds all namings known then
 	state := h.ledger.State()
 	addrs := h.controlAddrs()
 	h.mu.Lock()
@@ -305,8 +314,10 @@
 	if f.role != RoleControl {
 		outdated = h.addConfig(f, u, state, now) || outdated
 	}
-	outdated = f.addVersions(u, state.Versions, asOf, h.versionBound) || outdated
-	f.informed = state
+	if !withheld {
+		outdated = f.addVersions(u, state.Versions, asOf, h.versionBound) || outdated
+		f.informed = state
+	}
 	size := h.addPresence(f, u, now)
 	u.Suspicions = follow.SuspicionsToProto(f.suspicions, now)
 	u.Signals = follow.SignalsToProto(f.signals, now)
@@ -319,6 +330,9 @@
 	u.Number = f.number
 	f.sent(h.now(), size)
 	f.stamp(u, asOf)
+	if withheld {
+		u.Echo = nil
+	}
 	for _, w := range f.waiters {
 		if w.number == 0 {
 			w.number = u.Number
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -181,6 +181,13 @@
 // start.
 func (l *Ledger) EndReplay() { l.setReplaying(false) }
 
+// Replaying reports whether the log of an earlier process is still applied.
+func (l *Ledger) Replaying() bool {
+	l.changing.Lock()
+	defer l.changing.Unlock()
+	return l.replaying
+}
+
 func (l *Ledger) setReplaying(replaying bool) {
 	l.changing.Lock()
 	defer l.changing.Unlock()
