A body that another answer completes is found in what the kernel holds, too

What callers saw: 200 with the head of another answer in the body, where that of small bodies was found (TestAnswerBehindAPartOfABodyIsForwarded).

Cause: the check looked at the buffer of the connection alone. A read of a body of 4 KiB and more passes that buffer and takes just what is left of the body, so that the rest of the other head stays in the kernel; a head of over 4 KiB does not end in the buffer.

Ruled out: a read of what follows through the buffer (it may wait, and the connection could not be used again); to hold back the last bytes.

Change: the check sees what is buffered and what the kernel holds, one recv more for an answer with a length, and a buffer of 64 KiB only if something follows. Bytes that come after the check are not seen, as before. Answers over 1 MiB, which are passed on as they come, are not checked.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -75,18 +75,42 @@
 // stillIdle reports whether the peer has neither closed an idle connection nor sent
 // anything on it: bytes received on an idle connection belong to no request.
 func (c *conn) stillIdle() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	var one [1]byte
+	_, err := c.peek(one[:])
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peek copies bytes that the kernel has received into p without waiting. They stay to be read.
+func (c *conn) peek(p []byte) (n int, err error) {
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, fmt.Errorf("peek: %w", errors.ErrUnsupported)
+	}
+	raw, err := source.SyscallConn()
 	if err != nil {
-		return false
+		return 0, fmt.Errorf("peek: %w", err)
 	}
-	idle := false
+	var recvErr error
 	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(err, syscall.EAGAIN)
+		n, _, recvErr = syscall.Recvfrom(int(fd), p, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && idle
+	return max(n, 0), errors.Join(err, recvErr)
+}
+
+// received returns the bytes that have come and were not read, up to the size of a head, without waiting for more. A large read of a
+// body passes the buffer, and leaves what follows in the kernel.
+func (c *conn) received() []byte {
+	var one [1]byte
+	waiting, _ := c.peek(one[:]) // none if the connection has failed
+	buffered, _ := c.in.Buffered().Peek(c.in.Buffered().Buffered())
+	if waiting == 0 {
+		return buffered
+	}
+	out := make([]byte, headlimit.MaxBytes)
+	n := copy(out, buffered)
+	more, _ := c.peek(out[n:])
+	return out[:n+more]
 }
 
 // Request is a request to be sent.
@@ -247,8 +271,7 @@
 	if a.ContentLength <= 0 {
 		return false
 	}
-	following, _ := a.conn.in.Buffered().Peek(a.Buffered())
-	return headlimit.HeadBegins(body, following, a.own)
+	return headlimit.HeadBegins(body, a.conn.received(), a.own)
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete.
