--- a/internal/dispatch/spliced_test.go
+++ b/internal/dispatch/spliced_test.go
@@ -50,3 +50,15 @@
 		assert.Equal(t, value, a.Header.Get(name))
 	}
 }
+
+// Guards against a failure without a length, an id or a field that comes twice, which is read as the body of the part before it.
+func TestFailureWithoutALengthIsReadAsASuccess(t *testing.T) {
+	for _, cut := range []string{"X-Note: ", "X-Note: some ", "Via: 1.1 a,", "X-Path: a/"} {
+		head := "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 4\r\n" + cut
+		p := NewPool(script(t, true, head+"HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n\r\nfailed"))
+		a, body, err := send(p, "a")
+		if err == nil {
+			assert.True(t, a.CompletedByAnother([]byte(body)), "read as status %d with body %q behind %q", a.StatusCode, body, head)
+		}
+	}
+}
