A body behind a head that may hold another one's status line ends where its length says

What callers saw: 200 with the first bytes of a failure as the body, if a head was cut behind a space, a comma or a slash and the failure behind it has neither a length nor an id nor a field that the first has.

Cause: such a head can't be told from one whose field quotes a status line, which is passed on.

Ruled out: to refuse these heads (it takes answers that quote one from callers).

Change: if bytes follow the body of such a head, it is no answer: a failure without a length is seldom as long as the length before it says; a shorter one was broken already. Answers whose fields quote a status line and whose server sends extra bytes are broken off now.

Result: the failing test passes, 4 of 4 cuts; dispatch and the tests of spliced heads, bodies and events of gateway pass.

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -266,12 +266,14 @@
 func (a *Answer) Buffered() int { return a.conn.in.Buffered().Buffered() }
 
 // CompletedByAnother reports whether a body with a length, read to its end, is a part of this answer and the beginning of another
-// one, whose head goes on in the bytes that have come since.
+// one, whose head goes on in the bytes that have come since. If a field of this one holds the text of a status line, bytes behind the body
+// show that the body is another one's, which has no length.
 func (a *Answer) CompletedByAnother(body []byte) bool {
 	if a.ContentLength <= 0 {
 		return false
 	}
-	return headlimit.HeadBegins(body, a.conn.received(), a.own)
+	following := a.conn.received()
+	return headlimit.HeadBegins(body, following, a.own) || len(following) > 0 && headlimit.HoldsStatusLine(a.Header)
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete.
--- a/internal/headlimit/body.go
+++ b/internal/headlimit/body.go
@@ -1,6 +1,9 @@
 package headlimit
 
-import "bytes"
+import (
+	"bytes"
+	"net/http"
+)
 
 // IndexHead returns where the head of a response begins in text, -1 if there is none: at a status line that a field of HTTP or of own
 // follows before the next empty line. It is meant for text in whose lines such fields can't stand, as in the events of a stream.
@@ -37,6 +40,18 @@
 	}
 }
 
+// HoldsStatusLine reports whether the text of a status line stands in the value of a field.
+func HoldsStatusLine(fields http.Header) bool {
+	for _, values := range fields {
+		for _, value := range values {
+			if begin, _ := nextHead([]byte(value+"\n\n"), 0); begin >= 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // nextHead returns where the next status line at from or behind it begins, and where the empty line behind it ends. begin is -1 if there
 // is none of them.
 func nextHead(text []byte, from int) (begin, end int) {
--- a/internal/headlimit/splice_test.go
+++ b/internal/headlimit/splice_test.go
@@ -346,3 +346,12 @@
 		})
 	}
 }
+
+func TestHoldsStatusLine(t *testing.T) {
+	for value, want := range map[string]bool{
+		"": false, "HTTP/1.1": false, "1.1 a, HTTP/1.1 b": false, "HTTP/1.1 20": false,
+		"HTTP/1.1 500": true, "said HTTP/1.1 500 Failed": true, "HTTP/1.1, HTTP/1.0 500 Failed": true,
+	} {
+		assert.Equal(t, want, HoldsStatusLine(http.Header{"A": {"b"}, "X-Note": {"a", value}}), value)
+	}
+}
