--- a/internal/gateway/spliced_large_test.go
+++ b/internal/gateway/spliced_large_test.go
@@ -27,3 +27,15 @@
 		})
 	}
 }
+
+// Guards against the same at the end of an answer that is passed on as it comes.
+func TestAnswerBehindAPartOfABodyThatIsNotHeldLooksComplete(t *testing.T) {
+	body := strings.Repeat("b", 2*maxHeldAnswer)
+	broken := rawServer(t, "b-1", func(r *http.Request) string {
+		id := headers.RequestID + ": " + r.Header.Get(headers.RequestID) + "\r\n" + headers.Signature + ": signed\r\n"
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%sHTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 6\r\n\r\nbroken", id, len(body), body[:len(body)-50], id)
+	})
+	answer := newEntry(t, broken).ask(t, http.MethodPost, "/unsafe/1")
+	assert.Error(t, answer.err)
+	assert.Less(t, len(answer.body), len(body))
+}
