The last bytes of a large answer are not passed on if another one completes it

What callers saw: 200 with all bytes of its length, the last of them the head of another answer, where the answer is larger than what an entry holds, or its memory for bodies is used up.

Cause: passOn did not check the end of the body as readWhole does.

If it fails the answer stays short of its length, and the connection to the caller is aborted as for any that breaks off.

--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -56,8 +56,15 @@
 	c.w.WriteHeader(a.StatusCode)
 	err := c.writePieces(read)
 	piece := make([]byte, pieceBytes)
+	var last []byte // what was read last, a piece at most
 	for err == nil {
 		n, readErr := a.Read(piece)
+		last = append(last, piece[:n]...)
+		last = last[max(0, len(last)-pieceBytes):]
+		if readErr == io.EOF && a.CompletedByAnother(last) {
+			err = errSplicedBody // without its last bytes the answer looks incomplete
+			break
+		}
 		if err = c.writePieces(piece[:n]); err != nil {
 			break
 		}
