A stream is not waited for once its context is done: entries stopped late

What callers saw: streams cut at the end of the grace period.

Cause: the reader of a stream, new with the drain of silent ones, ends without a word if its context is done before its last message is taken. The stream then counted as silent: 1.5 s, and 3 s more as it was drained. The entry's log has nothing for 4.5 s before the end of the grace period.

Ruled out: requests in progress (the last one ends before), a send that blocks (its watchdog closes the stream).

Change: the reader closes its channel, and a wait for messages ends then. TestStreamIsNotWaitedForOnceItsContextIsDone failed before, within 100 plays, and passes now; internal/follow passes.

--- a/internal/follow/session.go
+++ b/internal/follow/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lynxgate.dev/lynxgate/internal/clock"
@@ -14,7 +15,8 @@
 type session struct {
 	stream rpc.DRPCFleet_FollowClient
 	// close ends the stream and its reader.
-	close     func()
+	close func()
+	// messages is closed once nothing more is read.
 	messages  chan message
 	stamps    *Stamps
 	stampedAt time.Time
@@ -35,8 +37,12 @@
 	return &session{stream: stream, messages: make(chan message), stamps: NewStamps(clock.Now())}
 }
 
+// errEnded means that nothing more is read from a stream, as its context is done.
+var errEnded = errors.New("stream is not read any more")
+
 // read reads messages for receive until the stream fails or ctx is done.
 func (s *session) read(ctx context.Context) {
+	defer close(s.messages)
 	for {
 		u, err := s.stream.Recv()
 		select {
@@ -50,11 +56,14 @@
 	}
 }
 
-// receive returns the next message of the control server and dates it, or errSilent once timeout fires.
+// receive returns the next message of the control server and dates it, errSilent once timeout fires, or errEnded.
 func (s *session) receive(timeout <-chan time.Time) (*rpc.FleetUpdate, Anchor, error) {
 	select {
-	case m := <-s.messages:
-		if m.err != nil {
+	case m, ok := <-s.messages:
+		switch {
+		case !ok:
+			return nil, Anchor{}, errEnded
+		case m.err != nil:
 			return nil, Anchor{}, m.err
 		}
 		s.stamps.Receive(m.update.StampUs, m.at)
--- a/internal/follow/session_test.go
+++ b/internal/follow/session_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"io"
 	"testing"
 	"time"
@@ -67,3 +68,16 @@
 	assert.EqualValues(t, 5, m.Versions[0].AppliedBy)
 	assert.EqualValues(t, 7, m.Echo.StampUs)
 }
+
+// Guards against a process that stops late, as it waits for messages of a stream that nothing is read from any more.
+func TestStreamIsNotWaitedForOnceItsContextIsDone(t *testing.T) {
+	for range 100 {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSession(&recordedStream{})
+		cancel()
+		go s.read(ctx)
+		_, _, err := s.receive(time.After(10 * time.Second))
+		require.NotErrorIs(t, err, errSilent)
+		require.Error(t, err)
+	}
+}
