Harness: fleets claim their subnets

Cause: each fleet draws one of 65,024 subnets, and two that run at the same time may draw the same one, in one test process or in two. That it was so is by reading: the other fleet was not seen.

Change: a fleet holds a listener at the last address of its subnet and draws again if another one has it.

--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -46,8 +47,11 @@
 	// limits of its own keep it from writing files.
 	PipeLogs bool
 
-	mu     sync.Mutex
 	subnet string
+	// claim keeps other fleets from the subnet for as long as this one is in use.
+	claim net.Listener
+
+	mu     sync.Mutex
 	nextIP int
 	procs  map[string]*Process
 }
@@ -65,8 +69,24 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("folder of the fleet: %w", err)
 	}
-	subnet := fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
-	return &Fleet{Dir: dir, Bin: bin, subnet: subnet, procs: map[string]*Process{}}, nil
+	subnet, claim, err := claimSubnet()
+	if err != nil {
+		return nil, err
+	}
+	return &Fleet{Dir: dir, Bin: bin, subnet: subnet, claim: claim, procs: map[string]*Process{}}, nil
+}
+
+// claimSubnet draws the subnet of a fleet and claims it against the fleets of all test processes: by a listener on its last address, which
+// no process of a fleet gets.
+func claimSubnet() (subnet string, claim net.Listener, err error) {
+	const maxDraws, claimPort = 100, 7000
+	for range maxDraws {
+		subnet = fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
+		if claim, err = net.Listen("tcp", fmt.Sprintf("%s.255:%d", subnet, claimPort)); err == nil {
+			return subnet, claim, nil
+		}
+	}
+	return "", nil, fmt.Errorf("subnet of the fleet: %w", err)
 }
 
 // IP gives out an IP number on loopback that no other process of the fleet has.
