--- a/review/two/unframed.go
+++ b/review/two/unframed.go
@@ -208,17 +208,21 @@
 	c := &client{}
 	defer c.drop()
 	for i := 0; ctx.Err() == nil; i++ {
-		id := fmt.Sprintf("c%d-%d", n, i)
-		entry := s.rotation.pick(c, preferred)
-		a := c.send(entry, stream(id))
-		s.logf("client %d: %s at %s: status %d, %d events, %v", n, id, entry, a.status, strings.Count(a.body, "\n\n"), a.err)
-		s.mu.Lock()
-		s.seen[id] = seen{answer: a, entry: entry}
-		s.mu.Unlock()
+		s.once(c, preferred, stream(fmt.Sprintf("c%d-%d", n, i)))
 		time.Sleep(30 * time.Millisecond)
 	}
 }
 
+// once sends one stream to the entry of the client's open connection, or to the first preferred one in rotation.
+func (s *streams) once(c *client, preferred []string, r request) {
+	entry := s.rotation.pick(c, preferred)
+	a := c.send(entry, r)
+	s.logf("client: %s at %s: status %d, %d events, %v", r.id, entry, a.status, strings.Count(a.body, "\n\n"), a.err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen[r.id] = seen{answer: a, entry: entry}
+}
+
 // breaks returns the requests that the stopping entry has passed on, that an engine has answered whole, and whose connection ended without
 // a complete answer, from the SIGTERM until 1 s after graceS.
 func (s *streams) breaks(stopping string) (out []string) {
