--- a/review/two/clients.go
+++ b/review/two/clients.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -31,8 +32,10 @@
 // request is one attempt of a client.
 type request struct {
 	id, method, host, path string
-	fields                 map[string]string
-	body                   []byte
+	// key is the API key, standin.Key if empty.
+	key    string
+	fields map[string]string
+	body   []byte
 }
 
 const (
@@ -67,7 +70,7 @@
 	_ = c.conn.SetDeadline(time.Now().Add(clientDeadline + time.Second))
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n", r.method, r.path, r.host,
-		standin.HeaderRequestID, r.id, standin.HeaderKey, standin.Key, standin.HeaderDeadline, clientDeadline.Milliseconds(), len(r.body))
+		standin.HeaderRequestID, r.id, standin.HeaderKey, cmp.Or(r.key, standin.Key), standin.HeaderDeadline, clientDeadline.Milliseconds(), len(r.body))
 	for name, value := range r.fields {
 		fmt.Fprintf(&out, "%s: %s\r\n", name, value)
 	}
--- a/review/two/main.go
+++ b/review/two/main.go
@@ -40,7 +40,7 @@
 // played.
 type play func(ctx context.Context, b *bed, trouble bool) (breaks []string, err error)
 
-var plays = map[string]play{"4": ownStatusAfterRun, "5": unframedWhileWeightsChange, "6": seedLostAtFirstStart, "7": wholeUntilBound}
+var plays = map[string]play{"4": ownStatusAfterRun, "5": unframedWhileWeightsChange, "6": seedLostAtFirstStart, "7": wholeUntilBound, "8": lastTenantLeaves}
 
 func main() { os.Exit(run()) }
 
