--- a/review/two/main.go
+++ b/review/two/main.go
@@ -40,7 +40,13 @@
 // played.
 type play func(ctx context.Context, b *bed, trouble bool) (breaks []string, err error)
 
-var plays = map[string]play{"4": ownStatusAfterRun, "5": unframedWhileWeightsChange, "6": seedLostAtFirstStart, "7": wholeUntilBound, "8": lastTenantLeaves}
+var plays = map[string]play{
+	"4": lastTenantLeaves,
+	"5": ownStatusAfterRun,
+	"6": unframedWhileWeightsChange,
+	"7": wholeUntilBound,
+	"8": seedLostAtFirstStart,
+}
 
 func main() { os.Exit(run()) }
 
